Kernel: plug-in registry, core types, shard container, ports, settings

Cause: the project starts with its shape, so that later parts have one place to go. Change: module kernel with the registry and life cycle of plug-ins, the core types without any encoding, the sharded map with one lock a shard, the ports by which plug-ins meet, strict settings and the invariant check.

--- /dev/null
+++ b/kernel/model/identity.go
@@ -0,0 +1,94 @@
+package model
+
+import (
+	"strconv"
+	"strings"
+)
+
+// NodeID names one entry VM. Settings restrict it to lower-case letters, digits and hyphens.
+type NodeID string
+
+// Incarnation tells one run of a process from the next; it is random at each start.
+type Incarnation string
+
+// DataCentre names a data centre. Data centres can be cut off from each other.
+type DataCentre string
+
+// ServiceID names a service, such as "finder".
+type ServiceID string
+
+// TeamID names a customer with a quota.
+type TeamID string
+
+// EndpointID names one licensed copy.
+type EndpointID string
+
+// JobID names a job, the entry VM that owns it and that VM's incarnation.
+//
+// The format is node.incarnation.minted.sequence.tag, where minted is the time of minting in
+// milliseconds (base 36) and tag authenticates the rest.
+type JobID string
+
+// JobIDParts are the fields of a JobID.
+type JobIDParts struct {
+	Owner       NodeID
+	Incarnation Incarnation
+	MintedMS    int64 // Unix time, milliseconds.
+	Sequence    uint64
+	Tag         string
+}
+
+const (
+	jobIDFields = 5
+	idBase      = 36
+)
+
+// NewJobID formats the fields as an id.
+func NewJobID(p JobIDParts) JobID {
+	return JobID(p.Unsigned() + "." + p.Tag)
+}
+
+// Unsigned returns the part of the id that the tag authenticates.
+func (p JobIDParts) Unsigned() string {
+	return strings.Join([]string{
+		string(p.Owner),
+		string(p.Incarnation),
+		strconv.FormatInt(p.MintedMS, idBase),
+		strconv.FormatUint(p.Sequence, idBase),
+	}, ".")
+}
+
+// Parse splits the id into its fields; ok is false when it has not the form of a job id.
+func (id JobID) Parse() (parts JobIDParts, ok bool) {
+	fields := strings.Split(string(id), ".")
+	if len(fields) != jobIDFields {
+		return JobIDParts{}, false
+	}
+	minted, err := strconv.ParseInt(fields[2], idBase, 64)
+	if err != nil || minted < 0 {
+		return JobIDParts{}, false
+	}
+	sequence, err := strconv.ParseUint(fields[3], idBase, 64)
+	if err != nil {
+		return JobIDParts{}, false
+	}
+	parts = JobIDParts{NodeID(fields[0]), Incarnation(fields[1]), minted, sequence, fields[4]}
+	return parts, parts.Owner != "" && parts.Incarnation != "" && NewJobID(parts) == id
+}
+
+// TaskID names a task: its job's id and its index in the job.
+type TaskID string
+
+// TaskID returns the id of the job's task at index.
+func (id JobID) TaskID(index int) TaskID {
+	return TaskID(string(id) + "." + strconv.Itoa(index))
+}
+
+// Job returns the id of the job that the task belongs to, or "" when id is no task id.
+func (id TaskID) Job() JobID {
+	cut := strings.LastIndexByte(string(id), '.')
+	if cut < 0 {
+		return ""
+	}
+	return JobID(id[:cut])
+}
--- /dev/null
+++ b/kernel/model/job.go
@@ -0,0 +1,105 @@
+package model
+
+import "time"
+
+// MaxTasksPerJob bounds the tasks of one job.
+const MaxTasksPerJob = 160
+
+// Needs are what a task asks of the worker that runs it.
+type Needs struct {
+	Cores        int
+	MemoryMB     int
+	Accelerators int
+}
+
+// Within reports whether a worker that has the given resources can run a task of these needs.
+func (n Needs) Within(has Needs) bool {
+	return n.Cores <= has.Cores && n.MemoryMB <= has.MemoryMB && n.Accelerators <= has.Accelerators
+}
+
+// Task is one unit of work. Its id follows from its job and index.
+type Task struct {
+	Index    int
+	Payload  []byte        // Opaque to the dispatcher.
+	Declared time.Duration // Run time that the caller declared; 0 when it did not.
+	Needs    Needs
+}
+
+// Job is a set of tasks with one answer: all of them, or a failure.
+type Job struct {
+	ID       JobID
+	Service  ServiceID
+	Team     TeamID
+	Deadline time.Time
+	Tasks    []Task
+	Digest   uint64 // Hash of the submission; tells a resend from another body under the same id.
+}
+
+// State tells how far a job has come.
+type State string
+
+// States of a job.
+const (
+	StateRunning  State = "running"
+	StateComplete State = "complete"
+	StateFailed   State = "failed"
+)
+
+// RunState is what a failure says about whether any of the work ran.
+type RunState string
+
+// Run states. NotRun is a promise; what is not known is MayHaveRun.
+const (
+	NotRun     RunState = "not_run"
+	MayHaveRun RunState = "may_have_run"
+)
+
+// Reason tells why a job or task failed.
+type Reason string
+
+// Reasons of failures.
+const (
+	ReasonNeverFits      Reason = "never_fits"
+	ReasonQuota          Reason = "quota"
+	ReasonOverload       Reason = "overload"
+	ReasonDraining       Reason = "draining"
+	ReasonNoProfile      Reason = "no_profile"
+	ReasonNoEndpoint     Reason = "no_endpoint"
+	ReasonDeadline       Reason = "deadline"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonTaskFailed     Reason = "task_failed"
+	ReasonOwnerLost      Reason = "owner_lost"
+	ReasonOwnerRestarted Reason = "owner_restarted"
+	ReasonExpired        Reason = "job_id_expired"
+	ReasonConflict       Reason = "job_id_conflict"
+	ReasonUnknownJob     Reason = "unknown_job"
+	ReasonEndpointLost   Reason = "endpoint_lost"
+	ReasonRefused        Reason = "endpoint_refused"
+	ReasonUnreachable    Reason = "unreachable"
+)
+
+// Outcome is a job's state as its caller sees it. Answers are in the order of the tasks and are
+// there only when the job is complete; Run and Reason only when it failed.
+type Outcome struct {
+	Job        JobID
+	State      State
+	Run        RunState
+	Reason     Reason
+	RetryAfter time.Duration // 0 when there is no advice.
+	Answers    [][]byte
+}
+
+// Completed returns the outcome of a job that ended with an answer for each task.
+func Completed(job JobID, answers [][]byte) Outcome {
+	return Outcome{Job: job, State: StateComplete, Answers: answers}
+}
+
+// Failed returns the outcome of a job that ended without its answers.
+func Failed(job JobID, run RunState, reason Reason) Outcome {
+	return Outcome{Job: job, State: StateFailed, Run: run, Reason: reason}
+}
+
+// Running returns the outcome of a job that has not ended.
+func Running(job JobID) Outcome {
+	return Outcome{Job: job, State: StateRunning}
+}
--- /dev/null
+++ b/kernel/model/pool.go
@@ -0,0 +1,95 @@
+package model
+
+import (
+	"strconv"
+	"time"
+)
+
+// PoolID names a pool: the endpoints of one service in one data centre that share an owner and a
+// queue. Part is 0 unless settings split a data centre's endpoints into several pools.
+type PoolID struct {
+	Service    ServiceID
+	DataCentre DataCentre
+	Part       int
+}
+
+// String formats the id for logs and hashing.
+func (p PoolID) String() string {
+	return string(p.Service) + "/" + string(p.DataCentre) + "/" + strconv.Itoa(p.Part)
+}
+
+// EndpointState is what an endpoint says of itself.
+type EndpointState string
+
+// States of an endpoint.
+const (
+	EndpointServing EndpointState = "serving"
+	EndpointLeaving EndpointState = "leaving"
+)
+
+// Endpoint is one licensed copy as it announces itself.
+type Endpoint struct {
+	ID          EndpointID
+	Service     ServiceID
+	Worker      string
+	Rack        string
+	DataCentre  DataCentre
+	Address     string // ip:port.
+	Slots       int    // Tasks that it runs at once.
+	Connections int    // Connections that it accepts.
+	Has         Needs  // Resources of its worker.
+	State       EndpointState
+	Running     []TaskID
+}
+
+// PoolLoad is what a pool's owner tells of it, so that others can decide where a job goes.
+type PoolLoad struct {
+	Pool      PoolID
+	Owner     NodeID
+	Version   uint64 // Grows with each report of one owner incarnation.
+	Slots     int    // Slots of endpoints that take work.
+	Free      int    // Slots with no task.
+	Queued    int    // Tasks that wait.
+	QueuedRun time.Duration
+	Largest   Needs // Componentwise maximum over the endpoints.
+}
+
+// BatchID names the part of a job that one pool's owner runs.
+type BatchID struct {
+	Job  JobID
+	Part int
+}
+
+// Batch is the tasks of one job that go to one pool, in one message.
+type Batch struct {
+	ID       BatchID
+	Pool     PoolID
+	Origin   NodeID // Entry VM that owns the job.
+	Team     TeamID
+	Deadline time.Time
+	Tasks    []Task
+}
+
+// TaskResult is how one task of a batch ended.
+type TaskResult struct {
+	Index  int
+	Done   bool
+	Answer []byte
+	Run    RunState // When it is not done.
+	Reason Reason   // When it is not done.
+}
+
+// BatchResult is how a batch ended. A refused batch started none of its tasks.
+type BatchResult struct {
+	ID         BatchID
+	Refused    bool
+	Reason     Reason // When refused.
+	RetryAfter time.Duration
+	Results    []TaskResult
+	Load       PoolLoad // The pool's load as the batch ended.
+}
+
+// RefusedBatch returns the result of a batch none of whose tasks started.
+func RefusedBatch(id BatchID, reason Reason) BatchResult {
+	return BatchResult{ID: id, Refused: true, Reason: reason}
+}
--- /dev/null
+++ b/kernel/plugin/context.go
@@ -0,0 +1,60 @@
+package plugin
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/kernel/settings"
+)
+
+// DrainContext bounds the time of a drain.
+type DrainContext = context.Context
+
+// Context is what a plug-in is provisioned with.
+type Context struct {
+	ID      ID
+	Node    settings.Settings
+	Log     *slog.Logger
+	Metrics metrics.Registry
+	Health  *Health
+
+	host *Host
+}
+
+// Settings decodes the plug-in's own settings over the defaults that target holds. Unknown keys
+// and wrong types are errors that name the JSON path.
+func (c *Context) Settings(target any) error {
+	raw, ok := c.Node.Plugins[string(c.ID)]
+	if !ok {
+		return nil
+	}
+	return settings.DecodeStrict(raw, "plugins."+string(c.ID), target)
+}
+
+// Bind offers implementation as port T to the plug-ins that need it.
+func Bind[T any](c *Context, implementation T) {
+	port := PortOf[T]()
+	c.host.bound[port] = append(c.host.bound[port], binding{c.ID, implementation})
+}
+
+// Use returns the one implementation of port T.
+func Use[T any](c *Context) (T, error) {
+	all := c.host.bound[PortOf[T]()]
+	if len(all) != 1 {
+		var none T
+		return none, errors.Newf("%s: port %s has %d implementations, wanted 1", c.ID, PortOf[T](), len(all))
+	}
+	return all[0].implementation.(T), nil
+}
+
+// UseAll returns the implementations of port T by their plug-ins' names.
+func UseAll[T any](c *Context) map[string]T {
+	byName := make(map[string]T)
+	for _, b := range c.host.bound[PortOf[T]()] {
+		byName[b.id.Name()] = b.implementation.(T)
+	}
+	return byName
+}
--- /dev/null
+++ b/kernel/plugin/host.go
@@ -0,0 +1,135 @@
+package plugin
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/kernel/settings"
+)
+
+// Host runs the plug-ins of one process.
+type Host struct {
+	Metrics metrics.Registry
+	Health  *Health
+
+	log     *slog.Logger
+	node    settings.Settings
+	plugins []instance // In the order in which they start.
+	bound   map[Port][]binding
+	started int
+}
+
+type instance struct {
+	definition Definition
+	plugin     Plugin
+}
+
+type binding struct {
+	id             ID
+	implementation any
+}
+
+// NewHost provisions and validates the given plug-ins. All faults of settings are reported
+// together.
+func NewHost(node settings.Settings, log *slog.Logger, definitions []Definition) (*Host, error) {
+	ordered, err := order(definitions)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{
+		Metrics: metrics.NewRegistry(),
+		Health:  NewHealth(),
+		log:     log,
+		node:    node,
+		bound:   make(map[Port][]binding),
+	}
+	faults := unknownPlugins(node, definitions)
+	for _, d := range ordered {
+		faults = errors.Join(faults, h.provision(d))
+	}
+	if faults != nil {
+		return nil, faults
+	}
+	return h, h.validate()
+}
+
+func unknownPlugins(node settings.Settings, definitions []Definition) error {
+	known := make(map[string]bool, len(definitions))
+	for _, d := range definitions {
+		known[string(d.ID)] = true
+	}
+	var faults error
+	for id := range node.Plugins {
+		if !known[id] {
+			faults = errors.Join(faults, errors.Newf("plugins.%s: no such plug-in", id))
+		}
+	}
+	return faults
+}
+
+func (h *Host) provision(d Definition) error {
+	p := d.New()
+	h.plugins = append(h.plugins, instance{d, p})
+	return p.Provision(&Context{
+		ID:      d.ID,
+		Node:    h.node,
+		Log:     h.log.With("plugin", string(d.ID)),
+		Metrics: h.Metrics,
+		Health:  h.Health,
+		host:    h,
+	})
+}
+
+func (h *Host) validate() error {
+	var faults error
+	for _, i := range h.plugins {
+		if v, ok := i.plugin.(Validator); ok {
+			faults = errors.Join(faults, errors.Wrapf(v.Validate(), "%s", i.definition.ID))
+		}
+	}
+	return faults
+}
+
+// Start starts the plug-ins. When one fails, those already started are stopped.
+func (h *Host) Start() error {
+	for _, i := range h.plugins {
+		if s, ok := i.plugin.(Starter); ok {
+			if err := s.Start(); err != nil {
+				return errors.Join(errors.Wrapf(err, "start %s", i.definition.ID), h.Stop())
+			}
+		}
+		h.started++
+	}
+	return nil
+}
+
+// Drain marks the process as not ready, then lets each plug-in finish what is in flight, in
+// reverse order of starting.
+func (h *Host) Drain(ctx context.Context) {
+	h.Health.Block("draining", "the process is shutting down")
+	for i := h.started - 1; i >= 0; i-- {
+		if d, ok := h.plugins[i].plugin.(Drainer); ok {
+			d.Drain(ctx)
+		}
+	}
+}
+
+// Stop stops the started plug-ins in reverse order.
+func (h *Host) Stop() error {
+	var faults error
+	for ; h.started > 0; h.started-- {
+		i := h.plugins[h.started-1]
+		if s, ok := i.plugin.(Stopper); ok {
+			faults = errors.Join(faults, errors.Wrapf(s.Stop(), "stop %s", i.definition.ID))
+		}
+	}
+	return faults
+}
+
+// Lookup returns the one implementation of port T that a host's plug-ins bound.
+func Lookup[T any](h *Host) (T, error) {
+	return Use[T](&Context{ID: "host", host: h})
+}
--- /dev/null
+++ b/kernel/settings/settings.go
@@ -0,0 +1,113 @@
+// Package settings reads the settings file of a process and names every fault in it by JSON path.
+package settings
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"regexp"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/kernel/model"
+)
+
+// Settings are those of one entry VM's process.
+type Settings struct {
+	Node       model.NodeID               `json:"node"`
+	Region     string                     `json:"region"`
+	DataCentre model.DataCentre           `json:"data_centre"`
+	Listen     Listen                     `json:"listen"`
+	Members    []Member                   `json:"members"`
+	DataDir    string                     `json:"data_dir"`
+	Plugins    map[string]json.RawMessage `json:"plugins"`
+}
+
+// Listen holds the addresses of the process's listeners, each ip:port.
+type Listen struct {
+	Callers   string `json:"callers"`
+	Endpoints string `json:"endpoints"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+}
+
+// Member is an entry VM that is known at the start.
+type Member struct {
+	Node       model.NodeID     `json:"node"`
+	DataCentre model.DataCentre `json:"data_centre"`
+	Peers      string           `json:"peers"`
+	Endpoints  string           `json:"endpoints"`
+	Disk       bool             `json:"disk"`
+}
+
+// Read reads and checks the settings file at path. The error joins all faults.
+func Read(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(raw)
+}
+
+// Parse decodes and checks settings.
+func Parse(raw []byte) (Settings, error) {
+	var s Settings
+	if err := DecodeStrict(raw, "", &s); err != nil {
+		return Settings{}, err
+	}
+	return s, s.Check()
+}
+
+var nodeName = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Check returns all faults of the settings outside "plugins".
+func (s Settings) Check() error {
+	var f faults
+	f.require(nodeName.MatchString(string(s.Node)), "node", "must be lower-case letters, digits and hyphens")
+	f.require(s.DataCentre != "", "data_centre", "must be set")
+	f.address("listen.callers", s.Listen.Callers)
+	f.address("listen.endpoints", s.Listen.Endpoints)
+	f.address("listen.operators", s.Listen.Operators)
+	f.address("listen.peers", s.Listen.Peers)
+	s.checkMembers(&f)
+	return f.joined
+}
+
+func (s Settings) checkMembers(f *faults) {
+	seen := make(map[model.NodeID]bool)
+	for i, m := range s.Members {
+		path := pathIndex("members", i)
+		f.require(nodeName.MatchString(string(m.Node)), path+".node", "must be lower-case letters, digits and hyphens")
+		f.require(!seen[m.Node], path+".node", "is there twice")
+		f.require(m.DataCentre != "", path+".data_centre", "must be set")
+		f.address(path+".peers", m.Peers)
+		f.address(path+".endpoints", m.Endpoints)
+		seen[m.Node] = true
+	}
+	f.require(seen[s.Node], "members", "must hold this node itself")
+	self, _ := s.Self()
+	f.require(!self.Disk || s.DataDir != "", "data_dir", "must be set on a member with a disk")
+}
+
+// Self returns this process's own entry in Members.
+func (s Settings) Self() (Member, bool) {
+	for _, m := range s.Members {
+		if m.Node == s.Node {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+type faults struct{ joined error }
+
+func (f *faults) require(holds bool, path, what string) {
+	if !holds {
+		f.joined = errors.Join(f.joined, errors.Newf("%s: %s", path, what))
+	}
+}
+
+func (f *faults) address(path, value string) {
+	_, err := netip.ParseAddrPort(value)
+	f.require(err == nil, path, "must be an IP address and port")
+}
