--- /dev/null
+++ b/cmd/internal/node/node.go
@@ -0,0 +1,27 @@
+// Package node runs one entry VM's process, or several in one process for a demonstration.
+package node
+
+import (
+	"context"
+	"log/slog"
+
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/settings"
+
+	_ "redwingpulley/plugins/standard" // Links in the plug-ins.
+)
+
+// Start provisions and starts all linked plug-ins.
+func Start(s settings.Settings, log *slog.Logger) (*plugin.Host, error) {
+	host, err := plugin.NewHost(s, log.With("node", string(s.Node)), plugin.Registered())
+	if err != nil {
+		return nil, err
+	}
+	return host, host.Start()
+}
+
+// Stop drains the host until the context ends, then stops it.
+func Stop(ctx context.Context, host *plugin.Host) error {
+	host.Drain(ctx)
+	return host.Stop()
+}
--- /dev/null
+++ b/cmd/internal/shape/shape_test.go
@@ -0,0 +1,133 @@
+// Package shape checks the rules of the code base's shape against its import graph.
+package shape
+
+import (
+	"encoding/json"
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// decisions are the packages that must be pure state machines or policies.
+var decisions = []string{
+	"redwingpulley/kernel/model",
+	"redwingpulley/kernel/port",
+	"redwingpulley/kernel/invariant",
+	"redwingpulley/plugins/endpoints/poolstate",
+	"redwingpulley/plugins/jobs/jobstate",
+}
+
+// forbidden are what a decision package must not import, directly or through this project.
+var forbidden = []string{"net", "net/http", "encoding/json", "os", "log", "log/slog", "sync", "crypto/rand"}
+
+type goPackage struct {
+	ImportPath string
+	Imports    []string
+	GoFiles    []string
+	Dir        string
+}
+
+func load(t *testing.T) map[string]goPackage {
+	t.Helper()
+	out, err := exec.Command("go", "list", "-json=ImportPath,Imports,GoFiles,Dir", "work").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	packages := make(map[string]goPackage)
+	for decoder := json.NewDecoder(strings.NewReader(string(out))); decoder.More(); {
+		var p goPackage
+		if err := decoder.Decode(&p); err != nil {
+			t.Fatal(err)
+		}
+		packages[p.ImportPath] = p
+	}
+	return packages
+}
+
+func TestDecisionPackagesArePure(t *testing.T) {
+	is := is.New(t)
+	packages := load(t)
+	for _, path := range decisions {
+		p, ok := packages[path]
+		is.True(ok) // A listed decision package exists.
+		is.Equal(impurities(packages, p), nil)
+	}
+}
+
+// impurities returns the forbidden imports that p reaches through packages of this project.
+func impurities(packages map[string]goPackage, p goPackage) []string {
+	var found []string
+	seen := map[string]bool{}
+	var visit func(goPackage)
+	visit = func(p goPackage) {
+		for _, imported := range p.Imports {
+			if slices.Contains(forbidden, imported) {
+				found = append(found, p.ImportPath+" imports "+imported)
+			}
+			if next, ours := packages[imported]; ours && !seen[imported] {
+				seen[imported] = true
+				visit(next)
+			}
+		}
+	}
+	visit(p)
+	return found
+}
+
+func TestImpuritiesAreFoundThroughOtherPackages(t *testing.T) {
+	is := is.New(t)
+	packages := map[string]goPackage{
+		"a": {ImportPath: "a", Imports: []string{"b"}},
+		"b": {ImportPath: "b", Imports: []string{"net/http"}},
+	}
+	is.Equal(impurities(packages, packages["a"]), []string{"b imports net/http"})
+}
+
+// root returns the folder of the plug-in that a package belongs to, below plugins/.
+func root(path string) string {
+	rest, ok := strings.CutPrefix(path, "redwingpulley/plugins/")
+	if !ok {
+		return ""
+	}
+	parts := strings.Split(rest, "/")
+	switch parts[0] {
+	case "placement", "admission", "frontend", "peer", "record":
+		return strings.Join(parts[:min(2, len(parts))], "/")
+	}
+	return parts[0]
+}
+
+// shared are packages below plugins/ that are no plug-ins.
+var shared = []string{"frontend/web"}
+
+func TestPluginsDoNotKnowOneAnother(t *testing.T) {
+	is := is.New(t)
+	for path, p := range load(t) {
+		from := root(path)
+		if from == "" || from == "standard" {
+			continue
+		}
+		for _, imported := range p.Imports {
+			to := root(imported)
+			if to != "" && to != from && !slices.Contains(shared, to) {
+				t.Logf("%s imports %s", path, imported)
+				is.Fail()
+			}
+		}
+	}
+}
+
+func TestKernelNamesNoPlugin(t *testing.T) {
+	is := is.New(t)
+	for path, p := range load(t) {
+		if !strings.HasPrefix(path, "redwingpulley/kernel/") {
+			continue
+		}
+		for _, imported := range p.Imports {
+			is.True(!strings.HasPrefix(imported, "redwingpulley/plugins"))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/redwingd/main.go
@@ -0,0 +1,119 @@
+// Command redwingd is the entry VM's process.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/cmd/internal/node"
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/settings"
+)
+
+const (
+	exitFailed  = 1
+	exitUsage   = 2
+	drainLimit  = time.Minute // Longest wait for requests in flight at shutdown.
+	description = "redwingd is the entry VM's process of the redwingpulley dispatcher."
+)
+
+type commands struct {
+	Run     runCommand     `cmd:"" help:"Run the process until SIGTERM, which drains it."`
+	Check   checkCommand   `cmd:"" help:"Name every fault of a settings file."`
+	Plugins pluginsCommand `cmd:"" help:"List the linked plug-ins."`
+}
+
+type runCommand struct {
+	Settings string `required:"" help:"Settings file (JSON)." type:"path"`
+}
+
+type checkCommand struct {
+	Settings string `required:"" help:"Settings file (JSON)." type:"path"`
+}
+
+type pluginsCommand struct{}
+
+func main() {
+	var c commands
+	parser := kong.Must(&c, kong.Name("redwingd"), kong.Description(description), kong.Exit(exit))
+	chosen, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	os.Exit(report(chosen.Run()))
+}
+
+// report prints the error and returns the exit code for it.
+func report(err error) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "redwingd:", err)
+	if errors.HasType(err, usageError{}) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// exit maps kong's code for wrong usage to this program's.
+func exit(code int) {
+	if code != 0 {
+		code = exitUsage
+	}
+	os.Exit(code)
+}
+
+// Run serves until a signal asks for the end.
+func (c *runCommand) Run() error {
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	host, err := node.Start(s, log)
+	if err != nil {
+		return err
+	}
+	log.Info("serving", "node", s.Node, "callers", s.Listen.Callers)
+	<-signals.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	return node.Stop(ctx, host)
+}
+
+// Run checks the settings of the kernel and of all plug-ins without opening anything.
+func (c *checkCommand) Run() error {
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	if _, err := plugin.NewHost(s, slog.New(slog.DiscardHandler), plugin.Registered()); err != nil {
+		return usageError{err}
+	}
+	fmt.Println("settings are sound")
+	return nil
+}
+
+// Run lists the plug-ins.
+func (pluginsCommand) Run() error {
+	listPlugins(os.Stdout)
+	return nil
+}
+
+func listPlugins(w io.Writer) {
+	for _, d := range plugin.Registered() {
+		fmt.Fprintf(w, "%-24s %s\n", d.ID, d.Summary)
+	}
+}
+
+// usageError is a fault of the settings or arguments; the program exits with code 2.
+type usageError struct{ error }
--- /dev/null
+++ b/kernel/settings/settings_test.go
@@ -0,0 +1,65 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const sound = `{"node":"sj1-a","region":"cr","data_centre":"sj1",
+ "listen":{"callers":"127.0.0.1:7001","endpoints":"127.0.0.1:7002","operators":"127.0.0.1:7003","peers":"127.0.0.1:7004"},
+ "members":[{"node":"sj1-a","data_centre":"sj1","peers":"127.0.0.1:7004","endpoints":"127.0.0.1:7002","disk":true}],
+ "data_dir":"data/sj1-a","plugins":{"placement.least_wait":{}}}`
+
+func TestSoundSettingsParse(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(sound))
+	is.NoErr(err)
+	is.Equal(string(s.Node), "sj1-a")
+	self, ok := s.Self()
+	is.True(ok)
+	is.True(self.Disk)
+}
+
+func TestFaultsNameTheirPath(t *testing.T) {
+	cases := []struct{ name, from, to, path string }{
+		{"unknown key", `"region"`, `"regoin"`, "regoin"},
+		{"duplicate key", `"region":"cr"`, `"region":"cr","region":"x"`, "region: is there twice"},
+		{"duplicate nested key", `"disk":true`, `"disk":true,"disk":false`, "members[0].disk: is there twice"},
+		{"wrong type", `"data_dir":"data/sj1-a"`, `"data_dir":3`, "data_dir"},
+		{"bad address", `"callers":"127.0.0.1:7001"`, `"callers":"localhost:7001"`, "listen.callers"},
+		{"node name", `{"node":"sj1-a","region"`, `{"node":"SJ","region"`, "node"},
+		{"not a member", `"members":[{"node":"sj1-a"`, `"members":[{"node":"sj1-b"`, "members"},
+		{"no folder for a disk", `"data_dir":"data/sj1-a",`, ``, "data_dir"},
+		{"trailing data", `{"placement.least_wait":{}}}`, `{"placement.least_wait":{}}} {}`, "data behind"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(strings.Replace(sound, c.from, c.to, 1)))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.path))
+		})
+	}
+}
+
+func TestAllFaultsAreNamedTogether(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte(`{"node":"","data_centre":""}`))
+	for _, path := range []string{"node", "data_centre", "listen.callers", "listen.peers", "members"} {
+		is.True(strings.Contains(err.Error(), path))
+	}
+}
+
+func FuzzDecodeStrict(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Add([]byte(`{"a":[{"b":1,"b":2}]}`))
+	f.Add([]byte(`[[[`))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		var s Settings
+		if DecodeStrict(raw, "", &s) == nil {
+			s.Check()
+		}
+	})
+}
--- /dev/null
+++ b/plugins/admission/deadline/setup.go
@@ -0,0 +1,22 @@
+package deadline
+
+import (
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+)
+
+func init() {
+	plugin.Register(plugin.Definition{
+		ID:       "admission.deadline",
+		Summary:  "refuses work that cannot end before its deadline, given the queue",
+		Provides: []plugin.Port{plugin.PortOf[port.Admission]()},
+		New:      func() plugin.Plugin { return registration{} },
+	})
+}
+
+type registration struct{}
+
+func (registration) Provision(c *plugin.Context) error {
+	plugin.Bind[port.Admission](c, Policy{})
+	return nil
+}
--- /dev/null
+++ b/plugins/endpoints/endpoints.go
@@ -0,0 +1,346 @@
+// Package endpoints owns pools of endpoints. Each pool is a poolstate.Machine in a shard; this
+// package carries out what the machines decide and reaches the pools that other members own.
+package endpoints
+
+import (
+	"context"
+	"hash/maphash"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/shard"
+	"redwingpulley/plugins/endpoints/poolstate"
+)
+
+const announceInterval = poolstate.EndpointLease / 3
+
+// Settings are the plug-in's own.
+type Settings struct {
+	PoolsPerDataCentre int `json:"pools_per_data_centre"` // The same on every member.
+}
+
+// Pools is the plug-in. Create it through the registry.
+type Pools struct {
+	settings   Settings
+	membership port.Membership
+	profiles   port.Profiles
+	peers      port.Peers
+	tasks      port.Tasks
+	decisions  port.Decisions
+	policies   poolstate.Policies
+
+	pools *shard.Map[model.PoolID, *pool]
+	loads *shard.Map[model.PoolID, model.PoolLoad] // Of pools that others own.
+	stop  context.CancelFunc
+	life  context.Context
+}
+
+// pool is an owned pool: its decisions, and who waits for its batches.
+type pool struct {
+	machine *poolstate.Machine
+	waiters map[model.BatchID]*waiter
+	timer   *time.Timer
+}
+
+// waiter holds the result of a batch once ended is closed.
+type waiter struct {
+	ended  chan struct{}
+	result model.BatchResult
+}
+
+// Provision binds the ports.
+func (p *Pools) Provision(c *plugin.Context) (err error) {
+	p.settings.PoolsPerDataCentre = 1
+	if err = c.Settings(&p.settings); err != nil {
+		return err
+	}
+	if p.membership, err = plugin.Use[port.Membership](c); err != nil {
+		return err
+	}
+	if p.profiles, err = plugin.Use[port.Profiles](c); err != nil {
+		return err
+	}
+	if p.peers, err = plugin.Use[port.Peers](c); err != nil {
+		return err
+	}
+	if p.tasks, err = plugin.Use[port.Tasks](c); err != nil {
+		return err
+	}
+	if p.decisions, err = plugin.Use[port.Decisions](c); err != nil {
+		return err
+	}
+	p.policies = poolstate.Policies{
+		Placements: plugin.UseAll[port.Placement](c),
+		Admissions: plugin.UseAll[port.Admission](c),
+	}
+	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
+	p.loads = shard.New[model.PoolID, model.PoolLoad](shard.DefaultCount)
+	p.life, p.stop = context.WithCancel(context.Background())
+	p.handlePeers()
+	plugin.Bind[port.Pools](c, p)
+	return nil
+}
+
+// Start begins to report loads.
+func (p *Pools) Start() error {
+	go p.reportLoads()
+	return nil
+}
+
+// Stop ends the waits of this process.
+func (p *Pools) Stop() error {
+	p.stop()
+	return nil
+}
+
+// Announce routes the announcement to the pool's owner.
+func (p *Pools) Announce(ctx context.Context, endpoint model.Endpoint) port.Ownership {
+	id := p.poolOf(endpoint)
+	owner := p.ownerOf(id)
+	if owner.ID == p.membership.Self().ID {
+		p.step(id, poolstate.Announced{Endpoint: endpoint})
+	} else {
+		var ignored empty
+		p.peers.Call(ctx, owner.ID, methodAnnounce, announcement{Endpoint: endpoint}, &ignored)
+	}
+	return port.Ownership{Owner: owner.Endpoints, Interval: announceInterval, Lease: poolstate.EndpointLease}
+}
+
+func (p *Pools) poolOf(e model.Endpoint) model.PoolID {
+	part := int(xxhash.Sum64String(string(e.ID)) % uint64(max(p.settings.PoolsPerDataCentre, 1)))
+	return model.PoolID{Service: e.Service, DataCentre: e.DataCentre, Part: part}
+}
+
+// ownerOf picks the pool's owner by rendezvous hashing over the live members of the pool's data
+// centre, or over all members while that data centre has none.
+func (p *Pools) ownerOf(id model.PoolID) port.Node {
+	alive := p.membership.Alive()
+	near := slices.DeleteFunc(slices.Clone(alive), func(n port.Node) bool {
+		return n.DataCentre != id.DataCentre || n.Draining
+	})
+	if len(near) == 0 {
+		near = alive
+	}
+	key := id.String()
+	return slices.MaxFunc(near, func(a, b port.Node) int {
+		return compareWeight(key, a.ID, b.ID)
+	})
+}
+
+func compareWeight(key string, a, b model.NodeID) int {
+	x, y := xxhash.Sum64String(key+"|"+string(a)), xxhash.Sum64String(key+"|"+string(b))
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	}
+	return strings.Compare(string(a), string(b))
+}
+
+// Run has the pool's owner run the batch.
+func (p *Pools) Run(ctx context.Context, owner model.NodeID, batch model.Batch) model.BatchResult {
+	if owner == p.membership.Self().ID {
+		return p.runOwned(ctx, batch)
+	}
+	return p.runAtOwner(ctx, owner, batch)
+}
+
+func (p *Pools) runOwned(ctx context.Context, batch model.Batch) model.BatchResult {
+	w, refused := p.submit(batch)
+	if w == nil {
+		return refused
+	}
+	select {
+	case <-w.ended:
+		return w.result
+	case <-ctx.Done():
+		return unknownResult(batch, model.ReasonDeadline)
+	}
+}
+
+// submit joins the wait of a batch that is known, or hands a new one to its pool.
+func (p *Pools) submit(batch model.Batch) (*waiter, model.BatchResult) {
+	profiles, ok := p.profiles.Current()
+	if !ok {
+		return nil, model.RefusedBatch(batch.ID, model.ReasonNoProfile)
+	}
+	profile, ok := profiles.For(batch.Pool.Service)
+	if !ok {
+		return nil, model.RefusedBatch(batch.ID, model.ReasonNoProfile)
+	}
+	var w *waiter
+	known := false
+	p.withPool(batch.Pool, func(o *pool) {
+		if w, known = o.waiters[batch.ID]; !known {
+			w = &waiter{ended: make(chan struct{})}
+			o.waiters[batch.ID] = w
+		}
+	})
+	if !known {
+		p.step(batch.Pool, poolstate.Submitted{Batch: batch, Profile: profile})
+	}
+	return w, model.BatchResult{}
+}
+
+// unknownResult says of every task that it may have run.
+func unknownResult(batch model.Batch, reason model.Reason) model.BatchResult {
+	result := model.BatchResult{ID: batch.ID}
+	for _, task := range batch.Tasks {
+		result.Results = append(result.Results, model.TaskResult{Index: task.Index, Run: model.MayHaveRun, Reason: reason})
+	}
+	return result
+}
+
+// Cancel has the pool's owner end the batch.
+func (p *Pools) Cancel(ctx context.Context, owner model.NodeID, id model.PoolID, batch model.BatchID) {
+	if owner == p.membership.Self().ID {
+		p.step(id, poolstate.Cancelled{Batch: batch})
+		return
+	}
+	var ignored empty
+	p.peers.Call(ctx, owner, methodCancel, cancellation{Pool: id, Batch: batch}, &ignored)
+}
+
+// Loads returns the loads of the owned pools and the newest that others told.
+func (p *Pools) Loads(service model.ServiceID) []model.PoolLoad {
+	loads := slices.DeleteFunc(p.ownedLoads(), func(l model.PoolLoad) bool { return l.Pool.Service != service })
+	p.loads.Each(func(known map[model.PoolID]model.PoolLoad) {
+		for id, load := range known {
+			if id.Service == service && load.Owner != p.membership.Self().ID {
+				loads = append(loads, load)
+			}
+		}
+	})
+	slices.SortFunc(loads, func(a, b model.PoolLoad) int { return strings.Compare(a.Pool.String(), b.Pool.String()) })
+	return loads
+}
+
+func (p *Pools) ownedLoads() []model.PoolLoad {
+	var loads []model.PoolLoad
+	p.pools.Each(func(pools map[model.PoolID]*pool) {
+		for _, o := range pools {
+			loads = append(loads, o.machine.Load())
+		}
+	})
+	return loads
+}
+
+// Endpoints returns the endpoints of the owned pools.
+func (p *Pools) Endpoints() []port.EndpointStatus {
+	var all []port.EndpointStatus
+	p.pools.Each(func(pools map[model.PoolID]*pool) {
+		for _, o := range pools {
+			all = append(all, o.machine.Endpoints()...)
+		}
+	})
+	slices.SortFunc(all, func(a, b port.EndpointStatus) int {
+		return strings.Compare(string(a.Endpoint.ID), string(b.Endpoint.ID))
+	})
+	return all
+}
+
+// withPool calls f with the pool under its shard's lock.
+func (p *Pools) withPool(id model.PoolID, f func(*pool)) {
+	p.pools.Do(id, func(pools map[model.PoolID]*pool) {
+		o, ok := pools[id]
+		if !ok {
+			o = p.newPool(id)
+			pools[id] = o
+		}
+		f(o)
+	})
+}
+
+func (p *Pools) newPool(id model.PoolID) *pool {
+	seed := maphash.String(maphash.MakeSeed(), id.String())
+	return &pool{
+		machine: poolstate.New(id, p.membership.Self().ID, p.policies, seed),
+		waiters: make(map[model.BatchID]*waiter),
+	}
+}
+
+// step applies an event to the pool and then carries out its effects, outside the lock.
+func (p *Pools) step(id model.PoolID, event poolstate.Event) {
+	var fx poolstate.Effects
+	p.withPool(id, func(o *pool) {
+		now := time.Now()
+		fx = o.machine.Step(now, event)
+		for _, result := range fx.Ended {
+			if w, ok := o.waiters[result.ID]; ok {
+				w.result = result
+				close(w.ended)
+				delete(o.waiters, result.ID)
+			}
+		}
+		p.arm(id, o, now)
+	})
+	p.carryOut(id, fx)
+}
+
+// arm sets the pool's timer to the machine's next wake-up.
+func (p *Pools) arm(id model.PoolID, o *pool, now time.Time) {
+	at, ok := o.machine.Wake()
+	if !ok {
+		return
+	}
+	if o.timer == nil {
+		o.timer = time.AfterFunc(at.Sub(now), func() { p.step(id, poolstate.Elapsed{}) })
+		return
+	}
+	o.timer.Reset(at.Sub(now))
+}
+
+func (p *Pools) carryOut(id model.PoolID, fx poolstate.Effects) {
+	for _, d := range fx.Decisions {
+		p.recordDecision(id, d)
+	}
+	for _, s := range fx.Starts {
+		go p.start(id, s)
+	}
+	for _, r := range fx.Revokes {
+		go p.revoke(id, r)
+	}
+}
+
+func (p *Pools) recordDecision(id model.PoolID, d poolstate.Decision) {
+	p.decisions.Record(port.Decision{
+		At: time.Now(), Kind: "placement", Job: d.Batch.Job, Task: d.Task, Pool: id.String(),
+		Endpoint: d.Endpoint, Why: d.Why, PassedOver: d.PassedOver,
+	})
+}
+
+func (p *Pools) start(id model.PoolID, s poolstate.Start) {
+	ctx, cancel := context.WithDeadline(p.life, s.Deadline)
+	defer cancel()
+	reply := p.tasks.Start(ctx, s.Address, port.TaskStart{
+		ID: s.Task, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(), Payload: s.Payload,
+	})
+	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
+}
+
+func (p *Pools) revoke(id model.PoolID, r poolstate.Revoke) {
+	if !p.pause(r.After) {
+		return
+	}
+	reply := p.tasks.Revoke(p.life, r.Address, r.Task, r.Stop)
+	p.step(id, poolstate.RevokeReplied{Task: r.Task, Attempt: r.Attempt, Reply: reply})
+}
+
+// pause waits and reports whether the process still runs.
+func (p *Pools) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-p.life.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/plugins/endpoints/poolstate/event.go
@@ -0,0 +1,89 @@
+// Package poolstate decides for one pool of endpoints: which batches it takes on, which endpoint
+// runs which task, and what follows from answers, refusals and silence.
+//
+// A Machine is a state machine: the same events give the same effects. It does no I/O and reads no
+// clock; its caller carries out the effects after Step has returned.
+package poolstate
+
+import (
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// Event is something that happened to the pool.
+type Event interface{ event() }
+
+// Announced is an announcement of an endpoint.
+type Announced struct{ Endpoint model.Endpoint }
+
+// Submitted is a batch that asks to be run, with the profile in force.
+type Submitted struct {
+	Batch   model.Batch
+	Profile model.Profile
+}
+
+// Replied is what came of a start.
+type Replied struct {
+	Task    model.TaskID
+	Attempt int
+	Reply   port.TaskReply
+}
+
+// RevokeReplied is what came of a revoke.
+type RevokeReplied struct {
+	Task    model.TaskID
+	Attempt int
+	Reply   port.RevokeReply
+}
+
+// Cancelled asks for the end of a batch.
+type Cancelled struct{ Batch model.BatchID }
+
+// Elapsed says that the time returned by Wake has come.
+type Elapsed struct{}
+
+func (Announced) event()     {}
+func (Submitted) event()     {}
+func (Replied) event()       {}
+func (RevokeReplied) event() {}
+func (Cancelled) event()     {}
+func (Elapsed) event()       {}
+
+// Effects are what the caller has to carry out.
+type Effects struct {
+	Starts    []Start
+	Revokes   []Revoke
+	Ended     []model.BatchResult
+	Decisions []Decision
+}
+
+// Start sends a task to an endpoint.
+type Start struct {
+	Task     model.TaskID
+	Attempt  int
+	Endpoint model.EndpointID
+	Address  string
+	Deadline time.Time
+	Payload  []byte
+}
+
+// Revoke asks an endpoint never to start a task, or with Stop to end it, after a delay.
+type Revoke struct {
+	Task     model.TaskID
+	Attempt  int
+	Endpoint model.EndpointID
+	Address  string
+	Stop     bool
+	After    time.Duration
+}
+
+// Decision is a placement or refusal for the log.
+type Decision struct {
+	Batch      model.BatchID
+	Task       int // Index of the task, or -1 for the whole batch.
+	Endpoint   model.EndpointID
+	Why        string
+	PassedOver int // Endpoints of the pool that were not chosen.
+}
--- /dev/null
+++ b/plugins/endpoints/poolstate/machine_test.go
@@ -0,0 +1,134 @@
+package poolstate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/invariant"
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/admission/deadline"
+	"redwingpulley/plugins/placement/leastwait"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var finderPool = model.PoolID{Service: "finder", DataCentre: "sj1"}
+
+// harness is a machine with its events applied at the time that a test sets.
+type harness struct {
+	*Machine
+	now time.Time
+}
+
+func newHarness(slots ...int) *harness {
+	h := &harness{now: start, Machine: New(finderPool, "sj1-a", Policies{
+		Placements: map[string]port.Placement{"least_wait": leastwait.Policy{}},
+		Admissions: map[string]port.Admission{"deadline": deadline.Policy{}},
+	}, 1)}
+	for i, n := range slots {
+		h.announce(model.EndpointID(rune('a'+i)), n, model.EndpointServing)
+	}
+	return h
+}
+
+func (h *harness) step(e Event) Effects { return h.Step(h.now, e) }
+
+func (h *harness) announce(id model.EndpointID, slots int, state model.EndpointState) Effects {
+	return h.step(Announced{model.Endpoint{ID: id, Service: "finder", DataCentre: "sj1", Slots: slots, State: state, Address: string(id)}})
+}
+
+func (h *harness) submit(job model.JobID, team model.TeamID, tasks int) Effects {
+	b := model.Batch{ID: model.BatchID{Job: job}, Pool: finderPool, Team: team, Deadline: h.now.Add(10 * time.Second)}
+	for i := range tasks {
+		b.Tasks = append(b.Tasks, model.Task{Index: i})
+	}
+	return h.step(Submitted{b, model.BuiltInProfile()})
+}
+
+func (h *harness) reply(s Start, state port.TaskState) Effects {
+	return h.step(Replied{s.Task, s.Attempt, port.TaskReply{State: state, Answer: []byte(s.Task)}})
+}
+
+func TestBatchEndsWhenAllTasksHaveAnswered(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, 1)
+	fx := h.submit("j", "t", 3)
+	is.Equal(len(fx.Starts), 2)
+	is.Equal(len(h.reply(fx.Starts[1], port.TaskDone).Starts), 1)
+	is.Equal(len(h.reply(fx.Starts[0], port.TaskDone).Ended), 0)
+	last := h.step(Replied{"j.2", 1, port.TaskReply{State: port.TaskDone}})
+	is.Equal(len(last.Ended), 1)
+	is.Equal(len(last.Ended[0].Results), 3)
+	is.Equal(h.Load().Free, 2)
+}
+
+func TestUnknownStartIsRevokedBeforeItIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	first := h.submit("j", "t", 1).Starts[0]
+	fx := h.reply(first, port.TaskUnknown)
+	is.Equal(len(fx.Starts), 0)
+	is.Equal(len(fx.Revokes), 1)
+	fx = h.step(RevokeReplied{first.Task, first.Attempt, port.RevokeReply{State: port.TaskUnknown}})
+	is.Equal(len(fx.Starts), 0) // Silence fences nothing.
+	fx = h.step(RevokeReplied{first.Task, first.Attempt, port.RevokeReply{State: port.TaskRevoked}})
+	is.Equal(len(fx.Starts), 1)
+	is.Equal(fx.Starts[0].Attempt, 2)
+	is.Equal(len(h.reply(first, port.TaskDone).Ended), 0) // A late answer of the first attempt.
+}
+
+func TestLeavingEndpointGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(4)
+	h.announce("a", 4, model.EndpointLeaving)
+	fx := h.submit("j", "t", 1)
+	is.True(fx.Ended[0].Refused)
+}
+
+func TestEndpointWithoutAnnouncementsGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(4)
+	h.now = start.Add(EndpointLease)
+	h.step(Elapsed{})
+	is.True(h.submit("j", "t", 1).Ended[0].Refused)
+}
+
+func TestTeamsTakeTurns(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	running := h.submit("big", "loud", 5).Starts[0]
+	h.submit("small", "quiet", 1)
+	second := h.reply(running, port.TaskDone).Starts[0]
+	third := h.reply(second, port.TaskDone).Starts[0]
+	is.Equal(string(third.Task), "small.0")
+}
+
+func TestFailedTaskEndsTheBatchAndStopsTheRest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	fx := h.submit("j", "t", 4)
+	fx = h.reply(fx.Starts[0], port.TaskFailed)
+	is.Equal(len(fx.Ended), 1)
+	is.Equal(len(fx.Revokes), 1)
+	is.True(fx.Revokes[0].Stop)
+	is.Equal(h.Load().Queued, 0)
+}
+
+func TestSlotsInvariantFires(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.submit("j", "t", 1)
+	h.endpoints["a"].busy = 0 // Breaks the count on purpose.
+	h.updatePlacer(h.endpoints["a"])
+	h.endpoints["a"].busy = 1
+	defer func() {
+		v, ok := recover().(invariant.Violation)
+		is.True(ok)
+		is.Equal(v.Name, "slots")
+	}()
+	h.submit("k", "t", 1)
+	t.Fatal("the invariant did not fire")
+}
--- /dev/null
+++ b/plugins/frontend/announce/announce.go
@@ -0,0 +1,120 @@
+// Package announce takes announcements from endpoints as JSON over HTTP.
+package announce
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/frontend/web"
+)
+
+const (
+	maxSlots       = 4096
+	maxConnections = 65535
+)
+
+// Frontend is the plug-in. Create it through the registry.
+type Frontend struct {
+	pools  port.Pools
+	server *web.Server
+}
+
+// Provision binds the port and sets up the route.
+func (f *Frontend) Provision(c *plugin.Context) (err error) {
+	if f.pools, err = plugin.Use[port.Pools](c); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/endpoints/announce", f.announce)
+	f.server = web.NewServer(c.Node.Listen.Endpoints, mux)
+	return c.Settings(&struct{}{})
+}
+
+// Start opens the listener.
+func (f *Frontend) Start() error { return f.server.Start() }
+
+// Drain finishes the announcements in flight.
+func (f *Frontend) Drain(ctx context.Context) { f.server.Drain(ctx) }
+
+// Stop closes the listener.
+func (f *Frontend) Stop() error { return f.server.Stop() }
+
+type body struct {
+	Endpoint     model.EndpointID    `json:"endpoint"`
+	Service      model.ServiceID     `json:"service"`
+	Worker       string              `json:"worker"`
+	Rack         string              `json:"rack"`
+	DataCentre   model.DataCentre    `json:"data_centre"`
+	Address      string              `json:"address"`
+	Slots        int                 `json:"slots"`
+	Connections  int                 `json:"connections"`
+	Cores        int                 `json:"cores"`
+	MemoryMB     int                 `json:"memory_mb"`
+	Accelerators int                 `json:"accelerators"`
+	State        model.EndpointState `json:"state"`
+	Running      []model.TaskID      `json:"running"`
+}
+
+type reply struct {
+	Owner   string `json:"owner"`
+	EveryMS int64  `json:"every_ms"`
+	LeaseMS int64  `json:"lease_ms"`
+}
+
+func (f *Frontend) announce(w http.ResponseWriter, r *http.Request) {
+	var b body
+	if err := web.Decode(w, r, &b); err != nil {
+		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	if err := b.check(); err != nil {
+		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	ownership := f.pools.Announce(r.Context(), b.endpoint())
+	web.Reply(w, http.StatusOK, reply{
+		ownership.Owner, ownership.Interval.Milliseconds(), ownership.Lease.Milliseconds(),
+	})
+}
+
+func (b body) check() error {
+	_, err := netip.ParseAddrPort(b.Address)
+	switch {
+	case b.Endpoint == "":
+		return errors.New("endpoint: must be set")
+	case b.Service == "":
+		return errors.New("service: must be set")
+	case b.DataCentre == "":
+		return errors.New("data_centre: must be set")
+	case err != nil:
+		return errors.New("address: must be an IP address and port")
+	case b.Slots < 1 || b.Slots > maxSlots:
+		return errors.Newf("slots: must be 1 to %d", maxSlots)
+	case b.Connections < 0 || b.Connections > maxConnections:
+		return errors.Newf("connections: must be 0 to %d", maxConnections)
+	case b.Cores < 0:
+		return errors.New("cores: must not be negative")
+	case b.MemoryMB < 0:
+		return errors.New("memory_mb: must not be negative")
+	case b.Accelerators < 0:
+		return errors.New("accelerators: must not be negative")
+	case b.State != model.EndpointServing && b.State != model.EndpointLeaving:
+		return errors.New("state: must be serving or leaving")
+	}
+	return nil
+}
+
+func (b body) endpoint() model.Endpoint {
+	return model.Endpoint{
+		ID: b.Endpoint, Service: b.Service, Worker: b.Worker, Rack: b.Rack, DataCentre: b.DataCentre,
+		Address: b.Address, Slots: b.Slots, Connections: b.Connections,
+		Has:   model.Needs{Cores: b.Cores, MemoryMB: b.MemoryMB, Accelerators: b.Accelerators},
+		State: b.State, Running: b.Running,
+	}
+}
--- /dev/null
+++ b/plugins/frontend/callers/body.go
@@ -0,0 +1,129 @@
+package callers
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/kernel/model"
+)
+
+const (
+	maxDeadline     = time.Hour
+	defaultDeadline = 10 * time.Second
+)
+
+type ticketsBody struct {
+	Count int `json:"count"`
+}
+
+type ticketsReply struct {
+	JobIDs []model.JobID `json:"job_ids"`
+}
+
+type jobBody struct {
+	JobID      model.JobID     `json:"job_id,omitempty"`
+	Service    model.ServiceID `json:"service"`
+	Team       model.TeamID    `json:"team"`
+	DeadlineMS int64           `json:"deadline_ms"`
+	Tasks      []taskBody      `json:"tasks"`
+}
+
+type taskBody struct {
+	Payload json.RawMessage `json:"payload,omitempty"`
+	RunMS   int64           `json:"run_ms,omitempty"`
+	Needs   needsBody       `json:"needs"`
+}
+
+type needsBody struct {
+	Cores        int `json:"cores"`
+	MemoryMB     int `json:"memory_mb"`
+	Accelerators int `json:"accelerators"`
+}
+
+type completeBody struct {
+	JobID   model.JobID       `json:"job_id"`
+	Outcome model.State       `json:"outcome"`
+	Answers []json.RawMessage `json:"answers"`
+}
+
+type runningBody struct {
+	JobID   model.JobID `json:"job_id"`
+	Outcome model.State `json:"outcome"`
+}
+
+type failedBody struct {
+	Title   string         `json:"title"`
+	Status  int            `json:"status"`
+	Job     model.JobID    `json:"job_id"`
+	Outcome model.State    `json:"outcome"`
+	Run     model.RunState `json:"run"`
+	Reason  model.Reason   `json:"reason"`
+}
+
+// job checks the body and returns the job. The error names the faulty field.
+func (b jobBody) job(now time.Time) (model.Job, error) {
+	if err := b.check(); err != nil {
+		return model.Job{}, err
+	}
+	deadline := time.Duration(b.DeadlineMS) * time.Millisecond
+	if deadline == 0 {
+		deadline = defaultDeadline
+	}
+	job := model.Job{
+		ID: b.JobID, Service: b.Service, Team: b.Team,
+		Deadline: now.Add(deadline), Digest: b.digest(),
+	}
+	for i, t := range b.Tasks {
+		job.Tasks = append(job.Tasks, model.Task{
+			Index: i, Payload: t.Payload, Declared: time.Duration(t.RunMS) * time.Millisecond,
+			Needs: model.Needs(t.Needs),
+		})
+	}
+	return job, nil
+}
+
+func (b jobBody) check() error {
+	switch {
+	case b.Service == "":
+		return errors.New("service: must be set")
+	case b.Team == "":
+		return errors.New("team: must be set")
+	case b.DeadlineMS < 0 || b.DeadlineMS > maxDeadline.Milliseconds():
+		return errors.Newf("deadline_ms: must be 0 to %d", maxDeadline.Milliseconds())
+	case len(b.Tasks) < 1 || len(b.Tasks) > model.MaxTasksPerJob:
+		return errors.Newf("tasks: must be 1 to %d", model.MaxTasksPerJob)
+	}
+	for i, t := range b.Tasks {
+		if err := t.check(); err != nil {
+			return errors.Wrapf(err, "tasks[%d]", i)
+		}
+	}
+	return nil
+}
+
+func (t taskBody) check() error {
+	switch {
+	case t.RunMS < 0 || t.RunMS > maxDeadline.Milliseconds():
+		return errors.Newf("run_ms: must be 0 to %d", maxDeadline.Milliseconds())
+	case t.Needs.Cores < 0:
+		return errors.New("needs.cores: must not be negative")
+	case t.Needs.MemoryMB < 0:
+		return errors.New("needs.memory_mb: must not be negative")
+	case t.Needs.Accelerators < 0:
+		return errors.New("needs.accelerators: must not be negative")
+	}
+	return nil
+}
+
+// digest hashes the submission without its id.
+func (b jobBody) digest() uint64 {
+	b.JobID = ""
+	canonical, err := json.Marshal(b)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(canonical)
+}
--- /dev/null
+++ b/plugins/frontend/callers/setup.go
@@ -0,0 +1,15 @@
+package callers
+
+import (
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+)
+
+func init() {
+	plugin.Register(plugin.Definition{
+		ID:      "frontend.callers",
+		Summary: "takes jobs from callers as JSON over HTTP",
+		Needs:   []plugin.Port{plugin.PortOf[port.Jobs]()},
+		New:     func() plugin.Plugin { return &Frontend{} },
+	})
+}
--- /dev/null
+++ b/plugins/frontend/operators/operators.go
@@ -0,0 +1,145 @@
+// Package operators answers operators as JSON over HTTP.
+package operators
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/frontend/web"
+)
+
+// Frontend is the plug-in. Create it through the registry.
+type Frontend struct {
+	pools      port.Pools
+	membership port.Membership
+	profiles   port.Profiles
+	decisions  port.Decisions
+	health     *plugin.Health
+	metrics    metrics.Registry
+	server     *web.Server
+}
+
+// Provision binds the ports and sets up the routes.
+func (f *Frontend) Provision(c *plugin.Context) (err error) {
+	if f.pools, err = plugin.Use[port.Pools](c); err != nil {
+		return err
+	}
+	if f.membership, err = plugin.Use[port.Membership](c); err != nil {
+		return err
+	}
+	if f.profiles, err = plugin.Use[port.Profiles](c); err != nil {
+		return err
+	}
+	if f.decisions, err = plugin.Use[port.Decisions](c); err != nil {
+		return err
+	}
+	f.health, f.metrics = c.Health, c.Metrics
+	f.server = web.NewServer(c.Node.Listen.Operators, f.routes())
+	return c.Settings(&struct{}{})
+}
+
+// Start opens the listener.
+func (f *Frontend) Start() error { return f.server.Start() }
+
+// Stop closes the listener. Operators are answered until the end of a drain.
+func (f *Frontend) Stop() error {
+	f.server.Drain(context.Background())
+	return f.server.Stop()
+}
+
+func (f *Frontend) routes() http.Handler {
+	mux := http.NewServeMux()
+	web.HandleHealth(mux, f.health)
+	mux.HandleFunc("GET /v1/status", f.status)
+	mux.HandleFunc("GET /v1/members", f.members)
+	mux.HandleFunc("GET /v1/endpoints", f.endpoints)
+	mux.HandleFunc("GET /v1/decisions", f.recentDecisions)
+	mux.HandleFunc("GET /metrics", f.serveMetrics)
+	return mux
+}
+
+type statusBody struct {
+	Node        model.NodeID      `json:"node"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	Revision    model.Revision    `json:"revision"`
+	Ready       bool              `json:"ready"`
+	Why         []string          `json:"why,omitempty"`
+	Members     int               `json:"members"`
+	Endpoints   int               `json:"endpoints"`
+}
+
+func (f *Frontend) status(w http.ResponseWriter, _ *http.Request) {
+	self := f.membership.Self()
+	profiles, _ := f.profiles.Current()
+	ready, why := f.health.Ready()
+	web.Reply(w, http.StatusOK, statusBody{
+		Node: self.ID, Incarnation: self.Incarnation, Revision: profiles.Revision, Ready: ready, Why: why,
+		Members: len(f.membership.Alive()), Endpoints: len(f.pools.Endpoints()),
+	})
+}
+
+type memberBody struct {
+	Node        model.NodeID      `json:"node"`
+	Incarnation model.Incarnation `json:"incarnation,omitempty"`
+	DataCentre  model.DataCentre  `json:"data_centre"`
+	Peers       string            `json:"peers"`
+	Disk        bool              `json:"disk"`
+	Draining    bool              `json:"draining"`
+}
+
+func (f *Frontend) members(w http.ResponseWriter, _ *http.Request) {
+	all := []memberBody{}
+	for _, n := range f.membership.Alive() {
+		all = append(all, memberBody{n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Disk, n.Draining})
+	}
+	web.Reply(w, http.StatusOK, map[string]any{"members": all})
+}
+
+type endpointBody struct {
+	Endpoint    model.EndpointID    `json:"endpoint"`
+	Service     model.ServiceID     `json:"service"`
+	Address     string              `json:"address"`
+	State       model.EndpointState `json:"state"`
+	Slots       int                 `json:"slots"`
+	Busy        int                 `json:"busy"`
+	Quarantined bool                `json:"quarantined"`
+}
+
+func (f *Frontend) endpoints(w http.ResponseWriter, _ *http.Request) {
+	all := []endpointBody{}
+	for _, s := range f.pools.Endpoints() {
+		e := s.Endpoint
+		all = append(all, endpointBody{e.ID, e.Service, e.Address, e.State, e.Slots, s.Busy, s.Quarantined})
+	}
+	web.Reply(w, http.StatusOK, map[string]any{"endpoints": all})
+}
+
+type decisionBody struct {
+	At         time.Time        `json:"at"`
+	Kind       string           `json:"kind"`
+	Job        model.JobID      `json:"job"`
+	Task       int              `json:"task"`
+	Pool       string           `json:"pool,omitempty"`
+	Endpoint   model.EndpointID `json:"endpoint,omitempty"`
+	Why        string           `json:"why"`
+	PassedOver int              `json:"passed_over"`
+}
+
+func (f *Frontend) recentDecisions(w http.ResponseWriter, _ *http.Request) {
+	all := []decisionBody{}
+	for _, d := range f.decisions.Recent() {
+		all = append(all, decisionBody(d))
+	}
+	web.Reply(w, http.StatusOK, map[string]any{"decisions": all})
+}
+
+func (f *Frontend) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(f.metrics, w)
+}
--- /dev/null
+++ b/plugins/frontend/operators/setup.go
@@ -0,0 +1,20 @@
+package operators
+
+import (
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+)
+
+func init() {
+	plugin.Register(plugin.Definition{
+		ID:      "frontend.operators",
+		Summary: "answers operators as JSON over HTTP",
+		Needs: []plugin.Port{
+			plugin.PortOf[port.Pools](),
+			plugin.PortOf[port.Membership](),
+			plugin.PortOf[port.Profiles](),
+			plugin.PortOf[port.Decisions](),
+		},
+		New: func() plugin.Plugin { return &Frontend{} },
+	})
+}
--- /dev/null
+++ b/plugins/jobs/peers.go
@@ -0,0 +1,122 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// Methods between members.
+const (
+	methodSubmit = "jobs/submit"
+	methodLookup = "jobs/lookup"
+	methodCancel = "jobs/cancel"
+)
+
+// submission is a job on the wire; its deadline travels as the time that is left.
+type submission struct {
+	ID          model.JobID     `json:"id"`
+	Service     model.ServiceID `json:"service"`
+	Team        model.TeamID    `json:"team"`
+	RemainingMS int64           `json:"remaining_ms"`
+	Digest      uint64          `json:"digest"`
+	Tasks       []wireTask      `json:"tasks"`
+}
+
+type wireTask struct {
+	Payload    json.RawMessage `json:"payload,omitempty"`
+	DeclaredMS int64           `json:"declared_ms,omitempty"`
+	Needs      model.Needs     `json:"needs"`
+}
+
+type lookup struct {
+	ID     model.JobID `json:"id"`
+	WaitMS int64       `json:"wait_ms"`
+}
+
+type wireOutcome struct {
+	Job          model.JobID       `json:"job"`
+	State        model.State       `json:"state"`
+	Run          model.RunState    `json:"run,omitempty"`
+	Reason       model.Reason      `json:"reason,omitempty"`
+	RetryAfterMS int64             `json:"retry_after_ms,omitempty"`
+	Answers      []json.RawMessage `json:"answers,omitempty"`
+}
+
+func (j *Jobs) handlePeers() {
+	port.Handle(j.peers, methodSubmit, j.serveSubmit)
+	port.Handle(j.peers, methodLookup, j.serveLookup)
+	port.Handle(j.peers, methodCancel, j.serveCancel)
+}
+
+func (j *Jobs) serveSubmit(ctx context.Context, _ model.NodeID, s submission) wireOutcome {
+	job := model.Job{
+		ID: s.ID, Service: s.Service, Team: s.Team, Digest: s.Digest,
+		Deadline: time.Now().Add(time.Duration(s.RemainingMS) * time.Millisecond),
+	}
+	for i, t := range s.Tasks {
+		job.Tasks = append(job.Tasks, model.Task{
+			Index: i, Payload: t.Payload, Needs: t.Needs, Declared: time.Duration(t.DeclaredMS) * time.Millisecond,
+		})
+	}
+	return encodeOutcome(j.Submit(ctx, job))
+}
+
+func (j *Jobs) serveLookup(ctx context.Context, _ model.NodeID, l lookup) wireOutcome {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.WaitMS)*time.Millisecond)
+	defer cancel()
+	return encodeOutcome(j.Lookup(ctx, l.ID))
+}
+
+func (j *Jobs) serveCancel(ctx context.Context, _ model.NodeID, l lookup) wireOutcome {
+	return encodeOutcome(j.Cancel(ctx, l.ID))
+}
+
+func (j *Jobs) forwardSubmit(ctx context.Context, owner model.NodeID, job model.Job) model.Outcome {
+	s := submission{
+		ID: job.ID, Service: job.Service, Team: job.Team, Digest: job.Digest,
+		RemainingMS: time.Until(job.Deadline).Milliseconds(),
+	}
+	for _, t := range job.Tasks {
+		s.Tasks = append(s.Tasks, wireTask{t.Payload, t.Declared.Milliseconds(), t.Needs})
+	}
+	return j.forward(ctx, owner, methodSubmit, job.ID, s)
+}
+
+func (j *Jobs) forwardLookup(ctx context.Context, owner model.NodeID, method string, id model.JobID) model.Outcome {
+	request := lookup{ID: id}
+	if deadline, ok := ctx.Deadline(); ok {
+		request.WaitMS = time.Until(deadline).Milliseconds()
+	}
+	return j.forward(ctx, owner, method, id, request)
+}
+
+func (j *Jobs) forward(ctx context.Context, owner model.NodeID, method string, id model.JobID, request any) model.Outcome {
+	var reply wireOutcome
+	if j.peers.Call(ctx, owner, method, request, &reply) != port.Delivered {
+		return model.Failed(id, model.MayHaveRun, model.ReasonOwnerLost)
+	}
+	return decodeOutcome(reply)
+}
+
+func encodeOutcome(o model.Outcome) wireOutcome {
+	w := wireOutcome{Job: o.Job, State: o.State, Run: o.Run, Reason: o.Reason, RetryAfterMS: o.RetryAfter.Milliseconds()}
+	for _, a := range o.Answers {
+		w.Answers = append(w.Answers, a)
+	}
+	return w
+}
+
+func decodeOutcome(w wireOutcome) model.Outcome {
+	o := model.Outcome{
+		Job: w.Job, State: w.State, Run: w.Run, Reason: w.Reason,
+		RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond,
+	}
+	for _, a := range w.Answers {
+		o.Answers = append(o.Answers, a)
+	}
+	return o
+}
--- /dev/null
+++ b/plugins/peer/http/http.go
@@ -0,0 +1,177 @@
+// Package http carries requests between members as JSON over HTTP/2, so that one connection holds
+// any number of waiting batches.
+package http
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/shard"
+)
+
+const (
+	pathPrefix   = "/peer/v1/"
+	headerFrom   = "Redwing-Node"
+	maxBody      = 64 << 20         // Bytes of one request or reply.
+	pingAfter    = 2 * time.Second  // Silence after which a connection is pinged.
+	pingTimeout  = 2 * time.Second  // Wait for a ping's answer before the connection is closed.
+	dialTimeout  = 1 * time.Second  // Wait for a connection.
+	headerWait   = 10 * time.Second // Wait for the header of a request.
+	maxStreams   = 100_000          // Batches that may wait on one connection.
+	contentJSON  = "application/json"
+	statusNoSuch = http.StatusNotFound
+)
+
+// Peers is the plug-in. Create it through the registry.
+type Peers struct {
+	self      model.NodeID
+	listen    string
+	log       *slog.Logger
+	handlers  map[string]port.Handler
+	addresses *shard.Map[model.NodeID, string]
+	client    *http.Client
+	server    *http.Server
+}
+
+// Provision learns the addresses of the members that settings name.
+func (p *Peers) Provision(c *plugin.Context) error {
+	p.self = c.Node.Node
+	p.listen = c.Node.Listen.Peers
+	p.log = c.Log
+	p.handlers = make(map[string]port.Handler)
+	p.addresses = shard.New[model.NodeID, string](shard.DefaultCount)
+	for _, m := range c.Node.Members {
+		p.Learn(m.Node, m.Peers)
+	}
+	p.client = &http.Client{Transport: newTransport()}
+	plugin.Bind[port.Peers](c, p)
+	return c.Settings(&struct{}{})
+}
+
+func newTransport() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		Protocols:   protocols,
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+	}
+}
+
+// Handle registers the handler of a method.
+func (p *Peers) Handle(method string, handler port.Handler) { p.handlers[method] = handler }
+
+// Learn sets the address of a node.
+func (p *Peers) Learn(node model.NodeID, address string) {
+	p.addresses.Do(node, func(known map[model.NodeID]string) { known[node] = address })
+}
+
+// Start opens the listener for peers.
+func (p *Peers) Start() error {
+	listener, err := net.Listen("tcp", p.listen)
+	if err != nil {
+		return err
+	}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP1(true)
+	p.server = &http.Server{
+		Handler:           http.HandlerFunc(p.serve),
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerWait,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+	go p.server.Serve(listener)
+	return nil
+}
+
+// Stop closes the listener and all connections.
+func (p *Peers) Stop() error {
+	p.client.CloseIdleConnections()
+	return p.server.Close()
+}
+
+func (p *Peers) serve(w http.ResponseWriter, r *http.Request) {
+	if len(r.URL.Path) < len(pathPrefix) {
+		http.Error(w, "no such method", statusNoSuch)
+		return
+	}
+	handler, ok := p.handlers[r.URL.Path[len(pathPrefix):]]
+	if !ok {
+		http.Error(w, "no such method", statusNoSuch)
+		return
+	}
+	body := http.MaxBytesReader(w, r.Body, maxBody)
+	decode := func(target any) error { return json.NewDecoder(body).Decode(target) }
+	reply, err := handler(r.Context(), model.NodeID(r.Header.Get(headerFrom)), decode)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", contentJSON)
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		p.log.Warn("reply not sent", "method", r.URL.Path, "error", err)
+	}
+}
+
+// Call sends a request and waits for its reply.
+func (p *Peers) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
+	address, ok := p.addresses.Get(to)
+	if !ok {
+		return port.NotSent
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		p.log.Error("request not encoded", "method", method, "error", err)
+		return port.NotSent
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathPrefix+method, bytes.NewReader(body))
+	if err != nil {
+		return port.NotSent
+	}
+	r.Header.Set(headerFrom, string(p.self))
+	r.Header.Set("Content-Type", contentJSON)
+	response, err := p.client.Do(r)
+	if err != nil {
+		return undelivered(connected.Load())
+	}
+	defer response.Body.Close()
+	return decodeReply(response, reply)
+}
+
+// undelivered tells a request that never had a connection from one whose bytes may have left.
+func undelivered(connected bool) port.Delivery {
+	if connected {
+		return port.Unknown
+	}
+	return port.NotSent
+}
+
+func decodeReply(response *http.Response, reply any) port.Delivery {
+	limited := io.LimitReader(response.Body, maxBody)
+	if response.StatusCode != http.StatusOK {
+		return port.Unknown
+	}
+	if err := json.NewDecoder(limited).Decode(reply); err != nil {
+		return port.Unknown
+	}
+	return port.Delivered
+}
--- /dev/null
+++ b/plugins/quota/setup.go
@@ -0,0 +1,16 @@
+package quota
+
+import (
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+)
+
+func init() {
+	plugin.Register(plugin.Definition{
+		ID:       "quota",
+		Summary:  "bounds the task starts of teams over all members",
+		Provides: []plugin.Port{plugin.PortOf[port.Quotas]()},
+		Needs:    []plugin.Port{plugin.PortOf[port.Peers](), plugin.PortOf[port.Membership]()},
+		New:      func() plugin.Plugin { return &Quotas{} },
+	})
+}
--- /dev/null
+++ b/plugins/record/decisions/setup.go
@@ -0,0 +1,15 @@
+package decisions
+
+import (
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+)
+
+func init() {
+	plugin.Register(plugin.Definition{
+		ID:       "record.decisions",
+		Summary:  "logs routing and placement decisions and keeps the newest",
+		Provides: []plugin.Port{plugin.PortOf[port.Decisions]()},
+		New:      func() plugin.Plugin { return &Log{} },
+	})
+}
