--- a/bench/standin/standin.go
+++ b/bench/standin/standin.go
@@ -135,8 +135,8 @@
 func (e *Endpoint) begin(body startBody) (t *task, ctx context.Context, refusal string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch old, known := e.tasks[body.TaskID]; {
-	case known && (old.state != "revoked" || body.Attempt <= old.attempt):
+	switch _, known := e.tasks[body.TaskID]; {
+	case known: // Started before, or revoked. A start that was delayed must not pass the fence.
 		return nil, nil, "known task"
 	case e.busy >= e.config.Slots:
 		return nil, nil, "no free slot"
--- /dev/null
+++ b/cmd/internal/node/node_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/bench/standin"
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/settings"
+)
+
+// group is a few entry VMs of one data centre in this process, with one stand-in endpoint.
+type group struct {
+	t       *testing.T
+	members []settings.Settings
+	hosts   []*plugin.Host
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startGroup(t *testing.T, count, slots int) *group {
+	t.Helper()
+	g := &group{t: t}
+	var members []settings.Member
+	for i := range count {
+		members = append(members, settings.Member{
+			Node: model.NodeID(fmt.Sprintf("sj1-%c", 'a'+i)), DataCentre: "sj1",
+			Peers: freeAddress(t), Endpoints: freeAddress(t),
+		})
+	}
+	for _, m := range members {
+		g.start(settings.Settings{
+			Node: m.Node, DataCentre: m.DataCentre, Members: members,
+			Listen: settings.Listen{Callers: freeAddress(t), Operators: freeAddress(t), Endpoints: m.Endpoints, Peers: m.Peers},
+			Plugins: map[string]json.RawMessage{
+				"frontend.callers": json.RawMessage(`{"drain_grace_ms":50}`),
+			},
+		})
+	}
+	g.endpoint(members, slots)
+	return g
+}
+
+func (g *group) start(s settings.Settings) {
+	host, err := Start(s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.members, g.hosts = append(g.members, s), append(g.hosts, host)
+	g.t.Cleanup(func() { host.Stop() })
+}
+
+func (g *group) endpoint(members []settings.Member, slots int) {
+	var entries []string
+	for _, m := range members {
+		entries = append(entries, m.Endpoints)
+	}
+	e, err := standin.Start(standin.Config{
+		Endpoint: "e1", Service: "finder", Worker: "w1", Rack: "r1", DataCentre: "sj1",
+		Listen: "127.0.0.1:0", Slots: slots, Entries: entries,
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(e.Close)
+}
+
+// reply is what a caller gets.
+type reply struct {
+	Status  int
+	JobID   string            `json:"job_id"`
+	Outcome string            `json:"outcome"`
+	Run     string            `json:"run"`
+	Reason  string            `json:"reason"`
+	Answers []json.RawMessage `json:"answers"`
+	JobIDs  []string          `json:"job_ids"`
+}
+
+func (g *group) call(member int, method, path, body string) reply {
+	g.t.Helper()
+	request, err := http.NewRequest(method, "http://"+g.members[member].Listen.Callers+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	r := reply{Status: response.StatusCode}
+	if err := json.Unmarshal(raw, &r); err != nil {
+		g.t.Fatalf("%s: %v", raw, err)
+	}
+	r.Status = response.StatusCode
+	return r
+}
+
+func (g *group) ticket(member int) string {
+	return g.call(member, "POST", "/v1/tickets", `{"count":1}`).JobIDs[0]
+}
+
+func jobBody(id string, tasks int, sleepMS int) string {
+	var list []map[string]any
+	for range tasks {
+		list = append(list, map[string]any{"payload": map[string]any{"sleep_ms": sleepMS}})
+	}
+	body := map[string]any{"service": "finder", "team": "t1", "deadline_ms": 20000, "tasks": list}
+	if id != "" {
+		body["job_id"] = id
+	}
+	raw, _ := json.Marshal(body) // Plain values always encode.
+	return string(raw)
+}
+
+// ready waits until each member has routed a job to the endpoint.
+func (g *group) ready() {
+	g.t.Helper()
+	for i := range g.members {
+		for g.call(i, "POST", "/v1/jobs", jobBody("", 1, 0)).Status != http.StatusOK {
+			<-time.After(20 * time.Millisecond)
+		}
+	}
+}
+
+func TestResendsAndLookupsAtAnyMemberFindTheOneJob(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 3, 8)
+	g.ready()
+	id := g.ticket(0)
+	replies := make(chan reply)
+	for member := range g.members {
+		go func() { replies <- g.call(member, "POST", "/v1/jobs", jobBody(id, 4, 100)) }()
+	}
+	var first reply
+	for range g.members {
+		r := <-replies
+		is.Equal(r.Status, http.StatusOK)
+		is.Equal(len(r.Answers), 4)
+		if first.Status == 0 {
+			first = r
+		}
+		is.Equal(r, first)
+	}
+	for member := range g.members {
+		is.Equal(g.call(member, "GET", "/v1/jobs/"+id, ""), first) // No wait asked for.
+	}
+	is.Equal(g.call(1, "POST", "/v1/jobs", jobBody(id, 5, 100)).Status, http.StatusConflict)
+}
+
+func TestLookupWithoutWaitSaysThatTheJobRuns(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 2, 8)
+	g.ready()
+	id := g.ticket(0)
+	done := make(chan reply)
+	go func() { done <- g.call(0, "POST", "/v1/jobs", jobBody(id, 1, 300)) }()
+	for g.call(1, "GET", "/v1/jobs/"+id, "").Status != http.StatusAccepted {
+		<-time.After(5 * time.Millisecond)
+	}
+	is.Equal(g.call(1, "GET", "/v1/jobs/"+id+"?wait_ms=20000", "").Outcome, "complete")
+	is.Equal((<-done).Outcome, "complete")
+}
+
+func TestCancelAtAnotherMemberEndsTheJob(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 2, 8)
+	g.ready()
+	id := g.ticket(0)
+	done := make(chan reply)
+	go func() { done <- g.call(0, "POST", "/v1/jobs", jobBody(id, 1, 15000)) }()
+	for g.call(1, "GET", "/v1/jobs/"+id, "").Status != http.StatusAccepted {
+		<-time.After(5 * time.Millisecond)
+	}
+	is.Equal(g.call(1, "DELETE", "/v1/jobs/"+id, "").Reason, "cancelled")
+	is.Equal((<-done).Reason, "cancelled")
+}
+
+func TestJobGoesOnWhenItsCallerGoesAway(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 2, 8)
+	g.ready()
+	id := g.ticket(0)
+	ctx, leave := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+g.members[0].Listen.Callers+"/v1/jobs", bytes.NewReader([]byte(jobBody(id, 2, 200))))
+	is.NoErr(err)
+	gone := make(chan error)
+	go func() {
+		_, err := http.DefaultClient.Do(request)
+		gone <- err
+	}()
+	for g.call(1, "GET", "/v1/jobs/"+id, "").Status != http.StatusAccepted {
+		<-time.After(5 * time.Millisecond)
+	}
+	leave()
+	is.True(<-gone != nil)
+	is.Equal(len(g.call(1, "POST", "/v1/jobs", jobBody(id, 2, 200)).Answers), 2)
+}
+
+func TestDrainCutsOffNoRequest(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 3, 8)
+	g.ready()
+	done := make(chan reply)
+	for member := range g.members {
+		go func() { done <- g.call(member, "POST", "/v1/jobs", jobBody("", 2, 400)) }()
+	}
+	id := g.ticket(2)
+	go func() { done <- g.call(1, "POST", "/v1/jobs", jobBody(id, 1, 400)) }()
+	for g.call(0, "GET", "/v1/jobs/"+id, "").Status != http.StatusAccepted {
+		<-time.After(5 * time.Millisecond)
+	}
+	stopped := make(chan error)
+	for _, host := range g.hosts {
+		go func() { stopped <- Stop(context.Background(), host) }()
+	}
+	for range len(g.members) + 1 {
+		is.Equal((<-done).Outcome, "complete")
+	}
+	for range g.hosts {
+		is.NoErr(<-stopped)
+	}
+}
--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -17,7 +17,10 @@
 	"redwingpulley/kernel/port",
 	"redwingpulley/kernel/invariant",
 	"redwingpulley/plugins/endpoints/poolstate",
+	"redwingpulley/plugins/endpoints/ledger",
+	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
+	"redwingpulley/plugins/jobs/retrybudget",
 }
 
 // forbidden are what a decision package must not import, directly or through this project.
--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -76,6 +76,9 @@
 	ReasonEndpointLost   Reason = "endpoint_lost"
 	ReasonRefused        Reason = "endpoint_refused"
 	ReasonUnreachable    Reason = "unreachable"
+	ReasonAnswerExpired  Reason = "answer_expired"  // The job completed; its answers are no longer kept.
+	ReasonUnknownService Reason = "unknown_service" // No endpoint announced it and no profile names it.
+	ReasonUnknownTeam    Reason = "unknown_team"    // The profile's quotas do not list it.
 )
 
 // Outcome is a job's state as its caller sees it. Answers are in the order of the tasks and are
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"redwingpulley/kernel/model"
 )
@@ -30,6 +31,20 @@
 	Unknown
 )
 
+type freshKey struct{}
+
+// FreshConnection returns a context whose calls use a connection opened after since, the start of
+// a call that got no reply: its connection may have gone silent for good.
+func FreshConnection(ctx context.Context, since time.Time) context.Context {
+	return context.WithValue(ctx, freshKey{}, since)
+}
+
+// FreshSince returns the time that FreshConnection set; ok is false when any connection will do.
+func FreshSince(ctx context.Context) (since time.Time, ok bool) {
+	since, ok = ctx.Value(freshKey{}).(time.Time)
+	return since, ok
+}
+
 // Handle registers a handler of typed requests and replies.
 func Handle[Request, Reply any](peers Peers, method string, serve func(context.Context, model.NodeID, Request) Reply) {
 	peers.Handle(method, func(ctx context.Context, from model.NodeID, decode func(any) error) (any, error) {
--- a/kernel/port/port.go
+++ b/kernel/port/port.go
@@ -27,10 +27,10 @@
 type Pools interface {
 	// Loads returns the newest known load of each pool of the service.
 	Loads(service model.ServiceID) []model.PoolLoad
-	// Run has the pool's owner run the batch and returns when it has ended.
+	// Run has the pool's owner run the batch and returns how it ended. When the context ends first
+	// the batch is cancelled: Run then returns what ran of it, shortly after its deadline at the
+	// latest.
 	Run(ctx context.Context, owner model.NodeID, batch model.Batch) model.BatchResult
-	// Cancel stops what has not ended of the batch.
-	Cancel(ctx context.Context, owner model.NodeID, pool model.PoolID, id model.BatchID)
 	// Announce records what an endpoint says of itself and returns which VM owns it.
 	Announce(ctx context.Context, endpoint model.Endpoint) Ownership
 	// Endpoints returns the endpoints that this VM owns.
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -5,11 +5,14 @@
 import (
 	"context"
 	"hash/maphash"
+	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
@@ -37,8 +40,15 @@
 
 	pools *shard.Map[model.PoolID, *pool]
 	loads *shard.Map[model.PoolID, model.PoolLoad] // Of pools that others own.
+	lines *shard.Map[originKey, *line]
 	stop  context.CancelFunc
 	life  context.Context
+
+	origins  *shard.Map[originKey, *origin]
+	draining atomic.Bool
+
+	starts metrics.Counter
+	wasted metrics.Counter // Messages whose content nobody used.
 }
 
 // pool is an owned pool: its decisions, and who waits for its batches.
@@ -46,12 +56,8 @@
 	machine *poolstate.Machine
 	waiters map[model.BatchID]*waiter
 	timer   *time.Timer
-}
 
-// waiter holds the result of a batch once ended is closed.
-type waiter struct {
-	ended  chan struct{}
-	result model.BatchResult
+	patience poolstate.Patience
 }
 
 // Provision binds the ports.
@@ -81,18 +87,42 @@
 	}
 	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
 	p.loads = shard.New[model.PoolID, model.PoolLoad](shard.DefaultCount)
+	p.lines = shard.New[originKey, *line](shard.DefaultCount)
+	p.origins = newOrigins()
+	p.starts = metrics.GetOrRegisterCounter("tasks.starts", c.Metrics)
+	p.wasted = metrics.GetOrRegisterCounter("messages.wasted", c.Metrics)
 	p.life, p.stop = context.WithCancel(context.Background())
 	p.handlePeers()
 	plugin.Bind[port.Pools](c, p)
 	return nil
 }
 
-// Start begins to report loads.
+// Start begins to report loads and to watch the members.
 func (p *Pools) Start() error {
 	go p.reportLoads()
+	go p.watchMembers()
 	return nil
 }
 
+// Drain takes no new batch and waits for the end of those that it has.
+func (p *Pools) Drain(ctx context.Context) {
+	p.draining.Store(true)
+	p.membership.Leave(ctx)
+	var open []*waiter
+	p.pools.Each(func(pools map[model.PoolID]*pool) {
+		for _, o := range pools {
+			open = slices.AppendSeq(open, maps.Values(o.waiters))
+		}
+	})
+	for _, w := range open {
+		select {
+		case <-w.ended:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Stop ends the waits of this process.
 func (p *Pools) Stop() error {
 	p.stop()
@@ -144,68 +174,30 @@
 	return strings.Compare(string(a), string(b))
 }
 
-// Run has the pool's owner run the batch.
-func (p *Pools) Run(ctx context.Context, owner model.NodeID, batch model.Batch) model.BatchResult {
-	if owner == p.membership.Self().ID {
-		return p.runOwned(ctx, batch)
-	}
-	return p.runAtOwner(ctx, owner, batch)
-}
-
-func (p *Pools) runOwned(ctx context.Context, batch model.Batch) model.BatchResult {
-	w, refused := p.submit(batch)
-	if w == nil {
-		return refused
-	}
-	select {
-	case <-w.ended:
-		return w.result
-	case <-ctx.Done():
-		return unknownResult(batch, model.ReasonDeadline)
-	}
-}
-
-// submit joins the wait of a batch that is known, or hands a new one to its pool.
-func (p *Pools) submit(batch model.Batch) (*waiter, model.BatchResult) {
-	profiles, ok := p.profiles.Current()
-	if !ok {
-		return nil, model.RefusedBatch(batch.ID, model.ReasonNoProfile)
-	}
+// submit hands a batch to its pool, which refuses it or ends it later.
+func (p *Pools) submit(batch model.Batch, w *waiter) {
+	profiles, _ := p.profiles.Current()
 	profile, ok := profiles.For(batch.Pool.Service)
 	if !ok {
-		return nil, model.RefusedBatch(batch.ID, model.ReasonNoProfile)
+		p.refuse(batch, w, model.ReasonNoProfile)
+		return
 	}
-	var w *waiter
-	known := false
+	draining := false
 	p.withPool(batch.Pool, func(o *pool) {
-		if w, known = o.waiters[batch.ID]; !known {
-			w = &waiter{ended: make(chan struct{})}
+		if draining = p.draining.Load(); !draining {
 			o.waiters[batch.ID] = w
 		}
 	})
-	if !known {
-		p.step(batch.Pool, poolstate.Submitted{Batch: batch, Profile: profile})
-	}
-	return w, model.BatchResult{}
-}
-
-// unknownResult says of every task that it may have run.
-func unknownResult(batch model.Batch, reason model.Reason) model.BatchResult {
-	result := model.BatchResult{ID: batch.ID}
-	for _, task := range batch.Tasks {
-		result.Results = append(result.Results, model.TaskResult{Index: task.Index, Run: model.MayHaveRun, Reason: reason})
+	if draining {
+		p.refuse(batch, w, model.ReasonDraining)
+		return
 	}
-	return result
+	p.step(batch.Pool, poolstate.Submitted{Batch: batch, Profile: profile})
 }
 
-// Cancel has the pool's owner end the batch.
-func (p *Pools) Cancel(ctx context.Context, owner model.NodeID, id model.PoolID, batch model.BatchID) {
-	if owner == p.membership.Self().ID {
-		p.step(id, poolstate.Cancelled{Batch: batch})
-		return
-	}
-	var ignored empty
-	p.peers.Call(ctx, owner, methodCancel, cancellation{Pool: id, Batch: batch}, &ignored)
+func (p *Pools) refuse(batch model.Batch, w *waiter, reason model.Reason) {
+	w.finish(model.RefusedBatch(batch.ID, reason))
+	p.noteEnded(w)
 }
 
 // Loads returns the loads of the owned pools and the newest that others told.
@@ -269,19 +261,25 @@
 // step applies an event to the pool and then carries out its effects, outside the lock.
 func (p *Pools) step(id model.PoolID, event poolstate.Event) {
 	var fx poolstate.Effects
+	var ended []*waiter
+	var patience time.Duration
 	p.withPool(id, func(o *pool) {
 		now := time.Now()
+		patience = o.patience.Wait()
 		fx = o.machine.Step(now, event)
 		for _, result := range fx.Ended {
 			if w, ok := o.waiters[result.ID]; ok {
-				w.result = result
-				close(w.ended)
+				w.finish(result)
+				ended = append(ended, w)
 				delete(o.waiters, result.ID)
 			}
 		}
 		p.arm(id, o, now)
 	})
-	p.carryOut(id, fx)
+	for _, w := range ended {
+		p.noteEnded(w)
+	}
+	p.carryOut(id, fx, patience)
 }
 
 // arm sets the pool's timer to the machine's next wake-up.
@@ -297,12 +295,12 @@
 	o.timer.Reset(at.Sub(now))
 }
 
-func (p *Pools) carryOut(id model.PoolID, fx poolstate.Effects) {
+func (p *Pools) carryOut(id model.PoolID, fx poolstate.Effects, patience time.Duration) {
 	for _, d := range fx.Decisions {
 		p.recordDecision(id, d)
 	}
 	for _, s := range fx.Starts {
-		go p.start(id, s)
+		go p.start(id, s, patience)
 	}
 	for _, r := range fx.Revokes {
 		go p.revoke(id, r)
@@ -316,31 +314,43 @@
 	})
 }
 
-func (p *Pools) start(id model.PoolID, s poolstate.Start) {
+func (p *Pools) start(id model.PoolID, s poolstate.Start, patience time.Duration) {
+	p.starts.Inc(1)
 	ctx, cancel := context.WithDeadline(p.life, s.Deadline)
 	defer cancel()
+	overdue := time.AfterFunc(patience, func() { p.ask(ctx, cancel, id, s, patience) })
+	defer overdue.Stop()
+	sent := time.Now()
 	reply := p.tasks.Start(ctx, s.Address, port.TaskStart{
 		ID: s.Task, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(), Payload: s.Payload,
 	})
+	if reply.State == port.TaskDone {
+		p.withPool(id, func(o *pool) { o.patience.Observe(time.Since(sent)) })
+	}
 	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
 }
 
+// ask asks the endpoint, over new connections, what became of a task whose answer is overdue: its
+// connection may have gone silent for good. An answer that settles the task ends the start.
+func (p *Pools) ask(ctx context.Context, settled context.CancelFunc, id model.PoolID, s poolstate.Start, wait time.Duration) {
+	for {
+		reply := p.tasks.Revoke(ctx, s.Address, s.Task, false)
+		if reply.State != port.TaskRunning && reply.State != port.TaskUnknown {
+			p.step(id, poolstate.RevokeReplied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
+			settled()
+			return
+		}
+		wait *= 2
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
 func (p *Pools) revoke(id model.PoolID, r poolstate.Revoke) {
-	if !p.pause(r.After) {
+	if !pause(p.life, r.After) {
 		return
 	}
 	reply := p.tasks.Revoke(p.life, r.Address, r.Task, r.Stop)
 	p.step(id, poolstate.RevokeReplied{Task: r.Task, Attempt: r.Attempt, Reply: reply})
 }
-
-// pause waits and reports whether the process still runs.
-func (p *Pools) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-p.life.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/plugins/endpoints/wire.go
@@ -0,0 +1,107 @@
+package endpoints
+
+import (
+	"encoding/json"
+	"time"
+
+	"redwingpulley/kernel/model"
+)
+
+// envelope numbers the messages about one batch; see package ledger.
+type envelope struct {
+	Origin   model.Incarnation `json:"origin"`           // Of the sender.
+	Target   model.Incarnation `json:"target,omitempty"` // Of the owner that the batch was sent to.
+	Sequence uint64            `json:"sequence"`
+	Settled  uint64            `json:"settled"`
+}
+
+// runRequest is a batch on the wire. Deadlines travel as the time that is left, since the clocks
+// of members differ.
+type runRequest struct {
+	envelope
+	ID          model.BatchID `json:"id"`
+	Pool        model.PoolID  `json:"pool"`
+	Team        model.TeamID  `json:"team"`
+	RemainingMS int64         `json:"remaining_ms"`
+	Tasks       []wireTask    `json:"tasks"`
+}
+
+// askRequest is a question for a batch, or its cancellation.
+type askRequest struct {
+	envelope
+	ID   model.BatchID `json:"id"`
+	Pool model.PoolID  `json:"pool"`
+}
+
+type wireTask struct {
+	Index      int             `json:"index"`
+	Payload    json.RawMessage `json:"payload,omitempty"`
+	DeclaredMS int64           `json:"declared_ms,omitempty"`
+	Needs      model.Needs     `json:"needs"`
+}
+
+type runReply struct {
+	Lost         bool           `json:"lost,omitempty"` // What came of the batch is not known.
+	Refused      bool           `json:"refused,omitempty"`
+	Reason       model.Reason   `json:"reason,omitempty"`
+	RetryAfterMS int64          `json:"retry_after_ms,omitempty"`
+	Results      []wireResult   `json:"results,omitempty"`
+	Load         model.PoolLoad `json:"load"`
+}
+
+type wireResult struct {
+	Index  int             `json:"index"`
+	Answer json.RawMessage `json:"answer,omitempty"`
+	Done   bool            `json:"done,omitempty"`
+	Run    model.RunState  `json:"run,omitempty"`
+	Reason model.Reason    `json:"reason,omitempty"`
+}
+
+func encodeBatch(e envelope, batch model.Batch) runRequest {
+	r := runRequest{
+		envelope: e, ID: batch.ID, Pool: batch.Pool, Team: batch.Team,
+		RemainingMS: time.Until(batch.Deadline).Milliseconds(),
+		Tasks:       make([]wireTask, 0, len(batch.Tasks)),
+	}
+	for _, t := range batch.Tasks {
+		r.Tasks = append(r.Tasks, wireTask{t.Index, t.Payload, t.Declared.Milliseconds(), t.Needs})
+	}
+	return r
+}
+
+func decodeBatch(from model.NodeID, r runRequest) model.Batch {
+	batch := model.Batch{
+		ID: r.ID, Pool: r.Pool, Origin: from, Team: r.Team,
+		Deadline: time.Now().Add(time.Duration(r.RemainingMS) * time.Millisecond),
+		Tasks:    make([]model.Task, 0, len(r.Tasks)),
+	}
+	for _, t := range r.Tasks {
+		batch.Tasks = append(batch.Tasks, model.Task{
+			Index: t.Index, Payload: t.Payload, Needs: t.Needs,
+			Declared: time.Duration(t.DeclaredMS) * time.Millisecond,
+		})
+	}
+	return batch
+}
+
+func encodeResult(result model.BatchResult) runReply {
+	reply := runReply{
+		Refused: result.Refused, Reason: result.Reason,
+		RetryAfterMS: result.RetryAfter.Milliseconds(), Load: result.Load,
+	}
+	for _, r := range result.Results {
+		reply.Results = append(reply.Results, wireResult{r.Index, r.Answer, r.Done, r.Run, r.Reason})
+	}
+	return reply
+}
+
+func decodeResult(id model.BatchID, reply runReply) model.BatchResult {
+	result := model.BatchResult{
+		ID: id, Refused: reply.Refused, Reason: reply.Reason,
+		RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond, Load: reply.Load,
+	}
+	for _, r := range reply.Results {
+		result.Results = append(result.Results, model.TaskResult{Index: r.Index, Done: r.Done, Answer: r.Answer, Run: r.Run, Reason: r.Reason})
+	}
+	return result
+}
--- a/plugins/frontend/announce/announce.go
+++ b/plugins/frontend/announce/announce.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +18,8 @@
 const (
 	maxSlots       = 4096
 	maxConnections = 65535
+	maxName        = 128             // Bytes of a name.
+	stopTimeout    = 2 * time.Second // Wait for announcements in flight at the end.
 )
 
 // Frontend is the plug-in. Create it through the registry.
@@ -39,11 +42,14 @@
 // Start opens the listener.
 func (f *Frontend) Start() error { return f.server.Start() }
 
-// Drain finishes the announcements in flight.
-func (f *Frontend) Drain(ctx context.Context) { f.server.Drain(ctx) }
-
-// Stop closes the listener.
-func (f *Frontend) Stop() error { return f.server.Stop() }
+// Stop finishes the announcements in flight and closes the listener. It stays open during a drain,
+// while endpoints still run tasks of this process.
+func (f *Frontend) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	f.server.Drain(ctx)
+	return f.server.Stop()
+}
 
 type body struct {
 	Endpoint     model.EndpointID    `json:"endpoint"`
@@ -69,12 +75,7 @@
 
 func (f *Frontend) announce(w http.ResponseWriter, r *http.Request) {
 	var b body
-	if err := web.Decode(w, r, &b); err != nil {
-		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
-		return
-	}
-	if err := b.check(); err != nil {
-		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+	if !web.Accept(w, r, &b, func() error { return b.check() }) {
 		return
 	}
 	ownership := f.pools.Announce(r.Context(), b.endpoint())
@@ -86,6 +87,11 @@
 func (b body) check() error {
 	_, err := netip.ParseAddrPort(b.Address)
 	switch {
+	case len(b.Endpoint) > maxName || len(b.Service) > maxName || len(b.DataCentre) > maxName ||
+		len(b.Worker) > maxName || len(b.Rack) > maxName:
+		return errors.Newf("endpoint, service, worker, rack, data_centre: must be at most %d bytes", maxName)
+	case len(b.Running) > b.Slots:
+		return errors.New("running: must not be longer than slots")
 	case b.Endpoint == "":
 		return errors.New("endpoint: must be set")
 	case b.Service == "":
--- a/plugins/frontend/callers/body.go
+++ b/plugins/frontend/callers/body.go
@@ -13,6 +13,7 @@
 const (
 	maxDeadline     = time.Hour
 	defaultDeadline = 10 * time.Second
+	maxName         = 128 // Bytes of the name of a service or team.
 )
 
 type ticketsBody struct {
@@ -61,13 +62,18 @@
 	Outcome model.State    `json:"outcome"`
 	Run     model.RunState `json:"run"`
 	Reason  model.Reason   `json:"reason"`
+	Detail  string         `json:"detail,omitempty"`
 }
 
-// job checks the body and returns the job. The error names the faulty field.
-func (b jobBody) job(now time.Time) (model.Job, error) {
-	if err := b.check(); err != nil {
-		return model.Job{}, err
+func (b ticketsBody) check() error {
+	if b.Count < 1 || b.Count > maxTickets {
+		return errors.Newf("count: must be 1 to %d", maxTickets)
 	}
+	return nil
+}
+
+// job returns the job of a body that has been checked.
+func (b jobBody) job(now time.Time) model.Job {
 	deadline := time.Duration(b.DeadlineMS) * time.Millisecond
 	if deadline == 0 {
 		deadline = defaultDeadline
@@ -82,15 +88,18 @@
 			Needs: model.Needs(t.Needs),
 		})
 	}
-	return job, nil
+	return job
 }
 
+// check returns an error that names the first faulty field.
 func (b jobBody) check() error {
 	switch {
-	case b.Service == "":
-		return errors.New("service: must be set")
-	case b.Team == "":
-		return errors.New("team: must be set")
+	case b.JobID != "" && !wellFormed(b.JobID):
+		return errors.New("job_id: is no job id; take one from /v1/tickets or leave it out")
+	case b.Service == "" || len(b.Service) > maxName:
+		return errors.Newf("service: must be 1 to %d bytes", maxName)
+	case b.Team == "" || len(b.Team) > maxName:
+		return errors.Newf("team: must be 1 to %d bytes", maxName)
 	case b.DeadlineMS < 0 || b.DeadlineMS > maxDeadline.Milliseconds():
 		return errors.Newf("deadline_ms: must be 0 to %d", maxDeadline.Milliseconds())
 	case len(b.Tasks) < 1 || len(b.Tasks) > model.MaxTasksPerJob:
@@ -104,6 +113,11 @@
 	return nil
 }
 
+func wellFormed(id model.JobID) bool {
+	_, ok := id.Parse()
+	return ok
+}
+
 func (t taskBody) check() error {
 	switch {
 	case t.RunMS < 0 || t.RunMS > maxDeadline.Milliseconds():
--- a/plugins/frontend/callers/callers.go
+++ b/plugins/frontend/callers/callers.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -24,8 +26,20 @@
 	jobs   port.Jobs
 	health *plugin.Health
 	server *web.Server
+
+	settings Settings
+	jobGate  web.Gate // Around each submission.
 }
 
+// Settings are the plug-in's own.
+type Settings struct {
+	// DrainGraceMS is how long, in milliseconds, a draining process still takes jobs after /readyz
+	// has turned 503, so that the balancer notices.
+	DrainGraceMS int64 `json:"drain_grace_ms"`
+}
+
+const defaultDrainGraceMS = 2000
+
 // Provision binds the port and sets up the routes.
 func (f *Frontend) Provision(c *plugin.Context) (err error) {
 	if f.jobs, err = plugin.Use[port.Jobs](c); err != nil {
@@ -33,14 +47,34 @@
 	}
 	f.health = c.Health
 	f.server = web.NewServer(c.Node.Listen.Callers, f.routes())
-	return c.Settings(&struct{}{})
+	f.settings.DrainGraceMS = defaultDrainGraceMS
+	return c.Settings(&f.settings)
+}
+
+// Validate checks the settings.
+func (f *Frontend) Validate() error {
+	if f.settings.DrainGraceMS < 0 {
+		return errors.New("drain_grace_ms: must not be negative")
+	}
+	return nil
 }
 
 // Start opens the listener.
 func (f *Frontend) Start() error { return f.server.Start() }
 
-// Drain finishes the requests in flight.
-func (f *Frontend) Drain(ctx context.Context) { f.server.Drain(ctx) }
+// Drain serves on until the balancer has noticed, then takes no new job, and closes the listener
+// when those in flight have been answered.
+func (f *Frontend) Drain(ctx context.Context) {
+	f.server.Retire()
+	grace := time.NewTimer(time.Duration(f.settings.DrainGraceMS) * time.Millisecond)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case <-ctx.Done():
+	}
+	f.jobGate.Close(ctx)
+	f.server.Drain(ctx)
+}
 
 // Stop closes the listener.
 func (f *Frontend) Stop() error { return f.server.Stop() }
@@ -57,30 +91,25 @@
 
 func (f *Frontend) tickets(w http.ResponseWriter, r *http.Request) {
 	request := ticketsBody{Count: 1}
-	if err := web.Decode(w, r, &request); err != nil {
-		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
-		return
+	if web.Accept(w, r, &request, func() error { return request.check() }) {
+		web.Reply(w, http.StatusOK, ticketsReply{f.jobs.Mint(request.Count)})
 	}
-	if request.Count < 1 || request.Count > maxTickets {
-		web.Refuse(w, http.StatusBadRequest, "bad_request", "count: must be 1 to "+strconv.Itoa(maxTickets))
-		return
-	}
-	web.Reply(w, http.StatusOK, ticketsReply{f.jobs.Mint(request.Count)})
 }
 
 func (f *Frontend) submit(w http.ResponseWriter, r *http.Request) {
+	open := f.jobGate.Enter()
+	defer f.jobGate.Leave()
 	var body jobBody
-	if err := web.Decode(w, r, &body); err != nil {
-		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
-		return
-	}
-	job, err := body.job(time.Now())
-	if err != nil {
-		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+	if !web.Accept(w, r, &body, func() error { return body.check() }) {
 		return
 	}
+	job := body.job(time.Now())
 	if job.ID == "" {
 		job.ID = f.jobs.Mint(1)[0]
+		if !open {
+			writeOutcome(w, model.Failed(job.ID, model.NotRun, model.ReasonDraining))
+			return
+		}
 	}
 	w.Header().Set("Job-Id", string(job.ID))
 	writeOutcome(w, f.jobs.Submit(r.Context(), job))
@@ -132,14 +161,26 @@
 	}
 	web.WriteProblem(w, status, failedBody{
 		Title: http.StatusText(status), Status: status,
-		Job: o.Job, Outcome: o.State, Run: o.Run, Reason: o.Reason,
+		Job: o.Job, Outcome: o.State, Run: o.Run, Reason: o.Reason, Detail: details[o.Reason],
 	})
 }
 
+// details name the field of the request that a refusal is about.
+var details = map[model.Reason]string{
+	model.ReasonUnknownJob:     "job_id: was never minted here, or no job was submitted under it",
+	model.ReasonConflict:       "job_id: belongs to a job with another body",
+	model.ReasonExpired:        "job_id: is too old to start a job",
+	model.ReasonUnknownService: "service: no endpoint announced it and no profile names it",
+	model.ReasonUnknownTeam:    "team: is not listed in the quotas of the service's profile",
+	model.ReasonNeverFits:      "tasks: need more than all workers could give before the deadline",
+}
+
 func statusOf(reason model.Reason) int {
 	switch reason {
 	case model.ReasonNeverFits:
 		return http.StatusUnprocessableEntity
+	case model.ReasonUnknownService, model.ReasonUnknownTeam:
+		return http.StatusBadRequest
 	case model.ReasonQuota:
 		return http.StatusTooManyRequests
 	case model.ReasonDeadline:
@@ -148,7 +189,7 @@
 		return http.StatusConflict
 	case model.ReasonUnknownJob:
 		return http.StatusNotFound
-	case model.ReasonExpired:
+	case model.ReasonExpired, model.ReasonAnswerExpired:
 		return http.StatusGone
 	case model.ReasonTaskFailed:
 		return http.StatusBadGateway
--- a/plugins/frontend/web/web.go
+++ b/plugins/frontend/web/web.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,15 +29,26 @@
 type Server struct {
 	address string
 	server  *http.Server
+	retired atomic.Bool
 }
 
 // NewServer returns a server for handler at address, ip:port.
 func NewServer(address string, handler http.Handler) *Server {
-	return &Server{address: address, server: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerWait, IdleTimeout: idleTimeout,
-	}}
+	s := &Server{address: address}
+	s.server = &http.Server{ReadHeaderTimeout: headerWait, IdleTimeout: idleTimeout}
+	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.retired.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	return s
 }
 
+// Retire has clients close their connections after the next reply, so that none of them is idle
+// and about to be used when the listener closes.
+func (s *Server) Retire() { s.retired.Store(true) }
+
 // Start opens the listener.
 func (s *Server) Start() error {
 	listener, err := net.Listen("tcp", s.address)
@@ -61,6 +74,25 @@
 	return settings.DecodeStrict(raw, "", target)
 }
 
+// Accept reads a strict JSON body into target and checks it. When it returns false the request has
+// been refused: 413 for a body that is too large, otherwise 400 with the name of the faulty field.
+func Accept(w http.ResponseWriter, r *http.Request, target any, check func() error) bool {
+	err := Decode(w, r, target)
+	if err == nil {
+		err = check()
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &tooLarge):
+		Refuse(w, http.StatusRequestEntityTooLarge, "too_large", "body: must be at most "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	default:
+		Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+	}
+	return false
+}
+
 // Reply writes body as JSON.
 func Reply(w http.ResponseWriter, status int, body any) {
 	write(w, status, "application/json", body)
--- /dev/null
+++ b/plugins/jobs/fit/fit_test.go
@@ -0,0 +1,51 @@
+package fit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func job(tasks int, declared time.Duration, needs model.Needs) model.Job {
+	j := model.Job{Deadline: now.Add(time.Second)}
+	for i := range tasks {
+		j.Tasks = append(j.Tasks, model.Task{Index: i, Declared: declared, Needs: needs})
+	}
+	return j
+}
+
+func TestOnlyJobsThatCanNeverRunAreRefused(t *testing.T) {
+	pools := []model.PoolLoad{
+		{Slots: 4, Queued: 1000, Largest: model.Needs{Cores: 16, MemoryMB: 1024}},
+		{Slots: 4, Largest: model.Needs{Cores: 4, MemoryMB: 1024, Accelerators: 1}},
+	}
+	cases := map[string]struct {
+		job   model.Job
+		pools []model.PoolLoad
+		fits  bool
+	}{
+		"a full queue is no reason":            {job(160, 0, model.Needs{}), pools, true},
+		"cores on one pool":                    {job(1, 0, model.Needs{Cores: 16}), pools, true},
+		"more cores than any worker":           {job(1, 0, model.Needs{Cores: 17}), pools, false},
+		"more memory than any worker":          {job(1, 0, model.Needs{MemoryMB: 1025}), pools, false},
+		"more accelerators than any worker":    {job(1, 0, model.Needs{Accelerators: 2}), pools, false},
+		"declared ten times too long":          {job(1, 10*time.Second, model.Needs{}), pools, true},
+		"declared longer than that":            {job(1, 11*time.Second, model.Needs{}), pools, false},
+		"all slots busy to the deadline":       {job(80, time.Second, model.Needs{}), pools, true},
+		"more work than slots before deadline": {job(81, time.Second, model.Needs{}), pools, false},
+		"no endpoint at the moment":            {job(1, 0, model.Needs{Cores: 99}), nil, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			why, fits := Check(c.job, c.pools, now)
+			is.Equal(fits, c.fits)
+			is.Equal(why == "", c.fits)
+		})
+	}
+}
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -5,22 +5,34 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/shard"
 	"redwingpulley/plugins/jobs/jobstate"
+	"redwingpulley/plugins/jobs/retrybudget"
 )
 
-// TicketLifetime is how long after its minting an id can start a job. Outcomes are kept for at
-// least as long, so that a resend never runs a job again.
-const TicketLifetime = 10 * time.Minute
+// Settings are the plug-in's own, in milliseconds.
+type Settings struct {
+	TicketMS  int64 `json:"ticket_ms"`  // How long after its minting an id can start a job.
+	AnswersMS int64 `json:"answers_ms"` // How long answers are kept after a job's end.
+}
+
+const (
+	defaultTicketMS  = 600_000
+	defaultAnswersMS = 60_000
+)
 
 // Jobs is the plug-in. Create it through the registry.
 type Jobs struct {
+	settings   Settings
 	self       port.Node
 	membership port.Membership
 	profiles   port.Profiles
@@ -29,22 +41,33 @@
 	peers      port.Peers
 	decisions  port.Decisions
 	placements map[string]port.Placement
+	registry   metrics.Registry
+	responses  metrics.Histogram // Milliseconds from submission to end.
+	wasted     metrics.Counter
 
-	mint *mint
-	jobs *shard.Map[model.JobID, *entry]
-	life context.Context
-	stop context.CancelFunc
+	mint     *mint
+	jobs     *shard.Map[model.JobID, *entry]
+	services *shard.Map[model.ServiceID, *retrybudget.Budget]
+	draining atomic.Bool
+	life     context.Context
+	stop     context.CancelFunc
 }
 
 // entry is a job and who waits for it; ended is closed when its outcome is final.
 type entry struct {
-	state *jobstate.Job
-	ended chan struct{}
-	timer *time.Timer
+	state   *jobstate.Job
+	begun   time.Time
+	ended   chan struct{}
+	timer   *time.Timer
+	cancels map[int]context.CancelFunc // Of the parts that are open.
 }
 
 // Provision binds the ports.
 func (j *Jobs) Provision(c *plugin.Context) (err error) {
+	j.settings = Settings{TicketMS: defaultTicketMS, AnswersMS: defaultAnswersMS}
+	if err = c.Settings(&j.settings); err != nil {
+		return err
+	}
 	if j.membership, err = plugin.Use[port.Membership](c); err != nil {
 		return err
 	}
@@ -64,13 +87,46 @@
 		return err
 	}
 	j.placements = plugin.UseAll[port.Placement](c)
+	j.init(c.Metrics)
+	plugin.Bind[port.Jobs](c, j)
+	return nil
+}
+
+// init makes the state behind the bound ports.
+func (j *Jobs) init(registry metrics.Registry) {
 	j.self = j.membership.Self()
-	j.mint = newMint(j.self.ID, j.self.Incarnation)
+	j.mint = newMint(j.self.ID, j.self.Incarnation, time.Now())
 	j.jobs = shard.New[model.JobID, *entry](shard.DefaultCount)
+	j.services = shard.New[model.ServiceID, *retrybudget.Budget](shard.DefaultCount)
 	j.life, j.stop = context.WithCancel(context.Background())
+	j.registerMetrics(registry)
 	j.handlePeers()
-	plugin.Bind[port.Jobs](c, j)
-	return c.Settings(&struct{}{})
+}
+
+// Validate checks the settings.
+func (j *Jobs) Validate() error {
+	if j.settings.TicketMS < 1 || j.settings.AnswersMS < 0 {
+		return errors.New("ticket_ms must be positive and answers_ms not negative")
+	}
+	return nil
+}
+
+// Drain takes no new jobs and waits for the end of those that run.
+func (j *Jobs) Drain(ctx context.Context) {
+	j.draining.Store(true)
+	var running []chan struct{}
+	j.jobs.Each(func(jobs map[model.JobID]*entry) {
+		for _, e := range jobs {
+			running = append(running, e.ended)
+		}
+	})
+	for _, ended := range running {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Stop ends the waits of this process.
@@ -100,72 +156,82 @@
 	if parts.Owner != j.self.ID {
 		return j.forwardSubmit(ctx, parts.Owner, job)
 	}
-	if refusal, refused := j.refuseID(job.ID, parts); refused {
+	if refusal, refused := j.refuseAlien(job.ID, parts); refused {
 		return refusal
 	}
-	return j.submitOwned(ctx, job)
+	return j.submitOwned(ctx, job, parts)
 }
 
-// refuseID refuses ids of an earlier incarnation, ids that were never minted, and ids so old that
-// their outcome may have been forgotten.
-func (j *Jobs) refuseID(id model.JobID, parts model.JobIDParts) (model.Outcome, bool) {
+// refuseAlien refuses ids of an earlier incarnation and ids that were never minted.
+func (j *Jobs) refuseAlien(id model.JobID, parts model.JobIDParts) (model.Outcome, bool) {
 	if parts.Incarnation != j.self.Incarnation {
 		return model.Failed(id, model.MayHaveRun, model.ReasonOwnerRestarted), true
 	}
 	if !j.mint.made(parts) {
 		return model.Failed(id, model.NotRun, model.ReasonUnknownJob), true
 	}
-	_, known := j.jobs.Get(id)
-	if !known && time.Since(time.UnixMilli(parts.MintedMS)) > TicketLifetime {
-		return model.Failed(id, model.MayHaveRun, model.ReasonExpired), true
-	}
 	return model.Outcome{}, false
 }
 
-func (j *Jobs) submitOwned(ctx context.Context, job model.Job) model.Outcome {
+// submitOwned starts the job when its id is new, and otherwise joins it.
+func (j *Jobs) submitOwned(ctx context.Context, job model.Job, parts model.JobIDParts) model.Outcome {
+	now := time.Now()
+	left := j.ticketLifetime() - j.mint.age(parts, now)
+	var e *entry
+	var refusal model.Outcome
 	created := false
-	e := j.jobs.GetOrCreate(job.ID, func() *entry {
+	j.jobs.Do(job.ID, func(jobs map[model.JobID]*entry) {
+		known := false
+		if e, known = jobs[job.ID]; known {
+			return
+		}
+		if refusal = j.refuseNew(job.ID, left); refusal.State != "" {
+			return
+		}
 		created = true
-		return &entry{state: jobstate.New(job, j.self.ID), ended: make(chan struct{})}
+		e = j.newEntry(job, now, left)
+		jobs[job.ID] = e
 	})
-	if !created && e.state.Digest() != job.Digest {
+	switch {
+	case e == nil:
+		return refusal
+	case created:
+		j.begin(job)
+	case e.state.Digest() != job.Digest:
 		return model.Failed(job.ID, model.NotRun, model.ReasonConflict)
 	}
-	if created {
-		j.begin(job, e)
-	}
 	return j.wait(ctx, job.ID, e)
 }
 
-// begin plans the job and sends its batches, or refuses it.
-func (j *Jobs) begin(job model.Job, e *entry) {
-	e.timer = time.AfterFunc(time.Until(job.Deadline), func() { j.step(job.ID, jobstate.Expired{}) })
-	event, why := j.route(job)
-	j.decisions.Record(port.Decision{At: time.Now(), Kind: "routing", Job: job.ID, Task: -1, Why: why})
-	j.step(job.ID, event)
-}
-
-// route returns the event that starts or refuses the job, and why.
-func (j *Jobs) route(job model.Job) (event jobstate.Event, why string) {
-	profiles, ok := j.profiles.Current()
-	if !ok {
-		return jobstate.Refused{Reason: model.ReasonNoProfile}, "no profile is known yet"
-	}
-	profile, ok := profiles.For(job.Service)
-	if !ok {
-		return jobstate.Refused{Reason: model.ReasonNoProfile}, "the service's profile is not in the register"
+// refuseNew refuses an id that has no job when its time is over, since its outcome may have been
+// forgotten, and while this process drains.
+func (j *Jobs) refuseNew(id model.JobID, left time.Duration) model.Outcome {
+	if left <= 0 {
+		return model.Failed(id, model.MayHaveRun, model.ReasonExpired)
 	}
-	if ok, retryAfter := j.quotas.Take(profile, job.Team, len(job.Tasks)); !ok {
-		return jobstate.Refused{Reason: model.ReasonQuota, RetryAfter: retryAfter}, "the team's quota is used up"
+	if j.draining.Load() {
+		return model.Failed(id, model.NotRun, model.ReasonDraining)
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	plan := j.placements[profile.Placement].Plan(job, j.pools.Loads(job.Service), j.self.DataCentre, random)
-	if len(plan.Parts) == 0 {
-		return jobstate.Refused{Reason: model.ReasonNoEndpoint}, plan.Reason
+	return model.Outcome{}
+}
+
+func (j *Jobs) newEntry(job model.Job, now time.Time, left time.Duration) *entry {
+	answers := time.Duration(j.settings.AnswersMS) * time.Millisecond
+	e := &entry{
+		state:   jobstate.New(job, j.self.ID, jobstate.Retention{Answers: answers, Until: now.Add(left)}),
+		begun:   now,
+		ended:   make(chan struct{}),
+		cancels: make(map[int]context.CancelFunc),
 	}
-	return jobstate.Planned{Plan: plan}, plan.Reason
+	e.timer = time.AfterFunc(e.state.Wake().Sub(now), func() { j.step(job.ID, jobstate.Elapsed{}) })
+	return e
+}
+
+func (j *Jobs) ticketLifetime() time.Duration {
+	return time.Duration(j.settings.TicketMS) * time.Millisecond
 }
 
+// wait returns the job's outcome once it is final, or as it is when the context ends.
 func (j *Jobs) wait(ctx context.Context, id model.JobID, e *entry) model.Outcome {
 	select {
 	case <-e.ended:
@@ -176,36 +242,6 @@
 	return outcome
 }
 
-// step applies an event to a job and then carries out its effects, outside the lock.
-func (j *Jobs) step(id model.JobID, event jobstate.Event) {
-	var fx jobstate.Effects
-	j.jobs.Do(id, func(jobs map[model.JobID]*entry) {
-		e, ok := jobs[id]
-		if !ok {
-			return
-		}
-		fx = e.state.Step(time.Now(), event)
-		if fx.Ended {
-			close(e.ended)
-		}
-	})
-	for _, s := range fx.Sends {
-		go j.send(id, s)
-	}
-	for _, c := range fx.Cancels {
-		go j.pools.Cancel(j.life, c.Owner, c.Pool, c.Batch)
-	}
-	if fx.Ended {
-		time.AfterFunc(TicketLifetime, func() { j.jobs.Delete(id) })
-	}
-}
-
-func (j *Jobs) send(id model.JobID, s jobstate.Send) {
-	ctx, cancel := context.WithDeadline(j.life, s.Batch.Deadline)
-	defer cancel()
-	j.step(id, jobstate.BatchEnded{Result: j.pools.Run(ctx, s.Owner, s.Batch)})
-}
-
 // Lookup returns the outcome of a job from the member that owns it.
 func (j *Jobs) Lookup(ctx context.Context, id model.JobID) model.Outcome {
 	parts, ok := id.Parse()
@@ -215,17 +251,15 @@
 	if parts.Owner != j.self.ID {
 		return j.forwardLookup(ctx, parts.Owner, methodLookup, id)
 	}
-	e, known := j.jobs.Get(id)
-	if !known {
-		return j.unknown(id, parts)
-	}
-	return j.wait(ctx, id, e)
-}
-
-func (j *Jobs) unknown(id model.JobID, parts model.JobIDParts) model.Outcome {
-	if refusal, refused := j.refuseID(id, parts); refused {
+	if refusal, refused := j.refuseAlien(id, parts); refused {
 		return refusal
 	}
+	if e, known := j.jobs.Get(id); known {
+		return j.wait(ctx, id, e)
+	}
+	if j.mint.age(parts, time.Now()) >= j.ticketLifetime() {
+		return model.Failed(id, model.MayHaveRun, model.ReasonExpired)
+	}
 	return model.Failed(id, model.NotRun, model.ReasonUnknownJob)
 }
 
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -1,9 +1,8 @@
-// Package jobstate decides for one job: which pools run its tasks, what its answer is, and when it
-// is cancelled. A Job is a state machine: the same events give the same effects, and it does no I/O
-// and reads no clock.
 package jobstate
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"redwingpulley/kernel/invariant"
@@ -11,73 +10,46 @@
 	"redwingpulley/kernel/port"
 )
 
-// Event is something that happened to the job.
-type Event interface{ event() }
-
-// Planned starts the job by a plan.
-type Planned struct{ Plan port.Plan }
-
-// Refused ends the job before it was planned.
-type Refused struct {
-	Reason     model.Reason
-	RetryAfter time.Duration
-}
-
-// BatchEnded is the end of one part of the job.
-type BatchEnded struct{ Result model.BatchResult }
-
-// Cancelled asks for the end of the job.
-type Cancelled struct{}
-
-// Expired says that the job's deadline has come.
-type Expired struct{}
-
-func (Planned) event()    {}
-func (Refused) event()    {}
-func (BatchEnded) event() {}
-func (Cancelled) event()  {}
-func (Expired) event()    {}
+// Job is the state of one job. Create one with New.
+type Job struct {
+	job       model.Job
+	self      model.NodeID
+	retention Retention
+	outcome   model.Outcome
+	ended     time.Time
 
-// Effects are what the caller has to carry out.
-type Effects struct {
-	Sends   []Send
-	Cancels []Cancel
-	Ended   bool // The outcome is final.
-}
+	open    map[int]port.PlanPart // Batches that were sent and have not ended, by part number.
+	refused map[int]refusal       // Parts that wait for a new plan.
+	avoid   []model.PoolID
+	next    int // Part number of the next batch.
 
-// Send has a pool's owner run a batch.
-type Send struct {
-	Owner model.NodeID
-	Batch model.Batch
+	answers [][]byte
+	missing int      // Tasks without an answer.
+	ran     bool     // Some task ran or may have run.
+	failure *failure // Set once the job cannot complete any more.
 }
 
-// Cancel has a pool's owner end a batch.
-type Cancel struct {
-	Owner model.NodeID
-	Pool  model.PoolID
-	Batch model.BatchID
+type refusal struct {
+	tasks   []int // Indices in the job.
+	failure failure
 }
 
-// Job is the state of one job. Create one with New.
-type Job struct {
-	job     model.Job
-	self    model.NodeID
-	outcome model.Outcome
-	parts   map[int]port.PlanPart // Batches that have not ended, by part number.
-	next    int                   // Part number of the next batch.
-	answers [][]byte
-	missing int // Tasks without an answer.
+type failure struct {
+	reason     model.Reason
+	retryAfter time.Duration
 }
 
 // New returns the state of a job that self owns and that has not been planned.
-func New(job model.Job, self model.NodeID) *Job {
+func New(job model.Job, self model.NodeID, retention Retention) *Job {
 	return &Job{
-		job:     job,
-		self:    self,
-		outcome: model.Running(job.ID),
-		parts:   make(map[int]port.PlanPart),
-		answers: make([][]byte, len(job.Tasks)),
-		missing: len(job.Tasks),
+		job:       job,
+		self:      self,
+		retention: retention,
+		outcome:   model.Running(job.ID),
+		open:      make(map[int]port.PlanPart),
+		refused:   make(map[int]refusal),
+		answers:   make([][]byte, len(job.Tasks)),
+		missing:   len(job.Tasks),
 	}
 }
 
@@ -87,34 +59,45 @@
 // Outcome returns the job's outcome so far.
 func (j *Job) Outcome() model.Outcome { return j.outcome }
 
+// Wake returns when Elapsed is due next.
+func (j *Job) Wake() time.Time {
+	if j.outcome.State == model.StateRunning {
+		return j.job.Deadline
+	}
+	if j.outcome.State == model.StateComplete {
+		return j.ended.Add(j.retention.Answers)
+	}
+	return j.retention.Until
+}
+
 // Step applies an event and returns what has to be done.
-func (j *Job) Step(_ time.Time, event Event) Effects {
+func (j *Job) Step(now time.Time, event Event) Effects {
 	var fx Effects
 	if j.outcome.State != model.StateRunning {
+		if _, elapsed := event.(Elapsed); elapsed {
+			j.forget(now, &fx)
+		}
 		return fx
 	}
 	switch e := event.(type) {
 	case Planned:
-		j.planned(e.Plan, &fx)
+		for _, part := range e.Plan.Parts {
+			j.send(part, &fx)
+		}
 	case Refused:
-		j.outcome.RetryAfter = e.RetryAfter
-		j.fail(model.NotRun, e.Reason, &fx)
+		j.fail(now, failure{e.Reason, e.RetryAfter}, &fx)
 	case BatchEnded:
-		j.batchEnded(e.Result, &fx)
+		j.batchEnded(now, e.Result, &fx)
+	case Replanned:
+		j.replanned(now, e, &fx)
 	case Cancelled:
-		j.fail(j.runState(), model.ReasonCancelled, &fx)
-	case Expired:
-		j.fail(j.runState(), model.ReasonDeadline, &fx)
+		j.fail(now, failure{reason: model.ReasonCancelled}, &fx)
+	case Elapsed:
+		j.expired(now, &fx)
 	}
 	return fx
 }
 
-func (j *Job) planned(plan port.Plan, fx *Effects) {
-	for _, part := range plan.Parts {
-		j.send(part, fx)
-	}
-}
-
 func (j *Job) send(part port.PlanPart, fx *Effects) {
 	batch := model.Batch{
 		ID:       model.BatchID{Job: j.job.ID, Part: j.next},
@@ -126,67 +109,154 @@
 	for _, index := range part.Tasks {
 		batch.Tasks = append(batch.Tasks, j.job.Tasks[index])
 	}
-	j.parts[j.next] = part
+	j.open[j.next] = part
 	j.next++
 	fx.Sends = append(fx.Sends, Send{Owner: part.Owner, Batch: batch})
 }
 
-func (j *Job) batchEnded(result model.BatchResult, fx *Effects) {
-	if _, open := j.parts[result.ID.Part]; !open {
+func (j *Job) batchEnded(now time.Time, result model.BatchResult, fx *Effects) {
+	part, open := j.open[result.ID.Part]
+	if !open {
 		return
 	}
-	delete(j.parts, result.ID.Part)
+	delete(j.open, result.ID.Part)
 	if result.Refused {
-		j.outcome.RetryAfter = result.RetryAfter
-		j.fail(j.runState(), result.Reason, fx)
+		j.partRefused(now, result, part, fx)
+		return
+	}
+	failed := j.take(part, result)
+	switch {
+	case failed != "":
+		j.fail(now, failure{reason: failed}, fx)
+	case j.failure != nil:
+		j.settle(now, fx)
+	case j.missing == 0:
+		j.end(now, model.Completed(j.job.ID, j.answers), fx)
+	}
+}
+
+// partRefused asks for another plan. None of the part's tasks started.
+func (j *Job) partRefused(now time.Time, result model.BatchResult, part port.PlanPart, fx *Effects) {
+	if j.failure != nil {
+		j.settle(now, fx)
+		return
+	}
+	j.refused[result.ID.Part] = refusal{part.Tasks, failure{result.Reason, result.RetryAfter}}
+	j.avoid = append(j.avoid, part.Pool)
+	sub := j.job
+	sub.Tasks = nil
+	for _, index := range part.Tasks {
+		sub.Tasks = append(sub.Tasks, j.job.Tasks[index])
+	}
+	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid)}
+}
+
+func (j *Job) replanned(now time.Time, e Replanned, fx *Effects) {
+	r, waits := j.refused[e.Part]
+	if !waits {
 		return
 	}
+	delete(j.refused, e.Part)
+	if len(e.Plan.Parts) == 0 {
+		j.fail(now, r.failure, fx)
+		return
+	}
+	for _, part := range e.Plan.Parts {
+		indices := make([]int, 0, len(part.Tasks))
+		for _, position := range part.Tasks {
+			indices = append(indices, r.tasks[position])
+		}
+		part.Tasks = indices
+		j.send(part, fx)
+	}
+}
+
+// take records the results of a part's tasks and returns why the part failed, or "".
+func (j *Job) take(part port.PlanPart, result model.BatchResult) (failed model.Reason) {
+	taken := make(map[int]bool, len(part.Tasks))
 	for _, r := range result.Results {
-		if !r.Done {
-			j.fail(j.runStateAfter(result), r.Reason, fx)
-			return
+		if taken[r.Index] || !slices.Contains(part.Tasks, r.Index) {
+			continue // Not a task of this part.
 		}
-		j.answer(r)
+		taken[r.Index] = true
+		switch {
+		case r.Done:
+			j.answer(r)
+		case failed == "":
+			failed = r.Reason
+		}
+		j.ran = j.ran || r.Done || r.Run != model.NotRun
 	}
-	if j.missing == 0 {
-		j.outcome = model.Completed(j.job.ID, j.answers)
-		fx.Ended = true
+	if len(taken) < len(part.Tasks) {
+		j.ran = true
+		return model.ReasonOwnerLost
 	}
+	return failed
 }
 
 func (j *Job) answer(r model.TaskResult) {
 	invariant.Check(j.answers[r.Index] == nil, "one-answer", "job %s task %d answered twice", j.job.ID, r.Index)
 	j.answers[r.Index] = r.Answer
-	if r.Answer == nil {
+	if len(r.Answer) == 0 {
 		j.answers[r.Index] = []byte("null")
 	}
 	j.missing--
 }
 
-// runState tells whether any task may have run: none has while no batch was sent.
-func (j *Job) runState() model.RunState {
-	if len(j.parts) == 0 && j.missing == len(j.job.Tasks) {
-		return model.NotRun
+// fail gives the job up for the first reason that is given. The parts that are open are cancelled,
+// and their ends tell whether anything ran.
+func (j *Job) fail(now time.Time, why failure, fx *Effects) {
+	if j.failure == nil {
+		j.failure = &why
+		clear(j.refused)
+		fx.Cancels = append(fx.Cancels, slices.Sorted(maps.Keys(j.open))...)
 	}
-	return model.MayHaveRun
+	j.settle(now, fx)
 }
 
-func (j *Job) runStateAfter(result model.BatchResult) model.RunState {
-	for _, r := range result.Results {
-		if r.Done || r.Run != model.NotRun {
-			return model.MayHaveRun
-		}
+// settle ends a job that failed once no part is open.
+func (j *Job) settle(now time.Time, fx *Effects) {
+	if len(j.open) == 0 {
+		j.endFailed(now, fx)
+	}
+}
+
+// expired ends the job at its deadline; what the open parts did is not known.
+func (j *Job) expired(now time.Time, fx *Effects) {
+	if j.job.Deadline.After(now) {
+		return
 	}
-	return j.runState()
+	j.fail(now, failure{reason: model.ReasonDeadline}, fx)
+	if fx.Ended {
+		return
+	}
+	j.ran = true
+	j.endFailed(now, fx)
 }
 
-func (j *Job) fail(run model.RunState, reason model.Reason, fx *Effects) {
-	retryAfter := j.outcome.RetryAfter
-	j.outcome = model.Failed(j.job.ID, run, reason)
-	j.outcome.RetryAfter = retryAfter
+func (j *Job) endFailed(now time.Time, fx *Effects) {
+	run := model.NotRun
+	if j.ran {
+		run = model.MayHaveRun
+	}
+	outcome := model.Failed(j.job.ID, run, j.failure.reason)
+	outcome.RetryAfter = j.failure.retryAfter
+	j.end(now, outcome, fx)
+}
+
+func (j *Job) end(now time.Time, outcome model.Outcome, fx *Effects) {
+	invariant.Check(outcome.State == model.StateFailed || len(j.open)+j.missing == 0, "complete",
+		"job %s complete with %d parts open and %d tasks unanswered", j.job.ID, len(j.open), j.missing)
+	j.outcome = outcome
+	j.ended = now
+	j.job.Tasks, j.answers, j.open, j.refused, j.avoid = nil, nil, nil, nil, nil
 	fx.Ended = true
-	for number, part := range j.parts {
-		id := model.BatchID{Job: j.job.ID, Part: number}
-		fx.Cancels = append(fx.Cancels, Cancel{Owner: part.Owner, Pool: part.Pool, Batch: id})
+}
+
+// forget drops the answers of an ended job, and then the job.
+func (j *Job) forget(now time.Time, fx *Effects) {
+	if j.outcome.State == model.StateComplete && !now.Before(j.ended.Add(j.retention.Answers)) {
+		j.outcome = model.Failed(j.job.ID, model.MayHaveRun, model.ReasonAnswerExpired)
 	}
+	fx.Gone = j.outcome.State == model.StateFailed && !now.Before(j.retention.Until)
 }
--- a/plugins/jobs/peers.go
+++ b/plugins/jobs/peers.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
@@ -16,6 +19,12 @@
 	methodCancel = "jobs/cancel"
 )
 
+const (
+	replyMargin = time.Second            // Of an owner's reply, after the time it waits for.
+	askPause    = 100 * time.Millisecond // Before an owner that gave no reply is asked again.
+	maxWait     = time.Minute            // Of a cancellation for the end of its job.
+)
+
 // submission is a job on the wire; its deadline travels as the time that is left.
 type submission struct {
 	ID          model.JobID     `json:"id"`
@@ -72,34 +81,83 @@
 }
 
 func (j *Jobs) serveCancel(ctx context.Context, _ model.NodeID, l lookup) wireOutcome {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.WaitMS)*time.Millisecond)
+	defer cancel()
 	return encodeOutcome(j.Cancel(ctx, l.ID))
 }
 
 func (j *Jobs) forwardSubmit(ctx context.Context, owner model.NodeID, job model.Job) model.Outcome {
-	s := submission{
-		ID: job.ID, Service: job.Service, Team: job.Team, Digest: job.Digest,
-		RemainingMS: time.Until(job.Deadline).Milliseconds(),
-	}
+	s := submission{ID: job.ID, Service: job.Service, Team: job.Team, Digest: job.Digest}
 	for _, t := range job.Tasks {
 		s.Tasks = append(s.Tasks, wireTask{t.Payload, t.Declared.Milliseconds(), t.Needs})
 	}
-	return j.forward(ctx, owner, methodSubmit, job.ID, s)
+	return j.forward(ctx, owner, methodSubmit, job.ID, job.Deadline, func() any {
+		s.RemainingMS = time.Until(job.Deadline).Milliseconds()
+		return s
+	})
 }
 
+// forwardLookup passes a lookup or cancellation on. The context's deadline is the wait for the end
+// of the job; a reply that says that it still runs has to come after it.
 func (j *Jobs) forwardLookup(ctx context.Context, owner model.NodeID, method string, id model.JobID) model.Outcome {
-	request := lookup{ID: id}
-	if deadline, ok := ctx.Deadline(); ok {
-		request.WaitMS = time.Until(deadline).Milliseconds()
+	waitUntil, bounded := ctx.Deadline()
+	if !bounded {
+		waitUntil = time.Now().Add(maxWait)
+	}
+	return j.forward(ctx, owner, method, id, waitUntil, func() any {
+		return lookup{ID: id, WaitMS: max(0, time.Until(waitUntil).Milliseconds())}
+	})
+}
+
+// forward asks the owner until it replies, over a new connection each time. All methods are
+// idempotent: the owner knows the job by its id. It gives up replyMargin after the time by which
+// the owner has to reply, when the caller goes away, or when the owner is not thought alive.
+func (j *Jobs) forward(ctx context.Context, owner model.NodeID, method string, id model.JobID, due time.Time, request func() any) model.Outcome {
+	ctx, cancel := untilGone(ctx, due.Add(replyMargin))
+	defer cancel()
+	call := ctx
+	for {
+		var reply wireOutcome
+		begun := time.Now()
+		if j.peers.Call(call, owner, method, request(), &reply) == port.Delivered {
+			return decodeOutcome(reply)
+		}
+		if !j.thoughtAlive(owner) || !pause(ctx, askPause) {
+			return model.Failed(id, model.MayHaveRun, model.ReasonOwnerLost)
+		}
+		call = port.FreshConnection(ctx, begun)
+	}
+}
+
+// untilGone returns a context that ends at the given time or when ctx is cancelled, but not at the
+// deadline of ctx.
+func untilGone(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	bounded, cancel := context.WithDeadline(context.WithoutCancel(ctx), at)
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})
+	return bounded, func() {
+		stop()
+		cancel()
 	}
-	return j.forward(ctx, owner, method, id, request)
 }
 
-func (j *Jobs) forward(ctx context.Context, owner model.NodeID, method string, id model.JobID, request any) model.Outcome {
-	var reply wireOutcome
-	if j.peers.Call(ctx, owner, method, request, &reply) != port.Delivered {
-		return model.Failed(id, model.MayHaveRun, model.ReasonOwnerLost)
+func (j *Jobs) thoughtAlive(id model.NodeID) bool {
+	return slices.ContainsFunc(j.membership.Alive(), func(n port.Node) bool { return n.ID == id })
+}
+
+// pause waits and reports whether the context lasted.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return decodeOutcome(reply)
 }
 
 func encodeOutcome(o model.Outcome) wireOutcome {
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -23,12 +25,14 @@
 const (
 	pathPrefix   = "/peer/v1/"
 	headerFrom   = "Redwing-Node"
-	maxBody      = 64 << 20         // Bytes of one request or reply.
-	pingAfter    = 2 * time.Second  // Silence after which a connection is pinged.
-	pingTimeout  = 2 * time.Second  // Wait for a ping's answer before the connection is closed.
-	dialTimeout  = 1 * time.Second  // Wait for a connection.
-	headerWait   = 10 * time.Second // Wait for the header of a request.
-	maxStreams   = 100_000          // Batches that may wait on one connection.
+	maxBody      = 64 << 20               // Bytes of one request or reply.
+	pingAfter    = 500 * time.Millisecond // Silence after which a connection is pinged.
+	pingTimeout  = 500 * time.Millisecond // Wait for a ping's answer before the connection is closed.
+	dialTimeout  = 1 * time.Second        // Wait for a connection.
+	idleTimeout  = 15 * time.Second       // Before an unused connection is closed.
+	stopTimeout  = 2 * time.Second        // Wait for the last replies at the end.
+	headerWait   = 10 * time.Second       // Wait for the header of a request.
+	maxStreams   = 100_000                // Batches that may wait on one connection.
 	contentJSON  = "application/json"
 	statusNoSuch = http.StatusNotFound
 )
@@ -40,8 +44,10 @@
 	log       *slog.Logger
 	handlers  map[string]port.Handler
 	addresses *shard.Map[model.NodeID, string]
-	client    *http.Client
+	links     *shard.Map[model.NodeID, *link]
 	server    *http.Server
+	work      traffic
+	control   traffic
 }
 
 // Provision learns the addresses of the members that settings name.
@@ -54,24 +60,17 @@
 	for _, m := range c.Node.Members {
 		p.Learn(m.Node, m.Peers)
 	}
-	p.client = &http.Client{Transport: newTransport()}
+	p.links = shard.New[model.NodeID, *link](shard.DefaultCount)
+	p.work = traffic{
+		metrics.GetOrRegisterCounter("messages.peer.requests", c.Metrics),
+		metrics.GetOrRegisterCounter("messages.peer.replies", c.Metrics),
+	}
+	control := metrics.GetOrRegisterCounter("messages.control", c.Metrics)
+	p.control = traffic{control, control}
 	plugin.Bind[port.Peers](c, p)
 	return c.Settings(&struct{}{})
 }
 
-func newTransport() *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
-		Protocols:   protocols,
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfter,
-			PingTimeout:     pingTimeout,
-		},
-	}
-}
-
 // Handle registers the handler of a method.
 func (p *Peers) Handle(method string, handler port.Handler) { p.handlers[method] = handler }
 
@@ -99,9 +98,19 @@
 	return nil
 }
 
-// Stop closes the listener and all connections.
+// Stop sends the replies that are due, then closes the listener and all connections. The listener
+// stays during a drain, for the batches of other members.
 func (p *Peers) Stop() error {
-	p.client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if p.server.Shutdown(ctx) != nil {
+		p.log.Warn("requests of peers cut off at the end")
+	}
+	p.links.Each(func(links map[model.NodeID]*link) {
+		for _, l := range links {
+			l.client.CloseIdleConnections()
+		}
+	})
 	return p.server.Close()
 }
 
@@ -149,11 +158,18 @@
 	}
 	r.Header.Set(headerFrom, string(p.self))
 	r.Header.Set("Content-Type", contentJSON)
-	response, err := p.client.Do(r)
+	since, fresh := port.FreshSince(ctx)
+	response, err := p.client(to, since, fresh).Do(r)
+	counted := p.traffic(method)
 	if err != nil {
+		if connected.Load() {
+			counted.requests.Inc(1)
+		}
 		return undelivered(connected.Load())
 	}
 	defer response.Body.Close()
+	counted.requests.Inc(1)
+	counted.replies.Inc(1)
 	return decodeReply(response, reply)
 }
 
--- /dev/null
+++ b/plugins/peer/http/link.go
@@ -0,0 +1,82 @@
+package http
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/kernel/model"
+)
+
+// link is the connection to one member. A new one takes its place when it may have gone silent.
+type link struct {
+	client *http.Client
+	opened time.Time
+}
+
+func newLink() *link {
+	return &link{client: &http.Client{Transport: newTransport(), CheckRedirect: noRedirect}, opened: time.Now()}
+}
+
+// noRedirect keeps the client from sending a request a second time.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func newTransport() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		Protocols:       protocols,
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+	}
+}
+
+// client returns the client for a node. With fresh set, it is one whose connections were opened
+// after since; calls that failed together share the new one.
+func (p *Peers) client(to model.NodeID, since time.Time, fresh bool) *http.Client {
+	var old *link
+	var current *link
+	p.links.Do(to, func(links map[model.NodeID]*link) {
+		current = links[to]
+		if current == nil || (fresh && !current.opened.After(since)) {
+			old, current = current, newLink()
+			links[to] = current
+		}
+	})
+	if old != nil {
+		old.client.CloseIdleConnections()
+	}
+	return current.client
+}
+
+// traffic counts messages at the side that asks, so that each is counted once over all members.
+type traffic struct {
+	requests metrics.Counter
+	replies  metrics.Counter
+}
+
+// controlMethods are the prefixes of methods that serve no job.
+var controlMethods = []string{"membership/", "pools/loads", "pools/announce", "profiles/", "quota/"}
+
+func isControl(method string) bool {
+	for _, prefix := range controlMethods {
+		if strings.HasPrefix(method, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Peers) traffic(method string) traffic {
+	if isControl(method) {
+		return p.control
+	}
+	return p.work
+}
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -10,9 +10,15 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -22,28 +28,66 @@
 	maxAnswer     = 4 << 20 // Bytes of one endpoint's reply.
 	dialTimeout   = 1 * time.Second
 	revokeTimeout = 2 * time.Second
-	idlePerHost   = 60 // Connections kept open to one endpoint.
-	idleTimeout   = 90 * time.Second
-	keepAlive     = 5 * time.Second // Between TCP probes of a silent connection.
+	idlePerHost   = 60               // Connections kept open to one endpoint.
+	idleTimeout   = 30 * time.Second // Shorter than what endpoints must keep a connection open for.
+
+	probeAfter    = 1 * time.Second // Silence after which a connection is probed.
+	probeInterval = 1 * time.Second
+	probeCount    = 2
+	silenceLimit  = 3 * time.Second // Longest time for which sent bytes may stay unconfirmed.
 )
 
 // Client is the plug-in. Create it through the registry.
 type Client struct {
 	tasks   *http.Client
 	revokes *http.Client // Opens a connection for each request.
+
+	requests    metrics.Counter
+	replies     metrics.Counter
+	revocations metrics.Counter
+	wasted      metrics.Counter // Messages whose content nobody used.
 }
 
 // Provision makes the two clients.
 func (c *Client) Provision(ctx *plugin.Context) error {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
-	c.tasks = &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout,
-	}}
-	c.revokes = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	c.init(ctx.Metrics)
 	plugin.Bind[port.Tasks](ctx, c)
 	return ctx.Settings(&struct{}{})
 }
 
+func (c *Client) init(registry metrics.Registry) {
+	dialer := newDialer()
+	c.tasks = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout,
+	}}
+	c.revokes = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true,
+	}}
+	c.requests = metrics.GetOrRegisterCounter("messages.task.requests", registry)
+	c.replies = metrics.GetOrRegisterCounter("messages.task.replies", registry)
+	c.revocations = metrics.GetOrRegisterCounter("messages.task.revokes", registry)
+	c.wasted = metrics.GetOrRegisterCounter("messages.wasted", registry)
+}
+
+// noRedirect keeps the client from sending a task a second time, to where a reply points.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// newDialer returns a dialer whose connections fail soon after the path to the endpoint has gone
+// silent: by probes while nothing is sent, by the user timeout while sent bytes are not confirmed.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probeCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
+			})
+			return errors.Join(err, failed)
+		},
+	}
+}
+
 // Stop closes the connections.
 func (c *Client) Stop() error {
 	c.tasks.CloseIdleConnections()
@@ -81,31 +125,47 @@
 	}
 	response, err := c.tasks.Do(request)
 	if err != nil {
-		return lost(connected.Load(), err)
+		return c.lost(connected.Load(), err)
 	}
 	defer response.Body.Close()
-	return readStart(start, response)
+	c.requests.Inc(1)
+	c.replies.Inc(1)
+	reply := readStart(start, response)
+	if reply.State != port.TaskDone && reply.State != port.TaskFailed {
+		c.wasted.Inc(2) // The request and the reply.
+	}
+	return reply
 }
 
 // lost tells a request that never had a connection from one whose bytes may have left.
-func lost(connected bool, err error) port.TaskReply {
-	if connected {
-		return port.TaskReply{State: port.TaskUnknown, Detail: err.Error()}
+func (c *Client) lost(connected bool, err error) port.TaskReply {
+	if !connected {
+		return port.TaskReply{State: port.TaskNotRun, Detail: err.Error()}
 	}
-	return port.TaskReply{State: port.TaskNotRun, Detail: err.Error()}
+	c.requests.Inc(1)
+	c.wasted.Inc(1)
+	return port.TaskReply{State: port.TaskUnknown, Detail: err.Error()}
 }
 
-// readStart takes an answer only when it names the task and attempt that were sent.
+// readStart takes a reply only when it names the task, and an answer only when it names the attempt
+// that was sent.
 func readStart(start port.TaskStart, response *http.Response) port.TaskReply {
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return port.TaskReply{State: port.TaskUnknown, Detail: err.Error()}
+	}
+	if response.StatusCode == http.StatusOK && len(raw) > maxAnswer {
+		return port.TaskReply{State: port.TaskFailed, Detail: "the answer is too large"}
+	}
 	var body replyBody
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&body); err != nil {
+	if err := json.Unmarshal(raw, &body); err != nil {
 		return port.TaskReply{State: port.TaskUnknown, Detail: err.Error()}
 	}
 	if body.TaskID != start.ID {
-		return port.TaskReply{State: port.TaskUnknown, Detail: "answer names another task"}
+		return port.TaskReply{State: port.TaskUnknown, Detail: "reply names another task"}
 	}
 	switch {
-	case response.StatusCode == http.StatusOK && body.Attempt == start.Attempt:
+	case response.StatusCode == http.StatusOK && body.Attempt == start.Attempt && len(body.Answer) > 0:
 		return port.TaskReply{State: port.TaskDone, Answer: body.Answer}
 	case response.StatusCode == http.StatusServiceUnavailable && body.Run == model.NotRun:
 		return port.TaskReply{State: port.TaskNotRun, Detail: body.Reason}
@@ -138,15 +198,41 @@
 	if err != nil {
 		return unknown
 	}
+	c.revocations.Inc(1)
+	c.wasted.Inc(1)
 	response, err := c.revokes.Do(request)
 	if err != nil {
 		return unknown
 	}
 	defer response.Body.Close()
+	c.wasted.Inc(1)
+	return readRevoke(id, response)
+}
+
+// states are what an endpoint may say of a task.
+var states = []port.TaskState{port.TaskRevoked, port.TaskRunning, port.TaskDone, port.TaskStopped, port.TaskFailed}
+
+// readRevoke takes a reply only when it names the task and a state of the protocol. A task that is
+// done without an answer to give counts as failed.
+func readRevoke(id model.TaskID, response *http.Response) port.RevokeReply {
+	unknown := port.RevokeReply{State: port.TaskUnknown}
+	if response.StatusCode != http.StatusOK {
+		return unknown
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return unknown
+	}
+	if len(raw) > maxAnswer {
+		return port.RevokeReply{State: port.TaskFailed}
+	}
 	var reply revokeReply
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&reply); err != nil || reply.TaskID != id {
+	if err := json.Unmarshal(raw, &reply); err != nil || reply.TaskID != id || !slices.Contains(states, reply.State) {
 		return unknown
 	}
+	if reply.State == port.TaskDone && len(reply.Answer) == 0 {
+		return port.RevokeReply{State: port.TaskFailed}
+	}
 	return port.RevokeReply{State: reply.State, Answer: reply.Answer}
 }
 
@@ -154,13 +240,13 @@
 	return "http://" + address + "/v1/tasks/" + string(id)
 }
 
-// newRequest returns a POST that net/http does not send again by itself.
+// newRequest returns a POST. net/http sends it again by itself only when it has written nothing of
+// it to a connection that it reused; see TestTaskIsSentOnce.
 func newRequest(ctx context.Context, url string, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
 	return request, nil
 }
