Pools: Step fills Effects that its caller reuses

Cause: a Step returned fresh slices, an allocation for each start. Change: Step(now, event, *Effects); the shell keeps emptied Effects in a sync.Pool.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -7,6 +7,7 @@
 	"hash/maphash"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,8 @@
 	loads *shard.Map[model.PoolID, model.PoolLoad] // Of pools that others own.
 	stop  context.CancelFunc
 	life  context.Context
+
+	effects sync.Pool // Of *poolstate.Effects: a step's buffers, used by the next ones.
 }
 
 // pool is an owned pool: its decisions, and who waits for its batches.
@@ -81,6 +84,7 @@
 	}
 	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
 	p.loads = shard.New[model.PoolID, model.PoolLoad](shard.DefaultCount)
+	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.life, p.stop = context.WithCancel(context.Background())
 	p.handlePeers()
 	plugin.Bind[port.Pools](c, p)
@@ -268,10 +272,11 @@
 
 // step applies an event to the pool and then carries out its effects, outside the lock.
 func (p *Pools) step(id model.PoolID, event poolstate.Event) {
-	var fx poolstate.Effects
+	fx := p.effects.Get().(*poolstate.Effects)
+	defer p.release(fx)
 	p.withPool(id, func(o *pool) {
 		now := time.Now()
-		fx = o.machine.Step(now, event)
+		o.machine.Step(now, event, fx)
 		for _, result := range fx.Ended {
 			if w, ok := o.waiters[result.ID]; ok {
 				w.result = result
@@ -297,7 +302,13 @@
 	o.timer.Reset(at.Sub(now))
 }
 
-func (p *Pools) carryOut(id model.PoolID, fx poolstate.Effects) {
+// release keeps the buffers of effects that were carried out for a later step.
+func (p *Pools) release(fx *poolstate.Effects) {
+	fx.Reset()
+	p.effects.Put(fx)
+}
+
+func (p *Pools) carryOut(id model.PoolID, fx *poolstate.Effects) {
 	for _, d := range fx.Decisions {
 		p.recordDecision(id, d)
 	}
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -59,6 +59,17 @@
 	Decisions []Decision
 }
 
+// Reset empties the effects and keeps their buffers.
+func (fx *Effects) Reset() {
+	clear(fx.Starts)
+	clear(fx.Revokes)
+	clear(fx.Ended)
+	fx.Starts = fx.Starts[:0]
+	fx.Revokes = fx.Revokes[:0]
+	fx.Ended = fx.Ended[:0]
+	fx.Decisions = fx.Decisions[:0]
+}
+
 // Start sends a task to an endpoint.
 type Start struct {
 	Task     model.TaskID
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -78,26 +78,26 @@
 	}
 }
 
-// Step applies an event and returns what has to be done.
-func (m *Machine) Step(now time.Time, event Event) Effects {
-	var fx Effects
+// Step applies an event and puts what has to be done into fx, which it empties first. The caller
+// may use one Effects for many steps; what it holds is valid until the next of them.
+func (m *Machine) Step(now time.Time, event Event, fx *Effects) {
+	fx.Reset()
 	m.version++
 	switch e := event.(type) {
 	case Announced:
 		m.announced(now, e.Endpoint)
 	case Submitted:
-		m.submitted(now, e, &fx)
+		m.submitted(now, e, fx)
 	case Replied:
-		m.replied(now, e, &fx)
+		m.replied(now, e, fx)
 	case RevokeReplied:
-		m.revokeReplied(now, e, &fx)
+		m.revokeReplied(now, e, fx)
 	case Cancelled:
-		m.cancel(e.Batch, model.ReasonCancelled, &fx)
+		m.cancel(e.Batch, model.ReasonCancelled, fx)
 	case Elapsed:
-		m.elapsed(now, &fx)
+		m.elapsed(now, fx)
 	}
-	m.place(now, &fx)
-	return fx
+	m.place(now, fx)
 }
 
 // Wake returns when Elapsed is due next; ok is false when nothing is waiting for time to pass.
--- a/plugins/endpoints/poolstate/machine_test.go
+++ b/plugins/endpoints/poolstate/machine_test.go
@@ -34,7 +34,10 @@
 	return h
 }
 
-func (h *harness) step(e Event) Effects { return h.Step(h.now, e) }
+func (h *harness) step(e Event) (fx Effects) {
+	h.Step(h.now, e, &fx)
+	return fx
+}
 
 func (h *harness) announce(id model.EndpointID, slots int, state model.EndpointState) Effects {
 	return h.step(Announced{model.Endpoint{ID: id, Service: "finder", DataCentre: "sj1", Slots: slots, State: state, Address: string(id)}})
