--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,8 @@
 
 	starts metrics.Counter
 	wasted metrics.Counter // Messages whose content nobody used.
+
+	effects sync.Pool // Of *poolstate.Effects: a step's buffers, used by the next ones.
 }
 
 // pool is an owned pool: its decisions, and who waits for its batches.
@@ -91,6 +94,7 @@
 	p.origins = newOrigins()
 	p.starts = metrics.GetOrRegisterCounter("tasks.starts", c.Metrics)
 	p.wasted = metrics.GetOrRegisterCounter("messages.wasted", c.Metrics)
+	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.life, p.stop = context.WithCancel(context.Background())
 	p.handlePeers()
 	plugin.Bind[port.Pools](c, p)
@@ -260,13 +264,14 @@
 
 // step applies an event to the pool and then carries out its effects, outside the lock.
 func (p *Pools) step(id model.PoolID, event poolstate.Event) {
-	var fx poolstate.Effects
 	var ended []*waiter
 	var patience time.Duration
+	fx := p.effects.Get().(*poolstate.Effects)
+	defer p.release(fx)
 	p.withPool(id, func(o *pool) {
 		now := time.Now()
 		patience = o.patience.Wait()
-		fx = o.machine.Step(now, event)
+		o.machine.Step(now, event, fx)
 		for _, result := range fx.Ended {
 			if w, ok := o.waiters[result.ID]; ok {
 				w.finish(result)
@@ -295,7 +300,13 @@
 	o.timer.Reset(at.Sub(now))
 }
 
-func (p *Pools) carryOut(id model.PoolID, fx poolstate.Effects, patience time.Duration) {
+// release keeps the buffers of effects that were carried out for a later step.
+func (p *Pools) release(fx *poolstate.Effects) {
+	fx.Reset()
+	p.effects.Put(fx)
+}
+
+func (p *Pools) carryOut(id model.PoolID, fx *poolstate.Effects, patience time.Duration) {
 	for _, d := range fx.Decisions {
 		p.recordDecision(id, d)
 	}
