Pools: fair queue by work, learned run times, quarantine, retry budget, baselines

Cause: elapsed() ranged over maps, so equal events gave other effects; Load, Wake and queue.drop were linear on every Step; fairness counted tasks, not work; an endpoint that came back after its lease lost count of its tasks; a task that could not end any more was still started.

Change: timers, teams and batches in heaps; running sums for the load; task ids of a batch in one piece of memory; teams charged by slot time, corrected by what ran; small batches pass large ones within the fairness window; run times learned per service, declared size and team; quarantine against the service's own rate of failures with probes; retry budget; tasks of other owners hold slots and are stopped when their job's owner is gone. Placement port: PlanRequest with the cost of a message, PickRequest; an endpoint without a free slot may be picked and the task is held for it.

TestTeamsTakeTurns now asks that the quiet team's task starts next, which is stricter than before.

Result: rapid runs of 20,000 checks of 150 events pass with two machines in lockstep. Five faults put in on purpose (unknown taken as fenced, attempt ignored, leaving endpoint served, queue count, lease ignored) each fail the run.

--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -17,6 +17,15 @@
 	return n.Cores <= has.Cores && n.MemoryMB <= has.MemoryMB && n.Accelerators <= has.Accelerators
 }
 
+// Max returns the larger of the two in each resource.
+func (n Needs) Max(other Needs) Needs {
+	return Needs{
+		Cores:        max(n.Cores, other.Cores),
+		MemoryMB:     max(n.MemoryMB, other.MemoryMB),
+		Accelerators: max(n.Accelerators, other.Accelerators),
+	}
+}
+
 // Task is one unit of work. Its id follows from its job and index.
 type Task struct {
 	Index    int
--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -46,12 +46,13 @@
 type PoolLoad struct {
 	Pool      PoolID
 	Owner     NodeID
-	Version   uint64 // Grows with each report of one owner incarnation.
-	Slots     int    // Slots of endpoints that take work.
-	Free      int    // Slots with no task.
-	Queued    int    // Tasks that wait.
-	QueuedRun time.Duration
-	Largest   Needs // Componentwise maximum over the endpoints.
+	Version   uint64        // Grows with each report of one owner incarnation.
+	Slots     int           // Slots of endpoints that take work.
+	Free      int           // Slots with no task.
+	Queued    int           // Tasks that wait.
+	QueuedRun time.Duration // Estimated run time of the waiting tasks together.
+	MeanRun   time.Duration // Estimated run time of one task; 0 until one has ended.
+	Largest   Needs         // Componentwise maximum over the endpoints.
 }
 
 // BatchID names the part of a job that one pool's owner runs.
--- a/kernel/model/profile.go
+++ b/kernel/model/profile.go
@@ -14,6 +14,8 @@
 	Placement string // Name of the placement plug-in.
 	Admission string // Name of the admission plug-in.
 
+	MessageCost time.Duration // Response time that one message fewer is worth.
+
 	QueueTasks      int           // Tasks that may wait in one pool.
 	MaxDeadline     time.Duration // Longest deadline a caller may ask for.
 	DefaultDeadline time.Duration // Deadline of a job that names none.
@@ -34,6 +36,7 @@
 		Name:            DefaultProfile,
 		Placement:       "least_wait",
 		Admission:       "deadline",
+		MessageCost:     time.Millisecond,
 		QueueTasks:      4096,
 		MaxDeadline:     time.Minute,
 		DefaultDeadline: 10 * time.Second,
--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -9,16 +9,27 @@
 
 // Placement is a policy for where tasks run. It is pure: it decides from its arguments alone.
 type Placement interface {
-	// Plan splits a job over pools. An empty plan means that no pool can take it.
-	Plan(job model.Job, pools []model.PoolLoad, near model.DataCentre, random *rand.Rand) Plan
+	// Plan splits a job over pools.
+	Plan(request PlanRequest) Plan
 	// NewPlacer returns the state by which a pool's owner picks endpoints.
 	NewPlacer(seed uint64) Placer
 }
 
-// Plan says which tasks of a job go to which pool, and why.
+// PlanRequest is a job that asks for pools, and what its owner knows of them.
+type PlanRequest struct {
+	Job         model.Job
+	Pools       []model.PoolLoad // Of the job's service.
+	Self        model.NodeID     // Owner of the job; its own pools cost no messages.
+	Near        model.DataCentre // Of the job's owner.
+	MessageCost time.Duration    // Response time that one message fewer is worth.
+	Random      *rand.Rand
+}
+
+// Plan says which tasks of a job go to which pool, and why. A plan without parts refuses the job.
 type Plan struct {
-	Parts  []PlanPart
-	Reason string
+	Parts   []PlanPart
+	Reason  string
+	Refused model.Reason // Of a plan without parts.
 }
 
 // PlanPart is the tasks, by index, that go to one pool.
@@ -38,12 +49,27 @@
 
 // Placer picks endpoints for the tasks of one pool. It is used under the pool's lock.
 type Placer interface {
-	// Update sets an endpoint's load; an endpoint without slots is set to 0 slots.
+	// Update sets an endpoint's load; an endpoint that gets no work has 0 slots.
 	Update(load EndpointLoad)
 	// Remove forgets an endpoint.
 	Remove(id model.EndpointID)
-	// Pick returns the endpoint for the next task, or false to leave it in the pool's queue.
-	Pick(needs model.Needs) (id model.EndpointID, why string, ok bool)
+	// Pick returns the endpoint for the next task, or false to leave it in the pool's queue. A task
+	// whose endpoint has no free slot is held for it, and sent when a slot there is free.
+	Pick(request PickRequest) (Choice, bool)
+}
+
+// PickRequest is a task that asks for an endpoint.
+type PickRequest struct {
+	Now   time.Time
+	Needs model.Needs
+	Run   time.Duration    // Estimated run time.
+	Avoid model.EndpointID // Refused the task before; "" when none did.
+}
+
+// Choice is an endpoint that was picked, and why.
+type Choice struct {
+	Endpoint model.EndpointID
+	Why      string
 }
 
 // Admission is a policy for which work a pool takes on. It is pure.
@@ -51,15 +77,19 @@
 	Admit(request AdmissionRequest) Verdict
 }
 
-// AdmissionRequest is a batch and the state of the pool that it would join.
+// AdmissionRequest is a batch and the state of the pool that it would join. Times of several tasks
+// are sums: slot time rather than time by the clock.
 type AdmissionRequest struct {
 	Tasks     int
 	Remaining time.Duration // Until the deadline.
-	RunTime   time.Duration // Estimate for the longest task of the batch.
+	Expected  time.Duration // Median run time of the batch's longest task.
+	RunTime   time.Duration // Run time that its longest task exceeds in one of twenty cases.
 	Work      time.Duration // Estimate for all tasks of the batch together.
+	Fits      bool          // Each task fits on some endpoint of the pool.
 
 	Slots       int
 	Free        int
+	Ahead       time.Duration // Estimate for what the pool works off before the batch's last task, by fair shares.
 	QueuedTasks int
 	QueuedWork  time.Duration // Estimate for the tasks that wait.
 	QueueLimit  int
--- a/plugins/admission/deadline/deadline.go
+++ b/plugins/admission/deadline/deadline.go
@@ -12,26 +12,44 @@
 // Policy is the admission. It has no settings.
 type Policy struct{}
 
-// Admit refuses when the queue is full or when the estimated end lies behind the deadline.
+// minRetryAfter is the least advice, so that callers do not come back at once.
+const minRetryAfter = 50 * time.Millisecond
+
+// Admit refuses what no endpoint can run, what the queue has no room for, and what is estimated to
+// end behind its deadline. A batch that finds free slots is judged by the expected run time alone,
+// one that has to wait by a cautious one: slots that it takes in vain are missing to others.
 func (Policy) Admit(r port.AdmissionRequest) port.Verdict {
-	if r.Slots == 0 {
+	switch {
+	case r.Slots == 0:
 		return port.Verdict{Reason: model.ReasonNoEndpoint}
+	case !r.Fits:
+		return port.Verdict{Reason: model.ReasonNeverFits}
+	case r.QueuedTasks > 0 && r.QueuedTasks+r.Tasks > r.QueueLimit:
+		return refuse(untilRoom(r))
 	}
-	wait := estimateWait(r)
-	if r.QueuedTasks > 0 && r.QueuedTasks+r.Tasks > r.QueueLimit {
-		return port.Verdict{Reason: model.ReasonOverload, RetryAfter: wait}
+	late := r.Expected - r.Remaining
+	if r.QueuedTasks > 0 || r.Tasks > r.Free {
+		late = estimateWait(r) + r.RunTime - r.Remaining
 	}
-	if late := wait + r.RunTime - r.Remaining; late > 0 {
-		return port.Verdict{Reason: model.ReasonOverload, RetryAfter: late}
+	if late > 0 {
+		return refuse(late)
 	}
 	return port.Verdict{Admit: true}
 }
 
+func refuse(retryAfter time.Duration) port.Verdict {
+	return port.Verdict{Reason: model.ReasonOverload, RetryAfter: max(retryAfter, minRetryAfter)}
+}
+
 // estimateWait returns how long the batch's last task waits for a slot.
 func estimateWait(r port.AdmissionRequest) time.Duration {
-	if r.QueuedTasks == 0 && r.Tasks <= r.Free {
-		return 0
-	}
-	rest := max(r.Work-r.RunTime, 0)
-	return (r.QueuedWork + rest) / time.Duration(r.Slots)
+	own := r.Work - r.Work/time.Duration(max(r.Tasks, 1))
+	return (r.Ahead + own) / time.Duration(r.Slots)
+}
+
+// untilRoom returns how long the queue takes to make room for the batch.
+func untilRoom(r port.AdmissionRequest) time.Duration {
+	excess := r.QueuedTasks + r.Tasks - r.QueueLimit
+	perTask := r.QueuedWork / time.Duration(r.QueuedTasks)
+	return time.Duration(excess) * perTask / time.Duration(r.Slots)
 }
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -41,7 +41,8 @@
 	stop  context.CancelFunc
 	life  context.Context
 
-	effects sync.Pool // Of *poolstate.Effects: a step's buffers, used by the next ones.
+	created chan struct{} // Signals watchOwners that there is a new pool.
+	effects sync.Pool     // Of *poolstate.Effects: a step's buffers, used by the next ones.
 }
 
 // pool is an owned pool: its decisions, and who waits for its batches.
@@ -84,6 +85,7 @@
 	}
 	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
 	p.loads = shard.New[model.PoolID, model.PoolLoad](shard.DefaultCount)
+	p.created = make(chan struct{}, 1)
 	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.life, p.stop = context.WithCancel(context.Background())
 	p.handlePeers()
@@ -94,6 +96,7 @@
 // Start begins to report loads.
 func (p *Pools) Start() error {
 	go p.reportLoads()
+	go p.watchOwners()
 	return nil
 }
 
@@ -264,6 +267,10 @@
 
 func (p *Pools) newPool(id model.PoolID) *pool {
 	seed := maphash.String(maphash.MakeSeed(), id.String())
+	select {
+	case p.created <- struct{}{}:
+	default: // watchOwners has yet to take up an earlier one.
+	}
 	return &pool{
 		machine: poolstate.New(id, p.membership.Self().ID, p.policies, seed),
 		waiters: make(map[model.BatchID]*waiter),
--- /dev/null
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -0,0 +1,223 @@
+package poolstate
+
+import (
+	"slices"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+const (
+	// EndpointLease is how long an endpoint gets work after its last announcement.
+	EndpointLease = 3 * time.Second
+	// forgetAfter is how long after its deadline a task that the endpoint neither lists nor
+	// answers for holds its slot.
+	forgetAfter = EndpointLease
+	minReleased = 16 // Ended tasks remembered for each endpoint.
+)
+
+// endpoint is one licensed copy. It outlives its lease while tasks there are unsettled.
+type endpoint struct {
+	model.Endpoint
+	position int // In the machine's members.
+	live     bool
+	tasks    []*task        // Sent there, and their end there is not confirmed.
+	held     []*task        // Bound to it by the placement, and not sent yet.
+	foreign  []model.TaskID // Running there, and sent by another owner.
+	released []model.TaskID // Ring of the tasks that ended last; announcements may still list them.
+	next     int            // Of the ring.
+	record   record
+	lease    timer
+	probe    timer
+	counted  contribution
+}
+
+// contribution is an endpoint's part of the pool's totals.
+type contribution struct {
+	slots int
+	free  int
+	held  int
+	needs model.Needs
+}
+
+// totals are sums over the endpoints that get work.
+type totals struct {
+	slots        int
+	free         int
+	held         int
+	serving      int // Endpoints that get work.
+	largest      model.Needs
+	largestStale bool
+}
+
+func (e *endpoint) busy() int { return len(e.tasks) + len(e.foreign) }
+
+// capacity returns how many tasks the endpoint may run at once by what is known of it.
+func (e *endpoint) capacity() int {
+	switch {
+	case !e.live, e.State != model.EndpointServing, e.record.standing == quarantined:
+		return 0
+	case e.record.standing == probing:
+		return min(1, e.Slots)
+	}
+	return e.Slots
+}
+
+func (e *endpoint) room() bool { return e.busy() < e.capacity() }
+
+func (e *endpoint) load() port.EndpointLoad {
+	slots := e.capacity()
+	return port.EndpointLoad{ID: e.ID, Slots: slots, Free: slots - e.busy() - len(e.held), Has: e.Has}
+}
+
+func (m *Machine) announced(now time.Time, a *model.Endpoint, fx *Effects) {
+	e, known := m.endpoints[a.ID]
+	if !known {
+		e = m.newEndpoint(a)
+	}
+	e.Endpoint = *a
+	if !e.live {
+		e.live = true
+		m.live++
+	}
+	m.timers.set(&e.lease, now.Add(EndpointLease))
+	m.reconcile(now, e, fx)
+	m.refresh(e)
+	m.unbindUnless(e)
+}
+
+func (m *Machine) newEndpoint(a *model.Endpoint) *endpoint {
+	e := &endpoint{position: len(m.members), released: make([]model.TaskID, max(minReleased, 2*a.Slots))}
+	e.lease = newTimer(func(_ time.Time, fx *Effects) { m.lost(e, fx) })
+	e.probe = newTimer(func(time.Time, *Effects) { m.probeDue(e) })
+	m.endpoints[a.ID] = e
+	m.members = append(m.members, e)
+	return e
+}
+
+// reconcile compares the tasks that the endpoint says it runs with those that were sent there.
+func (m *Machine) reconcile(now time.Time, e *endpoint, fx *Effects) {
+	e.foreign = e.foreign[:0]
+	for _, id := range e.Running {
+		if _, ours := m.flights[id]; !ours && !slices.Contains(e.released, id) && !slices.Contains(e.foreign, id) {
+			e.foreign = append(e.foreign, id)
+		}
+	}
+	m.forgetSilent(now, e)
+	m.stopOrphans(now, e, fx)
+}
+
+// forgetSilent frees the slots of tasks that are long behind their deadline and that the endpoint
+// does not list. Their batches have ended, so nothing of them is sent again.
+func (m *Machine) forgetSilent(now time.Time, e *endpoint) {
+	for i := len(e.tasks) - 1; i >= 0; i-- {
+		t := e.tasks[i]
+		if t.batch.over && now.After(t.batch.Deadline.Add(forgetAfter)) && !slices.Contains(e.Running, t.id) {
+			m.release(t)
+		}
+	}
+}
+
+// lost handles the end of an endpoint's lease: it gets nothing new, and what runs there is asked
+// for over new connections.
+func (m *Machine) lost(e *endpoint, fx *Effects) {
+	e.live = false
+	m.live--
+	e.foreign = e.foreign[:0]
+	m.trust(e)
+	m.refresh(e)
+	m.unbindUnless(e)
+	for _, t := range e.tasks {
+		m.revoke(t, 0, fx)
+	}
+	m.dropIfEmpty(e)
+}
+
+// dropIfEmpty forgets an endpoint that is lost and has no unsettled task.
+func (m *Machine) dropIfEmpty(e *endpoint) {
+	if e.live || len(e.tasks) > 0 {
+		return
+	}
+	last := m.members[len(m.members)-1]
+	m.members[e.position] = last
+	last.position = e.position
+	m.members[len(m.members)-1] = nil
+	m.members = m.members[:len(m.members)-1]
+	delete(m.endpoints, e.ID)
+	if m.placer != nil {
+		m.placer.Remove(e.ID)
+	}
+}
+
+// unbindUnless returns the tasks that are bound to an endpoint which gets no work to the queue.
+func (m *Machine) unbindUnless(e *endpoint) {
+	if e.capacity() > 0 || len(e.held) == 0 {
+		return
+	}
+	for _, t := range e.held {
+		t.endpoint = nil
+		m.enqueue(t)
+	}
+	clear(e.held)
+	e.held = e.held[:0]
+	m.refresh(e)
+}
+
+// refresh brings the totals and the placer up to date after a change of the endpoint.
+func (m *Machine) refresh(e *endpoint) {
+	now := contribution{slots: e.capacity(), held: len(e.held), needs: e.Has}
+	now.free = max(now.slots-e.busy(), 0)
+	was := e.counted
+	e.counted = now
+	m.totals.free += now.free - was.free
+	m.totals.held += now.held - was.held
+	if now.slots != was.slots || now.needs != was.needs {
+		m.resized(was, now)
+	}
+	if m.placer != nil {
+		m.placer.Update(e.load())
+	}
+	if len(e.held) > 0 && e.room() {
+		m.freed = append(m.freed, e)
+	}
+}
+
+func (m *Machine) resized(was, now contribution) {
+	m.totals.slots += now.slots - was.slots
+	m.queue.resize(m.totals.slots)
+	m.totals.serving += min(now.slots, 1) - min(was.slots, 1)
+	m.totals.largestStale = true
+}
+
+// largest returns the componentwise maximum of the resources of endpoints that get work.
+func (m *Machine) largest() model.Needs {
+	if !m.totals.largestStale {
+		return m.totals.largest
+	}
+	m.totals.largestStale = false
+	m.totals.largest = model.Needs{}
+	for _, e := range m.members {
+		if e.capacity() > 0 {
+			m.totals.largest = m.totals.largest.Max(e.Has)
+		}
+	}
+	return m.totals.largest
+}
+
+// fits reports whether each of the tasks fits on some endpoint that is not leaving.
+func (m *Machine) fits(tasks []model.Task) bool {
+	fitting := model.Needs{}
+	for i := range tasks {
+		if i > 0 && tasks[i].Needs == fitting {
+			continue
+		}
+		if !slices.ContainsFunc(m.members, func(e *endpoint) bool {
+			return e.live && e.State == model.EndpointServing && tasks[i].Needs.Within(e.Has)
+		}) {
+			return false
+		}
+		fitting = tasks[i].Needs
+	}
+	return true
+}
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -41,6 +41,16 @@
 // Cancelled asks for the end of a batch.
 type Cancelled struct{ Batch model.BatchID }
 
+// Owners tells which entry VMs are alive. Work for a job whose owner is not among them is stopped
+// after a grace time, since nobody waits for its answer.
+type Owners struct{ Live []Origin }
+
+// Origin is one run of an entry VM that owns jobs. An empty incarnation stands for any.
+type Origin struct {
+	Node        model.NodeID
+	Incarnation model.Incarnation
+}
+
 // Elapsed says that the time returned by Wake has come.
 type Elapsed struct{}
 
@@ -49,6 +59,7 @@
 func (Replied) event()       {}
 func (RevokeReplied) event() {}
 func (Cancelled) event()     {}
+func (Owners) event()        {}
 func (Elapsed) event()       {}
 
 // Effects are what the caller has to carry out.
@@ -80,10 +91,11 @@
 	Payload  []byte
 }
 
-// Revoke asks an endpoint never to start a task, or with Stop to end it, after a delay.
+// Revoke asks an endpoint never to start a task, or with Stop to end it, after a delay. Each is
+// answered by one RevokeReplied.
 type Revoke struct {
 	Task     model.TaskID
-	Attempt  int
+	Attempt  int // 0 for a task that another owner sent.
 	Endpoint model.EndpointID
 	Address  string
 	Stop     bool
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -7,145 +7,145 @@
 	"redwingpulley/kernel/port"
 )
 
+const (
+	revokeRetry    = 200 * time.Millisecond // Before the second revoke of a task; doubles with each.
+	maxRevokeRetry = 2 * time.Second
+)
+
 // replied handles the answer to a start. Only the attempt that is at the endpoint counts.
 func (m *Machine) replied(now time.Time, r Replied, fx *Effects) {
-	f, ok := m.flights[r.Task]
-	if !ok || f.attempt != r.Attempt {
+	t, ok := m.flights[r.Task]
+	if !ok || t.attempt != r.Attempt {
 		return
 	}
 	switch r.Reply.State {
 	case port.TaskDone:
-		m.landed(now, f, r.Reply.Answer, fx)
+		m.landed(now, t, r.Reply.Answer, fx)
 	case port.TaskNotRun:
-		m.refused(f, fx)
+		m.refused(now, t, fx)
 	case port.TaskUnknown:
-		m.revoke(f, 0, fx)
+		if !t.batch.over {
+			m.judge(now, t.endpoint, t.batch.ID.Job, true)
+		}
+		m.revoke(t, 0, fx)
 	default:
-		m.failed(f, fx)
+		m.failed(now, t, fx)
 	}
 }
 
 // revokeReplied handles the answer to a revoke, which settles what a lost connection left open.
 func (m *Machine) revokeReplied(now time.Time, r RevokeReplied, fx *Effects) {
-	f, ok := m.flights[r.Task]
-	if !ok || f.attempt != r.Attempt {
+	t, ok := m.flights[r.Task]
+	if !ok || t.attempt != r.Attempt {
 		return
 	}
+	t.asking = max(t.asking-1, 0)
 	switch r.Reply.State {
 	case port.TaskRevoked, port.TaskNotRun:
-		m.refused(f, fx)
+		m.fenced(now, t, fx)
 	case port.TaskDone:
-		m.landed(now, f, r.Reply.Answer, fx)
+		m.landed(now, t, r.Reply.Answer, fx)
 	case port.TaskRunning, port.TaskUnknown:
-		m.revoke(f, revokeRetry, fx)
+		m.askAgain(now, t, fx)
 	default:
-		m.failed(f, fx)
+		m.failed(now, t, fx)
 	}
 }
 
-// landed records a task's answer.
-func (m *Machine) landed(now time.Time, f *flight, answer []byte, fx *Effects) {
-	m.release(f)
-	b, ok := m.batches[f.batch]
-	if !ok {
+// askAgain repeats a revoke that settled nothing. The task holds its slot meanwhile; only when the
+// endpoint's lease has ended and the task's deadline has passed is it given up.
+func (m *Machine) askAgain(now time.Time, t *task, fx *Effects) {
+	if t.batch.over && !t.endpoint.live && !now.Before(t.batch.Deadline) {
+		m.release(t)
 		return
 	}
-	m.estimate.learn(b.profile.LearnWeight, now.Sub(f.sent))
-	m.record(b, model.TaskResult{Index: b.Tasks[f.index].Index, Done: true, Answer: answer}, fx)
+	after := min(revokeRetry<<min(t.silences, 8), maxRevokeRetry)
+	t.silences++
+	m.revoke(t, after, fx)
 }
 
-// refused puts a task that is known not to have started back into the queue.
-func (m *Machine) refused(f *flight, _ *Effects) {
-	m.release(f)
-	b, ok := m.batches[f.batch]
-	if !ok {
-		return
+// landed records a task's answer.
+func (m *Machine) landed(now time.Time, t *task, answer []byte, fx *Effects) {
+	m.judge(now, t.endpoint, t.batch.ID.Job, false)
+	m.learn(t, now.Sub(t.sent))
+	m.release(t)
+	if !t.batch.over {
+		m.record(t, model.TaskResult{Done: true, Answer: answer}, fx)
 	}
-	m.queue.push(b.Team, waiting{batch: b, position: f.index, attempt: f.attempt + 1, run: m.estimate.of(b.profile, b.Tasks[f.index])})
 }
 
-// failed ends the batch of a task that ran and failed: the job cannot complete any more.
-func (m *Machine) failed(f *flight, fx *Effects) {
-	m.release(f)
-	m.cancel(f.batch, model.ReasonTaskFailed, fx)
+// learn takes a run time into the estimates, and corrects what the task's team was charged.
+func (m *Machine) learn(t *task, run time.Duration) {
+	m.runTimes.learn(t.batch.profile.LearnWeight, t.class, run)
+	m.queue.charge(t.batch.team, run-t.run.mean)
 }
 
-func (m *Machine) revoke(f *flight, after time.Duration, fx *Effects) {
-	fx.Revokes = append(fx.Revokes, Revoke{
-		Task: f.task, Attempt: f.attempt, Endpoint: f.endpoint, Address: f.address,
-		Stop: f.stopping, After: after,
-	})
+// refused handles an endpoint's answer that it did not start the task.
+func (m *Machine) refused(now time.Time, t *task, fx *Effects) {
+	m.judge(now, t.endpoint, t.batch.ID.Job, true)
+	m.fenced(now, t, fx)
 }
 
-func (m *Machine) release(f *flight) {
-	delete(m.flights, f.task)
-	if e, ok := m.endpoints[f.endpoint]; ok {
-		e.busy--
-		m.updatePlacer(e)
+// fenced puts a task that is known not to have started back into the queue, or ends its batch when
+// the pool's retry budget is used up.
+func (m *Machine) fenced(now time.Time, t *task, fx *Effects) {
+	t.avoid = t.endpoint.ID
+	m.release(t)
+	switch {
+	case t.batch.over:
+	case m.retries.spend():
+		m.enqueue(t)
+		m.timers.set(&t.batch.timer, t.batch.nextDue())
+	default:
+		m.giveUp(now, t, model.NotRun, model.ReasonRefused, fx)
 	}
 }
 
-func (m *Machine) record(b *batch, result model.TaskResult, fx *Effects) {
-	b.results = append(b.results, result)
-	b.open--
-	if b.open > 0 {
-		return
+// failed ends the batch of a task that ran and failed: the job cannot complete any more.
+func (m *Machine) failed(now time.Time, t *task, fx *Effects) {
+	switch {
+	case !t.stopping:
+		m.judge(now, t.endpoint, t.batch.ID.Job, true)
+	case now.Sub(t.sent) > t.run.mean:
+		m.learn(t, now.Sub(t.sent)) // It would have run for at least as long.
+	}
+	m.release(t)
+	if !t.batch.over {
+		m.giveUp(now, t, model.MayHaveRun, model.ReasonTaskFailed, fx)
 	}
-	m.end(b, fx)
 }
 
-func (m *Machine) end(b *batch, fx *Effects) {
-	delete(m.batches, b.ID)
-	fx.Ended = append(fx.Ended, model.BatchResult{ID: b.ID, Results: b.results, Load: m.Load()})
+// giveUp ends a task without an answer, and with it its batch.
+func (m *Machine) giveUp(now time.Time, t *task, run model.RunState, reason model.Reason, fx *Effects) {
+	t.place = ended
+	t.batch.results = append(t.batch.results, model.TaskResult{Index: t.spec().Index, Run: run, Reason: reason})
+	m.cancel(now, t.batch, reason, fx)
 }
 
-// cancel ends a batch for the given reason: what waits never starts, what is at an endpoint is
-// told to stop and may have run.
-func (m *Machine) cancel(id model.BatchID, reason model.Reason, fx *Effects) {
-	b, ok := m.batches[id]
-	if !ok {
+// revoke asks the endpoint about a task, unless an earlier revoke has yet to be answered.
+func (m *Machine) revoke(t *task, after time.Duration, fx *Effects) {
+	if t.asking > 0 {
 		return
 	}
-	m.queue.drop(b)
-	ended := make(map[int]bool, len(b.results))
-	for _, r := range b.results {
-		ended[r.Index] = true
-	}
-	for _, task := range b.Tasks {
-		if !ended[task.Index] {
-			b.results = append(b.results, m.abandon(b, task, reason, fx))
-		}
-	}
-	m.end(b, fx)
-}
-
-func (m *Machine) abandon(b *batch, task model.Task, reason model.Reason, fx *Effects) model.TaskResult {
-	f, flying := m.flights[b.ID.Job.TaskID(task.Index)]
-	if !flying {
-		run := model.NotRun
-		if reason == model.ReasonTaskFailed {
-			run = model.MayHaveRun
-		}
-		return model.TaskResult{Index: task.Index, Run: run, Reason: reason}
-	}
-	f.stopping = true
-	m.revoke(f, 0, fx)
-	return model.TaskResult{Index: task.Index, Run: model.MayHaveRun, Reason: reason}
+	t.asking++
+	fx.Revokes = append(fx.Revokes, Revoke{
+		Task: t.id, Attempt: t.attempt, Endpoint: t.endpoint.ID, Address: t.endpoint.Address,
+		Stop: t.stopping, After: after,
+	})
 }
 
-// elapsed ends batches behind their deadline and endpoints behind their lease.
-func (m *Machine) elapsed(now time.Time, fx *Effects) {
-	for id, b := range m.batches {
-		if !b.Deadline.After(now) {
-			m.cancel(id, model.ReasonDeadline, fx)
-		}
-	}
-	for id, e := range m.endpoints {
-		if !e.leaseUntil.After(now) {
-			delete(m.endpoints, id)
-			if m.placer != nil {
-				m.placer.Remove(id)
-			}
-		}
-	}
+// release frees the slot of a task whose end at its endpoint is confirmed.
+func (m *Machine) release(t *task) {
+	e := t.endpoint
+	delete(m.flights, t.id)
+	last := e.tasks[len(e.tasks)-1]
+	e.tasks[t.slot] = last
+	last.slot = t.slot
+	e.tasks[len(e.tasks)-1] = nil
+	e.tasks = e.tasks[:len(e.tasks)-1]
+	t.endpoint, t.place = nil, ended
+	e.released[e.next] = t.id
+	e.next = (e.next + 1) % len(e.released)
+	m.refresh(e)
+	m.dropIfEmpty(e)
 }
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -159,9 +159,12 @@
 		return jobstate.Refused{Reason: model.ReasonQuota, RetryAfter: retryAfter}, "the team's quota is used up"
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	plan := j.placements[profile.Placement].Plan(job, j.pools.Loads(job.Service), j.self.DataCentre, random)
+	plan := j.placements[profile.Placement].Plan(port.PlanRequest{
+		Job: job, Pools: j.pools.Loads(job.Service), Self: j.self.ID, Near: j.self.DataCentre,
+		MessageCost: profile.MessageCost, Random: random,
+	})
 	if len(plan.Parts) == 0 {
-		return jobstate.Refused{Reason: model.ReasonNoEndpoint}, plan.Reason
+		return jobstate.Refused{Reason: plan.Refused}, plan.Reason
 	}
 	return jobstate.Planned{Plan: plan}, plan.Reason
 }
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -1,116 +1,153 @@
-// Package leastwait places a job on the pools where it waits least and a task on the endpoint
-// with the most free slots. A task without a free slot stays in the pool's queue.
+// Package leastwait places a job on the pools where it ends first, weighed against the messages
+// that this takes, and a task on the endpoint with the most free slots. A task without a free slot
+// stays in the pool's queue.
 package leastwait
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
+	"time"
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/placement/plan"
+)
+
+const (
+	// farCost is the round trip to another data centre.
+	farCost = 3 * time.Millisecond
+	// defaultRun stands for the run time of a task that is neither learned nor declared.
+	defaultRun = 300 * time.Millisecond
+	// messagesPerPart is the request and the reply by which another member runs a batch.
+	messagesPerPart = 2
 )
 
 // Policy is the placement. It has no settings.
 type Policy struct{}
 
-// Plan fills the pool that is nearest and has room for the whole job, otherwise spreads the job
-// over the pools by their free slots, and what is left by their shares of all slots.
-func (Policy) Plan(job model.Job, pools []model.PoolLoad, near model.DataCentre, random *rand.Rand) port.Plan {
-	able := ablePools(job, pools)
+// Plan ranks the pools by when the whole job would end in each, and weighs the best one alone
+// against the best two, three and so on together: more pools end the job sooner and cost more
+// messages.
+func (Policy) Plan(r port.PlanRequest) port.Plan {
+	able, refusal := plan.Able(r.Job, r.Pools)
 	if len(able) == 0 {
-		return port.Plan{Reason: "no pool has slots and resources for the job"}
+		return refusal
 	}
-	random.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
-	slices.SortStableFunc(able, func(a, b model.PoolLoad) int {
-		return cmp.Or(cmp.Compare(queuedPerSlot(a), queuedPerSlot(b)), nearFirst(a, b, near), cmp.Compare(b.Free, a.Free))
-	})
-	for _, pool := range able {
-		if pool.Free-pool.Queued >= len(job.Tasks) {
-			return port.Plan{Reason: "pool has room for the whole job", Parts: []port.PlanPart{part(pool, indices(0, len(job.Tasks)))}}
+	r.Random.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
+	c := newCandidates(r, able)
+	c.rank()
+	best := c.split(1)
+	for k := 2; k <= len(c.pools) && best.end > 0; k++ {
+		if s := c.split(k); s.cost < best.cost {
+			best = s
 		}
 	}
-	return spread(len(job.Tasks), able)
+	reason := "spread over the pools where the job ends first"
+	if best.parts == 1 {
+		reason = "one pool ends the whole job as soon as several"
+	}
+	return plan.Assemble(reason, c.pools, best.counts)
 }
 
-func ablePools(job model.Job, pools []model.PoolLoad) []model.PoolLoad {
-	var able []model.PoolLoad
-	for _, pool := range pools {
-		if pool.Slots > 0 && allFit(job.Tasks, pool.Largest) {
-			able = append(able, pool)
-		}
-	}
-	return able
+// candidates are the pools that can run the job.
+type candidates struct {
+	pools   []model.PoolLoad
+	request port.PlanRequest
+	tasks   int
+	run     time.Duration // Estimated run time of one of the job's tasks.
 }
 
-func allFit(tasks []model.Task, has model.Needs) bool {
-	for _, task := range tasks {
-		if !task.Needs.Within(has) {
-			return false
-		}
+// split is one way to share the job out over pools.
+type split struct {
+	counts []int
+	parts  int
+	end    time.Duration // Estimated time until the job's last task starts, and the round trips.
+	cost   time.Duration // The end, and what the messages cost.
+}
+
+func newCandidates(r port.PlanRequest, pools []model.PoolLoad) *candidates {
+	c := &candidates{pools: pools, request: r, tasks: len(r.Job.Tasks), run: defaultRun}
+	var declared time.Duration
+	for i := range r.Job.Tasks {
+		declared += r.Job.Tasks[i].Declared
 	}
-	return true
+	if declared > 0 {
+		c.run = declared / time.Duration(c.tasks)
+	}
+	return c
+}
+
+// rank orders the pools by when the whole job would end there.
+func (c *candidates) rank() {
+	slices.SortStableFunc(c.pools, func(a, b model.PoolLoad) int {
+		return cmp.Or(
+			cmp.Compare(c.alone(&a), c.alone(&b)),
+			cmp.Compare(b.Free-b.Queued, a.Free-a.Queued),
+		)
+	})
 }
 
-func queuedPerSlot(p model.PoolLoad) float64 { return float64(p.Queued) / float64(p.Slots) }
+// alone returns the cost of running the whole job in the pool.
+func (c *candidates) alone(p *model.PoolLoad) time.Duration {
+	return c.wait(p, c.tasks) + c.distance(p) + c.messages(p)
+}
 
-func nearFirst(a, b model.PoolLoad, near model.DataCentre) int {
-	switch {
-	case a.Pool.DataCentre == b.Pool.DataCentre:
+// wait estimates how long the last of the given number of tasks waits for a slot in the pool.
+func (c *candidates) wait(p *model.PoolLoad, tasks int) time.Duration {
+	beyond := tasks - max(p.Free-p.Queued, 0)
+	if beyond <= 0 {
 		return 0
-	case a.Pool.DataCentre == near:
-		return -1
-	case b.Pool.DataCentre == near:
-		return 1
 	}
-	return 0
+	run := c.run
+	if p.MeanRun > 0 {
+		run = p.MeanRun
+	}
+	running := time.Duration(p.Slots-p.Free) * run / 2
+	return (running + p.QueuedRun + time.Duration(beyond)*run) / time.Duration(p.Slots)
 }
 
-// spread gives each pool in turn as many tasks as it has free slots, then shares out the rest by
-// the pools' slots.
-func spread(tasks int, pools []model.PoolLoad) port.Plan {
-	counts := make([]int, len(pools))
-	left := tasks
-	for i, pool := range pools {
-		counts[i] = min(left, max(pool.Free-pool.Queued, 0))
-		left -= counts[i]
-	}
-	slots := 0
-	for _, pool := range pools {
-		slots += pool.Slots
+func (c *candidates) distance(p *model.PoolLoad) time.Duration {
+	if p.Pool.DataCentre == c.request.Near {
+		return 0
 	}
-	rest := left
-	for i, pool := range pools {
-		share := min(left, (rest*pool.Slots+slots-1)/slots)
-		counts[i] += share
-		left -= share
+	return farCost
+}
+
+func (c *candidates) messages(p *model.PoolLoad) time.Duration {
+	if p.Owner == c.request.Self {
+		return 0
 	}
-	return assemble(counts, pools)
+	return messagesPerPart * c.request.MessageCost
 }
 
-func assemble(counts []int, pools []model.PoolLoad) port.Plan {
-	plan := port.Plan{Reason: "spread over the free slots of the pools"}
-	next := 0
-	for i, pool := range pools {
-		if counts[i] == 0 {
+// split shares the job out over the first k pools: each task goes where it waits least, and the
+// pool that is ranked higher gets it where the wait is the same.
+func (c *candidates) split(k int) split {
+	s := split{counts: make([]int, len(c.pools))}
+	for range c.tasks {
+		s.counts[c.shortest(s.counts[:k])]++
+	}
+	for i, count := range s.counts {
+		if count == 0 {
 			continue
 		}
-		plan.Parts = append(plan.Parts, part(pool, indices(next, next+counts[i])))
-		next += counts[i]
+		s.parts++
+		s.end = max(s.end, c.wait(&c.pools[i], count)+c.distance(&c.pools[i]))
+		s.cost += c.messages(&c.pools[i])
 	}
-	return plan
+	s.cost += s.end
+	return s
 }
 
-func part(pool model.PoolLoad, tasks []int) port.PlanPart {
-	return port.PlanPart{Pool: pool.Pool, Owner: pool.Owner, Tasks: tasks}
-}
-
-func indices(from, to int) []int {
-	all := make([]int, 0, to-from)
-	for i := from; i < to; i++ {
-		all = append(all, i)
+func (c *candidates) shortest(counts []int) int {
+	best, least := 0, time.Duration(-1)
+	for i := range counts {
+		wait := c.wait(&c.pools[i], counts[i]+1)
+		if least < 0 || wait < least {
+			best, least = i, wait
+		}
 	}
-	return all
+	return best
 }
 
 // NewPlacer returns an empty index of endpoints by free slots.
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -13,6 +13,7 @@
 	random  *rand.Rand
 	known   map[model.EndpointID]*entry
 	buckets [][]*entry // By free slots.
+	top     int        // The highest bucket that may hold an endpoint.
 }
 
 type entry struct {
@@ -47,23 +48,23 @@
 
 // Pick returns a random one of the endpoints with the most free slots whose worker can run the
 // task.
-func (p *placer) Pick(needs model.Needs) (model.EndpointID, string, bool) {
-	for free := len(p.buckets) - 1; free > 0; free-- {
-		if e := p.pickIn(p.buckets[free], needs); e != nil {
-			return e.load.ID, "most free slots", true
+func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
+	for free := p.top; free > 0; free-- {
+		if e := p.pickIn(p.buckets[free], &request); e != nil {
+			return port.Choice{Endpoint: e.load.ID, Why: "most free slots"}, true
 		}
 	}
-	return "", "no free slot", false
+	return port.Choice{}, false
 }
 
-func (p *placer) pickIn(bucket []*entry, needs model.Needs) *entry {
+func (p *placer) pickIn(bucket []*entry, request *port.PickRequest) *entry {
 	if len(bucket) == 0 {
 		return nil
 	}
 	first := p.random.IntN(len(bucket))
 	for i := range bucket {
 		e := bucket[(first+i)%len(bucket)]
-		if needs.Within(e.load.Has) {
+		if request.Needs.Within(e.load.Has) && e.load.ID != request.Avoid {
 			return e
 		}
 	}
@@ -78,8 +79,12 @@
 	last := bucket[len(bucket)-1]
 	bucket[e.position] = last
 	last.position = e.position
+	bucket[len(bucket)-1] = nil
 	p.buckets[e.bucket] = bucket[:len(bucket)-1]
 	e.bucket = -1
+	for p.top > 0 && len(p.buckets[p.top]) == 0 {
+		p.top--
+	}
 }
 
 func (p *placer) put(e *entry) {
@@ -92,4 +97,5 @@
 	e.bucket = e.load.Free
 	e.position = len(p.buckets[e.bucket])
 	p.buckets[e.bucket] = append(p.buckets[e.bucket], e)
+	p.top = max(p.top, e.bucket)
 }
--- /dev/null
+++ b/plugins/placement/random/random.go
@@ -0,0 +1,60 @@
+// Package random sends each task to a random endpoint at once, as a baseline for comparison.
+package random
+
+import (
+	"math/rand/v2"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/placement/plan"
+)
+
+// Policy is the placement. It has no settings.
+type Policy struct{}
+
+// Plan draws a pool for each task, by the pools' slots.
+func (Policy) Plan(r port.PlanRequest) port.Plan {
+	pools, refusal := plan.Able(r.Job, r.Pools)
+	if len(pools) == 0 {
+		return refusal
+	}
+	slots := 0
+	for _, pool := range pools {
+		slots += pool.Slots
+	}
+	counts := make([]int, len(pools))
+	for range r.Job.Tasks {
+		counts[drawn(pools, r.Random.IntN(slots))]++
+	}
+	return plan.Assemble("random endpoints", pools, counts)
+}
+
+// drawn returns the pool that has the slot of the given number.
+func drawn(pools []model.PoolLoad, slot int) int {
+	for i, pool := range pools {
+		if slot < pool.Slots {
+			return i
+		}
+		slot -= pool.Slots
+	}
+	return len(pools) - 1
+}
+
+// NewPlacer returns an empty list of endpoints.
+func (Policy) NewPlacer(seed uint64) port.Placer {
+	return &placer{Roster: plan.NewRoster(), random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+type placer struct {
+	*plan.Roster
+	random *rand.Rand
+}
+
+// Pick returns a random endpoint whose worker can run the task, whether it has a free slot or not.
+func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
+	if len(p.Loads()) == 0 {
+		return port.Choice{}, false
+	}
+	id, ok := p.FirstFrom(p.random.IntN(len(p.Loads())), request)
+	return port.Choice{Endpoint: id, Why: "random"}, ok
+}
