--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -38,7 +38,6 @@
 	slots int
 	free  int
 	held  int
-	needs model.Needs
 }
 
 // totals are sums over the endpoints that get work.
@@ -76,6 +75,9 @@
 	if !known {
 		e = m.newEndpoint(a)
 	}
+	if e.State != a.State || e.Has != a.Has {
+		m.totals.largestStale = true
+	}
 	e.Endpoint = *a
 	if !e.live {
 		e.live = true
@@ -124,6 +126,7 @@
 func (m *Machine) lost(e *endpoint, fx *Effects) {
 	e.live = false
 	m.live--
+	m.totals.largestStale = true
 	e.foreign = e.foreign[:0]
 	m.trust(e)
 	m.refresh(e)
@@ -166,13 +169,13 @@
 
 // refresh brings the totals and the placer up to date after a change of the endpoint.
 func (m *Machine) refresh(e *endpoint) {
-	now := contribution{slots: e.capacity(), held: len(e.held), needs: e.Has}
+	now := contribution{slots: e.capacity(), held: len(e.held)}
 	now.free = max(now.slots-e.busy(), 0)
 	was := e.counted
 	e.counted = now
 	m.totals.free += now.free - was.free
 	m.totals.held += now.held - was.held
-	if now.slots != was.slots || now.needs != was.needs {
+	if now.slots != was.slots {
 		m.resized(was, now)
 	}
 	if m.placer != nil {
@@ -190,7 +193,8 @@
 	m.totals.largestStale = true
 }
 
-// largest returns the componentwise maximum of the resources of endpoints that get work.
+// largest returns the componentwise maximum of the resources of endpoints that are not leaving,
+// those in quarantine among them: what fits on one of them fits, if not now.
 func (m *Machine) largest() model.Needs {
 	if !m.totals.largestStale {
 		return m.totals.largest
@@ -198,7 +202,7 @@
 	m.totals.largestStale = false
 	m.totals.largest = model.Needs{}
 	for _, e := range m.members {
-		if e.capacity() > 0 {
+		if e.live && e.State == model.EndpointServing {
 			m.totals.largest = m.totals.largest.Max(e.Has)
 		}
 	}
