Membership by probes that carry gossip, as a pure decision package

Cause: all members that settings name counted as alive, so the owner of a pool stayed its owner after its death, and Gossip carried nothing. Change: plugins/membership/swim is a state machine: one probe a period, three relays, suspicion with refutation, news and values on the probes, bounded in bytes. Runs of one node are ordered by an epoch that the run raises above any that others remember, so a clock that went back locks nobody out. A process that stood still has a stale view until a member has answered. port.Liveness adds Fresh, Gone and Doubt. Ruled out: a period of 1 s at half the bytes, since a dead owner's pool waited twice as long; telling only the own data centre of a stop, which led to suspicions in a rolling restart (TestRollingRestartCausesNoSuspicion failed).

--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -1,29 +1,107 @@
-// Package membership knows which entry VMs are alive. So far it takes all members that settings
-// name as alive.
+// Package membership knows which entry VMs are alive and carries small values between them. The
+// decisions are those of a swim.Machine; this package carries its messages and keeps its time.
 package membership
 
 import (
 	"context"
 	"crypto/rand"
-	"slices"
+	"encoding/binary"
+	"log/slog"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/membership/swim"
+)
+
+const (
+	incarnationLength = 12  // Characters of a random incarnation.
+	maxValue          = 512 // Bytes of one published value.
+	minPeriod         = 10 * time.Millisecond
+	healthCondition   = "membership"
 )
 
-const incarnationLength = 12 // Characters of a random incarnation.
+// Settings are the plug-in's own.
+type Settings struct {
+	PeriodMS int64 `json:"period_ms"` // Between probes; the same on every member.
+}
 
 // Membership is the plug-in. Create it through the registry.
 type Membership struct {
-	self    port.Node
-	alive   []port.Node
-	changed chan struct{}
+	period  time.Duration
+	log     *slog.Logger
+	health  *plugin.Health
+	peers   port.Peers
+	metrics instruments
+	receive map[string]func(model.NodeID, []byte) // By topic; not changed after Start.
+	view    atomic.Pointer[view]
+	life    context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	arrived chan struct{} // Holds a token while values wait for their subscribers.
+
+	mu      sync.Mutex // Guards what follows; held for a Step alone.
+	machine *swim.Machine
+	waiting []swim.Value
+	timer   *time.Timer
 }
 
-// Provision takes the members from settings.
-func (m *Membership) Provision(c *plugin.Context) error {
+// view is what others ask for, as of the last Step that changed it.
+type view struct {
+	self       port.Node
+	live       []port.Node
+	runs       map[model.NodeID]swim.Record
+	fresh      bool
+	freshUntil time.Time
+	changed    chan struct{}
+}
+
+type instruments struct {
+	pings, relays, changes metrics.Counter
+	live                   metrics.Gauge
+}
+
+// Provision takes the first members from settings.
+func (m *Membership) Provision(c *plugin.Context) (err error) {
+	own := Settings{PeriodMS: 500}
+	if err = c.Settings(&own); err != nil {
+		return err
+	}
+	m.period = time.Duration(own.PeriodMS) * time.Millisecond
+	if m.period < minPeriod {
+		return errors.Newf("plugins.%s.period_ms: must be at least %d", c.ID, minPeriod.Milliseconds())
+	}
+	if m.peers, err = plugin.Use[port.Peers](c); err != nil {
+		return err
+	}
+	m.log, m.health = c.Log, c.Health
+	m.metrics = instruments{
+		pings:   metrics.GetOrRegisterCounter("membership.pings", c.Metrics),
+		relays:  metrics.GetOrRegisterCounter("membership.relays", c.Metrics),
+		changes: metrics.GetOrRegisterCounter("membership.changes", c.Metrics),
+		live:    metrics.GetOrRegisterGauge("membership.live", c.Metrics),
+	}
+	m.receive = make(map[string]func(model.NodeID, []byte))
+	m.arrived = make(chan struct{}, 1)
+	m.life, m.stop = context.WithCancel(context.Background())
+	m.machine = swim.New(time.Now(), m.config(c))
+	m.publishView(true)
+	m.handlePeers()
+	plugin.Bind[port.Membership](c, m)
+	plugin.Bind[port.Gossip](c, m)
+	plugin.Bind[port.Liveness](c, m)
+	return nil
+}
+
+func (m *Membership) config(c *plugin.Context) swim.Config {
+	config := swim.Config{Epoch: uint64(time.Now().UnixMilli()), Period: m.period, Seed: randomSeed()}
 	for _, member := range c.Node.Members {
 		node := port.Node{
 			ID: member.Node, DataCentre: member.DataCentre,
@@ -31,35 +109,114 @@
 		}
 		if node.ID == c.Node.Node {
 			node.Incarnation = newIncarnation()
-			m.self = node
+			config.Self = node
+			continue
 		}
-		m.alive = append(m.alive, node)
+		config.Seeds = append(config.Seeds, node)
 	}
-	slices.SortFunc(m.alive, func(a, b port.Node) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	m.changed = make(chan struct{})
-	plugin.Bind[port.Membership](c, m)
-	plugin.Bind[port.Gossip](c, m)
-	return c.Settings(&struct{}{})
+	return config
 }
 
 func newIncarnation() model.Incarnation {
 	return model.Incarnation(strings.ToLower(rand.Text()[:incarnationLength]))
 }
 
+func randomSeed() uint64 {
+	var seed [8]byte
+	rand.Read(seed[:]) // Never fails: the runtime stops the process instead.
+	return binary.LittleEndian.Uint64(seed[:])
+}
+
+// Start begins to probe. The process is not ready before its first contact with another member.
+func (m *Membership) Start() error {
+	if !m.view.Load().fresh {
+		m.health.Block(healthCondition, "no contact with another member yet")
+	}
+	m.running.Go(m.deliver)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.timer = time.AfterFunc(0, func() { m.step(swim.Elapsed{}) })
+	return nil
+}
+
+// Stop tells others that this member stops, and ends its probes.
+func (m *Membership) Stop() error {
+	ctx, cancel := context.WithTimeout(m.life, m.answerTimeout())
+	defer cancel()
+	m.tell(ctx, swim.Stopping{})
+	m.stop()
+	m.mu.Lock()
+	if m.timer != nil {
+		m.timer.Stop()
+		m.timer = nil
+	}
+	m.mu.Unlock()
+	m.running.Wait()
+	return nil
+}
+
 // Self returns this member.
-func (m *Membership) Self() port.Node { return m.self }
+func (m *Membership) Self() port.Node { return m.view.Load().self }
+
+// Alive returns the live members sorted by id. The slice must not be changed.
+func (m *Membership) Alive() []port.Node { return m.view.Load().live }
+
+// Changed returns a channel that is closed at the next change of Alive or Fresh.
+func (m *Membership) Changed() <-chan struct{} { return m.view.Load().changed }
+
+// Fresh reports whether the view is recent enough to act as an owner.
+func (m *Membership) Fresh() bool {
+	v := m.view.Load()
+	now := time.Now()
+	return v.fresh && now.Before(v.freshUntil) && now.Round(0).Before(v.freshUntil.Round(0))
+}
 
-// Alive returns the live members sorted by id.
-func (m *Membership) Alive() []port.Node { return m.alive }
+// Gone reports whether that run of the node is known to have ended.
+func (m *Membership) Gone(node model.NodeID, incarnation model.Incarnation) bool {
+	r, known := m.view.Load().runs[node]
+	if !known || r.Epoch == 0 {
+		return false
+	}
+	return !r.State.Live() || r.Node.Incarnation != incarnation
+}
 
-// Changed returns a channel that is closed at the next change of Alive.
-func (m *Membership) Changed() <-chan struct{} { return m.changed }
+// Doubt has a member probed at once.
+func (m *Membership) Doubt(node model.NodeID) { m.step(swim.Doubted{Node: node}) }
 
-// Leave tells the others that this member takes no new work.
-func (m *Membership) Leave(context.Context) {}
+// Leave tells the others that this member drains, and returns when those of its data centre have
+// answered or the context has ended.
+func (m *Membership) Leave(ctx context.Context) { m.tell(ctx, swim.Leaving{}) }
 
-// Publish sets what this member tells under a topic.
-func (m *Membership) Publish(string, []byte) {}
+// Publish sets what this member tells under a topic. A value that is too large is dropped.
+func (m *Membership) Publish(topic string, value []byte) {
+	if len(value) > maxValue {
+		m.log.Error("value not published: too large", "topic", topic, "bytes", len(value))
+		return
+	}
+	m.step(swim.Published{Topic: topic, Data: value})
+}
 
 // Subscribe has receive called with what other members tell under a topic.
-func (m *Membership) Subscribe(string, func(model.NodeID, []byte)) {}
+func (m *Membership) Subscribe(topic string, receive func(model.NodeID, []byte)) {
+	m.receive[topic] = receive
+}
+
+// deliver hands values to their subscribers in the order in which they were learned.
+func (m *Membership) deliver() {
+	for {
+		select {
+		case <-m.arrived:
+		case <-m.life.Done():
+			return
+		}
+		m.mu.Lock()
+		values := m.waiting
+		m.waiting = nil
+		m.mu.Unlock()
+		for _, v := range values {
+			if receive, ok := m.receive[v.Topic]; ok {
+				receive(v.Origin, v.Data)
+			}
+		}
+	}
+}
--- a/plugins/membership/setup.go
+++ b/plugins/membership/setup.go
@@ -7,10 +7,12 @@
 
 func init() {
 	plugin.Register(plugin.Definition{
-		ID:       "membership",
-		Summary:  "knows which entry VMs are alive",
-		Provides: []plugin.Port{plugin.PortOf[port.Membership](), plugin.PortOf[port.Gossip]()},
-		Needs:    []plugin.Port{plugin.PortOf[port.Peers]()},
-		New:      func() plugin.Plugin { return &Membership{} },
+		ID:      "membership",
+		Summary: "knows which entry VMs are alive",
+		Provides: []plugin.Port{
+			plugin.PortOf[port.Membership](), plugin.PortOf[port.Gossip](), plugin.PortOf[port.Liveness](),
+		},
+		Needs: []plugin.Port{plugin.PortOf[port.Peers]()},
+		New:   func() plugin.Plugin { return &Membership{} },
 	})
 }
--- /dev/null
+++ b/plugins/membership/wire.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"context"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/membership/swim"
+)
+
+// Methods between members.
+const (
+	methodPing  = "membership/ping"
+	methodRelay = "membership/relay"
+)
+
+// wireMessage is a swim.Message as JSON. Names are short, since each probe carries them.
+type wireMessage struct {
+	Records []wireRecord `json:"r"`
+	Values  []wireValue  `json:"v,omitempty"`
+	All     bool         `json:"all,omitempty"`
+}
+
+type wireRecord struct {
+	Node        model.NodeID      `json:"n"`
+	Incarnation model.Incarnation `json:"i"`
+	DataCentre  model.DataCentre  `json:"d"`
+	Peers       string            `json:"p"`
+	Endpoints   string            `json:"e"`
+	Disk        bool              `json:"k,omitempty"`
+	Draining    bool              `json:"g,omitempty"`
+	Epoch       uint64            `json:"t"`
+	Version     uint64            `json:"v,omitempty"`
+	State       swim.State        `json:"s"`
+}
+
+type wireValue struct {
+	Origin  model.NodeID `json:"n"`
+	Topic   string       `json:"t"`
+	Epoch   uint64       `json:"e"`
+	Version uint64       `json:"v"`
+	Data    []byte       `json:"b"`
+}
+
+// relayRequest asks for a ping of Target, whose address the asked member may not know.
+type relayRequest struct {
+	Target  model.NodeID `json:"target"`
+	Address string       `json:"address"`
+}
+
+type relayReply struct {
+	Reached bool `json:"reached"`
+}
+
+func encode(message swim.Message) wireMessage {
+	w := wireMessage{All: message.All, Records: make([]wireRecord, 0, len(message.Records))}
+	for _, r := range message.Records {
+		n := r.Node
+		w.Records = append(w.Records, wireRecord{
+			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, r.Epoch, r.Version, r.State,
+		})
+	}
+	for _, v := range message.Values {
+		w.Values = append(w.Values, wireValue(v))
+	}
+	return w
+}
+
+func (w wireMessage) decode() swim.Message {
+	message := swim.Message{All: w.All}
+	for _, r := range w.Records {
+		message.Records = append(message.Records, swim.Record{
+			Node: port.Node{
+				ID: r.Node, Incarnation: r.Incarnation, DataCentre: r.DataCentre,
+				Peers: r.Peers, Endpoints: r.Endpoints, Disk: r.Disk, Draining: r.Draining,
+			},
+			Epoch: r.Epoch, Version: r.Version, State: r.State,
+		})
+	}
+	for _, v := range w.Values {
+		message.Values = append(message.Values, swim.Value(v))
+	}
+	return message
+}
+
+func (m *Membership) handlePeers() {
+	port.Handle(m.peers, methodPing, m.servePing)
+	port.Handle(m.peers, methodRelay, m.serveRelay)
+}
+
+func (m *Membership) servePing(_ context.Context, _ model.NodeID, w wireMessage) wireMessage {
+	return encode(m.step(swim.Received{Message: w.decode()}).Reply)
+}
+
+// serveRelay pings a member for another one that got no answer from it.
+func (m *Membership) serveRelay(ctx context.Context, _ model.NodeID, r relayRequest) relayReply {
+	ctx, cancel := context.WithTimeout(ctx, m.answerTimeout())
+	defer cancel()
+	if _, known := m.view.Load().runs[r.Target]; !known {
+		m.peers.Learn(r.Target, r.Address)
+	}
+	message := m.step(swim.Composed{To: r.Target}).Reply
+	var reply wireMessage
+	if m.peers.Call(ctx, r.Target, methodPing, encode(message), &reply) != port.Delivered {
+		return relayReply{}
+	}
+	answer := reply.decode()
+	m.step(swim.Merged{Message: answer})
+	sender, ok := answer.Sender()
+	return relayReply{Reached: ok && sender.Node.ID == r.Target}
+}
