--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -22,6 +22,7 @@
 	"redwingpulley/plugins/jobs/jobstate",
 	"redwingpulley/plugins/placement/plan",
 	"redwingpulley/plugins/jobs/retrybudget",
+	"redwingpulley/plugins/membership/swim",
 }
 
 // forbidden are what a decision package must not import, directly or through this project.
