Demonstration, caller, load tool, ideal and stand-ins with records

Cause: a newcomer had no way to see the main job run, and nothing measured it.

Change: `redwingctl demo` runs three entry VMs and twelve stand-ins in one process and plays a shipped trace of both workloads. `redwingctl submit` is a caller with a ticket. `bench load` replays a trace open loop and measures from the intended time of sending; `bench trace` writes one. Stand-ins record each request, so that a repeated start is found whichever endpoint it reached. A revoke without an attempt fences every attempt of the task: before, the fence had attempt 0 and a late first attempt still started.

--- /dev/null
+++ b/bench/measure/promises.go
@@ -0,0 +1,47 @@
+package measure
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/bench/caller"
+	"redwingpulley/bench/load"
+	"redwingpulley/bench/standin"
+)
+
+// broken lists the promises that the run broke, by what callers and endpoints have seen.
+func broken(run Run, starts map[string]int) []string {
+	found := []string{}
+	for _, task := range standin.Repeated(run.Logs...) {
+		found = append(found, "started more than once: "+task)
+	}
+	for _, r := range run.Results {
+		switch {
+		case r.Outcome == load.Wrong:
+			found = append(found, fmt.Sprintf("job %d (%s) got %s", r.Index, r.ID, r.Reason))
+		case r.Outcome == caller.NotRun && starts[r.ID] > 0:
+			found = append(found, fmt.Sprintf("job %d (%s) was refused as not run (%s), but %d tasks started", r.Index, r.ID, r.Reason, starts[r.ID]))
+		}
+	}
+	return found
+}
+
+// Fault returns an error when a promise was broken.
+func (r Report) Fault() error {
+	if len(r.Broken) == 0 {
+		return nil
+	}
+	return errors.Newf("%d promises broken, the first: %s", len(r.Broken), r.Broken[0])
+}
+
+// AllComplete returns an error unless every job that its caller did not cancel completed, which is
+// what a run without faults and overload owes.
+func (r Report) AllComplete() error {
+	for _, s := range r.Services {
+		if missing := s.Jobs - s.Cancelled - s.Outcomes[caller.Complete]; missing > 0 {
+			return errors.Newf("%s: %d jobs were not completed: %v", s.Name, missing, s.Reasons)
+		}
+	}
+	return nil
+}
--- a/bench/standin/standin.go
+++ b/bench/standin/standin.go
@@ -1,11 +1,12 @@
 // Package standin is a stand-in for an endpoint: it announces itself, runs tasks by waiting, and
-// misbehaves on request. It exists to prove the dispatcher.
+// misbehaves on request. It records every start, so that tests can tell whether a task started
+// more than once.
 package standin
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -14,41 +15,43 @@
 	"github.com/cockroachdb/errors"
 )
 
-const announceRetry = 200 * time.Millisecond // After a failed announcement.
-
 // Config describes a stand-in.
 type Config struct {
-	Endpoint   string   `json:"endpoint"`
-	Service    string   `json:"service"`
-	Worker     string   `json:"worker"`
-	Rack       string   `json:"rack"`
-	DataCentre string   `json:"data_centre"`
-	Listen     string   `json:"listen"` // ip:port; port 0 takes a free one.
-	Slots      int      `json:"slots"`
-	Entries    []string `json:"entries"` // Endpoint listeners of entry VMs, ip:port.
+	Endpoint   string    `json:"endpoint"`
+	Service    string    `json:"service"`
+	Worker     string    `json:"worker"`
+	Rack       string    `json:"rack"`
+	DataCentre string    `json:"data_centre"`
+	Listen     string    `json:"listen"` // ip:port; port 0 takes a free one.
+	Slots      int       `json:"slots"`
+	Entries    []string  `json:"entries"` // Endpoint listeners of entry VMs, ip:port.
+	Seed       uint64    `json:"seed"`    // Of the shares of a behaviour.
+	Behaviour  Behaviour `json:"behaviour"`
+
+	// Advertise is the address that it announces, ip:port; "" announces its own listener.
+	Advertise string `json:"advertise"`
 }
 
 // Endpoint is a running stand-in.
 type Endpoint struct {
-	config   Config
-	server   *http.Server
-	listener net.Listener
-	stop     context.CancelFunc
-	life     context.Context
-	done     sync.WaitGroup
-
-	mu    sync.Mutex
-	tasks map[string]*task
-	busy  int
-	state string
-}
+	config    Config
+	server    *http.Server
+	listener  net.Listener
+	client    *http.Client
+	stop      context.CancelFunc
+	life      context.Context
+	done      sync.WaitGroup
+	announced chan struct{} // Closed after the first announcement was taken.
 
-// task is a task that was started or revoked here.
-type task struct {
-	attempt int
-	state   string // As in a revoke's answer.
-	answer  json.RawMessage
-	stop    context.CancelFunc
+	mu        sync.Mutex
+	random    *rand.Rand
+	behaviour Behaviour
+	thawed    chan struct{} // Closed while it is not frozen.
+	tasks     *table
+	records   records
+	busy      int
+	state     string
+	hurry     chan struct{} // Has the next announcement sent at once.
 }
 
 // Start opens the stand-in's listener and begins to announce it.
@@ -57,32 +60,63 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "stand-in")
 	}
-	e := &Endpoint{config: config, listener: listener, tasks: make(map[string]*task), state: "serving"}
+	e := &Endpoint{
+		config: config, listener: listener, client: &http.Client{Transport: &http.Transport{}},
+		announced: make(chan struct{}), random: rand.New(rand.NewPCG(config.Seed, 0)),
+		thawed: make(chan struct{}), tasks: newTable(maxTasks), state: stateServing,
+		hurry: make(chan struct{}, 1),
+	}
+	close(e.thawed)
+	e.Behave(config.Behaviour)
 	e.life, e.stop = context.WithCancel(context.Background())
+	e.server = &http.Server{Handler: e.routes()}
+	e.done.Go(func() { e.server.Serve(listener) })
+	e.done.Go(e.announce)
+	return e, nil
+}
+
+func (e *Endpoint) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/tasks/{id}", e.start)
 	mux.HandleFunc("POST /v1/tasks/{id}/revoke", e.revoke)
 	mux.HandleFunc("GET /v1/tasks/{id}", e.show)
-	e.server = &http.Server{Handler: mux}
-	e.done.Go(func() { e.server.Serve(listener) })
-	e.done.Go(e.announce)
-	return e, nil
+	mux.HandleFunc("PUT /control/behaviour", e.controlBehaviour)
+	mux.HandleFunc("POST /control/leave", e.controlLeave)
+	mux.HandleFunc("GET /control/records", e.controlRecords)
+	return mux
 }
 
+// ID returns the endpoint's id.
+func (e *Endpoint) ID() string { return e.config.Endpoint }
+
+// Service returns the service that the stand-in runs.
+func (e *Endpoint) Service() string { return e.config.Service }
+
+// Slots returns how many tasks the stand-in runs at once.
+func (e *Endpoint) Slots() int { return e.config.Slots }
+
 // Address returns the stand-in's ip:port.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
-// Leave announces that the stand-in takes no new work.
+// Announced returns a channel that is closed once an announcement was taken.
+func (e *Endpoint) Announced() <-chan struct{} { return e.announced }
+
+// Leave announces at once that the stand-in takes no new work.
 func (e *Endpoint) Leave() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.state = "leaving"
+	e.state = stateLeaving
+	e.mu.Unlock()
+	select {
+	case e.hurry <- struct{}{}:
+	default:
+	}
 }
 
-// Close ends the stand-in at once.
+// Close ends the stand-in at once, as a crash does: connections break and it announces no more.
 func (e *Endpoint) Close() {
 	e.stop()
 	e.server.Close()
+	e.client.CloseIdleConnections()
 	e.done.Wait()
 }
 
@@ -99,7 +133,8 @@
 	Fail    bool  `json:"fail,omitempty"`
 }
 
-type answer struct {
+// Answer is what a stand-in answers for a task.
+type Answer struct {
 	Endpoint string `json:"endpoint"`
 	Task     string `json:"task"`
 }
@@ -108,95 +143,153 @@
 	var body startBody
 	var payload Payload
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		reply(w, http.StatusBadRequest, map[string]any{"reason": err.Error()})
+		reply(w, http.StatusBadRequest, problem{Reason: err.Error()})
 		return
 	}
 	if err := json.Unmarshal(body.Payload, &payload); err != nil {
-		reply(w, http.StatusBadRequest, map[string]any{"reason": err.Error()})
+		reply(w, http.StatusBadRequest, problem{Reason: err.Error()})
 		return
 	}
-	t, ctx, refusal := e.begin(body)
+	if !e.awaitThaw() {
+		return
+	}
+	run, refusal := e.begin(body)
 	if refusal != "" {
-		reply(w, http.StatusServiceUnavailable, map[string]any{"task_id": body.TaskID, "run": "not_run", "reason": refusal})
+		reply(w, http.StatusServiceUnavailable, problem{TaskID: body.TaskID, Run: "not_run", Reason: refusal})
+		return
+	}
+	e.run(w, body, payload, run)
+}
+
+// running is a task between its start and its end.
+type running struct {
+	task     *task
+	ctx      context.Context
+	fails    bool
+	factor   float64
+	answerIn time.Duration // After the task has ended.
+}
+
+func (e *Endpoint) run(w http.ResponseWriter, body startBody, payload Payload, run running) {
+	length := time.Duration(float64(payload.SleepMS) * run.factor * float64(time.Millisecond))
+	stopped := !sleep(run.ctx, length)
+	if stopped || payload.Fail || run.fails {
+		e.end(run.task, endState(stopped), nil)
+		reply(w, http.StatusInternalServerError, problem{TaskID: body.TaskID, Reason: "failed or stopped"})
 		return
 	}
-	stopped := !sleep(ctx, time.Duration(payload.SleepMS)*time.Millisecond)
-	if stopped || payload.Fail {
-		e.end(t, map[bool]string{true: "stopped", false: "failed"}[stopped], nil)
-		reply(w, http.StatusInternalServerError, map[string]any{"task_id": body.TaskID, "reason": "failed or stopped"})
+	raw, _ := json.Marshal(Answer{e.config.Endpoint, body.TaskID}) // Two strings always encode.
+	e.end(run.task, stateDone, raw)
+	if !sleep(e.life, run.answerIn) || !e.awaitThaw() {
 		return
 	}
-	raw, _ := json.Marshal(answer{e.config.Endpoint, body.TaskID}) // Two strings always encode.
-	e.end(t, "done", raw)
-	reply(w, http.StatusOK, map[string]any{"task_id": body.TaskID, "attempt": body.Attempt, "answer": json.RawMessage(raw)})
+	reply(w, http.StatusOK, taskReply{TaskID: body.TaskID, Attempt: body.Attempt, Answer: raw})
+}
+
+func endState(stopped bool) taskState {
+	if stopped {
+		return stateStopped
+	}
+	return stateFailed
 }
 
 // begin takes a slot for the task, or returns why it is refused.
-func (e *Endpoint) begin(body startBody) (t *task, ctx context.Context, refusal string) {
+func (e *Endpoint) begin(body startBody) (run running, refusal string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch old, known := e.tasks[body.TaskID]; {
-	case known && (old.state != "revoked" || body.Attempt <= old.attempt):
-		return nil, nil, "known task"
-	case e.busy >= e.config.Slots:
-		return nil, nil, "no free slot"
+	refusal = e.refusal(body)
+	e.records.add(Record{Task: body.TaskID, Attempt: body.Attempt, At: time.Now(), Refused: refusal})
+	if refusal != "" {
+		return running{}, refusal
 	}
 	ctx, cancel := context.WithCancel(e.life)
-	t = &task{attempt: body.Attempt, state: "running", stop: cancel}
-	e.tasks[body.TaskID] = t
+	t := &task{id: body.TaskID, attempt: body.Attempt, state: stateRunning, stop: cancel, started: time.Now()}
+	e.tasks.put(t)
 	e.busy++
-	return t, ctx, ""
+	return running{
+		task: t, ctx: ctx, fails: e.random.Float64() < e.behaviour.FailShare,
+		factor: e.behaviour.runFactor(), answerIn: e.behaviour.answerDelay(),
+	}, ""
+}
+
+func (e *Endpoint) refusal(body startBody) string {
+	t, known := e.tasks.get(body.TaskID)
+	switch {
+	case known && t.state == stateRevoked && t.fences(body.Attempt):
+		return RefusedRevoked
+	case known && t.state != stateRevoked:
+		return RefusedKnown
+	case e.busy >= e.config.Slots:
+		return RefusedNoSlot
+	case e.random.Float64() < e.behaviour.RefuseShare:
+		return RefusedAtWill
+	}
+	return ""
 }
 
-func (e *Endpoint) end(t *task, state string, answer json.RawMessage) {
+func (e *Endpoint) end(t *task, state taskState, answer json.RawMessage) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t.stop()
 	t.state, t.answer = state, answer
 	e.busy--
+	e.records.ran(t, time.Since(t.started))
+	e.tasks.ended(t)
+}
+
+type revokeBody struct {
+	Stop    bool `json:"stop"`
+	Attempt int  `json:"attempt"` // 0 fences every attempt.
 }
 
 func (e *Endpoint) revoke(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Stop bool `json:"stop"`
-	}
+	var body revokeBody
 	json.NewDecoder(r.Body).Decode(&body) // An empty body asks for no stop.
+	if !e.awaitThaw() {
+		return
+	}
 	id := r.PathValue("id")
 	e.mu.Lock()
-	t, known := e.tasks[id]
+	e.records.add(Record{Task: id, Attempt: body.Attempt, At: time.Now(), Revoke: true})
+	t, known := e.tasks.get(id)
 	if !known {
-		t = &task{state: "revoked"}
-		e.tasks[id] = t
+		t = &task{id: id, attempt: body.Attempt, state: stateRevoked}
+		e.tasks.put(t)
+		e.tasks.ended(t)
 	}
-	if body.Stop && t.state == "running" {
+	t.refence(body.Attempt)
+	if body.Stop && t.state == stateRunning {
 		t.stop()
 	}
-	state, result := t.state, t.answer
+	answer := taskReply{TaskID: id, State: t.state.onWire(), Answer: t.answer}
 	e.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"task_id": id, "state": state, "answer": result})
+	reply(w, http.StatusOK, answer)
 }
 
 func (e *Endpoint) show(w http.ResponseWriter, r *http.Request) {
+	if !e.awaitThaw() {
+		return
+	}
+	answer := taskReply{TaskID: r.PathValue("id"), State: "unknown"}
 	e.mu.Lock()
-	t, known := e.tasks[r.PathValue("id")]
-	state := "unknown"
-	if known {
-		state = t.state
+	if t, known := e.tasks.get(answer.TaskID); known {
+		answer.State = t.state.onWire()
 	}
 	e.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"task_id": r.PathValue("id"), "state": state})
+	reply(w, http.StatusOK, answer)
 }
 
-// sleep waits and reports whether the context lasted.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+type taskReply struct {
+	TaskID  string          `json:"task_id"`
+	Attempt int             `json:"attempt,omitempty"`
+	State   taskState       `json:"state,omitempty"`
+	Answer  json.RawMessage `json:"answer,omitempty"`
+}
+
+type problem struct {
+	TaskID string `json:"task_id,omitempty"`
+	Run    string `json:"run,omitempty"`
+	Reason string `json:"reason"`
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -205,66 +298,17 @@
 	json.NewEncoder(w).Encode(body) // The dispatcher is gone when this fails.
 }
 
-// announce tells the owner, or any entry VM while the owner does not answer, that this stand-in
-// is there.
-func (e *Endpoint) announce() {
-	owner := ""
-	for i := 0; ; i++ {
-		target := owner
-		if target == "" {
-			target = e.config.Entries[i%len(e.config.Entries)]
-		}
-		next, wait, err := e.announceTo(target)
-		if err != nil {
-			next, wait = "", announceRetry
-		}
-		owner = next
-		if !sleep(e.life, wait) {
-			return
-		}
-	}
-}
-
-func (e *Endpoint) announceTo(target string) (owner string, wait time.Duration, err error) {
-	body, err := json.Marshal(e.announcement())
-	if err != nil {
-		return "", 0, err
-	}
-	ctx, cancel := context.WithTimeout(e.life, time.Second)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/endpoints/announce", bytes.NewReader(body))
-	if err != nil {
-		return "", 0, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return "", 0, err
-	}
-	defer response.Body.Close()
-	var r struct {
-		Owner   string `json:"owner"`
-		EveryMS int64  `json:"every_ms"`
-	}
-	if response.StatusCode != http.StatusOK {
-		return "", 0, errors.Newf("announce: %s", response.Status)
-	}
-	err = json.NewDecoder(response.Body).Decode(&r)
-	return r.Owner, time.Duration(r.EveryMS) * time.Millisecond, err
-}
-
-func (e *Endpoint) announcement() map[string]any {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	running := []string{}
-	for id, t := range e.tasks {
-		if t.state == "running" {
-			running = append(running, id)
-		}
+// sleep waits and reports whether the context lasted.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
 	}
-	return map[string]any{
-		"endpoint": e.config.Endpoint, "service": e.config.Service, "worker": e.config.Worker,
-		"rack": e.config.Rack, "data_centre": e.config.DataCentre, "address": e.Address(),
-		"slots": e.config.Slots, "connections": 60, "cores": 16, "memory_mb": 65536, "accelerators": 0,
-		"state": e.state, "running": running,
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
--- /dev/null
+++ b/cmd/internal/group/group.go
@@ -0,0 +1,273 @@
+// Package group runs entry VMs and stand-in endpoints inside one process over loopback, for the
+// demonstration and for experiments.
+package group
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/bench/relay"
+	"redwingpulley/bench/standin"
+	"redwingpulley/cmd/internal/node"
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/settings"
+)
+
+const (
+	warmUpLimit = 20 * time.Second // Until every endpoint has announced itself.
+	stopLimit   = 10 * time.Second // For the drain of one entry VM.
+	rackSize    = 6                // Workers in a rack.
+)
+
+// Config describes a group.
+type Config struct {
+	Region      string
+	DataCentres []DataCentre
+	Services    []string // Endpoints are dealt out to them in turn.
+	Slots       int      // Of each endpoint.
+	Seed        uint64
+	DataDir     string        // Parent of the entry VMs' data folders; "" for entry VMs without disks.
+	Delay       time.Duration // One way between data centres; 0 connects entry VMs directly.
+	Log         *slog.Logger
+	Definitions []plugin.Definition // Plug-ins of the entry VMs; nil for all that are linked.
+}
+
+// DataCentre is the entry VMs and endpoints of one data centre.
+type DataCentre struct {
+	Name      string
+	VMs       int
+	Endpoints int
+}
+
+// Group is a running group.
+type Group struct {
+	Hosts     []*plugin.Host
+	Endpoints []*standin.Endpoint
+
+	members []settings.Settings
+	relays  []*relay.Relay
+}
+
+// Start starts the entry VMs, then the endpoints, and returns when all of them have announced
+// themselves.
+func Start(ctx context.Context, c Config) (*Group, error) {
+	members, err := c.members()
+	if err != nil {
+		return nil, err
+	}
+	g := &Group{members: members}
+	if err := g.start(ctx, c); err != nil {
+		g.Stop()
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *Group) start(ctx context.Context, c Config) error {
+	for _, own := range g.members {
+		if err := g.startMember(c, own); err != nil {
+			return err
+		}
+	}
+	for i, spec := range c.endpoints(g.members) {
+		spec.Seed = c.Seed + uint64(i)
+		e, err := standin.Start(spec)
+		if err != nil {
+			return err
+		}
+		g.Endpoints = append(g.Endpoints, e)
+	}
+	return g.awaitEndpoints(ctx)
+}
+
+func (g *Group) startMember(c Config, own settings.Settings) error {
+	if err := g.placeRelays(c, &own); err != nil {
+		return err
+	}
+	definitions := c.Definitions
+	if definitions == nil {
+		definitions = plugin.Registered()
+	}
+	host, err := node.StartWith(own, c.Log, definitions)
+	if err != nil {
+		return err
+	}
+	g.Hosts = append(g.Hosts, host)
+	return nil
+}
+
+// placeRelays has the member reach those of other data centres through a relay of its own.
+func (g *Group) placeRelays(c Config, own *settings.Settings) error {
+	if c.Delay == 0 {
+		return nil
+	}
+	own.Members = append([]settings.Member(nil), own.Members...)
+	for i, other := range own.Members {
+		if other.DataCentre == own.DataCentre {
+			continue
+		}
+		r, err := relay.Start(other.Peers, c.Delay)
+		if err != nil {
+			return err
+		}
+		g.relays = append(g.relays, r)
+		own.Members[i].Peers = r.Address()
+	}
+	return nil
+}
+
+// members returns the settings of all entry VMs, with free ports. The first of each data centre
+// has a disk.
+func (c Config) members() ([]settings.Settings, error) {
+	var all []settings.Settings
+	var known []settings.Member
+	for _, dc := range c.DataCentres {
+		for i := range dc.VMs {
+			ports, err := freePorts(4)
+			if err != nil {
+				return nil, err
+			}
+			s := settings.Settings{
+				Node:       model.NodeID(dc.Name + "-" + string(rune('a'+i))),
+				Region:     c.Region,
+				DataCentre: model.DataCentre(dc.Name),
+				Listen:     settings.Listen{Callers: ports[0], Endpoints: ports[1], Operators: ports[2], Peers: ports[3]},
+			}
+			disk := c.DataDir != "" && i == 0
+			if disk {
+				s.DataDir = c.DataDir + "/" + string(s.Node)
+			}
+			known = append(known, settings.Member{
+				Node: s.Node, DataCentre: s.DataCentre, Peers: ports[3], Endpoints: ports[1], Disk: disk,
+			})
+			all = append(all, s)
+		}
+	}
+	for i := range all {
+		all[i].Members = known
+	}
+	return all, nil
+}
+
+// freePorts returns addresses of 127.0.0.1 that nothing listened at.
+func freePorts(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "free port")
+		}
+		defer listener.Close() // Held until all are found, so that they differ.
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (c Config) endpoints(members []settings.Settings) []standin.Config {
+	var all []standin.Config
+	for _, dc := range c.DataCentres {
+		for range dc.Endpoints {
+			number := len(all)
+			all = append(all, standin.Config{
+				Endpoint:   fmt.Sprintf("%s-e%d", dc.Name, number+1),
+				Service:    c.Services[number%len(c.Services)],
+				Worker:     "worker-" + strconv.Itoa(number+1),
+				Rack:       "rack-" + strconv.Itoa(number/rackSize+1),
+				DataCentre: dc.Name, Listen: "127.0.0.1:0", Slots: c.Slots,
+				Entries: entriesNear(members, dc.Name),
+			})
+		}
+	}
+	return all
+}
+
+func entriesNear(members []settings.Settings, dataCentre string) []string {
+	var near []string
+	for _, m := range members {
+		if string(m.DataCentre) == dataCentre {
+			near = append(near, m.Listen.Endpoints)
+		}
+	}
+	return near
+}
+
+func (g *Group) awaitEndpoints(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, warmUpLimit)
+	defer cancel()
+	for _, e := range g.Endpoints {
+		select {
+		case <-e.Announced():
+		case <-ctx.Done():
+			return errors.Newf("endpoint %s was not taken on: %v", e.ID(), ctx.Err())
+		}
+	}
+	return nil
+}
+
+// Entries returns the callers' listeners of the entry VMs, ip:port.
+func (g *Group) Entries() []string {
+	var entries []string
+	for _, m := range g.members {
+		entries = append(entries, m.Listen.Callers)
+	}
+	return entries
+}
+
+// Settings returns the settings of the entry VMs.
+func (g *Group) Settings() []settings.Settings { return g.members }
+
+// Logs returns what the endpoints have seen.
+func (g *Group) Logs() []standin.Log {
+	var logs []standin.Log
+	for _, e := range g.Endpoints {
+		logs = append(logs, e.Log())
+	}
+	return logs
+}
+
+// Slots returns the slots of the endpoints by service.
+func (g *Group) Slots() map[string]int {
+	slots := make(map[string]int)
+	for _, e := range g.Endpoints {
+		slots[e.Service()] += e.Slots()
+	}
+	return slots
+}
+
+// Counters returns the entry VMs' counters summed by name.
+func (g *Group) Counters() map[string]int64 {
+	sums := make(map[string]int64)
+	for _, host := range g.Hosts {
+		host.Metrics.Each(func(name string, metric any) {
+			if counter, ok := metric.(metrics.Counter); ok {
+				sums[name] += counter.Count()
+			}
+		})
+	}
+	return sums
+}
+
+// Stop ends the endpoints and drains the entry VMs.
+func (g *Group) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	var faults error
+	for _, host := range g.Hosts {
+		faults = errors.Join(faults, node.Stop(ctx, host))
+	}
+	for _, e := range g.Endpoints {
+		e.Close()
+	}
+	for _, r := range g.relays {
+		r.Close()
+	}
+	return faults
+}
--- /dev/null
+++ b/cmd/redwingctl/demo.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/bench/caller"
+	"redwingpulley/bench/load"
+	"redwingpulley/bench/measure"
+	"redwingpulley/bench/trace"
+	"redwingpulley/bench/traces"
+	"redwingpulley/cmd/internal/group"
+)
+
+const (
+	demoSlots   = 8
+	demoResends = 3
+	settleTime  = time.Second // For the entry VMs to hear of each other's pools.
+	demoLimit   = 20 * time.Second
+)
+
+type demoCommand struct {
+	Log string `help:"File for the entry VMs' log; none is written otherwise." type:"path"`
+}
+
+// Run plays the shipped trace against a group inside this process.
+func (c *demoCommand) Run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	defer cancel()
+	log, closeLog, err := openLog(c.Log)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	dir, err := os.MkdirTemp("", "redwing-demo-")
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	defer os.RemoveAll(dir)
+	jobs, err := traces.Demo()
+	if err != nil {
+		return err
+	}
+	return runDemo(ctx, os.Stdout, log, dir, jobs)
+}
+
+func openLog(path string) (log *slog.Logger, closeFile func() error, err error) {
+	if path == "" {
+		return slog.New(slog.DiscardHandler), func() error { return nil }, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "log")
+	}
+	return slog.New(slog.NewJSONHandler(file, nil)), file.Close, nil
+}
+
+func runDemo(ctx context.Context, out io.Writer, log *slog.Logger, dir string, jobs []trace.Job) error {
+	g, err := group.Start(ctx, group.Config{
+		Region:      "demo",
+		DataCentres: []group.DataCentre{{Name: "sj1", VMs: 2, Endpoints: 8}, {Name: "sj2", VMs: 1, Endpoints: 4}},
+		Services:    []string{"finder", "auction"},
+		Slots:       demoSlots, DataDir: dir, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d entry VMs in 2 data centres, %d endpoints of %d slots, %d jobs\n", len(g.Hosts), len(g.Endpoints), demoSlots, len(jobs))
+	settle(ctx)
+	results, err := playDemo(ctx, out, g, jobs)
+	if err = errors.Join(err, g.Stop()); err != nil {
+		return err
+	}
+	report := measure.New(measure.Run{
+		Jobs: jobs, Results: results, Logs: g.Logs(), Counters: g.Counters(), Slots: g.Slots(),
+	})
+	report.WriteTable(out)
+	return errors.Join(report.Fault(), report.AllComplete())
+}
+
+func playDemo(ctx context.Context, out io.Writer, g *group.Group, jobs []trace.Job) ([]load.Result, error) {
+	client := caller.New(g.Entries(), 0, demoResends)
+	defer client.Close()
+	runner := load.Runner{Client: client, Progress: func(done, all int) {
+		if done%20 == 0 || done == all {
+			fmt.Fprintf(out, "\r%d of %d jobs answered", done, all)
+		}
+	}}
+	results, err := runner.Run(ctx, jobs)
+	fmt.Fprintln(out)
+	return results, err
+}
+
+func settle(ctx context.Context) {
+	select {
+	case <-time.After(settleTime):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/cmd/redwingctl/demo_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/bench/caller"
+	"redwingpulley/bench/trace"
+	"redwingpulley/bench/traces"
+)
+
+func TestDemoCompletesEveryJob(t *testing.T) {
+	is := is.New(t)
+	all, err := traces.Demo()
+	is.NoErr(err)
+	var out bytes.Buffer
+	log := slog.New(slog.DiscardHandler)
+	is.NoErr(runDemo(context.Background(), &out, log, t.TempDir(), all[:40]))
+	is.True(strings.Contains(out.String(), "promises broken: 0"))
+}
+
+func TestDemoFailsWhenAJobIsNotAnswered(t *testing.T) {
+	is := is.New(t)
+	jobs := []trace.Job{{Service: "unknown", Team: "t", DeadlineMS: 1000, RunMS: []int64{1}}}
+	var out bytes.Buffer
+	err := runDemo(context.Background(), &out, slog.New(slog.DiscardHandler), t.TempDir(), jobs)
+	is.True(err != nil)
+	is.True(strings.Contains(out.String(), "unknown: 1 jobs not_run"))
+}
+
+func TestExitCodesOfSubmit(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(resultError(caller.Result{Outcome: caller.Complete}))
+	is.Equal(codeOf(resultError(caller.Result{Outcome: caller.NotRun})), exitRefused)
+	is.Equal(codeOf(resultError(caller.Result{Outcome: caller.MayHaveRun})), exitUnknown)
+	is.Equal(codeOf(resultError(caller.Result{Outcome: caller.Unknown})), exitUnknown)
+}
--- a/cmd/redwingctl/endpoint.go
+++ b/cmd/redwingctl/endpoint.go
@@ -15,14 +15,21 @@
 	DataCentre string   `required:"" help:"Data centre."`
 	Listen     string   `default:"127.0.0.1:0" help:"Address, ip:port."`
 	Slots      int      `default:"8" help:"Tasks that it runs at once."`
+	Advertise  string   `help:"Address that it announces, ip:port; its own listener otherwise."`
+	Seed       uint64   `default:"1" help:"Of the shares of failures and refusals."`
+	Fail       float64  `default:"0" help:"Share of tasks that fail, 0 to 1."`
+	Refuse     float64  `default:"0" help:"Share of tasks that are refused, 0 to 1."`
+	Factor     float64  `default:"1" help:"Stretches run times."`
 	Entry      []string `required:"" help:"Endpoint listeners of entry VMs, ip:port."`
 }
 
-// Run serves until a signal asks for the end.
+// Run serves until a signal asks for the end. PUT /control/behaviour on its listener changes how it
+// misbehaves, and GET /control/records tells what it was sent.
 func (c *endpointCommand) Run() error {
 	e, err := standin.Start(standin.Config{
 		Endpoint: c.Name, Service: c.Service, Worker: c.Name, Rack: "r1", DataCentre: c.DataCentre,
-		Listen: c.Listen, Slots: c.Slots, Entries: c.Entry,
+		Listen: c.Listen, Slots: c.Slots, Entries: c.Entry, Advertise: c.Advertise, Seed: c.Seed,
+		Behaviour: standin.Behaviour{FailShare: c.Fail, RefuseShare: c.Refuse, RunFactor: c.Factor},
 	})
 	if err != nil {
 		return err
--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -6,20 +6,32 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 )
 
 // Exit codes.
 const (
 	exitRefused = 1 // The system said no.
 	exitUsage   = 2 // Wrong usage or settings.
+	exitUnknown = 3 // The outcome is not known.
 )
 
+// exitError is an error for which the program exits with a code of its own.
+type exitError struct {
+	code int
+	error
+}
+
 type commands struct {
-	Bench benchCommands `cmd:"" help:"Stand-ins, load and comparison."`
+	Demo   demoCommand   `cmd:"" help:"Run a small group inside this process and play a trace against it."`
+	Submit submitCommand `cmd:"" help:"Submit a job as a caller."`
+	Bench  benchCommands `cmd:"" help:"Stand-ins, load and comparison."`
 }
 
 type benchCommands struct {
 	Endpoint endpointCommand `cmd:"" help:"Run a stand-in endpoint until SIGTERM."`
+	Load     loadCommand     `cmd:"" help:"Replay a trace against a running group."`
+	Trace    traceCommand    `cmd:"" help:"Write a trace of generated load."`
 }
 
 func main() {
@@ -29,8 +41,16 @@
 	parser.FatalIfErrorf(err)
 	if err := chosen.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "redwingctl:", err)
-		os.Exit(exitRefused)
+		os.Exit(codeOf(err))
+	}
+}
+
+func codeOf(err error) int {
+	var own exitError
+	if errors.As(err, &own) {
+		return own.code
 	}
+	return exitRefused
 }
 
 // exit maps kong's code for wrong usage to this program's.
