Comparison of policies on both deployments, side by side with the ideal

Cause: nothing told how far the policy is from the ideal under load, or what a baseline would have done with the same jobs.

Change: `redwingctl bench compare` plays one trace against each placement and admission that is linked, on stand-ins of both deployments, with relays for the delays between data centres. It prints a table and a verdict against the targets, and draws a picture on request. peer.http takes fixed addresses of members from its settings, which is how a member reaches another through a relay.

--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -30,12 +30,12 @@
 	Outcomes    map[caller.Outcome]int `json:"outcomes"`
 	Reasons     map[string]int         `json:"reasons"`
 	Cancelled   int                    `json:"cancelled"` // Jobs that their callers cancelled.
-	IdealRefuse int                    `json:"ideal_refused"`
+	IdealRefuse int                    `json:"ideal_refused"` // Jobs that even the ideal must refuse.
 	Mean        time.Duration          `json:"mean_ns"`
 	P50         time.Duration          `json:"p50_ns"`
 	P99         time.Duration          `json:"p99_ns"`
-	IdealMean   time.Duration          `json:"ideal_mean_ns"` // Of the jobs that both completed.
-	Ratio       Ratio                  `json:"over_ideal"`
+	IdealMean   time.Duration          `json:"ideal_mean_ns"` // Of the jobs that completed.
+	Ratio       Ratio                  `json:"over_ideal"` // Against an ideal with the jobs that completed.
 	Floor       Ratio                  `json:"over_floor"` // Against the longest task of each job.
 	Late        int                    `json:"late"`       // Not complete although tasks had started.
 }
@@ -101,7 +101,12 @@
 	s.Jobs, s.Outcomes, s.Reasons = summary.Jobs, summary.Outcomes, summary.Reasons
 	s.Mean = time.Duration(summary.Responses.Mean()) * time.Microsecond
 	s.P50, s.P99 = summary.Quantile(50), summary.Quantile(99)
-	s.against(ideal.Schedule(run.Slots[name], jobs), jobs, results)
+	for i, best := range ideal.Schedule(run.Slots[name], jobs) {
+		if best.Refused && jobs[i].CancelMS == 0 {
+			s.IdealRefuse++
+		}
+	}
+	s.against(run.Slots[name], jobs, results)
 	for i, r := range results {
 		if r.Outcome != caller.Complete && jobs[i].CancelMS == 0 && starts[r.ID] > 0 {
 			s.Late++
@@ -110,24 +115,30 @@
 	return s
 }
 
-// against compares the jobs that completed here and in the ideal.
-func (s *Service) against(best []ideal.Result, jobs []trace.Job, results []load.Result) {
-	var overIdeal, overFloor []float64
-	var total time.Duration
+// against compares the jobs that completed with an ideal that is given just these and the cancelled
+// ones, so that both do the same work: jobs that were refused or failed here would otherwise slow
+// the ideal alone.
+func (s *Service) against(slots int, jobs []trace.Job, results []load.Result) {
+	var same []trace.Job
+	var responses []time.Duration // Of the jobs in same; 0 for cancelled ones.
 	for i, r := range results {
-		if jobs[i].CancelMS > 0 {
+		switch {
+		case jobs[i].CancelMS > 0:
 			s.Cancelled++
-			continue
+			same, responses = append(same, jobs[i]), append(responses, 0)
+		case r.Outcome == caller.Complete:
+			same, responses = append(same, jobs[i]), append(responses, r.Response)
 		}
-		if best[i].Refused {
-			s.IdealRefuse++
+	}
+	var overIdeal, overFloor []float64
+	var total time.Duration
+	for i, best := range ideal.Schedule(slots, same) {
+		if best.Refused || responses[i] == 0 {
 			continue
 		}
-		if r.Outcome == caller.Complete {
-			total += best[i].Response
-			overIdeal = append(overIdeal, float64(r.Response)/float64(best[i].Response))
-			overFloor = append(overFloor, float64(r.Response)/float64(best[i].Floor))
-		}
+		total += best.Response
+		overIdeal = append(overIdeal, float64(responses[i])/float64(best.Response))
+		overFloor = append(overFloor, float64(responses[i])/float64(best.Floor))
 	}
 	if len(overIdeal) > 0 {
 		s.IdealMean = total / time.Duration(len(overIdeal))
--- a/bench/trace/generate.go
+++ b/bench/trace/generate.go
@@ -128,9 +128,13 @@
 // team picks a team; the greedy one, which comes last, is picked more often.
 func (g generator) team() string {
 	share := g.random.Float64() * (float64(g.Teams) + g.Greedy)
-	return "team-" + strconv.Itoa(min(int(share), g.Teams)+1)
+	return TeamName(min(int(share), g.Teams))
 }
 
+// TeamName returns the name of the team of a number from 0 on; the greedy one's number is the
+// count of the others.
+func TeamName(number int) string { return "team-" + strconv.Itoa(number+1) }
+
 // size draws the tasks of a job: most are small, few are as large as allowed.
 func (g generator) size() int {
 	largest := g.Largest
--- /dev/null
+++ b/cmd/internal/compare/plot.go
@@ -0,0 +1,120 @@
+package compare
+
+import (
+	"cmp"
+	"image/color"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+const (
+	pictureWidth  = 16 * vg.Inch
+	pictureHeight = 6 * vg.Inch
+)
+
+// Plot writes a picture (PNG): on the left response over ideal by load, a line for each policy and
+// deployment; on the right the trade of response time against wasted messages, a point each.
+func Plot(path string, rows []Row) error {
+	loads, err := plotLoads(rows)
+	if err != nil {
+		return err
+	}
+	trade, err := plotTrade(rows)
+	if err != nil {
+		return err
+	}
+	canvas := vgimg.New(pictureWidth, pictureHeight)
+	both := draw.New(canvas)
+	half := pictureWidth / 2
+	loads.Draw(draw.Crop(both, 0, -half, 0, 0))
+	trade.Draw(draw.Crop(both, half, 0, 0, 0))
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	defer file.Close()
+	_, err = vgimg.PngCanvas{Canvas: canvas}.WriteTo(file)
+	return errors.Wrap(err, "plot")
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.BackgroundColor = color.White
+	p.Legend.Top = true
+	p.Legend.Left = true
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+func plotLoads(rows []Row) (*plot.Plot, error) {
+	p := newPlot("Response over the clairvoyant ideal", "load (share of all slots)", "mean response over ideal")
+	for i, name := range series(rows) {
+		var points plotter.XYs
+		for _, r := range rows {
+			if seriesOf(r) == name && isLoad(r) {
+				points = append(points, plotter.XY{X: r.Load, Y: r.Service().Ratio.Mean})
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		slices.SortFunc(points, func(a, b plotter.XY) int { return cmp.Compare(a.X, b.X) })
+		line, marks, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return nil, errors.Wrap(err, "plot")
+		}
+		line.Color, marks.Color, marks.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i)
+		p.Add(line, marks)
+		p.Legend.Add(name, line, marks)
+	}
+	return p, nil
+}
+
+func plotTrade(rows []Row) (*plot.Plot, error) {
+	p := newPlot("Response time against wasted messages, all loads", "wasted messages (% of those to endpoints)", "mean response over ideal")
+	for i, name := range series(rows) {
+		var points plotter.XYs
+		for _, r := range rows {
+			if seriesOf(r) == name && isLoad(r) {
+				points = append(points, plotter.XY{X: 100 * r.Report.Messages.WastedShare(), Y: r.Service().Ratio.Mean})
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		marks, err := plotter.NewScatter(points)
+		if err != nil {
+			return nil, errors.Wrap(err, "plot")
+		}
+		marks.Color, marks.Shape = plotutil.Color(i), plotutil.Shape(i)
+		p.Add(marks)
+		p.Legend.Add(name, marks)
+	}
+	return p, nil
+}
+
+func seriesOf(r Row) string { return r.Deployment + ", " + r.Policy }
+
+// series returns the names of the series in the order in which they first occur.
+func series(rows []Row) (names []string) {
+	for _, r := range rows {
+		if name := seriesOf(r); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// isLoad reports whether the run is one of the scenarios that differ by load alone.
+func isLoad(r Row) bool {
+	return r.Scenario == "load50" || r.Scenario == "load85" || r.Scenario == "load150"
+}
--- /dev/null
+++ b/cmd/internal/compare/run.go
@@ -0,0 +1,157 @@
+package compare
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/bench/caller"
+	"redwingpulley/bench/load"
+	"redwingpulley/bench/measure"
+	"redwingpulley/bench/trace"
+	"redwingpulley/cmd/internal/group"
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/plugin"
+)
+
+const (
+	settleTime = 2 * time.Second // For the entry VMs to hear of each other's pools.
+	resends    = 3
+)
+
+// Policy is a profile that a run is made under.
+type Policy struct {
+	Name    string
+	Profile model.Profile
+}
+
+// Policies returns the shipped policy first, then the plain baselines that are linked: each
+// placement with the shipped admission, and the shipped placement with each admission.
+func Policies() []Policy {
+	shipped := model.BuiltInProfile()
+	policies := []Policy{{shipped.Placement + "+" + shipped.Admission, shipped}}
+	for _, d := range plugin.Registered() {
+		other := shipped
+		switch {
+		case d.ID.Kind() == "placement" && d.ID.Name() != shipped.Placement:
+			other.Placement = d.ID.Name()
+		case d.ID.Kind() == "admission" && d.ID.Name() != shipped.Admission:
+			other.Admission = d.ID.Name()
+		default:
+			continue
+		}
+		policies = append(policies, Policy{other.Placement + "+" + other.Admission, other})
+	}
+	return policies
+}
+
+// Row is the measures of one run.
+type Row struct {
+	Deployment string         `json:"deployment"`
+	Scenario   string         `json:"scenario"`
+	Load       float64        `json:"load"`
+	Policy     string         `json:"policy"`
+	Report     measure.Report `json:"report"`
+	// Others is the measures without the greedy team's jobs, for comparing with an even load.
+	Others measure.Service `json:"others"`
+}
+
+// Service returns the measures of the run's one service.
+func (r Row) Service() measure.Service { return r.Report.Services[0] }
+
+// Experiment is what a comparison runs.
+type Experiment struct {
+	Deployments []Deployment
+	Scenarios   []Scenario
+	Policies    []Policy
+	Length      time.Duration // Over which jobs are sent.
+	Seed        uint64
+	Progress    io.Writer
+	Log         *slog.Logger
+}
+
+// Run makes all runs, one after another.
+func (x Experiment) Run(ctx context.Context, done func(Row)) ([]Row, error) {
+	var rows []Row
+	for _, d := range x.Deployments {
+		for _, s := range x.Scenarios {
+			jobs := s.Trace(d, x.Length, x.Seed)
+			for _, p := range x.Policies {
+				row, err := x.one(ctx, d, s, p, jobs)
+				if err != nil {
+					return rows, errors.Wrapf(err, "%s, %s, %s", d.Name, s.Name, p.Name)
+				}
+				rows = append(rows, row)
+				done(row)
+			}
+		}
+	}
+	return rows, nil
+}
+
+func (x Experiment) one(ctx context.Context, d Deployment, s Scenario, p Policy, jobs []trace.Job) (Row, error) {
+	set := model.BuiltInProfiles()
+	p.Profile.Name = model.DefaultProfile
+	set.Profiles[model.DefaultProfile] = p.Profile
+	g, err := group.Start(ctx, group.Config{
+		Region: d.Name, DataCentres: d.DataCentres, Services: []string{d.Service}, Slots: slots,
+		Seed: x.Seed, Delay: d.Between, Log: x.Log, Definitions: group.WithFixedProfiles(set),
+	})
+	if err != nil {
+		return Row{}, err
+	}
+	available := g.Slots()
+	if s.fails() {
+		misbehave(g.Endpoints[0])
+		available[d.Service] -= failing * slots
+	}
+	results, err := x.play(ctx, d, s, g, jobs)
+	if err = errors.Join(err, g.Stop()); err != nil {
+		return Row{}, err
+	}
+	run := measure.Run{Jobs: jobs, Results: results, Logs: g.Logs(), Counters: g.Counters(), Slots: available}
+	return Row{
+		Deployment: d.Name, Scenario: s.Name, Load: s.Load, Policy: p.Name,
+		Report: measure.New(run), Others: measure.New(withoutGreedy(run, d.Teams)).Services[0],
+	}, nil
+}
+
+func (x Experiment) play(ctx context.Context, d Deployment, s Scenario, g *group.Group, jobs []trace.Job) ([]load.Result, error) {
+	if !pause(ctx, settleTime) {
+		return nil, ctx.Err()
+	}
+	client := caller.New(g.Entries(), d.ToClients, resends)
+	defer client.Close()
+	if s.lose {
+		timer := time.AfterFunc(x.Length/2, func() { g.Lose(len(g.Hosts) - 1) })
+		defer timer.Stop()
+	}
+	return load.Runner{Client: client}.Run(ctx, jobs)
+}
+
+// withoutGreedy returns the run without the jobs of the greedy team, which comes after all others.
+func withoutGreedy(run measure.Run, teams int) measure.Run {
+	rest := run
+	rest.Jobs, rest.Results = nil, nil
+	for i, job := range run.Jobs {
+		if job.Team != trace.TeamName(teams) {
+			rest.Jobs = append(rest.Jobs, job)
+			rest.Results = append(rest.Results, run.Results[i])
+		}
+	}
+	return rest
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
@@ -104,13 +105,13 @@
 	return nil
 }
 
-// placeRelays has the member reach those of other data centres through a relay of its own.
+// placeRelays has the member reach those of other data centres through relays of its own.
 func (g *Group) placeRelays(c Config, own *settings.Settings) error {
 	if c.Delay == 0 {
 		return nil
 	}
-	own.Members = append([]settings.Member(nil), own.Members...)
-	for i, other := range own.Members {
+	addresses := make(map[model.NodeID]string)
+	for _, other := range own.Members {
 		if other.DataCentre == own.DataCentre {
 			continue
 		}
@@ -119,8 +120,13 @@
 			return err
 		}
 		g.relays = append(g.relays, r)
-		own.Members[i].Peers = r.Address()
+		addresses[other.Node] = r.Address()
 	}
+	raw, err := json.Marshal(map[string]any{"addresses": addresses})
+	if err != nil {
+		return errors.Wrap(err, "relays")
+	}
+	own.Plugins = map[string]json.RawMessage{"peer.http": raw}
 	return nil
 }
 
@@ -255,6 +261,9 @@
 	return sums
 }
 
+// Lose stops an entry VM without a drain.
+func (g *Group) Lose(number int) error { return g.Hosts[number].Stop() }
+
 // Stop ends the endpoints and drains the entry VMs.
 func (g *Group) Stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -29,6 +29,7 @@
 }
 
 type benchCommands struct {
+	Compare  compareCommand  `cmd:"" help:"Run the same load against each policy, side by side with the ideal."`
 	Endpoint endpointCommand `cmd:"" help:"Run a stand-in endpoint until SIGTERM."`
 	Load     loadCommand     `cmd:"" help:"Replay a trace against a running group."`
 	Trace    traceCommand    `cmd:"" help:"Write a trace of generated load."`
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -33,8 +33,16 @@
 	statusNoSuch = http.StatusNotFound
 )
 
+// Settings are the plug-in's own.
+type Settings struct {
+	// Addresses are ip:port of members that this one reaches by another way than they tell, such as
+	// through a tunnel. They go before what is learned.
+	Addresses map[model.NodeID]string `json:"addresses"`
+}
+
 // Peers is the plug-in. Create it through the registry.
 type Peers struct {
+	settings  Settings
 	self      model.NodeID
 	listen    string
 	log       *slog.Logger
@@ -46,6 +54,9 @@
 
 // Provision learns the addresses of the members that settings name.
 func (p *Peers) Provision(c *plugin.Context) error {
+	if err := c.Settings(&p.settings); err != nil {
+		return err
+	}
 	p.self = c.Node.Node
 	p.listen = c.Node.Listen.Peers
 	p.log = c.Log
@@ -56,7 +67,7 @@
 	}
 	p.client = &http.Client{Transport: newTransport()}
 	plugin.Bind[port.Peers](c, p)
-	return c.Settings(&struct{}{})
+	return nil
 }
 
 func newTransport() *http.Transport {
@@ -75,8 +86,11 @@
 // Handle registers the handler of a method.
 func (p *Peers) Handle(method string, handler port.Handler) { p.handlers[method] = handler }
 
-// Learn sets the address of a node.
+// Learn sets the address of a node, unless settings give another.
 func (p *Peers) Learn(node model.NodeID, address string) {
+	if fixed, ok := p.settings.Addresses[node]; ok {
+		address = fixed
+	}
 	p.addresses.Do(node, func(known map[model.NodeID]string) { known[node] = address })
 }
 
