--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -20,7 +20,9 @@
 	"redwingpulley/plugins/endpoints/ledger",
 	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
+	"redwingpulley/plugins/placement/plan",
 	"redwingpulley/plugins/jobs/retrybudget",
+	"redwingpulley/plugins/membership/swim",
 }
 
 // forbidden are what a decision package must not import, directly or through this project.
@@ -104,7 +106,7 @@
 }
 
 // shared are packages below plugins/ that are no plug-ins.
-var shared = []string{"frontend/web"}
+var shared = []string{"frontend/web", "placement/plan"}
 
 func TestPluginsDoNotKnowOneAnother(t *testing.T) {
 	is := is.New(t)
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -45,13 +45,13 @@
 	stop  context.CancelFunc
 	life  context.Context
 
+	created  chan struct{} // Signals watchOwners that there is a new pool.
+	effects  sync.Pool     // Of *poolstate.Effects: a step's buffers, used by the next ones.
 	origins  *shard.Map[originKey, *origin]
 	draining atomic.Bool
 
 	starts metrics.Counter
 	wasted metrics.Counter // Messages whose content nobody used.
-
-	effects sync.Pool // Of *poolstate.Effects: a step's buffers, used by the next ones.
 }
 
 // pool is an owned pool: its decisions, and who waits for its batches.
@@ -90,11 +90,12 @@
 	}
 	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
 	p.loads = shard.New[model.PoolID, model.PoolLoad](shard.DefaultCount)
+	p.created = make(chan struct{}, 1)
+	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.lines = shard.New[originKey, *line](shard.DefaultCount)
 	p.origins = newOrigins()
 	p.starts = metrics.GetOrRegisterCounter("tasks.starts", c.Metrics)
 	p.wasted = metrics.GetOrRegisterCounter("messages.wasted", c.Metrics)
-	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.life, p.stop = context.WithCancel(context.Background())
 	p.handlePeers()
 	plugin.Bind[port.Pools](c, p)
@@ -104,6 +105,7 @@
 // Start begins to report loads and to watch the members.
 func (p *Pools) Start() error {
 	go p.reportLoads()
+	go p.watchOwners()
 	go p.watchMembers()
 	return nil
 }
@@ -256,6 +258,10 @@
 
 func (p *Pools) newPool(id model.PoolID) *pool {
 	seed := maphash.String(maphash.MakeSeed(), id.String())
+	select {
+	case p.created <- struct{}{}:
+	default: // watchOwners has yet to take up an earlier one.
+	}
 	return &pool{
 		machine: poolstate.New(id, p.membership.Self().ID, p.policies, seed),
 		waiters: make(map[model.BatchID]*waiter),
@@ -264,10 +270,10 @@
 
 // step applies an event to the pool and then carries out its effects, outside the lock.
 func (p *Pools) step(id model.PoolID, event poolstate.Event) {
-	var ended []*waiter
-	var patience time.Duration
 	fx := p.effects.Get().(*poolstate.Effects)
 	defer p.release(fx)
+	var ended []*waiter
+	var patience time.Duration
 	p.withPool(id, func(o *pool) {
 		now := time.Now()
 		patience = o.patience.Wait()
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -148,7 +148,7 @@
 	}
 	plan := j.plan(profile, job, loads)
 	if len(plan.Parts) == 0 {
-		return jobstate.Refused{Reason: model.ReasonNoEndpoint}, plan.Reason
+		return jobstate.Refused{Reason: plan.Refused}, plan.Reason
 	}
 	j.withBudget(job.Service, func(b *retrybudget.Budget) {
 		for range plan.Parts {
@@ -171,7 +171,10 @@
 
 func (j *Jobs) plan(profile model.Profile, job model.Job, loads []model.PoolLoad) port.Plan {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return j.placements[profile.Placement].Plan(job, loads, j.self.DataCentre, random)
+	return j.placements[profile.Placement].Plan(port.PlanRequest{
+		Job: job, Pools: loads, Self: j.self.ID, Near: j.self.DataCentre,
+		MessageCost: profile.MessageCost, Random: random,
+	})
 }
 
 // replan plans a refused part over the pools that have not refused this job, within the service's
--- a/plugins/jobs/jobstate/world_test.go
+++ b/plugins/jobs/jobstate/world_test.go
@@ -81,7 +81,7 @@
 	slots   int
 	busy    int
 	state   map[model.TaskID]port.TaskState
-	refused map[model.TaskID]int // Highest attempt that was answered not_run.
+	refused map[model.TaskID]int                  // Highest attempt that was answered not_run.
 	answers map[model.TaskID]func(port.TaskReply) // Of the tasks that run.
 	running []model.TaskID                        // In the order of their starts.
 }
