Draining members send their last replies before they are known to be gone

Change: kernel/drain counts requests in flight; the peers' plug-in drains by waiting for the replies that are due, and the wait for an owner that has left ends a moment later than the news of it.

--- a/plugins/frontend/web/gate.go
+++ b/kernel/drain/gate.go
@@ -1,4 +1,5 @@
-package web
+// Package drain counts the requests in flight, so that a process stops after the last of them.
+package drain
 
 import (
 	"context"
@@ -10,7 +11,7 @@
 	mu     sync.Mutex
 	closed bool
 	inside int
-	empty  chan struct{} // Made by Close; closed once nobody is inside.
+	empty  chan struct{} // Made by who waits; closed once nobody is inside.
 }
 
 // Enter reports whether the gate is open. Who enters must call Leave, whether it is open or not.
@@ -29,19 +30,24 @@
 	g.signal()
 }
 
-// Close closes the gate and waits until nobody is inside or the context ends.
-func (g *Gate) Close(ctx context.Context) {
-	empty := g.close()
+// Close closes the gate to new requests.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
+// Wait returns once nobody is inside, or when the context ends.
+func (g *Gate) Wait(ctx context.Context) {
 	select {
-	case <-empty:
+	case <-g.whenEmpty():
 	case <-ctx.Done():
 	}
 }
 
-func (g *Gate) close() <-chan struct{} {
+func (g *Gate) whenEmpty() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.closed = true
 	if g.empty == nil {
 		g.empty = make(chan struct{})
 	}
@@ -50,7 +56,7 @@
 	return empty
 }
 
-// signal wakes Close; the lock is held.
+// signal wakes who waits; the lock is held.
 func (g *Gate) signal() {
 	if g.inside > 0 || g.empty == nil {
 		return
--- a/plugins/endpoints/ledger/outbox.go
+++ b/plugins/endpoints/ledger/outbox.go
@@ -35,3 +35,6 @@
 
 // Settled returns the number up to which all batches have their results.
 func (o *Outbox) Settled() uint64 { return o.settled }
+
+// Empty reports whether no batch is open.
+func (o *Outbox) Empty() bool { return len(o.open) == 0 }
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -10,7 +10,10 @@
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
-const askPause = 50 * time.Millisecond // Before a batch whose reply did not come is asked for.
+const (
+	askPause  = 50 * time.Millisecond  // Before a batch whose reply did not come is asked for.
+	lostGrace = 200 * time.Millisecond // For the last replies of an owner that has just left.
+)
 
 // line is this member's side of the batches that it sends to one incarnation of an owner. Its
 // numbers are never used twice, so lines are kept.
@@ -170,13 +173,16 @@
 	p.lines.Each(func(lines map[originKey]*line) {
 		for key, l := range lines {
 			if !alive[key] {
+				if l.outbox.Empty() {
+					continue
+				}
 				lost = append(lost, l.lose)
 				l.alive, l.lose = context.WithCancel(p.life)
 			}
 		}
 	})
 	for _, lose := range lost {
-		lose()
+		time.AfterFunc(lostGrace, lose)
 	}
 }
 
--- a/plugins/frontend/callers/callers.go
+++ b/plugins/frontend/callers/callers.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"redwingpulley/kernel/drain"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -28,7 +29,7 @@
 	server *web.Server
 
 	settings Settings
-	jobGate  web.Gate // Around each submission.
+	jobGate  drain.Gate // Around each submission.
 }
 
 // Settings are the plug-in's own.
@@ -72,7 +73,8 @@
 	case <-grace.C:
 	case <-ctx.Done():
 	}
-	f.jobGate.Close(ctx)
+	f.jobGate.Close()
+	f.jobGate.Wait(ctx)
 	f.server.Drain(ctx)
 }
 
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -16,6 +16,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/drain"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -56,6 +57,7 @@
 	server    *http.Server
 	work      traffic
 	control   traffic
+	serving   drain.Gate // Around each request that is not control.
 }
 
 // Provision learns the addresses of the members that settings name.
@@ -112,6 +114,10 @@
 	return nil
 }
 
+// Drain waits until the requests of other members have their replies. It takes new ones, which the
+// drained plug-ins refuse.
+func (p *Peers) Drain(ctx context.Context) { p.serving.Wait(ctx) }
+
 // Stop sends the replies that are due, then closes the listener and all connections. The listener
 // stays during a drain, for the batches of other members.
 func (p *Peers) Stop() error {
@@ -133,11 +139,16 @@
 		http.Error(w, "no such method", statusNoSuch)
 		return
 	}
-	handler, ok := p.handlers[r.URL.Path[len(pathPrefix):]]
+	method := r.URL.Path[len(pathPrefix):]
+	handler, ok := p.handlers[method]
 	if !ok {
 		http.Error(w, "no such method", statusNoSuch)
 		return
 	}
+	if !isControl(method) {
+		p.serving.Enter()
+		defer p.serving.Leave()
+	}
 	body := http.MaxBytesReader(w, r.Body, maxBody)
 	decode := func(target any) error { return json.NewDecoder(body).Decode(target) }
 	reply, err := handler(r.Context(), model.NodeID(r.Header.Get(headerFrom)), decode)
