--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -88,18 +88,23 @@
 		Placements: plugin.UseAll[port.Placement](c),
 		Admissions: plugin.UseAll[port.Admission](c),
 	}
+	p.init(c.Metrics)
+	plugin.Bind[port.Pools](c, p)
+	return nil
+}
+
+// init makes the state behind the bound ports.
+func (p *Pools) init(registry metrics.Registry) {
 	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
 	p.loads = shard.New[model.PoolID, model.PoolLoad](shard.DefaultCount)
 	p.created = make(chan struct{}, 1)
 	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.lines = shard.New[originKey, *line](shard.DefaultCount)
 	p.origins = newOrigins()
-	p.starts = metrics.GetOrRegisterCounter("tasks.starts", c.Metrics)
-	p.wasted = metrics.GetOrRegisterCounter("messages.wasted", c.Metrics)
+	p.starts = metrics.GetOrRegisterCounter("tasks.starts", registry)
+	p.wasted = metrics.GetOrRegisterCounter("messages.wasted", registry)
 	p.life, p.stop = context.WithCancel(context.Background())
 	p.handlePeers()
-	plugin.Bind[port.Pools](c, p)
-	return nil
 }
 
 // Start begins to report loads and to watch the members.
--- /dev/null
+++ b/plugins/endpoints/run_test.go
@@ -0,0 +1,320 @@
+package endpoints
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/admission/deadline"
+	"redwingpulley/plugins/endpoints/poolstate"
+	"redwingpulley/plugins/placement/leastwait"
+)
+
+// fate is what the fake network does with a call.
+type fate int
+
+const (
+	arrives fate = iota
+	loseRequest
+	loseReply
+	silent // The request arrives, the reply never does, and nobody notices.
+)
+
+// network joins the Pools of a few members.
+type network struct {
+	mu       sync.Mutex
+	handlers map[model.NodeID]map[string]port.Handler
+	alive    []port.Node
+	changed  chan struct{}
+	fates    map[string][]fate // By method, the next first.
+	calls    map[string]int
+}
+
+func newNetwork() *network {
+	return &network{
+		handlers: make(map[model.NodeID]map[string]port.Handler), changed: make(chan struct{}),
+		fates: make(map[string][]fate), calls: make(map[string]int),
+	}
+}
+
+func (n *network) setAlive(nodes ...port.Node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.alive = nodes
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+func (n *network) next(to model.NodeID, method string) (port.Handler, fate) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls[method]++
+	f := arrives
+	if queued := n.fates[method]; len(queued) > 0 {
+		f, n.fates[method] = queued[0], queued[1:]
+	}
+	return n.handlers[to][method], f
+}
+
+// member is the fake of all ports that one Pools needs.
+type member struct {
+	*network
+	node  port.Node
+	tasks func(context.Context, port.TaskStart) port.TaskReply
+	asked func(model.TaskID) port.RevokeReply
+}
+
+func (m *member) Handle(method string, h port.Handler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.handlers[m.node.ID] == nil {
+		m.handlers[m.node.ID] = make(map[string]port.Handler)
+	}
+	m.handlers[m.node.ID][method] = h
+}
+
+func (m *member) Learn(model.NodeID, string) {}
+
+func (m *member) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
+	handler, f := m.next(to, method)
+	if handler == nil || ctx.Err() != nil {
+		return port.NotSent
+	}
+	if f == loseRequest {
+		return port.Unknown
+	}
+	raw, _ := json.Marshal(request) // The wire types always encode.
+	result, err := handler(ctx, m.node.ID, func(target any) error { return json.Unmarshal(raw, target) })
+	if f == silent {
+		<-ctx.Done()
+	}
+	if f != arrives || err != nil || ctx.Err() != nil {
+		return port.Unknown
+	}
+	raw, _ = json.Marshal(result)
+	if json.Unmarshal(raw, reply) != nil {
+		return port.Unknown
+	}
+	return port.Delivered
+}
+
+func (m *member) Self() port.Node { return m.node }
+
+func (m *member) Alive() []port.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.alive
+}
+
+func (m *member) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+func (m *member) Leave(context.Context) {}
+
+func (m *member) Current() (model.ProfileSet, bool) { return model.BuiltInProfiles(), true }
+
+func (m *member) Record(port.Decision) {}
+
+func (m *member) Recent() []port.Decision { return nil }
+
+func (m *member) Start(ctx context.Context, _ string, s port.TaskStart) port.TaskReply {
+	return m.tasks(ctx, s)
+}
+
+func (m *member) Revoke(_ context.Context, _ string, id model.TaskID, _ bool) port.RevokeReply {
+	return m.asked(id)
+}
+
+var (
+	origin1 = port.Node{ID: "origin", Incarnation: "o1", DataCentre: "sj1"}
+	owner1  = port.Node{ID: "owner", Incarnation: "w1", DataCentre: "sj1"}
+	owner2  = port.Node{ID: "owner", Incarnation: "w2", DataCentre: "sj1"}
+	pool1   = model.PoolID{Service: "finder", DataCentre: "sj1"}
+)
+
+// newPools returns the started plug-in of one member; tasks take a second.
+func newPools(t *testing.T, n *network, node port.Node) (*Pools, *member) {
+	m := &member{network: n, node: node}
+	m.tasks = func(ctx context.Context, s port.TaskStart) port.TaskReply {
+		if !pause(ctx, time.Second) {
+			return port.TaskReply{State: port.TaskUnknown}
+		}
+		return port.TaskReply{State: port.TaskDone, Answer: []byte(`"` + string(s.ID) + `"`)}
+	}
+	p := &Pools{
+		membership: m, profiles: m, peers: m, tasks: m, decisions: m,
+		policies: poolstate.Policies{
+			Placements: map[string]port.Placement{"least_wait": leastwait.Policy{}},
+			Admissions: map[string]port.Admission{"deadline": deadline.Policy{}},
+		},
+	}
+	p.init(metrics.NewRegistry())
+	go p.watchMembers()
+	t.Cleanup(func() { p.Stop() })
+	return p, m
+}
+
+// pair is a job's owner and a pool's owner with one endpoint of two slots.
+func pair(t *testing.T) (n *network, origin, owner *Pools, atOwner *member) {
+	n = newNetwork()
+	n.setAlive(origin1, owner1)
+	origin, _ = newPools(t, n, origin1)
+	owner, atOwner = newPools(t, n, owner1)
+	owner.step(pool1, announced())
+	return n, origin, owner, atOwner
+}
+
+func announced() poolstate.Announced {
+	return poolstate.Announced{Endpoint: model.Endpoint{
+		ID: "e1", Service: "finder", DataCentre: "sj1", Address: "e1", Slots: 2, State: model.EndpointServing,
+	}}
+}
+
+func batch(lasts time.Duration) model.Batch {
+	return model.Batch{
+		ID: model.BatchID{Job: "j"}, Pool: pool1, Origin: "origin", Team: "t",
+		Deadline: time.Now().Add(lasts), Tasks: []model.Task{{Index: 0}, {Index: 1}},
+	}
+}
+
+// inBubble runs a test on a virtual clock.
+func inBubble(t *testing.T, test func(*testing.T, *is.I)) {
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t)) })
+}
+
+func TestBatchWithoutFaultsIsOneMessage(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		n, origin, _, _ := pair(t)
+		result := origin.Run(t.Context(), "owner", batch(10*time.Second))
+		is.Equal(len(result.Results), 2)
+		is.True(result.Results[0].Done)
+		is.Equal(n.calls, map[string]int{methodRun: 1})
+	})
+}
+
+func TestLostReplyIsAskedForAndNothingStartsAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		n, origin, owner, _ := pair(t)
+		n.fates[methodRun] = []fate{loseReply}
+		n.fates[methodResume] = []fate{loseRequest, loseReply}
+		result := origin.Run(t.Context(), "owner", batch(10*time.Second))
+		is.Equal(len(result.Results), 2)
+		is.True(result.Results[0].Done && result.Results[1].Done)
+		is.Equal(n.calls, map[string]int{methodRun: 1, methodResume: 3})
+		is.Equal(owner.starts.Count(), int64(2))
+	})
+}
+
+func TestLostRequestIsFencedAndTrulyNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		n, origin, owner, _ := pair(t)
+		n.fates[methodRun] = []fate{loseRequest}
+		b := batch(10 * time.Second)
+		is.True(origin.Run(t.Context(), "owner", b).Refused)
+		late := encodeBatch(envelope{Origin: "o1", Target: "w1", Sequence: 1}, b)
+		is.True(owner.serveRun(t.Context(), "origin", late).Refused) // The request arrives after all.
+		is.Equal(owner.starts.Count(), int64(0))
+	})
+}
+
+func TestRestartedOwnerCannotSayThatABatchDidNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		n, origin, _, _ := pair(t)
+		n.fates[methodRun] = []fate{loseReply}
+		time.AfterFunc(500*time.Millisecond, func() { newPools(t, n, owner2) }) // Takes over the handlers.
+		result := origin.Run(t.Context(), "owner", batch(10*time.Second))
+		is.True(!result.Refused)
+		is.Equal(result.Results[0].Run, model.MayHaveRun)
+	})
+}
+
+func TestBatchOfALostOwnerEndsBeforeItsDeadline(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		n, origin, _, _ := pair(t)
+		n.fates[methodRun] = []fate{silent}
+		begun := time.Now()
+		time.AfterFunc(time.Second, func() { n.setAlive(origin1) })
+		result := origin.Run(t.Context(), "owner", batch(time.Minute))
+		is.Equal(result.Results[0].Run, model.MayHaveRun)
+		is.Equal(result.Results[0].Reason, model.ReasonOwnerLost)
+		is.Equal(time.Since(begun), time.Second+lostGrace)
+	})
+}
+
+func TestCancelledBatchTellsWhatRan(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, origin, owner, atOwner := pair(t)
+		atOwner.asked = func(model.TaskID) port.RevokeReply { return port.RevokeReply{State: port.TaskStopped} }
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		b := batch(time.Minute)
+		b.Tasks = append(b.Tasks, model.Task{Index: 2}) // Waits for a slot.
+		result := origin.Run(ctx, "owner", b)
+		runs := map[int]model.RunState{}
+		for _, r := range result.Results {
+			runs[r.Index] = r.Run
+		}
+		is.Equal(runs, map[int]model.RunState{0: model.MayHaveRun, 1: model.MayHaveRun, 2: model.NotRun})
+		is.Equal(owner.starts.Count(), int64(2))
+	})
+}
+
+func TestCancelledBeforeItIsSentSendsNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		n, origin, _, _ := pair(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		is.True(origin.Run(ctx, "owner", batch(time.Minute)).Refused)
+		is.Equal(len(n.calls), 0)
+	})
+}
+
+func TestOverdueAnswerIsAskedForOverANewConnection(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, origin, _, atOwner := pair(t)
+		atOwner.tasks = func(ctx context.Context, _ port.TaskStart) port.TaskReply {
+			<-ctx.Done() // The connection has gone silent.
+			return port.TaskReply{State: port.TaskUnknown}
+		}
+		atOwner.asked = func(id model.TaskID) port.RevokeReply {
+			return port.RevokeReply{State: port.TaskDone, Answer: []byte(`"` + string(id) + `"`)}
+		}
+		begun := time.Now()
+		result := origin.Run(t.Context(), "owner", batch(time.Minute))
+		is.True(result.Results[0].Done && result.Results[1].Done)
+		is.Equal(time.Since(begun), poolstate.MinPatience)
+	})
+}
+
+func TestDrainRefusesNewBatchesAndEndsTheOthers(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, origin, owner, _ := pair(t)
+		done := make(chan model.BatchResult)
+		go func() { done <- origin.Run(t.Context(), "owner", batch(time.Minute)) }()
+		synctest.Wait()
+		drained := make(chan struct{})
+		go func() {
+			owner.Drain(t.Context())
+			close(drained)
+		}()
+		synctest.Wait()
+		late := batch(time.Minute)
+		late.ID.Part = 1
+		refused := origin.Run(t.Context(), "owner", late)
+		is.True(refused.Refused)
+		is.Equal(refused.Reason, model.ReasonDraining)
+		is.True((<-done).Results[0].Done)
+		<-drained
+	})
+}
