--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -20,6 +20,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/shard"
 )
 
@@ -55,6 +56,7 @@
 	addresses *shard.Map[model.NodeID, string]
 	links     *shard.Map[model.NodeID, *link]
 	server    *http.Server
+	listener  net.Listener
 	work      traffic
 	control   traffic
 	serving   drain.Gate // Around each request that is not control.
@@ -62,26 +64,27 @@
 
 // Provision learns the addresses of the members that settings name.
 func (p *Peers) Provision(c *plugin.Context) error {
-	if err := c.Settings(&p.settings); err != nil {
-		return err
-	}
-	p.self = c.Node.Node
-	p.listen = c.Node.Listen.Peers
-	p.log = c.Log
+	p.init(c.Node, c.Log, c.Metrics)
+	plugin.Bind[port.Peers](c, p)
+	return c.Settings(&struct{}{})
+}
+
+func (p *Peers) init(node settings.Settings, log *slog.Logger, registry metrics.Registry) {
+	p.self = node.Node
+	p.listen = node.Listen.Peers
+	p.log = log
 	p.handlers = make(map[string]port.Handler)
 	p.addresses = shard.New[model.NodeID, string](shard.DefaultCount)
-	for _, m := range c.Node.Members {
+	for _, m := range node.Members {
 		p.Learn(m.Node, m.Peers)
 	}
 	p.links = shard.New[model.NodeID, *link](shard.DefaultCount)
 	p.work = traffic{
-		metrics.GetOrRegisterCounter("messages.peer.requests", c.Metrics),
-		metrics.GetOrRegisterCounter("messages.peer.replies", c.Metrics),
+		metrics.GetOrRegisterCounter("messages.peer.requests", registry),
+		metrics.GetOrRegisterCounter("messages.peer.replies", registry),
 	}
-	control := metrics.GetOrRegisterCounter("messages.control", c.Metrics)
+	control := metrics.GetOrRegisterCounter("messages.control", registry)
 	p.control = traffic{control, control}
-	plugin.Bind[port.Peers](c, p)
-	return nil
 }
 
 // Handle registers the handler of a method.
@@ -101,6 +104,7 @@
 	if err != nil {
 		return err
 	}
+	p.listener = listener
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP1(true)
@@ -134,6 +138,9 @@
 	return p.server.Close()
 }
 
+// address returns the listener's ip:port.
+func (p *Peers) address() string { return p.listener.Addr().String() }
+
 func (p *Peers) serve(w http.ResponseWriter, r *http.Request) {
 	if len(r.URL.Path) < len(pathPrefix) {
 		http.Error(w, "no such method", statusNoSuch)
--- /dev/null
+++ b/plugins/taskclient/taskclient_test.go
@@ -0,0 +1,198 @@
+package taskclient
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+const task model.TaskID = "j.0"
+
+func newClient(t *testing.T) *Client {
+	c := &Client{}
+	c.init(metrics.NewRegistry())
+	t.Cleanup(func() { c.Stop() })
+	return c
+}
+
+// serve runs an endpoint that answers each request by f.
+func serve(t *testing.T, f http.HandlerFunc) string {
+	server := httptest.NewServer(f)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func answering(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	}
+}
+
+func TestRepliesCountOnlyForTheirTaskAndAttempt(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		want   port.TaskState
+	}{
+		"an answer":                {200, `{"task_id":"j.0","attempt":2,"answer":{"a":1}}`, port.TaskDone},
+		"null as answer":           {200, `{"task_id":"j.0","attempt":2,"answer":null}`, port.TaskDone},
+		"no answer":                {200, `{"task_id":"j.0","attempt":2}`, port.TaskUnknown},
+		"another task's answer":    {200, `{"task_id":"j.1","attempt":2,"answer":1}`, port.TaskUnknown},
+		"another attempt's answer": {200, `{"task_id":"j.0","attempt":1,"answer":1}`, port.TaskUnknown},
+		"half an answer":           {200, `{"task_id":"j.0","attempt":2,"ans`, port.TaskUnknown},
+		"an answer too large":      {200, `{"answer":"` + strings.Repeat("x", maxAnswer) + `"}`, port.TaskFailed},
+		"a refusal":                {503, `{"task_id":"j.0","run":"not_run","reason":"full"}`, port.TaskNotRun},
+		"another task's refusal":   {503, `{"task_id":"j.1","run":"not_run"}`, port.TaskUnknown},
+		"a proxy's refusal":        {503, `<html>`, port.TaskUnknown},
+		"a refusal with no claim":  {503, `{"task_id":"j.0"}`, port.TaskUnknown},
+		"a failure":                {500, `{"task_id":"j.0","reason":"x"}`, port.TaskFailed},
+		"a proxy's failure":        {500, `oops`, port.TaskUnknown},
+		"a conflict":               {409, `{"task_id":"j.0","state":"running"}`, port.TaskUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, answering(c.status, c.body))
+			is.Equal(newClient(t).Start(t.Context(), address, port.TaskStart{ID: task, Attempt: 2}).State, c.want)
+		})
+	}
+}
+
+func TestRevokeRepliesCountOnlyForTheirTask(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		want   port.TaskState
+	}{
+		"revoked":             {200, `{"task_id":"j.0","state":"revoked"}`, port.TaskRevoked},
+		"running":             {200, `{"task_id":"j.0","state":"running"}`, port.TaskRunning},
+		"done":                {200, `{"task_id":"j.0","state":"done","answer":1}`, port.TaskDone},
+		"done, answer lost":   {200, `{"task_id":"j.0","state":"done"}`, port.TaskFailed},
+		"another task":        {200, `{"task_id":"j.1","state":"revoked"}`, port.TaskUnknown},
+		"no such state":       {200, `{"task_id":"j.0","state":"not_run"}`, port.TaskUnknown},
+		"an error":            {500, `{"task_id":"j.0","state":"revoked"}`, port.TaskUnknown},
+		"half a reply":        {200, `{"task_id":"j.0","state":"rev`, port.TaskUnknown},
+		"an answer too large": {200, `{"answer":"` + strings.Repeat("x", maxAnswer) + `"}`, port.TaskFailed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, answering(c.status, c.body))
+			is.Equal(newClient(t).Revoke(t.Context(), address, task, false).State, c.want)
+		})
+	}
+}
+
+// TestTaskIsSentOnce uses a server that closes each connection behind the first request on it, so
+// that the client's idle connections are dead when they are used again.
+func TestTaskIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	var posts atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerThenDrop(conn, &posts)
+		}
+	}()
+	c := newClient(t)
+	const starts = 200
+	states := map[port.TaskState]int{}
+	for range starts {
+		states[c.Start(t.Context(), listener.Addr().String(), port.TaskStart{ID: task, Attempt: 1}).State]++
+	}
+	is.Equal(states[port.TaskDone]+states[port.TaskUnknown]+states[port.TaskNotRun], starts)
+	is.True(posts.Load() <= starts)
+	is.True(states[port.TaskUnknown] > 0) // Dead connections were used.
+}
+
+// answerThenDrop answers one request, reads a second and closes the connection without a reply.
+func answerThenDrop(conn net.Conn, posts *atomic.Int64) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		posts.Add(1)
+		if i == 0 {
+			body := `{"task_id":"j.0","attempt":1,"answer":1}`
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	}
+}
+
+func TestRedirectIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	var posts atomic.Int64
+	elsewhere := serve(t, func(http.ResponseWriter, *http.Request) { posts.Add(1) })
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "http://"+elsewhere+r.URL.Path, http.StatusTemporaryRedirect)
+	})
+	is.Equal(newClient(t).Start(t.Context(), address, port.TaskStart{ID: task, Attempt: 1}).State, port.TaskUnknown)
+	is.Equal(posts.Load(), int64(0))
+}
+
+func TestEndpointThatIsNotThereDidNotRunTheTask(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(nil)
+	address := server.Listener.Addr().String()
+	server.Close()
+	c := newClient(t)
+	is.Equal(c.Start(t.Context(), address, port.TaskStart{ID: task, Attempt: 1}).State, port.TaskNotRun)
+	is.Equal(c.requests.Count(), int64(0))
+}
+
+func TestSilentConnectionIsAskedAroundByARevoke(t *testing.T) {
+	is := is.New(t)
+	got, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	var connections atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/revoke") {
+			answering(200, `{"task_id":"j.0","state":"done","answer":7}`)(w, r)
+			return
+		}
+		close(got)
+		<-release
+	}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	address := server.Listener.Addr().String()
+	c := newClient(t)
+	ctx, settled := context.WithCancel(t.Context())
+	started := make(chan port.TaskReply)
+	go func() { started <- c.Start(ctx, address, port.TaskStart{ID: task, Attempt: 1}) }()
+	<-got
+	is.Equal(string(c.Revoke(t.Context(), address, task, false).Answer), "7")
+	is.Equal(connections.Load(), int64(2))
+	settled()
+	is.Equal((<-started).State, port.TaskUnknown)
+	is.Equal(c.revocations.Count(), int64(1))
+}
