Profiles: the register as a pure decision package

Cause: profiles were the built-in revision 0 only. Change: plugins/profiles/register decides about agreement by majority (CASPaxos on the whole state), spread, and the return of replicas whose disk is empty or an older copy. model.ProfileChange and Profile.QuotaBurst are new. Failures that the runs found and that were mended: a late answer to an earlier run of a process let it serve an old revision (answers now repeat the run); a replica whose write failed voted on in memory and was lost at the next restart (failed writes are tried again); a restored copy was taken for the newest file when its last vote was known to itself alone (a copied file joins as a lost disk does, and keeps what it has).

--- a/kernel/model/profile.go
+++ b/kernel/model/profile.go
@@ -25,7 +25,8 @@
 
 	DrainTime time.Duration // Longest wait for running tasks when a process drains.
 
-	Quotas map[TeamID]float64 // Task starts a second; a team that is not listed has none.
+	Quotas     map[TeamID]float64 // Task starts a second; a team that is not listed has no limit.
+	QuotaBurst time.Duration      // How long a team's rate may be saved up and started at once.
 }
 
 // BuiltInProfile returns the profile that is in force at revision 0.
@@ -41,6 +42,7 @@
 		DefaultRunTime:  300 * time.Millisecond,
 		LearnWeight:     0.1,
 		DrainTime:       30 * time.Second,
+		QuotaBurst:      time.Second,
 	}
 }
 
@@ -71,3 +73,15 @@
 		Services: map[ServiceID]ProfileName{},
 	}
 }
+
+// ProfileChange is one accepted change of the profile register.
+type ProfileChange struct {
+	Revision Revision
+	ID       string // Idempotency key of the change.
+	Digest   uint64 // Hash of the change's request.
+	Operator string
+	At       time.Time // By the clock of the replica that had it accepted.
+	Kind     string
+	Profile  ProfileName
+	Service  ServiceID // "" unless the change was a service's choice.
+}
--- /dev/null
+++ b/plugins/profiles/register/proposer.go
@@ -0,0 +1,236 @@
+package register
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"redwingpulley/kernel/model"
+)
+
+// proposal is the change that this replica tries to have agreed.
+type proposal struct {
+	Submitted
+	ballot  Ballot
+	phase   MessageKind // The votes that it waits for, Promise or Accepted; "" before a new ballot.
+	votes   map[model.NodeID]Message
+	until   time.Time // End of the round, or of the wait before a new ballot.
+	lost    int       // Ballots that were lost.
+	exposed bool      // Whether a value that holds the change was sent to be accepted.
+	value   State
+	result  Result
+}
+
+func (p *proposal) wakeAt() time.Time {
+	if p.Deadline.Before(p.until) {
+		return p.Deadline
+	}
+	return p.until
+}
+
+func (m *Machine) submit(s Submitted) {
+	if m.settled(s.Change) {
+		_, result := m.served.apply(s.Change, m.now)
+		m.do(Answer{s.Ticket, result})
+		return
+	}
+	if !m.votes() {
+		m.do(Answer{s.Ticket, m.unfinished(NotVoting, s.Change)})
+		return
+	}
+	if len(m.queue) >= queueLimit {
+		m.do(Answer{s.Ticket, m.unfinished(Busy, s.Change)})
+		return
+	}
+	m.queue = append(m.queue, s)
+	m.nextProposal()
+}
+
+// settled reports whether what is known to be agreed is enough to answer the change.
+func (m *Machine) settled(c Change) bool {
+	_, found := m.served.find(c.ID)
+	return c.Kind != Settle && (found || c.Expect < m.served.Revision())
+}
+
+func (m *Machine) expireQueue() {
+	m.queue = slices.DeleteFunc(m.queue, func(s Submitted) bool {
+		expired := !m.now.Before(s.Deadline)
+		if expired {
+			m.do(Answer{s.Ticket, m.unfinished(NoMajority, s.Change)})
+		}
+		return expired
+	})
+}
+
+// unfinished returns the answer to a change that was not tried now. An earlier sending of it may
+// still take effect.
+func (m *Machine) unfinished(status Status, c Change) Result {
+	_, open := m.open[c.ID]
+	_, accepted := m.durable.Value.find(c.ID)
+	if open || accepted {
+		return Result{status, model.MayHaveRun, m.served.Revision()}
+	}
+	return Result{status, model.NotRun, m.served.Revision()}
+}
+
+func (m *Machine) nextProposal() {
+	if m.proposal != nil || len(m.queue) == 0 {
+		return
+	}
+	m.proposal = &proposal{Submitted: m.queue[0]}
+	m.queue = m.queue[1:]
+	m.startRound()
+}
+
+// startRound asks the replicas to promise a new ballot.
+func (m *Machine) startRound() {
+	p := m.proposal
+	m.highest++
+	p.ballot = Ballot{m.highest, m.config.Self, m.config.Seed}
+	p.phase = Promise
+	p.votes = make(map[model.NodeID]Message)
+	p.until = m.now.Add(roundTimeout)
+	for _, node := range m.config.Replicas {
+		m.send(node, Message{Kind: Prepare, Ballot: p.ballot})
+	}
+}
+
+func (m *Machine) wakeProposal() {
+	p := m.proposal
+	switch {
+	case p == nil:
+	case !m.now.Before(p.Deadline):
+		m.giveUp()
+	case m.now.Before(p.until):
+	case p.phase == "":
+		m.startRound()
+	default:
+		m.loseRound()
+	}
+}
+
+// giveUp answers at the deadline. The change has certainly not run only when no value that holds it
+// was sent.
+func (m *Machine) giveUp() {
+	p := m.proposal
+	if p.exposed {
+		m.open[p.Change.ID] = p.Change.Expect
+	}
+	m.finish(m.unfinished(NoMajority, p.Change))
+}
+
+func (m *Machine) finish(result Result) {
+	if m.proposal.Change.Kind != Settle {
+		m.do(Answer{m.proposal.Ticket, result})
+	}
+	m.proposal = nil
+	m.nextProposal()
+}
+
+// loseRound waits a random time before the next ballot, so that proposers do not go on to outbid
+// one another.
+func (m *Machine) loseRound() {
+	p := m.proposal
+	p.lost++
+	p.phase = ""
+	jitter := time.Duration(m.random.Int64N(int64(backoffUnit))) * time.Duration(min(p.lost, backoffLimit))
+	p.until = m.now.Add(jitter)
+}
+
+// counted takes in a vote.
+func (m *Machine) counted(from model.NodeID, message Message) {
+	p := m.proposal
+	if p == nil || p.phase == "" {
+		return
+	}
+	if message.Kind == Rejected {
+		if p.ballot.Less(message.Ballot) {
+			m.loseRound()
+		}
+		return
+	}
+	if message.Kind != p.phase || message.Ballot != p.ballot {
+		return
+	}
+	p.votes[from] = message
+	if m.valid(p.votes) < m.majority() {
+		return
+	}
+	if p.phase == Promise {
+		m.propose()
+		return
+	}
+	m.chosen()
+}
+
+// valid counts the votes that come from the newest known store of their replica.
+func (m *Machine) valid(votes map[model.NodeID]Message) int {
+	count := 0
+	for _, node := range m.config.Replicas {
+		vote, ok := votes[node]
+		if ok && vote.Store == m.durable.Fences[node] {
+			count++
+		}
+	}
+	return count
+}
+
+// propose applies the change to the state of the highest accepted ballot and asks the replicas to
+// accept the result.
+func (m *Machine) propose() {
+	p := m.proposal
+	base := m.base(p.votes)
+	p.value, p.result = base.apply(p.Change, m.now)
+	p.exposed = p.exposed || p.result.Status == Done && p.Change.Kind != Settle
+	p.phase = Accepted
+	p.votes = make(map[model.NodeID]Message)
+	p.until = m.now.Add(roundTimeout)
+	value := p.value
+	for _, node := range m.config.Replicas {
+		m.send(node, Message{
+			Kind: Accept, Ballot: p.ballot, Value: &value,
+			Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
+		})
+	}
+}
+
+// base returns the state of the highest ballot among the promises. A newer agreed state can only
+// be known here after more disks were lost than the register can bear; it is taken then.
+func (m *Machine) base(votes map[model.NodeID]Message) State {
+	var highest Ballot
+	base := Initial()
+	for _, node := range m.config.Replicas {
+		vote, ok := votes[node]
+		if ok && vote.Store == m.durable.Fences[node] && vote.Value != nil && !vote.Accepted.Less(highest) {
+			highest, base = vote.Accepted, *vote.Value
+		}
+	}
+	if m.served.Revision() > base.Revision() {
+		return m.served
+	}
+	return base
+}
+
+// chosen answers the change and tells all members of the agreed state.
+func (m *Machine) chosen() {
+	p := m.proposal
+	if p.value.Revision() > m.served.Revision() || !m.serving {
+		m.serve(p.value)
+		m.do(Broadcast{m.news(p.value)})
+	}
+	delete(m.open, p.Change.ID)
+	m.finish(p.result)
+}
+
+// settles reports whether this replica accepted a state of which it does not know whether it is
+// agreed, and is free to find out.
+func (m *Machine) settles() bool {
+	return m.votes() && m.proposal == nil && m.durable.Value.Revision() > m.served.Revision()
+}
+
+// settle finds out what is agreed, so that a change whose proposer is gone does not take effect
+// only with the next one.
+func (m *Machine) settle() {
+	m.settleAt = m.now.Add(settleDelay)
+	m.submit(Submitted{Change: Change{Kind: Settle}, Deadline: m.settleAt})
+}
