Profiles: files, messages, plug-in and operators' HTTP around the register

Cause: the register's decisions had no disk, no sockets and no front end. Change: plugins/profiles runs the machine under one lock and carries out its effects after it; wire and disk encode; operators publish by PUT and DELETE with If-Match and Idempotency-Key, read the history and wait for revisions. POST /v1/drain starts the drain of SIGTERM.

--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -18,6 +18,7 @@
 	"redwingpulley/kernel/invariant",
 	"redwingpulley/plugins/endpoints/poolstate",
 	"redwingpulley/plugins/jobs/jobstate",
+	"redwingpulley/plugins/profiles/register",
 }
 
 // forbidden are what a decision package must not import, directly or through this project.
--- a/cmd/redwingd/main.go
+++ b/cmd/redwingd/main.go
@@ -84,7 +84,11 @@
 		return err
 	}
 	log.Info("serving", "node", s.Node, "callers", s.Listen.Callers)
-	<-signals.Done()
+	select {
+	case <-signals.Done():
+	case <-host.DrainRequested():
+	}
+	log.Info("draining", "node", s.Node)
 	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
 	defer cancel()
 	return node.Stop(ctx, host)
--- a/kernel/model/profile.go
+++ b/kernel/model/profile.go
@@ -85,3 +85,48 @@
 	Profile  ProfileName
 	Service  ServiceID // "" unless the change was a service's choice.
 }
+
+// EditKind tells what an edit of the profile register does.
+type EditKind string
+
+// Kinds of edits.
+const (
+	PutProfile    EditKind = "put_profile"
+	DeleteProfile EditKind = "delete_profile"
+	SetService    EditKind = "set_service"
+)
+
+// ProfileEdit is a compare-and-set on the profile register.
+type ProfileEdit struct {
+	ID       string   // Idempotency key; a resend carries the same one.
+	Digest   uint64   // Hash of the request; tells a resend from another edit under the same id.
+	Expect   Revision // The revision that the edit was made for.
+	Operator string
+	Kind     EditKind
+	Name     ProfileName // Of the profile that is put, deleted or chosen.
+	Profile  Profile     // When it is put.
+	Service  ServiceID   // When a service chooses.
+}
+
+// EditStatus is how an edit ended.
+type EditStatus string
+
+// Statuses of edits.
+const (
+	EditDone       EditStatus = "done"
+	EditStale      EditStatus = "stale"       // Another edit took the revision that was expected.
+	EditKeyReused  EditStatus = "key_reused"  // The id belongs to another edit.
+	EditNotFound   EditStatus = "not_found"   // There is no such profile.
+	EditInUse      EditStatus = "in_use"      // The profile is still chosen, or is the default one.
+	EditTooMany    EditStatus = "too_many"    // The register is full.
+	EditNoMajority EditStatus = "no_majority" // No majority of the replicas answered in time.
+	EditNotVoting  EditStatus = "not_voting"  // The member is no replica that may vote; another may do.
+	EditBusy       EditStatus = "busy"        // Too many edits wait.
+)
+
+// EditResult is the answer to an edit.
+type EditResult struct {
+	Status   EditStatus
+	Run      RunState // Unless the edit is done. NotRun speaks of the sending that it answers.
+	Revision Revision // Of the edit when it is done, else of the register.
+}
--- a/kernel/plugin/context.go
+++ b/kernel/plugin/context.go
@@ -34,6 +34,9 @@
 	return settings.DecodeStrict(raw, "plugins."+string(c.ID), target)
 }
 
+// RequestDrain asks for the same drain as SIGTERM.
+func (c *Context) RequestDrain() { c.host.requestDrain() }
+
 // Bind offers implementation as port T to the plug-ins that need it.
 func Bind[T any](c *Context, implementation T) {
 	port := PortOf[T]()
--- a/kernel/plugin/host.go
+++ b/kernel/plugin/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
@@ -20,6 +21,9 @@
 	plugins []instance // In the order in which they start.
 	bound   map[Port][]binding
 	started int
+
+	drainOnce sync.Once
+	drain     chan struct{}
 }
 
 type instance struct {
@@ -45,6 +49,7 @@
 		log:     log,
 		node:    node,
 		bound:   make(map[Port][]binding),
+		drain:   make(chan struct{}),
 	}
 	faults := unknownPlugins(node, definitions)
 	for _, d := range ordered {
@@ -106,6 +111,11 @@
 	return nil
 }
 
+func (h *Host) requestDrain() { h.drainOnce.Do(func() { close(h.drain) }) }
+
+// DrainRequested returns a channel that is closed once a plug-in asks for a drain.
+func (h *Host) DrainRequested() <-chan struct{} { return h.drain }
+
 // Drain marks the process as not ready, then lets each plug-in finish what is in flight, in
 // reverse order of starting.
 func (h *Host) Drain(ctx context.Context) {
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,10 +21,14 @@
 	pools      port.Pools
 	membership port.Membership
 	profiles   port.Profiles
+	register   port.ProfileRegister
+	policies   policies
 	decisions  port.Decisions
 	health     *plugin.Health
 	metrics    metrics.Registry
 	server     *web.Server
+
+	requestDrain func()
 }
 
 // Provision binds the ports and sets up the routes.
@@ -36,6 +42,14 @@
 	if f.profiles, err = plugin.Use[port.Profiles](c); err != nil {
 		return err
 	}
+	if f.register, err = plugin.Use[port.ProfileRegister](c); err != nil {
+		return err
+	}
+	f.policies = policies{
+		placements: slices.Sorted(maps.Keys(plugin.UseAll[port.Placement](c))),
+		admissions: slices.Sorted(maps.Keys(plugin.UseAll[port.Admission](c))),
+	}
+	f.requestDrain = c.RequestDrain
 	if f.decisions, err = plugin.Use[port.Decisions](c); err != nil {
 		return err
 	}
@@ -61,6 +75,8 @@
 	mux.HandleFunc("GET /v1/endpoints", f.endpoints)
 	mux.HandleFunc("GET /v1/decisions", f.recentDecisions)
 	mux.HandleFunc("GET /metrics", f.serveMetrics)
+	mux.HandleFunc("POST /v1/drain", f.drain)
+	f.handleProfiles(mux)
 	return mux
 }
 
@@ -68,6 +84,7 @@
 	Node        model.NodeID      `json:"node"`
 	Incarnation model.Incarnation `json:"incarnation"`
 	Revision    model.Revision    `json:"revision"`
+	Replica     port.ReplicaState `json:"replica"`
 	Ready       bool              `json:"ready"`
 	Why         []string          `json:"why,omitempty"`
 	Members     int               `json:"members"`
@@ -79,7 +96,7 @@
 	profiles, _ := f.profiles.Current()
 	ready, why := f.health.Ready()
 	web.Reply(w, http.StatusOK, statusBody{
-		Node: self.ID, Incarnation: self.Incarnation, Revision: profiles.Revision, Ready: ready, Why: why,
+		Node: self.ID, Incarnation: self.Incarnation, Revision: profiles.Revision, Replica: f.register.Replica(), Ready: ready, Why: why,
 		Members: len(f.membership.Alive()), Endpoints: len(f.pools.Endpoints()),
 	})
 }
@@ -143,3 +160,9 @@
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(f.metrics, w)
 }
+
+// drain starts the same drain as SIGTERM. It is answered at once.
+func (f *Frontend) drain(w http.ResponseWriter, _ *http.Request) {
+	f.requestDrain()
+	web.Reply(w, http.StatusAccepted, map[string]string{"status": "draining"})
+}
--- /dev/null
+++ b/plugins/frontend/operators/profiles.go
@@ -0,0 +1,308 @@
+package operators
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/frontend/web"
+)
+
+const (
+	headerIfMatch  = "If-Match"
+	headerKey      = "Idempotency-Key"
+	headerOperator = "Redwing-Operator"
+	headerETag     = "ETag"
+	maxHeader      = 128 // Characters of a key or an operator's name.
+	anonymous      = "anonymous"
+	retryAfter     = "1" // Seconds.
+	maxWatch       = time.Minute
+)
+
+func (f *Frontend) handleProfiles(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/profiles", f.listProfiles)
+	mux.HandleFunc("GET /v1/profiles/{name}", f.getProfile)
+	mux.HandleFunc("PUT /v1/profiles/{name}", f.putProfile)
+	mux.HandleFunc("DELETE /v1/profiles/{name}", f.deleteProfile)
+	mux.HandleFunc("GET /v1/profiles/{name}/history", f.profileHistory)
+	mux.HandleFunc("GET /v1/history", f.history)
+	mux.HandleFunc("GET /v1/services", f.listServices)
+	mux.HandleFunc("GET /v1/services/{service}", f.getService)
+	mux.HandleFunc("PUT /v1/services/{service}", f.setService)
+}
+
+type profilesBody struct {
+	Revision model.Revision `json:"revision"`
+	Profiles []profileBody  `json:"profiles"`
+}
+
+// listProfiles answers all profiles. With after and wait_ms it waits for a revision above after.
+func (f *Frontend) listProfiles(w http.ResponseWriter, r *http.Request) {
+	if err := f.awaitRevision(r); err != nil {
+		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	set, ok := f.current(w)
+	if !ok {
+		return
+	}
+	body := profilesBody{Revision: set.Revision, Profiles: []profileBody{}}
+	for _, p := range set.Profiles {
+		body.Profiles = append(body.Profiles, newProfileBody(p))
+	}
+	slices.SortFunc(body.Profiles, func(a, b profileBody) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	web.Reply(w, http.StatusOK, body)
+}
+
+// awaitRevision waits as the query asks for it, at most maxWatch.
+func (f *Frontend) awaitRevision(r *http.Request) error {
+	query := r.URL.Query()
+	if !query.Has("after") {
+		return nil
+	}
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		return errors.New("after: must be a revision")
+	}
+	wait, err := strconv.ParseUint(query.Get("wait_ms"), 10, 31)
+	if err != nil {
+		return errors.New("wait_ms: must be a number of milliseconds")
+	}
+	timer := time.NewTimer(min(milliseconds(int64(wait)), maxWatch))
+	defer timer.Stop()
+	for {
+		changed := f.register.Changed()
+		if set, ok := f.profiles.Current(); ok && set.Revision > model.Revision(after) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		case <-r.Context().Done():
+			return nil
+		}
+	}
+}
+
+// current returns the profiles in force, or answers 503 while none are learned. It sets the ETag
+// that a change carries as If-Match.
+func (f *Frontend) current(w http.ResponseWriter) (model.ProfileSet, bool) {
+	set, ok := f.profiles.Current()
+	if !ok {
+		w.Header().Set("Retry-After", retryAfter)
+		web.Refuse(w, http.StatusServiceUnavailable, string(model.ReasonNoProfile), "no revision is learned yet")
+		return set, false
+	}
+	w.Header().Set(headerETag, strconv.Quote(strconv.FormatUint(uint64(set.Revision), 10)))
+	return set, true
+}
+
+func (f *Frontend) getProfile(w http.ResponseWriter, r *http.Request) {
+	set, ok := f.current(w)
+	if !ok {
+		return
+	}
+	profile, ok := set.Profiles[model.ProfileName(r.PathValue("name"))]
+	if !ok {
+		web.Refuse(w, http.StatusNotFound, "not_found", "name: there is no such profile")
+		return
+	}
+	web.Reply(w, http.StatusOK, newProfileBody(profile))
+}
+
+func (f *Frontend) putProfile(w http.ResponseWriter, r *http.Request) {
+	name := model.ProfileName(r.PathValue("name"))
+	body := newProfileBody(model.BuiltInProfile())
+	body.Name = name
+	err := web.Decode(w, r, &body)
+	if err == nil && body.Name != name {
+		err = errors.New("name: must be the name in the path")
+	}
+	if err == nil {
+		err = body.check(f.policies)
+	}
+	if err != nil {
+		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	f.edit(w, r, model.ProfileEdit{Kind: model.PutProfile, Name: name, Profile: body.profile()})
+}
+
+func (f *Frontend) deleteProfile(w http.ResponseWriter, r *http.Request) {
+	f.edit(w, r, model.ProfileEdit{Kind: model.DeleteProfile, Name: model.ProfileName(r.PathValue("name"))})
+}
+
+type servicesBody struct {
+	Revision model.Revision                        `json:"revision"`
+	Services map[model.ServiceID]model.ProfileName `json:"services"`
+}
+
+func (f *Frontend) listServices(w http.ResponseWriter, _ *http.Request) {
+	if set, ok := f.current(w); ok {
+		web.Reply(w, http.StatusOK, servicesBody{set.Revision, set.Services})
+	}
+}
+
+type serviceBody struct {
+	Profile model.ProfileName `json:"profile"`
+}
+
+func (f *Frontend) getService(w http.ResponseWriter, r *http.Request) {
+	set, ok := f.current(w)
+	if !ok {
+		return
+	}
+	profile, ok := set.For(model.ServiceID(r.PathValue("service")))
+	if !ok {
+		web.Refuse(w, http.StatusNotFound, "not_found", "profile: the service's profile is not in the register")
+		return
+	}
+	web.Reply(w, http.StatusOK, serviceBody{profile.Name})
+}
+
+func (f *Frontend) setService(w http.ResponseWriter, r *http.Request) {
+	service := model.ServiceID(r.PathValue("service"))
+	var body serviceBody
+	err := web.Decode(w, r, &body)
+	if err == nil && body.Profile == "" {
+		err = errors.New("profile: must be set")
+	}
+	if err == nil && (service == "" || len(service) > maxNameLength) {
+		err = errors.New("service: must have 1 to 64 characters")
+	}
+	if err != nil {
+		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	f.edit(w, r, model.ProfileEdit{Kind: model.SetService, Name: body.Profile, Service: service})
+}
+
+// edit completes the edit from the request's headers, has it agreed and answers.
+func (f *Frontend) edit(w http.ResponseWriter, r *http.Request, edit model.ProfileEdit) {
+	if r.Header.Get(headerIfMatch) == "" {
+		web.Refuse(w, http.StatusPreconditionRequired, "precondition_required", headerIfMatch+": must name the revision that the change was made for")
+		return
+	}
+	if err := readHeaders(r, &edit); err != nil {
+		web.Refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	edit.Digest = digest(edit)
+	f.answerEdit(w, edit, f.register.Edit(r.Context(), edit))
+}
+
+func readHeaders(r *http.Request, edit *model.ProfileEdit) error {
+	expect, err := strconv.ParseUint(strings.Trim(r.Header.Get(headerIfMatch), `"`), 10, 64)
+	if err != nil {
+		return errors.Newf("%s: must be a revision in quotes", headerIfMatch)
+	}
+	edit.Expect = model.Revision(expect)
+	edit.ID = r.Header.Get(headerKey)
+	if edit.ID == "" || len(edit.ID) > maxHeader {
+		return errors.Newf("%s: must have 1 to %d characters", headerKey, maxHeader)
+	}
+	edit.Operator = r.Header.Get(headerOperator)
+	if len(edit.Operator) > maxHeader {
+		return errors.Newf("%s: must have at most %d characters", headerOperator, maxHeader)
+	}
+	if edit.Operator == "" {
+		edit.Operator = anonymous
+	}
+	return nil
+}
+
+// digest hashes what the edit does; the JSON encoder sorts the keys of maps.
+func digest(edit model.ProfileEdit) uint64 {
+	edit.ID, edit.Operator, edit.Digest = "", "", 0
+	encoded, err := json.Marshal(edit)
+	if err != nil {
+		return 0 // Numbers were checked; nothing else of an edit fails to encode.
+	}
+	return xxhash.Sum64(encoded)
+}
+
+type revisionBody struct {
+	Revision model.Revision `json:"revision"`
+}
+
+// editProblem is a refused edit. Run tells whether it may still take effect.
+type editProblem struct {
+	web.Problem
+	Run      model.RunState `json:"run"`
+	Revision model.Revision `json:"revision"`
+}
+
+func (f *Frontend) answerEdit(w http.ResponseWriter, edit model.ProfileEdit, result model.EditResult) {
+	if result.Status == model.EditDone {
+		w.Header().Set(headerETag, strconv.Quote(strconv.FormatUint(uint64(result.Revision), 10)))
+		web.Reply(w, http.StatusOK, revisionBody{result.Revision})
+		return
+	}
+	status, detail := describe(edit, result)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
+	problem := web.Problem{Title: http.StatusText(status), Status: status, Reason: string(result.Status), Detail: detail}
+	web.WriteProblem(w, status, editProblem{problem, result.Run, result.Revision})
+}
+
+func describe(edit model.ProfileEdit, result model.EditResult) (status int, detail string) {
+	switch result.Status {
+	case model.EditStale:
+		return http.StatusPreconditionFailed, headerIfMatch + ": the register is at another revision"
+	case model.EditKeyReused:
+		return http.StatusUnprocessableEntity, headerKey + ": belongs to another change"
+	case model.EditNotFound:
+		if edit.Kind == model.SetService {
+			return http.StatusBadRequest, "profile: there is no such profile"
+		}
+		return http.StatusNotFound, "name: there is no such profile"
+	case model.EditInUse:
+		return http.StatusConflict, "name: the profile is the default one, or a service has chosen it"
+	case model.EditTooMany:
+		return http.StatusConflict, "name: the register holds as many as it can"
+	}
+	return http.StatusServiceUnavailable, "no majority of the replicas has answered"
+}
+
+type changeBody struct {
+	Revision model.Revision    `json:"revision"`
+	At       time.Time         `json:"at"`
+	Operator string            `json:"operator"`
+	Change   string            `json:"change"`
+	Profile  model.ProfileName `json:"profile"`
+	Service  model.ServiceID   `json:"service,omitempty"`
+	Key      string            `json:"idempotency_key"`
+}
+
+type historyBody struct {
+	Changes []changeBody `json:"changes"` // The newest last.
+}
+
+func (f *Frontend) history(w http.ResponseWriter, _ *http.Request) { f.replyHistory(w, "") }
+
+func (f *Frontend) profileHistory(w http.ResponseWriter, r *http.Request) {
+	f.replyHistory(w, model.ProfileName(r.PathValue("name")))
+}
+
+// replyHistory answers the changes of one profile, or all when name is "".
+func (f *Frontend) replyHistory(w http.ResponseWriter, name model.ProfileName) {
+	if _, ok := f.current(w); !ok {
+		return
+	}
+	body := historyBody{Changes: []changeBody{}}
+	for _, c := range f.register.History() {
+		if name == "" || c.Profile == name {
+			body.Changes = append(body.Changes, changeBody{c.Revision, c.At, c.Operator, c.Kind, c.Profile, c.Service, c.ID})
+		}
+	}
+	web.Reply(w, http.StatusOK, body)
+}
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -1,21 +1,234 @@
-// Package profiles holds the register of profiles. So far it serves the built-in revision 0.
+// Package profiles holds the register of profiles: it runs this member's part of the agreement,
+// keeps it on disk, and puts accepted changes in force. The decisions are made in package
+// register.
 package profiles
 
 import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/profiles/disk"
+	"redwingpulley/plugins/profiles/register"
+)
+
+const (
+	folderName = "profiles" // Below the data folder.
+	condition  = "profiles" // Of plugin.Health.
 )
 
+// Settings are those of the plug-in.
+type Settings struct {
+	// Cluster names the group; files and messages of another group are refused.
+	Cluster string `json:"cluster"`
+	// ServeAloneMS is how long a starting process waits for a majority of the replicas before it
+	// believes the newest of the members that it can reach, in milliseconds; 0 is forever.
+	ServeAloneMS int64 `json:"serve_alone_ms"`
+	// Reform lets this replica vote although the disks of a majority are lost. Set it only as
+	// OPERATIONS.md says, and take it out again.
+	Reform bool `json:"reform"`
+}
+
 // Profiles is the plug-in. Create it through the registry.
-type Profiles struct{ current model.ProfileSet }
+type Profiles struct {
+	settings   Settings
+	self       model.NodeID
+	replicas   []model.NodeID // Sorted.
+	group      uint64         // Hash of the replicas' ids.
+	path       string         // Of the folder on disk; "" without a disk.
+	peers      port.Peers
+	membership port.Membership
+	gossip     port.Gossip
+	health     *plugin.Health
+	log        *slog.Logger
+	revision   metrics.Gauge
+	sent       metrics.Counter
+	failed     metrics.Counter
 
-// Provision loads revision 0.
-func (p *Profiles) Provision(c *plugin.Context) error {
-	p.current = model.BuiltInProfiles()
+	serving atomic.Pointer[register.State]
+	notify  struct {
+		sync.Mutex
+		changed chan struct{} // Closed at the next revision.
+	}
+
+	core    core
+	disk    disk.Disk
+	release func() error
+	work    chan struct{} // Signals that effects wait; holds one.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// core is the machine and what its steps left to do, under one lock.
+type core struct {
+	sync.Mutex
+	machine *register.Machine
+	effects []register.Effect
+	waiting map[uint64]chan model.EditResult // By ticket.
+	tickets uint64
+	wake    time.Time
+}
+
+// Provision binds the ports and reads the settings.
+func (p *Profiles) Provision(c *plugin.Context) (err error) {
+	if p.peers, err = plugin.Use[port.Peers](c); err != nil {
+		return err
+	}
+	if p.membership, err = plugin.Use[port.Membership](c); err != nil {
+		return err
+	}
+	if p.gossip, err = plugin.Use[port.Gossip](c); err != nil {
+		return err
+	}
+	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds()}
+	if err := c.Settings(&p.settings); err != nil {
+		return err
+	}
+	if p.settings.ServeAloneMS < 0 {
+		return errors.Newf("plugins.%s.serve_alone_ms: must not be negative", c.ID)
+	}
+	p.self, p.health, p.log = c.Node.Node, c.Health, c.Log
+	p.replicas = replicasOf(c)
+	p.group = hashOf(p.replicas)
+	if slices.Contains(p.replicas, p.self) {
+		p.path = filepath.Join(c.Node.DataDir, folderName)
+	}
+	p.revision = metrics.NewRegisteredGauge("profiles.revision", c.Metrics)
+	p.sent = metrics.NewRegisteredCounter("profiles.messages_sent", c.Metrics)
+	p.failed = metrics.NewRegisteredCounter("profiles.writes_failed", c.Metrics)
+	p.notify.changed = make(chan struct{})
+	p.work = make(chan struct{}, 1)
+	p.health.Block(condition, "no revision is learned yet")
+	p.handle()
 	plugin.Bind[port.Profiles](c, p)
-	return c.Settings(&struct{}{})
+	plugin.Bind[port.ProfileRegister](c, p)
+	return nil
 }
 
-// Current returns the newest known profiles.
-func (p *Profiles) Current() (model.ProfileSet, bool) { return p.current, true }
+const defaultServeAlone = 5 * time.Second
+
+func replicasOf(c *plugin.Context) []model.NodeID {
+	var replicas []model.NodeID
+	for _, m := range c.Node.Members {
+		if m.Disk {
+			replicas = append(replicas, m.Node)
+		}
+	}
+	slices.Sort(replicas)
+	return replicas
+}
+
+func hashOf(nodes []model.NodeID) uint64 {
+	d := xxhash.New()
+	for _, node := range nodes {
+		d.WriteString(string(node))
+		d.WriteString("\n")
+	}
+	return d.Sum64()
+}
+
+// Start reads the disk and takes up the agreement.
+func (p *Profiles) Start() error {
+	loaded, err := p.open()
+	if err != nil {
+		return err
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.core.Lock()
+	p.core.machine = register.New(register.Config{
+		Self: p.self, Replicas: p.replicas, Seed: rand.Uint64(),
+		Copied: loaded.Copied, Reform: p.settings.Reform,
+		Alone: time.Duration(p.settings.ServeAloneMS) * time.Millisecond,
+	}, loaded.Durable)
+	p.core.waiting = make(map[uint64]chan model.EditResult)
+	p.core.Unlock()
+	p.running.Go(p.run)
+	p.step(register.Woken{})
+	return nil
+}
+
+func (p *Profiles) open() (disk.Loaded, error) {
+	if p.path == "" {
+		return disk.Loaded{}, nil
+	}
+	folder, release, err := disk.Open(p.path)
+	if err != nil {
+		return disk.Loaded{}, errors.Wrap(err, "data_dir")
+	}
+	p.release = release
+	p.disk = disk.Disk{Folder: folder, Node: p.self, Cluster: p.settings.Cluster}
+	loaded, err := p.disk.Load()
+	if err != nil {
+		return disk.Loaded{}, errors.Join(err, release())
+	}
+	switch {
+	case loaded.Fault != nil:
+		p.log.Warn("the register's file is refused; the replica joins as one whose disk is lost", "fault", loaded.Fault.Error())
+	case loaded.Durable == nil:
+		p.log.Info("the disk holds no register; the replica joins before it votes")
+	case loaded.Copied:
+		p.log.Warn("the register's file is a copy; the replica joins before it votes")
+	}
+	return loaded, nil
+}
+
+// Stop ends this member's part of the agreement.
+func (p *Profiles) Stop() error {
+	p.cancel()
+	p.running.Wait()
+	if p.release == nil {
+		return nil
+	}
+	return p.release()
+}
+
+// Current returns the newest known profiles; ok is false until a revision has been learned.
+func (p *Profiles) Current() (model.ProfileSet, bool) {
+	state := p.serving.Load()
+	if state == nil {
+		return model.ProfileSet{}, false
+	}
+	return state.Set, true
+}
+
+// History returns the newest accepted changes, the newest last.
+func (p *Profiles) History() []model.ProfileChange {
+	state := p.serving.Load()
+	if state == nil {
+		return nil
+	}
+	return slices.Clone(state.History)
+}
+
+// Changed returns a channel that is closed when the next revision is in force here.
+func (p *Profiles) Changed() <-chan struct{} {
+	p.notify.Lock()
+	defer p.notify.Unlock()
+	return p.notify.changed
+}
+
+// Replica tells how this member takes part in the agreement.
+func (p *Profiles) Replica() port.ReplicaState {
+	if p.path == "" {
+		return port.ReplicaNone
+	}
+	p.core.Lock()
+	defer p.core.Unlock()
+	if p.core.machine != nil && p.core.machine.Votes() {
+		return port.ReplicaVoter
+	}
+	return port.ReplicaLearner
+}
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -157,7 +157,7 @@
 		m.persist()
 	}
 	if m.settles() && !m.now.Before(m.settleAt) {
-		m.settle()
+		m.settleOpen()
 	}
 	m.expireQueue()
 	m.wakeProposal()
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -92,7 +92,7 @@
 // Submitted asks for a change. Its answer comes as an Answer of the same ticket.
 type Submitted struct {
 	Ticket   uint64
-	Change   Change
+	Edit     model.ProfileEdit
 	Deadline time.Time
 }
 
@@ -149,7 +149,7 @@
 // Answer tells how a change ended.
 type Answer struct {
 	Ticket uint64
-	Result Result
+	Result model.EditResult
 }
 
 // Serve puts a state in force in this process.
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -18,7 +18,7 @@
 	lost    int       // Ballots that were lost.
 	exposed bool      // Whether a value that holds the change was sent to be accepted.
 	value   State
-	result  Result
+	result  model.EditResult
 }
 
 func (p *proposal) wakeAt() time.Time {
@@ -29,17 +29,17 @@
 }
 
 func (m *Machine) submit(s Submitted) {
-	if m.settled(s.Change) {
-		_, result := m.served.apply(s.Change, m.now)
+	if m.settled(s.Edit) {
+		_, result := m.served.apply(s.Edit, m.now)
 		m.do(Answer{s.Ticket, result})
 		return
 	}
 	if !m.votes() {
-		m.do(Answer{s.Ticket, m.unfinished(NotVoting, s.Change)})
+		m.do(Answer{s.Ticket, m.unfinished(model.EditNotVoting, s.Edit)})
 		return
 	}
 	if len(m.queue) >= queueLimit {
-		m.do(Answer{s.Ticket, m.unfinished(Busy, s.Change)})
+		m.do(Answer{s.Ticket, m.unfinished(model.EditBusy, s.Edit)})
 		return
 	}
 	m.queue = append(m.queue, s)
@@ -47,16 +47,16 @@
 }
 
 // settled reports whether what is known to be agreed is enough to answer the change.
-func (m *Machine) settled(c Change) bool {
+func (m *Machine) settled(c model.ProfileEdit) bool {
 	_, found := m.served.find(c.ID)
-	return c.Kind != Settle && (found || c.Expect < m.served.Revision())
+	return c.Kind != settle && (found || c.Expect < m.served.Revision())
 }
 
 func (m *Machine) expireQueue() {
 	m.queue = slices.DeleteFunc(m.queue, func(s Submitted) bool {
 		expired := !m.now.Before(s.Deadline)
 		if expired {
-			m.do(Answer{s.Ticket, m.unfinished(NoMajority, s.Change)})
+			m.do(Answer{s.Ticket, m.unfinished(model.EditNoMajority, s.Edit)})
 		}
 		return expired
 	})
@@ -64,13 +64,13 @@
 
 // unfinished returns the answer to a change that was not tried now. An earlier sending of it may
 // still take effect.
-func (m *Machine) unfinished(status Status, c Change) Result {
+func (m *Machine) unfinished(status model.EditStatus, c model.ProfileEdit) model.EditResult {
 	_, open := m.open[c.ID]
 	_, accepted := m.durable.Value.find(c.ID)
 	if open || accepted {
-		return Result{status, model.MayHaveRun, m.served.Revision()}
+		return refused(status, model.MayHaveRun, m.served.Revision())
 	}
-	return Result{status, model.NotRun, m.served.Revision()}
+	return refused(status, model.NotRun, m.served.Revision())
 }
 
 func (m *Machine) nextProposal() {
@@ -114,13 +114,13 @@
 func (m *Machine) giveUp() {
 	p := m.proposal
 	if p.exposed {
-		m.open[p.Change.ID] = p.Change.Expect
+		m.open[p.Edit.ID] = p.Edit.Expect
 	}
-	m.finish(m.unfinished(NoMajority, p.Change))
+	m.finish(m.unfinished(model.EditNoMajority, p.Edit))
 }
 
-func (m *Machine) finish(result Result) {
-	if m.proposal.Change.Kind != Settle {
+func (m *Machine) finish(result model.EditResult) {
+	if m.proposal.Edit.Kind != settle {
 		m.do(Answer{m.proposal.Ticket, result})
 	}
 	m.proposal = nil
@@ -180,8 +180,8 @@
 func (m *Machine) propose() {
 	p := m.proposal
 	base := m.base(p.votes)
-	p.value, p.result = base.apply(p.Change, m.now)
-	p.exposed = p.exposed || p.result.Status == Done && p.Change.Kind != Settle
+	p.value, p.result = base.apply(p.Edit, m.now)
+	p.exposed = p.exposed || p.result.Status == model.EditDone && p.Edit.Kind != settle
 	p.phase = Accepted
 	p.votes = make(map[model.NodeID]Message)
 	p.until = m.now.Add(roundTimeout)
@@ -218,7 +218,7 @@
 		m.serve(p.value)
 		m.do(Broadcast{m.news(p.value)})
 	}
-	delete(m.open, p.Change.ID)
+	delete(m.open, p.Edit.ID)
 	m.finish(p.result)
 }
 
@@ -228,9 +228,9 @@
 	return m.votes() && m.proposal == nil && m.durable.Value.Revision() > m.served.Revision()
 }
 
-// settle finds out what is agreed, so that a change whose proposer is gone does not take effect
+// settleOpen finds out what is agreed, so that a change whose proposer is gone does not take effect
 // only with the next one.
-func (m *Machine) settle() {
+func (m *Machine) settleOpen() {
 	m.settleAt = m.now.Add(settleDelay)
-	m.submit(Submitted{Change: Change{Kind: Settle}, Deadline: m.settleAt})
+	m.submit(Submitted{Edit: model.ProfileEdit{Kind: settle}, Deadline: m.settleAt})
 }
--- a/plugins/profiles/register/sim_test.go
+++ b/plugins/profiles/register/sim_test.go
@@ -32,13 +32,13 @@
 	asked   map[uint64]sent
 	unknown map[string]bool // Keys with a sending whose end is not known.
 	notRun  map[string]bool // Keys all of whose sendings were answered not_run.
-	first   map[string]Result
+	first   map[string]model.EditResult
 	states  map[model.Revision]State
 	done    int
 }
 
 type sent struct {
-	change Change
+	change model.ProfileEdit
 	to     model.NodeID
 }
 
@@ -63,7 +63,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0),
 		nodes: map[model.NodeID]*member{}, cut: map[model.NodeID]int{}, delay: 5 * time.Millisecond,
 		asked: map[uint64]sent{}, unknown: map[string]bool{}, notRun: map[string]bool{},
-		first: map[string]Result{}, states: map[model.Revision]State{0: Initial()},
+		first: map[string]model.EditResult{}, states: map[model.Revision]State{0: Initial()},
 	}
 	for i := range replicas + plain {
 		id := model.NodeID(fmt.Sprintf("n%d", i))
@@ -180,7 +180,7 @@
 	}
 }
 
-func (w *world) submit(to model.NodeID, c Change) {
+func (w *world) submit(to model.NodeID, c model.ProfileEdit) {
 	if w.nodes[to].down {
 		return
 	}
@@ -209,7 +209,7 @@
 	delete(w.asked, a.Ticket)
 	id := s.change.ID
 	switch {
-	case a.Result.Status == Done:
+	case a.Result.Status == model.EditDone:
 		w.done++
 		if first, ok := w.first[id]; ok && first != a.Result {
 			w.t.Fatalf("change %s answered %v, then %v", id, first, a.Result)
@@ -221,7 +221,7 @@
 	case a.Result.Run == model.MayHaveRun:
 		w.unknown[id] = true
 	case a.Result.Run == model.NotRun:
-		if _, done := w.first[id]; done && a.Result.Status == Stale {
+		if _, done := w.first[id]; done && a.Result.Status == model.EditStale {
 			w.t.Fatalf("change %s was done and is now refused %v", id, a.Result)
 		}
 		if !w.unknown[id] && !w.inFlight(id) {
@@ -296,7 +296,7 @@
 }
 
 func (w *world) finalChange() {
-	last := Change{ID: "last", Expect: w.newest().Revision(), Kind: PutProfile, Name: "last"}
+	last := model.ProfileEdit{ID: "last", Expect: w.newest().Revision(), Kind: model.PutProfile, Name: "last"}
 	w.unknown["last"] = true
 	w.tickets++
 	w.asked[w.tickets] = sent{last, w.replica[0]}
@@ -325,7 +325,7 @@
 type script struct {
 	*world
 	t       *rapid.T
-	changes []Change
+	changes []model.ProfileEdit
 	hurt    []model.NodeID // Replicas whose disks were lost or set back and that do not vote yet.
 }
 
@@ -368,10 +368,10 @@
 	w.run(time.Duration(rapid.SampledFrom([]int{0, 1, 5, 20, 100, 1000, 3000}).Draw(s.t, "ms")) * time.Millisecond)
 }
 
-func (s *script) newChange() Change {
+func (s *script) newChange() model.ProfileEdit {
 	expect := s.world.newest().Revision()
-	c := Change{
-		ID: fmt.Sprintf("c%d", len(s.changes)), Digest: uint64(len(s.changes)), Expect: expect, Kind: PutProfile,
+	c := model.ProfileEdit{
+		ID: fmt.Sprintf("c%d", len(s.changes)), Digest: uint64(len(s.changes)), Expect: expect, Kind: model.PutProfile,
 		Name: model.ProfileName(fmt.Sprintf("p%d", len(s.changes)%5)),
 	}
 	s.changes = append(s.changes, c)
--- a/plugins/profiles/register/state.go
+++ b/plugins/profiles/register/state.go
@@ -28,69 +28,26 @@
 // Initial returns the state at revision 0.
 func Initial() State { return State{Set: model.BuiltInProfiles()} }
 
-// Kind tells what a change does.
-type Kind string
-
-// Kinds of changes.
-const (
-	PutProfile    Kind = "put_profile"
-	DeleteProfile Kind = "delete_profile"
-	SetService    Kind = "set_service"
-	Settle        Kind = "settle" // Changes nothing; finds out what is agreed.
-)
-
-// Change is a compare-and-set on the register.
-type Change struct {
-	ID       string         // Idempotency key; a resend carries the same one.
-	Digest   uint64         // Hash of the request; tells a resend from another change under the same id.
-	Expect   model.Revision // The revision that the change was made for.
-	Operator string
-	Kind     Kind
-	Name     model.ProfileName // Of the profile that is put, deleted or chosen.
-	Profile  model.Profile     // When it is put.
-	Service  model.ServiceID   // When a service chooses.
-}
-
-// Status is how a change ended.
-type Status string
-
-// Statuses of changes.
-const (
-	Done       Status = "done"
-	Stale      Status = "stale"       // Another change took the revision that was expected.
-	KeyReused  Status = "key_reused"  // The id belongs to another change.
-	NotFound   Status = "not_found"   // There is no such profile.
-	InUse      Status = "in_use"      // The profile is still chosen, or is the default one.
-	TooMany    Status = "too_many"    // The register is full.
-	NoMajority Status = "no_majority" // No majority of the replicas answered in time.
-	NotVoting  Status = "not_voting"  // This member is no replica that may vote; another may do.
-	Busy       Status = "busy"        // Too many changes wait.
-)
-
-// Result is the answer to a change. Run is set unless the change is done.
-type Result struct {
-	Status   Status
-	Run      model.RunState
-	Revision model.Revision // Of the change when it is done, else of the register.
-}
+// settle is the kind of an edit that changes nothing; it finds out what is agreed.
+const settle model.EditKind = "settle"
 
 // apply returns the state after the change and the answer to it. The state is the same one unless
 // the change takes effect now.
-func (s State) apply(c Change, now time.Time) (State, Result) {
-	if c.Kind == Settle {
-		return s, Result{Status: Done, Revision: s.Revision()}
+func (s State) apply(c model.ProfileEdit, now time.Time) (State, model.EditResult) {
+	if c.Kind == settle {
+		return s, model.EditResult{Status: model.EditDone, Revision: s.Revision()}
 	}
 	if first, found := s.find(c.ID); found {
 		return s, s.repeated(c, first)
 	}
 	if c.Expect != s.Revision() {
-		return s, Result{Stale, s.staleRun(c), s.Revision()}
+		return s, refused(model.EditStale, s.staleRun(c), s.Revision())
 	}
 	if refusal := s.check(c); refusal != "" {
-		return s, Result{refusal, model.NotRun, s.Revision()}
+		return s, refused(refusal, model.NotRun, s.Revision())
 	}
 	next := s.changed(c, now)
-	return next, Result{Status: Done, Revision: next.Revision()}
+	return next, model.EditResult{Status: model.EditDone, Revision: next.Revision()}
 }
 
 func (s State) find(id string) (model.ProfileChange, bool) {
@@ -101,16 +58,16 @@
 	return s.History[i], true
 }
 
-func (s State) repeated(c Change, first model.ProfileChange) Result {
+func (s State) repeated(c model.ProfileEdit, first model.ProfileChange) model.EditResult {
 	if first.Digest != c.Digest {
-		return Result{KeyReused, model.NotRun, s.Revision()}
+		return refused(model.EditKeyReused, model.NotRun, s.Revision())
 	}
-	return Result{Status: Done, Revision: first.Revision}
+	return model.EditResult{Status: model.EditDone, Revision: first.Revision}
 }
 
 // staleRun tells whether the change is known not to have taken the revision after the expected
 // one. Once that revision is out of the history, this is not known any more.
-func (s State) staleRun(c Change) model.RunState {
+func (s State) staleRun(c model.ProfileEdit) model.RunState {
 	forgotten := s.Revision() - model.Revision(len(s.History))
 	if c.Expect < forgotten {
 		return model.MayHaveRun
@@ -118,18 +75,18 @@
 	return model.NotRun
 }
 
-func (s State) check(c Change) Status {
+func (s State) check(c model.ProfileEdit) model.EditStatus {
 	_, exists := s.Set.Profiles[c.Name]
 	_, chosen := s.Set.Services[c.Service]
 	switch {
-	case c.Kind == PutProfile && !exists && len(s.Set.Profiles) >= maxProfiles:
-		return TooMany
-	case c.Kind == SetService && !chosen && len(s.Set.Services) >= maxServices:
-		return TooMany
-	case c.Kind != PutProfile && !exists:
-		return NotFound
-	case c.Kind == DeleteProfile && s.uses(c.Name):
-		return InUse
+	case c.Kind == model.PutProfile && !exists && len(s.Set.Profiles) >= maxProfiles:
+		return model.EditTooMany
+	case c.Kind == model.SetService && !chosen && len(s.Set.Services) >= maxServices:
+		return model.EditTooMany
+	case c.Kind != model.PutProfile && !exists:
+		return model.EditNotFound
+	case c.Kind == model.DeleteProfile && s.uses(c.Name):
+		return model.EditInUse
 	}
 	return ""
 }
@@ -146,7 +103,7 @@
 	return false
 }
 
-func (s State) changed(c Change, now time.Time) State {
+func (s State) changed(c model.ProfileEdit, now time.Time) State {
 	next := State{Set: model.ProfileSet{
 		Revision: s.Revision() + 1,
 		Profiles: maps.Clone(s.Set.Profiles),
@@ -159,12 +116,16 @@
 	kept := s.History[max(0, len(s.History)-KeptChanges+1):]
 	next.History = append(slices.Clone(kept), record)
 	switch c.Kind {
-	case PutProfile:
+	case model.PutProfile:
 		next.Set.Profiles[c.Name] = c.Profile
-	case DeleteProfile:
+	case model.DeleteProfile:
 		delete(next.Set.Profiles, c.Name)
-	case SetService:
+	case model.SetService:
 		next.Set.Services[c.Service] = c.Name
 	}
 	return next
 }
+
+func refused(status model.EditStatus, run model.RunState, revision model.Revision) model.EditResult {
+	return model.EditResult{Status: status, Run: run, Revision: revision}
+}
--- /dev/null
+++ b/plugins/profiles/run.go
@@ -0,0 +1,210 @@
+package profiles
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/profiles/register"
+	"redwingpulley/plugins/profiles/wire"
+)
+
+const (
+	methodMessage = "profiles/message"
+	methodEdit    = "profiles/edit"
+	topic         = "profiles" // Of gossip; the value is the revision as a varint.
+	sendTimeout   = time.Second
+)
+
+func (p *Profiles) handle() {
+	port.Handle(p.peers, methodMessage, func(_ context.Context, from model.NodeID, m wire.Message) struct{} {
+		p.received(from, m)
+		return struct{}{}
+	})
+	port.Handle(p.peers, methodEdit, func(ctx context.Context, _ model.NodeID, e wire.Edit) wire.Result {
+		edit, wait := e.Decode()
+		return wire.Result(p.propose(ctx, edit, wait))
+	})
+	p.gossip.Subscribe(topic, func(from model.NodeID, value []byte) {
+		revision, n := binary.Uvarint(value)
+		if n > 0 {
+			p.step(register.Told{From: from, Revision: model.Revision(revision)})
+		}
+	})
+}
+
+// received passes a message on to the machine, unless it is of another group. Members whose
+// settings name other replicas may exchange agreed states but no votes.
+func (p *Profiles) received(from model.NodeID, m wire.Message) {
+	votes := m.Kind != register.Fetch && m.Kind != register.Chosen
+	if m.Cluster != p.settings.Cluster || votes && m.Replicas != p.group {
+		p.log.Warn("message of another group", "from", from, "cluster", m.Cluster, "kind", m.Kind)
+		return
+	}
+	p.step(register.Received{From: from, Message: m.Decode()})
+}
+
+// step advances the machine; the effects are carried out by run.
+func (p *Profiles) step(event register.Event) {
+	p.core.Lock()
+	p.stepLocked(event)
+	p.core.Unlock()
+	p.signal()
+}
+
+func (p *Profiles) stepLocked(event register.Event) {
+	if p.core.machine == nil {
+		return // Not started yet; the sender asks again.
+	}
+	effects := p.core.machine.Step(time.Now(), event)
+	p.core.effects = append(p.core.effects, effects...)
+	p.core.wake = p.core.machine.Wake()
+}
+
+func (p *Profiles) signal() {
+	select {
+	case p.work <- struct{}{}:
+	default:
+	}
+}
+
+// run carries out effects, in order, until the context ends.
+func (p *Profiles) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-p.work:
+		case <-timer.C:
+			p.step(register.Woken{})
+		}
+		effects, wake := p.taken()
+		p.carryOut(effects)
+		timer.Reset(time.Until(wake))
+	}
+}
+
+func (p *Profiles) taken() ([]register.Effect, time.Time) {
+	p.core.Lock()
+	defer p.core.Unlock()
+	effects := p.core.effects
+	p.core.effects = nil
+	return effects, p.core.wake
+}
+
+// carryOut writes once for all that the effects ask to persist: the last holds all the others.
+func (p *Profiles) carryOut(effects []register.Effect) {
+	saved := p.saveLast(effects)
+	for _, effect := range effects {
+		if e, ok := effect.(register.Persist); ok {
+			if saved {
+				p.carryOutAll(e.Then)
+			}
+			continue
+		}
+		p.carryOutOne(effect)
+	}
+}
+
+func (p *Profiles) saveLast(effects []register.Effect) (saved bool) {
+	var last *register.Persist
+	for _, effect := range effects {
+		if e, ok := effect.(register.Persist); ok {
+			last = &e
+		}
+	}
+	if last == nil {
+		return false
+	}
+	if err := p.disk.Save(last.Durable); err != nil {
+		p.failed.Inc(1)
+		p.log.Error("the register is not written; this replica casts no vote", "error", err.Error())
+		p.step(register.WriteFailed{})
+		return false
+	}
+	return true
+}
+
+func (p *Profiles) carryOutAll(effects []register.Effect) {
+	for _, effect := range effects {
+		p.carryOutOne(effect)
+	}
+}
+
+func (p *Profiles) carryOutOne(effect register.Effect) {
+	switch e := effect.(type) {
+	case register.Send:
+		p.send(e.To, e.Message)
+	case register.Broadcast:
+		for _, node := range p.others() {
+			p.send(node, e.Message)
+		}
+	case register.Ask:
+		if others := p.others(); len(others) > 0 {
+			p.send(others[e.Number%uint64(len(others))], e.Message)
+		}
+	case register.Answer:
+		p.answer(e)
+	case register.Serve:
+		p.putInForce(e.State)
+	}
+}
+
+// others returns all other members that are alive, and all other replicas.
+func (p *Profiles) others() []model.NodeID {
+	var others []model.NodeID
+	seen := map[model.NodeID]bool{p.self: true}
+	add := func(node model.NodeID) {
+		if !seen[node] {
+			others = append(others, node)
+		}
+		seen[node] = true
+	}
+	for _, node := range p.membership.Alive() {
+		add(node.ID)
+	}
+	for _, node := range p.replicas {
+		add(node)
+	}
+	return others
+}
+
+func (p *Profiles) send(to model.NodeID, message register.Message) {
+	if to == p.self {
+		p.step(register.Received{From: p.self, Message: message})
+		return
+	}
+	p.sent.Inc(1)
+	encoded := wire.EncodeMessage(message, p.settings.Cluster, p.group)
+	p.running.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
+		defer cancel()
+		p.peers.Call(ctx, to, methodMessage, encoded, &struct{}{}) // A lost message is sent anew by the machine.
+	})
+}
+
+func (p *Profiles) putInForce(state register.State) {
+	p.serving.Store(&state)
+	p.health.Clear(condition)
+	p.revision.Update(int64(state.Revision()))
+	p.log.Info("profiles in force", "revision", state.Revision())
+	p.gossip.Publish(topic, binary.AppendUvarint(nil, uint64(state.Revision())))
+	p.notify.Lock()
+	defer p.notify.Unlock()
+	close(p.notify.changed)
+	p.notify.changed = make(chan struct{})
+}
+
+func (p *Profiles) answer(a register.Answer) {
+	p.core.Lock()
+	waiter, ok := p.core.waiting[a.Ticket]
+	delete(p.core.waiting, a.Ticket)
+	p.core.Unlock()
+	if ok {
+		waiter <- a.Result // Has room for the one answer.
+	}
+}
--- a/plugins/profiles/setup.go
+++ b/plugins/profiles/setup.go
@@ -8,9 +8,11 @@
 func init() {
 	plugin.Register(plugin.Definition{
 		ID:       "profiles",
-		Summary:  "holds the register of profiles",
-		Provides: []plugin.Port{plugin.PortOf[port.Profiles]()},
-		Needs:    []plugin.Port{plugin.PortOf[port.Peers](), plugin.PortOf[port.Membership]()},
-		New:      func() plugin.Plugin { return &Profiles{} },
+		Summary:  "holds the register of profiles, agreed by a majority of the members with disks",
+		Provides: []plugin.Port{plugin.PortOf[port.Profiles](), plugin.PortOf[port.ProfileRegister]()},
+		Needs: []plugin.Port{
+			plugin.PortOf[port.Peers](), plugin.PortOf[port.Membership](), plugin.PortOf[port.Gossip](),
+		},
+		New: func() plugin.Plugin { return &Profiles{} },
 	})
 }
--- /dev/null
+++ b/plugins/profiles/wire/message.go
@@ -0,0 +1,131 @@
+package wire
+
+import (
+	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/profiles/register"
+)
+
+type ballot struct {
+	Round uint64       `json:"round"`
+	Node  model.NodeID `json:"node"`
+	Run   uint64       `json:"run"`
+}
+
+func encodeBallot(b register.Ballot) *ballot {
+	if b == (register.Ballot{}) {
+		return nil
+	}
+	encoded := ballot(b)
+	return &encoded
+}
+
+func (b *ballot) decode() register.Ballot {
+	if b == nil {
+		return register.Ballot{}
+	}
+	return register.Ballot(*b)
+}
+
+type store struct {
+	Number uint64 `json:"number"`
+	Nonce  uint64 `json:"nonce"`
+}
+
+// Message is the encoded form of a register.Message, with the group that it belongs to.
+type Message struct {
+	Cluster  string `json:"cluster,omitempty"`
+	Replicas uint64 `json:"replicas"` // Hash of the sender's list of replicas.
+
+	Kind     register.MessageKind    `json:"kind"`
+	Ballot   *ballot                 `json:"ballot,omitempty"`
+	Run      uint64                  `json:"run,omitempty"`
+	Store    store                   `json:"store,omitzero"`
+	Votes    uint64                  `json:"votes,omitempty"`
+	Fences   map[model.NodeID]store  `json:"fences,omitempty"`
+	Seen     map[model.NodeID]uint64 `json:"seen,omitempty"`
+	Accepted *ballot                 `json:"accepted,omitempty"`
+	Value    *State                  `json:"value,omitempty"`
+	Copied   bool                    `json:"copied,omitempty"`
+	Voting   bool                    `json:"voting,omitempty"`
+	Promised *ballot                 `json:"promised,omitempty"`
+	Chosen   *State                  `json:"chosen,omitempty"`
+	Revision model.Revision          `json:"revision,omitempty"`
+	Pending  model.Revision          `json:"pending,omitempty"`
+	Serving  bool                    `json:"serving,omitempty"`
+}
+
+// EncodeMessage returns the encoded form of m.
+func EncodeMessage(m register.Message, cluster string, replicas uint64) Message {
+	return Message{
+		Cluster: cluster, Replicas: replicas,
+		Kind: m.Kind, Ballot: encodeBallot(m.Ballot), Run: m.Run, Store: store(m.Store), Votes: m.Votes,
+		Fences: encodeStores(m.Fences), Seen: m.Seen,
+		Accepted: encodeBallot(m.Accepted), Value: EncodeState(m.Value),
+		Copied: m.Copied, Voting: m.Voting, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
+		Revision: m.Revision, Pending: m.Pending, Serving: m.Serving,
+	}
+}
+
+// Decode returns the message.
+func (m Message) Decode() register.Message {
+	return register.Message{
+		Kind: m.Kind, Ballot: m.Ballot.decode(), Run: m.Run, Store: register.Store(m.Store), Votes: m.Votes,
+		Fences: decodeStores(m.Fences), Seen: m.Seen,
+		Accepted: m.Accepted.decode(), Value: m.Value.Decode(),
+		Copied: m.Copied, Voting: m.Voting, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
+		Revision: m.Revision, Pending: m.Pending, Serving: m.Serving,
+	}
+}
+
+func encodeStores(stores map[model.NodeID]register.Store) map[model.NodeID]store {
+	encoded := make(map[model.NodeID]store, len(stores))
+	for node, s := range stores {
+		encoded[node] = store(s)
+	}
+	return encoded
+}
+
+func decodeStores(stores map[model.NodeID]store) map[model.NodeID]register.Store {
+	decoded := make(map[model.NodeID]register.Store, len(stores))
+	for node, s := range stores {
+		decoded[node] = register.Store(s)
+	}
+	return decoded
+}
+
+// Durable is the encoded form of a register.Durable.
+type Durable struct {
+	Store    store                   `json:"store"`
+	Voting   bool                    `json:"voting"`
+	Copied   bool                    `json:"copied"`
+	Votes    uint64                  `json:"votes"`
+	Promised *ballot                 `json:"promised,omitempty"`
+	Accepted *ballot                 `json:"accepted,omitempty"`
+	Value    *State                  `json:"value"`
+	Chosen   *State                  `json:"chosen,omitempty"`
+	Fences   map[model.NodeID]store  `json:"fences"`
+	Seen     map[model.NodeID]uint64 `json:"seen"`
+}
+
+// EncodeDurable returns the encoded form of d.
+func EncodeDurable(d register.Durable) Durable {
+	encoded := Durable{
+		Store: store(d.Store), Voting: d.Voting, Copied: d.Copied, Votes: d.Votes,
+		Promised: encodeBallot(d.Promised), Accepted: encodeBallot(d.Accepted),
+		Value: EncodeState(&d.Value), Fences: encodeStores(d.Fences), Seen: d.Seen,
+	}
+	encoded.Chosen = EncodeState(&d.Chosen)
+	return encoded
+}
+
+// Decode returns what a replica keeps; ok is false when a part is missing.
+func (d Durable) Decode() (decoded register.Durable, ok bool) {
+	if d.Value == nil || d.Chosen == nil {
+		return register.Durable{}, false
+	}
+	return register.Durable{
+		Store: register.Store(d.Store), Voting: d.Voting, Copied: d.Copied, Votes: d.Votes,
+		Promised: d.Promised.decode(), Accepted: d.Accepted.decode(),
+		Value: *d.Value.Decode(), Chosen: *d.Chosen.Decode(), Fences: decodeStores(d.Fences), Seen: d.Seen,
+	}, true
+}
