--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -17,6 +17,15 @@
 	return n.Cores <= has.Cores && n.MemoryMB <= has.MemoryMB && n.Accelerators <= has.Accelerators
 }
 
+// Max returns the larger of the two in each resource.
+func (n Needs) Max(other Needs) Needs {
+	return Needs{
+		Cores:        max(n.Cores, other.Cores),
+		MemoryMB:     max(n.MemoryMB, other.MemoryMB),
+		Accelerators: max(n.Accelerators, other.Accelerators),
+	}
+}
+
 // Task is one unit of work. Its id follows from its job and index.
 type Task struct {
 	Index    int
@@ -76,6 +85,9 @@
 	ReasonEndpointLost   Reason = "endpoint_lost"
 	ReasonRefused        Reason = "endpoint_refused"
 	ReasonUnreachable    Reason = "unreachable"
+	ReasonAnswerExpired  Reason = "answer_expired"  // The job completed; its answers are no longer kept.
+	ReasonUnknownService Reason = "unknown_service" // No endpoint announced it and no profile names it.
+	ReasonUnknownTeam    Reason = "unknown_team"    // The profile's quotas do not list it.
 )
 
 // Outcome is a job's state as its caller sees it. Answers are in the order of the tasks and are
--- a/plugins/frontend/operators/profilebody.go
+++ b/plugins/frontend/operators/profilebody.go
@@ -16,6 +16,7 @@
 	maxQueueTasks  = 1_000_000
 	maxDeadline    = time.Hour
 	maxRunTime     = time.Hour
+	maxMessageCost = time.Minute
 	maxDrain       = 10 * time.Minute
 	maxQuotaBurst  = time.Minute
 	maxQuota       = 1_000_000 // Task starts a second.
@@ -32,6 +33,7 @@
 	Name              model.ProfileName        `json:"name"`
 	Placement         string                   `json:"placement"`
 	Admission         string                   `json:"admission"`
+	MessageCostUS     int64                    `json:"message_cost_us"`
 	QueueTasks        int                      `json:"queue_tasks"`
 	MaxDeadlineMS     int64                    `json:"max_deadline_ms"`
 	DefaultDeadlineMS int64                    `json:"default_deadline_ms"`
@@ -46,6 +48,7 @@
 func newProfileBody(p model.Profile) profileBody {
 	return profileBody{
 		Name: p.Name, Placement: p.Placement, Admission: p.Admission, QueueTasks: p.QueueTasks,
+		MessageCostUS:     p.MessageCost.Microseconds(),
 		MaxDeadlineMS:     p.MaxDeadline.Milliseconds(),
 		DefaultDeadlineMS: p.DefaultDeadline.Milliseconds(),
 		RetryBudget:       p.RetryBudget,
@@ -60,6 +63,7 @@
 func (b profileBody) profile() model.Profile {
 	return model.Profile{
 		Name: b.Name, Placement: b.Placement, Admission: b.Admission, QueueTasks: b.QueueTasks,
+		MessageCost:     time.Duration(b.MessageCostUS) * time.Microsecond,
 		MaxDeadline:     milliseconds(b.MaxDeadlineMS),
 		DefaultDeadline: milliseconds(b.DefaultDeadlineMS),
 		RetryBudget:     b.RetryBudget,
@@ -85,6 +89,7 @@
 	f.require(profileName.MatchString(string(b.Name)), "name", "must be lower-case letters, digits, hyphens and underscores")
 	f.oneOf("placement", b.Placement, known.placements)
 	f.oneOf("admission", b.Admission, known.admissions)
+	f.within("message_cost_us", b.MessageCostUS, 0, maxMessageCost.Microseconds())
 	f.within("queue_tasks", int64(b.QueueTasks), 1, maxQueueTasks)
 	f.within("max_deadline_ms", b.MaxDeadlineMS, 1, maxDeadline.Milliseconds())
 	f.within("default_deadline_ms", b.DefaultDeadlineMS, 1, maxDeadline.Milliseconds())
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -16,7 +16,8 @@
 
 // askToJoin asks the other replicas for what they know of this one.
 func (m *Machine) askToJoin() {
-	m.joinAt = m.now.Add(joinInterval)
+	m.joinAt = m.now.Add(m.joinWait)
+	m.joinWait = min(2*m.joinWait, joinInterval)
 	if !m.intact && !m.joining {
 		m.newStore()
 	}
@@ -84,6 +85,9 @@
 	m.verified, m.intact = true, true
 	m.durable.Fences[m.config.Self] = m.durable.Store
 	m.persist()
+	if !m.serving {
+		m.learnAt = m.now
+	}
 }
 
 func (m *Machine) enoughJoined() bool {
--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -23,7 +23,8 @@
 		m.do(Ask{m.random.Uint64(), question})
 		return
 	}
-	m.learnAt = m.now.Add(learnInterval)
+	m.learnAt = m.now.Add(m.learnWait)
+	m.learnWait = min(2*m.learnWait, learnInterval)
 	m.do(Broadcast{question})
 	m.tryServe()
 }
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -22,9 +22,10 @@
 	roundTimeout  = 700 * time.Millisecond // Wait for a majority before a new ballot.
 	backoffUnit   = 10 * time.Millisecond  // Jitter of the wait after a lost ballot, per lost ballot.
 	backoffLimit  = 20                     // Lost ballots after which the jitter grows no more.
-	joinInterval  = time.Second            // Between attempts to get a vote.
+	firstInterval = 50 * time.Millisecond  // Between the first attempts at joining and learning; doubles.
+	joinInterval  = time.Second            // Between later attempts to get a vote.
 	settleDelay   = 2 * time.Second        // Before a replica settles what its proposer left open.
-	learnInterval = 500 * time.Millisecond // Between questions while no revision is learned.
+	learnInterval = 500 * time.Millisecond // Between later questions while no revision is learned.
 	fetchInterval = 3 * time.Second        // Between questions to another member, against lost news.
 	rewriteDelay  = 2 * time.Second        // Before a write that failed is tried again.
 	queueLimit    = 64                     // Changes that may wait for their turn.
@@ -50,6 +51,7 @@
 	intact   bool    // Whether the file of an earlier run was found and is not known to be old.
 	joined   map[model.NodeID]Message
 	joinAt   time.Time
+	joinWait time.Duration
 	joining  bool // Whether this run has begun a new store.
 	verified bool // Whether others have confirmed that the file is no older copy.
 
@@ -57,6 +59,7 @@
 	serving   bool
 	answered  map[model.NodeID]Message // What replicas told at the start.
 	learnAt   time.Time
+	learnWait time.Duration
 	started   time.Time
 	rewriteAt time.Time // Zero unless a write has failed.
 	settleAt  time.Time // Zero when nothing that this replica accepted is open.
@@ -79,7 +82,8 @@
 		answered: make(map[model.NodeID]Message),
 		open:     make(map[string]model.Revision),
 		served:   Initial(),
-		durable:  Durable{Value: Initial(), Chosen: Initial()},
+		joinWait: firstInterval, learnWait: firstInterval,
+		durable: Durable{Value: Initial(), Chosen: Initial()},
 	}
 	if restored != nil {
 		m.durable = *restored
--- a/plugins/profiles/wire/wire.go
+++ b/plugins/profiles/wire/wire.go
@@ -15,6 +15,7 @@
 	Name            model.ProfileName        `json:"name"`
 	Placement       string                   `json:"placement"`
 	Admission       string                   `json:"admission"`
+	MessageCost     time.Duration            `json:"message_ns"`
 	QueueTasks      int                      `json:"queue"`
 	MaxDeadline     time.Duration            `json:"max_deadline_ns"`
 	DefaultDeadline time.Duration            `json:"deadline_ns"`
