--- /dev/null
+++ b/plugins/profiles/disk/disk_test.go
@@ -0,0 +1,195 @@
+package disk
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/profiles/register"
+)
+
+func sample(votes uint64) register.Durable {
+	state := register.Initial()
+	state.Set.Revision = model.Revision(votes)
+	state.History = []model.ProfileChange{{Revision: 1, ID: "c1", Operator: "ana"}}
+	return register.Durable{
+		Store: register.Store{Number: 1, Nonce: 7}, Voting: true, Votes: votes,
+		Promised: register.Ballot{Round: 3, Node: "a", Run: 9},
+		Value:    state, Chosen: state,
+		Fences: map[model.NodeID]register.Store{"a": {Number: 1, Nonce: 7}},
+		Seen:   map[model.NodeID]uint64{"a": votes},
+	}
+}
+
+func open(t *testing.T) (Disk, string) {
+	t.Helper()
+	path := t.TempDir()
+	folder, release, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { release() })
+	return Disk{Folder: folder, Node: "a", Cluster: "c"}, path + "/" + current
+}
+
+func TestSavedIsLoaded(t *testing.T) {
+	is := is.New(t)
+	d, _ := open(t)
+	empty, err := d.Load()
+	is.NoErr(err)
+	is.Equal(empty, Loaded{})
+	is.NoErr(d.Save(sample(4)))
+	is.NoErr(d.Save(sample(5)))
+	loaded, err := d.Load()
+	is.NoErr(err)
+	is.Equal(loaded.Copied, false)
+	is.Equal(*loaded.Durable, sample(5))
+}
+
+func TestATornFileIsRefusedAtEachByte(t *testing.T) {
+	is := is.New(t)
+	d, path := open(t)
+	is.NoErr(d.Save(sample(4)))
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	for length := range whole {
+		is.NoErr(os.WriteFile(path, whole[:length], fileMode))
+		loaded, err := d.Load()
+		is.NoErr(err)
+		is.True(loaded.Durable == nil)
+		is.True(loaded.Fault != nil)
+	}
+}
+
+func TestAFlippedBitIsFound(t *testing.T) {
+	is := is.New(t)
+	d, path := open(t)
+	is.NoErr(d.Save(sample(4)))
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	for i := range whole {
+		damaged := append([]byte{}, whole...)
+		damaged[i] ^= 1 << (i % 8)
+		is.NoErr(os.WriteFile(path, damaged, fileMode))
+		loaded, err := d.Load()
+		is.NoErr(err)
+		is.True(loaded.Durable == nil)
+	}
+}
+
+func TestAForeignFileIsRefusedAndKept(t *testing.T) {
+	is := is.New(t)
+	d, path := open(t)
+	for _, other := range []Disk{{d.Folder, "b", "c"}, {d.Folder, "a", "d"}} {
+		is.NoErr(other.Save(sample(4)))
+		loaded, err := d.Load()
+		is.NoErr(err)
+		is.True(loaded.Durable == nil)
+		is.True(strings.Contains(loaded.Fault.Error(), "belongs to"))
+		_, err = os.Stat(strings.Replace(path, current, rejected, 1))
+		is.NoErr(err)
+	}
+}
+
+func TestARestoredCopyIsTold(t *testing.T) {
+	is := is.New(t)
+	d, path := open(t)
+	is.NoErr(d.Save(sample(4)))
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(path+".copy", whole, fileMode))
+	is.NoErr(os.Rename(path+".copy", path))
+	loaded, err := d.Load()
+	is.NoErr(err)
+	is.True(loaded.Copied)
+	is.Equal(loaded.Durable.Votes, uint64(4))
+}
+
+func TestAFolderIsUsedByOneProcess(t *testing.T) {
+	is := is.New(t)
+	path := t.TempDir()
+	_, release, err := Open(path)
+	is.NoErr(err)
+	_, _, err = Open(path)
+	is.True(err != nil)
+	is.NoErr(release())
+	_, release, err = Open(path)
+	is.NoErr(err)
+	is.NoErr(release())
+}
+
+// fullFolder is a Folder whose step of a given number fails.
+type fullFolder struct {
+	Folder
+	failAt int
+	steps  *int
+}
+
+func (f fullFolder) fail() error {
+	*f.steps++
+	if *f.steps == f.failAt {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
+func (f fullFolder) Create(name string) (File, error) {
+	if err := f.fail(); err != nil {
+		return nil, err
+	}
+	file, err := f.Folder.Create(name)
+	return fullFile{file, f}, err
+}
+
+func (f fullFolder) Rename(from, to string) error {
+	if err := f.fail(); err != nil {
+		return err
+	}
+	return f.Folder.Rename(from, to)
+}
+
+func (f fullFolder) Sync() error {
+	if err := f.fail(); err != nil {
+		return err
+	}
+	return f.Folder.Sync()
+}
+
+type fullFile struct {
+	File
+	folder fullFolder
+}
+
+// Write writes half of the content before it fails.
+func (f fullFile) Write(content []byte) (int, error) {
+	if err := f.folder.fail(); err != nil {
+		n, _ := f.File.Write(content[:len(content)/2])
+		return n, err
+	}
+	return f.File.Write(content)
+}
+
+func (f fullFile) Sync() error {
+	if err := f.folder.fail(); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
+func TestAFullDiskIsToldAndKeepsAWholeFile(t *testing.T) {
+	const stepsOfSave = 5 // Create, write, sync, rename, sync of the folder.
+	for failAt := 1; failAt <= stepsOfSave; failAt++ {
+		is := is.New(t)
+		d, _ := open(t)
+		is.NoErr(d.Save(sample(4)))
+		full := Disk{fullFolder{d.Folder, failAt, new(int)}, d.Node, d.Cluster}
+		is.True(full.Save(sample(5)) != nil)
+		loaded, err := d.Load()
+		is.NoErr(err)
+		is.True(loaded.Durable.Votes == 4 || failAt == stepsOfSave && loaded.Durable.Votes == 5)
+	}
+}
