--- a/cmd/internal/group/fixed.go
+++ b/cmd/internal/group/fixed.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"context"
 	"slices"
 
 	"redwingpulley/kernel/model"
@@ -17,7 +18,7 @@
 	return append(others, plugin.Definition{
 		ID:       profilesID,
 		Summary:  "fixed profiles of an experiment",
-		Provides: []plugin.Port{plugin.PortOf[port.Profiles]()},
+		Provides: []plugin.Port{plugin.PortOf[port.Profiles](), plugin.PortOf[port.ProfileRegister]()},
 		New:      func() plugin.Plugin { return fixedProfiles{set} },
 	})
 }
@@ -27,8 +28,23 @@
 // Provision binds the port.
 func (f fixedProfiles) Provision(c *plugin.Context) error {
 	plugin.Bind[port.Profiles](c, f)
+	plugin.Bind[port.ProfileRegister](c, f)
 	return nil
 }
 
 // Current returns the fixed set.
 func (f fixedProfiles) Current() (model.ProfileSet, bool) { return f.set, true }
+
+// Edit refuses: the set is fixed.
+func (fixedProfiles) Edit(context.Context, model.ProfileEdit) model.EditResult {
+	return model.EditResult{Status: model.EditNoMajority, Run: model.NotRun}
+}
+
+// History returns no changes.
+func (fixedProfiles) History() []model.ProfileChange { return nil }
+
+// Changed returns a channel that is never closed.
+func (fixedProfiles) Changed() <-chan struct{} { return nil }
+
+// Replica tells that there is no agreement.
+func (fixedProfiles) Replica() port.ReplicaState { return port.ReplicaNone }
--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -19,6 +19,7 @@
 	"redwingpulley/cmd/internal/node"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
 )
 
@@ -86,9 +87,44 @@
 		}
 		g.Endpoints = append(g.Endpoints, e)
 	}
+	if err := g.awaitProfiles(ctx); err != nil {
+		return err
+	}
 	return g.awaitEndpoints(ctx)
 }
 
+// awaitProfiles waits until every entry VM has learned a revision of the profiles.
+func (g *Group) awaitProfiles(ctx context.Context) error {
+	for _, host := range g.Hosts {
+		profiles, err := plugin.Lookup[port.Profiles](host)
+		if err != nil {
+			return err
+		}
+		register, err := plugin.Lookup[port.ProfileRegister](host)
+		if err != nil {
+			return err
+		}
+		if err := awaitRevision(ctx, profiles, register); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func awaitRevision(ctx context.Context, profiles port.Profiles, register port.ProfileRegister) error {
+	for {
+		changed := register.Changed()
+		if _, ok := profiles.Current(); ok {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Newf("no revision of the profiles was learned: %v", ctx.Err())
+		}
+	}
+}
+
 func (g *Group) startMember(c Config, own settings.Settings) error {
 	if err := g.placeRelays(c, &own); err != nil {
 		return err
--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -20,6 +20,7 @@
 	"redwingpulley/plugins/endpoints/ledger",
 	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
+	"redwingpulley/plugins/profiles/register",
 	"redwingpulley/plugins/placement/plan",
 	"redwingpulley/plugins/jobs/retrybudget",
 	"redwingpulley/plugins/membership/swim",
