Failure tests with real processes, signals and broken connections

Cause: the promises under kills, freezes, crashes, silent connections, cuts and planned restarts were not tried with real processes.

Change: tests run redwingd as processes, stand-ins behind relays, and check the stand-ins' records: no task started twice, no job refused as not run that started, answers to their own jobs, no answer missing, and messages that do not multiply. A caller that could not connect tries the next entry VM.

--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -110,35 +112,46 @@
 	return reply.JobIDs, nil
 }
 
-// Submit sends the job to the entry VM of the given number, and after a lost answer to the ones
-// behind it, until an answer has come or the resends are used up.
+// Submit sends the job to the entry VM of the given number. When no connection could be had, it
+// tries the other entry VMs; after a lost answer it sends a job with a ticket to the ones behind,
+// until an answer has come or the resends are used up.
 func (c *Client) Submit(ctx context.Context, first int, job Job) Result {
 	result := Result{JobID: job.ID, Outcome: Unknown, Reason: "no answer"}
-	for try := 0; ; try++ {
-		got, answered := c.submitTo(ctx, c.Entries[(first+try)%len(c.Entries)], job)
-		got.Resends = try
+	unconnected := 0
+	for entry := first; ; entry++ {
+		got, answered, sent := c.submitTo(ctx, c.Entries[entry%len(c.Entries)], job)
+		got.Resends = result.Resends
 		if answered {
 			return got
 		}
-		result.Resends = try
+		if !sent && unconnected < len(c.Entries)-1 {
+			unconnected++
+			continue
+		}
 		if got.JobID != "" {
 			result.JobID = got.JobID
 		}
-		if job.ID == "" || try == c.Resends || !pause(ctx, resendPause) {
+		if job.ID == "" || result.Resends == c.Resends || !pause(ctx, resendPause) {
 			return result
 		}
+		result.Resends++
 	}
 }
 
-func (c *Client) submitTo(ctx context.Context, entry string, job Job) (Result, bool) {
+func (c *Client) submitTo(ctx context.Context, entry string, job Job) (result Result, answered, sent bool) {
 	limit := time.Duration(job.DeadlineMS)*time.Millisecond + answerGrace
 	ctx, cancel := context.WithTimeout(ctx, limit+2*c.Delay)
 	defer cancel()
-	status, header, raw, err := c.do(ctx, http.MethodPost, entry, "/v1/jobs", job)
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	status, header, raw, err := c.do(traced, http.MethodPost, entry, "/v1/jobs", job)
 	if err != nil {
-		return Result{}, false
+		return Result{}, false, connected.Load()
 	}
-	return c.read(ctx, entry, job.ID, status, header, raw)
+	result, answered = c.read(ctx, entry, job.ID, status, header, raw)
+	return result, answered, true
 }
 
 func (c *Client) read(ctx context.Context, entry, id string, status int, header http.Header, raw []byte) (Result, bool) {
--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -29,15 +29,15 @@
 	Tasks       int                    `json:"tasks"`
 	Outcomes    map[caller.Outcome]int `json:"outcomes"`
 	Reasons     map[string]int         `json:"reasons"`
-	Cancelled   int                    `json:"cancelled"` // Jobs that their callers cancelled.
+	Cancelled   int                    `json:"cancelled"`     // Jobs that their callers cancelled.
 	IdealRefuse int                    `json:"ideal_refused"` // Jobs that even the ideal must refuse.
 	Mean        time.Duration          `json:"mean_ns"`
 	P50         time.Duration          `json:"p50_ns"`
 	P99         time.Duration          `json:"p99_ns"`
 	IdealMean   time.Duration          `json:"ideal_mean_ns"` // Of the jobs that completed.
-	Ratio       Ratio                  `json:"over_ideal"` // Against an ideal with the jobs that completed.
-	Floor       Ratio                  `json:"over_floor"` // Against the longest task of each job.
-	Late        int                    `json:"late"`       // Not complete although tasks had started.
+	Ratio       Ratio                  `json:"over_ideal"`    // Against an ideal with the jobs that completed.
+	Floor       Ratio                  `json:"over_floor"`    // Against the longest task of each job.
+	Late        int                    `json:"late"`          // Not complete although tasks had started.
 }
 
 // Ratio is response times over a reference, job by job.
--- /dev/null
+++ b/cmd/internal/process/harness_test.go
@@ -0,0 +1,362 @@
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/bench/caller"
+	"redwingpulley/bench/relay"
+	"redwingpulley/bench/standin"
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/settings"
+)
+
+// hangGuard ends a test that waits for something that will never come.
+const hangGuard = 60 * time.Second
+
+// startTries bounds the tries to start a cluster: a free port that was found may be taken by
+// another program before the entry VM listens at it.
+const startTries = 3
+
+var redwingd string // The built program.
+
+// starting keeps the tests of this package from finding the same free ports.
+var starting sync.Mutex
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "redwing-process-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	redwingd = filepath.Join(dir, "redwingd")
+	out, err := exec.Command("go", "build", "-o", redwingd, "redwingpulley/cmd/redwingd").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// cluster is entry VMs as processes, and stand-in endpoints inside the test.
+type cluster struct {
+	t         *testing.T
+	ctx       context.Context
+	dir       string
+	members   []settings.Settings
+	vms       []*vm
+	endpoints []*standin.Endpoint
+	between   map[[2]model.NodeID]*relay.Relay // Of members of different data centres, from and to.
+	front     []*relay.Relay                   // Before each endpoint.
+}
+
+// vm is one entry VM's process.
+type vm struct {
+	settings settings.Settings
+	file     string
+	command  *exec.Cmd
+	exited   chan struct{} // Closed once the process has ended.
+	log      string
+}
+
+// shape is the entry VMs and endpoints of each data centre.
+type shape struct {
+	dataCentres int
+	vms         int // In each data centre.
+	endpoints   int // In each data centre.
+	slots       int
+}
+
+// start runs a cluster until the end of the test.
+func start(t *testing.T, s shape) *cluster {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), hangGuard+*extraTime)
+	t.Cleanup(cancel)
+	c := &cluster{t: t, ctx: ctx}
+	t.Cleanup(c.killAll)
+	c.startMembers(s)
+	c.warmUp()
+	return c
+}
+
+func (c *cluster) startMembers(s shape) {
+	c.t.Helper()
+	starting.Lock()
+	defer starting.Unlock()
+	var err error
+	for range startTries {
+		c.dir, c.members = c.t.TempDir(), nil
+		c.between = make(map[[2]model.NodeID]*relay.Relay)
+		c.configure(s)
+		if err = c.launchAll(); err == nil {
+			c.addEndpoints(s)
+			return
+		}
+		c.killAll()
+		c.vms = nil
+	}
+	c.t.Fatal(err)
+}
+
+func (c *cluster) launchAll() error {
+	for i := range c.members {
+		v, err := c.tryLaunch(i)
+		if err != nil {
+			return err
+		}
+		c.vms = append(c.vms, v)
+	}
+	return nil
+}
+
+func (c *cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) configure(s shape) {
+	c.t.Helper()
+	var known []settings.Member
+	for d := range s.dataCentres {
+		for v := range s.vms {
+			ports := c.freePorts(4)
+			dc := model.DataCentre(fmt.Sprintf("dc%d", d+1))
+			node := model.NodeID(fmt.Sprintf("%s-%c", dc, 'a'+v))
+			c.members = append(c.members, settings.Settings{
+				Node: node, Region: "test", DataCentre: dc, DataDir: filepath.Join(c.dir, string(node)),
+				Listen: settings.Listen{Callers: ports[0], Endpoints: ports[1], Operators: ports[2], Peers: ports[3]},
+			})
+			known = append(known, settings.Member{Node: node, DataCentre: dc, Peers: ports[3], Endpoints: ports[1], Disk: true})
+		}
+	}
+	for i := range c.members {
+		c.members[i].Members = known
+		c.members[i].Plugins = map[string]json.RawMessage{"peer.http": c.relays(c.members[i], known)}
+	}
+}
+
+// relays places a relay on the way from own to each member of another data centre, and returns the
+// settings by which own uses them.
+func (c *cluster) relays(own settings.Settings, known []settings.Member) json.RawMessage {
+	c.t.Helper()
+	addresses := make(map[model.NodeID]string)
+	for _, other := range known {
+		if other.DataCentre == own.DataCentre {
+			continue
+		}
+		r, err := relay.Start(other.Peers, 0)
+		c.must(err)
+		c.t.Cleanup(r.Close)
+		c.between[[2]model.NodeID{own.Node, other.Node}] = r
+		addresses[other.Node] = r.Address()
+	}
+	raw, err := json.Marshal(map[string]any{"addresses": addresses})
+	c.must(err)
+	return raw
+}
+
+func (c *cluster) freePorts(count int) []string {
+	c.t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.must(err)
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// launch starts the process of a member and returns once it serves.
+func (c *cluster) launch(index int) *vm {
+	c.t.Helper()
+	v, err := c.tryLaunch(index)
+	c.must(err)
+	return v
+}
+
+func (c *cluster) tryLaunch(index int) (*vm, error) {
+	c.t.Helper()
+	own := c.members[index]
+	v := &vm{settings: own, file: filepath.Join(c.dir, string(own.Node)+".json"), exited: make(chan struct{})}
+	raw, err := json.Marshal(own)
+	c.must(err)
+	c.must(os.WriteFile(v.file, raw, 0o600))
+	v.command = exec.Command(redwingd, "run", "--settings", v.file)
+	stderr, err := v.command.StderrPipe()
+	c.must(err)
+	v.log = filepath.Join(c.dir, string(own.Node)+".log")
+	log, err := os.OpenFile(v.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	c.must(err)
+	c.must(v.command.Start())
+	serving := make(chan struct{})
+	go v.watch(stderr, log, serving)
+	select {
+	case <-serving:
+	case <-v.exited:
+		return nil, errors.Newf("%s ended before it served:\n%s", own.Node, c.tail(v))
+	case <-c.ctx.Done():
+		v.command.Process.Kill()
+		return nil, errors.Newf("%s does not serve:\n%s", own.Node, c.tail(v))
+	}
+	return v, nil
+}
+
+// watch copies the process's log, tells when it serves and when it has ended.
+func (v *vm) watch(stderr io.Reader, log *os.File, serving chan struct{}) {
+	defer close(v.exited)
+	defer log.Close()
+	var once sync.Once
+	lines := bufio.NewReader(stderr)
+	for {
+		line, err := lines.ReadBytes('\n')
+		log.Write(line)
+		if bytes.Contains(line, []byte(`"msg":"serving"`)) {
+			once.Do(func() { close(serving) })
+		}
+		if err != nil {
+			v.command.Wait()
+			return
+		}
+	}
+}
+
+func (c *cluster) tail(v *vm) []byte {
+	const kept = 4000
+	raw, _ := os.ReadFile(v.log) // What can be read is shown.
+	return raw[max(0, len(raw)-kept):]
+}
+
+func (c *cluster) addEndpoints(s shape) {
+	c.t.Helper()
+	for d := range s.dataCentres {
+		dc := fmt.Sprintf("dc%d", d+1)
+		for e := range s.endpoints {
+			c.addEndpoint(fmt.Sprintf("%s-e%d", dc, e+1), dc, s.slots)
+		}
+	}
+	for _, e := range c.endpoints {
+		select {
+		case <-e.Announced():
+		case <-c.ctx.Done():
+			c.t.Fatalf("endpoint %s was not taken on", e.ID())
+		}
+	}
+}
+
+// addEndpoint starts a stand-in that is reached through a relay.
+func (c *cluster) addEndpoint(id, dc string, slots int) {
+	c.t.Helper()
+	var entries []string
+	for _, m := range c.members {
+		if string(m.DataCentre) == dc {
+			entries = append(entries, m.Listen.Endpoints)
+		}
+	}
+	listen := c.freePorts(1)[0]
+	front, err := relay.Start(listen, 0)
+	c.must(err)
+	e, err := standin.Start(standin.Config{
+		Endpoint: id, Service: "finder", Worker: id, Rack: "r1", DataCentre: dc, Listen: listen,
+		Advertise: front.Address(), Slots: slots, Entries: entries,
+	})
+	c.must(err)
+	c.t.Cleanup(func() { e.Close(); front.Close() })
+	c.endpoints = append(c.endpoints, e)
+	c.front = append(c.front, front)
+}
+
+// warmUp has each entry VM complete a job, resubmitted while it is truly refused.
+func (c *cluster) warmUp() {
+	c.t.Helper()
+	for _, m := range c.members {
+		client := caller.New([]string{m.Listen.Callers}, 0, 0)
+		for {
+			result := client.Submit(c.ctx, 0, job(1, 1))
+			if result.Outcome == caller.Complete {
+				break
+			}
+			if c.ctx.Err() != nil {
+				c.t.Fatalf("%s completes nothing: %s %s", m.Node, result.Outcome, result.Reason)
+			}
+			wait(c.ctx, max(result.RetryAfter, 100*time.Millisecond))
+		}
+		client.Close()
+	}
+}
+
+// job returns a job of so many tasks of so many milliseconds.
+func job(tasks int, ms int64) caller.Job {
+	j := caller.Job{Service: "finder", Team: "t1", DeadlineMS: 5000}
+	for range tasks {
+		raw, _ := json.Marshal(standin.Payload{SleepMS: ms}) // A number always encodes.
+		j.Tasks = append(j.Tasks, caller.Task{Payload: raw, RunMS: ms})
+	}
+	return j
+}
+
+// entries returns the callers' listeners of all entry VMs.
+func (c *cluster) entries() []string {
+	var all []string
+	for _, m := range c.members {
+		all = append(all, m.Listen.Callers)
+	}
+	return all
+}
+
+func (c *cluster) logs() []standin.Log {
+	var logs []standin.Log
+	for _, e := range c.endpoints {
+		logs = append(logs, e.Log())
+	}
+	return logs
+}
+
+// signal sends a signal to the process of one entry VM.
+func (c *cluster) signal(index int, signal syscall.Signal) {
+	c.t.Helper()
+	c.must(c.vms[index].command.Process.Signal(signal))
+}
+
+// kill ends a process at once.
+func (c *cluster) kill(index int) {
+	c.t.Helper()
+	c.signal(index, syscall.SIGKILL)
+	<-c.vms[index].exited
+}
+
+func (c *cluster) killAll() {
+	for _, v := range c.vms {
+		v.command.Process.Signal(syscall.SIGCONT) // Both fail on a process that has ended.
+		v.command.Process.Kill()
+		<-v.exited
+	}
+}
+
+// wait sleeps until the time has passed or the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
