--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -264,19 +265,21 @@
 // Lose stops an entry VM without a drain.
 func (g *Group) Lose(number int) error { return g.Hosts[number].Stop() }
 
-// Stop ends the endpoints and drains the entry VMs.
+// Stop drains the entry VMs, then ends the endpoints.
 func (g *Group) Stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
-	var faults error
-	for _, host := range g.Hosts {
-		faults = errors.Join(faults, node.Stop(ctx, host))
+	faults := make([]error, len(g.Hosts))
+	var stopping sync.WaitGroup
+	for i, host := range g.Hosts {
+		stopping.Go(func() { faults[i] = node.Stop(ctx, host) })
 	}
+	stopping.Wait()
 	for _, e := range g.Endpoints {
 		e.Close()
 	}
 	for _, r := range g.relays {
 		r.Close()
 	}
-	return faults
+	return errors.Join(faults...)
 }
