Record of decisions and its replay

Cause: a run that went wrong could not be tried again on the decision code.

Change: plug-in record.file writes each step of the pools' and jobs' machines, with the time, the event and the effects, as JSON lines when its settings name a file. Steps are numbered under the shard's lock and encoded after it. `redwingctl bench replay` drives the same machines with the events and compares the effects; it also finds a task that is started before the earlier attempt is settled. While steps are recorded their times have no monotonic reading, since a replay has none either.

--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"path/filepath"
 	"strconv"
 	"sync"
 	"time"
@@ -21,12 +22,14 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/settings"
+	"redwingpulley/plugins/record/file"
 )
 
 const (
 	warmUpLimit = 20 * time.Second // Until every endpoint has announced itself.
 	stopLimit   = 10 * time.Second // For the drain of one entry VM.
 	rackSize    = 6                // Workers in a rack.
+	recordMB    = 64               // Of one entry VM's record.
 )
 
 // Config describes a group.
@@ -38,6 +41,7 @@
 	Seed        uint64
 	DataDir     string        // Parent of the entry VMs' data folders; "" for entry VMs without disks.
 	Delay       time.Duration // One way between data centres; 0 connects entry VMs directly.
+	Record      string        // Folder for a record of each entry VM's decisions; "" for none.
 	Log         *slog.Logger
 	Definitions []plugin.Definition // Plug-ins of the entry VMs; nil for all that are linked.
 }
@@ -91,7 +95,11 @@
 }
 
 func (g *Group) startMember(c Config, own settings.Settings) error {
-	if err := g.placeRelays(c, &own); err != nil {
+	own.Plugins = make(map[string]json.RawMessage)
+	if err := g.placeRelays(c, own); err != nil {
+		return err
+	}
+	if err := c.setRecord(own); err != nil {
 		return err
 	}
 	definitions := c.Definitions
@@ -107,7 +115,7 @@
 }
 
 // placeRelays has the member reach those of other data centres through relays of its own.
-func (g *Group) placeRelays(c Config, own *settings.Settings) error {
+func (g *Group) placeRelays(c Config, own settings.Settings) error {
 	if c.Delay == 0 {
 		return nil
 	}
@@ -127,10 +135,24 @@
 	if err != nil {
 		return errors.Wrap(err, "relays")
 	}
-	own.Plugins = map[string]json.RawMessage{"peer.http": raw}
+	own.Plugins["peer.http"] = raw
 	return nil
 }
 
+func (c Config) setRecord(own settings.Settings) error {
+	if c.Record == "" {
+		return nil
+	}
+	raw, err := json.Marshal(file.Settings{File: c.RecordFile(own.Node), MaxMB: recordMB})
+	own.Plugins["record.file"] = raw
+	return errors.Wrap(err, "record")
+}
+
+// RecordFile returns the file that an entry VM's decisions are recorded in.
+func (c Config) RecordFile(node model.NodeID) string {
+	return filepath.Join(c.Record, string(node)+".events.jsonl")
+}
+
 // members returns the settings of all entry VMs, with free ports. The first of each data centre
 // has a disk.
 func (c Config) members() ([]settings.Settings, error) {
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -4,9 +4,12 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
+	"redwingpulley/plugins/endpoints/poolstate"
 
 	_ "redwingpulley/plugins/standard" // Links in the plug-ins.
 )
@@ -25,6 +28,21 @@
 	return host, host.Start()
 }
 
+// Policies returns the placements and admissions that are linked, provisioned with their defaults.
+func Policies(log *slog.Logger) (poolstate.Policies, error) {
+	pure := slices.DeleteFunc(plugin.Registered(), func(d plugin.Definition) bool {
+		return d.ID.Kind() != "placement" && d.ID.Kind() != "admission"
+	})
+	host, err := plugin.NewHost(settings.Settings{}, log, pure)
+	if err != nil {
+		return poolstate.Policies{}, err
+	}
+	return poolstate.Policies{
+		Placements: plugin.LookupAll[port.Placement](host),
+		Admissions: plugin.LookupAll[port.Admission](host),
+	}, nil
+}
+
 // Stop drains the host until the context ends, then stops it.
 func Stop(ctx context.Context, host *plugin.Host) error {
 	host.Drain(ctx)
--- /dev/null
+++ b/cmd/internal/replay/machines.go
@@ -0,0 +1,135 @@
+package replay
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/poolstate"
+	"redwingpulley/plugins/jobs/jobstate"
+	"redwingpulley/plugins/record/file"
+)
+
+// decoders make events of one kind of machine from their recorded bodies, by the event's name.
+type decoders[Event any] map[string]func(body []byte) (Event, error)
+
+func (d decoders[Event]) decode(line file.Line) (event Event, err error) {
+	decode, ok := d[line.Event]
+	if !ok {
+		return event, errors.Newf("unknown event %q", line.Event)
+	}
+	event, err = decode(line.Body)
+	return event, errors.Wrap(err, line.Event)
+}
+
+var poolEvents = decoders[poolstate.Event]{
+	"Announced":     poolEvent[poolstate.Announced],
+	"Submitted":     poolEvent[poolstate.Submitted],
+	"Replied":       poolEvent[poolstate.Replied],
+	"RevokeReplied": poolEvent[poolstate.RevokeReplied],
+	"Cancelled":     poolEvent[poolstate.Cancelled],
+	"Owners":        poolEvent[poolstate.Owners],
+	"Elapsed":       poolEvent[poolstate.Elapsed],
+}
+
+var jobEvents = decoders[jobstate.Event]{
+	"Planned":    jobEvent[jobstate.Planned],
+	"Refused":    jobEvent[jobstate.Refused],
+	"BatchEnded": jobEvent[jobstate.BatchEnded],
+	"Replanned":  jobEvent[jobstate.Replanned],
+	"Cancelled":  jobEvent[jobstate.Cancelled],
+	"Elapsed":    jobEvent[jobstate.Elapsed],
+}
+
+func poolEvent[E poolstate.Event](body []byte) (poolstate.Event, error) { return decode[E](body) }
+
+func jobEvent[E jobstate.Event](body []byte) (jobstate.Event, error) { return decode[E](body) }
+
+func decode[E any](body []byte) (event E, err error) {
+	err = json.Unmarshal(body, &event)
+	return event, err
+}
+
+// poolStepper is the machine of a pool. It also tells which tasks are at an endpoint, so that a
+// second start is found apart from the machine's own checks.
+type poolStepper struct {
+	machine *poolstate.Machine
+	outcome *Outcome
+	open    map[model.TaskID]int // Attempts whose end is not known.
+}
+
+func newPoolStepper(line file.Line, policies poolstate.Policies, outcome *Outcome) (*poolStepper, error) {
+	created, err := decode[poolstate.Created](line.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, line.Event)
+	}
+	return &poolStepper{created.Machine(policies), outcome, make(map[model.TaskID]int)}, nil
+}
+
+func (p *poolStepper) step(line file.Line) (any, error) {
+	event, err := poolEvents.decode(line)
+	if err != nil {
+		return nil, err
+	}
+	p.settle(event)
+	fx := &poolstate.Effects{}
+	p.machine.Step(line.At, event, fx)
+	for _, s := range fx.Starts {
+		p.begun(s)
+	}
+	for _, result := range fx.Ended {
+		p.outcome.count(result)
+	}
+	return fx, nil
+}
+
+// begun notes a start, and whether an earlier attempt may still be at an endpoint.
+func (p *poolStepper) begun(s poolstate.Start) {
+	if _, open := p.open[s.Task]; open {
+		p.outcome.Repeated = append(p.outcome.Repeated, string(s.Task))
+	}
+	p.open[s.Task] = s.Attempt
+	p.outcome.Starts++
+}
+
+// settle notes an attempt that can start no more.
+func (p *poolStepper) settle(event poolstate.Event) {
+	switch e := event.(type) {
+	case poolstate.Replied:
+		if e.Reply.State != port.TaskUnknown && e.Attempt == p.open[e.Task] {
+			delete(p.open, e.Task)
+		}
+	case poolstate.RevokeReplied:
+		settled := e.Reply.State != port.TaskUnknown && e.Reply.State != port.TaskRunning
+		if settled && e.Attempt == p.open[e.Task] {
+			delete(p.open, e.Task)
+		}
+	}
+}
+
+type jobStepper struct {
+	machine *jobstate.Job
+	outcome *Outcome
+}
+
+func newJobStepper(line file.Line, outcome *Outcome) (*jobStepper, error) {
+	created, err := decode[jobstate.Created](line.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, line.Event)
+	}
+	return &jobStepper{created.Machine(), outcome}, nil
+}
+
+func (j *jobStepper) step(line file.Line) (any, error) {
+	event, err := jobEvents.decode(line)
+	if err != nil {
+		return nil, err
+	}
+	fx := j.machine.Step(line.At, event)
+	if fx.Ended {
+		j.outcome.Jobs++
+	}
+	return fx, nil
+}
--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -32,6 +32,7 @@
 	Compare  compareCommand  `cmd:"" help:"Run the same load against each policy, side by side with the ideal."`
 	Endpoint endpointCommand `cmd:"" help:"Run a stand-in endpoint until SIGTERM."`
 	Load     loadCommand     `cmd:"" help:"Replay a trace against a running group."`
+	Replay   replayCommand   `cmd:"" help:"Drive the decision code with recorded events and compare its decisions."`
 	Trace    traceCommand    `cmd:"" help:"Write a trace of generated load."`
 }
 
--- a/kernel/plugin/host.go
+++ b/kernel/plugin/host.go
@@ -133,3 +133,8 @@
 func Lookup[T any](h *Host) (T, error) {
 	return Use[T](&Context{ID: "host", host: h})
 }
+
+// LookupAll returns the implementations of port T by their plug-ins' names.
+func LookupAll[T any](h *Host) map[string]T {
+	return UseAll[T](&Context{ID: "host", host: h})
+}
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -37,6 +37,7 @@
 	peers      port.Peers
 	tasks      port.Tasks
 	decisions  port.Decisions
+	recorder   port.Recorder
 	policies   poolstate.Policies
 
 	pools *shard.Map[model.PoolID, *pool]
@@ -56,11 +57,13 @@
 
 // pool is an owned pool: its decisions, and who waits for its batches.
 type pool struct {
+	created poolstate.Created
 	machine *poolstate.Machine
 	waiters map[model.BatchID]*waiter
 	timer   *time.Timer
 
 	patience poolstate.Patience
+	steps    uint64 // Taken so far.
 }
 
 // Provision binds the ports.
@@ -84,6 +87,9 @@
 	if p.decisions, err = plugin.Use[port.Decisions](c); err != nil {
 		return err
 	}
+	if p.recorder, err = plugin.Use[port.Recorder](c); err != nil {
+		return err
+	}
 	p.policies = poolstate.Policies{
 		Placements: plugin.UseAll[port.Placement](c),
 		Admissions: plugin.UseAll[port.Admission](c),
@@ -262,8 +268,10 @@
 	case p.created <- struct{}{}:
 	default: // watchOwners has yet to take up an earlier one.
 	}
+	created := poolstate.Created{Pool: id, Owner: p.membership.Self().ID, Seed: seed}
 	return &pool{
-		machine: poolstate.New(id, p.membership.Self().ID, p.policies, seed),
+		created: created,
+		machine: created.Machine(p.policies),
 		waiters: make(map[model.BatchID]*waiter),
 	}
 }
@@ -274,8 +282,13 @@
 	defer p.release(fx)
 	var ended []*waiter
 	var patience time.Duration
+	var now time.Time
+	var created poolstate.Created
+	var number uint64
 	p.withPool(id, func(o *pool) {
-		now := time.Now()
+		now = p.now()
+		o.steps++
+		created, number = o.created, o.steps
 		patience = o.patience.Wait()
 		o.machine.Step(now, event, fx)
 		for _, result := range fx.Ended {
@@ -287,6 +300,9 @@
 		}
 		p.arm(id, o, now)
 	})
+	if p.recorder.Active() {
+		p.record(created, number, now, event, fx)
+	}
 	for _, w := range ended {
 		p.noteEnded(w)
 	}
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -64,10 +64,10 @@
 
 // Effects are what the caller has to carry out.
 type Effects struct {
-	Starts    []Start
-	Revokes   []Revoke
-	Ended     []model.BatchResult
-	Decisions []Decision
+	Starts    []Start             `json:",omitempty"`
+	Revokes   []Revoke            `json:",omitempty"`
+	Ended     []model.BatchResult `json:",omitempty"`
+	Decisions []Decision          `json:",omitempty"`
 }
 
 // Reset empties the effects and keeps their buffers.
--- a/plugins/endpoints/setup.go
+++ b/plugins/endpoints/setup.go
@@ -17,6 +17,7 @@
 			plugin.PortOf[port.Tasks](),
 			plugin.PortOf[port.Placement](),
 			plugin.PortOf[port.Decisions](),
+			plugin.PortOf[port.Recorder](),
 			plugin.PortOf[port.Admission](),
 		},
 		New: func() plugin.Plugin { return &Pools{} },
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -41,12 +41,16 @@
 	var fx jobstate.Effects
 	var sends []outgoing
 	var cancels []context.CancelFunc
+	var now time.Time
+	var number uint64
 	j.jobs.Do(id, func(jobs map[model.JobID]*entry) {
 		known := false
 		if e, known = jobs[id]; !known {
 			return
 		}
-		now := time.Now()
+		now = j.now()
+		e.steps++
+		number = e.steps
 		fx = e.state.Step(now, event)
 		sends, cancels = j.track(e, event, fx)
 		if fx.Gone {
@@ -55,6 +59,9 @@
 		}
 		e.timer.Reset(e.state.Wake().Sub(now))
 	})
+	if number > 0 && j.recording() {
+		j.recordStep(e.created, number, now, event, fx)
+	}
 	for _, s := range sends {
 		go j.send(s)
 	}
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -40,6 +40,7 @@
 	pools      port.Pools
 	peers      port.Peers
 	decisions  port.Decisions
+	recorder   port.Recorder
 	placements map[string]port.Placement
 	registry   metrics.Registry
 	responses  metrics.Histogram // Milliseconds from submission to end.
@@ -55,7 +56,9 @@
 
 // entry is a job and who waits for it; ended is closed when its outcome is final.
 type entry struct {
+	created jobstate.Created
 	state   *jobstate.Job
+	steps   uint64 // Taken so far.
 	begun   time.Time
 	ended   chan struct{}
 	timer   *time.Timer
@@ -86,6 +89,9 @@
 	if j.decisions, err = plugin.Use[port.Decisions](c); err != nil {
 		return err
 	}
+	if j.recorder, err = plugin.Use[port.Recorder](c); err != nil {
+		return err
+	}
 	j.placements = plugin.UseAll[port.Placement](c)
 	j.init(c.Metrics)
 	plugin.Bind[port.Jobs](c, j)
@@ -217,8 +223,10 @@
 
 func (j *Jobs) newEntry(job model.Job, now time.Time, left time.Duration) *entry {
 	answers := time.Duration(j.settings.AnswersMS) * time.Millisecond
+	created := jobstate.Created{Job: job, Self: j.self.ID, Retention: jobstate.Retention{Answers: answers, Until: now.Add(left)}}
 	e := &entry{
-		state:   jobstate.New(job, j.self.ID, jobstate.Retention{Answers: answers, Until: now.Add(left)}),
+		created: created,
+		state:   created.Machine(),
 		begun:   now,
 		ended:   make(chan struct{}),
 		cancels: make(map[int]context.CancelFunc),
--- a/plugins/jobs/setup.go
+++ b/plugins/jobs/setup.go
@@ -18,6 +18,7 @@
 			plugin.PortOf[port.Pools](),
 			plugin.PortOf[port.Placement](),
 			plugin.PortOf[port.Decisions](),
+			plugin.PortOf[port.Recorder](),
 		},
 		New: func() plugin.Plugin { return &Jobs{} },
 	})
--- /dev/null
+++ b/plugins/record/file/file_test.go
@@ -0,0 +1,102 @@
+package file
+
+import (
+	"bufio"
+	"encoding/json"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
+)
+
+type event struct{ Text string }
+
+// start returns a started recorder with the given settings.
+func start(t *testing.T, own string) *Recorder {
+	t.Helper()
+	r := &Recorder{}
+	host, err := plugin.NewHost(
+		settings.Settings{Plugins: map[string]json.RawMessage{"record.file": json.RawMessage(own)}},
+		slog.New(slog.DiscardHandler),
+		[]plugin.Definition{{ID: "record.file", New: func() plugin.Plugin { return r }}},
+	)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := host.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func lines(t *testing.T, path string) (all []Line) {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for s := bufio.NewScanner(f); s.Scan(); {
+		var line Line
+		if err := json.Unmarshal(s.Bytes(), &line); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, line)
+	}
+	return all
+}
+
+func quote(t *testing.T, path string) string {
+	t.Helper()
+	raw, err := json.Marshal(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+func TestRecordedStepsAreInTheFileAfterStop(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "events.jsonl")
+	for range 2 { // A second run of the process appends.
+		r := start(t, `{"file":`+quote(t, path)+`}`)
+		is.True(r.Active())
+		r.Record(port.RecordedStep{Machine: "pool", Key: "k", Sequence: 1, At: time.Unix(1, 2), Event: event{"a"}, Effects: event{"b"}})
+		is.NoErr(r.Stop())
+	}
+	got := lines(t, path)
+	is.Equal(len(got), 2)
+	is.Equal(got[0].Event, "event")
+	is.Equal(string(got[0].Body), `{"Text":"a"}`)
+	is.Equal(string(got[0].Effects), `{"Text":"b"}`)
+	is.True(got[0].At.Equal(time.Unix(1, 2)))
+	is.True(got[0].Run != got[1].Run)
+}
+
+func TestRecordingEndsAtTheLimit(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "events.jsonl")
+	r := start(t, `{"file":`+quote(t, path)+`,"max_mb":1}`)
+	large := event{string(make([]byte, 100_000))} // Each zero byte takes six in JSON.
+	for range 4 {
+		r.Record(port.RecordedStep{Machine: "pool", Key: "k", Event: large})
+	}
+	is.NoErr(r.Stop())
+	info, err := os.Stat(path)
+	is.NoErr(err)
+	is.True(info.Size() > 0 && info.Size() <= 1<<20)
+}
+
+func TestRecorderWithoutAFileIsInactive(t *testing.T) {
+	is := is.New(t)
+	r := start(t, `{}`)
+	is.True(!r.Active())
+	is.NoErr(r.Stop())
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -18,5 +18,6 @@
 	_ "redwingpulley/plugins/profiles"             // Registers itself.
 	_ "redwingpulley/plugins/quota"                // Registers itself.
 	_ "redwingpulley/plugins/record/decisions"     // Registers itself.
+	_ "redwingpulley/plugins/record/file"          // Registers itself.
 	_ "redwingpulley/plugins/taskclient"           // Registers itself.
 )
