--- a/kernel/model/profile.go
+++ b/kernel/model/profile.go
@@ -27,7 +27,8 @@
 
 	DrainTime time.Duration // Longest wait for running tasks when a process drains.
 
-	Quotas map[TeamID]float64 // Task starts a second; a team that is not listed has none.
+	Quotas     map[TeamID]float64 // Task starts a second; a team that is not listed has no limit.
+	QuotaBurst time.Duration      // How long a team's rate may be saved up and started at once.
 }
 
 // BuiltInProfile returns the profile that is in force at revision 0.
@@ -44,6 +45,7 @@
 		DefaultRunTime:  300 * time.Millisecond,
 		LearnWeight:     0.1,
 		DrainTime:       30 * time.Second,
+		QuotaBurst:      time.Second,
 	}
 }
 
@@ -74,3 +76,60 @@
 		Services: map[ServiceID]ProfileName{},
 	}
 }
+
+// ProfileChange is one accepted change of the profile register.
+type ProfileChange struct {
+	Revision Revision
+	ID       string // Idempotency key of the change.
+	Digest   uint64 // Hash of the change's request.
+	Operator string
+	At       time.Time // By the clock of the replica that had it accepted.
+	Kind     string
+	Profile  ProfileName
+	Service  ServiceID // "" unless the change was a service's choice.
+}
+
+// EditKind tells what an edit of the profile register does.
+type EditKind string
+
+// Kinds of edits.
+const (
+	PutProfile    EditKind = "put_profile"
+	DeleteProfile EditKind = "delete_profile"
+	SetService    EditKind = "set_service"
+)
+
+// ProfileEdit is a compare-and-set on the profile register.
+type ProfileEdit struct {
+	ID       string   // Idempotency key; a resend carries the same one.
+	Digest   uint64   // Hash of the request; tells a resend from another edit under the same id.
+	Expect   Revision // The revision that the edit was made for.
+	Operator string
+	Kind     EditKind
+	Name     ProfileName // Of the profile that is put, deleted or chosen.
+	Profile  Profile     // When it is put.
+	Service  ServiceID   // When a service chooses.
+}
+
+// EditStatus is how an edit ended.
+type EditStatus string
+
+// Statuses of edits.
+const (
+	EditDone       EditStatus = "done"
+	EditStale      EditStatus = "stale"       // Another edit took the revision that was expected.
+	EditKeyReused  EditStatus = "key_reused"  // The id belongs to another edit.
+	EditNotFound   EditStatus = "not_found"   // There is no such profile.
+	EditInUse      EditStatus = "in_use"      // The profile is still chosen, or is the default one.
+	EditTooMany    EditStatus = "too_many"    // The register is full.
+	EditNoMajority EditStatus = "no_majority" // No majority of the replicas answered in time.
+	EditNotVoting  EditStatus = "not_voting"  // The member is no replica that may vote; another may do.
+	EditBusy       EditStatus = "busy"        // Too many edits wait.
+)
+
+// EditResult is the answer to an edit.
+type EditResult struct {
+	Status   EditStatus
+	Run      RunState // Unless the edit is done. NotRun speaks of the sending that it answers.
+	Revision Revision // Of the edit when it is done, else of the register.
+}
