--- a/kernel/settings/decode.go
+++ b/kernel/settings/decode.go
@@ -4,15 +4,16 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"reflect"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
 
-// DecodeStrict decodes one JSON value into target and refuses unknown keys, duplicate keys and
-// trailing data. Errors begin with the JSON path below prefix.
+// DecodeStrict decodes one JSON value into target and refuses unknown keys, keys in another case,
+// duplicate keys and trailing data. Errors begin with the JSON path below prefix.
 func DecodeStrict(raw []byte, prefix string, target any) error {
-	if err := checkDuplicates(raw, prefix); err != nil {
+	if err := checkKeys(raw, prefix, reflect.TypeOf(target)); err != nil {
 		return err
 	}
 	decoder := json.NewDecoder(bytes.NewReader(raw))
@@ -34,12 +35,13 @@
 	return errors.Wrap(err, prefix)
 }
 
-// checkDuplicates walks the tokens of raw and returns an error for the first object key that
-// stands twice, or for data behind the value.
-func checkDuplicates(raw []byte, prefix string) error {
+// checkKeys walks the tokens of raw beside the type that it is decoded into, and returns an error
+// for the first object key that stands twice or that the type does not have, or for data behind the
+// value.
+func checkKeys(raw []byte, prefix string, target reflect.Type) error {
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.UseNumber()
-	if err := walkValue(decoder, prefix); err != nil {
+	if err := walkValue(decoder, prefix, target); err != nil {
 		return err
 	}
 	if _, err := decoder.Token(); err != io.EOF {
@@ -48,21 +50,21 @@
 	return nil
 }
 
-func walkValue(decoder *json.Decoder, path string) error {
+func walkValue(decoder *json.Decoder, path string, target reflect.Type) error {
 	token, err := decoder.Token()
 	if err != nil {
 		return errors.Wrapf(err, "%s", orRoot(path))
 	}
 	switch token {
 	case json.Delim('{'):
-		return walkObject(decoder, path)
+		return walkObject(decoder, path, shapeOf(target))
 	case json.Delim('['):
-		return walkArray(decoder, path)
+		return walkArray(decoder, path, shapeOf(target))
 	}
 	return nil
 }
 
-func walkObject(decoder *json.Decoder, path string) error {
+func walkObject(decoder *json.Decoder, path string, target shape) error {
 	seen := make(map[string]bool)
 	for decoder.More() {
 		token, err := decoder.Token()
@@ -74,16 +76,20 @@
 			return errors.Newf("%s: is there twice", join(path, key))
 		}
 		seen[key] = true
-		if err := walkValue(decoder, join(path, key)); err != nil {
+		field, known := target.field(key)
+		if !known {
+			return errors.Newf("%s: no such key", join(path, key))
+		}
+		if err := walkValue(decoder, join(path, key), field); err != nil {
 			return err
 		}
 	}
 	return closing(decoder, path)
 }
 
-func walkArray(decoder *json.Decoder, path string) error {
+func walkArray(decoder *json.Decoder, path string, target shape) error {
 	for i := 0; decoder.More(); i++ {
-		if err := walkValue(decoder, pathIndex(path, i)); err != nil {
+		if err := walkValue(decoder, pathIndex(path, i), target.element); err != nil {
 			return err
 		}
 	}
--- a/kernel/settings/settings_test.go
+++ b/kernel/settings/settings_test.go
@@ -27,6 +27,8 @@
 		{"unknown key", `"region"`, `"regoin"`, "regoin"},
 		{"duplicate key", `"region":"cr"`, `"region":"cr","region":"x"`, "region: is there twice"},
 		{"duplicate nested key", `"disk":true`, `"disk":true,"disk":false`, "members[0].disk: is there twice"},
+		{"unknown nested key", `"disk":true`, `"disc":true`, "members[0].disc: no such key"},
+		{"key in another case", `"region":"cr"`, `"region":"cr","Region":"x"`, "Region: no such key"},
 		{"wrong type", `"data_dir":"data/sj1-a"`, `"data_dir":3`, "data_dir"},
 		{"bad address", `"callers":"127.0.0.1:7001"`, `"callers":"localhost:7001"`, "listen.callers"},
 		{"node name", `{"node":"sj1-a","region"`, `{"node":"SJ","region"`, "node"},
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -136,6 +136,12 @@
 	return m.asked(id)
 }
 
+type noRecorder struct{}
+
+func (noRecorder) Active() bool { return false }
+
+func (noRecorder) Record(port.RecordedStep) {}
+
 var (
 	origin1 = port.Node{ID: "origin", Incarnation: "o1", DataCentre: "sj1"}
 	owner1  = port.Node{ID: "owner", Incarnation: "w1", DataCentre: "sj1"}
@@ -153,7 +159,7 @@
 		return port.TaskReply{State: port.TaskDone, Answer: []byte(`"` + string(s.ID) + `"`)}
 	}
 	p := &Pools{
-		membership: m, profiles: m, peers: m, tasks: m, decisions: m,
+		membership: m, profiles: m, peers: m, tasks: m, decisions: m, recorder: noRecorder{},
 		policies: poolstate.Policies{
 			Placements: map[string]port.Placement{"least_wait": leastwait.Policy{}},
 			Admissions: map[string]port.Admission{"deadline": deadline.Policy{}},
--- a/plugins/frontend/announce/announce.go
+++ b/plugins/frontend/announce/announce.go
@@ -90,8 +90,8 @@
 	case len(b.Endpoint) > maxName || len(b.Service) > maxName || len(b.DataCentre) > maxName ||
 		len(b.Worker) > maxName || len(b.Rack) > maxName:
 		return errors.Newf("endpoint, service, worker, rack, data_centre: must be at most %d bytes", maxName)
-	case len(b.Running) > b.Slots:
-		return errors.New("running: must not be longer than slots")
+	case len(b.Running) > maxSlots:
+		return errors.Newf("running: must be at most %d tasks", maxSlots)
 	case b.Endpoint == "":
 		return errors.New("endpoint: must be set")
 	case b.Service == "":
