--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -64,9 +64,12 @@
 
 // Provision learns the addresses of the members that settings name.
 func (p *Peers) Provision(c *plugin.Context) error {
+	if err := c.Settings(&p.settings); err != nil {
+		return err
+	}
 	p.init(c.Node, c.Log, c.Metrics)
 	plugin.Bind[port.Peers](c, p)
-	return c.Settings(&struct{}{})
+	return nil
 }
 
 func (p *Peers) init(node settings.Settings, log *slog.Logger, registry metrics.Registry) {
