--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -42,6 +42,7 @@
 	var sends []outgoing
 	var cancels []context.CancelFunc
 	var now time.Time
+	var created *jobstate.Created
 	var number uint64
 	j.jobs.Do(id, func(jobs map[model.JobID]*entry) {
 		known := false
@@ -51,6 +52,7 @@
 		now = j.now()
 		e.steps++
 		number = e.steps
+		created, e.created = e.created, nil
 		fx = e.state.Step(now, event)
 		sends, cancels = j.track(e, event, fx)
 		if fx.Gone {
@@ -60,7 +62,7 @@
 		e.timer.Reset(e.state.Wake().Sub(now))
 	})
 	if number > 0 && j.recording() {
-		j.recordStep(e.created, number, now, event, fx)
+		j.recordStep(id, created, number, now, event, fx)
 	}
 	for _, s := range sends {
 		go j.send(s)
@@ -85,6 +87,9 @@
 	for _, part := range fx.Cancels {
 		cancels = e.takeCancel(cancels, part)
 	}
+	if fx.Ended {
+		e.cancels = nil
+	}
 	for _, s := range fx.Sends {
 		ctx, cancel := context.WithCancel(j.life)
 		e.cancels[s.Batch.ID.Part] = cancel
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -56,7 +56,7 @@
 
 // entry is a job and who waits for it; ended is closed when its outcome is final.
 type entry struct {
-	created jobstate.Created
+	created *jobstate.Created // Until it has been recorded.
 	state   *jobstate.Job
 	steps   uint64 // Taken so far.
 	begun   time.Time
@@ -223,15 +223,18 @@
 
 func (j *Jobs) newEntry(job model.Job, now time.Time, left time.Duration) *entry {
 	answers := time.Duration(j.settings.AnswersMS) * time.Millisecond
+	id := job.ID // The timer must not keep the tasks.
 	created := jobstate.Created{Job: job, Self: j.self.ID, Retention: jobstate.Retention{Answers: answers, Until: now.Add(left)}}
 	e := &entry{
-		created: created,
 		state:   created.Machine(),
 		begun:   now,
 		ended:   make(chan struct{}),
 		cancels: make(map[int]context.CancelFunc),
 	}
-	e.timer = time.AfterFunc(e.state.Wake().Sub(now), func() { j.step(job.ID, jobstate.Elapsed{}) })
+	if j.recording() {
+		e.created = &created
+	}
+	e.timer = time.AfterFunc(e.state.Wake().Sub(now), func() { j.step(id, jobstate.Elapsed{}) })
 	return e
 }
 
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -118,7 +118,7 @@
 	return model.RefusedBatch(b.ID, model.ReasonOverload)
 }
 
-func newMember(t *testing.T, members map[model.NodeID]*fake, id model.NodeID) (*Jobs, *fake) {
+func newMember(t testing.TB, members map[model.NodeID]*fake, id model.NodeID) (*Jobs, *fake) {
 	f := &fake{
 		node: port.Node{ID: id, Incarnation: "i-" + model.Incarnation(id)}, members: members,
 		handlers: make(map[string]port.Handler), profile: model.BuiltInProfile(), run: answered,
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -12,11 +12,17 @@
 
 // Job is the state of one job. Create one with New.
 type Job struct {
-	job       model.Job
-	self      model.NodeID
+	digest    uint64
 	retention Retention
 	outcome   model.Outcome
 	ended     time.Time
+	*progress // nil once the job has ended, which frees its tasks.
+}
+
+// progress is what is known of a job that runs.
+type progress struct {
+	job  model.Job
+	self model.NodeID
 
 	open    map[int]port.PlanPart // Batches that were sent and have not ended, by part number.
 	refused map[int]refusal       // Parts that wait for a new plan.
@@ -42,19 +48,22 @@
 // New returns the state of a job that self owns and that has not been planned.
 func New(job model.Job, self model.NodeID, retention Retention) *Job {
 	return &Job{
-		job:       job,
-		self:      self,
+		digest:    job.Digest,
 		retention: retention,
 		outcome:   model.Running(job.ID),
-		open:      make(map[int]port.PlanPart),
-		refused:   make(map[int]refusal),
-		answers:   make([][]byte, len(job.Tasks)),
-		missing:   len(job.Tasks),
+		progress: &progress{
+			job:     job,
+			self:    self,
+			open:    make(map[int]port.PlanPart),
+			refused: make(map[int]refusal),
+			answers: make([][]byte, len(job.Tasks)),
+			missing: len(job.Tasks),
+		},
 	}
 }
 
 // Digest returns the hash of the job's submission.
-func (j *Job) Digest() uint64 { return j.job.Digest }
+func (j *Job) Digest() uint64 { return j.digest }
 
 // Outcome returns the job's outcome so far.
 func (j *Job) Outcome() model.Outcome { return j.outcome }
@@ -249,14 +258,14 @@
 		"job %s complete with %d parts open and %d tasks unanswered", j.job.ID, len(j.open), j.missing)
 	j.outcome = outcome
 	j.ended = now
-	j.job.Tasks, j.answers, j.open, j.refused, j.avoid = nil, nil, nil, nil, nil
+	j.progress = nil
 	fx.Ended = true
 }
 
 // forget drops the answers of an ended job, and then the job.
 func (j *Job) forget(now time.Time, fx *Effects) {
 	if j.outcome.State == model.StateComplete && !now.Before(j.ended.Add(j.retention.Answers)) {
-		j.outcome = model.Failed(j.job.ID, model.MayHaveRun, model.ReasonAnswerExpired)
+		j.outcome = model.Failed(j.outcome.Job, model.MayHaveRun, model.ReasonAnswerExpired)
 	}
 	fx.Gone = j.outcome.State == model.StateFailed && !now.Before(j.retention.Until)
 }
--- a/plugins/jobs/record.go
+++ b/plugins/jobs/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/jobs/jobstate"
 )
@@ -23,10 +24,10 @@
 }
 
 // recordStep keeps a step of a job's machine, and its creation before the first one.
-func (j *Jobs) recordStep(created jobstate.Created, number uint64, now time.Time, event jobstate.Event, fx jobstate.Effects) {
-	key := string(created.Job.ID)
-	if number == 1 {
-		j.recorder.Record(port.RecordedStep{Machine: recordedMachine, Key: key, At: now, Event: created})
+func (j *Jobs) recordStep(id model.JobID, created *jobstate.Created, number uint64, now time.Time, event jobstate.Event, fx jobstate.Effects) {
+	key := string(id)
+	if created != nil {
+		j.recorder.Record(port.RecordedStep{Machine: recordedMachine, Key: key, At: now, Event: *created})
 	}
 	j.recorder.Record(port.RecordedStep{
 		Machine: recordedMachine, Key: key, Sequence: number, At: now, Event: event, Effects: fx,
