Pools: simulation of the machine on a virtual clock, benchmarks of a task start

Cause: the order of the queue and the admission were chosen without a figure. Change: a seeded trace, an event heap and the machine alone; benchmarks of a start, an announcement, a pick and a verdict; a new batch enters the queue in one piece; checks of a start allocate only when they fail.

--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -133,11 +133,8 @@
 	b.team = m.queue.teamOf(b.Team)
 	b.team.open++
 	b.origin = m.originOf(now, b.ID.Job)
-	b.waiting = make([]*task, 0, len(b.tasks))
 	m.batches[b.ID] = b
-	for _, t := range longestLast(b.tasks) {
-		m.enqueue(t)
-	}
+	m.queue.pushAll(b, longestLast(b.tasks))
 	b.timer = newTimer(func(now time.Time, fx *Effects) { m.due(now, b, fx) })
 	m.timers.set(&b.timer, b.nextDue())
 }
--- /dev/null
+++ b/plugins/endpoints/poolstate/bench_test.go
@@ -0,0 +1,170 @@
+package poolstate
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/admission/deadline"
+	"redwingpulley/plugins/placement/leastwait"
+)
+
+const (
+	benchSlots      = 8
+	benchBatchTasks = 16
+	benchTeams      = 55
+)
+
+// load keeps a pool's slots taken and a few batches waiting, one task start at a time.
+type load struct {
+	machine *Machine
+	now     time.Time
+	batches []Submitted
+	next    int
+	sent    []Start // Ring of the tasks at endpoints, the oldest first.
+	head    int
+	fx      Effects
+}
+
+func newLoad(endpoints int) *load {
+	l := &load{machine: New(finderPool, "sj1-a", shipped, 1), now: start}
+	l.announce(endpoints)
+	profile := model.BuiltInProfile()
+	slots := endpoints * benchSlots
+	for i := range 2 * (slots/benchBatchTasks + benchTeams) {
+		l.batches = append(l.batches, Submitted{Batch: benchBatch(i), Profile: profile})
+	}
+	for len(l.sent) < slots {
+		l.submit()
+	}
+	return l
+}
+
+func (l *load) announce(endpoints int) {
+	for i := range endpoints {
+		l.step(Announced{model.Endpoint{
+			ID: model.EndpointID("finder-" + strconv.Itoa(i)), Slots: benchSlots, State: model.EndpointServing,
+		}})
+	}
+}
+
+func benchBatch(i int) model.Batch {
+	job := model.JobID(fmt.Sprintf("sj1-a.abcdefabcdef.1.%d.0123456789abcdef", i))
+	return model.Batch{
+		ID: model.BatchID{Job: job}, Team: model.TeamID("team-" + strconv.Itoa(i%benchTeams)),
+		Tasks: benchTasks(), Deadline: start.Add(24 * time.Hour),
+	}
+}
+
+func benchTasks() []model.Task {
+	tasks := make([]model.Task, benchBatchTasks)
+	for i := range tasks {
+		tasks[i] = model.Task{Index: i, Declared: time.Duration(50+10*i) * time.Millisecond}
+	}
+	return tasks
+}
+
+func (l *load) step(event Event) {
+	l.machine.Step(l.now, event, &l.fx)
+	l.sent = append(l.sent, l.fx.Starts...)
+}
+
+func (l *load) submit() {
+	l.step(l.batches[l.next%len(l.batches)])
+	l.next++
+}
+
+// start has one more task started: the oldest at an endpoint ends, and a new batch comes when few
+// are left waiting.
+func (l *load) start() {
+	l.now = l.now.Add(50 * time.Microsecond)
+	if l.machine.queue.count < benchTeams {
+		l.submit()
+	}
+	s := l.sent[l.head]
+	l.head++
+	if l.head == cap(l.sent)/2 {
+		l.sent = l.sent[:copy(l.sent, l.sent[l.head:])]
+		l.head = 0
+	}
+	l.step(Replied{s.Task, s.Attempt, port.TaskReply{State: port.TaskDone}})
+}
+
+// BenchmarkStart measures all that a pool decides for one task: its part of the batch's admission,
+// the queue, the placement, the end and what is learned from it. An iteration is a task start.
+func BenchmarkStart(b *testing.B) {
+	for _, endpoints := range []int{50, 600, 5000} {
+		b.Run(strconv.Itoa(endpoints), func(b *testing.B) {
+			l := newLoad(endpoints)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.start()
+			}
+		})
+	}
+}
+
+// BenchmarkStartParallel has each goroutine drive a pool of its own, as shards do.
+func BenchmarkStartParallel(b *testing.B) {
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		l := newLoad(600)
+		for pb.Next() {
+			l.start()
+		}
+	})
+}
+
+// BenchmarkAnnounce measures an announcement of one of the pool's endpoints.
+func BenchmarkAnnounce(b *testing.B) {
+	for _, endpoints := range []int{50, 600, 5000} {
+		b.Run(strconv.Itoa(endpoints), func(b *testing.B) {
+			l := newLoad(endpoints)
+			e := l.machine.members[endpoints/2].Endpoint
+			b.ReportAllocs()
+			for b.Loop() {
+				l.now = l.now.Add(time.Microsecond)
+				l.machine.Step(l.now, Announced{e}, &l.fx)
+			}
+		})
+	}
+}
+
+// BenchmarkPlacer measures one pick and the updates that go with it.
+func BenchmarkPlacer(b *testing.B) {
+	for _, endpoints := range []int{50, 600, 5000} {
+		b.Run(strconv.Itoa(endpoints), func(b *testing.B) {
+			placer := leastwait.Policy{}.NewPlacer(1)
+			load := make(map[model.EndpointID]port.EndpointLoad)
+			for i := range endpoints {
+				e := port.EndpointLoad{ID: model.EndpointID(strconv.Itoa(i)), Slots: benchSlots, Free: 1 + i%benchSlots}
+				load[e.ID] = e
+				placer.Update(e)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				choice, _ := placer.Pick(port.PickRequest{})
+				e := load[choice.Endpoint]
+				e.Free--
+				placer.Update(e)
+				e.Free++
+				placer.Update(e)
+			}
+		})
+	}
+}
+
+// BenchmarkAdmission measures the verdict on a batch.
+func BenchmarkAdmission(b *testing.B) {
+	request := port.AdmissionRequest{
+		Tasks: 16, Remaining: time.Second, RunTime: 300 * time.Millisecond, Work: 4 * time.Second,
+		Slots: 400, Fits: true, Ahead: 100 * time.Second, QueuedTasks: 200, QueueLimit: 4096,
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		deadline.Policy{}.Admit(request)
+	}
+}
--- a/plugins/endpoints/poolstate/place.go
+++ b/plugins/endpoints/poolstate/place.go
@@ -95,11 +95,21 @@
 	m.refresh(e)
 }
 
+// checkStart stops the process before a task is sent that must not be. The arguments of a violation
+// are put together only when there is one, since that allocates.
+func (m *Machine) checkStart(t *task, e *endpoint) {
+	switch {
+	case t.place == atEndpoint:
+		invariant.Check(false, "one-start", "task %s is already at an endpoint", t.id)
+	case e.busy() >= e.Slots:
+		invariant.Check(false, "slots", "endpoint %s has %d of %d slots taken", e.ID, e.busy(), e.Slots)
+	case !e.room():
+		invariant.Check(false, "serving", "endpoint %s takes no work", e.ID)
+	}
+}
+
 func (m *Machine) start(now time.Time, t *task, e *endpoint, why string, fx *Effects) {
-	_, flying := m.flights[t.id]
-	invariant.Check(!flying && t.place != atEndpoint, "one-start", "task %s is already at an endpoint", t.id)
-	invariant.Check(e.busy() < e.Slots, "slots", "endpoint %s has %d of %d slots taken", e.ID, e.busy(), e.Slots)
-	invariant.Check(e.room(), "serving", "endpoint %s takes no work", e.ID)
+	m.checkStart(t, e)
 	if t.attempt == 0 {
 		m.retries.earn(t.batch.profile.RetryBudget)
 	}
@@ -108,7 +118,7 @@
 	t.endpoint, t.slot, t.sent = e, len(e.tasks), now
 	t.asking, t.silences = 0, 0
 	e.tasks = append(e.tasks, t)
-	m.flights[t.id] = t
+	m.fly(t)
 	m.refresh(e)
 	fx.Starts = append(fx.Starts, Start{
 		Task: t.id, Attempt: t.attempt, Endpoint: e.ID, Address: e.Address,
@@ -118,3 +128,12 @@
 		Batch: t.batch.ID, Task: t.spec().Index, Endpoint: e.ID, Why: why, PassedOver: len(m.members) - 1,
 	})
 }
+
+// fly lists the task among those at endpoints, where it must not be already.
+func (m *Machine) fly(t *task) {
+	before := len(m.flights)
+	m.flights[t.id] = t
+	if len(m.flights) == before {
+		invariant.Check(false, "one-start", "task %s is already at an endpoint", t.id)
+	}
+}
--- /dev/null
+++ b/plugins/endpoints/poolstate/policy_bench_test.go
@@ -0,0 +1,41 @@
+package poolstate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"redwingpulley/kernel/model"
+)
+
+// BenchmarkDiscipline simulates a pool of 100 slots under each order of the queue and reports what
+// the jobs saw. Run it with -benchtime 1x.
+func BenchmarkDiscipline(b *testing.B) {
+	for _, load := range []float64{0.5, 0.85, 1.5} {
+		for _, size := range []int{0, 1, 4, 16} {
+			for _, window := range []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
+				name := fmt.Sprintf("load=%v/size=%d/window=%v", load, size, window)
+				b.Run(name, func(b *testing.B) {
+					trace := simTrace{seed: 7, endpoints: 13, load: load, length: 2 * time.Minute, deadline: 10 * time.Second, teams: 12}
+					for b.Loop() {
+						jobs := simulate(trace, model.BuiltInProfile(), func(m *Machine) {
+							m.queue.size, m.queue.fairness = size, window
+						})
+						report(b, sumUp(trace, jobs, all))
+					}
+				})
+			}
+		}
+	}
+}
+
+func report(b *testing.B, r simResult) {
+	b.ReportMetric(r.overIdeal, "over-ideal")
+	b.ReportMetric(float64(r.mean.Milliseconds()), "mean-ms")
+	b.ReportMetric(float64(r.p99.Milliseconds()), "p99-ms")
+	b.ReportMetric(100*r.wasted, "wasted-%")
+	b.ReportMetric(100*r.useful, "useful-%")
+	b.ReportMetric(float64(r.refused), "refused")
+	b.ReportMetric(float64(r.late), "late")
+	b.ReportMetric(0, "ns/op")
+}
--- a/plugins/endpoints/poolstate/queue.go
+++ b/plugins/endpoints/poolstate/queue.go
@@ -30,6 +30,8 @@
 	ahead    priority[*team] // Teams beyond it, by their charge.
 	virtual  time.Duration   // The charge of a team that has had exactly its share.
 	window   time.Duration   // In slot time.
+	fairness time.Duration   // The window for each slot.
+	size     int             // Weight of a batch's remaining work in its order.
 	slots    int
 	count    int
 	work     time.Duration // Estimated run time of the waiting tasks.
@@ -53,6 +55,8 @@
 		teams:    make(map[model.TeamID]*team),
 		eligible: priority[*team]{less: byFirstBatch, place: place},
 		ahead:    priority[*team]{less: func(a, b *team) bool { return a.charged < b.charged }, place: place},
+		fairness: fairnessWindow,
+		size:     sizeWeight,
 		slots:    1,
 	}
 }
@@ -69,7 +73,7 @@
 // resize sets the number of slots among which the teams share.
 func (q *queue) resize(slots int) {
 	q.slots = max(slots, 1)
-	q.window = fairnessWindow * time.Duration(q.slots)
+	q.window = q.fairness * time.Duration(q.slots)
 }
 
 func (q *queue) teamOf(id model.TeamID) *team {
@@ -98,24 +102,45 @@
 
 // push adds a task to its batch's waiting ones; it is the next of the batch to start.
 func (q *queue) push(t *task) {
-	b := t.batch
-	b.waiting = append(b.waiting, t)
-	b.waitingWork += t.run.mean
+	t.batch.waiting = append(t.batch.waiting, t)
 	q.count++
 	q.work += t.run.mean
-	owner := b.team
-	owner.work += t.run.mean
+	t.batch.waitingWork += t.run.mean
+	t.batch.team.work += t.run.mean
+	q.update(t.batch)
+}
+
+// pushAll adds all tasks of a new batch; the last of them is the first to start.
+func (q *queue) pushAll(b *batch, tasks []*task) {
+	var work time.Duration
+	for _, t := range tasks {
+		work += t.run.mean
+	}
+	b.waiting = tasks
+	q.count += len(tasks)
+	q.work += work
+	b.waitingWork += work
+	b.team.work += work
+	q.update(b)
+}
+
+// update puts the batch where it belongs after a change of its waiting tasks.
+func (q *queue) update(b *batch) {
 	b.key = q.keyOf(b)
-	if owner.batches.has(b) {
-		owner.batches.fix(b)
-	} else {
-		owner.batches.add(b)
+	waits := len(b.waiting) > 0
+	switch {
+	case waits && b.team.batches.has(b):
+		b.team.batches.fix(b)
+	case waits:
+		b.team.batches.add(b)
+	case b.team.batches.has(b):
+		b.team.batches.remove(b)
 	}
-	q.settle(owner)
+	q.settle(b.team)
 }
 
 func (q *queue) keyOf(b *batch) time.Time {
-	return b.arrived.Add(sizeWeight * b.waitingWork / time.Duration(q.slots))
+	return b.arrived.Add(time.Duration(q.size) * b.waitingWork / time.Duration(q.slots))
 }
 
 // first returns the task that starts next. The queue must not be empty.
@@ -134,13 +159,7 @@
 	b.waiting = b.waiting[:last]
 	q.forget(b, t.run.mean, 1)
 	q.charge(owner, t.run.mean)
-	b.key = q.keyOf(b)
-	if last == 0 {
-		owner.batches.remove(b)
-	} else {
-		owner.batches.fix(b)
-	}
-	q.settle(owner)
+	q.update(b)
 }
 
 // remove takes all waiting tasks of the batch out of the queue. They stay listed in the batch, so
@@ -155,13 +174,7 @@
 }
 
 // restore puts a batch back that was removed.
-func (q *queue) restore(b *batch) {
-	waiting := b.waiting
-	b.waiting = b.waiting[:0]
-	for _, t := range waiting {
-		q.push(t)
-	}
-}
+func (q *queue) restore(b *batch) { q.pushAll(b, b.waiting) }
 
 func (q *queue) forget(b *batch, work time.Duration, tasks int) {
 	b.waitingWork -= work
@@ -182,9 +195,17 @@
 
 // settle puts the team into the heap where it belongs after a change of its batches or charge.
 func (q *queue) settle(t *team) {
-	q.leave(t)
-	if !t.batches.empty() {
-		q.enter(t)
+	t.charged = max(t.charged, q.virtual)
+	isAhead := t.charged > q.virtual+q.window
+	stays := t.waits && isAhead == t.isAhead && !t.batches.empty()
+	switch {
+	case stays && isAhead:
+		q.ahead.fix(t)
+	case stays:
+		q.eligible.fix(t)
+	default:
+		q.leave(t)
+		q.enter(t, isAhead)
 	}
 	q.advance()
 }
@@ -201,11 +222,12 @@
 	t.waits = false
 }
 
-func (q *queue) enter(t *team) {
-	t.charged = max(t.charged, q.virtual)
-	t.isAhead = t.charged > q.virtual+q.window
-	t.waits = true
-	if t.isAhead {
+func (q *queue) enter(t *team, isAhead bool) {
+	if t.batches.empty() {
+		return
+	}
+	t.waits, t.isAhead = true, isAhead
+	if isAhead {
 		q.ahead.add(t)
 	} else {
 		q.eligible.add(t)
--- /dev/null
+++ b/plugins/endpoints/poolstate/sim_test.go
@@ -0,0 +1,302 @@
+package poolstate
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// simTrace describes the load of a simulated pool.
+type simTrace struct {
+	seed      uint64
+	endpoints int
+	load      float64 // Of the slots, on average.
+	length    time.Duration
+	deadline  time.Duration
+	teams     int
+	loud      float64       // Load that team 0 adds beyond its share.
+	burstAt   time.Duration // Start of a burst of burstLoad; 0 for none.
+	burst     time.Duration
+	burstLoad float64
+}
+
+// simJob is one job of a trace with the run times that its tasks really have.
+type simJob struct {
+	at       time.Duration
+	team     int
+	runs     []time.Duration
+	declared []time.Duration
+	end      time.Duration // Of its last task; 0 while it has none.
+	refused  bool
+	started  bool
+	slotTime time.Duration // Spent on its tasks.
+}
+
+const simSlots = 8
+
+// meanWork is the mean slot time of a job of drawJob.
+func meanWork(random *rand.Rand) time.Duration {
+	const samples = 20000
+	var sum time.Duration
+	for range samples {
+		for _, run := range drawJob(random).runs {
+			sum += run
+		}
+	}
+	return sum / samples
+}
+
+// drawJob draws a job of 1 to 160 tasks of 50 ms to a second, a few of several seconds. Declared
+// run times are off by up to ten times.
+func drawJob(random *rand.Rand) *simJob {
+	tasks := 1
+	switch p := random.Float64(); {
+	case p > 0.85:
+		tasks = 16 + random.IntN(145)
+	case p > 0.5:
+		tasks = 2 + random.IntN(15)
+	}
+	j := &simJob{}
+	for range tasks {
+		run := 50 * time.Millisecond * time.Duration(1000*math.Pow(20, random.Float64())) / 1000
+		if random.Float64() < 0.01 {
+			run = time.Second + time.Duration(random.Int64N(int64(4*time.Second)))
+		}
+		j.runs = append(j.runs, run)
+		j.declared = append(j.declared, time.Duration(float64(run)*math.Pow(10, 2*random.Float64()-1)))
+	}
+	return j
+}
+
+func (s simTrace) jobs() []*simJob {
+	random := rand.New(rand.NewPCG(s.seed, 1))
+	slots := float64(s.endpoints * simSlots)
+	work := meanWork(random)
+	var jobs []*simJob
+	draw := func(from, to time.Duration, load float64, team func() int) {
+		gap := float64(work) / (load * slots)
+		for at := from; load > 0; {
+			at += time.Duration(random.ExpFloat64() * gap)
+			if at >= to {
+				return
+			}
+			j := drawJob(random)
+			j.at, j.team = at, team()
+			jobs = append(jobs, j)
+		}
+	}
+	anyTeam := func() int { return random.IntN(s.teams) }
+	draw(0, s.length, s.load, anyTeam)
+	draw(0, s.length, s.loud, func() int { return 0 })
+	draw(s.burstAt, s.burstAt+s.burst, s.burstLoad, anyTeam)
+	slices.SortFunc(jobs, func(a, b *simJob) int { return int(a.at - b.at) })
+	return jobs
+}
+
+// simEvent is an event of the simulation; the machine's own wake-ups are not among them.
+type simEvent struct {
+	at    time.Time
+	order int
+	event Event
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulation runs a machine on a virtual clock.
+type simulation struct {
+	trace   simTrace
+	machine *Machine
+	now     time.Time
+	events  simEvents
+	order   int
+	jobs    []*simJob
+	running map[model.TaskID]time.Time
+	fx      Effects
+}
+
+// simulate runs the trace; tune may change the machine before it starts.
+func simulate(trace simTrace, profile model.Profile, tune func(*Machine)) []*simJob {
+	s := &simulation{
+		trace: trace, machine: New(finderPool, "sj1-a", shipped, trace.seed), now: start,
+		jobs: trace.jobs(), running: make(map[model.TaskID]time.Time),
+	}
+	tune(s.machine)
+	for i := range trace.endpoints {
+		e := model.Endpoint{ID: model.EndpointID(fmt.Sprint("e", i)), Slots: simSlots, State: model.EndpointServing}
+		for at := time.Duration(0); at < trace.length+time.Minute; at += EndpointLease / 3 {
+			s.at(start.Add(at), Announced{e})
+		}
+	}
+	for i, j := range s.jobs {
+		s.at(start.Add(j.at), s.submitted(i, j, profile))
+	}
+	s.run()
+	return s.jobs
+}
+
+func (s *simulation) submitted(i int, j *simJob, profile model.Profile) Event {
+	b := model.Batch{
+		ID: model.BatchID{Job: model.JobID(fmt.Sprintf("n.i.1.%d.t", i)), Part: i}, Pool: finderPool,
+		Team: model.TeamID(fmt.Sprint("t", j.team)), Deadline: start.Add(j.at + s.trace.deadline),
+	}
+	for k := range j.runs {
+		b.Tasks = append(b.Tasks, model.Task{Index: k, Declared: j.declared[k]})
+	}
+	return Submitted{b, profile}
+}
+
+func (s *simulation) at(at time.Time, event Event) {
+	s.order++
+	heap.Push(&s.events, simEvent{at, s.order, event})
+}
+
+func (s *simulation) run() {
+	for len(s.events) > 0 {
+		if due, ok := s.machine.Wake(); ok && due.Before(s.events[0].at) {
+			s.now = due
+			s.step(Elapsed{})
+			continue
+		}
+		next := heap.Pop(&s.events).(simEvent)
+		s.now = next.at
+		s.step(next.event)
+	}
+}
+
+func (s *simulation) step(event Event) {
+	if r, ok := event.(Replied); ok {
+		if _, runs := s.running[r.Task]; !runs {
+			return // It was stopped.
+		}
+		s.ended(r.Task)
+	}
+	s.machine.Step(s.now, event, &s.fx)
+	for _, st := range s.fx.Starts {
+		j, index := s.taskOf(st.Task)
+		s.running[st.Task] = s.now
+		j.started = true
+		s.at(s.now.Add(j.runs[index]), Replied{st.Task, st.Attempt, port.TaskReply{State: port.TaskDone}})
+	}
+	for _, r := range s.fx.Revokes {
+		s.ended(r.Task)
+		s.at(s.now, RevokeReplied{r.Task, r.Attempt, port.RevokeReply{State: port.TaskStopped}})
+	}
+	for _, result := range s.fx.Ended {
+		s.finish(result)
+	}
+}
+
+func (s *simulation) ended(id model.TaskID) {
+	j, _ := s.taskOf(id)
+	j.slotTime += s.now.Sub(s.running[id])
+	delete(s.running, id)
+}
+
+func (s *simulation) taskOf(id model.TaskID) (j *simJob, index int) {
+	var job int
+	fmt.Sscanf(string(id), "n.i.1.%d.t.%d", &job, &index)
+	return s.jobs[job], index
+}
+
+func (s *simulation) finish(result model.BatchResult) {
+	j := s.jobs[result.ID.Part]
+	j.refused = result.Refused
+	for _, r := range result.Results {
+		if !r.Done {
+			return
+		}
+	}
+	if !result.Refused {
+		j.end = s.now.Sub(start)
+	}
+}
+
+// clairvoyant returns the mean response of a single queue over all slots that knows the run times:
+// jobs in the order of arrival, and the longest tasks of each first.
+func clairvoyant(jobs []*simJob, slots int) time.Duration {
+	free := make([]time.Duration, slots)
+	var sum time.Duration
+	for _, j := range jobs {
+		runs := slices.Clone(j.runs)
+		slices.SortFunc(runs, func(a, b time.Duration) int { return int(b - a) })
+		end := j.at
+		for _, run := range runs {
+			first := 0
+			for i := range free {
+				if free[i] < free[first] {
+					first = i
+				}
+			}
+			free[first] = max(free[first], j.at) + run
+			end = max(end, free[first])
+		}
+		sum += end - j.at
+	}
+	return sum / time.Duration(max(len(jobs), 1))
+}
+
+// simResult sums up a simulation.
+type simResult struct {
+	jobs, completed, refused, late int
+	mean, p99                      time.Duration
+	overIdeal                      float64 // Mean response over that of the clairvoyant queue, of all jobs.
+	wasted                         float64 // Share of slot time spent on jobs without an answer.
+	useful                         float64 // Share of all slot time spent on jobs with an answer.
+}
+
+func sumUp(trace simTrace, jobs []*simJob, counts func(*simJob) bool) simResult {
+	var r simResult
+	var responses []time.Duration
+	var sum, used, lost time.Duration
+	for _, j := range jobs {
+		if !counts(j) {
+			continue
+		}
+		r.jobs++
+		switch {
+		case j.end > 0:
+			r.completed++
+			responses = append(responses, j.end-j.at)
+			sum += j.end - j.at
+			used += j.slotTime
+		case j.refused:
+			r.refused++
+		default:
+			r.late++
+			lost += j.slotTime
+		}
+	}
+	slices.Sort(responses)
+	if len(responses) > 0 {
+		r.mean = sum / time.Duration(len(responses))
+		r.p99 = responses[len(responses)*99/100]
+	}
+	slots := trace.endpoints * simSlots
+	r.overIdeal = float64(r.mean) / float64(clairvoyant(jobs, slots))
+	r.wasted = float64(lost) / float64(max(used+lost, 1))
+	r.useful = float64(used) / float64(trace.length*time.Duration(slots))
+	return r
+}
+
+func all(*simJob) bool { return true }
