Pools: refuse early and truly, set aside endpoints against their service's rate

Cause: at 150% load 10 to 17% of the slot time went to jobs that did not end: large batches were admitted, overtaken by small ones and dropped at the deadline. In a pool where all tasks failed two of four endpoints were set aside; a quarantined endpoint got no probe while others had free slots.

Change: the admission's wait is fitted to each team's fair share and to what teams go on sending; the longest run time of a batch grows with its tasks; a batch in the last fifth of its time goes first, and one that cannot be expected to end is dropped before its first start. Probes go to the endpoint directly, by jobs of one task first. An endpoint is set aside only while few others are in a run of failures.

--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -82,8 +82,8 @@
 type AdmissionRequest struct {
 	Tasks     int
 	Remaining time.Duration // Until the deadline.
-	Expected  time.Duration // Median run time of the batch's longest task.
-	RunTime   time.Duration // Run time that its longest task exceeds in one of twenty cases.
+	Expected  time.Duration // Run time that the batch's longest task exceeds in one of two cases.
+	RunTime   time.Duration // Run time that it exceeds in one of twenty cases.
 	Work      time.Duration // Estimate for all tasks of the batch together.
 	Fits      bool          // Each task fits on some endpoint of the pool.
 
--- a/plugins/admission/deadline/deadline.go
+++ b/plugins/admission/deadline/deadline.go
@@ -12,8 +12,12 @@
 // Policy is the admission. It has no settings.
 type Policy struct{}
 
-// minRetryAfter is the least advice, so that callers do not come back at once.
-const minRetryAfter = 50 * time.Millisecond
+const (
+	// minRetryAfter is the least advice, so that callers do not come back at once.
+	minRetryAfter = 50 * time.Millisecond
+	// marginShare is the part of the estimated wait that is added to it, since it is an estimate.
+	marginShare = 8
+)
 
 // Admit refuses what no endpoint can run, what the queue has no room for, and what is estimated to
 // end behind its deadline. A batch that finds free slots is judged by the expected run time alone,
@@ -44,7 +48,8 @@
 // estimateWait returns how long the batch's last task waits for a slot.
 func estimateWait(r port.AdmissionRequest) time.Duration {
 	own := r.Work - r.Work/time.Duration(max(r.Tasks, 1))
-	return (r.Ahead + own) / time.Duration(r.Slots)
+	wait := (r.Ahead + own) / time.Duration(r.Slots)
+	return wait + wait/marginShare
 }
 
 // untilRoom returns how long the queue takes to make room for the batch.
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -17,6 +17,8 @@
 	tasks   []task
 	results []model.TaskResult
 	over    bool // Its result was given.
+	started bool // One of its tasks was sent.
+	urgent  bool // It has to go first to end in time.
 
 	arrived     time.Time
 	order       uint64 // Of arrival.
@@ -24,8 +26,11 @@
 	origin      *origin
 	waiting     []*task // In the queue, the next to start last.
 	waitingWork time.Duration
-	key         time.Time // By which the team's batches are ordered.
-	index       int       // In the team's heap.
+	work        time.Duration // Estimated slot time of all tasks.
+	typicalRun  time.Duration // That the longest task exceeds in one of two cases.
+	cautiousRun time.Duration // That it exceeds in one of twenty.
+	key         time.Time     // By which the team's batches are ordered.
+	index       int           // In the team's heap.
 	timer       timer
 }
 
@@ -61,7 +66,7 @@
 
 // lastStart returns when the task has to start so that it can be expected to end in time.
 func (t *task) lastStart() time.Time {
-	if t.class.team.samples < priorSamples {
+	if !t.class.learned() {
 		return t.batch.Deadline // A declared run time alone is no reason to give up.
 	}
 	return t.batch.Deadline.Add(-t.run.median)
@@ -100,6 +105,7 @@
 		c := m.runTimes.classOf(b.Team, declared)
 		b.tasks[i] = task{batch: b, id: ids(i), position: i, class: c, run: m.runTimes.of(&b.profile, declared, c)}
 	}
+	b.estimate()
 	return b
 }
 
@@ -132,11 +138,12 @@
 	b.results = make([]model.TaskResult, 0, len(b.tasks))
 	b.team = m.queue.teamOf(b.Team)
 	b.team.open++
+	b.team.sending.add(now, b.work)
 	b.origin = m.originOf(now, b.ID.Job)
 	m.batches[b.ID] = b
 	m.queue.pushAll(b, longestLast(b.tasks))
 	b.timer = newTimer(func(now time.Time, fx *Effects) { m.due(now, b, fx) })
-	m.timers.set(&b.timer, b.nextDue())
+	m.timers.set(&b.timer, m.nextDue(b))
 }
 
 // longestLast orders tasks so that the longest, which is pushed last, starts first: a batch ends
@@ -157,20 +164,58 @@
 	m.queue.push(t)
 }
 
-// nextDue returns when the batch can no longer end in time, by what waits of it now.
-func (b *batch) nextDue() time.Time {
+// estimate sums up the estimates of the batch's tasks.
+func (b *batch) estimate() {
+	for i := range b.tasks {
+		run := &b.tasks[i].run
+		b.work += run.mean
+		b.typicalRun = max(b.typicalRun, run.typical(len(b.tasks)))
+		b.cautiousRun = max(b.cautiousRun, run.cautious(len(b.tasks)))
+	}
+}
+
+// dispatchBy returns when all of the batch's tasks have to be at endpoints.
+func (b *batch) dispatchBy() time.Time { return b.Deadline.Add(-b.cautiousRun) }
+
+// dispatch returns how long the pool takes to send all waiting tasks of the batch when nothing else
+// is sent.
+func (m *Machine) dispatch(b *batch) time.Duration {
+	return b.waitingWork / time.Duration(m.queue.slots)
+}
+
+// giveUpAt returns when the batch can no longer be expected to end in time, by what waits of it
+// now. A batch that has not started has to leave time for all of it.
+func (m *Machine) giveUpAt(b *batch) time.Time {
 	if len(b.waiting) == 0 {
 		return b.Deadline
 	}
-	return b.waiting[len(b.waiting)-1].lastStart()
+	next := b.waiting[len(b.waiting)-1]
+	if b.started || !next.class.learned() {
+		return next.lastStart()
+	}
+	return b.Deadline.Add(-m.dispatch(b) - b.typicalRun)
+}
+
+// nextDue returns when the batch needs attention next.
+func (m *Machine) nextDue(b *batch) time.Time {
+	if b.urgent || len(b.waiting) == 0 {
+		return m.giveUpAt(b)
+	}
+	return b.dispatchBy().Add(-m.dispatch(b) - b.Deadline.Sub(b.arrived)/urgentShare)
 }
 
 func (m *Machine) due(now time.Time, b *batch, fx *Effects) {
-	if at := b.nextDue(); at.After(now) {
+	if at := m.nextDue(b); at.After(now) {
 		m.timers.set(&b.timer, at)
 		return
 	}
-	m.cancel(now, b, model.ReasonDeadline, fx)
+	if b.urgent || len(b.waiting) == 0 {
+		m.cancel(now, b, model.ReasonDeadline, fx)
+		return
+	}
+	b.urgent = true
+	m.queue.update(b)
+	m.timers.set(&b.timer, m.giveUpAt(b))
 }
 
 func (m *Machine) cancelled(now time.Time, id model.BatchID, fx *Effects) {
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -52,7 +52,7 @@
 
 func (e *endpoint) busy() int { return len(e.tasks) + len(e.foreign) }
 
-// capacity returns how many tasks the endpoint may run at once by what is known of it.
+// capacity returns how many tasks the endpoint may run at once, probes among them.
 func (e *endpoint) capacity() int {
 	switch {
 	case !e.live, e.State != model.EndpointServing, e.record.standing == quarantined:
@@ -63,10 +63,18 @@
 	return e.Slots
 }
 
+// offered returns how many of the slots the placement may use: none while tasks there are probes.
+func (e *endpoint) offered() int {
+	if e.record.standing != trusted {
+		return 0
+	}
+	return e.capacity()
+}
+
 func (e *endpoint) room() bool { return e.busy() < e.capacity() }
 
 func (e *endpoint) load() port.EndpointLoad {
-	slots := e.capacity()
+	slots := e.offered()
 	return port.EndpointLoad{ID: e.ID, Slots: slots, Free: slots - e.busy() - len(e.held), Has: e.Has}
 }
 
@@ -92,7 +100,7 @@
 func (m *Machine) newEndpoint(a *model.Endpoint) *endpoint {
 	e := &endpoint{position: len(m.members), released: make([]model.TaskID, max(minReleased, 2*a.Slots))}
 	e.lease = newTimer(func(_ time.Time, fx *Effects) { m.lost(e, fx) })
-	e.probe = newTimer(func(time.Time, *Effects) { m.probeDue(e) })
+	e.probe = newTimer(func(now time.Time, _ *Effects) { m.probeDue(now, e) })
 	m.endpoints[a.ID] = e
 	m.members = append(m.members, e)
 	return e
@@ -155,7 +163,7 @@
 
 // unbindUnless returns the tasks that are bound to an endpoint which gets no work to the queue.
 func (m *Machine) unbindUnless(e *endpoint) {
-	if e.capacity() > 0 || len(e.held) == 0 {
+	if e.offered() > 0 || len(e.held) == 0 {
 		return
 	}
 	for _, t := range e.held {
@@ -169,7 +177,7 @@
 
 // refresh brings the totals and the placer up to date after a change of the endpoint.
 func (m *Machine) refresh(e *endpoint) {
-	now := contribution{slots: e.capacity(), held: len(e.held)}
+	now := contribution{slots: e.offered(), held: len(e.held)}
 	now.free = max(now.slots-e.busy(), 0)
 	was := e.counted
 	e.counted = now
--- /dev/null
+++ b/plugins/endpoints/poolstate/faults_test.go
@@ -0,0 +1,218 @@
+package poolstate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/invariant"
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// drive submits one-task jobs and settles each at once by outcome, and returns the starts at each
+// endpoint.
+func (h *harness) drive(jobs int, outcome func(Start) port.TaskState) map[model.EndpointID]int {
+	starts := map[model.EndpointID]int{}
+	for range jobs {
+		h.jobs++
+		fx := h.submit(model.JobID(fmt.Sprintf("n.i.1.%d.t", h.jobs)), "t", 1)
+		for len(fx.Starts) > 0 {
+			s := fx.Starts[0]
+			starts[s.Endpoint]++
+			fx = h.reply(s, outcome(s))
+		}
+	}
+	return starts
+}
+
+func failsAt(id model.EndpointID, state port.TaskState) func(Start) port.TaskState {
+	return func(s Start) port.TaskState {
+		if s.Endpoint == id {
+			return state
+		}
+		return port.TaskDone
+	}
+}
+
+func done(Start) port.TaskState { return port.TaskDone }
+
+func TestEndpointThatFailsEverythingIsSetAsideAndProbed(t *testing.T) {
+	for _, state := range []port.TaskState{port.TaskFailed, port.TaskNotRun} {
+		t.Run(string(state), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2, 2, 2, 2)
+			is.True(h.drive(100, failsAt("b", state))["b"] <= 2*minBadRun)
+			is.Equal(h.Load().Slots, 6)
+			h.advance(firstProbe)
+			is.Equal(h.drive(100, failsAt("b", state))["b"], 1)
+			h.advance(firstProbe)
+			is.Equal(h.drive(100, done)["b"], 0) // The next probe waits twice as long.
+			h.advance(firstProbe)
+			is.True(h.drive(100, done)["b"] > probesToReturn)
+			is.Equal(h.Load().Slots, 8)
+		})
+	}
+}
+
+func TestTaskThatFailsEverywhereSetsNoEndpointAside(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2, 2, 2, 2)
+	h.drive(50, done)
+	h.drive(500, func(Start) port.TaskState { return port.TaskFailed })
+	is.Equal(h.aside, 0)
+	h = newHarness(2, 2, 2, 2)
+	for i := range 200 { // One job in four is poisonous, and is submitted again and again.
+		h.drive(1, func(Start) port.TaskState {
+			if i%4 == 0 {
+				return port.TaskFailed
+			}
+			return port.TaskDone
+		})
+	}
+	is.Equal(h.aside, 0)
+}
+
+func TestRefusedTaskIsRetriedElsewhereWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, 1)
+	fx := h.submit("j", "t", 1)
+	first := fx.Starts[0]
+	fx = h.reply(first, port.TaskNotRun)
+	is.Equal(len(fx.Starts), 1)
+	is.True(fx.Starts[0].Endpoint != first.Endpoint)
+	h.retries.tokens = 0
+	fx = h.reply(fx.Starts[0], port.TaskNotRun)
+	is.Equal(len(fx.Starts), 0)
+	is.Equal(fx.Ended[0].Results, []model.TaskResult{{Run: model.NotRun, Reason: model.ReasonRefused}})
+}
+
+func TestSilentTaskHoldsItsSlotUntilTheLeaseEnds(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	s := h.submit("j", "t", 1).Starts[0]
+	h.reply(s, port.TaskUnknown)
+	fx := h.step(RevokeReplied{s.Task, 1, port.RevokeReply{State: port.TaskUnknown}})
+	is.Equal(fx.Revokes[0].After, revokeRetry)
+	is.Equal(h.Load().Free, 0)
+	h.advance(EndpointLease)
+	is.Equal(h.Load().Slots, 0)
+	fx = h.announce("a", 1, model.EndpointServing) // Back, and the task there is still unsettled.
+	is.Equal(h.Load().Slots, 1)
+	is.Equal(h.Load().Free, 0)
+	h.step(RevokeReplied{s.Task, 1, port.RevokeReply{State: port.TaskRevoked}})
+	is.Equal(len(h.flights), 1) // Fenced, and started again.
+	is.Equal(len(fx.Starts), 0)
+}
+
+func TestTaskOfAnotherOwnerHoldsASlotAndIsStoppedWhenItsJobHasNoOwner(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	endpoint := model.Endpoint{ID: "a", Slots: 2, State: model.EndpointServing, Running: []model.TaskID{"n.i.1.1.t.0"}}
+	h.step(Owners{[]Origin{{"n", "i"}}})
+	h.step(Announced{endpoint})
+	is.Equal(h.Load().Free, 1)
+	h.step(Owners{[]Origin{{"n", "restarted"}}})
+	is.Equal(len(h.advance(originGrace/2).Revokes), 0)
+	fx := h.advance(originGrace / 2)
+	is.Equal(fx.Revokes, []Revoke{{Task: "n.i.1.1.t.0", Endpoint: "a", Stop: true}})
+	is.Equal(h.step(Announced{endpoint}).Revokes, fx.Revokes) // Again while it is listed.
+	endpoint.Running = nil
+	h.step(Announced{endpoint})
+	is.Equal(h.Load().Free, 2)
+}
+
+func TestBatchOfAnOwnerThatIsGoneEnds(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.submit("n.i.1.1.t", "t", 2)
+	h.step(Owners{nil})
+	fx := h.advance(originGrace)
+	is.Equal(len(fx.Ended), 1)
+	is.True(fx.Revokes[0].Stop)
+	is.Equal(len(fx.Starts), 0)
+}
+
+func TestEndedTaskInAnOldAnnouncementHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	s := h.submit("j", "t", 1).Starts[0]
+	h.reply(s, port.TaskDone)
+	h.step(Announced{model.Endpoint{ID: "a", Slots: 1, State: model.EndpointServing, Running: []model.TaskID{s.Task}}})
+	is.Equal(h.Load().Free, 1)
+}
+
+func TestTaskThatCannotEndInTimeIsNotStarted(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	for range 2 * priorSamples {
+		s := h.submit("learn", "t", 1).Starts[0]
+		h.now = h.now.Add(time.Second)
+		h.announce("a", 1, model.EndpointServing)
+		h.reply(s, port.TaskDone)
+	}
+	running := h.submit("first", "t", 1).Starts[0]
+	h.step(Submitted{model.Batch{
+		ID: model.BatchID{Job: "second"}, Team: "t", Tasks: make([]model.Task, 1), Deadline: h.now.Add(2500 * time.Millisecond),
+	}, openProfile()})
+	h.now = h.now.Add(2 * time.Second)
+	fx := h.reply(running, port.TaskDone)
+	is.Equal(len(fx.Starts), 0)
+	last := fx.Ended[len(fx.Ended)-1]
+	is.Equal(last.Results, []model.TaskResult{{Run: model.NotRun, Reason: model.ReasonDeadline}})
+}
+
+func numbered(tasks int) []model.Task {
+	all := make([]model.Task, tasks)
+	for i := range all {
+		all[i].Index = i
+	}
+	return all
+}
+
+func openProfile() model.Profile {
+	profile := model.BuiltInProfile()
+	profile.Admission = "open"
+	return profile
+}
+
+func TestPlacementThatBindsAtOnceTakesNoMoreThanTheSlots(t *testing.T) {
+	for name := range shipped.Placements {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2, 2)
+			profile := openProfile()
+			profile.Placement = name
+			fx := h.step(Submitted{model.Batch{
+				ID: model.BatchID{Job: "j"}, Team: "t", Tasks: numbered(20), Deadline: h.now.Add(time.Minute),
+			}, profile})
+			is.True(len(fx.Starts) <= 4)
+			is.Equal(len(fx.Starts)+h.Load().Queued, 20)
+			h.announce("a", 2, model.EndpointLeaving)
+			is.Equal(len(h.endpoints["a"].held), 0) // They go back to the queue.
+		})
+	}
+}
+
+func TestStartInvariantsFire(t *testing.T) {
+	for name, breakIt := range map[string]func(*harness, *task){
+		"one-start": func(h *harness, t *task) { h.flights[t.id] = t },
+		"serving":   func(h *harness, _ *task) { h.announce("a", 1, model.EndpointLeaving) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(1)
+			b := h.newBatch(h.now, &Submitted{Batch: model.Batch{ID: model.BatchID{Job: "k"}, Tasks: make([]model.Task, 1)}})
+			breakIt(h, &b.tasks[0])
+			defer func() {
+				v, ok := recover().(invariant.Violation)
+				is.True(ok)
+				is.Equal(v.Name, name)
+			}()
+			h.start(h.now, &b.tasks[0], h.endpoints["a"], "on purpose", &Effects{})
+			t.Fatal("the invariant did not fire")
+		})
+	}
+}
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -95,7 +95,7 @@
 	case t.batch.over:
 	case m.retries.spend():
 		m.enqueue(t)
-		m.timers.set(&t.batch.timer, t.batch.nextDue())
+		m.timers.set(&t.batch.timer, m.nextDue(t.batch))
 	default:
 		m.giveUp(now, t, model.NotRun, model.ReasonRefused, fx)
 	}
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -38,7 +38,9 @@
 	timers    timers
 	badRate   float64 // Share of tasks that ended badly at endpoints in no long run of failures.
 	aside     int     // Endpoints in quarantine or being probed.
-	live      int     // Endpoints within their lease.
+	probing   []*endpoint
+	failing   int // Endpoints in a run of failures that are not set aside.
+	live      int // Endpoints within their lease.
 	version   uint64
 	batchesIn uint64 // Batches taken on so far.
 }
@@ -107,6 +109,9 @@
 	request := port.AdmissionRequest{
 		Tasks:       len(b.Tasks),
 		Remaining:   b.Deadline.Sub(now),
+		Expected:    b.typicalRun,
+		RunTime:     b.cautiousRun,
+		Work:        b.work,
 		Slots:       m.totals.slots,
 		Free:        m.totals.free,
 		Fits:        m.fits(b.Tasks),
@@ -114,14 +119,8 @@
 		QueuedWork:  m.queue.work,
 		QueueLimit:  b.profile.QueueTasks,
 	}
-	for i := range b.tasks {
-		run := &b.tasks[i].run
-		request.Work += run.mean
-		request.Expected = max(request.Expected, run.median)
-		request.RunTime = max(request.RunTime, run.high)
-	}
 	residual := time.Duration(len(m.flights)) * time.Duration(m.runTimes.all.mean) / 2
-	request.Ahead = residual + m.queue.workAhead(b.Team, request.Work)
+	request.Ahead = residual + m.queue.workAhead(now, b, request.Work)
 	return policy.Admit(request)
 }
 
--- a/plugins/endpoints/poolstate/machine_test.go
+++ b/plugins/endpoints/poolstate/machine_test.go
@@ -1,6 +1,8 @@
 package poolstate
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,13 +35,17 @@
 // harness is a machine with its events applied at the time that a test sets.
 type harness struct {
 	*Machine
-	now time.Time
+	now   time.Time
+	slots map[model.EndpointID]int
+	jobs  int
 }
 
 func newHarness(slots ...int) *harness {
-	h := &harness{now: start, Machine: New(finderPool, "sj1-a", shipped, 1)}
+	h := &harness{now: start, slots: map[model.EndpointID]int{}, Machine: New(finderPool, "sj1-a", shipped, 1)}
 	for i, n := range slots {
-		h.announce(model.EndpointID(rune('a'+i)), n, model.EndpointServing)
+		id := model.EndpointID(rune('a' + i))
+		h.slots[id] = n
+		h.announce(id, n, model.EndpointServing)
 	}
 	return h
 }
@@ -53,6 +59,18 @@
 	return h.step(Announced{model.Endpoint{ID: id, Service: "finder", DataCentre: "sj1", Slots: slots, State: state, Address: string(id)}})
 }
 
+// advance lets time pass, in which the endpoints go on announcing themselves, and returns the last
+// effects. A time of a whole lease passes without announcements.
+func (h *harness) advance(d time.Duration) Effects {
+	h.now = h.now.Add(d)
+	if d < EndpointLease {
+		for _, id := range slices.Sorted(maps.Keys(h.slots)) {
+			h.announce(id, h.slots[id], model.EndpointServing)
+		}
+	}
+	return h.step(Elapsed{})
+}
+
 func (h *harness) submit(job model.JobID, team model.TeamID, tasks int) Effects {
 	b := model.Batch{ID: model.BatchID{Job: job}, Pool: finderPool, Team: team, Deadline: h.now.Add(10 * time.Second)}
 	for i := range tasks {
--- a/plugins/endpoints/poolstate/place.go
+++ b/plugins/endpoints/poolstate/place.go
@@ -21,11 +21,14 @@
 	}
 	for m.queue.count > 0 && len(m.skipped) <= maxSkipped {
 		t := m.queue.first()
-		if !t.lastStart().After(now) {
-			m.due(now, t.batch, fx)
+		if !m.giveUpAt(t.batch).After(now) {
+			m.cancel(now, t.batch, model.ReasonDeadline, fx)
 			continue
 		}
-		choice, ok := m.placer.Pick(m.request(now, t))
+		choice, ok := m.probe(now, t)
+		if !ok {
+			choice, ok = m.placer.Pick(m.request(now, t))
+		}
 		if ok {
 			m.queue.take()
 			m.bind(now, t, choice, fx)
--- a/plugins/endpoints/poolstate/policy_bench_test.go
+++ b/plugins/endpoints/poolstate/policy_bench_test.go
@@ -13,18 +13,13 @@
 func BenchmarkDiscipline(b *testing.B) {
 	for _, load := range []float64{0.5, 0.85, 1.5} {
 		for _, size := range []int{0, 1, 4, 16} {
-			for _, window := range []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
-				name := fmt.Sprintf("load=%v/size=%d/window=%v", load, size, window)
-				b.Run(name, func(b *testing.B) {
-					trace := simTrace{seed: 7, endpoints: 13, load: load, length: 2 * time.Minute, deadline: 10 * time.Second, teams: 12}
-					for b.Loop() {
-						jobs := simulate(trace, model.BuiltInProfile(), func(m *Machine) {
-							m.queue.size, m.queue.fairness = size, window
-						})
-						report(b, sumUp(trace, jobs, all))
-					}
-				})
-			}
+			b.Run(fmt.Sprintf("load=%v/size=%d", load, size), func(b *testing.B) {
+				trace := simTrace{seed: 7, endpoints: 13, load: load, length: 2 * time.Minute, deadline: 10 * time.Second, teams: 12}
+				for b.Loop() {
+					jobs := simulate(trace, model.BuiltInProfile(), func(m *Machine) { m.queue.size = size })
+					report(b, sumUp(trace, jobs, all))
+				}
+			})
 		}
 	}
 }
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -236,10 +236,10 @@
 	}
 	var sums totals
 	for _, e := range m.members {
-		sums.slots += e.capacity()
-		sums.free += max(e.capacity()-e.busy(), 0)
+		sums.slots += e.offered()
+		sums.free += max(e.offered()-e.busy(), 0)
 		sums.held += len(e.held)
-		sums.serving += min(e.capacity(), 1)
+		sums.serving += min(e.offered(), 1)
 	}
 	sums.largest, sums.largestStale = m.totals.largest, m.totals.largestStale
 	if count != m.queue.count || work != m.queue.work || sums != m.totals {
--- a/plugins/endpoints/poolstate/sim_test.go
+++ b/plugins/endpoints/poolstate/sim_test.go
@@ -34,7 +34,6 @@
 	declared []time.Duration
 	end      time.Duration // Of its last task; 0 while it has none.
 	refused  bool
-	started  bool
 	slotTime time.Duration // Spent on its tasks.
 }
 
@@ -195,7 +194,6 @@
 	for _, st := range s.fx.Starts {
 		j, index := s.taskOf(st.Task)
 		s.running[st.Task] = s.now
-		j.started = true
 		s.at(s.now.Add(j.runs[index]), Replied{st.Task, st.Attempt, port.TaskReply{State: port.TaskDone}})
 	}
 	for _, r := range s.fx.Revokes {
