--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -20,8 +20,10 @@
 	"redwingpulley/plugins/endpoints/ledger",
 	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
+	"redwingpulley/plugins/profiles/register",
 	"redwingpulley/plugins/placement/plan",
 	"redwingpulley/plugins/jobs/retrybudget",
+	"redwingpulley/plugins/membership/swim",
 }
 
 // forbidden are what a decision package must not import, directly or through this project.
