--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -306,7 +306,7 @@
 		p.arm(id, o, now)
 	})
 	if p.recorder.Active() {
-		p.record(created, number, now, event, fx)
+		p.recordStep(created, number, now, event, fx)
 	}
 	for _, w := range ended {
 		p.noteEnded(w)
--- a/plugins/endpoints/record.go
+++ b/plugins/endpoints/record.go
@@ -19,8 +19,8 @@
 	return time.Now()
 }
 
-// record keeps a step of a pool's machine, and its creation before the first one.
-func (p *Pools) record(created poolstate.Created, number uint64, now time.Time, event poolstate.Event, fx *poolstate.Effects) {
+// recordStep keeps a step of a pool's machine, and its creation before the first one.
+func (p *Pools) recordStep(created poolstate.Created, number uint64, now time.Time, event poolstate.Event, fx *poolstate.Effects) {
 	key := string(created.Owner) + " " + created.Pool.String()
 	if number == 1 {
 		p.recorder.Record(port.RecordedStep{Machine: recordedMachine, Key: key, At: now, Event: created})
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -64,15 +64,15 @@
 	return n.handlers[to][method], f
 }
 
-// member is the fake of all ports that one Pools needs.
-type member struct {
+// fakeMember is the fake of all ports that one Pools needs.
+type fakeMember struct {
 	*network
 	node  port.Node
 	tasks func(context.Context, port.TaskStart) port.TaskReply
 	asked func(model.TaskID) port.RevokeReply
 }
 
-func (m *member) Handle(method string, h port.Handler) {
+func (m *fakeMember) Handle(method string, h port.Handler) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.handlers[m.node.ID] == nil {
@@ -81,9 +81,9 @@
 	m.handlers[m.node.ID][method] = h
 }
 
-func (m *member) Learn(model.NodeID, string) {}
+func (m *fakeMember) Learn(model.NodeID, string) {}
 
-func (m *member) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
+func (m *fakeMember) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
 	handler, f := m.next(to, method)
 	if handler == nil || ctx.Err() != nil {
 		return port.NotSent
@@ -106,33 +106,33 @@
 	return port.Delivered
 }
 
-func (m *member) Self() port.Node { return m.node }
+func (m *fakeMember) Self() port.Node { return m.node }
 
-func (m *member) Alive() []port.Node {
+func (m *fakeMember) Alive() []port.Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.alive
 }
 
-func (m *member) Changed() <-chan struct{} {
+func (m *fakeMember) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.changed
 }
 
-func (m *member) Leave(context.Context) {}
+func (m *fakeMember) Leave(context.Context) {}
 
-func (m *member) Current() (model.ProfileSet, bool) { return model.BuiltInProfiles(), true }
+func (m *fakeMember) Current() (model.ProfileSet, bool) { return model.BuiltInProfiles(), true }
 
-func (m *member) Record(port.Decision) {}
+func (m *fakeMember) Record(port.Decision) {}
 
-func (m *member) Recent() []port.Decision { return nil }
+func (m *fakeMember) Recent() []port.Decision { return nil }
 
-func (m *member) Start(ctx context.Context, _ string, s port.TaskStart) port.TaskReply {
+func (m *fakeMember) Start(ctx context.Context, _ string, s port.TaskStart) port.TaskReply {
 	return m.tasks(ctx, s)
 }
 
-func (m *member) Revoke(_ context.Context, _ string, id model.TaskID, _ bool) port.RevokeReply {
+func (m *fakeMember) Revoke(_ context.Context, _ string, id model.TaskID, _ bool) port.RevokeReply {
 	return m.asked(id)
 }
 
@@ -143,15 +143,15 @@
 func (noRecorder) Record(port.RecordedStep) {}
 
 var (
-	origin1 = port.Node{ID: "origin", Incarnation: "o1", DataCentre: "sj1"}
+	origin1 = port.Node{ID: "origin", Incarnation: "o1", DataCentre: "sj2"}
 	owner1  = port.Node{ID: "owner", Incarnation: "w1", DataCentre: "sj1"}
 	owner2  = port.Node{ID: "owner", Incarnation: "w2", DataCentre: "sj1"}
 	pool1   = model.PoolID{Service: "finder", DataCentre: "sj1"}
 )
 
 // newPools returns the started plug-in of one member; tasks take a second.
-func newPools(t *testing.T, n *network, node port.Node) (*Pools, *member) {
-	m := &member{network: n, node: node}
+func newPools(t *testing.T, n *network, node port.Node) (*Pools, *fakeMember) {
+	m := &fakeMember{network: n, node: node}
 	m.tasks = func(ctx context.Context, s port.TaskStart) port.TaskReply {
 		if !pause(ctx, time.Second) {
 			return port.TaskReply{State: port.TaskUnknown}
@@ -172,7 +172,7 @@
 }
 
 // pair is a job's owner and a pool's owner with one endpoint of two slots.
-func pair(t *testing.T) (n *network, origin, owner *Pools, atOwner *member) {
+func pair(t *testing.T) (n *network, origin, owner *Pools, atOwner *fakeMember) {
 	n = newNetwork()
 	n.setAlive(origin1, owner1)
 	origin, _ = newPools(t, n, origin1)
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -60,6 +60,7 @@
 	work      traffic
 	control   traffic
 	serving   drain.Gate // Around each request that is not control.
+	draining  atomic.Bool
 }
 
 // Provision learns the addresses of the members that settings name.
@@ -123,7 +124,10 @@
 
 // Drain waits until the requests of other members have their replies. It takes new ones, which the
 // drained plug-ins refuse.
-func (p *Peers) Drain(ctx context.Context) { p.serving.Wait(ctx) }
+func (p *Peers) Drain(ctx context.Context) {
+	p.draining.Store(true)
+	p.serving.Wait(ctx)
+}
 
 // Stop sends the replies that are due, then closes the listener and all connections. The listener
 // stays during a drain, for the batches of other members.
@@ -170,6 +174,9 @@
 	if err := json.NewEncoder(w).Encode(reply); err != nil {
 		p.log.Warn("reply not sent", "method", r.URL.Path, "error", err)
 	}
+	if p.draining.Load() {
+		http.NewResponseController(w).Flush() // Before the request counts as answered.
+	}
 }
 
 // Call sends a request and waits for its reply.
