A job that only waited says not_run at its deadline

Cause: the batches of a job ended at the same moment as the job, so their results came too late and a job whose tasks had only waited in a queue said may_have_run.

Change: a batch ends before its job by a fiftieth of the time that is left, at most 15 ms. Requests for an earlier incarnation have a test of their own.

--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -12,6 +12,7 @@
 
 const (
 	askPause  = 50 * time.Millisecond  // Before a batch whose reply did not come is asked for.
+	lateReply = 100 * time.Millisecond // For a reply, after the deadline at which its batch ended.
 	lostGrace = 200 * time.Millisecond // For the last replies of an owner that has just left.
 )
 
@@ -63,7 +64,7 @@
 func (p *Pools) runAtOwner(ctx context.Context, node port.Node, batch model.Batch) model.BatchResult {
 	s := p.open(node)
 	defer p.close(s)
-	live, cancel := context.WithDeadline(s.alive, batch.Deadline)
+	live, cancel := context.WithDeadline(s.alive, batch.Deadline.Add(lateReply))
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { p.cancelAt(live, s, batch) })
 	defer stop()
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -245,6 +245,41 @@
 	})
 }
 
+func TestRequestForAnEarlierIncarnationIsLostNotRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, _, owner, _ := pair(t)
+		e := envelope{Origin: "o1", Target: "w0", Sequence: 1}
+		is.Equal(owner.serveRun(t.Context(), "origin", encodeBatch(e, batch(time.Minute))), runReply{Lost: true})
+		is.Equal(owner.serveResume(t.Context(), "origin", askRequest{envelope: e}), runReply{Lost: true})
+		e.Target = "" // The sender did not know which incarnation it reached.
+		is.Equal(owner.serveResume(t.Context(), "origin", askRequest{envelope: e}), runReply{Lost: true})
+		is.Equal(owner.starts.Count(), int64(0))
+	})
+}
+
+func TestBatchThatOnlyWaitedIsTrulyNotRunAtItsDeadline(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, origin, owner, atOwner := pair(t)
+		atOwner.tasks = func(ctx context.Context, s port.TaskStart) port.TaskReply {
+			pause(ctx, 5*time.Second) // Longer than the pool expects.
+			return port.TaskReply{State: port.TaskDone, Answer: []byte("1")}
+		}
+		atOwner.asked = func(model.TaskID) port.RevokeReply { return port.RevokeReply{State: port.TaskRunning} }
+		first, second := batch(time.Minute), batch(1500*time.Millisecond)
+		first.ID.Job = "first"
+		done := make(chan model.BatchResult)
+		go func() { done <- origin.Run(t.Context(), "owner", first) }()
+		synctest.Wait()
+		result := origin.Run(t.Context(), "owner", second)
+		is.Equal(len(result.Results), 2)
+		for _, r := range result.Results {
+			is.Equal(r.Run, model.NotRun)
+		}
+		is.Equal(owner.starts.Count(), int64(2)) // Of the first batch.
+		<-done
+	})
+}
+
 func TestBatchOfALostOwnerEndsBeforeItsDeadline(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I) {
 		n, origin, _, _ := pair(t)
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -91,7 +91,7 @@
 	switch e := event.(type) {
 	case Planned:
 		for _, part := range e.Plan.Parts {
-			j.send(part, &fx)
+			j.send(now, part, &fx)
 		}
 	case Refused:
 		j.fail(now, failure{e.Reason, e.RetryAfter}, &fx)
@@ -107,13 +107,25 @@
 	return fx
 }
 
-func (j *Job) send(part port.PlanPart, fx *Effects) {
+// A batch ends before its job's deadline by a part of the time that is left, so that the job can
+// tell in time whether it ran.
+const (
+	settlePart = 50
+	maxSettle  = 15 * time.Millisecond
+)
+
+func (j *Job) batchDeadline(now time.Time) time.Time {
+	left := max(j.job.Deadline.Sub(now), 0)
+	return j.job.Deadline.Add(-min(left/settlePart, maxSettle))
+}
+
+func (j *Job) send(now time.Time, part port.PlanPart, fx *Effects) {
 	batch := model.Batch{
 		ID:       model.BatchID{Job: j.job.ID, Part: j.next},
 		Pool:     part.Pool,
 		Origin:   j.self,
 		Team:     j.job.Team,
-		Deadline: j.job.Deadline,
+		Deadline: j.batchDeadline(now),
 	}
 	for _, index := range part.Tasks {
 		batch.Tasks = append(batch.Tasks, j.job.Tasks[index])
@@ -176,7 +188,7 @@
 			indices = append(indices, r.tasks[position])
 		}
 		part.Tasks = indices
-		j.send(part, fx)
+		j.send(now, part, fx)
 	}
 }
 
--- a/plugins/jobs/jobstate/jobstate_test.go
+++ b/plugins/jobs/jobstate/jobstate_test.go
@@ -121,6 +121,19 @@
 	is.Equal(j.Outcome().Reason, model.ReasonDeadline)
 }
 
+func TestBatchEndsInTimeForItsJobToTellWhetherItRan(t *testing.T) {
+	is := is.New(t)
+	j, fx := planned(2)
+	for _, s := range fx.Sends {
+		is.True(s.Batch.Deadline.Before(j.Wake()))
+		is.True(s.Batch.Deadline.Add(maxSettle + 1).After(j.Wake()))
+	}
+	at := fx.Sends[0].Batch.Deadline
+	j.Step(at, ranNot(0, model.NotRun, 0))
+	j.Step(at, ranNot(1, model.NotRun, 1))
+	is.Equal(j.Outcome().Run, model.NotRun)
+}
+
 func TestNothingChangesAnEndedJob(t *testing.T) {
 	is := is.New(t)
 	j, _ := planned(2)
