Demonstration: shorter trace, progress for files, ports held until used

Cause: the demonstration was to end well within 20 s, and wrote its progress over itself where the output is no terminal. A comparison of many runs ended at "address already in use": a port that was found free was taken by a relay.

Found ports stay held until their entry VM starts. A failed run of a comparison shows the runs before it.

--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -7,10 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
 	"path/filepath"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,7 +25,6 @@
 
 const (
 	warmUpLimit = 20 * time.Second // Until every endpoint has announced itself.
-	stopLimit   = 10 * time.Second // For the drain of one entry VM.
 	rackSize    = 6                // Workers in a rack.
 	recordMB    = 64               // Of one entry VM's record.
 )
@@ -58,18 +55,20 @@
 	Hosts     []*plugin.Host
 	Endpoints []*standin.Endpoint
 
-	members []settings.Settings
-	relays  []*relay.Relay
+	members  []settings.Settings
+	reserved ports
+	relays   []*relay.Relay
 }
 
 // Start starts the entry VMs, then the endpoints, and returns when all of them have announced
 // themselves.
 func Start(ctx context.Context, c Config) (*Group, error) {
-	members, err := c.members()
-	if err != nil {
+	g := &Group{reserved: make(ports)}
+	defer g.reserved.releaseAll()
+	var err error
+	if g.members, err = c.members(g.reserved); err != nil {
 		return nil, err
 	}
-	g := &Group{members: members}
 	if err := g.start(ctx, c); err != nil {
 		g.Stop()
 		return nil, err
@@ -106,6 +105,7 @@
 	if definitions == nil {
 		definitions = plugin.Registered()
 	}
+	g.reserved.release(own.Listen.Callers, own.Listen.Endpoints, own.Listen.Operators, own.Listen.Peers)
 	host, err := node.StartWith(own, c.Log, definitions)
 	if err != nil {
 		return err
@@ -155,12 +155,12 @@
 
 // members returns the settings of all entry VMs, with free ports. The first of each data centre
 // has a disk.
-func (c Config) members() ([]settings.Settings, error) {
+func (c Config) members(reserved ports) ([]settings.Settings, error) {
 	var all []settings.Settings
 	var known []settings.Member
 	for _, dc := range c.DataCentres {
 		for i := range dc.VMs {
-			ports, err := freePorts(4)
+			free, err := reserved.take(4)
 			if err != nil {
 				return nil, err
 			}
@@ -168,14 +168,14 @@
 				Node:       model.NodeID(dc.Name + "-" + string(rune('a'+i))),
 				Region:     c.Region,
 				DataCentre: model.DataCentre(dc.Name),
-				Listen:     settings.Listen{Callers: ports[0], Endpoints: ports[1], Operators: ports[2], Peers: ports[3]},
+				Listen:     settings.Listen{Callers: free[0], Endpoints: free[1], Operators: free[2], Peers: free[3]},
 			}
 			disk := c.DataDir != "" && i == 0
 			if disk {
 				s.DataDir = c.DataDir + "/" + string(s.Node)
 			}
 			known = append(known, settings.Member{
-				Node: s.Node, DataCentre: s.DataCentre, Peers: ports[3], Endpoints: ports[1], Disk: disk,
+				Node: s.Node, DataCentre: s.DataCentre, Peers: free[3], Endpoints: free[1], Disk: disk,
 			})
 			all = append(all, s)
 		}
@@ -186,20 +186,6 @@
 	return all, nil
 }
 
-// freePorts returns addresses of 127.0.0.1 that nothing listened at.
-func freePorts(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "free port")
-		}
-		defer listener.Close() // Held until all are found, so that they differ.
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 func (c Config) endpoints(members []settings.Settings) []standin.Config {
 	var all []standin.Config
 	for _, dc := range c.DataCentres {
@@ -287,21 +273,18 @@
 // Lose stops an entry VM without a drain.
 func (g *Group) Lose(number int) error { return g.Hosts[number].Stop() }
 
-// Stop drains the entry VMs, then ends the endpoints.
+// Stop ends the entry VMs without a drain, then the endpoints: an experiment waits for its answers
+// itself.
 func (g *Group) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
-	defer cancel()
-	faults := make([]error, len(g.Hosts))
-	var stopping sync.WaitGroup
-	for i, host := range g.Hosts {
-		stopping.Go(func() { faults[i] = node.Stop(ctx, host) })
+	var faults error
+	for _, host := range g.Hosts {
+		faults = errors.Join(faults, host.Stop())
 	}
-	stopping.Wait()
 	for _, e := range g.Endpoints {
 		e.Close()
 	}
 	for _, r := range g.relays {
 		r.Close()
 	}
-	return errors.Join(faults...)
+	return faults
 }
--- a/cmd/redwingctl/compare.go
+++ b/cmd/redwingctl/compare.go
@@ -44,10 +44,8 @@
 	rows, err := experiment.Run(ctx, func(r compare.Row) {
 		fmt.Fprintf(os.Stderr, "%s, %s, %s: mean response over ideal %.3f\n", r.Deployment, r.Scenario, r.Policy, r.Service().Ratio.Mean)
 	})
-	if err != nil {
-		return err
-	}
-	return c.write(rows, compare.Policies()[0].Name)
+	// The runs before a failed one are shown.
+	return errors.Join(err, c.write(rows, compare.Policies()[0].Name))
 }
 
 func (c *compareCommand) write(rows []compare.Row, shipped string) error {
--- a/cmd/redwingctl/demo.go
+++ b/cmd/redwingctl/demo.go
@@ -22,7 +22,7 @@
 	demoSlots   = 8
 	demoResends = 3
 	settleTime  = time.Second // For the entry VMs to hear of each other's pools.
-	demoLimit   = 20 * time.Second
+	demoLimit   = 18 * time.Second
 )
 
 type demoCommand struct {
@@ -87,14 +87,7 @@
 func playDemo(ctx context.Context, out io.Writer, g *group.Group, jobs []trace.Job) ([]load.Result, error) {
 	client := caller.New(g.Entries(), 0, demoResends)
 	defer client.Close()
-	runner := load.Runner{Client: client, Progress: func(done, all int) {
-		if done%20 == 0 || done == all {
-			fmt.Fprintf(out, "\r%d of %d jobs answered", done, all)
-		}
-	}}
-	results, err := runner.Run(ctx, jobs)
-	fmt.Fprintln(out)
-	return results, err
+	return load.Runner{Client: client, Progress: newProgress(out).show}.Run(ctx, jobs)
 }
 
 func settle(ctx context.Context) {
