--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -13,16 +13,16 @@
 
 // decisions are the packages that must be pure state machines or policies.
 var decisions = []string{
+	"redwingpulley/kernel/invariant",
 	"redwingpulley/kernel/model",
 	"redwingpulley/kernel/port",
-	"redwingpulley/kernel/invariant",
-	"redwingpulley/plugins/endpoints/poolstate",
 	"redwingpulley/plugins/endpoints/ledger",
+	"redwingpulley/plugins/endpoints/poolstate",
 	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
+	"redwingpulley/plugins/jobs/retrybudget",
 	"redwingpulley/plugins/membership/swim",
 	"redwingpulley/plugins/placement/plan",
-	"redwingpulley/plugins/jobs/retrybudget",
 }
 
 // forbidden are what a decision package must not import, directly or through this project.
