Ownership of pools moves with its endpoints and without refused work

Cause: the owner was taken from settings' members; a planned stop left the pool without endpoints until their next announcements, and a VM that had stood still went on as owner. Peers answer what is in flight before the others hear of the stop. jobstate: a pool that refused because it moved is not avoided.

--- a/kernel/plugin/host.go
+++ b/kernel/plugin/host.go
@@ -93,8 +93,11 @@
 	return faults
 }
 
-// Start starts the plug-ins. When one fails, those already started are stopped.
+// Start starts the plug-ins; the process is not ready before the last of them. When one fails,
+// those already started are stopped.
 func (h *Host) Start() error {
+	const condition = "starting"
+	h.Health.Block(condition, "not all plug-ins have started")
 	for _, i := range h.plugins {
 		if s, ok := i.plugin.(Starter); ok {
 			if err := s.Start(); err != nil {
@@ -103,6 +106,7 @@
 		}
 		h.started++
 	}
+	h.Health.Clear(condition)
 	return nil
 }
 
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/model"
@@ -33,6 +32,7 @@
 type Pools struct {
 	settings   Settings
 	membership port.Membership
+	liveness   port.Liveness
 	profiles   port.Profiles
 	peers      port.Peers
 	tasks      port.Tasks
@@ -42,8 +42,12 @@
 	pools *shard.Map[model.PoolID, *pool]
 	loads *shard.Map[model.PoolID, model.PoolLoad] // Of pools that others own.
 	lines *shard.Map[originKey, *line]
-	stop  context.CancelFunc
-	life  context.Context
+
+	owners  *shard.Map[model.PoolID, chosen]
+	formers *shard.Map[model.PoolID, map[model.NodeID]time.Time] // Who still has work, and until when.
+
+	stop context.CancelFunc
+	life context.Context
 
 	created  chan struct{} // Signals watchOwners that there is a new pool.
 	effects  sync.Pool     // Of *poolstate.Effects: a step's buffers, used by the next ones.
@@ -56,9 +60,11 @@
 
 // pool is an owned pool: its decisions, and who waits for its batches.
 type pool struct {
-	machine *poolstate.Machine
-	waiters map[model.BatchID]*waiter
-	timer   *time.Timer
+	machine  *poolstate.Machine
+	waiters  map[model.BatchID]*waiter
+	timer    *time.Timer
+	handedTo member    // Who was told of the pool's endpoints since this member last owned it.
+	movedAt  time.Time // When that was.
 
 	patience poolstate.Patience
 }
@@ -72,6 +78,9 @@
 	if p.membership, err = plugin.Use[port.Membership](c); err != nil {
 		return err
 	}
+	if p.liveness, err = plugin.Use[port.Liveness](c); err != nil {
+		return err
+	}
 	if p.profiles, err = plugin.Use[port.Profiles](c); err != nil {
 		return err
 	}
@@ -94,6 +103,8 @@
 	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.lines = shard.New[originKey, *line](shard.DefaultCount)
 	p.origins = newOrigins()
+	p.owners = shard.New[model.PoolID, chosen](shard.DefaultCount)
+	p.formers = shard.New[model.PoolID, map[model.NodeID]time.Time](shard.DefaultCount)
 	p.starts = metrics.GetOrRegisterCounter("tasks.starts", c.Metrics)
 	p.wasted = metrics.GetOrRegisterCounter("messages.wasted", c.Metrics)
 	p.life, p.stop = context.WithCancel(context.Background())
@@ -107,13 +118,15 @@
 	go p.reportLoads()
 	go p.watchOwners()
 	go p.watchMembers()
+	go p.watchOwnership()
 	return nil
 }
 
-// Drain takes no new batch and waits for the end of those that it has.
+// Drain hands the pools over, takes no new batch and waits for the end of those that it has.
 func (p *Pools) Drain(ctx context.Context) {
+	p.leave(ctx)
+	pause(ctx, transitTime)
 	p.draining.Store(true)
-	p.membership.Leave(ctx)
 	var open []*waiter
 	p.pools.Each(func(pools map[model.PoolID]*pool) {
 		for _, o := range pools {
@@ -135,51 +148,6 @@
 	return nil
 }
 
-// Announce routes the announcement to the pool's owner.
-func (p *Pools) Announce(ctx context.Context, endpoint model.Endpoint) port.Ownership {
-	id := p.poolOf(endpoint)
-	owner := p.ownerOf(id)
-	if owner.ID == p.membership.Self().ID {
-		p.step(id, poolstate.Announced{Endpoint: endpoint})
-	} else {
-		var ignored empty
-		p.peers.Call(ctx, owner.ID, methodAnnounce, announcement{Endpoint: endpoint}, &ignored)
-	}
-	return port.Ownership{Owner: owner.Endpoints, Interval: announceInterval, Lease: poolstate.EndpointLease}
-}
-
-func (p *Pools) poolOf(e model.Endpoint) model.PoolID {
-	part := int(xxhash.Sum64String(string(e.ID)) % uint64(max(p.settings.PoolsPerDataCentre, 1)))
-	return model.PoolID{Service: e.Service, DataCentre: e.DataCentre, Part: part}
-}
-
-// ownerOf picks the pool's owner by rendezvous hashing over the live members of the pool's data
-// centre, or over all members while that data centre has none.
-func (p *Pools) ownerOf(id model.PoolID) port.Node {
-	alive := p.membership.Alive()
-	near := slices.DeleteFunc(slices.Clone(alive), func(n port.Node) bool {
-		return n.DataCentre != id.DataCentre || n.Draining
-	})
-	if len(near) == 0 {
-		near = alive
-	}
-	key := id.String()
-	return slices.MaxFunc(near, func(a, b port.Node) int {
-		return compareWeight(key, a.ID, b.ID)
-	})
-}
-
-func compareWeight(key string, a, b model.NodeID) int {
-	x, y := xxhash.Sum64String(key+"|"+string(a)), xxhash.Sum64String(key+"|"+string(b))
-	switch {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
-	}
-	return strings.Compare(string(a), string(b))
-}
-
 // submit hands a batch to its pool, which refuses it or ends it later.
 func (p *Pools) submit(batch model.Batch, w *waiter) {
 	profiles, _ := p.profiles.Current()
@@ -188,6 +156,10 @@
 		p.refuse(batch, w, model.ReasonNoProfile)
 		return
 	}
+	if reason := p.unable(batch.Pool); reason != "" {
+		p.refuse(batch, w, reason)
+		return
+	}
 	draining := false
 	p.withPool(batch.Pool, func(o *pool) {
 		if draining = p.draining.Load(); !draining {
@@ -206,16 +178,20 @@
 	p.noteEnded(w)
 }
 
-// Loads returns the loads of the owned pools and the newest that others told.
+// Loads returns the loads of the owned pools and the newest that others told, each with the owner
+// by the newest view of the members.
 func (p *Pools) Loads(service model.ServiceID) []model.PoolLoad {
 	loads := slices.DeleteFunc(p.ownedLoads(), func(l model.PoolLoad) bool { return l.Pool.Service != service })
 	p.loads.Each(func(known map[model.PoolID]model.PoolLoad) {
 		for id, load := range known {
-			if id.Service == service && load.Owner != p.membership.Self().ID {
+			if id.Service == service && !p.owns(id) {
 				loads = append(loads, load)
 			}
 		}
 	})
+	for i := range loads {
+		loads[i].Owner = p.ownerOf(loads[i].Pool).ID
+	}
 	slices.SortFunc(loads, func(a, b model.PoolLoad) int { return strings.Compare(a.Pool.String(), b.Pool.String()) })
 	return loads
 }
@@ -227,7 +203,7 @@
 			loads = append(loads, o.machine.Load())
 		}
 	})
-	return loads
+	return slices.DeleteFunc(loads, func(l model.PoolLoad) bool { return !p.owns(l.Pool) })
 }
 
 // Endpoints returns the endpoints of the owned pools.
--- /dev/null
+++ b/plugins/endpoints/ownership.go
@@ -0,0 +1,141 @@
+package endpoints
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/poolstate"
+)
+
+// announcement is one of an endpoint that another member passes on. One for a former owner lets it
+// finish the work that it still has.
+type announcement struct {
+	Endpoint model.Endpoint `json:"endpoint"`
+	Former   bool           `json:"former,omitempty"`
+}
+
+// announceReply names the pool's owner as the asked member sees it.
+type announceReply struct {
+	Owner string `json:"owner"` // ip:port of its listener for endpoints.
+}
+
+// Announce records the announcement when this member owns the pool, and otherwise passes it on,
+// once. The endpoint announces itself to the owner from then on.
+func (p *Pools) Announce(ctx context.Context, endpoint model.Endpoint) port.Ownership {
+	id := p.poolOf(endpoint)
+	owner := p.ownerOf(id)
+	ownership := port.Ownership{Owner: owner.Endpoints, Interval: announceInterval, Lease: poolstate.EndpointLease}
+	if owner.ID == p.membership.Self().ID {
+		p.record(id, endpoint)
+		return ownership
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceInterval/2)
+	defer cancel()
+	var reply announceReply
+	if p.peers.Call(ctx, owner.ID, methodAnnounce, announcement{Endpoint: endpoint}, &reply) != port.Delivered {
+		p.liveness.Doubt(owner.ID)
+		return ownership
+	}
+	ownership.Owner = reply.Owner // The asked member may know of a newer owner.
+	return ownership
+}
+
+func (p *Pools) serveAnnounce(_ context.Context, _ model.NodeID, a announcement) announceReply {
+	id := p.poolOf(a.Endpoint)
+	owner := p.ownerOf(id)
+	switch {
+	case a.Former:
+		p.step(id, poolstate.Announced{Endpoint: a.Endpoint})
+	case owner.ID == p.membership.Self().ID:
+		p.record(id, a.Endpoint)
+	}
+	return announceReply{owner.Endpoints}
+}
+
+// record takes an announcement into the pool. A member whose view is stale takes none: others may
+// own the pool by now, and the endpoint comes again.
+func (p *Pools) record(id model.PoolID, endpoint model.Endpoint) {
+	if !p.liveness.Fresh() {
+		return
+	}
+	p.step(id, poolstate.Announced{Endpoint: endpoint})
+	p.tellFormers(id, endpoint)
+}
+
+// owns reports whether this member is the pool's owner and knows that it still is.
+func (p *Pools) owns(id model.PoolID) bool {
+	return p.ownerOf(id).ID == p.membership.Self().ID && p.liveness.Fresh()
+}
+
+// unable returns why this member takes no batch for the pool, or "".
+func (p *Pools) unable(id model.PoolID) model.Reason {
+	if !p.liveness.Fresh() {
+		return model.ReasonUnreachable // Others may own the pool by now.
+	}
+	if p.ownerOf(id).ID == p.membership.Self().ID {
+		return ""
+	}
+	inTransit := false
+	p.withPool(id, func(o *pool) { inTransit = time.Since(o.movedAt) < transitTime })
+	if inTransit {
+		return ""
+	}
+	return model.ReasonMoved
+}
+
+func (p *Pools) poolOf(e model.Endpoint) model.PoolID {
+	part := int(xxhash.Sum64String(string(e.ID)) % uint64(max(p.settings.PoolsPerDataCentre, 1)))
+	return model.PoolID{Service: e.Service, DataCentre: e.DataCentre, Part: part}
+}
+
+// chosen is the owner of a pool among the live members of one view.
+type chosen struct {
+	view  *port.Node // The first of the live members; each view has its own.
+	owner port.Node
+}
+
+// ownerOf returns the pool's owner by the newest view of the members.
+func (p *Pools) ownerOf(id model.PoolID) (owner port.Node) {
+	alive := p.membership.Alive()
+	p.owners.Do(id, func(known map[model.PoolID]chosen) {
+		c, ok := known[id]
+		if !ok || c.view != &alive[0] {
+			c = chosen{&alive[0], ownerAmong(alive, id)}
+			known[id] = c
+		}
+		owner = c.owner
+	})
+	return owner
+}
+
+// ownerAmong picks a pool's owner by rendezvous hashing: over the serving members of the pool's
+// data centre, or of all data centres when that has none, or over all members.
+func ownerAmong(alive []port.Node, id model.PoolID) port.Node {
+	serving := slices.DeleteFunc(slices.Clone(alive), func(n port.Node) bool { return n.Draining })
+	if len(serving) == 0 {
+		serving = alive
+	}
+	near := slices.DeleteFunc(slices.Clone(serving), func(n port.Node) bool { return n.DataCentre != id.DataCentre })
+	if len(near) == 0 {
+		near = serving
+	}
+	key := id.String()
+	return slices.MaxFunc(near, func(a, b port.Node) int { return compareWeight(key, a.ID, b.ID) })
+}
+
+func compareWeight(key string, a, b model.NodeID) int {
+	x, y := xxhash.Sum64String(key+"|"+string(a)), xxhash.Sum64String(key+"|"+string(b))
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	}
+	return strings.Compare(string(a), string(b))
+}
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -142,7 +142,9 @@
 		return
 	}
 	j.refused[result.ID.Part] = refusal{part.Tasks, failure{result.Reason, result.RetryAfter}}
-	j.avoid = append(j.avoid, part.Pool)
+	if result.Reason != model.ReasonMoved {
+		j.avoid = append(j.avoid, part.Pool)
+	}
 	sub := j.job
 	sub.Tasks = nil
 	for _, index := range part.Tasks {
--- a/plugins/membership/carry.go
+++ b/plugins/membership/carry.go
@@ -84,9 +84,6 @@
 	m.metrics.relays.Inc(int64(len(fx.Relays)))
 	if fx.View {
 		m.metrics.live.Update(int64(len(m.Alive())))
-		if m.view.Load().fresh {
-			m.health.Clear(healthCondition)
-		}
 	}
 	if len(fx.Values) > 0 {
 		select {
--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -26,6 +26,7 @@
 	maxValue          = 512 // Bytes of one published value.
 	minPeriod         = 10 * time.Millisecond
 	healthCondition   = "membership"
+	settleTime        = 500 * time.Millisecond // Two reports of the pools' loads.
 )
 
 // Settings are the plug-in's own.
@@ -109,6 +110,7 @@
 		}
 		if node.ID == c.Node.Node {
 			node.Incarnation = newIncarnation()
+			node.Draining = true // Until the process is ready.
 			config.Self = node
 			continue
 		}
@@ -127,18 +129,52 @@
 	return binary.LittleEndian.Uint64(seed[:])
 }
 
-// Start begins to probe. The process is not ready before its first contact with another member.
+// Start begins to probe. The process is not ready before its first contact with another member,
+// and before the others have had the time to hand over the pools that it owns from then on.
 func (m *Membership) Start() error {
-	if !m.view.Load().fresh {
-		m.health.Block(healthCondition, "no contact with another member yet")
-	}
+	m.health.Block(healthCondition, "not yet known to the other members")
 	m.running.Go(m.deliver)
+	m.running.Go(m.watchHealth)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(0, func() { m.step(swim.Elapsed{}) })
 	return nil
 }
 
+// watchHealth tells the others once nothing else keeps this process from serving, so that it owns
+// no pool before. It becomes ready after the settle time.
+func (m *Membership) watchHealth() {
+	for !m.Fresh() || !m.health.ReadyBut(healthCondition) {
+		healthy, changed := m.health.Changed(), m.Changed()
+		if m.Fresh() && m.health.ReadyBut(healthCondition) {
+			break
+		}
+		select {
+		case <-healthy:
+		case <-changed:
+		case <-m.life.Done():
+			return
+		}
+	}
+	m.step(swim.Serving{})
+	if len(m.Alive()) > 1 && !m.pause(settleTime) {
+		return
+	}
+	m.health.Clear(healthCondition)
+}
+
+// pause waits and reports whether the process still runs.
+func (m *Membership) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-m.life.Done():
+		return false
+	}
+}
+
 // Stop tells others that this member stops, and ends its probes.
 func (m *Membership) Stop() error {
 	ctx, cancel := context.WithTimeout(m.life, m.answerTimeout())
--- a/plugins/membership/swim/event.go
+++ b/plugins/membership/swim/event.go
@@ -53,6 +53,9 @@
 // Doubted says that a member did not answer a request and should be probed at once.
 type Doubted struct{ Node model.NodeID }
 
+// Serving says that this member takes work.
+type Serving struct{}
+
 // Leaving says that this member drains.
 type Leaving struct{}
 
@@ -68,6 +71,7 @@
 func (Composed) event()   {}
 func (Published) event()  {}
 func (Doubted) event()    {}
+func (Serving) event()    {}
 func (Leaving) event()    {}
 func (Stopping) event()   {}
 
--- a/plugins/membership/swim/machine.go
+++ b/plugins/membership/swim/machine.go
@@ -21,6 +21,7 @@
 	config  Config
 	random  *rand.Rand
 	self    Record
+	leaving bool
 	members map[model.NodeID]*member // Without this member itself.
 	ids     []model.NodeID           // Keys of members, sorted.
 	seeds   map[model.NodeID]bool
@@ -123,8 +124,11 @@
 		m.published(e)
 	case Doubted:
 		m.doubted(now, e.Node, &fx)
+	case Serving:
+		m.setDraining(false, &fx)
 	case Leaving:
-		m.leaving(&fx)
+		m.leaving = true
+		m.setDraining(true, &fx)
 	case Stopping:
 		m.stopping(&fx)
 	}
@@ -244,13 +248,13 @@
 	}
 }
 
-// leaving tells all live members directly: ownership moves before the process stops, and a planned
-// stop is rare enough for one message to each.
-func (m *Machine) leaving(fx *Effects) {
-	if m.self.Node.Draining || m.self.State == Left {
+// setDraining tells all live members directly: ownership moves at once, and starts and planned
+// stops are rare enough for one message to each.
+func (m *Machine) setDraining(draining bool, fx *Effects) {
+	if m.self.Node.Draining == draining || (m.leaving && !draining) {
 		return
 	}
-	m.self.Node.Draining = true
+	m.self.Node.Draining = draining
 	m.changeSelf()
 	fx.View = true
 	m.tellAll(fx)
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -56,6 +56,8 @@
 	server    *http.Server
 	work      traffic
 	control   traffic
+	requests  inFlight
+	draining  atomic.Bool
 }
 
 // Provision learns the addresses of the members that settings name.
@@ -129,6 +131,8 @@
 }
 
 func (p *Peers) serve(w http.ResponseWriter, r *http.Request) {
+	p.requests.begin()
+	defer p.requests.end()
 	if len(r.URL.Path) < len(pathPrefix) {
 		http.Error(w, "no such method", statusNoSuch)
 		return
@@ -149,6 +153,9 @@
 	if err := json.NewEncoder(w).Encode(reply); err != nil {
 		p.log.Warn("reply not sent", "method", r.URL.Path, "error", err)
 	}
+	if p.draining.Load() {
+		http.NewResponseController(w).Flush() // Before the request counts as answered.
+	}
 }
 
 // Call sends a request and waits for its reply.
