--- a/plugins/endpoints/poolstate/faults_test.go
+++ b/plugins/endpoints/poolstate/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -160,8 +161,8 @@
 	h.now = h.now.Add(2 * time.Second)
 	fx := h.reply(running, port.TaskDone)
 	is.Equal(len(fx.Starts), 0)
-	last := fx.Ended[len(fx.Ended)-1]
-	is.Equal(last.Results, []model.TaskResult{{Run: model.NotRun, Reason: model.ReasonDeadline}})
+	second := slices.IndexFunc(fx.Ended, func(r model.BatchResult) bool { return r.ID.Job == "second" })
+	is.Equal(fx.Ended[second].Results, []model.TaskResult{{Run: model.NotRun, Reason: model.ReasonDeadline}})
 }
 
 func numbered(tasks int) []model.Task {
