Benchmarks of the cost of members, endpoints and task starts

Change: benchmarks run entry VMs as processes and read their processor time and memory from /proc, and the bytes between them from the relays. Ports found for entry VMs are held until they start.

--- a/bench/relay/relay.go
+++ b/bench/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,7 @@
 	listener net.Listener
 	done     sync.WaitGroup
 	closed   chan struct{}
+	bytes    atomic.Int64
 
 	mu       sync.Mutex
 	open     chan struct{}         // Closed while data is forwarded.
@@ -53,6 +55,9 @@
 // Address returns the relay's ip:port.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
+// Bytes returns how many bytes came in, both ways together.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // Cut holds back all data, as a partition does: what was sent arrives after Heal.
 func (r *Relay) Cut() {
 	r.mu.Lock()
@@ -160,6 +165,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			r.bytes.Add(int64(n))
 			chunks <- chunk{append([]byte(nil), buffer[:n]...), time.Now().Add(r.delay)}
 		}
 		if err != nil {
--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -17,6 +17,7 @@
 	"redwingpulley/bench/relay"
 	"redwingpulley/bench/standin"
 	"redwingpulley/cmd/internal/node"
+	"redwingpulley/cmd/internal/ports"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -57,15 +58,15 @@
 	Endpoints []*standin.Endpoint
 
 	members  []settings.Settings
-	reserved ports
+	reserved ports.Reserved
 	relays   []*relay.Relay
 }
 
 // Start starts the entry VMs, then the endpoints, and returns when all of them have announced
 // themselves.
 func Start(ctx context.Context, c Config) (*Group, error) {
-	g := &Group{reserved: make(ports)}
-	defer g.reserved.releaseAll()
+	g := &Group{reserved: make(ports.Reserved)}
+	defer g.reserved.ReleaseAll()
 	var err error
 	if g.members, err = c.members(g.reserved); err != nil {
 		return nil, err
@@ -141,7 +142,7 @@
 	if definitions == nil {
 		definitions = plugin.Registered()
 	}
-	g.reserved.release(own.Listen.Callers, own.Listen.Endpoints, own.Listen.Operators, own.Listen.Peers)
+	g.reserved.Release(own.Listen.Callers, own.Listen.Endpoints, own.Listen.Operators, own.Listen.Peers)
 	host, err := node.StartWith(own, c.Log, definitions)
 	if err != nil {
 		return err
@@ -191,12 +192,12 @@
 
 // members returns the settings of all entry VMs, with free ports. The first of each data centre
 // has a disk.
-func (c Config) members(reserved ports) ([]settings.Settings, error) {
+func (c Config) members(reserved ports.Reserved) ([]settings.Settings, error) {
 	var all []settings.Settings
 	var known []settings.Member
 	for _, dc := range c.DataCentres {
 		for i := range dc.VMs {
-			free, err := reserved.take(4)
+			free, err := reserved.Take(4)
 			if err != nil {
 				return nil, err
 			}
--- /dev/null
+++ b/cmd/internal/process/cost_test.go
@@ -0,0 +1,130 @@
+package process
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"redwingpulley/bench/caller"
+	"redwingpulley/bench/load"
+	"redwingpulley/bench/trace"
+)
+
+const (
+	tick       = 10 * time.Millisecond // Unit of processor time in /proc.
+	idleWindow = 10 * time.Second      // Over which idle costs are measured.
+	settling   = 3 * time.Second       // Before it.
+	kilobyte   = 1024
+)
+
+// usage is what a process has used.
+type usage struct {
+	processor time.Duration
+	resident  int64 // Bytes.
+}
+
+// used reads a process's usage.
+func (c *cluster) used(v *vm) usage {
+	c.t.Helper()
+	pid := strconv.Itoa(v.command.Process.Pid)
+	stat, err := os.ReadFile("/proc/" + pid + "/stat")
+	c.must(err)
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	const userTime, systemTime, residentPages = 11, 12, 21 // After the name, from 0.
+	number := func(i int) int64 {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		c.must(err)
+		return n
+	}
+	return usage{
+		processor: time.Duration(number(userTime)+number(systemTime)) * tick,
+		resident:  number(residentPages) * int64(os.Getpagesize()),
+	}
+}
+
+func (c *cluster) usedByAll() (sum usage) {
+	for _, v := range c.vms {
+		u := c.used(v)
+		sum.processor += u.processor
+		sum.resident += u.resident
+	}
+	return sum
+}
+
+// peerBytes returns the bytes between members of different data centres so far.
+func (c *cluster) peerBytes() (sum int64) {
+	for _, r := range c.between {
+		sum += r.Bytes()
+	}
+	return sum
+}
+
+// reportIdle measures what an idle member costs.
+func (c *cluster) reportIdle(b *testing.B) {
+	wait(c.ctx, settling)
+	before, bytes := c.usedByAll(), c.peerBytes()
+	wait(c.ctx, idleWindow)
+	after, moreBytes := c.usedByAll(), c.peerBytes()
+	members := float64(len(c.vms))
+	b.ReportMetric(100*float64(after.processor-before.processor)/float64(idleWindow)/members, "%core/member")
+	b.ReportMetric(float64(after.resident)/members/(kilobyte*kilobyte), "MB/member")
+	// Each byte is sent by one member and received by another.
+	b.ReportMetric(2*float64(moreBytes-bytes)/idleWindow.Seconds()/members/kilobyte, "KB/s/member")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkIdleMembers measures what membership costs each member, by their number. Each has a data
+// centre of its own, so that all of their bytes are counted.
+func BenchmarkIdleMembers(b *testing.B) {
+	for _, members := range []int{3, 9, 18} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			start(b, shape{dataCentres: members, vms: 1, endpoints: 1, slots: 1}).reportIdle(b)
+		})
+	}
+}
+
+// BenchmarkIdleEndpoints measures what idle endpoints cost the owner of their pool.
+func BenchmarkIdleEndpoints(b *testing.B) {
+	for _, endpoints := range []int{2, 100, 400} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			start(b, shape{dataCentres: 2, vms: 1, endpoints: endpoints / 2, slots: 8}).reportIdle(b)
+		})
+	}
+}
+
+// BenchmarkTaskStart measures the entry VMs' processor time and peer bytes for each task, from the
+// caller's request to its answer, over jobs of many tasks.
+func BenchmarkTaskStart(b *testing.B) {
+	for _, largest := range []int{1, 16, 160} {
+		b.Run(fmt.Sprintf("largest=%d", largest), func(b *testing.B) { taskStart(b, largest) })
+	}
+}
+
+func taskStart(b *testing.B, largest int) {
+	const endpoints, own, length = 20, 8, 8 * time.Second
+	c := start(b, shape{dataCentres: 2, vms: 1, endpoints: endpoints / 2, slots: own})
+	jobs := trace.Generate(trace.Workload{
+		Service: "finder", Seed: 1, Length: length, Slots: endpoints * own, Load: 0.6, Teams: 4,
+		Deadline: 10 * time.Second, Largest: largest,
+	})
+	client := caller.New(c.entries(), 0, 0)
+	defer client.Close()
+	before, bytes := c.usedByAll(), c.peerBytes()
+	results, err := load.Runner{Client: client}.Run(c.ctx, jobs)
+	c.must(err)
+	after, moreBytes := c.usedByAll(), c.peerBytes()
+	tasks := 0
+	for i, r := range results {
+		if r.Outcome == caller.Complete {
+			tasks += len(jobs[i].RunMS)
+		}
+	}
+	b.ReportMetric(float64((after.processor-before.processor).Microseconds())/float64(tasks), "µs/task")
+	b.ReportMetric(float64(moreBytes-bytes)/float64(tasks), "B/task")
+	b.ReportMetric(float64(after.resident)/float64(len(c.vms))/(kilobyte*kilobyte), "MB/member")
+	b.ReportMetric(float64(tasks)/length.Seconds(), "tasks/s")
+	b.ReportMetric(0, "ns/op")
+}
--- a/cmd/internal/process/harness_test.go
+++ b/cmd/internal/process/harness_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,6 +20,7 @@
 	"redwingpulley/bench/caller"
 	"redwingpulley/bench/relay"
 	"redwingpulley/bench/standin"
+	"redwingpulley/cmd/internal/ports"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/settings"
 )
@@ -56,9 +56,10 @@
 
 // cluster is entry VMs as processes, and stand-in endpoints inside the test.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	ctx       context.Context
 	dir       string
+	reserved  ports.Reserved
 	members   []settings.Settings
 	vms       []*vm
 	endpoints []*standin.Endpoint
@@ -84,7 +85,7 @@
 }
 
 // start runs a cluster until the end of the test.
-func start(t *testing.T, s shape) *cluster {
+func start(t testing.TB, s shape) *cluster {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), hangGuard+*extraTime)
 	t.Cleanup(cancel)
@@ -103,11 +104,13 @@
 	for range startTries {
 		c.dir, c.members = c.t.TempDir(), nil
 		c.between = make(map[[2]model.NodeID]*relay.Relay)
+		c.reserved = make(ports.Reserved)
 		c.configure(s)
 		if err = c.launchAll(); err == nil {
 			c.addEndpoints(s)
 			return
 		}
+		c.reserved.ReleaseAll()
 		c.killAll()
 		c.vms = nil
 	}
@@ -137,14 +140,15 @@
 	var known []settings.Member
 	for d := range s.dataCentres {
 		for v := range s.vms {
-			ports := c.freePorts(4)
+			free, err := c.reserved.Take(4)
+			c.must(err)
 			dc := model.DataCentre(fmt.Sprintf("dc%d", d+1))
 			node := model.NodeID(fmt.Sprintf("%s-%c", dc, 'a'+v))
 			c.members = append(c.members, settings.Settings{
 				Node: node, Region: "test", DataCentre: dc, DataDir: filepath.Join(c.dir, string(node)),
-				Listen: settings.Listen{Callers: ports[0], Endpoints: ports[1], Operators: ports[2], Peers: ports[3]},
+				Listen: settings.Listen{Callers: free[0], Endpoints: free[1], Operators: free[2], Peers: free[3]},
 			})
-			known = append(known, settings.Member{Node: node, DataCentre: dc, Peers: ports[3], Endpoints: ports[1], Disk: true})
+			known = append(known, settings.Member{Node: node, DataCentre: dc, Peers: free[3], Endpoints: free[1], Disk: true})
 		}
 	}
 	for i := range c.members {
@@ -173,18 +177,6 @@
 	return raw
 }
 
-func (c *cluster) freePorts(count int) []string {
-	c.t.Helper()
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		c.must(err)
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
-
 // launch starts the process of a member and returns once it serves.
 func (c *cluster) launch(index int) *vm {
 	c.t.Helper()
@@ -206,6 +198,7 @@
 	v.log = filepath.Join(c.dir, string(own.Node)+".log")
 	log, err := os.OpenFile(v.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	c.must(err)
+	c.reserved.Release(own.Listen.Callers, own.Listen.Endpoints, own.Listen.Operators, own.Listen.Peers)
 	c.must(v.command.Start())
 	serving := make(chan struct{})
 	go v.watch(stderr, log, serving)
@@ -271,9 +264,14 @@
 			entries = append(entries, m.Listen.Endpoints)
 		}
 	}
-	listen := c.freePorts(1)[0]
+	free := make(ports.Reserved)
+	addresses, err := free.Take(1)
+	c.must(err)
+	defer free.ReleaseAll()
+	listen := addresses[0]
 	front, err := relay.Start(listen, 0)
 	c.must(err)
+	free.Release(listen)
 	e, err := standin.Start(standin.Config{
 		Endpoint: id, Service: "finder", Worker: id, Rack: "r1", DataCentre: dc, Listen: listen,
 		Advertise: front.Address(), Slots: slots, Entries: entries,
