Comparison publishes its profiles as an operator does

Cause: experiments replaced the profile register by a fixed set, which broke with each port that the operators' front end came to need, and could not take a declaration from version control.

Change: the group has disks, and each run publishes its profile over the operators' API and waits until it is in force at every entry VM. `--profile FILE` adds declarations to the policies that are compared.

--- a/cmd/internal/compare/run.go
+++ b/cmd/internal/compare/run.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,32 +27,44 @@
 	resends    = 3
 )
 
-// Policy is a profile that a run is made under.
+// Policy is a profile's declaration that a run is made under.
 type Policy struct {
-	Name    string
-	Profile model.Profile
+	Name        string
+	Declaration []byte // JSON.
 }
 
 // Policies returns the shipped policy first, then the plain baselines that are linked: each
 // placement with the shipped admission, and the shipped placement with each admission.
 func Policies() []Policy {
 	shipped := model.BuiltInProfile()
-	policies := []Policy{{shipped.Placement + "+" + shipped.Admission, shipped}}
+	policies := []Policy{builtIn(shipped.Placement, shipped.Admission)}
 	for _, d := range plugin.Registered() {
-		other := shipped
 		switch {
 		case d.ID.Kind() == "placement" && d.ID.Name() != shipped.Placement:
-			other.Placement = d.ID.Name()
+			policies = append(policies, builtIn(d.ID.Name(), shipped.Admission))
 		case d.ID.Kind() == "admission" && d.ID.Name() != shipped.Admission:
-			other.Admission = d.ID.Name()
-		default:
-			continue
+			policies = append(policies, builtIn(shipped.Placement, d.ID.Name()))
 		}
-		policies = append(policies, Policy{other.Placement + "+" + other.Admission, other})
 	}
 	return policies
 }
 
+// builtIn returns the built-in profile with another placement and admission.
+func builtIn(placement, admission string) Policy {
+	declaration := fmt.Appendf(nil, `{"placement":%q,"admission":%q}`, placement, admission)
+	return Policy{placement + "+" + admission, declaration}
+}
+
+// ReadPolicy reads a profile's declaration from a file. The policy has the file's name.
+func ReadPolicy(path string) (Policy, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Policy{}, errors.Wrap(err, "profile")
+	}
+	name, _, _ := strings.Cut(filepath.Base(path), ".")
+	return Policy{name, raw}, nil
+}
+
 // Row is the measures of one run.
 type Row struct {
 	Deployment string         `json:"deployment"`
@@ -93,16 +110,25 @@
 }
 
 func (x Experiment) one(ctx context.Context, d Deployment, s Scenario, p Policy, jobs []trace.Job) (Row, error) {
-	set := model.BuiltInProfiles()
-	p.Profile.Name = model.DefaultProfile
-	set.Profiles[model.DefaultProfile] = p.Profile
+	dir, err := os.MkdirTemp("", "redwing-compare-")
+	if err != nil {
+		return Row{}, errors.Wrap(err, "data folder")
+	}
+	defer os.RemoveAll(dir)
 	g, err := group.Start(ctx, group.Config{
 		Region: d.Name, DataCentres: d.DataCentres, Services: []string{d.Service}, Slots: slots,
-		Seed: x.Seed, Delay: d.Between, Log: x.Log, Definitions: group.WithFixedProfiles(set),
+		Seed: x.Seed, Delay: d.Between, DataDir: dir, Log: x.Log,
 	})
 	if err != nil {
 		return Row{}, err
 	}
+	profile := model.DefaultProfile
+	if name := declaredName(p.Declaration); name != "" {
+		profile = name
+	}
+	if err := g.Publish(ctx, string(profile), p.Declaration, d.Service); err != nil {
+		return Row{}, errors.Join(err, g.Stop())
+	}
 	available := g.Slots()
 	if s.fails() {
 		misbehave(g.Endpoints[0])
@@ -119,6 +145,17 @@
 	}, nil
 }
 
+// declaredName returns the name in a declaration, or "" when it has none.
+func declaredName(declaration []byte) model.ProfileName {
+	var named struct {
+		Name model.ProfileName `json:"name"`
+	}
+	if json.Unmarshal(declaration, &named) != nil {
+		return "" // The entry VM refuses it and names the fault.
+	}
+	return named.Name
+}
+
 func (x Experiment) play(ctx context.Context, d Deployment, s Scenario, g *group.Group, jobs []trace.Job) ([]load.Result, error) {
 	if !pause(ctx, settleTime) {
 		return nil, ctx.Err()
--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -42,7 +42,6 @@
 	Delay       time.Duration // One way between data centres; 0 connects entry VMs directly.
 	Record      string        // Folder for a record of each entry VM's decisions; "" for none.
 	Log         *slog.Logger
-	Definitions []plugin.Definition // Plug-ins of the entry VMs; nil for all that are linked.
 }
 
 // DataCentre is the entry VMs and endpoints of one data centre.
@@ -138,12 +137,8 @@
 	if err := c.setRecord(own); err != nil {
 		return err
 	}
-	definitions := c.Definitions
-	if definitions == nil {
-		definitions = plugin.Registered()
-	}
 	g.reserved.Release(own.Listen.Callers, own.Listen.Endpoints, own.Listen.Operators, own.Listen.Peers)
-	host, err := node.StartWith(own, c.Log, definitions)
+	host, err := node.Start(own, c.Log)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/internal/group/publish.go
@@ -0,0 +1,124 @@
+package group
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	publishRetry = 500 * time.Millisecond // While no revision is known or the group has no majority.
+	forceWaitMS  = 10_000                 // For a revision to be in force at one entry VM.
+)
+
+// Publish has the group accept a profile's declaration (JSON) and the service choose it, as an
+// operator would, and returns when both are in force at every entry VM.
+func (g *Group) Publish(ctx context.Context, profile string, declaration []byte, service string) error {
+	if err := g.put(ctx, "/v1/profiles/"+profile, declaration); err != nil {
+		return err
+	}
+	if err := g.put(ctx, "/v1/services/"+service, fmt.Appendf(nil, `{"profile":%q}`, profile)); err != nil {
+		return err
+	}
+	revision, err := g.revision(ctx)
+	if err != nil {
+		return err
+	}
+	for _, m := range g.members {
+		path := fmt.Sprintf("/v1/profiles?after=%d&wait_ms=%d", revision-1, forceWaitMS)
+		status, header, body, err := g.operate(ctx, http.MethodGet, m.Listen.Operators, path, nil, nil)
+		if err != nil {
+			return err
+		}
+		if got, err := etag(header); status != http.StatusOK || err != nil || got < revision {
+			return errors.Newf("profile is not in force at %s: status %d: %s", m.Node, status, body)
+		}
+	}
+	return nil
+}
+
+// put makes one change, and tries again while the group cannot accept any.
+func (g *Group) put(ctx context.Context, path string, body []byte) error {
+	key := rand.Text()
+	for {
+		revision, err := g.revision(ctx)
+		if err != nil {
+			return err
+		}
+		headers := http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(revision, 10))}, "Idempotency-Key": {key}}
+		status, _, answer, err := g.operate(ctx, http.MethodPut, g.members[0].Listen.Operators, path, headers, body)
+		switch {
+		case err != nil:
+			return err
+		case status == http.StatusOK:
+			return nil
+		case status != http.StatusServiceUnavailable:
+			return errors.Newf("%s: status %d: %s", path, status, answer)
+		}
+		if !pause(ctx, publishRetry) {
+			return ctx.Err()
+		}
+	}
+}
+
+// revision returns the newest revision that the first entry VM has learned, once it has any.
+func (g *Group) revision(ctx context.Context) (uint64, error) {
+	for {
+		status, header, body, err := g.operate(ctx, http.MethodGet, g.members[0].Listen.Operators, "/v1/profiles", nil, nil)
+		switch {
+		case err != nil:
+			return 0, err
+		case status == http.StatusOK:
+			return etag(header)
+		case status != http.StatusServiceUnavailable:
+			return 0, errors.Newf("profiles: status %d: %s", status, body)
+		}
+		if !pause(ctx, publishRetry) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func etag(header http.Header) (uint64, error) {
+	text, err := strconv.Unquote(header.Get("ETag"))
+	if err != nil {
+		return 0, errors.Wrap(err, "ETag")
+	}
+	return strconv.ParseUint(text, 10, 64)
+}
+
+func (g *Group) operate(ctx context.Context, method, address, path string, headers http.Header, body []byte) (int, http.Header, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, errors.Wrap(err, "operator")
+	}
+	for name, values := range headers {
+		request.Header[name] = values
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil, nil, errors.Wrap(err, "operator")
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, answer, errors.Wrap(err, "operator")
+}
+
+// pause waits and reports whether the context lasted.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -16,12 +16,7 @@
 
 // Start provisions and starts all linked plug-ins.
 func Start(s settings.Settings, log *slog.Logger) (*plugin.Host, error) {
-	return StartWith(s, log, plugin.Registered())
-}
-
-// StartWith provisions and starts the given plug-ins.
-func StartWith(s settings.Settings, log *slog.Logger, definitions []plugin.Definition) (*plugin.Host, error) {
-	host, err := plugin.NewHost(s, log.With("node", string(s.Node)), definitions)
+	host, err := plugin.NewHost(s, log.With("node", string(s.Node)), plugin.Registered())
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/redwingctl/compare.go
+++ b/cmd/redwingctl/compare.go
@@ -20,6 +20,7 @@
 	Deployment []string      `help:"Deployments to run; all otherwise."`
 	Scenario   []string      `default:"load50,load85,load150" help:"Scenarios to run; all runs all of them."`
 	Policy     []string      `help:"Policies to run, placement+admission; all otherwise."`
+	Profile    []string      `help:"Files with profiles to run besides the policies." type:"existingfile"`
 	Length     time.Duration `default:"30s" help:"Time over which the jobs of one run are sent."`
 	Seed       uint64        `default:"1" help:"Equal seeds give equal traces."`
 	Output     string        `enum:"text,json" default:"text" help:"text or json."`
@@ -45,10 +46,10 @@
 		fmt.Fprintf(os.Stderr, "%s, %s, %s: mean response over ideal %.3f\n", r.Deployment, r.Scenario, r.Policy, r.Service().Ratio.Mean)
 	})
 	// The runs before a failed one are shown.
-	return errors.Join(err, c.write(rows, compare.Policies()[0].Name))
+	return errors.Join(err, c.write(rows, experiment.Policies))
 }
 
-func (c *compareCommand) write(rows []compare.Row, shipped string) error {
+func (c *compareCommand) write(rows []compare.Row, policies []compare.Policy) error {
 	if c.Output == "json" {
 		if err := json.NewEncoder(os.Stdout).Encode(rows); err != nil {
 			return errors.Wrap(err, "output")
@@ -56,7 +57,9 @@
 	} else {
 		compare.WriteTable(os.Stdout, rows)
 		fmt.Println()
-		compare.WriteVerdict(os.Stdout, rows, shipped)
+		for _, p := range policies {
+			compare.WriteVerdict(os.Stdout, rows, p.Name)
+		}
 	}
 	if c.Plot == "" {
 		return nil
@@ -78,6 +81,10 @@
 		return x, err
 	}
 	x.Policies, err = choose(compare.Policies(), c.Policy, func(p compare.Policy) string { return p.Name })
+	for _, path := range c.Profile {
+		policy, fault := compare.ReadPolicy(path)
+		x.Policies, err = append(x.Policies, policy), errors.Join(err, fault)
+	}
 	return x, err
 }
 
