Pools: the due timers ring in each step

Cause: a process that stood still may hear of an event before its timers ring, and then sent work to an endpoint behind its lease.

--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -68,9 +68,13 @@
 func (m *Machine) Step(now time.Time, event Event, fx *Effects) {
 	fx.Reset()
 	m.version++
+	if _, renews := event.(Announced); !renews {
+		m.timers.elapsed(now, fx) // The timer itself may be late, above all after the process stood still.
+	}
 	switch e := event.(type) {
 	case Announced:
 		m.announced(now, &e.Endpoint, fx)
+		m.timers.elapsed(now, fx)
 	case Submitted:
 		m.submitted(now, &e, fx)
 	case Replied:
@@ -81,8 +85,6 @@
 		m.cancelled(now, e.Batch, fx)
 	case Owners:
 		m.ownersChanged(now, e.Live)
-	case Elapsed:
-		m.timers.elapsed(now, fx)
 	}
 	m.place(now, fx)
 }
