Cancellations that overtake their job, deadlines of the profile, unsound batches

Cause: a DELETE that came before its POST was answered 404 and the job ran; the deadlines of the profile were not used; two tasks of one index in a peer's batch would have broken an invariant.

Change: cancelling an id that has no job enters it as cancelled. A job without deadline_ms takes the profile's default, one above its maximum is 400. A batch that no member sends is answered as lost before it reaches the pool.

--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -39,7 +39,7 @@
 	ID       JobID
 	Service  ServiceID
 	Team     TeamID
-	Deadline time.Time
+	Deadline time.Time // Zero until the profile has given a job its default.
 	Tasks    []Task
 	Digest   uint64 // Hash of the submission; tells a resend from another body under the same id.
 }
@@ -88,6 +88,7 @@
 	ReasonMoved          Reason = "owner_moved"     // The pool has another owner now.
 	ReasonAnswerExpired  Reason = "answer_expired"  // The job completed; its answers are no longer kept.
 	ReasonUnknownService Reason = "unknown_service" // No endpoint announced it and no profile names it.
+	ReasonDeadlineLimit  Reason = "deadline_limit"  // The profile allows no deadline as long.
 	ReasonUnknownTeam    Reason = "unknown_team"    // The profile's quotas do not list it.
 )
 
--- a/plugins/endpoints/serve.go
+++ b/plugins/endpoints/serve.go
@@ -44,7 +44,7 @@
 
 // serveRun starts a batch at most once, however often and late its request arrives.
 func (p *Pools) serveRun(ctx context.Context, from model.NodeID, r runRequest) runReply {
-	if !p.meant(r.envelope) {
+	if !r.sound() || !p.meant(r.envelope) {
 		return runReply{Lost: true} // The earlier incarnation may have got the request too.
 	}
 	w, verdict := p.receive(from, r.envelope, ledger.Arrived{Sequence: r.Sequence, Settled: r.Settled})
--- a/plugins/endpoints/wire.go
+++ b/plugins/endpoints/wire.go
@@ -7,6 +7,8 @@
 	"redwingpulley/kernel/model"
 )
 
+const maxRemaining = 2 * time.Hour // Of a batch; longer than any deadline that callers may ask for.
+
 // envelope numbers the messages about one batch; see package ledger.
 type envelope struct {
 	Origin   model.Incarnation `json:"origin"`           // Of the sender.
@@ -69,6 +71,22 @@
 	return r
 }
 
+// sound reports whether the request is one that a member sends: a peer's fault must not break an
+// invariant here.
+func (r runRequest) sound() bool {
+	if _, ok := r.ID.Job.Parse(); !ok || len(r.Tasks) == 0 || len(r.Tasks) > model.MaxTasksPerJob {
+		return false
+	}
+	seen := make(map[int]bool, len(r.Tasks))
+	for _, t := range r.Tasks {
+		if t.Index < 0 || t.Index >= model.MaxTasksPerJob || seen[t.Index] {
+			return false
+		}
+		seen[t.Index] = true
+	}
+	return r.RemainingMS <= maxRemaining.Milliseconds()
+}
+
 func decodeBatch(from model.NodeID, r runRequest) model.Batch {
 	batch := model.Batch{
 		ID: r.ID, Pool: r.Pool, Origin: from, Team: r.Team,
--- a/plugins/frontend/callers/body.go
+++ b/plugins/frontend/callers/body.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	maxDeadline     = time.Hour
-	defaultDeadline = 10 * time.Second
-	maxName         = 128 // Bytes of the name of a service or team.
+	maxDeadline = time.Hour
+	maxName     = 128 // Bytes of the name of a service or team.
 )
 
 type ticketsBody struct {
@@ -72,15 +71,12 @@
 	return nil
 }
 
-// job returns the job of a body that has been checked.
+// job returns the job of a body that has been checked. Its deadline is zero when the body names
+// none.
 func (b jobBody) job(now time.Time) model.Job {
-	deadline := time.Duration(b.DeadlineMS) * time.Millisecond
-	if deadline == 0 {
-		deadline = defaultDeadline
-	}
-	job := model.Job{
-		ID: b.JobID, Service: b.Service, Team: b.Team,
-		Deadline: now.Add(deadline), Digest: b.digest(),
+	job := model.Job{ID: b.JobID, Service: b.Service, Team: b.Team, Digest: b.digest()}
+	if b.DeadlineMS > 0 {
+		job.Deadline = now.Add(time.Duration(b.DeadlineMS) * time.Millisecond)
 	}
 	for i, t := range b.Tasks {
 		job.Tasks = append(job.Tasks, model.Task{
--- a/plugins/frontend/callers/callers.go
+++ b/plugins/frontend/callers/callers.go
@@ -174,6 +174,7 @@
 	model.ReasonExpired:        "job_id: is too old to start a job",
 	model.ReasonUnknownService: "service: no endpoint announced it and no profile names it",
 	model.ReasonUnknownTeam:    "team: is not listed in the quotas of the service's profile",
+	model.ReasonDeadlineLimit:  "deadline_ms: is longer than the service's profile allows",
 	model.ReasonNeverFits:      "tasks: need more than all workers could give before the deadline",
 }
 
@@ -181,7 +182,7 @@
 	switch reason {
 	case model.ReasonNeverFits:
 		return http.StatusUnprocessableEntity
-	case model.ReasonUnknownService, model.ReasonUnknownTeam:
+	case model.ReasonUnknownService, model.ReasonUnknownTeam, model.ReasonDeadlineLimit:
 		return http.StatusBadRequest
 	case model.ReasonQuota:
 		return http.StatusTooManyRequests
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -148,6 +148,9 @@
 	if _, listed := profile.Quotas[job.Team]; !listed && len(profile.Quotas) > 0 {
 		return jobstate.Refused{Reason: model.ReasonUnknownTeam}, "the profile's quotas do not list the team"
 	}
+	if time.Until(job.Deadline) > profile.MaxDeadline {
+		return jobstate.Refused{Reason: model.ReasonDeadlineLimit}, "the profile allows no deadline as long"
+	}
 	loads := j.pools.Loads(job.Service)
 	if len(loads) == 0 && !j.knownService(profiles, job.Service) {
 		return jobstate.Refused{Reason: model.ReasonUnknownService}, "no endpoint announced the service and no profile names it"
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -60,6 +60,7 @@
 	state   *jobstate.Job
 	steps   uint64 // Taken so far.
 	begun   time.Time
+	fenced  bool // Cancelled before it was submitted.
 	ended   chan struct{}
 	timer   *time.Timer
 	cancels map[int]context.CancelFunc // Of the parts that are open.
@@ -155,6 +156,9 @@
 	if job.ID == "" {
 		job.ID = j.mint.next(time.Now())
 	}
+	if job.Deadline.IsZero() {
+		job.Deadline = time.Now().Add(j.defaultDeadline(job.Service))
+	}
 	parts, ok := job.ID.Parse()
 	if !ok {
 		return model.Failed(job.ID, model.NotRun, model.ReasonUnknownJob)
@@ -168,6 +172,15 @@
 	return j.submitOwned(ctx, job, parts)
 }
 
+func (j *Jobs) defaultDeadline(service model.ServiceID) time.Duration {
+	profiles, _ := j.profiles.Current()
+	profile, ok := profiles.For(service)
+	if !ok {
+		profile = model.BuiltInProfile() // The job will be refused.
+	}
+	return profile.DefaultDeadline
+}
+
 // refuseAlien refuses ids of an earlier incarnation and ids that were never minted.
 func (j *Jobs) refuseAlien(id model.JobID, parts model.JobIDParts) (model.Outcome, bool) {
 	if parts.Incarnation != j.self.Incarnation {
@@ -203,7 +216,7 @@
 		return refusal
 	case created:
 		j.begin(job)
-	case e.state.Digest() != job.Digest:
+	case e.state.Digest() != job.Digest && !e.fenced:
 		return model.Failed(job.ID, model.NotRun, model.ReasonConflict)
 	}
 	return j.wait(ctx, job.ID, e)
@@ -283,6 +296,25 @@
 	if parts.Owner != j.self.ID {
 		return j.forwardLookup(ctx, parts.Owner, methodCancel, id)
 	}
+	if refusal, refused := j.refuseAlien(id, parts); refused {
+		return refusal
+	}
+	j.fence(id, parts)
 	j.step(id, jobstate.Cancelled{})
 	return j.Lookup(ctx, id)
 }
+
+// fence enters an id that has no job, so that a submission under it that arrives after its
+// cancellation runs nothing.
+func (j *Jobs) fence(id model.JobID, parts model.JobIDParts) {
+	now := time.Now()
+	left := j.ticketLifetime() - j.mint.age(parts, now)
+	j.jobs.Do(id, func(jobs map[model.JobID]*entry) {
+		if _, known := jobs[id]; known || left <= 0 {
+			return
+		}
+		e := j.newEntry(model.Job{ID: id, Deadline: now.Add(left)}, now, left)
+		e.fenced = true
+		jobs[id] = e
+	})
+}
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -309,6 +309,34 @@
 	})
 }
 
+func TestCancellationThatOvertakesItsJobKeepsItFromRunning(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		owner, other, atOwner, _ := pair(t)
+		id := owner.Mint(1)[0]
+		cancelled := model.Failed(id, model.NotRun, model.ReasonCancelled)
+		is.Equal(other.Cancel(t.Context(), id), cancelled)
+		is.Equal(owner.Submit(t.Context(), job(id, 2)), cancelled)
+		is.Equal(atOwner.runs.Load(), int32(0))
+	})
+}
+
+func TestDeadlinesFollowTheProfile(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		owner, other, atOwner, atOther := pair(t)
+		for _, f := range []*fake{atOwner, atOther} {
+			f.profile.DefaultDeadline, f.profile.MaxDeadline = 500*time.Millisecond, 2*time.Second
+		}
+		late := job(owner.Mint(1)[0], 1)
+		late.Deadline = time.Now().Add(3 * time.Second)
+		is.Equal(other.Submit(t.Context(), late), model.Failed(late.ID, model.NotRun, model.ReasonDeadlineLimit))
+		begun := time.Now()
+		none := job(owner.Mint(1)[0], 1)
+		none.Deadline = time.Time{}
+		is.Equal(other.Submit(t.Context(), none).Reason, model.ReasonDeadline)
+		is.Equal(time.Since(begun), 500*time.Millisecond)
+	})
+}
+
 func TestIDsOfAnotherMakerAreRefused(t *testing.T) {
 	is := is.New(t)
 	owner, _, atOwner, _ := pair(t)
