Test: with no fault the fences cost no message

Result: 30 jobs of 4 tasks over three entry VMs: 120 requests and 120 replies to the endpoint, 20 batches and 20 replies between members, 0 revokes, 0 wasted.

--- a/cmd/internal/node/node_test.go
+++ b/cmd/internal/node/node_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/bench/standin"
 	"redwingpulley/kernel/model"
@@ -170,6 +171,42 @@
 	is.Equal(g.call(1, "POST", "/v1/jobs", jobBody(id, 5, 100)).Status, http.StatusConflict)
 }
 
+// counts returns the named counters, summed over the members.
+func (g *group) counts(names ...string) map[string]int64 {
+	sums := make(map[string]int64)
+	for _, host := range g.hosts {
+		for _, name := range names {
+			sums[name] += metrics.GetOrRegisterCounter(name, host.Metrics).Count()
+		}
+	}
+	return sums
+}
+
+func TestWithoutFaultsNoMessageIsSpentOnSafety(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 3, 8)
+	g.ready()
+	names := []string{
+		"tasks.starts", "messages.task.requests", "messages.task.replies", "messages.task.revokes",
+		"messages.peer.requests", "messages.peer.replies", "messages.wasted",
+	}
+	before := g.counts(names...)
+	const jobs, tasks = 30, 4
+	for i := range jobs {
+		is.Equal(g.call(i%3, "POST", "/v1/jobs", jobBody("", tasks, 1)).Status, http.StatusOK)
+	}
+	spent := g.counts(names...)
+	for name := range spent {
+		spent[name] -= before[name]
+	}
+	is.Equal(spent, map[string]int64{
+		"tasks.starts": jobs * tasks, "messages.task.requests": jobs * tasks, "messages.task.replies": jobs * tasks,
+		"messages.task.revokes": 0, "messages.wasted": 0,
+		// The pool's owner keeps its own third; the others send it a batch a job.
+		"messages.peer.requests": jobs * 2 / 3, "messages.peer.replies": jobs * 2 / 3,
+	})
+}
+
 func TestLookupWithoutWaitSaysThatTheJobRuns(t *testing.T) {
 	is := is.New(t)
 	g := startGroup(t, 2, 8)
