Operators' commands, shipped profiles and a local group's settings

Cause: operators had no commands, and a first group had to be written by hand. Change: redwingctl profile, service, status, endpoints, drain and settings init.

--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -26,6 +26,13 @@
 	Demo   demoCommand   `cmd:"" help:"Run a small group inside this process and play a trace against it."`
 	Submit submitCommand `cmd:"" help:"Submit a job as a caller."`
 	Bench  benchCommands `cmd:"" help:"Stand-ins, load and comparison."`
+
+	Profile   profileCommands  `cmd:"" help:"Read and publish profiles."`
+	Service   serviceCommands  `cmd:"" help:"Read and choose the profiles of services."`
+	Status    statusCommand    `cmd:"" help:"Print the state of an entry VM."`
+	Endpoints endpointsCommand `cmd:"" help:"List the endpoints that an entry VM owns."`
+	Drain     drainCommand     `cmd:"" help:"Drain an entry VM."`
+	Settings  settingsCommands `cmd:"" help:"Write settings files."`
 }
 
 type benchCommands struct {
