Settings: every fault of a value is named with its path

Cause: redwingd check stopped at the first unknown key, told it without its path, and did not look at plug-ins when the file itself had a fault. Faults were joined one into the other, and the text of such joins takes exponential time (14 faults: 95 ms, 4 times as much for two more): a request with a few dozen bad fields could hold a core. Change: the walk over the tokens follows the target's type and collects unknown and doubled keys and wrong types, at most 32; lists of faults are joined once. A plug-in that only lacks a port is left out when another's fault is the cause.

--- a/cmd/redwingd/main.go
+++ b/cmd/redwingd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"io/fs"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -47,15 +48,18 @@
 	parser := kong.Must(&c, kong.Name("redwingd"), kong.Description(description), kong.Exit(exit))
 	chosen, err := parser.Parse(os.Args[1:])
 	parser.FatalIfErrorf(err)
-	os.Exit(report(chosen.Run()))
+	err = chosen.Run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "redwingd:", err)
+	}
+	os.Exit(exitCode(err))
 }
 
-// report prints the error and returns the exit code for it.
-func report(err error) int {
+// exitCode returns the code with which the program ends after err.
+func exitCode(err error) int {
 	if err == nil {
 		return 0
 	}
-	fmt.Fprintln(os.Stderr, "redwingd:", err)
 	if errors.HasType(err, usageError{}) {
 		return exitUsage
 	}
@@ -97,10 +101,12 @@
 // Run checks the settings of the kernel and of all plug-ins without opening anything.
 func (c *checkCommand) Run() error {
 	s, err := settings.Read(c.Settings)
-	if err != nil {
+	var unreadable *fs.PathError
+	if errors.As(err, &unreadable) {
 		return usageError{err}
 	}
-	if _, err := plugin.NewHost(s, slog.New(slog.DiscardHandler), plugin.Registered()); err != nil {
+	_, faults := plugin.NewHost(s, slog.New(slog.DiscardHandler), plugin.Registered())
+	if err := errors.Join(err, faults); err != nil {
 		return usageError{err}
 	}
 	fmt.Println("settings are sound")
--- a/kernel/plugin/context.go
+++ b/kernel/plugin/context.go
@@ -43,12 +43,14 @@
 	c.host.bound[port] = append(c.host.bound[port], binding{c.ID, implementation})
 }
 
+var errMissingPort = errors.New("a port is missing")
+
 // Use returns the one implementation of port T.
 func Use[T any](c *Context) (T, error) {
 	all := c.host.bound[PortOf[T]()]
 	if len(all) != 1 {
 		var none T
-		return none, errors.Newf("%s: port %s has %d implementations, wanted 1", c.ID, PortOf[T](), len(all))
+		return none, errors.Wrapf(errMissingPort, "%s: port %s has %d implementations, wanted 1", c.ID, PortOf[T](), len(all))
 	}
 	return all[0].implementation.(T), nil
 }
--- a/kernel/plugin/host.go
+++ b/kernel/plugin/host.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -53,23 +55,35 @@
 	}
 	faults := unknownPlugins(node, definitions)
 	for _, d := range ordered {
-		faults = errors.Join(faults, h.provision(d))
+		faults = append(faults, h.provision(d))
 	}
-	if faults != nil {
-		return nil, faults
+	if err := errors.Join(causes(faults)...); err != nil {
+		return nil, err
 	}
 	return h, h.validate()
 }
 
-func unknownPlugins(node settings.Settings, definitions []Definition) error {
+// causes leaves out the plug-ins that only lack a port, when another's fault is the cause. Faults
+// are kept in a list and joined once: the text of joins within joins takes exponential time.
+func causes(faults []error) []error {
+	others := slices.DeleteFunc(slices.Clone(faults), func(err error) bool {
+		return err == nil || errors.Is(err, errMissingPort)
+	})
+	if len(others) == 0 {
+		return faults
+	}
+	return others
+}
+
+func unknownPlugins(node settings.Settings, definitions []Definition) []error {
 	known := make(map[string]bool, len(definitions))
 	for _, d := range definitions {
 		known[string(d.ID)] = true
 	}
-	var faults error
-	for id := range node.Plugins {
+	var faults []error
+	for _, id := range slices.Sorted(maps.Keys(node.Plugins)) {
 		if !known[id] {
-			faults = errors.Join(faults, errors.Newf("plugins.%s: no such plug-in", id))
+			faults = append(faults, errors.Newf("plugins.%s: no such plug-in", id))
 		}
 	}
 	return faults
@@ -89,13 +103,13 @@
 }
 
 func (h *Host) validate() error {
-	var faults error
+	var faults []error
 	for _, i := range h.plugins {
 		if v, ok := i.plugin.(Validator); ok {
-			faults = errors.Join(faults, errors.Wrapf(v.Validate(), "%s", i.definition.ID))
+			faults = append(faults, errors.Wrapf(v.Validate(), "%s", i.definition.ID))
 		}
 	}
-	return faults
+	return errors.Join(faults...)
 }
 
 // Start starts the plug-ins. When one fails, those already started are stopped.
@@ -129,14 +143,14 @@
 
 // Stop stops the started plug-ins in reverse order.
 func (h *Host) Stop() error {
-	var faults error
+	var faults []error
 	for ; h.started > 0; h.started-- {
 		i := h.plugins[h.started-1]
 		if s, ok := i.plugin.(Stopper); ok {
-			faults = errors.Join(faults, errors.Wrapf(s.Stop(), "stop %s", i.definition.ID))
+			faults = append(faults, errors.Wrapf(s.Stop(), "stop %s", i.definition.ID))
 		}
 	}
-	return faults
+	return errors.Join(faults...)
 }
 
 // Lookup returns the one implementation of port T that a host's plug-ins bound.
--- a/kernel/settings/decode.go
+++ b/kernel/settings/decode.go
@@ -4,94 +4,112 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"reflect"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
 
 // DecodeStrict decodes one JSON value into target and refuses unknown keys, duplicate keys and
-// trailing data. Errors begin with the JSON path below prefix.
+// trailing data. The error joins all such faults and all values of a wrong type; each begins with
+// the JSON path below prefix. Keys are told apart by case.
 func DecodeStrict(raw []byte, prefix string, target any) error {
-	if err := checkDuplicates(raw, prefix); err != nil {
+	if err := check(raw, prefix, reflect.TypeOf(target)); err != nil {
 		return err
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
+	if err := json.Unmarshal(raw, target); err != nil {
 		return describe(err, prefix)
 	}
 	return nil
 }
 
+// describe names the path of a fault that only the decoder of the standard library finds.
 func describe(err error, prefix string) error {
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
 		return errors.Newf("%s: must be %s, not %s", join(prefix, wrongType.Field), wrongType.Type, wrongType.Value)
 	}
-	if prefix == "" {
-		return err
-	}
-	return errors.Wrap(err, prefix)
+	return errors.Wrapf(err, "%s", orRoot(prefix))
 }
 
-// checkDuplicates walks the tokens of raw and returns an error for the first object key that
-// stands twice, or for data behind the value.
-func checkDuplicates(raw []byte, prefix string) error {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.UseNumber()
-	if err := walkValue(decoder, prefix); err != nil {
-		return err
+// check walks the tokens of raw along type t and returns all faults.
+func check(raw []byte, prefix string, t reflect.Type) error {
+	w := walker{decoder: json.NewDecoder(bytes.NewReader(raw))}
+	w.decoder.UseNumber()
+	if err := w.value(prefix, t); err != nil {
+		return errors.Join(append(w.faults.all, err)...)
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return errors.Newf("%s: there is data behind the value", orRoot(prefix))
+	if _, err := w.decoder.Token(); err != io.EOF {
+		w.faults.require(false, orRoot(prefix), "there is data behind the value")
 	}
-	return nil
+	return w.faults.joined()
 }
 
-func walkValue(decoder *json.Decoder, path string) error {
-	token, err := decoder.Token()
+// walker collects the faults of one value. Its methods return an error only when the JSON itself
+// is broken, so that the walk cannot go on.
+type walker struct {
+	decoder *json.Decoder
+	faults  faults
+}
+
+// value walks one value. A nil type accepts anything but duplicate keys.
+func (w *walker) value(path string, t reflect.Type) error {
+	token, err := w.decoder.Token()
 	if err != nil {
 		return errors.Wrapf(err, "%s", orRoot(path))
 	}
+	t = concrete(t)
+	if wanted, ok := accepts(t, token); !ok {
+		w.faults.require(false, orRoot(path), "must be "+wanted+", not "+nameOf(token))
+		t = nil
+	}
 	switch token {
 	case json.Delim('{'):
-		return walkObject(decoder, path)
+		return w.object(path, t)
 	case json.Delim('['):
-		return walkArray(decoder, path)
+		return w.array(path, t)
 	}
 	return nil
 }
 
-func walkObject(decoder *json.Decoder, path string) error {
+func (w *walker) object(path string, t reflect.Type) error {
 	seen := make(map[string]bool)
-	for decoder.More() {
-		token, err := decoder.Token()
+	for w.decoder.More() {
+		token, err := w.decoder.Token()
 		if err != nil {
 			return errors.Wrapf(err, "%s", orRoot(path))
 		}
-		key := token.(string)
-		if seen[key] {
-			return errors.Newf("%s: is there twice", join(path, key))
+		key, ok := token.(string)
+		if !ok {
+			return errors.Newf("%s: has a key that is no string", orRoot(path))
 		}
+		below := join(path, key)
+		w.faults.require(!seen[key], below, "is there twice")
 		seen[key] = true
-		if err := walkValue(decoder, join(path, key)); err != nil {
+		field, known := member(t, key)
+		w.faults.require(known, below, "unknown field")
+		if err := w.value(below, field); err != nil {
 			return err
 		}
 	}
-	return closing(decoder, path)
+	return w.closing(path)
 }
 
-func walkArray(decoder *json.Decoder, path string) error {
-	for i := 0; decoder.More(); i++ {
-		if err := walkValue(decoder, pathIndex(path, i)); err != nil {
+func (w *walker) array(path string, t reflect.Type) error {
+	var element reflect.Type
+	if t != nil {
+		element = t.Elem()
+	}
+	for i := 0; w.decoder.More(); i++ {
+		if err := w.value(pathIndex(path, i), element); err != nil {
 			return err
 		}
 	}
-	return closing(decoder, path)
+	return w.closing(path)
 }
 
-func closing(decoder *json.Decoder, path string) error {
-	_, err := decoder.Token()
+func (w *walker) closing(path string) error {
+	_, err := w.decoder.Token()
 	return errors.Wrapf(err, "%s", orRoot(path))
 }
 
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -49,11 +49,13 @@
 	return Parse(raw)
 }
 
-// Parse decodes and checks settings.
+// Parse decodes and checks settings. With an error it returns as much as could be decoded, so that
+// further faults can be looked for.
 func Parse(raw []byte) (Settings, error) {
 	var s Settings
 	if err := DecodeStrict(raw, "", &s); err != nil {
-		return Settings{}, err
+		json.Unmarshal(raw, &s) // What can be decoded.
+		return s, errors.Join(err, s.Check())
 	}
 	return s, s.Check()
 }
@@ -70,7 +72,7 @@
 	f.address("listen.operators", s.Listen.Operators)
 	f.address("listen.peers", s.Listen.Peers)
 	s.checkMembers(&f)
-	return f.joined
+	return f.joined()
 }
 
 func (s Settings) checkMembers(f *faults) {
@@ -99,14 +101,20 @@
 	return Member{}, false
 }
 
-type faults struct{ joined error }
+const maxFaults = 32 // That are named together.
+
+// faults collects faults. They are joined once: the text of joins within joins takes exponential
+// time.
+type faults struct{ all []error }
 
 func (f *faults) require(holds bool, path, what string) {
-	if !holds {
-		f.joined = errors.Join(f.joined, errors.Newf("%s: %s", path, what))
+	if !holds && len(f.all) < maxFaults {
+		f.all = append(f.all, errors.Newf("%s: %s", path, what))
 	}
 }
 
+func (f *faults) joined() error { return errors.Join(f.all...) }
+
 func (f *faults) address(path, value string) {
 	_, err := netip.ParseAddrPort(value)
 	f.require(err == nil, path, "must be an IP address and port")
--- a/kernel/settings/settings_test.go
+++ b/kernel/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -52,6 +53,34 @@
 	}
 }
 
+func TestAllFaultsOfAValueAreNamedTogether(t *testing.T) {
+	is := is.New(t)
+	var target struct {
+		Node  string             `json:"node"`
+		Ports []uint16           `json:"ports"`
+		Rates map[string]float64 `json:"rates"`
+		Inner struct {
+			On bool `json:"on"`
+		} `json:"inner"`
+	}
+	raw := `{"node":3,"ports":[1,-1,70000,"x"],"rates":{"a":1.5,"b":[]},"inner":{"on":1,"off":2},"Node":"x","more":{"y":1}}`
+	err := DecodeStrict([]byte(raw), "plugins.p", &target)
+	is.True(err != nil)
+	for _, fault := range []string{
+		"plugins.p.node: must be a string, not 3",
+		"plugins.p.ports[1]: must be an integer that is not negative, not -1",
+		"plugins.p.ports[2]: must be an integer that is not negative, not 70000",
+		"plugins.p.ports[3]: must be an integer that is not negative, not a string",
+		"plugins.p.rates.b: must be a number, not a list",
+		"plugins.p.inner.on: must be true or false, not 1",
+		"plugins.p.inner.off: unknown field",
+		"plugins.p.Node: unknown field",
+		"plugins.p.more: unknown field",
+	} {
+		is.True(strings.Contains(err.Error(), fault)) // The fault is named.
+	}
+}
+
 func FuzzDecodeStrict(f *testing.F) {
 	f.Add([]byte(sound))
 	f.Add([]byte(`{"a":[{"b":1,"b":2}]}`))
@@ -61,5 +90,21 @@
 		if DecodeStrict(raw, "", &s) == nil {
 			s.Check()
 		}
+		var loose any
+		if DecodeStrict(raw, "", &loose) == nil && json.Unmarshal(raw, &loose) != nil {
+			panic("accepts what the standard library refuses")
+		}
 	})
 }
+
+func BenchmarkDecodeStrict(b *testing.B) {
+	raw := []byte(`{"node":"n","members":[` + strings.Repeat(`{"node":"sj1-a","data_centre":"sj1","peers":"127.0.0.1:7004","endpoints":"127.0.0.1:7002","disk":true},`, 159) + `{}]}`)
+	b.SetBytes(int64(len(raw)))
+	b.ReportAllocs()
+	for b.Loop() {
+		var s Settings
+		if err := DecodeStrict(raw, "", &s); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -33,6 +33,9 @@
 
 // Provision binds the ports and sets up the routes.
 func (f *Frontend) Provision(c *plugin.Context) (err error) {
+	if err := c.Settings(&struct{}{}); err != nil {
+		return err
+	}
 	if f.pools, err = plugin.Use[port.Pools](c); err != nil {
 		return err
 	}
@@ -55,7 +58,7 @@
 	}
 	f.health, f.metrics = c.Health, c.Metrics
 	f.server = web.NewServer(c.Node.Listen.Operators, f.routes())
-	return c.Settings(&struct{}{})
+	return nil
 }
 
 // Start opens the listener.
--- a/plugins/frontend/operators/profilebody.go
+++ b/plugins/frontend/operators/profilebody.go
@@ -100,11 +100,14 @@
 	f.within("drain_ms", b.DrainMS, 0, maxDrain.Milliseconds())
 	f.within("quota_burst_ms", b.QuotaBurstMS, 1, maxQuotaBurst.Milliseconds())
 	b.checkQuotas(&f)
-	return f.joined
+	return errors.Join(f.all...)
 }
 
 func (b profileBody) checkQuotas(f *faults) {
-	f.require(len(b.Quotas) <= maxQuotas, "quotas", "must name at most 1000 teams")
+	if len(b.Quotas) > maxQuotas {
+		f.require(false, "quotas", "must name at most 1000 teams")
+		return
+	}
 	teams := make([]string, 0, len(b.Quotas))
 	for team := range b.Quotas {
 		teams = append(teams, string(team))
@@ -117,17 +120,18 @@
 	}
 }
 
-type faults struct{ joined error }
+// faults collects faults; they are joined once.
+type faults struct{ all []error }
 
 func (f *faults) require(holds bool, field, what string) {
 	if !holds {
-		f.joined = errors.Join(f.joined, errors.Newf("%s: %s", field, what))
+		f.all = append(f.all, errors.Newf("%s: %s", field, what))
 	}
 }
 
 func (f *faults) within(field string, value, least, most int64) {
 	if value < least || value > most {
-		f.joined = errors.Join(f.joined, errors.Newf("%s: must be %d to %d", field, least, most))
+		f.all = append(f.all, errors.Newf("%s: must be %d to %d", field, least, most))
 	}
 }
 
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -84,6 +84,9 @@
 
 // Provision binds the ports and reads the settings.
 func (p *Profiles) Provision(c *plugin.Context) (err error) {
+	if err := p.readSettings(c); err != nil {
+		return err
+	}
 	if p.peers, err = plugin.Use[port.Peers](c); err != nil {
 		return err
 	}
@@ -93,13 +96,6 @@
 	if p.gossip, err = plugin.Use[port.Gossip](c); err != nil {
 		return err
 	}
-	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds()}
-	if err := c.Settings(&p.settings); err != nil {
-		return err
-	}
-	if p.settings.ServeAloneMS < 0 {
-		return errors.Newf("plugins.%s.serve_alone_ms: must not be negative", c.ID)
-	}
 	p.self, p.health, p.log = c.Node.Node, c.Health, c.Log
 	p.replicas = replicasOf(c)
 	p.group = hashOf(p.replicas)
@@ -120,6 +116,17 @@
 
 const defaultServeAlone = 5 * time.Second
 
+func (p *Profiles) readSettings(c *plugin.Context) error {
+	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds()}
+	if err := c.Settings(&p.settings); err != nil {
+		return err
+	}
+	if p.settings.ServeAloneMS < 0 {
+		return errors.Newf("plugins.%s.serve_alone_ms: must not be negative", c.ID)
+	}
+	return nil
+}
+
 func replicasOf(c *plugin.Context) []model.NodeID {
 	var replicas []model.NodeID
 	for _, m := range c.Node.Members {
