--- /dev/null
+++ b/cmd/redwingd/force_bench_test.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/settings"
+)
+
+const (
+	processes = 9
+	disks     = 3
+)
+
+// processGroup is redwingd processes on loopback.
+type processGroup struct {
+	b       testing.TB
+	members []settings.Settings
+	running []*exec.Cmd
+}
+
+func freePort(b testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startProcesses(b testing.TB) *processGroup {
+	b.Helper()
+	dir := b.TempDir()
+	binary := filepath.Join(dir, "redwingd")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		b.Fatalf("build: %v\n%s", err, out)
+	}
+	g := &processGroup{b: b}
+	var members []settings.Member
+	for i := range processes {
+		own := settings.Settings{
+			Node: model.NodeID(fmt.Sprintf("n%d", i)), DataCentre: model.DataCentre(fmt.Sprintf("dc%d", i%disks)),
+			Listen:  settings.Listen{Callers: freePort(b), Endpoints: freePort(b), Operators: freePort(b), Peers: freePort(b)},
+			DataDir: filepath.Join(dir, fmt.Sprint("data", i)), Plugins: map[string]json.RawMessage{},
+		}
+		members = append(members, settings.Member{
+			Node: own.Node, DataCentre: own.DataCentre, Peers: own.Listen.Peers, Endpoints: own.Listen.Endpoints, Disk: i < disks,
+		})
+		g.members = append(g.members, own)
+	}
+	for i := range g.members {
+		g.members[i].Members = members
+		g.start(binary, dir, g.members[i])
+	}
+	b.Cleanup(g.stop)
+	return g
+}
+
+func (g *processGroup) start(binary, dir string, own settings.Settings) {
+	raw, err := json.Marshal(own)
+	if err != nil {
+		g.b.Fatal(err)
+	}
+	path := filepath.Join(dir, string(own.Node)+".json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		g.b.Fatal(err)
+	}
+	process := exec.Command(binary, "run", "--settings", path)
+	if err := process.Start(); err != nil {
+		g.b.Fatal(err)
+	}
+	g.running = append(g.running, process)
+}
+
+func (g *processGroup) stop() {
+	for _, process := range g.running {
+		process.Process.Signal(syscall.SIGTERM)
+	}
+	for _, process := range g.running {
+		process.Wait()
+	}
+}
+
+func (g *processGroup) url(i int, path string) string {
+	return "http://" + g.members[i].Listen.Operators + path
+}
+
+// await returns when the revision is in force at a process. It asks again only after a failure or
+// the end of the long wait that the question itself makes.
+func (g *processGroup) await(i int, revision int) {
+	var got struct {
+		Revision int `json:"revision"`
+	}
+	for got.Revision < revision {
+		response, err := http.Get(g.url(i, fmt.Sprintf("/v1/profiles?after=%d&wait_ms=5000", revision-1)))
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(response.Body).Decode(&got)
+		response.Body.Close()
+		if err != nil {
+			g.b.Error(err)
+			return
+		}
+	}
+}
+
+func (g *processGroup) awaitVotes() {
+	for i := range disks {
+		for voter := false; !voter; {
+			response, err := http.Get(g.url(i, "/v1/status"))
+			if err != nil {
+				continue
+			}
+			body, _ := io.ReadAll(response.Body)
+			response.Body.Close()
+			voter = strings.Contains(string(body), `"voter"`)
+		}
+	}
+}
+
+func (g *processGroup) put(i, expect int) {
+	request, err := http.NewRequest(http.MethodPut, g.url(i, "/v1/profiles/finder"), strings.NewReader(`{}`))
+	if err != nil {
+		g.b.Fatal(err)
+	}
+	request.Header.Set("If-Match", fmt.Sprintf(`"%d"`, expect))
+	request.Header.Set("Idempotency-Key", fmt.Sprint("key", expect))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		g.b.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(response.Body)
+		g.b.Fatalf("change %d: %s", expect, body)
+	}
+}
+
+// BenchmarkTimeToForce publishes a change through one of nine processes after the other, and
+// measures until it is answered and until it is in force in all of them.
+func BenchmarkTimeToForce(b *testing.B) {
+	g := startProcesses(b)
+	g.awaitVotes()
+	var answered, inForce []time.Duration
+	revision := 0
+	for b.Loop() {
+		start := time.Now()
+		var waiting sync.WaitGroup
+		for i := range processes {
+			waiting.Go(func() { g.await(i, revision+1) })
+		}
+		g.put(revision%processes, revision)
+		answered = append(answered, time.Since(start))
+		waiting.Wait()
+		inForce = append(inForce, time.Since(start))
+		revision++
+	}
+	report(b, "answered", answered)
+	report(b, "in_force", inForce)
+}
+
+func report(b *testing.B, name string, times []time.Duration) {
+	slices.Sort(times)
+	at := func(share float64) float64 {
+		return float64(times[int(share*float64(len(times)-1))].Microseconds()) / 1000
+	}
+	b.ReportMetric(at(0.5), name+"_p50_ms")
+	b.ReportMetric(at(0.99), name+"_p99_ms")
+	b.ReportMetric(at(1), name+"_max_ms")
+}
--- /dev/null
+++ b/plugins/profiles/wire/wire_test.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/profiles/register"
+)
+
+// large returns a state of the size that is designed for: 20 profiles with 55 teams each, and all
+// changes that are kept.
+func large() register.State {
+	state := register.Initial()
+	for i := range 20 {
+		p := model.BuiltInProfile()
+		p.Name = model.ProfileName(fmt.Sprint("profile-", i))
+		p.Quotas = make(map[model.TeamID]float64)
+		for team := range 55 {
+			p.Quotas[model.TeamID(fmt.Sprint("team-", team))] = 800
+		}
+		state.Set.Profiles[p.Name] = p
+		state.Set.Services[model.ServiceID(fmt.Sprint("service-", i))] = p.Name
+	}
+	for i := range register.KeptChanges {
+		state.History = append(state.History, model.ProfileChange{
+			Revision: model.Revision(i + 1), ID: fmt.Sprintf("%026d", i), Digest: 1 << 62, Operator: "operator",
+			At: time.Unix(1_800_000_000, 123).UTC(), Kind: string(model.PutProfile), Profile: "profile-1",
+		})
+	}
+	state.Set.Revision = register.KeptChanges
+	return state
+}
+
+func TestWhatIsEncodedIsDecoded(t *testing.T) {
+	is := is.New(t)
+	state := large()
+	ballot := register.Ballot{Round: 1 << 60, Node: "a", Run: 1<<64 - 1}
+	stores := map[model.NodeID]register.Store{"a": {Number: 2, Nonce: 1<<64 - 1}}
+	sent := register.Message{
+		Kind: register.Joined, Ballot: ballot, Run: 3, Store: stores["a"], Votes: 4, Fences: stores,
+		Seen: map[model.NodeID]uint64{"a": 5}, Accepted: ballot, Value: &state, Copied: true, Voting: true,
+		Promised: ballot, Chosen: &state, Revision: 6, Pending: 7, Serving: true,
+	}
+	raw, err := json.Marshal(EncodeMessage(sent, "c", 1))
+	is.NoErr(err)
+	var received Message
+	is.NoErr(json.Unmarshal(raw, &received))
+	is.Equal(received.Decode(), sent)
+
+	kept := register.Durable{
+		Store: stores["a"], Voting: true, Copied: true, Votes: 4, Promised: ballot, Accepted: ballot,
+		Value: state, Chosen: state, Fences: stores, Seen: sent.Seen,
+	}
+	raw, err = json.Marshal(EncodeDurable(kept))
+	is.NoErr(err)
+	var loaded Durable
+	is.NoErr(json.Unmarshal(raw, &loaded))
+	decoded, ok := loaded.Decode()
+	is.True(ok)
+	is.Equal(decoded, kept)
+}
+
+func BenchmarkEncodeState(b *testing.B) {
+	state := large()
+	var raw []byte
+	for b.Loop() {
+		raw, _ = json.Marshal(EncodeState(&state))
+	}
+	b.ReportMetric(float64(len(raw)), "bytes")
+}
