Profiles: changes travel as differences

Cause: each change carried the whole state, 68 KB at the size that is designed for, to each replica and member. Change: an Accept names the ballot of the value that it differs from, and a voter that lacks it asks for the whole; a Promise leaves out the value that the proposer has; news of a revision is the one change, and a member that is further behind fetches the state.

--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -15,6 +15,15 @@
 	}
 }
 
+// newsOf returns the message that tells of a proposal's value, as a difference where there is one.
+func (m *Machine) newsOf(p *proposal) Message {
+	news := m.news(p.value)
+	if p.delta != nil {
+		news.Value, news.Delta = nil, p.delta
+	}
+	return news
+}
+
 // askForNews asks for newer states: all members while none is learned, else one at a time.
 func (m *Machine) askForNews() {
 	question := m.question()
@@ -60,6 +69,9 @@
 	if message.Value != nil {
 		m.hear(*message.Value)
 	}
+	if message.Delta != nil {
+		m.hearDelta(from, *message.Delta)
+	}
 	if m.serving || message.Run != m.config.Seed {
 		return
 	}
@@ -67,6 +79,15 @@
 	m.tryServe()
 }
 
+// hearDelta takes on the next agreed state, or asks for the states between.
+func (m *Machine) hearDelta(from model.NodeID, d Delta) {
+	if d.Change.Revision == m.served.Revision()+1 {
+		m.hear(m.served.with(d))
+		return
+	}
+	m.ask(from, d.Change.Revision)
+}
+
 // hear takes on an agreed state when it is newer.
 func (m *Machine) hear(state State) {
 	if state.Revision() <= m.served.Revision() {
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -174,7 +174,7 @@
 		m.prepare(from, message)
 	case Accept:
 		m.accept(from, message)
-	case Promise, Accepted, Rejected:
+	case Promise, Accepted, Rejected, Need:
 		m.counted(from, message)
 	case Join:
 		m.admit(from, message)
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -59,6 +59,7 @@
 	Rejected MessageKind = "rejected"
 	Join     MessageKind = "join"
 	Joined   MessageKind = "joined"
+	Need     MessageKind = "need" // Answers an Accept whose base the voter lacks.
 	Fetch    MessageKind = "fetch"
 	Chosen   MessageKind = "chosen"
 )
@@ -74,8 +75,10 @@
 	Fences map[model.NodeID]Store
 	Seen   map[model.NodeID]uint64
 
-	Accepted Ballot
+	Accepted Ballot // Of the sender's value. A Promise leaves the value out when Prepare names its ballot.
 	Value    *State // Accepted at Accepted, proposed, or chosen.
+	Base     Ballot // In Accept without a value: of the value that the proposed one differs from.
+	Delta    *Delta // In Accept and Chosen: the difference; nil in an Accept when there is none.
 
 	Copied   bool           // In Joined: the sender has a copy of a file that voted.
 	Voting   bool           // In Joined and Chosen: the sender is a replica that votes.
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -17,7 +17,11 @@
 	until   time.Time // End of the round, or of the wait before a new ballot.
 	lost    int       // Ballots that were lost.
 	exposed bool      // Whether a value that holds the change was sent to be accepted.
+	own     Message   // What this replica had accepted as the round began.
 	value   State
+	delta   *Delta // From the value of ballot base; nil when there is no difference.
+	base    Ballot
+	whole   bool // The value has to be sent whole.
 	result  model.EditResult
 }
 
@@ -30,7 +34,7 @@
 
 func (m *Machine) submit(s Submitted) {
 	if m.settled(s.Edit) {
-		_, result := m.served.apply(s.Edit, m.now)
+		_, result := m.served.apply(s.Edit, m.now) // Makes no difference.
 		m.do(Answer{s.Ticket, result})
 		return
 	}
@@ -90,8 +94,10 @@
 	p.phase = Promise
 	p.votes = make(map[model.NodeID]Message)
 	p.until = m.now.Add(roundTimeout)
+	value := m.durable.Value
+	p.own = Message{Accepted: m.durable.Accepted, Value: &value}
 	for _, node := range m.config.Replicas {
-		m.send(node, Message{Kind: Prepare, Ballot: p.ballot})
+		m.send(node, Message{Kind: Prepare, Ballot: p.ballot, Accepted: p.own.Accepted})
 	}
 }
 
@@ -143,11 +149,15 @@
 	if p == nil || p.phase == "" {
 		return
 	}
-	if message.Kind == Rejected {
+	switch {
+	case message.Kind == Rejected:
 		if p.ballot.Less(message.Ballot) {
 			m.loseRound()
 		}
 		return
+	case message.Kind == Need && message.Ballot == p.ballot && p.phase == Accepted:
+		m.sendAccept(from, true)
+		return
 	}
 	if message.Kind != p.phase || message.Ballot != p.ballot {
 		return
@@ -179,36 +189,55 @@
 // accept the result.
 func (m *Machine) propose() {
 	p := m.proposal
-	base := m.base(p.votes)
-	p.value, p.result = base.apply(p.Edit, m.now)
+	var base State
+	base, p.base, p.whole = m.base(p.votes)
+	p.delta, p.result = base.apply(p.Edit, m.now)
+	p.value = base
+	if p.delta != nil {
+		p.value = base.with(*p.delta)
+	}
 	p.exposed = p.exposed || p.result.Status == model.EditDone && p.Edit.Kind != settle
 	p.phase = Accepted
 	p.votes = make(map[model.NodeID]Message)
 	p.until = m.now.Add(roundTimeout)
-	value := p.value
 	for _, node := range m.config.Replicas {
-		m.send(node, Message{
-			Kind: Accept, Ballot: p.ballot, Value: &value,
-			Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
-		})
+		m.sendAccept(node, p.whole)
 	}
 }
 
-// base returns the state of the highest ballot among the promises. A newer agreed state can only
-// be known here after more disks were lost than the register can bear; it is taken then.
-func (m *Machine) base(votes map[model.NodeID]Message) State {
-	var highest Ballot
-	base := Initial()
+// sendAccept asks a replica to accept the value, sent whole or as a difference.
+func (m *Machine) sendAccept(to model.NodeID, whole bool) {
+	p := m.proposal
+	message := Message{
+		Kind: Accept, Ballot: p.ballot, Base: p.base, Delta: p.delta,
+		Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
+	}
+	if whole {
+		value := p.value
+		message.Value, message.Delta = &value, nil
+	}
+	m.send(to, message)
+}
+
+// base returns the state of the highest ballot among the promises, and the ballot. A newer agreed
+// state can only be known here after more disks were lost than the register can bear; it is taken
+// then, and has no ballot.
+func (m *Machine) base(votes map[model.NodeID]Message) (base State, highest Ballot, unknown bool) {
+	base = Initial()
 	for _, node := range m.config.Replicas {
 		vote, ok := votes[node]
-		if ok && vote.Store == m.durable.Fences[node] && vote.Value != nil && !vote.Accepted.Less(highest) {
-			highest, base = vote.Accepted, *vote.Value
+		if !ok || vote.Store != m.durable.Fences[node] || vote.Accepted.Less(highest) {
+			continue
+		}
+		if vote.Value == nil {
+			vote.Value = m.proposal.own.Value // The voter has the same.
 		}
+		highest, base = vote.Accepted, *vote.Value
 	}
 	if m.served.Revision() > base.Revision() {
-		return m.served
+		return m.served, Ballot{}, true
 	}
-	return base
+	return base, highest, false
 }
 
 // chosen answers the change and tells all members of the agreed state.
@@ -216,7 +245,7 @@
 	p := m.proposal
 	if p.value.Revision() > m.served.Revision() || !m.serving {
 		m.serve(p.value)
-		m.do(Broadcast{m.news(p.value)})
+		m.do(Broadcast{m.newsOf(p)})
 	}
 	delete(m.open, p.Edit.ID)
 	m.finish(p.result)
--- a/plugins/profiles/register/state.go
+++ b/plugins/profiles/register/state.go
@@ -31,23 +31,22 @@
 // settle is the kind of an edit that changes nothing; it finds out what is agreed.
 const settle model.EditKind = "settle"
 
-// apply returns the state after the change and the answer to it. The state is the same one unless
-// the change takes effect now.
-func (s State) apply(c model.ProfileEdit, now time.Time) (State, model.EditResult) {
+// apply returns the answer to an edit, and the difference that it makes; nil when it makes none.
+func (s State) apply(c model.ProfileEdit, now time.Time) (*Delta, model.EditResult) {
 	if c.Kind == settle {
-		return s, model.EditResult{Status: model.EditDone, Revision: s.Revision()}
+		return nil, model.EditResult{Status: model.EditDone, Revision: s.Revision()}
 	}
 	if first, found := s.find(c.ID); found {
-		return s, s.repeated(c, first)
+		return nil, s.repeated(c, first)
 	}
 	if c.Expect != s.Revision() {
-		return s, refused(model.EditStale, s.staleRun(c), s.Revision())
+		return nil, refused(model.EditStale, s.staleRun(c), s.Revision())
 	}
 	if refusal := s.check(c); refusal != "" {
-		return s, refused(refusal, model.NotRun, s.Revision())
+		return nil, refused(refusal, model.NotRun, s.Revision())
 	}
-	next := s.changed(c, now)
-	return next, model.EditResult{Status: model.EditDone, Revision: next.Revision()}
+	delta := s.delta(c, now)
+	return &delta, model.EditResult{Status: model.EditDone, Revision: delta.Change.Revision}
 }
 
 func (s State) find(id string) (model.ProfileChange, bool) {
@@ -103,25 +102,38 @@
 	return false
 }
 
-func (s State) changed(c model.ProfileEdit, now time.Time) State {
+// Delta is what one change makes of a state.
+type Delta struct {
+	Change  model.ProfileChange
+	Profile model.Profile // When it is put.
+}
+
+func (s State) delta(c model.ProfileEdit, now time.Time) Delta {
+	return Delta{
+		Change: model.ProfileChange{
+			Revision: s.Revision() + 1, ID: c.ID, Digest: c.Digest, Operator: c.Operator, At: now,
+			Kind: string(c.Kind), Profile: c.Name, Service: c.Service,
+		},
+		Profile: c.Profile,
+	}
+}
+
+// with returns the state after the change.
+func (s State) with(d Delta) State {
 	next := State{Set: model.ProfileSet{
 		Revision: s.Revision() + 1,
 		Profiles: maps.Clone(s.Set.Profiles),
 		Services: maps.Clone(s.Set.Services),
 	}}
-	record := model.ProfileChange{
-		Revision: next.Revision(), ID: c.ID, Digest: c.Digest, Operator: c.Operator, At: now,
-		Kind: string(c.Kind), Profile: c.Name, Service: c.Service,
-	}
 	kept := s.History[max(0, len(s.History)-KeptChanges+1):]
-	next.History = append(slices.Clone(kept), record)
-	switch c.Kind {
+	next.History = append(slices.Clone(kept), d.Change)
+	switch model.EditKind(d.Change.Kind) {
 	case model.PutProfile:
-		next.Set.Profiles[c.Name] = c.Profile
+		next.Set.Profiles[d.Change.Profile] = d.Profile
 	case model.DeleteProfile:
-		delete(next.Set.Profiles, c.Name)
+		delete(next.Set.Profiles, d.Change.Profile)
 	case model.SetService:
-		next.Set.Services[c.Service] = c.Name
+		next.Set.Services[d.Change.Service] = d.Change.Profile
 	}
 	return next
 }
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -45,6 +45,8 @@
 	Seen     map[model.NodeID]uint64 `json:"seen,omitempty"`
 	Accepted *ballot                 `json:"accepted,omitempty"`
 	Value    *State                  `json:"value,omitempty"`
+	Base     *ballot                 `json:"base,omitempty"`
+	Delta    *delta                  `json:"delta,omitempty"`
 	Copied   bool                    `json:"copied,omitempty"`
 	Voting   bool                    `json:"voting,omitempty"`
 	Promised *ballot                 `json:"promised,omitempty"`
@@ -60,7 +62,7 @@
 		Cluster: cluster, Replicas: replicas,
 		Kind: m.Kind, Ballot: encodeBallot(m.Ballot), Run: m.Run, Store: store(m.Store), Votes: m.Votes,
 		Fences: encodeStores(m.Fences), Seen: m.Seen,
-		Accepted: encodeBallot(m.Accepted), Value: EncodeState(m.Value),
+		Accepted: encodeBallot(m.Accepted), Value: EncodeState(m.Value), Base: encodeBallot(m.Base), Delta: encodeDelta(m.Delta),
 		Copied: m.Copied, Voting: m.Voting, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
 		Revision: m.Revision, Pending: m.Pending, Serving: m.Serving,
 	}
@@ -71,12 +73,31 @@
 	return register.Message{
 		Kind: m.Kind, Ballot: m.Ballot.decode(), Run: m.Run, Store: register.Store(m.Store), Votes: m.Votes,
 		Fences: decodeStores(m.Fences), Seen: m.Seen,
-		Accepted: m.Accepted.decode(), Value: m.Value.Decode(),
+		Accepted: m.Accepted.decode(), Value: m.Value.Decode(), Base: m.Base.decode(), Delta: m.Delta.decode(),
 		Copied: m.Copied, Voting: m.Voting, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
 		Revision: m.Revision, Pending: m.Pending, Serving: m.Serving,
 	}
 }
 
+type delta struct {
+	Change  change  `json:"change"`
+	Profile profile `json:"profile"`
+}
+
+func encodeDelta(d *register.Delta) *delta {
+	if d == nil {
+		return nil
+	}
+	return &delta{change(d.Change), profile(d.Profile)}
+}
+
+func (d *delta) decode() *register.Delta {
+	if d == nil {
+		return nil
+	}
+	return &register.Delta{Change: model.ProfileChange(d.Change), Profile: model.Profile(d.Profile)}
+}
+
 func encodeStores(stores map[model.NodeID]register.Store) map[model.NodeID]store {
 	encoded := make(map[model.NodeID]store, len(stores))
 	for node, s := range stores {
