--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"path/filepath"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,12 +23,14 @@
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
+	"redwingpulley/plugins/record/file"
 )
 
 const (
 	warmUpLimit = 20 * time.Second // Until every endpoint has announced itself.
 	stopLimit   = 10 * time.Second // For the drain of one entry VM.
 	rackSize    = 6                // Workers in a rack.
+	recordMB    = 64               // Of one entry VM's record.
 )
 
 // Config describes a group.
@@ -38,6 +42,7 @@
 	Seed        uint64
 	DataDir     string        // Parent of the entry VMs' data folders; "" for entry VMs without disks.
 	Delay       time.Duration // One way between data centres; 0 connects entry VMs directly.
+	Record      string        // Folder for a record of each entry VM's decisions; "" for none.
 	Log         *slog.Logger
 	Definitions []plugin.Definition // Plug-ins of the entry VMs; nil for all that are linked.
 }
@@ -126,7 +131,11 @@
 }
 
 func (g *Group) startMember(c Config, own settings.Settings) error {
-	if err := g.placeRelays(c, &own); err != nil {
+	own.Plugins = make(map[string]json.RawMessage)
+	if err := g.placeRelays(c, own); err != nil {
+		return err
+	}
+	if err := c.setRecord(own); err != nil {
 		return err
 	}
 	definitions := c.Definitions
@@ -142,7 +151,7 @@
 }
 
 // placeRelays has the member reach those of other data centres through relays of its own.
-func (g *Group) placeRelays(c Config, own *settings.Settings) error {
+func (g *Group) placeRelays(c Config, own settings.Settings) error {
 	if c.Delay == 0 {
 		return nil
 	}
@@ -162,10 +171,24 @@
 	if err != nil {
 		return errors.Wrap(err, "relays")
 	}
-	own.Plugins = map[string]json.RawMessage{"peer.http": raw}
+	own.Plugins["peer.http"] = raw
 	return nil
 }
 
+func (c Config) setRecord(own settings.Settings) error {
+	if c.Record == "" {
+		return nil
+	}
+	raw, err := json.Marshal(file.Settings{File: c.RecordFile(own.Node), MaxMB: recordMB})
+	own.Plugins["record.file"] = raw
+	return errors.Wrap(err, "record")
+}
+
+// RecordFile returns the file that an entry VM's decisions are recorded in.
+func (c Config) RecordFile(node model.NodeID) string {
+	return filepath.Join(c.Record, string(node)+".events.jsonl")
+}
+
 // members returns the settings of all entry VMs, with free ports. The first of each data centre
 // has a disk.
 func (c Config) members() ([]settings.Settings, error) {
@@ -300,19 +323,21 @@
 // Lose stops an entry VM without a drain.
 func (g *Group) Lose(number int) error { return g.Hosts[number].Stop() }
 
-// Stop ends the endpoints and drains the entry VMs.
+// Stop drains the entry VMs, then ends the endpoints.
 func (g *Group) Stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
-	var faults error
-	for _, host := range g.Hosts {
-		faults = errors.Join(faults, node.Stop(ctx, host))
+	faults := make([]error, len(g.Hosts))
+	var stopping sync.WaitGroup
+	for i, host := range g.Hosts {
+		stopping.Go(func() { faults[i] = node.Stop(ctx, host) })
 	}
+	stopping.Wait()
 	for _, e := range g.Endpoints {
 		e.Close()
 	}
 	for _, r := range g.relays {
 		r.Close()
 	}
-	return faults
+	return errors.Join(faults...)
 }
