--- a/plugins/profiles/register/machine_test.go
+++ b/plugins/profiles/register/machine_test.go
@@ -134,6 +134,30 @@
 	})
 }
 
+func TestTwoOfThreeDisksLostNeedAnOperator(t *testing.T) {
+	runFixed(t, func(w *world) {
+		w.submit("n0", model.ProfileEdit{ID: "c", Kind: model.PutProfile, Name: "p"})
+		w.run(time.Second)
+		for _, id := range []model.NodeID{"n0", "n1"} {
+			w.crash(id)
+			w.nodes[id].disk = nil
+		}
+		w.start("n0")
+		w.start("n1")
+		w.run(20 * time.Second)
+		if w.nodes["n0"].machine.Votes() || w.nodes["n1"].machine.Votes() {
+			w.t.Fatalf("a replica votes although the disks of a majority are lost")
+		}
+		w.reform = true
+		w.start("n0")
+		w.start("n1")
+		w.run(3 * time.Second)
+		if !w.nodes["n0"].machine.Votes() || !w.nodes["n1"].machine.Votes() {
+			w.t.Fatalf("the replicas do not vote although the operator says that the disks are lost")
+		}
+	})
+}
+
 func TestRestartOfAllAfterHundredsOfChanges(t *testing.T) {
 	runFixed(t, func(w *world) {
 		for i := range 300 {
