--- a/cmd/redwingd/check_test.go
+++ b/cmd/redwingd/check_test.go
@@ -19,8 +19,8 @@
 	err := (&checkCommand{Settings: path}).Run()
 	is.Equal(exitCode(err), exitUsage)
 	for _, fault := range []string{
-		"reigon: unknown field", "node: must be", "listen.peers: must be", "members: must hold",
-		"plugins.profiles.clutser: unknown field", "plugins.profiles.serve_alone_ms: must be an integer",
+		"reigon: no such key", "node: must be", "listen.peers: must be", "members: must hold",
+		"plugins.profiles.clutser: no such key", "plugins.profiles.serve_alone_ms: must be an integer",
 		"plugins.membership.period_ms", "plugins.nothing.such: no such plug-in",
 	} {
 		if !strings.Contains(err.Error(), fault) {
--- a/kernel/settings/decode.go
+++ b/kernel/settings/decode.go
@@ -87,7 +87,7 @@
 		w.faults.require(!seen[key], below, "is there twice")
 		seen[key] = true
 		field, known := member(t, key)
-		w.faults.require(known, below, "unknown field")
+		w.faults.require(known, below, "no such key")
 		if err := w.value(below, field); err != nil {
 			return err
 		}
--- a/kernel/settings/settings_test.go
+++ b/kernel/settings/settings_test.go
@@ -28,6 +28,8 @@
 		{"unknown key", `"region"`, `"regoin"`, "regoin"},
 		{"duplicate key", `"region":"cr"`, `"region":"cr","region":"x"`, "region: is there twice"},
 		{"duplicate nested key", `"disk":true`, `"disk":true,"disk":false`, "members[0].disk: is there twice"},
+		{"unknown nested key", `"disk":true`, `"disc":true`, "members[0].disc: no such key"},
+		{"key in another case", `"region":"cr"`, `"region":"cr","Region":"x"`, "Region: no such key"},
 		{"wrong type", `"data_dir":"data/sj1-a"`, `"data_dir":3`, "data_dir"},
 		{"bad address", `"callers":"127.0.0.1:7001"`, `"callers":"localhost:7001"`, "listen.callers"},
 		{"node name", `{"node":"sj1-a","region"`, `{"node":"SJ","region"`, "node"},
@@ -71,11 +73,11 @@
 		"plugins.p.ports[1]: must be an integer that is not negative, not -1",
 		"plugins.p.ports[2]: must be an integer that is not negative, not 70000",
 		"plugins.p.ports[3]: must be an integer that is not negative, not a string",
-		"plugins.p.rates.b: must be a number, not a list",
+		"plugins.p.rates.b: must be a number, not an array",
 		"plugins.p.inner.on: must be true or false, not 1",
-		"plugins.p.inner.off: unknown field",
-		"plugins.p.Node: unknown field",
-		"plugins.p.more: unknown field",
+		"plugins.p.inner.off: no such key",
+		"plugins.p.Node: no such key",
+		"plugins.p.more: no such key",
 	} {
 		is.True(strings.Contains(err.Error(), fault)) // The fault is named.
 	}
--- a/kernel/settings/types.go
+++ b/kernel/settings/types.go
@@ -43,7 +43,7 @@
 	case reflect.Slice, reflect.Array:
 		_, text := token.(string)
 		bytes := t.Elem().Kind() == reflect.Uint8 // Encoded as text.
-		return "a list", token == json.Delim('[') || bytes && text
+		return "an array", token == json.Delim('[') || bytes && text
 	case reflect.String:
 		_, ok = token.(string)
 		return "a string", ok
@@ -78,7 +78,7 @@
 		return t.String()
 	case json.Delim:
 		if t == '[' {
-			return "a list"
+			return "an array"
 		}
 	}
 	return "an object"
--- a/plugins/frontend/operators/profiles_test.go
+++ b/plugins/frontend/operators/profiles_test.go
@@ -102,7 +102,7 @@
 		detail           string
 	}{
 		{"broken JSON", profile, `{`, sound(), 400, "(root)"},
-		{"unknown field", profile, `{"queue":1}`, sound(), 400, "queue: unknown field"},
+		{"unknown field", profile, `{"queue":1}`, sound(), 400, "queue: no such key"},
 		{"doubled field", profile, `{"queue_tasks":1,"queue_tasks":2}`, sound(), 400, "queue_tasks: is there twice"},
 		{"wrong type", profile, `{"queue_tasks":"1"}`, sound(), 400, "queue_tasks: must be"},
 		{"another name", profile, `{"name":"auction"}`, sound(), 400, "name: must be"},
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -16,9 +16,11 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/drain"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/shard"
 )
 
@@ -54,8 +56,10 @@
 	addresses *shard.Map[model.NodeID, string]
 	links     *shard.Map[model.NodeID, *link]
 	server    *http.Server
+	listener  net.Listener
 	work      traffic
 	control   traffic
+	serving   drain.Gate // Around each request that is not control.
 }
 
 // Provision learns the addresses of the members that settings name.
@@ -63,23 +67,27 @@
 	if err := c.Settings(&p.settings); err != nil {
 		return err
 	}
-	p.self = c.Node.Node
-	p.listen = c.Node.Listen.Peers
-	p.log = c.Log
+	p.init(c.Node, c.Log, c.Metrics)
+	plugin.Bind[port.Peers](c, p)
+	return nil
+}
+
+func (p *Peers) init(node settings.Settings, log *slog.Logger, registry metrics.Registry) {
+	p.self = node.Node
+	p.listen = node.Listen.Peers
+	p.log = log
 	p.handlers = make(map[string]port.Handler)
 	p.addresses = shard.New[model.NodeID, string](shard.DefaultCount)
-	for _, m := range c.Node.Members {
+	for _, m := range node.Members {
 		p.Learn(m.Node, m.Peers)
 	}
 	p.links = shard.New[model.NodeID, *link](shard.DefaultCount)
 	p.work = traffic{
-		metrics.GetOrRegisterCounter("messages.peer.requests", c.Metrics),
-		metrics.GetOrRegisterCounter("messages.peer.replies", c.Metrics),
+		metrics.GetOrRegisterCounter("messages.peer.requests", registry),
+		metrics.GetOrRegisterCounter("messages.peer.replies", registry),
 	}
-	control := metrics.GetOrRegisterCounter("messages.control", c.Metrics)
+	control := metrics.GetOrRegisterCounter("messages.control", registry)
 	p.control = traffic{control, control}
-	plugin.Bind[port.Peers](c, p)
-	return nil
 }
 
 // Handle registers the handler of a method.
@@ -99,6 +107,7 @@
 	if err != nil {
 		return err
 	}
+	p.listener = listener
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP1(true)
@@ -112,6 +121,10 @@
 	return nil
 }
 
+// Drain waits until the requests of other members have their replies. It takes new ones, which the
+// drained plug-ins refuse.
+func (p *Peers) Drain(ctx context.Context) { p.serving.Wait(ctx) }
+
 // Stop sends the replies that are due, then closes the listener and all connections. The listener
 // stays during a drain, for the batches of other members.
 func (p *Peers) Stop() error {
@@ -128,16 +141,24 @@
 	return p.server.Close()
 }
 
+// address returns the listener's ip:port.
+func (p *Peers) address() string { return p.listener.Addr().String() }
+
 func (p *Peers) serve(w http.ResponseWriter, r *http.Request) {
 	if len(r.URL.Path) < len(pathPrefix) {
 		http.Error(w, "no such method", statusNoSuch)
 		return
 	}
-	handler, ok := p.handlers[r.URL.Path[len(pathPrefix):]]
+	method := r.URL.Path[len(pathPrefix):]
+	handler, ok := p.handlers[method]
 	if !ok {
 		http.Error(w, "no such method", statusNoSuch)
 		return
 	}
+	if !isControl(method) {
+		p.serving.Enter()
+		defer p.serving.Leave()
+	}
 	body := http.MaxBytesReader(w, r.Body, maxBody)
 	decode := func(target any) error { return json.NewDecoder(body).Decode(target) }
 	reply, err := handler(r.Context(), model.NodeID(r.Header.Get(headerFrom)), decode)
