--- a/cmd/internal/process/failure_test.go
+++ b/cmd/internal/process/failure_test.go
@@ -28,12 +28,18 @@
 
 // play sends a load to all entry VMs, has fault happen in it, and checks what must always hold.
 func (c *cluster) play(share float64, fault func()) ([]trace.Job, []load.Result) {
+	c.t.Helper()
+	return c.playAt(c.entries(), share, fault)
+}
+
+// playAt is play with the addresses at which callers reach the entry VMs.
+func (c *cluster) playAt(entries []string, share float64, fault func()) ([]trace.Job, []load.Result) {
 	c.t.Helper()
 	jobs := trace.Generate(trace.Workload{
 		Service: "finder", Seed: 1, Length: length, Slots: len(c.endpoints) * slots, Load: share,
 		Teams: 2, Deadline: 5 * time.Second, Largest: 16, DeclaredError: 3,
 	})
-	client := caller.New(c.entries(), 0, resends)
+	client := caller.New(entries, 0, resends)
 	defer client.Close()
 	var faulty sync.WaitGroup
 	faulty.Go(func() {
