--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -122,6 +123,14 @@
 
 func (m *member) Leave(context.Context) {}
 
+func (m *member) Fresh() bool { return true }
+
+func (m *member) Gone(id model.NodeID, incarnation model.Incarnation) bool {
+	return !slices.ContainsFunc(m.Alive(), func(n port.Node) bool { return n.ID == id && n.Incarnation == incarnation })
+}
+
+func (m *member) Doubt(model.NodeID) {}
+
 func (m *member) Current() (model.ProfileSet, bool) { return model.BuiltInProfiles(), true }
 
 func (m *member) Record(port.Decision) {}
@@ -159,7 +168,7 @@
 		return port.TaskReply{State: port.TaskDone, Answer: []byte(`"` + string(s.ID) + `"`)}
 	}
 	p := &Pools{
-		membership: m, profiles: m, peers: m, tasks: m, decisions: m, recorder: noRecorder{},
+		membership: m, liveness: m, profiles: m, peers: m, tasks: m, decisions: m, recorder: noRecorder{},
 		policies: poolstate.Policies{
 			Placements: map[string]port.Placement{"least_wait": leastwait.Policy{}},
 			Admissions: map[string]port.Admission{"deadline": deadline.Policy{}},
@@ -314,7 +323,7 @@
 			owner.Drain(t.Context())
 			close(drained)
 		}()
-		synctest.Wait()
+		pause(t.Context(), transitTime+time.Millisecond) // Batches sent before the move are taken until then.
 		late := batch(time.Minute)
 		late.ID.Part = 1
 		refused := origin.Run(t.Context(), "owner", late)
