--- a/cmd/internal/replay/replay_test.go
+++ b/cmd/internal/replay/replay_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"log/slog"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +26,8 @@
 	"redwingpulley/plugins/record/file"
 )
 
+var recordAnew = flag.Bool("record", false, "make the shipped record anew")
+
 func policies(t *testing.T) poolstate.Policies {
 	t.Helper()
 	all, err := node.Policies(slog.New(slog.DiscardHandler))
@@ -99,6 +103,44 @@
 	is.True(changed.Fault() != nil)
 }
 
+const (
+	shippedRecord  = "testdata/refusals.events.jsonl"
+	shippedOutcome = "testdata/refusals.outcome.json"
+)
+
+// TestShippedRecord replays a record whose outcome is stated beside it: jobs at one and a half times
+// the capacity, an endpoint that refuses, one that fails, and cancellations. After a wanted change
+// of policy, record anew with -record and state the new outcome in the change's commit.
+func TestShippedRecord(t *testing.T) {
+	is := is.New(t)
+	if *recordAnew {
+		rewrite(t)
+	}
+	raw, err := os.ReadFile(shippedOutcome)
+	is.NoErr(err)
+	var stated Outcome
+	is.NoErr(json.Unmarshal(raw, &stated))
+	outcome, err := Run(read(t, shippedRecord), policies(t))
+	is.NoErr(err)
+	is.NoErr(outcome.Fault())
+	is.Equal(outcome, stated)
+}
+
+// rewrite makes the shipped record and its outcome anew.
+func rewrite(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	raw, err := os.ReadFile(record(t))
+	is.NoErr(err)
+	is.NoErr(os.MkdirAll(filepath.Dir(shippedRecord), 0o755))
+	is.NoErr(os.WriteFile(shippedRecord, raw, 0o644))
+	outcome, err := Run(read(t, shippedRecord), policies(t))
+	is.NoErr(err)
+	stated, err := json.MarshalIndent(outcome, "", "  ")
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(shippedOutcome, append(stated, '\n'), 0o644))
+}
+
 func TestReplayFindsASecondStart(t *testing.T) {
 	is := is.New(t)
 	settled := Outcome{}
