--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -131,7 +133,7 @@
 		if got.JobID != "" {
 			result.JobID = got.JobID
 		}
-		if job.ID == "" || result.Resends == c.Resends || !pause(ctx, resendPause) {
+		if job.ID == "" || result.Resends == c.Resends || !wait.For(ctx, resendPause) {
 			return result
 		}
 		result.Resends++
@@ -166,11 +168,11 @@
 
 // Lookup waits for a job's end at an entry VM; ok is false when no answer came.
 func (c *Client) Lookup(ctx context.Context, entry, id string) (result Result, ok bool) {
-	wait := answerGrace
+	limit := answerGrace
 	if deadline, bounded := ctx.Deadline(); bounded {
-		wait = time.Until(deadline)
+		limit = time.Until(deadline)
 	}
-	path := "/v1/jobs/" + url.PathEscape(id) + "?wait_ms=" + strconv.FormatInt(max(wait.Milliseconds(), 0), 10)
+	path := "/v1/jobs/" + url.PathEscape(id) + "?wait_ms=" + strconv.FormatInt(max(limit.Milliseconds(), 0), 10)
 	status, header, raw, err := c.do(ctx, http.MethodGet, entry, path, nil)
 	if err != nil || status == http.StatusAccepted {
 		return Result{JobID: id}, false
@@ -233,7 +235,7 @@
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	if !pause(ctx, c.Delay) {
+	if !wait.For(ctx, c.Delay) {
 		return 0, nil, nil, ctx.Err()
 	}
 	response, err := c.http.Do(request)
@@ -242,23 +244,8 @@
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
-	if err != nil || !pause(ctx, c.Delay) {
+	if err != nil || !wait.For(ctx, c.Delay) {
 		return 0, nil, nil, errors.CombineErrors(err, ctx.Err())
 	}
 	return response.StatusCode, response.Header, raw, nil
 }
-
-// pause waits and reports whether the context lasted.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -13,6 +13,7 @@
 	"redwingpulley/bench/caller"
 	"redwingpulley/bench/standin"
 	"redwingpulley/bench/trace"
+	"redwingpulley/kernel/wait"
 )
 
 // Wrong is the outcome of a job that was answered, but not with the answers to its own tasks.
@@ -44,7 +45,7 @@
 	}
 	run := run{Runner: r, results: make([]Result, len(jobs)), begin: time.Now()}
 	for i, job := range jobs {
-		if !waitUntil(ctx, run.begin.Add(job.At())) {
+		if !wait.For(ctx, time.Until(run.begin.Add(job.At()))) {
 			break
 		}
 		run.open.Go(func() { run.send(ctx, i, ids[i], job) })
@@ -136,14 +137,3 @@
 	}
 	return true
 }
-
-func waitUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bench/standin/standin.go
+++ b/bench/standin/standin.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"redwingpulley/kernel/wait"
 )
 
 // Config describes a stand-in.
@@ -172,7 +174,7 @@
 
 func (e *Endpoint) run(w http.ResponseWriter, body startBody, payload Payload, run running) {
 	length := time.Duration(float64(payload.SleepMS) * run.factor * float64(time.Millisecond))
-	stopped := !sleep(run.ctx, length)
+	stopped := !wait.For(run.ctx, length)
 	if stopped || payload.Fail || run.fails {
 		e.end(run.task, endState(stopped), nil)
 		reply(w, http.StatusInternalServerError, problem{TaskID: body.TaskID, Reason: "failed or stopped"})
@@ -180,7 +182,7 @@
 	}
 	raw, _ := json.Marshal(Answer{e.config.Endpoint, body.TaskID}) // Two strings always encode.
 	e.end(run.task, stateDone, raw)
-	if !sleep(e.life, run.answerIn) || !e.awaitThaw() {
+	if !wait.For(e.life, run.answerIn) || !e.awaitThaw() {
 		return
 	}
 	reply(w, http.StatusOK, taskReply{TaskID: body.TaskID, Attempt: body.Attempt, Answer: raw})
@@ -297,18 +299,3 @@
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(body) // The dispatcher is gone when this fails.
 }
-
-// sleep waits and reports whether the context lasted.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/internal/compare/run.go
+++ b/cmd/internal/compare/run.go
@@ -20,6 +20,7 @@
 	"redwingpulley/cmd/internal/group"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -157,7 +158,7 @@
 }
 
 func (x Experiment) play(ctx context.Context, d Deployment, s Scenario, g *group.Group, jobs []trace.Job) ([]load.Result, error) {
-	if !pause(ctx, settleTime) {
+	if !wait.For(ctx, settleTime) {
 		return nil, ctx.Err()
 	}
 	client := caller.New(g.Entries(), d.ToClients, resends)
@@ -181,14 +182,3 @@
 	}
 	return rest
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/internal/group/publish.go
+++ b/cmd/internal/group/publish.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -62,7 +64,7 @@
 		case status != http.StatusServiceUnavailable:
 			return errors.Newf("%s: status %d: %s", path, status, answer)
 		}
-		if !pause(ctx, publishRetry) {
+		if !wait.For(ctx, publishRetry) {
 			return ctx.Err()
 		}
 	}
@@ -80,7 +82,7 @@
 		case status != http.StatusServiceUnavailable:
 			return 0, errors.Newf("profiles: status %d: %s", status, body)
 		}
-		if !pause(ctx, publishRetry) {
+		if !wait.For(ctx, publishRetry) {
 			return 0, ctx.Err()
 		}
 	}
@@ -110,15 +112,3 @@
 	answer, err := io.ReadAll(response.Body)
 	return response.StatusCode, response.Header, answer, errors.Wrap(err, "operator")
 }
-
-// pause waits and reports whether the context lasted.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/internal/process/cost_test.go
+++ b/cmd/internal/process/cost_test.go
@@ -11,6 +11,7 @@
 	"redwingpulley/bench/caller"
 	"redwingpulley/bench/load"
 	"redwingpulley/bench/trace"
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -64,9 +65,9 @@
 
 // reportIdle measures what an idle member costs.
 func (c *cluster) reportIdle(b *testing.B) {
-	wait(c.ctx, settling)
+	wait.For(c.ctx, settling)
 	before, bytes := c.usedByAll(), c.peerBytes()
-	wait(c.ctx, idleWindow)
+	wait.For(c.ctx, idleWindow)
 	after, moreBytes := c.usedByAll(), c.peerBytes()
 	members := float64(len(c.vms))
 	b.ReportMetric(100*float64(after.processor-before.processor)/float64(idleWindow)/members, "%core/member")
--- a/cmd/internal/process/failure_test.go
+++ b/cmd/internal/process/failure_test.go
@@ -14,6 +14,7 @@
 	"redwingpulley/bench/measure"
 	"redwingpulley/bench/standin"
 	"redwingpulley/bench/trace"
+	"redwingpulley/kernel/wait"
 )
 
 var extraTime = flag.Duration("extra-time", 0, "added to the hang guard of each test")
@@ -43,7 +44,7 @@
 	defer client.Close()
 	var faulty sync.WaitGroup
 	faulty.Go(func() {
-		wait(c.ctx, faultAt)
+		wait.For(c.ctx, faultAt)
 		fault()
 	})
 	results, err := load.Runner{Client: client}.Run(c.ctx, jobs)
@@ -120,7 +121,7 @@
 			c := start(t, shape{dataCentres: 1, vms: 3, endpoints: 4, slots: slots})
 			c.play(0.4, func() {
 				c.signal(i, syscall.SIGSTOP)
-				wait(c.ctx, 5*time.Second)
+				wait.For(c.ctx, 5*time.Second)
 				c.signal(i, syscall.SIGCONT)
 			})
 		})
@@ -139,7 +140,7 @@
 	c := start(t, shape{dataCentres: 1, vms: 2, endpoints: 4, slots: slots})
 	jobs, results := c.play(0.3, func() {
 		c.endpoints[0].Behave(standin.Behaviour{Freeze: true})
-		wait(c.ctx, 5*time.Second)
+		wait.For(c.ctx, 5*time.Second)
 		c.endpoints[0].Behave(standin.Behaviour{})
 	})
 	c.completeAfter(faultAt+recovery, -1, jobs, results)
@@ -189,7 +190,7 @@
 		for _, r := range c.between {
 			r.Cut()
 		}
-		wait(c.ctx, cut)
+		wait.For(c.ctx, cut)
 		during = c.oneJobEach()
 		for _, r := range c.between {
 			r.Heal()
--- a/cmd/internal/process/harness_test.go
+++ b/cmd/internal/process/harness_test.go
@@ -23,6 +23,7 @@
 	"redwingpulley/cmd/internal/ports"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/settings"
+	"redwingpulley/kernel/wait"
 )
 
 // hangGuard ends a test that waits for something that will never come.
@@ -295,7 +296,7 @@
 			if c.ctx.Err() != nil {
 				c.t.Fatalf("%s completes nothing: %s %s", m.Node, result.Outcome, result.Reason)
 			}
-			wait(c.ctx, max(result.RetryAfter, 100*time.Millisecond))
+			wait.For(c.ctx, max(result.RetryAfter, 100*time.Millisecond))
 		}
 		client.Close()
 	}
@@ -348,13 +349,3 @@
 		<-v.exited
 	}
 }
-
-// wait sleeps until the time has passed or the context ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/cmd/internal/process/restart_test.go
+++ b/cmd/internal/process/restart_test.go
@@ -16,6 +16,7 @@
 	"redwingpulley/bench/measure"
 	"redwingpulley/bench/standin"
 	"redwingpulley/bench/trace"
+	"redwingpulley/kernel/wait"
 )
 
 var restarts = flag.Int("restarts", 3, "planned restarts in TestRollingRestarts")
@@ -173,7 +174,7 @@
 			if result.Outcome != caller.NotRun || ctx.Err() != nil {
 				break
 			}
-			wait(ctx, healthInterval)
+			wait.For(ctx, healthInterval)
 		}
 		if result.Outcome == caller.NotRun {
 			break
--- a/cmd/redwingctl/demo.go
+++ b/cmd/redwingctl/demo.go
@@ -16,6 +16,7 @@
 	"redwingpulley/bench/trace"
 	"redwingpulley/bench/traces"
 	"redwingpulley/cmd/internal/group"
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -72,7 +73,9 @@
 		return err
 	}
 	fmt.Fprintf(out, "%d entry VMs in 2 data centres, %d endpoints of %d slots, %d jobs\n", len(g.Hosts), len(g.Endpoints), demoSlots, len(jobs))
-	settle(ctx)
+	if !wait.For(ctx, settleTime) {
+		return errors.Join(ctx.Err(), g.Stop())
+	}
 	results, err := playDemo(ctx, out, g, jobs)
 	if err = errors.Join(err, g.Stop()); err != nil {
 		return err
@@ -89,10 +92,3 @@
 	defer client.Close()
 	return load.Runner{Client: client, Progress: newProgress(out).show}.Run(ctx, jobs)
 }
-
-func settle(ctx context.Context) {
-	select {
-	case <-time.After(settleTime):
-	case <-ctx.Done():
-	}
-}
