--- a/cmd/internal/ports/ports.go
+++ b/cmd/internal/ports/ports.go
@@ -1,5 +1,4 @@
-// Package ports finds free ports for entry VMs whose addresses must be known before they start, and
-// that use them again after a restart.
+// Package ports finds free ports for entry VMs whose addresses must be known before they start.
 package ports
 
 import (
@@ -10,12 +9,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Ports are taken from below the range from which systems give ports to outgoing connections, so
-// that none of these takes one while its entry VM is down.
+// Ports are taken below the range from which Linux picks the ports of outgoing connections, which
+// would else occupy a port between its release and its use.
 const (
-	lowest  = 10_000
-	highest = 32_000
-	tries   = 1000 // For one free port.
+	lowestPort  = 10_240
+	highestPort = 32_767
+	attempts    = 100 // Tries to find a free port.
 )
 
 // Reserved holds free ports of 127.0.0.1 open until their user is about to listen at them, so that
@@ -26,7 +25,7 @@
 func (r Reserved) Take(count int) ([]string, error) {
 	var addresses []string
 	for range count {
-		listener, err := listen()
+		listener, err := listenAnywhere()
 		if err != nil {
 			return nil, err
 		}
@@ -37,10 +36,9 @@
 	return addresses, nil
 }
 
-// listen listens at a random free port.
-func listen() (listener net.Listener, err error) {
-	for range tries {
-		port := lowest + rand.IntN(highest-lowest)
+func listenAnywhere() (listener net.Listener, err error) {
+	for range attempts {
+		port := lowestPort + rand.IntN(highestPort-lowestPort+1)
 		listener, err = net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err == nil {
 			return listener, nil
