No job is planned to a pool whose owner cannot be reached from here

Cause: a one-way cut leaves a member alive to Membership, since others reach it; jobs were planned to its pools all the same, asked for over new connections in vain, and ended may_have_run at their deadlines.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -50,8 +50,10 @@
 	stop context.CancelFunc
 	life context.Context
 
-	created  chan struct{} // Signals watchOwners that there is a new pool.
-	effects  sync.Pool     // Of *poolstate.Effects: a step's buffers, used by the next ones.
+	created   chan struct{}                  // Signals watchOwners that there is a new pool.
+	effects   sync.Pool                      // Of *poolstate.Effects: a step's buffers, used by the next ones.
+	unreached *shard.Map[model.NodeID, bool] // Members that gave no reply of late.
+
 	origins  *shard.Map[originKey, *origin]
 	draining atomic.Bool
 
@@ -116,6 +118,7 @@
 	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.lines = shard.New[originKey, *line](shard.DefaultCount)
 	p.origins = newOrigins()
+	p.unreached = shard.New[model.NodeID, bool](shard.DefaultCount)
 	p.owners = shard.New[model.PoolID, chosen](shard.DefaultCount)
 	p.formers = shard.New[model.PoolID, map[model.NodeID]time.Time](shard.DefaultCount)
 	p.starts = metrics.GetOrRegisterCounter("tasks.starts", registry)
@@ -202,6 +205,9 @@
 	})
 	for i := range loads {
 		loads[i].Owner = p.ownerOf(loads[i].Pool).ID
+		if !p.reached(loads[i].Owner) {
+			loads[i].Slots, loads[i].Free = 0, 0
+		}
 	}
 	slices.SortFunc(loads, func(a, b model.PoolLoad) int { return strings.Compare(a.Pool.String(), b.Pool.String()) })
 	return loads
--- a/plugins/endpoints/peers.go
+++ b/plugins/endpoints/peers.go
@@ -26,6 +26,7 @@
 	port.Handle(p.peers, methodRun, p.serveRun)
 	port.Handle(p.peers, methodResume, p.serveResume)
 	port.Handle(p.peers, methodCancel, p.serveCancel)
+	port.Handle(p.peers, methodReach, p.serveReach)
 	port.Handle(p.peers, methodAnnounce, p.serveAnnounce)
 	port.Handle(p.peers, methodLoads, p.serveLoads)
 	port.Handle(p.peers, methodHandover, p.serveHandover)
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -73,10 +73,16 @@
 	begun := time.Now()
 	delivery := p.peers.Call(live, node.ID, methodRun, encodeBatch(p.envelope(s), batch), &reply)
 	if delivery == port.NotSent {
+		if live.Err() == nil {
+			p.lostContact(node.ID)
+		}
 		return model.RefusedBatch(batch.ID, model.ReasonUnreachable)
 	}
 	for delivery != port.Delivered {
 		p.wasted.Inc(1)
+		if live.Err() == nil {
+			p.lostContact(node.ID)
+		}
 		if _, alive := p.member(node.ID); !alive || !pause(live, askPause) {
 			return unknownResult(batch, model.ReasonOwnerLost)
 		}
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -290,6 +290,27 @@
 	})
 }
 
+func TestNoJobIsPlannedToAnOwnerThatCannotBeReached(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		n, origin, _, _ := pair(t)
+		slots := func() int { return origin.Loads("finder")[0].Slots }
+		result := origin.Run(t.Context(), "owner", batch(10*time.Second))
+		is.Equal(slots(), 2)
+		n.fates[methodRun] = []fate{loseRequest}
+		n.fates[methodReach] = []fate{loseRequest, loseReply}
+		n.fates[methodResume] = []fate{loseRequest, loseRequest}
+		late := batch(10 * time.Second)
+		late.ID.Part = 1
+		result = origin.Run(t.Context(), "owner", late)
+		is.True(result.Refused)
+		is.Equal(slots(), 0)
+		<-time.After(3 * reachPause)
+		synctest.Wait()
+		is.Equal(slots(), 2)
+		is.Equal(n.calls[methodReach], 3)
+	})
+}
+
 func TestBatchOfALostOwnerEndsBeforeItsDeadline(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I) {
 		n, origin, _, _ := pair(t)
