Pools: random runs long enough to find a late timer

Cause: 100 runs of 30 events passed without the due timers ringing in Step. Change: 300 runs of 150 events, with a fixed seed, where no flag says otherwise.

--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -16,11 +16,15 @@
 	"redwingpulley/kernel/port"
 )
 
-// TestMain fixes the seed of random runs that name none.
+// TestMain sets the seed and the length of random runs where the command line names none.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		seed.Value.Set("20260101")
+	named := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { named[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.steps": "150", "rapid.checks": "300"} {
+		if !named[name] {
+			flag.Set(name, value)
+		}
 	}
 	os.Exit(m.Run())
 }
@@ -252,7 +256,7 @@
 	}
 }
 
-// TestRandomRuns drives a pool with random events. A longer run: -rapid.checks=100000 -rapid.steps=200.
+// TestRandomRuns drives a pool with random events. A longer run: -rapid.checks=100000 -rapid.seed=1.
 func TestRandomRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
