Pools: loads on replies and on the members' messages, own sends counted in

Cause: each owner sent its loads to every member four times a second, 50 members at two-year size being about 80 KB/s a node; two jobs of one member filled the same hole; a restarted owner's loads were taken for old ones, and loads of pools that are gone stayed for ever. An endpoint that refused was sent the next task at once, so that the retry budget was used up while the former owner's tasks still ran there.

Change: package loadview decides what a pool's load is thought to be and when it is told: on replies to batches, on the members' own messages on a material change, and by messages of their own within 4 a second. A refusal counts as a slot taken until the endpoint's next announcement.

--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -16,6 +16,7 @@
 	"redwingpulley/kernel/model",
 	"redwingpulley/kernel/port",
 	"redwingpulley/kernel/invariant",
+	"redwingpulley/plugins/endpoints/loadview",
 	"redwingpulley/plugins/endpoints/poolstate",
 	"redwingpulley/plugins/endpoints/ledger",
 	"redwingpulley/plugins/jobs/fit",
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -19,6 +19,7 @@
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/shard"
+	"redwingpulley/plugins/endpoints/loadview"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -41,11 +42,15 @@
 	policies   poolstate.Policies
 
 	pools *shard.Map[model.PoolID, *pool]
-	loads *shard.Map[model.PoolID, model.PoolLoad] // Of pools that others own.
+	loads *shard.Map[model.PoolID, *loadview.Known] // Of pools that others own.
 	lines *shard.Map[originKey, *line]
 	stop  context.CancelFunc
 	life  context.Context
 
+	gossip  port.Gossip
+	senders *shard.Map[model.NodeID, time.Time] // When each member sent its newest batch.
+	news    chan struct{}                       // Signals reportLoads that a load has changed.
+
 	created  chan struct{} // Signals watchOwners that there is a new pool.
 	effects  sync.Pool     // Of *poolstate.Effects: a step's buffers, used by the next ones.
 	origins  *shard.Map[originKey, *origin]
@@ -61,6 +66,7 @@
 	machine *poolstate.Machine
 	waiters map[model.BatchID]*waiter
 	timer   *time.Timer
+	told    model.PoolLoad // As reportLoads was last signalled.
 
 	patience poolstate.Patience
 	steps    uint64 // Taken so far.
@@ -90,11 +96,15 @@
 	if p.recorder, err = plugin.Use[port.Recorder](c); err != nil {
 		return err
 	}
+	if p.gossip, err = plugin.Use[port.Gossip](c); err != nil {
+		return err
+	}
 	p.policies = poolstate.Policies{
 		Placements: plugin.UseAll[port.Placement](c),
 		Admissions: plugin.UseAll[port.Admission](c),
 	}
 	p.init(c.Metrics)
+	p.gossip.Subscribe(topicLoads, p.hearLoads)
 	plugin.Bind[port.Pools](c, p)
 	return nil
 }
@@ -102,7 +112,9 @@
 // init makes the state behind the bound ports.
 func (p *Pools) init(registry metrics.Registry) {
 	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
-	p.loads = shard.New[model.PoolID, model.PoolLoad](shard.DefaultCount)
+	p.loads = shard.New[model.PoolID, *loadview.Known](shard.DefaultCount)
+	p.senders = shard.New[model.NodeID, time.Time](shard.DefaultCount)
+	p.news = make(chan struct{}, 1)
 	p.created = make(chan struct{}, 1)
 	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.lines = shard.New[originKey, *line](shard.DefaultCount)
@@ -220,13 +232,11 @@
 // Loads returns the loads of the owned pools and the newest that others told.
 func (p *Pools) Loads(service model.ServiceID) []model.PoolLoad {
 	loads := slices.DeleteFunc(p.ownedLoads(), func(l model.PoolLoad) bool { return l.Pool.Service != service })
-	p.loads.Each(func(known map[model.PoolID]model.PoolLoad) {
-		for id, load := range known {
-			if id.Service == service && load.Owner != p.membership.Self().ID {
-				loads = append(loads, load)
-			}
+	for _, load := range p.toldLoads(service) {
+		if load.Owner != p.membership.Self().ID {
+			loads = append(loads, load)
 		}
-	})
+	}
 	slices.SortFunc(loads, func(a, b model.PoolLoad) int { return strings.Compare(a.Pool.String(), b.Pool.String()) })
 	return loads
 }
@@ -296,6 +306,7 @@
 		created, number = o.created, o.steps
 		patience = o.patience.Wait()
 		o.machine.Step(now, event, fx)
+		p.noteLoad(o)
 		for _, result := range fx.Ended {
 			if w, ok := o.waiters[result.ID]; ok {
 				w.finish(result)
--- a/plugins/endpoints/peers.go
+++ b/plugins/endpoints/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
@@ -18,8 +17,6 @@
 	methodLoads    = "pools/loads"
 )
 
-const reportInterval = 250 * time.Millisecond // Between reports of the owned pools' loads.
-
 type empty struct{}
 
 type announcement struct {
@@ -38,58 +35,3 @@
 	p.step(p.poolOf(a.Endpoint), poolstate.Announced{Endpoint: a.Endpoint})
 	return empty{}
 }
-
-// learnLoad keeps the newest load of a pool that another member owns.
-func (p *Pools) learnLoad(load model.PoolLoad) {
-	p.loads.Do(load.Pool, func(known map[model.PoolID]model.PoolLoad) {
-		old, ok := known[load.Pool]
-		if !ok || old.Owner != load.Owner || old.Version < load.Version {
-			known[load.Pool] = load
-		}
-	})
-}
-
-// loadReport tells the loads of the pools that the sender owns.
-type loadReport struct {
-	Loads []model.PoolLoad `json:"loads"`
-}
-
-func (p *Pools) serveLoads(_ context.Context, _ model.NodeID, r loadReport) empty {
-	for _, load := range r.Loads {
-		p.learnLoad(load)
-	}
-	return empty{}
-}
-
-// reportLoads tells the other members the loads of owned pools at an interval.
-func (p *Pools) reportLoads() {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			p.sendLoads()
-		case <-p.life.Done():
-			return
-		}
-	}
-}
-
-func (p *Pools) sendLoads() {
-	report := loadReport{Loads: p.ownedLoads()}
-	if len(report.Loads) == 0 {
-		return
-	}
-	for _, node := range p.membership.Alive() {
-		if node.ID != p.membership.Self().ID {
-			go p.sendReport(node.ID, report)
-		}
-	}
-}
-
-func (p *Pools) sendReport(to model.NodeID, report loadReport) {
-	ctx, cancel := context.WithTimeout(p.life, reportInterval)
-	defer cancel()
-	var ignored empty
-	p.peers.Call(ctx, to, methodLoads, report, &ignored)
-}
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -25,6 +25,7 @@
 	tasks    []*task        // Sent there, and their end there is not confirmed.
 	held     []*task        // Bound to it by the placement, and not sent yet.
 	foreign  []model.TaskID // Running there, and sent by another owner.
+	refusals int            // Since the last announcement; each stands for a slot that is not there.
 	released []model.TaskID // Ring of the tasks that ended last; announcements may still list them.
 	next     int            // Of the ring.
 	record   record
@@ -50,7 +51,7 @@
 	largestStale bool
 }
 
-func (e *endpoint) busy() int { return len(e.tasks) + len(e.foreign) }
+func (e *endpoint) busy() int { return len(e.tasks) + len(e.foreign) + e.refusals }
 
 // capacity returns how many tasks the endpoint may run at once, probes among them.
 func (e *endpoint) capacity() int {
@@ -109,6 +110,7 @@
 // reconcile compares the tasks that the endpoint says it runs with those that were sent there.
 func (m *Machine) reconcile(now time.Time, e *endpoint, fx *Effects) {
 	e.foreign = e.foreign[:0]
+	e.refusals = 0
 	for _, id := range e.Running {
 		if _, ours := m.flights[id]; !ours && !slices.Contains(e.released, id) && !slices.Contains(e.foreign, id) {
 			e.foreign = append(e.foreign, id)
@@ -136,6 +138,7 @@
 	m.live--
 	m.totals.largestStale = true
 	e.foreign = e.foreign[:0]
+	e.refusals = 0
 	m.trust(e)
 	m.refresh(e)
 	m.unbindUnless(e)
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -80,8 +80,13 @@
 	m.queue.charge(t.batch.team, run-t.run.mean)
 }
 
-// refused handles an endpoint's answer that it did not start the task.
+// refused handles an endpoint's answer that it did not start the task. Something else has the slot,
+// such as a task of the pool's former owner, so it counts as taken until the endpoint says what it
+// runs.
 func (m *Machine) refused(now time.Time, t *task, fx *Effects) {
+	if t.endpoint.live {
+		t.endpoint.refusals++
+	}
 	m.judge(now, t.endpoint, t.batch.ID.Job, true)
 	m.fenced(now, t, fx)
 }
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -68,6 +68,7 @@
 	stop := context.AfterFunc(ctx, func() { p.cancelAt(live, s, batch) })
 	defer stop()
 
+	p.noteSent(batch.Pool, len(batch.Tasks))
 	var reply runReply
 	begun := time.Now()
 	delivery := p.peers.Call(live, node.ID, methodRun, encodeBatch(p.envelope(s), batch), &reply)
--- a/plugins/endpoints/serve.go
+++ b/plugins/endpoints/serve.go
@@ -49,6 +49,7 @@
 	}
 	w, verdict := p.receive(from, r.envelope, ledger.Arrived{Sequence: r.Sequence, Settled: r.Settled})
 	if verdict == ledger.Start {
+		p.noteSender(from)
 		p.submit(decodeBatch(from, r), w)
 	}
 	return reply(ctx, r.ID, w, verdict)
--- a/plugins/endpoints/setup.go
+++ b/plugins/endpoints/setup.go
@@ -13,6 +13,7 @@
 		Needs: []plugin.Port{
 			plugin.PortOf[port.Peers](),
 			plugin.PortOf[port.Membership](),
+			plugin.PortOf[port.Gossip](),
 			plugin.PortOf[port.Profiles](),
 			plugin.PortOf[port.Tasks](),
 			plugin.PortOf[port.Placement](),
