--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -146,6 +146,11 @@
 		return
 	}
 	o.told = load
+	p.signalNews()
+}
+
+// signalNews has reportLoads look at the loads. It does not wait.
+func (p *Pools) signalNews() {
 	select {
 	case p.news <- struct{}{}:
 	default: // reportLoads has yet to take up an earlier one.
--- a/plugins/endpoints/loadview/known.go
+++ b/plugins/endpoints/loadview/known.go
@@ -58,6 +58,9 @@
 	k.sends = k.sends[:copy(k.sends, k.sends[first:])]
 }
 
+// Owner returns who told the load, or "" when none is known.
+func (k *Known) Owner() model.NodeID { return k.load.Owner }
+
 // Load returns what the pool's load is thought to be: the queue is taken to have gone down since
 // the load was told, and what this member has sent to have come in. ok is false when the pool is
 // not known.
--- a/plugins/endpoints/peers.go
+++ b/plugins/endpoints/peers.go
@@ -1,12 +1,6 @@
 package endpoints
 
-import (
-	"context"
-
-	"redwingpulley/kernel/model"
-	"redwingpulley/kernel/port"
-	"redwingpulley/plugins/endpoints/poolstate"
-)
+import "redwingpulley/kernel/port"
 
 // Methods between members.
 const (
@@ -15,23 +9,16 @@
 	methodCancel   = "pools/cancel"
 	methodAnnounce = "pools/announce"
 	methodLoads    = "pools/loads"
+	methodHandover = "pools/handover"
 )
 
 type empty struct{}
 
-type announcement struct {
-	Endpoint model.Endpoint `json:"endpoint"`
-}
-
 func (p *Pools) handlePeers() {
 	port.Handle(p.peers, methodRun, p.serveRun)
 	port.Handle(p.peers, methodResume, p.serveResume)
 	port.Handle(p.peers, methodCancel, p.serveCancel)
 	port.Handle(p.peers, methodAnnounce, p.serveAnnounce)
 	port.Handle(p.peers, methodLoads, p.serveLoads)
-}
-
-func (p *Pools) serveAnnounce(_ context.Context, _ model.NodeID, a announcement) empty {
-	p.step(p.poolOf(a.Endpoint), poolstate.Announced{Endpoint: a.Endpoint})
-	return empty{}
+	port.Handle(p.peers, methodHandover, p.serveHandover)
 }
--- a/plugins/endpoints/setup.go
+++ b/plugins/endpoints/setup.go
@@ -14,6 +14,7 @@
 			plugin.PortOf[port.Peers](),
 			plugin.PortOf[port.Membership](),
 			plugin.PortOf[port.Gossip](),
+			plugin.PortOf[port.Liveness](),
 			plugin.PortOf[port.Profiles](),
 			plugin.PortOf[port.Tasks](),
 			plugin.PortOf[port.Placement](),
