--- a/plugins/endpoints/ownership_test.go
+++ b/plugins/endpoints/ownership_test.go
@@ -219,7 +219,7 @@
 		Provides: []plugin.Port{
 			plugin.PortOf[port.Membership](), plugin.PortOf[port.Liveness](), plugin.PortOf[port.Peers](),
 			plugin.PortOf[port.Profiles](), plugin.PortOf[port.Tasks](), plugin.PortOf[port.Decisions](),
-			plugin.PortOf[port.Recorder](),
+			plugin.PortOf[port.Recorder](), plugin.PortOf[port.Gossip](),
 		},
 	})
 	host, err := plugin.NewHost(settings.Settings{}, slog.New(slog.DiscardHandler), definitions)
@@ -239,9 +239,17 @@
 	plugin.Bind[port.Tasks](c, v)
 	plugin.Bind[port.Decisions](c, v)
 	plugin.Bind[port.Recorder](c, noRecorder{})
+	plugin.Bind[port.Gossip](c, noGossip{})
 	return nil
 }
 
+// noGossip tells nothing: loads travel by messages of their own.
+type noGossip struct{}
+
+func (noGossip) Publish(string, []byte) {}
+
+func (noGossip) Subscribe(string, func(model.NodeID, []byte)) {}
+
 func stop(is *is.I, all []*vm) {
 	is.Helper()
 	for _, v := range all {
