bench load sends jobs as from behind a balancer, tickets on request

Cause: a load with tickets taken ahead lost 10 of 101 jobs when one of three processes was drained by hand: the drained process took its tickets with it, which no caller behind a balancer would see.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -13,6 +13,7 @@
 	"redwingpulley/bench/caller"
 	"redwingpulley/bench/standin"
 	"redwingpulley/bench/trace"
+	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/wait"
 )
 
@@ -32,16 +33,24 @@
 // Runner sends a trace to entry VMs. Jobs go to the entry VMs in turn, as from a balancer.
 type Runner struct {
 	Client *caller.Client
+	// Tickets has each job sent under an id that was taken before the run, so that a lost answer can
+	// be asked for. Otherwise a job gets its id when it is sent, as behind a balancer, and is sent to
+	// the next entry VM when one refuses it because it drains.
+	Tickets bool
 	// Progress is called after each job's end, by one goroutine at a time; nil for none.
 	Progress func(done, all int)
 }
 
-// Run sends all jobs and returns their results in the order of the trace. It returns early, with
-// an error, only when the tickets could not be taken.
+// Run sends all jobs, and cancels those with tickets that the trace says are cancelled. It returns
+// their results in the order of the trace. An error means that the tickets could not be taken or
+// that the context ended first.
 func (r Runner) Run(ctx context.Context, jobs []trace.Job) ([]Result, error) {
-	ids, err := r.tickets(ctx, len(jobs))
-	if err != nil {
-		return nil, err
+	ids := make([]string, len(jobs))
+	if r.Tickets {
+		var err error
+		if ids, err = r.tickets(ctx, len(jobs)); err != nil {
+			return nil, err
+		}
 	}
 	run := run{Runner: r, results: make([]Result, len(jobs)), begin: time.Now()}
 	for i, job := range jobs {
@@ -81,12 +90,13 @@
 }
 
 func (r *run) send(ctx context.Context, index int, id string, job trace.Job) {
-	if job.CancelMS > 0 {
+	if job.CancelMS > 0 && id != "" {
 		entry := r.Client.Entries[index%len(r.Client.Entries)]
 		timer := time.AfterFunc(time.Duration(job.CancelMS)*time.Millisecond, func() { r.Client.Cancel(ctx, entry, id) })
 		defer timer.Stop()
 	}
-	got := r.Client.Submit(ctx, index, Submission(id, job))
+	got := r.submit(ctx, index, Submission(id, job))
+	id = got.JobID
 	result := Result{
 		Index: index, ID: id, Outcome: got.Outcome, Reason: got.Reason, Resends: got.Resends,
 		Response: time.Since(r.begin.Add(job.At())),
@@ -98,6 +108,17 @@
 	r.count()
 }
 
+// submit sends the job, without a ticket to one entry VM after another while they drain.
+func (r *run) submit(ctx context.Context, index int, job caller.Job) (got caller.Result) {
+	for entry := range r.Client.Entries {
+		got = r.Client.Submit(ctx, index+entry, job)
+		if job.ID != "" || got.Outcome != caller.NotRun || got.Reason != string(model.ReasonDraining) {
+			break
+		}
+	}
+	return got
+}
+
 func (r *run) count() {
 	if r.Progress == nil {
 		return
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -61,7 +61,7 @@
 		<-time.After(slow)
 		complete(w, id, tasks)
 	})
-	results, err := Runner{Client: client}.Run(context.Background(), jobs(0, 1, 2))
+	results, err := Runner{Client: client, Tickets: true}.Run(context.Background(), jobs(0, 1, 2))
 	is.NoErr(err)
 	for _, r := range results {
 		is.Equal(r.Outcome, caller.Complete)
@@ -73,7 +73,7 @@
 func TestRunFindsAnswersOfAnotherJob(t *testing.T) {
 	is := is.New(t)
 	client := entry(t, func(w http.ResponseWriter, _ string, tasks int) { complete(w, "other", tasks) })
-	results, err := Runner{Client: client}.Run(context.Background(), jobs(0))
+	results, err := Runner{Client: client, Tickets: true}.Run(context.Background(), jobs(0))
 	is.NoErr(err)
 	is.Equal(results[0].Outcome, Wrong)
 }
@@ -87,7 +87,7 @@
 		}
 		complete(w, id, tasks)
 	})
-	results, err := Runner{Client: client}.Run(context.Background(), jobs(0))
+	results, err := Runner{Client: client, Tickets: true}.Run(context.Background(), jobs(0))
 	is.NoErr(err)
 	is.Equal(results[0].Outcome, caller.Complete)
 	is.Equal(results[0].Resends, 1)
@@ -99,7 +99,26 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		w.Write([]byte(`{"run":"not_run","reason":"overload"}`))
 	})
-	results, err := Runner{Client: client}.Run(context.Background(), jobs(0))
+	results, err := Runner{Client: client, Tickets: true}.Run(context.Background(), jobs(0))
 	is.NoErr(err)
 	is.Equal(Summarize(results).Reasons, map[string]int{"not_run overload": 1})
 }
+
+func TestRunWithoutTicketsGoesToTheNextEntryVMWhileOneDrains(t *testing.T) {
+	is := is.New(t)
+	draining := entry(t, func(w http.ResponseWriter, _ string, _ int) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		w.Write([]byte(`{"run":"not_run","reason":"draining"}`))
+	})
+	serving := entry(t, func(w http.ResponseWriter, _ string, tasks int) {
+		w.Header().Set("Job-Id", "minted")
+		complete(w, "minted", tasks)
+	})
+	client := caller.New(append(draining.Entries, serving.Entries...), 0, 0)
+	results, err := Runner{Client: client}.Run(context.Background(), jobs(0, 0))
+	is.NoErr(err)
+	for _, r := range results {
+		is.Equal(r.Outcome, caller.Complete)
+		is.Equal(r.ID, "minted")
+	}
+}
--- a/cmd/internal/compare/run.go
+++ b/cmd/internal/compare/run.go
@@ -167,7 +167,7 @@
 		timer := time.AfterFunc(x.Length/2, func() { g.Lose(len(g.Hosts) - 1) })
 		defer timer.Stop()
 	}
-	return load.Runner{Client: client}.Run(ctx, jobs)
+	return load.Runner{Client: client, Tickets: true}.Run(ctx, jobs)
 }
 
 // withoutGreedy returns the run without the jobs of the greedy team, which comes after all others.
--- a/cmd/internal/process/cost_test.go
+++ b/cmd/internal/process/cost_test.go
@@ -114,7 +114,7 @@
 	client := caller.New(c.entries(), 0, 0)
 	defer client.Close()
 	before, bytes := c.usedByAll(), c.peerBytes()
-	results, err := load.Runner{Client: client}.Run(c.ctx, jobs)
+	results, err := load.Runner{Client: client, Tickets: true}.Run(c.ctx, jobs)
 	c.must(err)
 	after, moreBytes := c.usedByAll(), c.peerBytes()
 	tasks := 0
--- a/cmd/internal/process/failure_test.go
+++ b/cmd/internal/process/failure_test.go
@@ -47,7 +47,7 @@
 		wait.For(c.ctx, faultAt)
 		fault()
 	})
-	results, err := load.Runner{Client: client}.Run(c.ctx, jobs)
+	results, err := load.Runner{Client: client, Tickets: true}.Run(c.ctx, jobs)
 	faulty.Wait()
 	c.must(err)
 	c.check(jobs, results)
--- a/cmd/internal/replay/replay_test.go
+++ b/cmd/internal/replay/replay_test.go
@@ -72,7 +72,7 @@
 	})
 	client := caller.New(g.Entries(), 0, 0)
 	defer client.Close()
-	if _, err := (load.Runner{Client: client}).Run(context.Background(), jobs); err != nil {
+	if _, err := (load.Runner{Client: client, Tickets: true}).Run(context.Background(), jobs); err != nil {
 		t.Fatal(err)
 	}
 	if err := g.Stop(); err != nil {
--- a/cmd/redwingctl/demo.go
+++ b/cmd/redwingctl/demo.go
@@ -90,5 +90,5 @@
 func playDemo(ctx context.Context, out io.Writer, g *group.Group, jobs []trace.Job) ([]load.Result, error) {
 	client := caller.New(g.Entries(), 0, demoResends)
 	defer client.Close()
-	return load.Runner{Client: client, Progress: newProgress(out).show}.Run(ctx, jobs)
+	return load.Runner{Client: client, Tickets: true, Progress: newProgress(out).show}.Run(ctx, jobs)
 }
--- a/cmd/redwingctl/load.go
+++ b/cmd/redwingctl/load.go
@@ -22,7 +22,8 @@
 type loadCommand struct {
 	Entry   []string      `required:"" help:"Callers' listeners of entry VMs, ip:port; jobs go to them in turn."`
 	Trace   string        `arg:"" default:"-" help:"Trace to replay, JSON lines; - reads the standard input."`
-	Resends int           `default:"3" help:"Times that a job is sent again after a lost answer."`
+	Tickets bool          `help:"Take all ids before the run, so that jobs can be cancelled and sent again after a lost answer; an entry VM that stops takes its tickets with it."`
+	Resends int           `default:"3" help:"Times that a job with a ticket is sent again after a lost answer."`
 	Delay   time.Duration `default:"0" help:"One way between the caller and the entry VMs, added to each request."`
 	Output  string        `enum:"text,json" default:"text" help:"text or json."`
 }
@@ -37,7 +38,7 @@
 	defer stop()
 	client := caller.New(c.Entry, c.Delay, c.Resends)
 	defer client.Close()
-	results, err := load.Runner{Client: client}.Run(ctx, jobs)
+	results, err := load.Runner{Client: client, Tickets: c.Tickets}.Run(ctx, jobs)
 	if err != nil {
 		return err
 	}
