--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -18,6 +18,7 @@
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/shard"
+	"redwingpulley/plugins/endpoints/loadview"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -41,7 +42,7 @@
 	policies   poolstate.Policies
 
 	pools *shard.Map[model.PoolID, *pool]
-	loads *shard.Map[model.PoolID, model.PoolLoad] // Of pools that others own.
+	loads *shard.Map[model.PoolID, *loadview.Known] // Of pools that others own.
 	lines *shard.Map[originKey, *line]
 
 	owners  *shard.Map[model.PoolID, chosen]
@@ -50,10 +51,14 @@
 	stop context.CancelFunc
 	life context.Context
 
-	created   chan struct{}                  // Signals watchOwners that there is a new pool.
-	effects   sync.Pool                      // Of *poolstate.Effects: a step's buffers, used by the next ones.
+	gossip  port.Gossip
+	senders *shard.Map[model.NodeID, time.Time] // When each member sent its newest batch.
+	news    chan struct{}                       // Signals reportLoads that a load has changed.
+
 	unreached *shard.Map[model.NodeID, bool] // Members that gave no reply of late.
 
+	created  chan struct{} // Signals watchOwners that there is a new pool.
+	effects  sync.Pool     // Of *poolstate.Effects: a step's buffers, used by the next ones.
 	origins  *shard.Map[originKey, *origin]
 	draining atomic.Bool
 
@@ -67,8 +72,9 @@
 	machine  *poolstate.Machine
 	waiters  map[model.BatchID]*waiter
 	timer    *time.Timer
-	handedTo originKey // Who was told of the pool's endpoints since this member last owned it.
-	movedAt  time.Time // When that was.
+	told     model.PoolLoad // As reportLoads was last signalled.
+	handedTo originKey      // Who was told of the pool's endpoints since this member last owned it.
+	movedAt  time.Time      // When that was.
 
 	patience poolstate.Patience
 	steps    uint64 // Taken so far.
@@ -101,11 +107,15 @@
 	if p.recorder, err = plugin.Use[port.Recorder](c); err != nil {
 		return err
 	}
+	if p.gossip, err = plugin.Use[port.Gossip](c); err != nil {
+		return err
+	}
 	p.policies = poolstate.Policies{
 		Placements: plugin.UseAll[port.Placement](c),
 		Admissions: plugin.UseAll[port.Admission](c),
 	}
 	p.init(c.Metrics)
+	p.gossip.Subscribe(topicLoads, p.hearLoads)
 	plugin.Bind[port.Pools](c, p)
 	return nil
 }
@@ -113,7 +123,9 @@
 // init makes the state behind the bound ports.
 func (p *Pools) init(registry metrics.Registry) {
 	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
-	p.loads = shard.New[model.PoolID, model.PoolLoad](shard.DefaultCount)
+	p.loads = shard.New[model.PoolID, *loadview.Known](shard.DefaultCount)
+	p.senders = shard.New[model.NodeID, time.Time](shard.DefaultCount)
+	p.news = make(chan struct{}, 1)
 	p.created = make(chan struct{}, 1)
 	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.lines = shard.New[originKey, *line](shard.DefaultCount)
@@ -196,13 +208,11 @@
 // by the newest view of the members.
 func (p *Pools) Loads(service model.ServiceID) []model.PoolLoad {
 	loads := slices.DeleteFunc(p.ownedLoads(), func(l model.PoolLoad) bool { return l.Pool.Service != service })
-	p.loads.Each(func(known map[model.PoolID]model.PoolLoad) {
-		for id, load := range known {
-			if id.Service == service && !p.owns(id) {
-				loads = append(loads, load)
-			}
+	for _, load := range p.toldLoads(service) {
+		if !p.owns(load.Pool) {
+			loads = append(loads, load)
 		}
-	})
+	}
 	for i := range loads {
 		loads[i].Owner = p.ownerOf(loads[i].Pool).ID
 		if !p.reached(loads[i].Owner) {
@@ -278,6 +288,7 @@
 		created, number = o.created, o.steps
 		patience = o.patience.Wait()
 		o.machine.Step(now, event, fx)
+		p.noteLoad(o)
 		for _, result := range fx.Ended {
 			if w, ok := o.waiters[result.ID]; ok {
 				w.finish(result)
--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -8,6 +8,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/loadview"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -33,7 +34,7 @@
 	for {
 		changed := p.membership.Changed()
 		p.dropLoads()
-		p.sendLoads() // Of pools that this member owns now.
+		p.signalNews() // Of pools that this member owns now.
 		var again <-chan time.Time
 		if p.handOver(p.life, p.membership.Alive()) {
 			again = time.After(announceInterval)
@@ -147,9 +148,9 @@
 // dropLoads forgets what members that are gone have told.
 func (p *Pools) dropLoads() {
 	alive := p.membership.Alive()
-	p.loads.Each(func(known map[model.PoolID]model.PoolLoad) {
-		for id, load := range known {
-			if !slices.ContainsFunc(alive, func(n port.Node) bool { return n.ID == load.Owner }) {
+	p.loads.Each(func(known map[model.PoolID]*loadview.Known) {
+		for id, k := range known {
+			if !slices.ContainsFunc(alive, func(n port.Node) bool { return n.ID == k.Owner() }) {
 				delete(known, id)
 			}
 		}
