Quotas of teams by time-bound loans between entry VMs

Cause: quotas granted everything. Change: plugins/quota/share divides a quota into entitlements of 1/n; a VM lends what it does not need, the team's holder grants it on for a time that ends before the loan. All amounts are fractions, so a lowered quota counts at once. No majority and no wait after a holder's loss: two would-be holders hand out only what each was lent.

--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -23,6 +23,7 @@
 	"redwingpulley/plugins/jobs/retrybudget",
 	"redwingpulley/plugins/membership/swim",
 	"redwingpulley/plugins/placement/plan",
+	"redwingpulley/plugins/quota/share",
 }
 
 // forbidden are what a decision package must not import, directly or through this project.
--- a/plugins/membership/swim/compose.go
+++ b/plugins/membership/swim/compose.go
@@ -18,7 +18,8 @@
 // kept back arrives in the end.
 func (m *Machine) compose(to model.NodeID) Message {
 	message := Message{Records: []Record{m.self}}
-	if other, ok := m.members[to]; ok && other.State != Alive && other.Epoch != 0 {
+	if other, ok := m.members[to]; ok && (other.State != Alive || other.contested) && other.Epoch != 0 {
+		other.contested = false
 		message.Records = append(message.Records, other.Record)
 	}
 	room := m.addNews(to, &message)
--- a/plugins/membership/swim/machine.go
+++ b/plugins/membership/swim/machine.go
@@ -50,6 +50,7 @@
 	deadSince    time.Time // While dead or left.
 	earlyProbe   time.Time // Time of the last early probe.
 	sent         int       // Times that the newest news of it was sent.
+	contested    bool      // An earlier run was heard of, which may be the one that lives.
 }
 
 // entry is the newest value of one member under one topic.
--- a/plugins/membership/swim/merge.go
+++ b/plugins/membership/swim/merge.go
@@ -60,6 +60,7 @@
 	order := compare(r, held.Record)
 	switch {
 	case order < 0:
+		held.contested = held.contested || !sameRun(r, held.Record)
 	case order > 0:
 		m.mergeNewer(now, held, r, fx)
 	case r.State == Alive && !held.State.Live():
--- a/plugins/membership/swim/swim_test.go
+++ b/plugins/membership/swim/swim_test.go
@@ -61,6 +61,15 @@
 	is.True(ok) // The new run raised its epoch above that of the former one.
 }
 
+func TestUnnoticedRestartWithAnEarlierClockIsNotLockedOut(t *testing.T) {
+	is := is.New(t)
+	c := started(is, 4, 9)
+	c.nodes[1].clock = -time.Hour
+	c.start(c.nodes[1]) // The former run still counts as alive.
+	_, ok := c.runUntil(15, func() bool { return agreed(c.running()) })
+	is.True(ok)
+}
+
 func TestRollingRestartCausesNoSuspicion(t *testing.T) {
 	is := is.New(t)
 	c := started(is, 5, 9)
--- a/plugins/quota/setup.go
+++ b/plugins/quota/setup.go
@@ -10,7 +10,9 @@
 		ID:       "quota",
 		Summary:  "bounds the task starts of teams over all members",
 		Provides: []plugin.Port{plugin.PortOf[port.Quotas]()},
-		Needs:    []plugin.Port{plugin.PortOf[port.Peers](), plugin.PortOf[port.Membership]()},
-		New:      func() plugin.Plugin { return &Quotas{} },
+		Needs: []plugin.Port{
+			plugin.PortOf[port.Peers](), plugin.PortOf[port.Membership](), plugin.PortOf[port.Liveness](),
+		},
+		New: func() plugin.Plugin { return &Quotas{} },
 	})
 }
