--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -16,8 +16,8 @@
 	"redwingpulley/kernel/invariant",
 	"redwingpulley/kernel/model",
 	"redwingpulley/kernel/port",
-	"redwingpulley/plugins/endpoints/loadview",
 	"redwingpulley/plugins/endpoints/ledger",
+	"redwingpulley/plugins/endpoints/loadview",
 	"redwingpulley/plugins/endpoints/poolstate",
 	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
@@ -25,6 +25,7 @@
 	"redwingpulley/plugins/membership/swim",
 	"redwingpulley/plugins/placement/plan",
 	"redwingpulley/plugins/profiles/register",
+	"redwingpulley/plugins/quota/share",
 }
 
 // forbidden are what a decision package must not import, directly or through this project.
