Profiles: failure tests with real processes, and a certain not_run from the first replica without a majority

Cause: a replica that found no majority passed the change on to members that it still thought alive, and lost the certainty (seen: may_have_run after both others were killed). Temporary folders of process tests were removed while the processes still wrote there. Change: the first replica that finds no majority ends the search; members without a vote try replicas in random order.

--- a/cmd/internal/process/harness_test.go
+++ b/cmd/internal/process/harness_test.go
@@ -89,6 +89,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), hangGuard+*extraTime)
 	t.Cleanup(cancel)
 	c := &cluster{t: t, ctx: ctx}
+	t.TempDir() // Registers the removal of all temporary folders to come after the processes have ended.
 	t.Cleanup(c.killAll)
 	c.startMembers(s)
 	c.warmUp()
--- a/plugins/profiles/edit.go
+++ b/plugins/profiles/edit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,22 +19,19 @@
 	inForceTimeout = 500 * time.Millisecond // Wait until an accepted edit is in force here, too.
 )
 
-// Edit has the replicas agree on an edit. It tries this member first when it is a replica, then
-// the others. Trying several is safe: they know the edit by its id. Once a replica has answered
-// that it finds no majority, those thought dead are left out: to send them the edit would only
+// Edit has the replicas agree on an edit. This member answers itself when it votes. Otherwise the
+// replicas are tried one after the other; that is safe, since they know the edit by its id. The
+// first that finds no majority ends it: to go on with others, which may be out of reach, would only
 // turn a certain not_run into an uncertain one.
 func (p *Profiles) Edit(ctx context.Context, edit model.ProfileEdit) model.EditResult {
 	ctx, cancel := context.WithTimeout(ctx, editTimeout)
 	defer cancel()
 	result := model.EditResult{Status: model.EditNoMajority, Run: model.NotRun}
-	alive := p.alive()
-	noMajority := false
-	for _, node := range p.candidates(alive) {
-		if ctx.Err() != nil || noMajority && !alive[node] {
+	for _, node := range p.candidates() {
+		if ctx.Err() != nil {
 			break
 		}
 		next := p.editAt(ctx, node, edit)
-		noMajority = noMajority || next.Status == model.EditNoMajority
 		if !unsettled(next.Status) {
 			p.awaitInForce(ctx, next.Revision)
 			return next
@@ -42,6 +40,9 @@
 			next.Run = model.MayHaveRun
 		}
 		result = next
+		if next.Status == model.EditNoMajority && next.Run == model.NotRun {
+			break
+		}
 	}
 	result.Status = model.EditNoMajority
 	return result
@@ -53,8 +54,12 @@
 }
 
 // candidates returns the replicas in the order in which they are tried: this one, those thought
-// alive, the rest.
-func (p *Profiles) candidates(alive map[model.NodeID]bool) []model.NodeID {
+// alive, the rest; otherwise at random, so that a resend tries another one.
+func (p *Profiles) candidates() []model.NodeID {
+	alive := make(map[model.NodeID]bool)
+	for _, node := range p.membership.Alive() {
+		alive[node.ID] = true
+	}
 	rank := func(node model.NodeID) int {
 		switch {
 		case node == p.self:
@@ -65,18 +70,11 @@
 		return 2
 	}
 	ordered := slices.Clone(p.replicas)
+	rand.Shuffle(len(ordered), func(i, j int) { ordered[i], ordered[j] = ordered[j], ordered[i] })
 	slices.SortStableFunc(ordered, func(a, b model.NodeID) int { return rank(a) - rank(b) })
 	return ordered
 }
 
-func (p *Profiles) alive() map[model.NodeID]bool {
-	alive := make(map[model.NodeID]bool)
-	for _, node := range p.membership.Alive() {
-		alive[node.ID] = true
-	}
-	return alive
-}
-
 func (p *Profiles) editAt(ctx context.Context, node model.NodeID, edit model.ProfileEdit) model.EditResult {
 	if node == p.self {
 		return p.propose(ctx, edit, replicaTimeout)
