Profiles: a first start with a replica missing serves revision 0

Cause: a group whose disks are all empty served nothing until its last replica had come. Change: after serve_alone_ms revision 0 is in force when a majority of the replicas tells that its disk never held a vote, and none votes or holds a state. Voting still waits for all.

--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -10,7 +10,7 @@
 func (m *Machine) news(state State) Message {
 	return Message{
 		Kind: Chosen, Value: &state, Revision: state.Revision(), Serving: m.serving,
-		Voting: m.votes(), Pending: m.durable.Value.Revision(),
+		Voting: m.votes(), Empty: m.empty(), Pending: m.durable.Value.Revision(),
 		Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
 	}
 }
@@ -114,7 +114,7 @@
 			told++
 		}
 	}
-	if len(m.config.Replicas) == 0 || told >= m.majority() || m.aloneWithOthers() {
+	if len(m.config.Replicas) == 0 || told >= m.majority() || m.aloneWithOthers() || m.firstStart() {
 		m.serve(m.served)
 	}
 }
@@ -132,7 +132,7 @@
 // aloneWithOthers reports whether the wait for a majority is over and a member that serves has
 // answered.
 func (m *Machine) aloneWithOthers() bool {
-	if m.config.Alone == 0 || m.now.Before(m.started.Add(m.config.Alone)) {
+	if !m.waitedAlone() {
 		return false
 	}
 	for _, answer := range m.answered {
@@ -142,3 +142,35 @@
 	}
 	return false
 }
+
+func (m *Machine) waitedAlone() bool {
+	return m.config.Alone != 0 && !m.now.Before(m.started.Add(m.config.Alone))
+}
+
+// empty reports whether this is a replica whose disk never held a vote.
+func (m *Machine) empty() bool {
+	return m.replica() && !m.durable.Voting && !m.durable.Copied && m.durable.Accepted == Ballot{}
+}
+
+// firstStart reports whether the group starts for the first time and a replica is still missing: a
+// majority has empty disks, and no replica votes or holds a state. Then revision 0 is in force, but
+// nobody votes before all replicas have come.
+func (m *Machine) firstStart() bool {
+	if !m.waitedAlone() || m.served.Revision() > 0 {
+		return false
+	}
+	empty := 0
+	if m.empty() {
+		empty++
+	}
+	for _, node := range m.config.Replicas {
+		answer, ok := m.answered[node]
+		if ok && !answer.Empty {
+			return false
+		}
+		if ok {
+			empty++
+		}
+	}
+	return empty >= m.majority()
+}
--- a/plugins/profiles/register/machine_test.go
+++ b/plugins/profiles/register/machine_test.go
@@ -158,6 +158,30 @@
 	})
 }
 
+// TestAFirstStartServesWithAReplicaMissing starts two of three replicas on empty disks.
+func TestAFirstStartServesWithAReplicaMissing(t *testing.T) {
+	w := newWorld(t, 3, 1, 1)
+	w.alone = 5 * time.Second
+	w.nodes["n2"].down = true
+	w.pending = nil
+	for _, id := range []model.NodeID{"n0", "n1", "n3"} {
+		w.start(id)
+	}
+	w.run(4 * time.Second)
+	for _, id := range []model.NodeID{"n0", "n1", "n3"} {
+		if w.nodes[id].machine.serving {
+			t.Fatalf("%s serves before the wait for the missing replica is over", id)
+		}
+	}
+	w.run(4 * time.Second)
+	for _, id := range []model.NodeID{"n0", "n1", "n3"} {
+		if m := w.nodes[id].machine; !m.serving || m.Votes() {
+			t.Fatalf("%s: serving %t, voting %t", id, m.serving, m.Votes())
+		}
+	}
+	w.settle() // All come, and a change is done.
+}
+
 func TestRestartOfAllAfterHundredsOfChanges(t *testing.T) {
 	runFixed(t, func(w *world) {
 		for i := range 300 {
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -82,6 +82,7 @@
 
 	Copied   bool           // In Joined: the sender has a copy of a file that voted.
 	Voting   bool           // In Joined and Chosen: the sender is a replica that votes.
+	Empty    bool           // In Chosen: the sender is a replica whose disk never held a vote.
 	Promised Ballot         // In Joined.
 	Chosen   *State         // In Joined.
 	Revision model.Revision // Served by the sender, in Fetch and Chosen.
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -49,6 +49,7 @@
 	Delta    *delta                  `json:"delta,omitempty"`
 	Copied   bool                    `json:"copied,omitempty"`
 	Voting   bool                    `json:"voting,omitempty"`
+	Empty    bool                    `json:"empty,omitempty"`
 	Promised *ballot                 `json:"promised,omitempty"`
 	Chosen   *State                  `json:"chosen,omitempty"`
 	Revision model.Revision          `json:"revision,omitempty"`
@@ -63,7 +64,7 @@
 		Kind: m.Kind, Ballot: encodeBallot(m.Ballot), Run: m.Run, Store: store(m.Store), Votes: m.Votes,
 		Fences: encodeStores(m.Fences), Seen: m.Seen,
 		Accepted: encodeBallot(m.Accepted), Value: EncodeState(m.Value), Base: encodeBallot(m.Base), Delta: encodeDelta(m.Delta),
-		Copied: m.Copied, Voting: m.Voting, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
+		Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
 		Revision: m.Revision, Pending: m.Pending, Serving: m.Serving,
 	}
 }
@@ -74,7 +75,7 @@
 		Kind: m.Kind, Ballot: m.Ballot.decode(), Run: m.Run, Store: register.Store(m.Store), Votes: m.Votes,
 		Fences: decodeStores(m.Fences), Seen: m.Seen,
 		Accepted: m.Accepted.decode(), Value: m.Value.Decode(), Base: m.Base.decode(), Delta: m.Delta.decode(),
-		Copied: m.Copied, Voting: m.Voting, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
+		Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
 		Revision: m.Revision, Pending: m.Pending, Serving: m.Serving,
 	}
 }
