--- a/cmd/internal/replay/machines.go
+++ b/cmd/internal/replay/machines.go
@@ -9,6 +9,7 @@
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/endpoints/poolstate"
 	"redwingpulley/plugins/jobs/jobstate"
+	"redwingpulley/plugins/profiles/register"
 	"redwingpulley/plugins/record/file"
 )
 
@@ -43,6 +44,16 @@
 	"Elapsed":    jobEvent[jobstate.Elapsed],
 }
 
+var registerEvents = decoders[register.Event]{
+	"Submitted":   registerEvent[register.Submitted],
+	"Received":    registerEvent[register.Received],
+	"Told":        registerEvent[register.Told],
+	"Woken":       registerEvent[register.Woken],
+	"WriteFailed": registerEvent[register.WriteFailed],
+}
+
+func registerEvent[E register.Event](body []byte) (register.Event, error) { return decode[E](body) }
+
 func poolEvent[E poolstate.Event](body []byte) (poolstate.Event, error) { return decode[E](body) }
 
 func jobEvent[E jobstate.Event](body []byte) (jobstate.Event, error) { return decode[E](body) }
@@ -133,3 +144,22 @@
 	}
 	return fx, nil
 }
+
+// registerStepper is a member's part of the register of profiles.
+type registerStepper struct{ machine *register.Machine }
+
+func newRegisterStepper(line file.Line) (*registerStepper, error) {
+	created, err := decode[register.Created](line.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, line.Event)
+	}
+	return &registerStepper{created.Machine()}, nil
+}
+
+func (r *registerStepper) step(line file.Line) (any, error) {
+	event, err := registerEvents.decode(line)
+	if err != nil {
+		return nil, err
+	}
+	return r.machine.Step(line.At, event), nil
+}
--- a/cmd/internal/replay/replay.go
+++ b/cmd/internal/replay/replay.go
@@ -116,6 +116,8 @@
 		return newPoolStepper(line, r.policies, &r.outcome)
 	case "job":
 		return newJobStepper(line, &r.outcome)
+	case "register":
+		return newRegisterStepper(line)
 	}
 	return nil, errors.Newf("unknown kind of machine %q", line.Machine)
 }
--- a/plugins/profiles/edit.go
+++ b/plugins/profiles/edit.go
@@ -102,10 +102,10 @@
 	p.core.tickets++
 	ticket := p.core.tickets
 	p.core.waiting[ticket] = answer
-	deadline := time.Now().Add(min(wait, editTimeout))
-	p.stepLocked(register.Submitted{Ticket: ticket, Edit: edit, Deadline: deadline})
+	deadline := p.now().Add(min(wait, editTimeout))
+	finish := p.stepLocked(register.Submitted{Ticket: ticket, Edit: edit, Deadline: deadline})
 	p.core.Unlock()
-	p.signal()
+	finish()
 	select {
 	case result := <-answer:
 		return result
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -51,6 +51,7 @@
 	peers      port.Peers
 	membership port.Membership
 	gossip     port.Gossip
+	recorder   port.Recorder
 	health     *plugin.Health
 	log        *slog.Logger
 	revision   metrics.Gauge
@@ -79,6 +80,7 @@
 	effects []register.Effect
 	waiting map[uint64]chan model.EditResult // By ticket.
 	tickets uint64
+	steps   uint64
 	wake    time.Time
 }
 
@@ -93,6 +95,9 @@
 	if p.membership, err = plugin.Use[port.Membership](c); err != nil {
 		return err
 	}
+	if p.recorder, err = plugin.Use[port.Recorder](c); err != nil {
+		return err
+	}
 	if p.gossip, err = plugin.Use[port.Gossip](c); err != nil {
 		return err
 	}
@@ -154,12 +159,14 @@
 		return err
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.core.Lock()
-	p.core.machine = register.New(register.Config{
+	created := register.Created{Restored: loaded.Durable, Config: register.Config{
 		Self: p.self, Replicas: p.replicas, Seed: rand.Uint64(),
 		Copied: loaded.Copied, Reform: p.settings.Reform,
 		Alone: time.Duration(p.settings.ServeAloneMS) * time.Millisecond,
-	}, loaded.Durable)
+	}}
+	p.record(0, p.now(), created, nil)
+	p.core.Lock()
+	p.core.machine = created.Machine()
 	p.core.waiting = make(map[uint64]chan model.EditResult)
 	p.core.Unlock()
 	p.running.Go(p.run)
--- a/plugins/profiles/profiles_test.go
+++ b/plugins/profiles/profiles_test.go
@@ -68,6 +68,7 @@
 	plugin.Bind[port.Peers](c, p)
 	plugin.Bind[port.Membership](c, p)
 	plugin.Bind[port.Gossip](c, p)
+	plugin.Bind[port.Recorder](c, p)
 	return nil
 }
 
@@ -118,11 +119,12 @@
 	return alive
 }
 
-func (p *peers) Changed() <-chan struct{}                              { return nil }
-func (p *peers) Leave(context.Context)                                 {}
-func (p *peers) Publish(string, []byte)                                {}
-func (p *peers) Subscribe(string, func(model.NodeID, []byte))          {}
-func (p *peers) Live(model.NodeID, model.Incarnation) (alive, ok bool) { return true, true }
+func (p *peers) Changed() <-chan struct{}                     { return nil }
+func (p *peers) Leave(context.Context)                        {}
+func (p *peers) Publish(string, []byte)                       {}
+func (p *peers) Subscribe(string, func(model.NodeID, []byte)) {}
+func (p *peers) Active() bool                                 { return false }
+func (p *peers) Record(port.RecordedStep)                     {}
 
 // group is members that run inside one test.
 type group struct {
@@ -155,7 +157,7 @@
 	definitions := []plugin.Definition{
 		{
 			ID:       "peers",
-			Provides: []plugin.Port{plugin.PortOf[port.Peers](), plugin.PortOf[port.Membership](), plugin.PortOf[port.Gossip]()},
+			Provides: []plugin.Port{plugin.PortOf[port.Peers](), plugin.PortOf[port.Membership](), plugin.PortOf[port.Gossip](), plugin.PortOf[port.Recorder]()},
 			New:      func() plugin.Plugin { return &peers{net: g.net} },
 		},
 	}
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -72,6 +72,15 @@
 	effects []Effect
 }
 
+// Created is the creation of a machine, as a record keeps it.
+type Created struct {
+	Config   Config
+	Restored *Durable
+}
+
+// Machine returns the machine.
+func (c Created) Machine() *Machine { return New(c.Config, c.Restored) }
+
 // New returns a member's machine. restored is what its disk holds, nil when that is nothing that
 // can be used. Step it with Woken once to start it.
 func New(config Config, restored *Durable) *Machine {
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -49,18 +49,27 @@
 // step advances the machine; the effects are carried out by run.
 func (p *Profiles) step(event register.Event) {
 	p.core.Lock()
-	p.stepLocked(event)
-	p.core.Unlock()
-	p.signal()
-}
-
-func (p *Profiles) stepLocked(event register.Event) {
 	if p.core.machine == nil {
+		p.core.Unlock()
 		return // Not started yet; the sender asks again.
 	}
-	effects := p.core.machine.Step(time.Now(), event)
+	finish := p.stepLocked(event)
+	p.core.Unlock()
+	finish()
+}
+
+// stepLocked advances the machine under the lock. The returned function is called without it.
+func (p *Profiles) stepLocked(event register.Event) (finish func()) {
+	now := p.now()
+	effects := p.core.machine.Step(now, event)
 	p.core.effects = append(p.core.effects, effects...)
 	p.core.wake = p.core.machine.Wake()
+	p.core.steps++
+	number := p.core.steps
+	return func() {
+		p.record(number, now, event, effects)
+		p.signal()
+	}
 }
 
 func (p *Profiles) signal() {
--- a/plugins/profiles/setup.go
+++ b/plugins/profiles/setup.go
@@ -12,6 +12,7 @@
 		Provides: []plugin.Port{plugin.PortOf[port.Profiles](), plugin.PortOf[port.ProfileRegister]()},
 		Needs: []plugin.Port{
 			plugin.PortOf[port.Peers](), plugin.PortOf[port.Membership](), plugin.PortOf[port.Gossip](),
+			plugin.PortOf[port.Recorder](),
 		},
 		New: func() plugin.Plugin { return &Profiles{} },
 	})
