--- a/cmd/internal/compare/plot.go
+++ b/cmd/internal/compare/plot.go
@@ -60,7 +60,7 @@
 	for i, name := range series(rows) {
 		var points plotter.XYs
 		for _, r := range rows {
-			if seriesOf(r) == name && isLoad(r) {
+			if seriesOf(r) == name && r.Disturbed {
 				points = append(points, plotter.XY{X: r.Load, Y: r.Service().Ratio.Mean})
 			}
 		}
@@ -84,7 +84,7 @@
 	for i, name := range series(rows) {
 		var points plotter.XYs
 		for _, r := range rows {
-			if seriesOf(r) == name && isLoad(r) {
+			if seriesOf(r) == name && r.Disturbed {
 				points = append(points, plotter.XY{X: 100 * r.Report.Messages.WastedShare(), Y: r.Service().Ratio.Mean})
 			}
 		}
@@ -113,8 +113,3 @@
 	}
 	return names
 }
-
-// isLoad reports whether the run is one of the scenarios that differ by load alone.
-func isLoad(r Row) bool {
-	return r.Scenario == "load50" || r.Scenario == "load85" || r.Scenario == "load150"
-}
--- a/cmd/internal/compare/run.go
+++ b/cmd/internal/compare/run.go
@@ -71,6 +71,7 @@
 	Deployment string         `json:"deployment"`
 	Scenario   string         `json:"scenario"`
 	Load       float64        `json:"load"`
+	Disturbed  bool           `json:"disturbed"` // One of the scenarios that differ by load alone.
 	Policy     string         `json:"policy"`
 	Report     measure.Report `json:"report"`
 	// Others is the measures without the greedy team's jobs, for comparing with an even load.
@@ -131,7 +132,7 @@
 		return Row{}, errors.Join(err, g.Stop())
 	}
 	available := g.Slots()
-	if s.fails() {
+	if s.disturbed {
 		misbehave(g.Endpoints[0])
 		available[d.Service] -= failing * slots
 	}
@@ -141,7 +142,7 @@
 	}
 	run := measure.Run{Jobs: jobs, Results: results, Logs: g.Logs(), Counters: g.Counters(), Slots: available}
 	return Row{
-		Deployment: d.Name, Scenario: s.Name, Load: s.Load, Policy: p.Name,
+		Deployment: d.Name, Scenario: s.Name, Load: s.Load, Disturbed: s.disturbed, Policy: p.Name,
 		Report: measure.New(run), Others: measure.New(withoutGreedy(run, d.Teams)).Services[0],
 	}, nil
 }
--- a/cmd/internal/compare/scenario.go
+++ b/cmd/internal/compare/scenario.go
@@ -51,12 +51,17 @@
 	Name string
 	Load float64 // Offered work as a share of all slots, apart from bursts.
 	plan func(w *trace.Workload)
+	// disturbed has one endpoint fail everything; such scenarios differ by their load alone.
+	disturbed bool
 	// lose stops an entry VM without a drain in the middle of the run.
 	lose bool
 }
 
-// Names of scenarios whose figures are compared with targets of their own.
+// Names of scenarios, by which figures are compared with their targets.
 const (
+	scenarioHalf   = "load50"
+	scenarioHigh   = "load85"
+	scenarioOver   = "load150"
 	scenarioEven   = "even"
 	scenarioGreedy = "greedy"
 	scenarioBurst  = "burst"
@@ -67,9 +72,9 @@
 // Scenarios returns all scenarios.
 func Scenarios() []Scenario {
 	return []Scenario{
-		{Name: "load50", Load: 0.5, plan: disturbed},
-		{Name: "load85", Load: 0.85, plan: disturbed},
-		{Name: "load150", Load: 1.5, plan: disturbed},
+		{Name: scenarioHalf, Load: 0.5, plan: disturb, disturbed: true},
+		{Name: scenarioHigh, Load: 0.85, plan: disturb, disturbed: true},
+		{Name: scenarioOver, Load: 1.5, plan: disturb, disturbed: true},
 		{Name: scenarioCalm, Load: 0.5, plan: nothing},
 		{Name: scenarioEven, Load: 0.5, plan: nothing},
 		{Name: scenarioGreedy, Load: 0.5, plan: greedy},
@@ -80,8 +85,8 @@
 
 func nothing(*trace.Workload) {}
 
-// disturbed adds stragglers, wrong declarations, a burst and a wave of cancellations.
-func disturbed(w *trace.Workload) {
+// disturb adds stragglers, a burst and a wave of cancellations.
+func disturb(w *trace.Workload) {
 	w.Stragglers = stragglers
 	w.Bursts = []trace.Burst{{At: w.Length / 3, Length: time.Second, Load: 0.5}}
 	w.Waves = []trace.Wave{{At: w.Length * 2 / 3, Length: time.Second, Share: 0.3}}
@@ -108,11 +113,6 @@
 	return trace.Generate(w)
 }
 
-// fails reports whether one endpoint of the scenario fails everything.
-func (s Scenario) fails() bool {
-	return s.Name == "load50" || s.Name == "load85" || s.Name == "load150"
-}
-
 // misbehave has one endpoint fail everything, quickly.
 func misbehave(e *standin.Endpoint) {
 	e.Behave(standin.Behaviour{FailShare: 1, RunFactor: failFactor})
--- a/cmd/internal/compare/verdict.go
+++ b/cmd/internal/compare/verdict.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -79,23 +81,22 @@
 			all = append(all, verdict{what, measured(r), target})
 		}
 	}
-	add("load50", "mean response over ideal at 50%", meanAtHalf, func(r Row) float64 { return r.Service().Ratio.Mean })
-	add("load85", "mean response over ideal at 85%", meanAt85, func(r Row) float64 { return r.Service().Ratio.Mean })
-	add("load85", "p99 response over ideal at 85%", p99At85, func(r Row) float64 { return r.Service().Ratio.P99 })
+	add(scenarioHalf, "mean response over ideal at 50%", meanAtHalf, func(r Row) float64 { return r.Service().Ratio.Mean })
+	add(scenarioHigh, "mean response over ideal at 85%", meanAt85, func(r Row) float64 { return r.Service().Ratio.Mean })
+	add(scenarioHigh, "p99 response over ideal at 85%", p99At85, func(r Row) float64 { return r.Service().Ratio.P99 })
 	add(scenarioCalm, "messages a task, all jobs, between all processes", messagesPerTask, allMessagesPerTask)
 	add(scenarioCalm, "share of messages wasted with no fault", wastedCalm, func(r Row) float64 { return r.Report.Messages.WastedShare() })
 	add(scenarioLoss, "share of messages wasted while an entry VM dies", wastedLoss, func(r Row) float64 { return r.Report.Messages.WastedShare() })
-	add("load150", "share of slot time wasted at 150%", slotWaste, func(r Row) float64 { return r.Report.SlotTime.WastedShare() })
+	add(scenarioOver, "share of slot time wasted at 150%", slotWaste, func(r Row) float64 { return r.Report.SlotTime.WastedShare() })
 	add(scenarioBurst, "jobs that started and were late after a burst", 0, func(r Row) float64 { return float64(r.Service().Late) })
 	if even, ok := runs[scenarioEven]; ok {
 		add(scenarioGreedy, "others' p99 beside a greedy team over their p99 alone", greedyMoves, func(r Row) float64 {
 			return float64(r.Others.P99) / float64(max(even.Others.P99, 1))
 		})
 	}
-	for scenario, r := range runs {
-		if len(r.Report.Broken) > 0 {
-			all = append(all, verdict{"promises broken in " + scenario, float64(len(r.Report.Broken)), 0})
-		}
+	for _, scenario := range slices.Sorted(maps.Keys(runs)) {
+		broken := len(runs[scenario].Report.Broken)
+		all = append(all, verdict{"promises broken in " + scenario, float64(broken), 0})
 	}
 	return all
 }
--- a/cmd/redwingctl/compare.go
+++ b/cmd/redwingctl/compare.go
@@ -46,7 +46,11 @@
 		fmt.Fprintf(os.Stderr, "%s, %s, %s: mean response over ideal %.3f\n", r.Deployment, r.Scenario, r.Policy, r.Service().Ratio.Mean)
 	})
 	// The runs before a failed one are shown.
-	return errors.Join(err, c.write(rows, experiment.Policies))
+	err = errors.Join(err, c.write(rows, experiment.Policies))
+	for _, r := range rows {
+		err = errors.Join(err, errors.Wrapf(r.Report.Fault(), "%s, %s, %s", r.Deployment, r.Scenario, r.Policy))
+	}
+	return err
 }
 
 func (c *compareCommand) write(rows []compare.Row, policies []compare.Policy) error {
