--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -16,6 +16,7 @@
 	"redwingpulley/kernel/invariant",
 	"redwingpulley/kernel/model",
 	"redwingpulley/kernel/port",
+	"redwingpulley/plugins/endpoints/loadview",
 	"redwingpulley/plugins/endpoints/ledger",
 	"redwingpulley/plugins/endpoints/poolstate",
 	"redwingpulley/plugins/jobs/fit",
