--- a/plugins/endpoints/poolstate/bench_test.go
+++ b/plugins/endpoints/poolstate/bench_test.go
@@ -16,6 +16,10 @@
 	benchSlots      = 8
 	benchBatchTasks = 16
 	benchTeams      = 55
+	benchRun        = 300 * time.Millisecond // Of each task.
+	// benchAnnounce is after how many starts the next endpoint announces itself: each does so once a
+	// second.
+	benchAnnounce = int(benchSlots * time.Second / benchRun)
 )
 
 // load keeps a pool's slots taken and a few batches waiting, one task start at a time.
@@ -27,6 +31,7 @@
 	sent    []Start // Ring of the tasks at endpoints, the oldest first.
 	head    int
 	fx      Effects
+	starts  int
 }
 
 func newLoad(endpoints int) *load {
@@ -80,7 +85,12 @@
 // start has one more task started: the oldest at an endpoint ends, and a new batch comes when few
 // are left waiting.
 func (l *load) start() {
-	l.now = l.now.Add(50 * time.Microsecond)
+	l.now = l.now.Add(benchRun / time.Duration(len(l.machine.members)*benchSlots))
+	l.starts++
+	if l.starts%benchAnnounce == 0 {
+		e := l.machine.members[l.starts/benchAnnounce%len(l.machine.members)]
+		l.step(Announced{e.Endpoint})
+	}
 	if l.machine.queue.count < benchTeams {
 		l.submit()
 	}
@@ -94,7 +104,8 @@
 }
 
 // BenchmarkStart measures all that a pool decides for one task: its part of the batch's admission,
-// the queue, the placement, the end and what is learned from it. An iteration is a task start.
+// the queue, the placement, the end and what is learned from it, and the announcements that come
+// meanwhile. An iteration is a task start.
 func BenchmarkStart(b *testing.B) {
 	for _, endpoints := range []int{50, 600, 5000} {
 		b.Run(strconv.Itoa(endpoints), func(b *testing.B) {
--- a/plugins/endpoints/poolstate/queue.go
+++ b/plugins/endpoints/poolstate/queue.go
@@ -17,6 +17,7 @@
 	urgentShare = 5
 	// rateWindow is the time over which the rate at which a team sends work is averaged.
 	rateWindow = 10 * time.Second
+	rateStep   = rateWindow / 100 // Between updates of a rate.
 	// aheadRounds are the rounds in which the wait of a batch and what comes meanwhile are fitted.
 	aheadRounds = 3
 	// maxIdleTeams bounds the teams that are remembered while they have no batch.
@@ -323,13 +324,22 @@
 }
 
 func (s *sending) add(now time.Time, work time.Duration) {
-	s.level = s.decayed(now) + float64(work)
-	s.at = now
+	s.decay(now)
+	s.level += float64(work)
 }
 
-func (s *sending) decayed(now time.Time) float64 {
-	return s.level * math.Exp(-float64(now.Sub(s.at))/float64(rateWindow))
+// decay brings the level up to date when it is old enough for that to matter.
+func (s *sending) decay(now time.Time) {
+	age := now.Sub(s.at)
+	if age < rateStep {
+		return
+	}
+	s.level *= math.Exp(-float64(age) / float64(rateWindow))
+	s.at = now
 }
 
 // rate returns slot time for each unit of time by the clock.
-func (s *sending) rate(now time.Time) float64 { return s.decayed(now) / float64(rateWindow) }
+func (s *sending) rate(now time.Time) float64 {
+	s.decay(now)
+	return s.level / float64(rateWindow)
+}
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -26,38 +26,42 @@
 type Policy struct{}
 
 // Plan ranks the pools by when the whole job would end in each, and weighs the best one alone
-// against the best two, three and so on together: more pools end the job sooner and cost more
-// messages.
+// against the best two, three and so on together, as long as that pays: more pools end the job
+// sooner and cost more messages.
 func (Policy) Plan(r port.PlanRequest) port.Plan {
 	able, refusal := plan.Able(r.Job, r.Pools)
 	if len(able) == 0 {
 		return refusal
 	}
-	r.Random.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
-	c := newCandidates(r, able)
-	c.rank()
-	best := c.split(1)
-	for k := 2; k <= len(c.pools) && best.end > 0; k++ {
-		if s := c.split(k); s.cost < best.cost {
-			best = s
+	all := rank(&r, able)
+	tasks := len(r.Job.Tasks)
+	best := share(all[:1], tasks)
+	for k := 2; k <= len(all) && best.end > 0; k++ {
+		s := share(all[:k], tasks)
+		if s.cost >= best.cost {
+			break
 		}
+		best = s
 	}
 	reason := "spread over the pools where the job ends first"
 	if best.parts == 1 {
 		reason = "one pool ends the whole job as soon as several"
 	}
-	return plan.Assemble(reason, c.pools, best.counts)
+	return assemble(reason, all, best)
 }
 
-// candidates are the pools that can run the job.
-type candidates struct {
-	pools   []model.PoolLoad
-	request port.PlanRequest
-	tasks   int
-	run     time.Duration // Estimated run time of one of the job's tasks.
+// candidate is a pool that can run the job.
+type candidate struct {
+	pool     *model.PoolLoad
+	room     int           // Tasks that start at once.
+	base     time.Duration // Wait of a task that finds no room, were it the only one.
+	step     time.Duration // What each further task adds to the wait.
+	distance time.Duration // Round trip to the pool's data centre.
+	messages time.Duration // What the messages of one batch cost.
+	alone    time.Duration // Cost of running the whole job there.
 }
 
-// split is one way to share the job out over pools.
+// split is one way to share the job out over the first pools.
 type split struct {
 	counts []int
 	parts  int
@@ -65,90 +69,102 @@
 	cost   time.Duration // The end, and what the messages cost.
 }
 
-func newCandidates(r port.PlanRequest, pools []model.PoolLoad) *candidates {
-	c := &candidates{pools: pools, request: r, tasks: len(r.Job.Tasks), run: defaultRun}
-	var declared time.Duration
-	for i := range r.Job.Tasks {
-		declared += r.Job.Tasks[i].Declared
+// rank returns the pools ordered by the cost of running the whole job there; equals are in random
+// order, so that many members do not choose the same.
+func rank(r *port.PlanRequest, pools []model.PoolLoad) []candidate {
+	r.Random.Shuffle(len(pools), func(i, j int) { pools[i], pools[j] = pools[j], pools[i] })
+	declared := declaredRun(r.Job.Tasks)
+	all := make([]candidate, len(pools))
+	for i := range pools {
+		all[i] = newCandidate(r, &pools[i], declared)
 	}
-	if declared > 0 {
-		c.run = declared / time.Duration(c.tasks)
-	}
-	return c
-}
-
-// rank orders the pools by when the whole job would end there.
-func (c *candidates) rank() {
-	slices.SortStableFunc(c.pools, func(a, b model.PoolLoad) int {
-		return cmp.Or(
-			cmp.Compare(c.alone(&a), c.alone(&b)),
-			cmp.Compare(b.Free-b.Queued, a.Free-a.Queued),
-		)
+	slices.SortStableFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.alone, b.alone), cmp.Compare(b.room, a.room))
 	})
+	return all
 }
 
-// alone returns the cost of running the whole job in the pool.
-func (c *candidates) alone(p *model.PoolLoad) time.Duration {
-	return c.wait(p, c.tasks) + c.distance(p) + c.messages(p)
-}
-
-// wait estimates how long the last of the given number of tasks waits for a slot in the pool.
-func (c *candidates) wait(p *model.PoolLoad, tasks int) time.Duration {
-	beyond := tasks - max(p.Free-p.Queued, 0)
-	if beyond <= 0 {
-		return 0
+func newCandidate(r *port.PlanRequest, pool *model.PoolLoad, run time.Duration) candidate {
+	if pool.MeanRun > 0 {
+		run = pool.MeanRun
+	}
+	slots := time.Duration(pool.Slots)
+	running := time.Duration(pool.Slots-pool.Free) * run / 2
+	c := candidate{
+		pool: pool, room: max(pool.Free-pool.Queued, 0),
+		base: (running + pool.QueuedRun) / slots, step: run / slots,
 	}
-	run := c.run
-	if p.MeanRun > 0 {
-		run = p.MeanRun
+	if pool.Pool.DataCentre != r.Near {
+		c.distance = farCost
 	}
-	running := time.Duration(p.Slots-p.Free) * run / 2
-	return (running + p.QueuedRun + time.Duration(beyond)*run) / time.Duration(p.Slots)
+	if pool.Owner != r.Self {
+		c.messages = messagesPerPart * r.MessageCost
+	}
+	c.alone = c.wait(len(r.Job.Tasks)) + c.distance + c.messages
+	return c
 }
 
-func (c *candidates) distance(p *model.PoolLoad) time.Duration {
-	if p.Pool.DataCentre == c.request.Near {
-		return 0
+// declaredRun returns the mean of the declared run times.
+func declaredRun(tasks []model.Task) time.Duration {
+	var sum time.Duration
+	for i := range tasks {
+		sum += tasks[i].Declared
+	}
+	if sum == 0 {
+		return defaultRun
 	}
-	return farCost
+	return sum / time.Duration(len(tasks))
 }
 
-func (c *candidates) messages(p *model.PoolLoad) time.Duration {
-	if p.Owner == c.request.Self {
+// wait estimates how long the last of a number of tasks waits for a slot in the pool.
+func (c *candidate) wait(tasks int) time.Duration {
+	if tasks <= c.room {
 		return 0
 	}
-	return messagesPerPart * c.request.MessageCost
+	return c.base + time.Duration(tasks-c.room)*c.step
 }
 
-// split shares the job out over the first k pools: each task goes where it waits least, and the
-// pool that is ranked higher gets it where the wait is the same.
-func (c *candidates) split(k int) split {
-	s := split{counts: make([]int, len(c.pools))}
-	for range c.tasks {
-		s.counts[c.shortest(s.counts[:k])]++
+// share gives each pool as many tasks as it has room for, and each further task to the pool where
+// it waits least.
+func share(pools []candidate, tasks int) split {
+	s := split{counts: make([]int, len(pools))}
+	left := tasks
+	for i := range pools {
+		s.counts[i] = min(left, pools[i].room)
+		left -= s.counts[i]
+	}
+	for range left {
+		s.counts[shortest(pools, s.counts)]++
 	}
 	for i, count := range s.counts {
-		if count == 0 {
-			continue
+		if count > 0 {
+			s.parts++
+			s.end = max(s.end, pools[i].wait(count)+pools[i].distance)
+			s.cost += pools[i].messages
 		}
-		s.parts++
-		s.end = max(s.end, c.wait(&c.pools[i], count)+c.distance(&c.pools[i]))
-		s.cost += c.messages(&c.pools[i])
 	}
 	s.cost += s.end
 	return s
 }
 
-func (c *candidates) shortest(counts []int) int {
-	best, least := 0, time.Duration(-1)
-	for i := range counts {
-		wait := c.wait(&c.pools[i], counts[i]+1)
-		if least < 0 || wait < least {
+func shortest(pools []candidate, counts []int) int {
+	best := 0
+	least := pools[0].wait(counts[0] + 1)
+	for i := 1; i < len(pools); i++ {
+		if wait := pools[i].wait(counts[i] + 1); wait < least {
 			best, least = i, wait
 		}
 	}
 	return best
 }
 
+func assemble(reason string, all []candidate, best split) port.Plan {
+	pools := make([]model.PoolLoad, len(best.counts))
+	for i := range pools {
+		pools[i] = *all[i].pool
+	}
+	return plan.Assemble(reason, pools, best.counts)
+}
+
 // NewPlacer returns an empty index of endpoints by free slots.
 func (Policy) NewPlacer(seed uint64) port.Placer { return newPlacer(seed) }
