--- a/cmd/internal/process/failure_test.go
+++ b/cmd/internal/process/failure_test.go
@@ -14,6 +14,7 @@
 	"redwingpulley/bench/measure"
 	"redwingpulley/bench/standin"
 	"redwingpulley/bench/trace"
+	"redwingpulley/kernel/wait"
 )
 
 var extraTime = flag.Duration("extra-time", 0, "added to the hang guard of each test")
@@ -28,19 +29,25 @@
 
 // play sends a load to all entry VMs, has fault happen in it, and checks what must always hold.
 func (c *cluster) play(share float64, fault func()) ([]trace.Job, []load.Result) {
+	c.t.Helper()
+	return c.playAt(c.entries(), share, fault)
+}
+
+// playAt is play with the addresses at which callers reach the entry VMs.
+func (c *cluster) playAt(entries []string, share float64, fault func()) ([]trace.Job, []load.Result) {
 	c.t.Helper()
 	jobs := trace.Generate(trace.Workload{
 		Service: "finder", Seed: 1, Length: length, Slots: len(c.endpoints) * slots, Load: share,
 		Teams: 2, Deadline: 5 * time.Second, Largest: 16, DeclaredError: 3,
 	})
-	client := caller.New(c.entries(), 0, resends)
+	client := caller.New(entries, 0, resends)
 	defer client.Close()
 	var faulty sync.WaitGroup
 	faulty.Go(func() {
-		wait(c.ctx, faultAt)
+		wait.For(c.ctx, faultAt)
 		fault()
 	})
-	results, err := load.Runner{Client: client}.Run(c.ctx, jobs)
+	results, err := load.Runner{Client: client, Tickets: true}.Run(c.ctx, jobs)
 	faulty.Wait()
 	c.must(err)
 	c.check(jobs, results)
@@ -114,7 +121,7 @@
 			c := start(t, shape{dataCentres: 1, vms: 3, endpoints: 4, slots: slots})
 			c.play(0.4, func() {
 				c.signal(i, syscall.SIGSTOP)
-				wait(c.ctx, 5*time.Second)
+				wait.For(c.ctx, 5*time.Second)
 				c.signal(i, syscall.SIGCONT)
 			})
 		})
@@ -133,7 +140,7 @@
 	c := start(t, shape{dataCentres: 1, vms: 2, endpoints: 4, slots: slots})
 	jobs, results := c.play(0.3, func() {
 		c.endpoints[0].Behave(standin.Behaviour{Freeze: true})
-		wait(c.ctx, 5*time.Second)
+		wait.For(c.ctx, 5*time.Second)
 		c.endpoints[0].Behave(standin.Behaviour{})
 	})
 	c.completeAfter(faultAt+recovery, -1, jobs, results)
@@ -183,7 +190,7 @@
 		for _, r := range c.between {
 			r.Cut()
 		}
-		wait(c.ctx, cut)
+		wait.For(c.ctx, cut)
 		during = c.oneJobEach()
 		for _, r := range c.between {
 			r.Heal()
