Pools: an owner that left a batch unanswered is left alone for 10 s

Cause: in a one-way cut the other data centre's loads kept arriving, so that jobs were planned to a pool whose owner could not be reached. Change: loadview keeps the pool out of plans for 10 s after a batch got no reply; an answer, on a new connection too, or a new owner ends that.

--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -76,6 +76,9 @@
 	if delivery == port.NotSent {
 		return model.RefusedBatch(batch.ID, model.ReasonUnreachable)
 	}
+	if delivery != port.Delivered {
+		p.noteAnswer(batch.Pool, node.ID, false)
+	}
 	for delivery != port.Delivered {
 		p.wasted.Inc(1)
 		if _, alive := p.member(node.ID); !alive || !pause(live, askPause) {
@@ -85,6 +88,7 @@
 		begun = time.Now()
 		delivery = p.peers.Call(fresh, node.ID, methodResume, askRequest{p.envelope(s), batch.ID, batch.Pool}, &reply)
 	}
+	p.noteAnswer(batch.Pool, node.ID, true)
 	return p.received(batch, reply)
 }
 
