One way to leave an unreachable owner alone, not two

Change: reverts in code. With a time alone, a job is risked every 10 s for as long as the cut lasts; the question costs two small messages a second.

--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -86,25 +86,12 @@
 	})
 }
 
-// noteAnswer notes whether the pool's owner answered a batch.
-func (p *Pools) noteAnswer(pool model.PoolID, owner model.NodeID, answered bool) {
-	now := time.Now()
-	p.withKnown(pool, func(k *loadview.Known) {
-		if answered {
-			k.Answered()
-		} else {
-			k.Unanswered(now, owner)
-		}
-	})
-}
-
-// toldLoads returns the loads of the service's pools as other owners told them, without those whose
-// owners did not answer of late.
+// toldLoads returns the loads of the service's pools as other owners told them.
 func (p *Pools) toldLoads(service model.ServiceID) (loads []model.PoolLoad) {
 	now := time.Now()
 	p.loads.Each(func(known map[model.PoolID]*loadview.Known) {
 		for id, k := range known {
-			if load, ok := k.Load(now); ok && id.Service == service && k.Reachable(now) {
+			if load, ok := k.Load(now); ok && id.Service == service {
 				loads = append(loads, load)
 			}
 		}
--- a/plugins/endpoints/loadview/known.go
+++ b/plugins/endpoints/loadview/known.go
@@ -19,9 +19,6 @@
 	expiry = 30 * time.Second
 	// maxSendAge bounds how long tasks that were sent are counted in when no load comes.
 	maxSendAge = time.Second
-	// unansweredTime is how long a pool gets no work after its owner has not answered. Loads that come
-	// from there do not shorten it: a cut may hold back one way only.
-	unansweredTime = 10 * time.Second
 )
 
 // Known is what a member knows of a pool. The zero value knows nothing.
@@ -29,9 +26,6 @@
 	load  model.PoolLoad
 	at    time.Time // When load was learned.
 	sends []send    // Since then, and shortly before.
-
-	silent      model.NodeID // Owner that did not answer.
-	silentUntil time.Time
 }
 
 // send is a batch of this member that the load does not show yet.
@@ -67,19 +61,6 @@
 // Owner returns who told the load, or "" when none is known.
 func (k *Known) Owner() model.NodeID { return k.load.Owner }
 
-// Unanswered notes that the owner did not answer a batch.
-func (k *Known) Unanswered(now time.Time, owner model.NodeID) {
-	k.silent, k.silentUntil = owner, now.Add(unansweredTime)
-}
-
-// Answered notes that the owner answered one.
-func (k *Known) Answered() { k.silent = "" }
-
-// Reachable reports whether the pool's owner is not one that did not answer of late.
-func (k *Known) Reachable(now time.Time) bool {
-	return k.silent == "" || k.silent != k.load.Owner || !now.Before(k.silentUntil)
-}
-
 // Load returns what the pool's load is thought to be: the queue is taken to have gone down since
 // the load was told, and what this member has sent to have come in. ok is false when the pool is
 // not known.
--- a/plugins/endpoints/loadview/loadview_test.go
+++ b/plugins/endpoints/loadview/loadview_test.go
@@ -52,20 +52,6 @@
 	is.True(!ok)
 }
 
-func TestOwnerThatDoesNotAnswerIsLeftAloneWhateverItTells(t *testing.T) {
-	is := is.New(t)
-	var k Known
-	k.Learn(start, load(1, 50, 0))
-	k.Unanswered(start, "sj1-a")
-	k.Learn(start.Add(time.Second), load(2, 60, 0)) // The cut holds back one way only.
-	is.True(!k.Reachable(start.Add(time.Second)))
-	is.True(k.Reachable(start.Add(unansweredTime)))
-	moved := load(1, 60, 0)
-	moved.Owner = "sj1-b"
-	k.Learn(start.Add(2*time.Second), moved)
-	is.True(k.Reachable(start.Add(2 * time.Second)))
-}
-
 func TestQueueOfAnOldLoadGoesDown(t *testing.T) {
 	is := is.New(t)
 	var k Known
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -79,9 +79,6 @@
 		}
 		return model.RefusedBatch(batch.ID, model.ReasonUnreachable)
 	}
-	if delivery != port.Delivered {
-		p.noteAnswer(batch.Pool, node.ID, false)
-	}
 	for delivery != port.Delivered {
 		p.wasted.Inc(1)
 		if live.Err() == nil {
@@ -94,7 +91,6 @@
 		begun = time.Now()
 		delivery = p.peers.Call(fresh, node.ID, methodResume, askRequest{p.envelope(s), batch.ID, batch.Pool}, &reply)
 	}
-	p.noteAnswer(batch.Pool, node.ID, true)
 	return p.received(batch, reply)
 }
 
