--- a/cmd/internal/compare/run.go
+++ b/cmd/internal/compare/run.go
@@ -20,6 +20,7 @@
 	"redwingpulley/cmd/internal/group"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -157,7 +158,7 @@
 }
 
 func (x Experiment) play(ctx context.Context, d Deployment, s Scenario, g *group.Group, jobs []trace.Job) ([]load.Result, error) {
-	if !pause(ctx, settleTime) {
+	if !wait.For(ctx, settleTime) {
 		return nil, ctx.Err()
 	}
 	client := caller.New(g.Entries(), d.ToClients, resends)
@@ -166,7 +167,7 @@
 		timer := time.AfterFunc(x.Length/2, func() { g.Lose(len(g.Hosts) - 1) })
 		defer timer.Stop()
 	}
-	return load.Runner{Client: client}.Run(ctx, jobs)
+	return load.Runner{Client: client, Tickets: true}.Run(ctx, jobs)
 }
 
 // withoutGreedy returns the run without the jobs of the greedy team, which comes after all others.
@@ -181,14 +182,3 @@
 	}
 	return rest
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -65,15 +66,15 @@
 	return n.handlers[to][method], f
 }
 
-// member is the fake of all ports that one Pools needs.
-type member struct {
+// fakeMember is the fake of all ports that one Pools needs.
+type fakeMember struct {
 	*network
 	node  port.Node
 	tasks func(context.Context, port.TaskStart) port.TaskReply
 	asked func(model.TaskID) port.RevokeReply
 }
 
-func (m *member) Handle(method string, h port.Handler) {
+func (m *fakeMember) Handle(method string, h port.Handler) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.handlers[m.node.ID] == nil {
@@ -82,9 +83,9 @@
 	m.handlers[m.node.ID][method] = h
 }
 
-func (m *member) Learn(model.NodeID, string) {}
+func (m *fakeMember) Learn(model.NodeID, string) {}
 
-func (m *member) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
+func (m *fakeMember) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
 	handler, f := m.next(to, method)
 	if handler == nil || ctx.Err() != nil {
 		return port.NotSent
@@ -107,41 +108,41 @@
 	return port.Delivered
 }
 
-func (m *member) Self() port.Node { return m.node }
+func (m *fakeMember) Self() port.Node { return m.node }
 
-func (m *member) Alive() []port.Node {
+func (m *fakeMember) Alive() []port.Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.alive
 }
 
-func (m *member) Changed() <-chan struct{} {
+func (m *fakeMember) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.changed
 }
 
-func (m *member) Leave(context.Context) {}
+func (m *fakeMember) Leave(context.Context) {}
 
-func (m *member) Fresh() bool { return true }
+func (m *fakeMember) Fresh() bool { return true }
 
-func (m *member) Gone(id model.NodeID, incarnation model.Incarnation) bool {
+func (m *fakeMember) Gone(id model.NodeID, incarnation model.Incarnation) bool {
 	return !slices.ContainsFunc(m.Alive(), func(n port.Node) bool { return n.ID == id && n.Incarnation == incarnation })
 }
 
-func (m *member) Doubt(model.NodeID) {}
+func (m *fakeMember) Doubt(model.NodeID) {}
 
-func (m *member) Current() (model.ProfileSet, bool) { return model.BuiltInProfiles(), true }
+func (m *fakeMember) Current() (model.ProfileSet, bool) { return model.BuiltInProfiles(), true }
 
-func (m *member) Record(port.Decision) {}
+func (m *fakeMember) Record(port.Decision) {}
 
-func (m *member) Recent() []port.Decision { return nil }
+func (m *fakeMember) Recent() []port.Decision { return nil }
 
-func (m *member) Start(ctx context.Context, _ string, s port.TaskStart) port.TaskReply {
+func (m *fakeMember) Start(ctx context.Context, _ string, s port.TaskStart) port.TaskReply {
 	return m.tasks(ctx, s)
 }
 
-func (m *member) Revoke(_ context.Context, _ string, id model.TaskID, _ bool) port.RevokeReply {
+func (m *fakeMember) Revoke(_ context.Context, _ string, id model.TaskID, _ bool) port.RevokeReply {
 	return m.asked(id)
 }
 
@@ -152,15 +153,15 @@
 func (noRecorder) Record(port.RecordedStep) {}
 
 var (
-	origin1 = port.Node{ID: "origin", Incarnation: "o1", DataCentre: "sj1"}
+	origin1 = port.Node{ID: "origin", Incarnation: "o1", DataCentre: "sj2"}
 	owner1  = port.Node{ID: "owner", Incarnation: "w1", DataCentre: "sj1"}
 	owner2  = port.Node{ID: "owner", Incarnation: "w2", DataCentre: "sj1"}
 	pool1   = model.PoolID{Service: "finder", DataCentre: "sj1"}
 )
 
 // newPools returns the started plug-in of one member; tasks take a second.
-func newPools(t *testing.T, n *network, node port.Node) (*Pools, *member) {
-	m := &member{network: n, node: node}
+func newPools(t *testing.T, n *network, node port.Node) (*Pools, *fakeMember) {
+	m := &fakeMember{network: n, node: node}
 	m.tasks = func(ctx context.Context, s port.TaskStart) port.TaskReply {
 		if !pause(ctx, time.Second) {
 			return port.TaskReply{State: port.TaskUnknown}
@@ -181,7 +182,7 @@
 }
 
 // pair is a job's owner and a pool's owner with one endpoint of two slots.
-func pair(t *testing.T) (n *network, origin, owner *Pools, atOwner *member) {
+func pair(t *testing.T) (n *network, origin, owner *Pools, atOwner *fakeMember) {
 	n = newNetwork()
 	n.setAlive(origin1, owner1)
 	origin, _ = newPools(t, n, origin1)
@@ -198,7 +199,7 @@
 
 func batch(lasts time.Duration) model.Batch {
 	return model.Batch{
-		ID: model.BatchID{Job: "j"}, Pool: pool1, Origin: "origin", Team: "t",
+		ID: model.BatchID{Job: "origin.o1.1.1.t"}, Pool: pool1, Origin: "origin", Team: "t",
 		Deadline: time.Now().Add(lasts), Tasks: []model.Task{{Index: 0}, {Index: 1}},
 	}
 }
@@ -254,6 +255,41 @@
 	})
 }
 
+func TestRequestForAnEarlierIncarnationIsLostNotRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, _, owner, _ := pair(t)
+		e := envelope{Origin: "o1", Target: "w0", Sequence: 1}
+		is.Equal(owner.serveRun(t.Context(), "origin", encodeBatch(e, batch(time.Minute))), runReply{Lost: true})
+		is.Equal(owner.serveResume(t.Context(), "origin", askRequest{envelope: e}), runReply{Lost: true})
+		e.Target = "" // The sender did not know which incarnation it reached.
+		is.Equal(owner.serveResume(t.Context(), "origin", askRequest{envelope: e}), runReply{Lost: true})
+		is.Equal(owner.starts.Count(), int64(0))
+	})
+}
+
+func TestBatchThatOnlyWaitedIsTrulyNotRunAtItsDeadline(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, origin, owner, atOwner := pair(t)
+		atOwner.tasks = func(ctx context.Context, s port.TaskStart) port.TaskReply {
+			pause(ctx, 5*time.Second) // Longer than the pool expects.
+			return port.TaskReply{State: port.TaskDone, Answer: []byte("1")}
+		}
+		atOwner.asked = func(model.TaskID) port.RevokeReply { return port.RevokeReply{State: port.TaskRunning} }
+		first, second := batch(time.Minute), batch(1500*time.Millisecond)
+		first.ID.Job = "origin.o1.1.2.t"
+		done := make(chan model.BatchResult)
+		go func() { done <- origin.Run(t.Context(), "owner", first) }()
+		synctest.Wait()
+		result := origin.Run(t.Context(), "owner", second)
+		is.Equal(len(result.Results), 2)
+		for _, r := range result.Results {
+			is.Equal(r.Run, model.NotRun)
+		}
+		is.Equal(owner.starts.Count(), int64(2)) // Of the first batch.
+		<-done
+	})
+}
+
 func TestBatchOfALostOwnerEndsBeforeItsDeadline(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I) {
 		n, origin, _, _ := pair(t)
@@ -333,3 +369,24 @@
 		<-drained
 	})
 }
+
+func FuzzRunRequest(f *testing.F) {
+	sound, _ := json.Marshal(encodeBatch(envelope{Origin: "o1", Sequence: 1}, batch(time.Minute))) // Always encodes.
+	f.Add(string(sound))
+	f.Add(strings.Replace(string(sound), `"index":1`, `"index":0`, 1))
+	f.Add(strings.Replace(string(sound), `"index":1`, `"index":-1`, 1))
+	f.Add(`{"tasks":[null]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		var r runRequest
+		if json.Unmarshal([]byte(text), &r) != nil || !r.sound() {
+			return
+		}
+		tasks := map[model.TaskID]bool{}
+		for _, task := range decodeBatch("origin", r).Tasks {
+			tasks[r.ID.Job.TaskID(task.Index)] = true
+		}
+		if len(tasks) != len(r.Tasks) {
+			t.Fatalf("%q holds a task twice", text)
+		}
+	})
+}
