--- a/cmd/internal/operatorclient/client.go
+++ b/cmd/internal/operatorclient/client.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -118,7 +119,7 @@
 	var last *Reply
 	unknown := false
 	for round := range editRounds {
-		if round > 0 && !c.pause(ctx) {
+		if round > 0 && !wait.For(ctx, c.Pause) {
 			break
 		}
 		for _, address := range c.Addresses {
@@ -141,17 +142,6 @@
 	return Reply{}, ErrNoAnswer
 }
 
-func (c *Client) pause(ctx context.Context) bool {
-	timer := time.NewTimer(c.Pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // send sends one request. sent tells whether any of it may have arrived when there is an error.
 func (c *Client) send(ctx context.Context, method, address, path string, headers map[string]string, body []byte) (reply Reply, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
--- a/cmd/internal/process/profiles_test.go
+++ b/cmd/internal/process/profiles_test.go
@@ -15,6 +15,7 @@
 
 	"redwingpulley/cmd/internal/operatorclient"
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/wait"
 )
 
 // operators returns the operators' listener of an entry VM.
@@ -43,7 +44,7 @@
 		if c.ctx.Err() != nil {
 			c.t.Fatalf("%s does not come to it: %s %v", c.members[index].Node, reply.Body, err)
 		}
-		wait(c.ctx, pollInterval)
+		wait.For(c.ctx, pollInterval)
 	}
 }
 
