--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -74,10 +74,19 @@
 	begun := time.Now()
 	delivery := p.peers.Call(live, node.ID, methodRun, encodeBatch(p.envelope(s), batch), &reply)
 	if delivery == port.NotSent {
+		if live.Err() == nil {
+			p.lostContact(node.ID)
+		}
 		return model.RefusedBatch(batch.ID, model.ReasonUnreachable)
 	}
+	if delivery != port.Delivered {
+		p.noteAnswer(batch.Pool, node.ID, false)
+	}
 	for delivery != port.Delivered {
 		p.wasted.Inc(1)
+		if live.Err() == nil {
+			p.lostContact(node.ID)
+		}
 		if _, alive := p.member(node.ID); !alive || !pause(live, askPause) {
 			return unknownResult(batch, model.ReasonOwnerLost)
 		}
@@ -85,6 +94,7 @@
 		begun = time.Now()
 		delivery = p.peers.Call(fresh, node.ID, methodResume, askRequest{p.envelope(s), batch.ID, batch.Pool}, &reply)
 	}
+	p.noteAnswer(batch.Pool, node.ID, true)
 	return p.received(batch, reply)
 }
 
