A task that its endpoint lists costs no question

Change: announcements already list what runs. A task that is missing there for half a second or more, without an answer, is asked for; a listed one never is. Patience by run times is gone, and with it its state. A settled task ends the wait of its start. Ruled out: longer patience alone, since run times spread over two orders. Tests: the simulation's endpoints list what runs, as real ones must; the test of an overdue answer is replaced by one that lists for 5 s without a question and then asks after two announcements without it; it fails on the code before.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -76,8 +76,8 @@
 	handedTo originKey      // Who was told of the pool's endpoints since this member last owned it.
 	movedAt  time.Time      // When that was.
 
-	patience poolstate.Patience
-	steps    uint64 // Taken so far.
+	inFlight map[attempt]context.CancelFunc // Ends the wait for the answer of a start.
+	steps    uint64                         // Taken so far.
 }
 
 // Provision binds the ports.
@@ -270,6 +270,8 @@
 		created: created,
 		machine: created.Machine(p.policies),
 		waiters: make(map[model.BatchID]*waiter),
+
+		inFlight: make(map[attempt]context.CancelFunc),
 	}
 }
 
@@ -278,7 +280,6 @@
 	fx := p.effects.Get().(*poolstate.Effects)
 	defer p.release(fx)
 	var ended []*waiter
-	var patience time.Duration
 	var now time.Time
 	var created poolstate.Created
 	var number uint64
@@ -286,7 +287,6 @@
 		now = p.now()
 		o.steps++
 		created, number = o.created, o.steps
-		patience = o.patience.Wait()
 		o.machine.Step(now, event, fx)
 		p.noteLoad(o)
 		for _, result := range fx.Ended {
@@ -304,7 +304,7 @@
 	for _, w := range ended {
 		p.noteEnded(w)
 	}
-	p.carryOut(id, fx, patience)
+	p.carryOut(id, fx)
 }
 
 // arm sets the pool's timer to the machine's next wake-up.
@@ -326,12 +326,12 @@
 	p.effects.Put(fx)
 }
 
-func (p *Pools) carryOut(id model.PoolID, fx *poolstate.Effects, patience time.Duration) {
+func (p *Pools) carryOut(id model.PoolID, fx *poolstate.Effects) {
 	for _, d := range fx.Decisions {
 		p.recordDecision(id, d)
 	}
 	for _, s := range fx.Starts {
-		go p.start(id, s, patience)
+		go p.start(id, s)
 	}
 	for _, r := range fx.Revokes {
 		go p.revoke(id, r)
@@ -345,43 +345,41 @@
 	})
 }
 
-func (p *Pools) start(id model.PoolID, s poolstate.Start, patience time.Duration) {
+// attempt is one start of a task.
+type attempt struct {
+	task   model.TaskID
+	number int
+}
+
+func (p *Pools) start(id model.PoolID, s poolstate.Start) {
 	p.starts.Inc(1)
 	ctx, cancel := context.WithDeadline(p.life, s.Deadline)
 	defer cancel()
-	overdue := time.AfterFunc(patience, func() { p.ask(ctx, cancel, id, s, patience) })
-	defer overdue.Stop()
-	sent := time.Now()
+	started := attempt{s.Task, s.Attempt}
+	p.withPool(id, func(o *pool) { o.inFlight[started] = cancel })
 	reply := p.tasks.Start(ctx, s.Address, port.TaskStart{
 		ID: s.Task, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(), Payload: s.Payload,
 	})
-	if reply.State == port.TaskDone {
-		p.withPool(id, func(o *pool) { o.patience.Observe(time.Since(sent)) })
-	}
+	p.withPool(id, func(o *pool) { delete(o.inFlight, started) })
 	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
 }
 
-// ask asks the endpoint, over new connections, what became of a task whose answer is overdue: its
-// connection may have gone silent for good. An answer that settles the task ends the start.
-func (p *Pools) ask(ctx context.Context, settled context.CancelFunc, id model.PoolID, s poolstate.Start, wait time.Duration) {
-	for {
-		reply := p.tasks.Revoke(ctx, s.Address, s.Task, false)
-		if reply.State != port.TaskRunning && reply.State != port.TaskUnknown {
-			p.step(id, poolstate.RevokeReplied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
-			settled()
-			return
-		}
-		wait *= 2
-		if !pause(ctx, wait) {
-			return
-		}
-	}
-}
-
 func (p *Pools) revoke(id model.PoolID, r poolstate.Revoke) {
 	if !pause(p.life, r.After) {
 		return
 	}
 	reply := p.tasks.Revoke(p.life, r.Address, r.Task, r.Stop)
 	p.step(id, poolstate.RevokeReplied{Task: r.Task, Attempt: r.Attempt, Reply: reply})
+	if reply.State != port.TaskRunning && reply.State != port.TaskUnknown {
+		p.stopWaiting(id, attempt{r.Task, r.Attempt})
+	}
+}
+
+// stopWaiting ends the wait for the answer of a start that a revoke has settled.
+func (p *Pools) stopWaiting(id model.PoolID, settled attempt) {
+	var cancel context.CancelFunc
+	p.withPool(id, func(o *pool) { cancel = o.inFlight[settled] })
+	if cancel != nil {
+		cancel()
+	}
 }
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -57,8 +57,9 @@
 	slot     int              // In the endpoint's tasks.
 	avoid    model.EndpointID // Refused the task last.
 	sent     time.Time
-	asking   int // Revokes without a reply so far.
-	silences int // Revokes in a row that settled nothing.
+	unlisted time.Time // Since when its endpoint does not list it; zero while it does.
+	asking   int       // Revokes without a reply so far.
+	silences int       // Revokes in a row that settled nothing.
 	stopping bool
 }
 
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -117,9 +117,26 @@
 		}
 	}
 	m.forgetSilent(now, e)
+	m.askUnlisted(now, e, fx)
 	m.stopOrphans(now, e, fx)
 }
 
+// askUnlisted asks for tasks that the endpoint has not listed for some time and whose answers have
+// not come: the start or the answer was lost, or is on a connection that fell silent. An endpoint
+// that lists a task still runs it, so that a long task costs no question.
+func (m *Machine) askUnlisted(now time.Time, e *endpoint, fx *Effects) {
+	for _, t := range e.tasks {
+		switch {
+		case slices.Contains(e.Running, t.id):
+			t.unlisted = time.Time{}
+		case t.unlisted.IsZero():
+			t.unlisted = now
+		case now.Sub(t.unlisted) >= unlistedTime:
+			m.revoke(t, 0, fx)
+		}
+	}
+}
+
 // forgetSilent frees the slots of tasks that are long behind their deadline and that the endpoint
 // does not list. Their batches have ended, so nothing of them is sent again.
 func (m *Machine) forgetSilent(now time.Time, e *endpoint) {
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -10,6 +10,11 @@
 const (
 	revokeRetry    = 200 * time.Millisecond // Before the second revoke of a task; doubles with each.
 	maxRevokeRetry = 2 * time.Second
+
+	// unlistedTime is how long a task without an answer may be missing in its endpoint's
+	// announcements before the endpoint is asked. A start or an answer may be under way at one of
+	// them, not for as long as this.
+	unlistedTime = 500 * time.Millisecond
 )
 
 // replied handles the answer to a start. Only the attempt that is at the endpoint counts.
--- a/plugins/endpoints/poolstate/place.go
+++ b/plugins/endpoints/poolstate/place.go
@@ -118,7 +118,8 @@
 	}
 	t.attempt++
 	t.place = atEndpoint
-	t.endpoint, t.slot, t.sent = e, len(e.tasks), now
+	t.endpoint, t.slot = e, len(e.tasks)
+	t.sent, t.unlisted = now, time.Time{}
 	t.asking, t.silences = 0, 0
 	e.tasks = append(e.tasks, t)
 	m.fly(t)
--- a/plugins/endpoints/poolstate/sim_test.go
+++ b/plugins/endpoints/poolstate/sim_test.go
@@ -130,15 +130,21 @@
 	events  simEvents
 	order   int
 	jobs    []*simJob
-	running map[model.TaskID]time.Time
+	running map[model.TaskID]simRun
 	fx      Effects
 }
 
+// simRun is a task that runs at an endpoint.
+type simRun struct {
+	since    time.Time
+	endpoint model.EndpointID
+}
+
 // simulate runs the trace; tune may change the machine before it starts.
 func simulate(trace simTrace, profile model.Profile, tune func(*Machine)) []*simJob {
 	s := &simulation{
 		trace: trace, machine: New(finderPool, "sj1-a", shipped, trace.seed), now: start,
-		jobs: trace.jobs(), running: make(map[model.TaskID]time.Time),
+		jobs: trace.jobs(), running: make(map[model.TaskID]simRun),
 	}
 	tune(s.machine)
 	for i := range trace.endpoints {
@@ -190,10 +196,14 @@
 		}
 		s.ended(r.Task)
 	}
+	if a, ok := event.(Announced); ok {
+		a.Endpoint.Running = s.runningAt(a.Endpoint.ID)
+		event = a
+	}
 	s.machine.Step(s.now, event, &s.fx)
 	for _, st := range s.fx.Starts {
 		j, index := s.taskOf(st.Task)
-		s.running[st.Task] = s.now
+		s.running[st.Task] = simRun{s.now, st.Endpoint}
 		s.at(s.now.Add(j.runs[index]), Replied{st.Task, st.Attempt, port.TaskReply{State: port.TaskDone}})
 	}
 	for _, r := range s.fx.Revokes {
@@ -205,9 +215,20 @@
 	}
 }
 
+// runningAt returns what the endpoint lists in its announcement.
+func (s *simulation) runningAt(id model.EndpointID) (tasks []model.TaskID) {
+	for task, run := range s.running {
+		if run.endpoint == id {
+			tasks = append(tasks, task)
+		}
+	}
+	slices.Sort(tasks)
+	return tasks
+}
+
 func (s *simulation) ended(id model.TaskID) {
 	j, _ := s.taskOf(id)
-	j.slotTime += s.now.Sub(s.running[id])
+	j.slotTime += s.now.Sub(s.running[id].since)
 	delete(s.running, id)
 }
 
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -352,9 +352,9 @@
 	})
 }
 
-func TestOverdueAnswerIsAskedForOverANewConnection(t *testing.T) {
+func TestTaskThatItsEndpointDoesNotListIsAskedForOverANewConnection(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I) {
-		_, origin, _, atOwner := pair(t)
+		_, origin, owner, atOwner := pair(t)
 		atOwner.tasks = func(ctx context.Context, _ port.TaskStart) port.TaskReply {
 			<-ctx.Done() // The connection has gone silent.
 			return port.TaskReply{State: port.TaskUnknown}
@@ -362,10 +362,25 @@
 		atOwner.asked = func(id model.TaskID) port.RevokeReply {
 			return port.RevokeReply{State: port.TaskDone, Answer: []byte(`"` + string(id) + `"`)}
 		}
-		begun := time.Now()
-		result := origin.Run(t.Context(), "owner", batch(time.Minute))
+		results := make(chan model.BatchResult, 1)
+		go func() { results <- origin.Run(t.Context(), "owner", batch(time.Minute)) }()
+		listed := announced()
+		listed.Endpoint.Running = []model.TaskID{batch(0).ID.Job.TaskID(0), batch(0).ID.Job.TaskID(1)}
+		for range 5 { // A long task that is listed costs no question.
+			pause(t.Context(), announceInterval)
+			owner.step(pool1, listed)
+		}
+		synctest.Wait()
+		is.Equal(len(results), 0)
+		owner.step(pool1, announced())
+		synctest.Wait()
+		is.Equal(len(results), 0) // The answers may be under way.
+		pause(t.Context(), announceInterval)
+		owner.step(pool1, announced())
+		result := <-results
 		is.True(result.Results[0].Done && result.Results[1].Done)
-		is.Equal(time.Since(begun), poolstate.MinPatience)
+		synctest.Wait()
+		owner.withPool(pool1, func(o *pool) { is.Equal(len(o.inFlight), 0) })
 	})
 }
 
