Peers: connections for control are closed before their first idle ping

Cause: with pings every 0.5 s on connections kept for 15 s an idle node's cost grew with the nodes: at 30 processes 6.4 KB a second read and written and 2.8% of a core. Change: control methods have their own connections, closed when idle for 0.4 s; work keeps 15 s.

--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -32,6 +32,7 @@
 	pingTimeout  = 500 * time.Millisecond // Wait for a ping's answer before the connection is closed.
 	dialTimeout  = 1 * time.Second        // Wait for a connection.
 	idleTimeout  = 15 * time.Second       // Before an unused connection is closed.
+	idleControl  = 400 * time.Millisecond // The same for control: before its first ping, so that idle peers cost nothing.
 	stopTimeout  = 2 * time.Second        // Wait for the last replies at the end.
 	headerWait   = 10 * time.Second       // Wait for the header of a request.
 	maxStreams   = 100_000                // Batches that may wait on one connection.
@@ -139,7 +140,7 @@
 	}
 	p.links.Each(func(links map[model.NodeID]*link) {
 		for _, l := range links {
-			l.client.CloseIdleConnections()
+			l.closeIdle()
 		}
 	})
 	return p.server.Close()
@@ -201,7 +202,7 @@
 	r.Header.Set(headerFrom, string(p.self))
 	r.Header.Set("Content-Type", contentJSON)
 	since, fresh := port.FreshSince(ctx)
-	response, err := p.client(to, since, fresh).Do(r)
+	response, err := p.client(to, method, since, fresh).Do(r)
 	counted := p.traffic(method)
 	if err != nil {
 		if connected.Load() {
--- a/plugins/peer/http/link.go
+++ b/plugins/peer/http/link.go
@@ -11,26 +11,36 @@
 	"redwingpulley/kernel/model"
 )
 
-// link is the connection to one member. A new one takes its place when it may have gone silent.
+// link is the connections to one member. A new one takes its place when they may have gone silent.
 type link struct {
-	client *http.Client
-	opened time.Time
+	client  *http.Client
+	control *http.Client
+	opened  time.Time
 }
 
 func newLink() *link {
-	return &link{client: &http.Client{Transport: newTransport(), CheckRedirect: noRedirect}, opened: time.Now()}
+	return &link{client: newClient(idleTimeout), control: newClient(idleControl), opened: time.Now()}
+}
+
+func newClient(idle time.Duration) *http.Client {
+	return &http.Client{Transport: newTransport(idle), CheckRedirect: noRedirect}
+}
+
+func (l *link) closeIdle() {
+	l.client.CloseIdleConnections()
+	l.control.CloseIdleConnections()
 }
 
 // noRedirect keeps the client from sending a request a second time.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-func newTransport() *http.Transport {
+func newTransport(idle time.Duration) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		Protocols:       protocols,
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout: idleTimeout,
+		IdleConnTimeout: idle,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingAfter,
 			PingTimeout:     pingTimeout,
@@ -40,7 +50,7 @@
 
 // client returns the client for a node. With fresh set, it is one whose connections were opened
 // after since; calls that failed together share the new one.
-func (p *Peers) client(to model.NodeID, since time.Time, fresh bool) *http.Client {
+func (p *Peers) client(to model.NodeID, method string, since time.Time, fresh bool) *http.Client {
 	var old *link
 	var current *link
 	p.links.Do(to, func(links map[model.NodeID]*link) {
@@ -51,7 +61,10 @@
 		}
 	})
 	if old != nil {
-		old.client.CloseIdleConnections()
+		old.closeIdle()
+	}
+	if isControl(method) {
+		return current.control
 	}
 	return current.client
 }
