Loads are refreshed on the members' messages every 10 s

Cause: an idle member of a group of nine, each with one pool, read and wrote 8.5 KB a second, over the 7 KB that control may cost; values that did not change were most. Change: the refresh without a change is 10 s rather than 5; a pool is forgotten after 30 s, so two may still be lost.

--- a/plugins/endpoints/loadview/reporter.go
+++ b/plugins/endpoints/loadview/reporter.go
@@ -15,7 +15,7 @@
 	// gossipInterval is the least time between two values on the members' own messages.
 	gossipInterval = time.Second
 	// refreshInterval is how often loads are told on the members' messages without a change.
-	refreshInterval = 5 * time.Second
+	refreshInterval = 10 * time.Second
 	// messageRate bounds the messages for the sake of loads alone, a second; messageBurst those at
 	// once. At about 400 bytes each they stay well within a node's 7 KB a second for control.
 	messageRate  = 4.0
