Settings are checked in one place, ports bound in one step, and check exits 2

Cause: redwingd check exited 1 on a faulty file, since kong wraps the error and its type was not found; the test called the command and not the program. A plug-in that lacked a port hid the faults of its own settings, and checks were written in four ways. Change: run(arguments) is tested instead; plugin.Need binds a port and its errors are joined with those of the settings; settings that implement Check tell their faults by key, the host leaves out plug-ins that only lack a port of a faulty one. Result: check names membership, quota, jobs and frontend.callers together and exits 2; before, it left frontend.callers out and exited 1. pools_per_data_centre 0 is refused.

--- a/cmd/redwingd/main.go
+++ b/cmd/redwingd/main.go
@@ -44,23 +44,29 @@
 type pluginsCommand struct{}
 
 func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run carries out the command line and returns the exit code.
+func run(arguments []string) int {
 	var c commands
 	parser := kong.Must(&c, kong.Name("redwingd"), kong.Description(description), kong.Exit(exit))
-	chosen, err := parser.Parse(os.Args[1:])
+	chosen, err := parser.Parse(arguments)
 	parser.FatalIfErrorf(err)
 	err = chosen.Run()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "redwingd:", err)
 	}
-	os.Exit(exitCode(err))
+	return exitCode(err)
 }
 
-// exitCode returns the code with which the program ends after err.
+// exitCode returns the code with which the program ends after err, which kong may have wrapped.
 func exitCode(err error) int {
-	if err == nil {
+	var usage usageError
+	switch {
+	case err == nil:
 		return 0
-	}
-	if errors.HasType(err, usageError{}) {
+	case errors.As(err, &usage):
 		return exitUsage
 	}
 	return exitFailed
--- a/kernel/plugin/context.go
+++ b/kernel/plugin/context.go
@@ -24,14 +24,23 @@
 	host *Host
 }
 
-// Settings decodes the plug-in's own settings over the defaults that target holds. Unknown keys
-// and wrong types are errors that name the JSON path.
+// Checked is a plug-in's settings that can tell their faults, each by its key.
+type Checked interface{ Check(faults *settings.Faults) }
+
+// Settings decodes the plug-in's own settings over the defaults that target holds, and checks them
+// when target is Checked. Errors name the JSON path.
 func (c *Context) Settings(target any) error {
-	raw, ok := c.Node.Plugins[string(c.ID)]
-	if !ok {
-		return nil
+	path := "plugins." + string(c.ID)
+	if raw, ok := c.Node.Plugins[string(c.ID)]; ok {
+		if err := settings.DecodeStrict(raw, path, target); err != nil {
+			return err
+		}
+	}
+	faults := settings.Faults{Prefix: path}
+	if checked, ok := target.(Checked); ok {
+		checked.Check(&faults)
 	}
-	return settings.DecodeStrict(raw, "plugins."+string(c.ID), target)
+	return faults.Joined()
 }
 
 // RequestDrain asks for the same drain as SIGTERM.
@@ -55,6 +64,12 @@
 	return all[0].implementation.(T), nil
 }
 
+// Need sets target to the one implementation of port T.
+func Need[T any](c *Context, target *T) (err error) {
+	*target, err = Use[T](c)
+	return err
+}
+
 // UseAll returns the implementations of port T by their plug-ins' names.
 func UseAll[T any](c *Context) map[string]T {
 	byName := make(map[string]T)
--- a/kernel/plugin/host.go
+++ b/kernel/plugin/host.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/errors/errbase"
 	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/settings"
@@ -55,7 +56,7 @@
 	}
 	faults := unknownPlugins(node, definitions)
 	for _, d := range ordered {
-		faults = append(faults, h.provision(d))
+		faults = append(faults, parts(h.provision(d))...)
 	}
 	if err := errors.Join(causes(faults)...); err != nil {
 		return nil, err
@@ -75,6 +76,22 @@
 	return others
 }
 
+// parts returns the errors that were joined in err, also behind the stack trace that a join adds.
+func parts(err error) []error {
+	joined := errbase.UnwrapMulti(err)
+	if joined == nil {
+		joined = errbase.UnwrapMulti(errors.UnwrapOnce(err))
+	}
+	if joined == nil {
+		return []error{err}
+	}
+	var all []error
+	for _, part := range joined {
+		all = append(all, parts(part)...)
+	}
+	return all
+}
+
 func unknownPlugins(node settings.Settings, definitions []Definition) []error {
 	known := make(map[string]bool, len(definitions))
 	for _, d := range definitions {
--- a/kernel/settings/decode.go
+++ b/kernel/settings/decode.go
@@ -40,16 +40,16 @@
 		return errors.Join(append(w.faults.all, err)...)
 	}
 	if _, err := w.decoder.Token(); err != io.EOF {
-		w.faults.require(false, orRoot(prefix), "there is data behind the value")
+		w.faults.Require(false, orRoot(prefix), "there is data behind the value")
 	}
-	return w.faults.joined()
+	return w.faults.Joined()
 }
 
 // walker collects the faults of one value. Its methods return an error only when the JSON itself
 // is broken, so that the walk cannot go on.
 type walker struct {
 	decoder *json.Decoder
-	faults  faults
+	faults  Faults
 }
 
 // value walks one value. A nil type accepts anything but duplicate keys.
@@ -60,7 +60,7 @@
 	}
 	t = concrete(t)
 	if wanted, ok := accepts(t, token); !ok {
-		w.faults.require(false, orRoot(path), "must be "+wanted+", not "+nameOf(token))
+		w.faults.Require(false, orRoot(path), "must be "+wanted+", not "+nameOf(token))
 		t = nil
 	}
 	switch token {
@@ -84,10 +84,10 @@
 			return errors.Newf("%s: has a key that is no string", orRoot(path))
 		}
 		below := join(path, key)
-		w.faults.require(!seen[key], below, "is there twice")
+		w.faults.Require(!seen[key], below, "is there twice")
 		seen[key] = true
 		field, known := member(t, key)
-		w.faults.require(known, below, "no such key")
+		w.faults.Require(known, below, "no such key")
 		if err := w.value(below, field); err != nil {
 			return err
 		}
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -64,31 +64,31 @@
 
 // Check returns all faults of the settings outside "plugins".
 func (s Settings) Check() error {
-	var f faults
-	f.require(nodeName.MatchString(string(s.Node)), "node", "must be lower-case letters, digits and hyphens")
-	f.require(s.DataCentre != "", "data_centre", "must be set")
+	var f Faults
+	f.Require(nodeName.MatchString(string(s.Node)), "node", "must be lower-case letters, digits and hyphens")
+	f.Require(s.DataCentre != "", "data_centre", "must be set")
 	f.address("listen.callers", s.Listen.Callers)
 	f.address("listen.endpoints", s.Listen.Endpoints)
 	f.address("listen.operators", s.Listen.Operators)
 	f.address("listen.peers", s.Listen.Peers)
 	s.checkMembers(&f)
-	return f.joined()
+	return f.Joined()
 }
 
-func (s Settings) checkMembers(f *faults) {
+func (s Settings) checkMembers(f *Faults) {
 	seen := make(map[model.NodeID]bool)
 	for i, m := range s.Members {
 		path := pathIndex("members", i)
-		f.require(nodeName.MatchString(string(m.Node)), path+".node", "must be lower-case letters, digits and hyphens")
-		f.require(!seen[m.Node], path+".node", "is there twice")
-		f.require(m.DataCentre != "", path+".data_centre", "must be set")
+		f.Require(nodeName.MatchString(string(m.Node)), path+".node", "must be lower-case letters, digits and hyphens")
+		f.Require(!seen[m.Node], path+".node", "is there twice")
+		f.Require(m.DataCentre != "", path+".data_centre", "must be set")
 		f.address(path+".peers", m.Peers)
 		f.address(path+".endpoints", m.Endpoints)
 		seen[m.Node] = true
 	}
-	f.require(seen[s.Node], "members", "must hold this node itself")
+	f.Require(seen[s.Node], "members", "must hold this node itself")
 	self, _ := s.Self()
-	f.require(!self.Disk || s.DataDir != "", "data_dir", "must be set on a member with a disk")
+	f.Require(!self.Disk || s.DataDir != "", "data_dir", "must be set on a member with a disk")
 }
 
 // Self returns this process's own entry in Members.
@@ -103,19 +103,24 @@
 
 const maxFaults = 32 // That are named together.
 
-// faults collects faults. They are joined once: the text of joins within joins takes exponential
-// time.
-type faults struct{ all []error }
+// Faults collects faults of settings. They are joined once: the text of joins within joins takes
+// exponential time. The zero value has none.
+type Faults struct {
+	Prefix string // Path of the object whose keys are checked.
+	all    []error
+}
 
-func (f *faults) require(holds bool, path, what string) {
+// Require notes that the value at path is not what it must be, unless holds is true.
+func (f *Faults) Require(holds bool, path, what string) {
 	if !holds && len(f.all) < maxFaults {
-		f.all = append(f.all, errors.Newf("%s: %s", path, what))
+		f.all = append(f.all, errors.Newf("%s: %s", join(f.Prefix, path), what))
 	}
 }
 
-func (f *faults) joined() error { return errors.Join(f.all...) }
+// Joined returns all faults, or nil.
+func (f *Faults) Joined() error { return errors.Join(f.all...) }
 
-func (f *faults) address(path, value string) {
+func (f *Faults) address(path, value string) {
 	_, err := netip.ParseAddrPort(value)
-	f.require(err == nil, path, "must be an IP address and port")
+	f.Require(err == nil, path, "must be an IP address and port")
 }
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -12,11 +12,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/shard"
 	"redwingpulley/plugins/endpoints/loadview"
 	"redwingpulley/plugins/endpoints/poolstate"
@@ -29,6 +31,11 @@
 	PoolsPerDataCentre int `json:"pools_per_data_centre"` // The same on every member.
 }
 
+// Check tells the faults of the settings.
+func (s *Settings) Check(faults *settings.Faults) {
+	faults.Require(s.PoolsPerDataCentre > 0, "pools_per_data_centre", "must be above 0")
+}
+
 // Pools is the plug-in. Create it through the registry.
 type Pools struct {
 	settings   Settings
@@ -81,33 +88,20 @@
 }
 
 // Provision binds the ports.
-func (p *Pools) Provision(c *plugin.Context) (err error) {
+func (p *Pools) Provision(c *plugin.Context) error {
 	p.settings.PoolsPerDataCentre = 1
-	if err = c.Settings(&p.settings); err != nil {
-		return err
-	}
-	if p.membership, err = plugin.Use[port.Membership](c); err != nil {
-		return err
-	}
-	if p.liveness, err = plugin.Use[port.Liveness](c); err != nil {
-		return err
-	}
-	if p.profiles, err = plugin.Use[port.Profiles](c); err != nil {
-		return err
-	}
-	if p.peers, err = plugin.Use[port.Peers](c); err != nil {
-		return err
-	}
-	if p.tasks, err = plugin.Use[port.Tasks](c); err != nil {
-		return err
-	}
-	if p.decisions, err = plugin.Use[port.Decisions](c); err != nil {
-		return err
-	}
-	if p.recorder, err = plugin.Use[port.Recorder](c); err != nil {
-		return err
-	}
-	if p.gossip, err = plugin.Use[port.Gossip](c); err != nil {
+	err := errors.Join(
+		c.Settings(&p.settings),
+		plugin.Need(c, &p.membership),
+		plugin.Need(c, &p.liveness),
+		plugin.Need(c, &p.profiles),
+		plugin.Need(c, &p.peers),
+		plugin.Need(c, &p.tasks),
+		plugin.Need(c, &p.decisions),
+		plugin.Need(c, &p.recorder),
+		plugin.Need(c, &p.gossip),
+	)
+	if err != nil {
 		return err
 	}
 	p.policies = poolstate.Policies{
--- a/plugins/frontend/announce/announce.go
+++ b/plugins/frontend/announce/announce.go
@@ -29,14 +29,11 @@
 }
 
 // Provision binds the port and sets up the route.
-func (f *Frontend) Provision(c *plugin.Context) (err error) {
-	if f.pools, err = plugin.Use[port.Pools](c); err != nil {
-		return err
-	}
+func (f *Frontend) Provision(c *plugin.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/endpoints/announce", f.announce)
 	f.server = web.NewServer(c.Node.Listen.Endpoints, mux)
-	return c.Settings(&struct{}{})
+	return errors.Join(c.Settings(&struct{}{}), plugin.Need(c, &f.pools))
 }
 
 // Start opens the listener.
--- a/plugins/frontend/callers/callers.go
+++ b/plugins/frontend/callers/callers.go
@@ -14,6 +14,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/plugins/frontend/web"
 )
 
@@ -39,25 +40,19 @@
 	DrainGraceMS int64 `json:"drain_grace_ms"`
 }
 
+// Check tells the faults of the settings.
+func (s *Settings) Check(faults *settings.Faults) {
+	faults.Require(s.DrainGraceMS >= 0, "drain_grace_ms", "must not be negative")
+}
+
 const defaultDrainGraceMS = 2000
 
 // Provision binds the port and sets up the routes.
-func (f *Frontend) Provision(c *plugin.Context) (err error) {
-	if f.jobs, err = plugin.Use[port.Jobs](c); err != nil {
-		return err
-	}
+func (f *Frontend) Provision(c *plugin.Context) error {
+	f.settings.DrainGraceMS = defaultDrainGraceMS
 	f.health = c.Health
 	f.server = web.NewServer(c.Node.Listen.Callers, f.routes())
-	f.settings.DrainGraceMS = defaultDrainGraceMS
-	return c.Settings(&f.settings)
-}
-
-// Validate checks the settings.
-func (f *Frontend) Validate() error {
-	if f.settings.DrainGraceMS < 0 {
-		return errors.New("drain_grace_ms: must not be negative")
-	}
-	return nil
+	return errors.Join(c.Settings(&f.settings), plugin.Need(c, &f.jobs))
 }
 
 // Start opens the listener.
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/model"
@@ -32,20 +33,16 @@
 }
 
 // Provision binds the ports and sets up the routes.
-func (f *Frontend) Provision(c *plugin.Context) (err error) {
-	if err := c.Settings(&struct{}{}); err != nil {
-		return err
-	}
-	if f.pools, err = plugin.Use[port.Pools](c); err != nil {
-		return err
-	}
-	if f.membership, err = plugin.Use[port.Membership](c); err != nil {
-		return err
-	}
-	if f.profiles, err = plugin.Use[port.Profiles](c); err != nil {
-		return err
-	}
-	if f.register, err = plugin.Use[port.ProfileRegister](c); err != nil {
+func (f *Frontend) Provision(c *plugin.Context) error {
+	err := errors.Join(
+		c.Settings(&struct{}{}),
+		plugin.Need(c, &f.pools),
+		plugin.Need(c, &f.membership),
+		plugin.Need(c, &f.profiles),
+		plugin.Need(c, &f.register),
+		plugin.Need(c, &f.decisions),
+	)
+	if err != nil {
 		return err
 	}
 	f.policies = policies{
@@ -53,9 +50,6 @@
 		admissions: slices.Sorted(maps.Keys(plugin.UseAll[port.Admission](c))),
 	}
 	f.requestDrain = c.RequestDrain
-	if f.decisions, err = plugin.Use[port.Decisions](c); err != nil {
-		return err
-	}
 	f.health, f.metrics = c.Health, c.Metrics
 	f.server = web.NewServer(c.Node.Listen.Operators, f.routes())
 	return nil
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -14,6 +14,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/shard"
 	"redwingpulley/plugins/jobs/jobstate"
 	"redwingpulley/plugins/jobs/retrybudget"
@@ -25,6 +26,12 @@
 	AnswersMS int64 `json:"answers_ms"` // How long answers are kept after a job's end.
 }
 
+// Check tells the faults of the settings.
+func (s *Settings) Check(faults *settings.Faults) {
+	faults.Require(s.TicketMS > 0, "ticket_ms", "must be above 0")
+	faults.Require(s.AnswersMS >= 0, "answers_ms", "must not be negative")
+}
+
 const (
 	defaultTicketMS  = 600_000
 	defaultAnswersMS = 60_000
@@ -69,28 +76,17 @@
 // Provision binds the ports.
 func (j *Jobs) Provision(c *plugin.Context) (err error) {
 	j.settings = Settings{TicketMS: defaultTicketMS, AnswersMS: defaultAnswersMS}
-	if err = c.Settings(&j.settings); err != nil {
-		return err
-	}
-	if j.membership, err = plugin.Use[port.Membership](c); err != nil {
-		return err
-	}
-	if j.profiles, err = plugin.Use[port.Profiles](c); err != nil {
-		return err
-	}
-	if j.quotas, err = plugin.Use[port.Quotas](c); err != nil {
-		return err
-	}
-	if j.pools, err = plugin.Use[port.Pools](c); err != nil {
-		return err
-	}
-	if j.peers, err = plugin.Use[port.Peers](c); err != nil {
-		return err
-	}
-	if j.decisions, err = plugin.Use[port.Decisions](c); err != nil {
-		return err
-	}
-	if j.recorder, err = plugin.Use[port.Recorder](c); err != nil {
+	err = errors.Join(
+		c.Settings(&j.settings),
+		plugin.Need(c, &j.membership),
+		plugin.Need(c, &j.profiles),
+		plugin.Need(c, &j.quotas),
+		plugin.Need(c, &j.pools),
+		plugin.Need(c, &j.peers),
+		plugin.Need(c, &j.decisions),
+		plugin.Need(c, &j.recorder),
+	)
+	if err != nil {
 		return err
 	}
 	j.placements = plugin.UseAll[port.Placement](c)
@@ -110,14 +106,6 @@
 	j.handlePeers()
 }
 
-// Validate checks the settings.
-func (j *Jobs) Validate() error {
-	if j.settings.TicketMS < 1 || j.settings.AnswersMS < 0 {
-		return errors.New("ticket_ms must be positive and answers_ms not negative")
-	}
-	return nil
-}
-
 // Drain takes no new jobs and waits for the end of those that run.
 func (j *Jobs) Drain(ctx context.Context) {
 	j.draining.Store(true)
--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/plugins/membership/swim"
 )
 
@@ -34,6 +36,11 @@
 	PeriodMS int64 `json:"period_ms"` // Between probes; the same on every member.
 }
 
+// Check tells the faults of the settings.
+func (s *Settings) Check(faults *settings.Faults) {
+	faults.Require(s.PeriodMS >= minPeriod.Milliseconds(), "period_ms", fmt.Sprint("must be at least ", minPeriod.Milliseconds()))
+}
+
 // Membership is the plug-in. Create it through the registry.
 type Membership struct {
 	period  time.Duration
@@ -70,18 +77,12 @@
 }
 
 // Provision takes the first members from settings.
-func (m *Membership) Provision(c *plugin.Context) (err error) {
+func (m *Membership) Provision(c *plugin.Context) error {
 	own := Settings{PeriodMS: 500}
-	if err = c.Settings(&own); err != nil {
+	if err := errors.Join(c.Settings(&own), plugin.Need(c, &m.peers)); err != nil {
 		return err
 	}
 	m.period = time.Duration(own.PeriodMS) * time.Millisecond
-	if m.period < minPeriod {
-		return errors.Newf("plugins.%s.period_ms: must be at least %d", c.ID, minPeriod.Milliseconds())
-	}
-	if m.peers, err = plugin.Use[port.Peers](c); err != nil {
-		return err
-	}
 	m.log, m.health = c.Log, c.Health
 	m.metrics = instruments{
 		pings:   metrics.GetOrRegisterCounter("membership.pings", c.Metrics),
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -20,6 +20,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/plugins/profiles/disk"
 	"redwingpulley/plugins/profiles/register"
 )
@@ -41,6 +42,11 @@
 	Reform bool `json:"reform"`
 }
 
+// Check tells the faults of the settings.
+func (s *Settings) Check(faults *settings.Faults) {
+	faults.Require(s.ServeAloneMS >= 0, "serve_alone_ms", "must not be negative")
+}
+
 // Profiles is the plug-in. Create it through the registry.
 type Profiles struct {
 	settings   Settings
@@ -85,20 +91,16 @@
 }
 
 // Provision binds the ports and reads the settings.
-func (p *Profiles) Provision(c *plugin.Context) (err error) {
-	if err := p.readSettings(c); err != nil {
-		return err
-	}
-	if p.peers, err = plugin.Use[port.Peers](c); err != nil {
-		return err
-	}
-	if p.membership, err = plugin.Use[port.Membership](c); err != nil {
-		return err
-	}
-	if p.recorder, err = plugin.Use[port.Recorder](c); err != nil {
-		return err
-	}
-	if p.gossip, err = plugin.Use[port.Gossip](c); err != nil {
+func (p *Profiles) Provision(c *plugin.Context) error {
+	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds()}
+	err := errors.Join(
+		c.Settings(&p.settings),
+		plugin.Need(c, &p.peers),
+		plugin.Need(c, &p.membership),
+		plugin.Need(c, &p.recorder),
+		plugin.Need(c, &p.gossip),
+	)
+	if err != nil {
 		return err
 	}
 	p.self, p.health, p.log = c.Node.Node, c.Health, c.Log
@@ -121,17 +123,6 @@
 
 const defaultServeAlone = 5 * time.Second
 
-func (p *Profiles) readSettings(c *plugin.Context) error {
-	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds()}
-	if err := c.Settings(&p.settings); err != nil {
-		return err
-	}
-	if p.settings.ServeAloneMS < 0 {
-		return errors.Newf("plugins.%s.serve_alone_ms: must not be negative", c.ID)
-	}
-	return nil
-}
-
 func replicasOf(c *plugin.Context) []model.NodeID {
 	var replicas []model.NodeID
 	for _, m := range c.Node.Members {
--- a/plugins/quota/quota.go
+++ b/plugins/quota/quota.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/shard"
 	"redwingpulley/plugins/quota/share"
 )
@@ -29,6 +31,15 @@
 	Members      int     `json:"members"`       // VMs that quotas are divided among; 0 takes those of settings.
 	Floor        float64 `json:"floor"`         // Part of its entitlement that a VM never lends.
 	BurstSeconds float64 `json:"burst_seconds"` // Tasks of so many seconds of a quota may start at once.
+
+	known int // Members of the process's settings.
+}
+
+// Check tells the faults of the settings.
+func (s *Settings) Check(faults *settings.Faults) {
+	faults.Require(s.Members == 0 || s.Members >= s.known, "members", fmt.Sprintf("must be 0 or at least the %d members of settings", s.known))
+	faults.Require(s.Floor >= 0 && s.Floor <= 1, "floor", "must be 0 to 1")
+	faults.Require(s.BurstSeconds > 0, "burst_seconds", "must be above 0")
 }
 
 // key names a quota: a team's in one profile.
@@ -55,21 +66,15 @@
 }
 
 // Provision reads the settings and binds the port.
-func (q *Quotas) Provision(c *plugin.Context) (err error) {
-	own := Settings{Floor: 0.5, BurstSeconds: 10}
-	if err = c.Settings(&own); err != nil {
-		return err
-	}
-	if err = own.check(string(c.ID), len(c.Node.Members)); err != nil {
-		return err
-	}
-	if q.peers, err = plugin.Use[port.Peers](c); err != nil {
-		return err
-	}
-	if q.membership, err = plugin.Use[port.Membership](c); err != nil {
-		return err
-	}
-	if q.liveness, err = plugin.Use[port.Liveness](c); err != nil {
+func (q *Quotas) Provision(c *plugin.Context) error {
+	own := Settings{Floor: 0.5, BurstSeconds: 10, known: len(c.Node.Members)}
+	err := errors.Join(
+		c.Settings(&own),
+		plugin.Need(c, &q.peers),
+		plugin.Need(c, &q.membership),
+		plugin.Need(c, &q.liveness),
+	)
+	if err != nil {
 		return err
 	}
 	q.config = share.Config{
@@ -89,18 +94,6 @@
 	return nil
 }
 
-func (s Settings) check(id string, known int) error {
-	switch {
-	case s.Members != 0 && s.Members < known:
-		return errors.Newf("plugins.%s.members: must be 0 or at least the %d members of settings", id, known)
-	case s.Floor < 0 || s.Floor > 1:
-		return errors.Newf("plugins.%s.floor: must be 0 to 1", id)
-	case s.BurstSeconds <= 0:
-		return errors.Newf("plugins.%s.burst_seconds: must be above 0", id)
-	}
-	return nil
-}
-
 // Start begins to borrow and lend.
 func (q *Quotas) Start() error {
 	go q.work()
--- a/plugins/record/file/file.go
+++ b/plugins/record/file/file.go
@@ -16,6 +16,7 @@
 
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/settings"
 )
 
 const (
@@ -31,6 +32,11 @@
 	MaxMB int    `json:"max_mb"` // Recording ends when the file has this size.
 }
 
+// Check tells the faults of the settings.
+func (s *Settings) Check(faults *settings.Faults) {
+	faults.Require(s.MaxMB > 0, "max_mb", "must be above 0")
+}
+
 // Recorder is the plug-in. Create it through the registry.
 type Recorder struct {
 	settings Settings
@@ -67,14 +73,6 @@
 	return nil
 }
 
-// Validate checks the settings.
-func (r *Recorder) Validate() error {
-	if r.settings.MaxMB < 1 {
-		return errors.New("max_mb must be positive")
-	}
-	return nil
-}
-
 // Start opens the file.
 func (r *Recorder) Start() error {
 	if !r.Active() {
