A pool that is busier than its origin knew refuses a part once, and the part is planned anew

Cause: at half load without a fault jobs waited in one pool while others had free slots: 9 members plan from loads that are up to 2 s old (reports are bounded by the control budget), and a batch, once taken, stays where it is. Ruled out: more reports (16 KB/s of an owner for four a second to each of eight members); handing queued tasks over (a second fence).

--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -85,6 +85,7 @@
 	ReasonEndpointLost   Reason = "endpoint_lost"
 	ReasonRefused        Reason = "endpoint_refused"
 	ReasonUnreachable    Reason = "unreachable"
+	ReasonBusy           Reason = "pool_busy"       // The batch would wait longer in the pool than its origin expected.
 	ReasonMoved          Reason = "owner_moved"     // The pool has another owner now.
 	ReasonAnswerExpired  Reason = "answer_expired"  // The job completed; its answers are no longer kept.
 	ReasonUnknownService Reason = "unknown_service" // No endpoint announced it and no profile names it.
--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -68,6 +68,7 @@
 	Origin   NodeID // Entry VM that owns the job.
 	Team     TeamID
 	Deadline time.Time
+	MaxWait  time.Duration // Longest expected wait of a task for which the batch is taken; 0 is any.
 	Tasks    []Task
 }
 
--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -37,6 +37,9 @@
 	Pool  model.PoolID
 	Owner model.NodeID
 	Tasks []int
+	// MaxWait is the longest expected wait of a task for which the pool should take the part; a pool
+	// that is busier than the plan knew refuses it, once. 0 is any wait.
+	MaxWait time.Duration
 }
 
 // EndpointLoad is what a Placer knows of an endpoint.
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -94,6 +94,7 @@
 var refusals = map[model.Reason]string{
 	model.ReasonNoEndpoint: "refused: no endpoint takes work",
 	model.ReasonNeverFits:  "refused: no endpoint has the resources",
+	model.ReasonBusy:       "refused: would wait longer than its origin expected",
 	model.ReasonOverload:   "refused: could not end before its deadline, or the queue is full",
 }
 
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -123,7 +123,24 @@
 	}
 	residual := time.Duration(len(m.flights)) * time.Duration(m.runTimes.all.mean) / 2
 	request.Ahead = residual + m.queue.workAhead(now, b, request.Work)
-	return policy.Admit(request)
+	verdict := policy.Admit(request)
+	if verdict.Admit && b.MaxWait > 0 && m.expectedWait(b) > b.MaxWait {
+		return port.Verdict{Reason: model.ReasonBusy}
+	}
+	return verdict
+}
+
+// expectedWait returns how long the batch's last task is expected to wait for a slot: 0 while all
+// find one at once, or while no run time is learned.
+func (m *Machine) expectedWait(b *batch) time.Duration {
+	room := max(m.totals.free-m.queue.count-m.totals.held, 0)
+	if len(b.Tasks) <= room {
+		return 0
+	}
+	mean := time.Duration(m.runTimes.all.mean)
+	running := time.Duration(len(m.flights)) * mean / 2
+	beyond := time.Duration(len(b.Tasks)-room) * mean
+	return (running + m.queue.work + beyond) / time.Duration(max(m.totals.slots, 1))
 }
 
 // Load returns the pool's load as its owner sees it.
--- a/plugins/endpoints/wire.go
+++ b/plugins/endpoints/wire.go
@@ -25,6 +25,7 @@
 	Pool        model.PoolID  `json:"pool"`
 	Team        model.TeamID  `json:"team"`
 	RemainingMS int64         `json:"remaining_ms"`
+	MaxWaitMS   int64         `json:"max_wait_ms,omitempty"`
 	Tasks       []wireTask    `json:"tasks"`
 }
 
@@ -63,6 +64,7 @@
 	r := runRequest{
 		envelope: e, ID: batch.ID, Pool: batch.Pool, Team: batch.Team,
 		RemainingMS: time.Until(batch.Deadline).Milliseconds(),
+		MaxWaitMS:   batch.MaxWait.Milliseconds(),
 		Tasks:       make([]wireTask, 0, len(batch.Tasks)),
 	}
 	for _, t := range batch.Tasks {
@@ -91,6 +93,7 @@
 	batch := model.Batch{
 		ID: r.ID, Pool: r.Pool, Origin: from, Team: r.Team,
 		Deadline: time.Now().Add(time.Duration(r.RemainingMS) * time.Millisecond),
+		MaxWait:  time.Duration(r.MaxWaitMS) * time.Millisecond,
 		Tasks:    make([]model.Task, 0, len(r.Tasks)),
 	}
 	for _, t := range r.Tasks {
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -208,8 +208,10 @@
 	if len(plan.Parts) == 0 {
 		return none
 	}
-	granted := false
-	j.withBudget(r.Job.Service, func(b *retrybudget.Budget) { granted = b.Withdraw() })
+	granted := r.Busy // Once for a part, so that it takes nothing from the retry budget.
+	if !granted {
+		j.withBudget(r.Job.Service, func(b *retrybudget.Budget) { granted = b.Withdraw() })
+	}
 	if !granted {
 		j.record(r.Job.ID, "refused part not sent elsewhere: the retry budget is used up")
 		return none
--- a/plugins/jobs/jobstate/event.go
+++ b/plugins/jobs/jobstate/event.go
@@ -65,6 +65,7 @@
 	Part  int
 	Job   model.Job      // With the tasks of the part alone.
 	Avoid []model.PoolID // Pools that refused a part of this job.
+	Busy  bool           // The part was refused for a longer wait than planned, which happens once.
 }
 
 // Retention says how long an ended job is kept.
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -126,6 +126,7 @@
 		Origin:   j.self,
 		Team:     j.job.Team,
 		Deadline: j.batchDeadline(now),
+		MaxWait:  part.MaxWait,
 	}
 	for _, index := range part.Tasks {
 		batch.Tasks = append(batch.Tasks, j.job.Tasks[index])
@@ -163,7 +164,7 @@
 		return
 	}
 	j.refused[result.ID.Part] = refusal{part.Tasks, failure{result.Reason, result.RetryAfter}}
-	if result.Reason != model.ReasonMoved {
+	if result.Reason != model.ReasonMoved && result.Reason != model.ReasonBusy {
 		j.avoid = append(j.avoid, part.Pool)
 	}
 	sub := j.job
@@ -171,7 +172,7 @@
 	for _, index := range part.Tasks {
 		sub.Tasks = append(sub.Tasks, j.job.Tasks[index])
 	}
-	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid)}
+	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Busy: result.Reason == model.ReasonBusy}
 }
 
 func (j *Job) replanned(now time.Time, e Replanned, fx *Effects) {
@@ -190,6 +191,7 @@
 			indices = append(indices, r.tasks[position])
 		}
 		part.Tasks = indices
+		part.MaxWait = 0 // A part is refused for being busy only once.
 		j.send(now, part, fx)
 	}
 }
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -18,6 +18,8 @@
 	farCost = 3 * time.Millisecond
 	// defaultRun stands for the run time of a task that is neither learned nor declared.
 	defaultRun = 300 * time.Millisecond
+	// waitTolerance is by how much estimates of a wait may differ for no reason.
+	waitTolerance = 20 * time.Millisecond
 	// messagesPerPart is the request and the reply by which another member runs a batch.
 	messagesPerPart = 2
 )
@@ -47,7 +49,7 @@
 	if best.parts == 1 {
 		reason = "one pool ends the whole job as soon as several"
 	}
-	return assemble(reason, all, best)
+	return assemble(&r, reason, all, best)
 }
 
 // candidate is a pool that can run the job.
@@ -158,12 +160,26 @@
 	return best
 }
 
-func assemble(reason string, all []candidate, best split) port.Plan {
+func assemble(r *port.PlanRequest, reason string, all []candidate, best split) port.Plan {
 	pools := make([]model.PoolLoad, len(best.counts))
 	for i := range pools {
 		pools[i] = *all[i].pool
 	}
-	return plan.Assemble(reason, pools, best.counts)
+	p := plan.Assemble(reason, pools, best.counts)
+	boundWaits(r, &p, all)
+	return p
+}
+
+// boundWaits has pools of other owners, whose loads are known late, refuse a part that would wait
+// longer there than it is worth to ask again: the round trip, the messages, and the tolerance.
+func boundWaits(r *port.PlanRequest, p *port.Plan, all []candidate) {
+	for i := range p.Parts {
+		part := &p.Parts[i]
+		at := slices.IndexFunc(all, func(c candidate) bool { return c.pool.Pool == part.Pool })
+		if part.Owner != r.Self {
+			part.MaxWait = all[at].wait(len(part.Tasks)) + farCost + messagesPerPart*r.MessageCost + waitTolerance
+		}
+	}
 }
 
 // NewPlacer returns an empty index of endpoints by free slots.
