Waiting stands once, and asking after a silent member counts as control

Cause: endpoints and jobs each had a copy of kernel/wait.For; pools/reach serves no job but was counted and carried as work. Change: the copies are gone; pools/reach goes over the control connections.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -20,6 +20,7 @@
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/shard"
+	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/endpoints/loadview"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
@@ -145,7 +146,7 @@
 // Drain hands the pools over, takes no new batch and waits for the end of those that it has.
 func (p *Pools) Drain(ctx context.Context) {
 	p.leave(ctx)
-	pause(ctx, transitTime)
+	wait.For(ctx, transitTime)
 	p.draining.Store(true)
 	var open []*waiter
 	p.pools.Each(func(pools map[model.PoolID]*pool) {
@@ -359,7 +360,7 @@
 }
 
 func (p *Pools) revoke(id model.PoolID, r poolstate.Revoke) {
-	if !pause(p.life, r.After) {
+	if !wait.For(p.life, r.After) {
 		return
 	}
 	reply := p.tasks.Revoke(p.life, r.Address, r.Task, r.Stop)
--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/endpoints/loadview"
 )
 
@@ -180,7 +181,7 @@
 	case <-p.life.Done():
 		return false
 	}
-	return pause(p.life, reportPause)
+	return wait.For(p.life, reportPause)
 }
 
 func (p *Pools) tell(telling loadview.Telling, report loadReport) {
--- a/plugins/endpoints/reach.go
+++ b/plugins/endpoints/reach.go
@@ -6,6 +6,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -31,7 +32,7 @@
 // regain asks the member until it replies or is no longer thought alive.
 func (p *Pools) regain(to model.NodeID) {
 	defer p.unreached.Delete(to)
-	for pause(p.life, reachPause) {
+	for wait.For(p.life, reachPause) {
 		if _, alive := p.member(to); !alive || p.reaches(to) {
 			return
 		}
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -6,6 +6,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/endpoints/ledger"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
@@ -84,7 +85,7 @@
 		if live.Err() == nil {
 			p.lostContact(node.ID)
 		}
-		if _, alive := p.member(node.ID); !alive || !pause(live, askPause) {
+		if _, alive := p.member(node.ID); !alive || !wait.For(live, askPause) {
 			return unknownResult(batch, model.ReasonOwnerLost)
 		}
 		fresh := port.FreshConnection(live, begun)
@@ -193,15 +194,3 @@
 		time.AfterFunc(lostGrace, lose)
 	}
 }
-
-// pause waits and reports whether the context lasted.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -15,6 +15,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/admission/deadline"
 	"redwingpulley/plugins/endpoints/poolstate"
 	"redwingpulley/plugins/placement/leastwait"
@@ -163,7 +164,7 @@
 func newPools(t *testing.T, n *network, node port.Node) (*Pools, *fakeMember) {
 	m := &fakeMember{network: n, node: node}
 	m.tasks = func(ctx context.Context, s port.TaskStart) port.TaskReply {
-		if !pause(ctx, time.Second) {
+		if !wait.For(ctx, time.Second) {
 			return port.TaskReply{State: port.TaskUnknown}
 		}
 		return port.TaskReply{State: port.TaskDone, Answer: []byte(`"` + string(s.ID) + `"`)}
@@ -271,7 +272,7 @@
 	inBubble(t, func(t *testing.T, is *is.I) {
 		_, origin, owner, atOwner := pair(t)
 		atOwner.tasks = func(ctx context.Context, s port.TaskStart) port.TaskReply {
-			pause(ctx, 5*time.Second) // Longer than the pool expects.
+			wait.For(ctx, 5*time.Second) // Longer than the pool expects.
 			return port.TaskReply{State: port.TaskDone, Answer: []byte("1")}
 		}
 		atOwner.asked = func(model.TaskID) port.RevokeReply { return port.RevokeReply{State: port.TaskRunning} }
@@ -367,7 +368,7 @@
 		listed := announced()
 		listed.Endpoint.Running = []model.TaskID{batch(0).ID.Job.TaskID(0), batch(0).ID.Job.TaskID(1)}
 		for range 5 { // A long task that is listed costs no question.
-			pause(t.Context(), announceInterval)
+			wait.For(t.Context(), announceInterval)
 			owner.step(pool1, listed)
 		}
 		synctest.Wait()
@@ -375,7 +376,7 @@
 		owner.step(pool1, announced())
 		synctest.Wait()
 		is.Equal(len(results), 0) // The answers may be under way.
-		pause(t.Context(), announceInterval)
+		wait.For(t.Context(), announceInterval)
 		owner.step(pool1, announced())
 		result := <-results
 		is.True(result.Results[0].Done && result.Results[1].Done)
@@ -395,7 +396,7 @@
 			owner.Drain(t.Context())
 			close(drained)
 		}()
-		pause(t.Context(), transitTime+time.Millisecond) // Batches sent before the move are taken until then.
+		wait.For(t.Context(), transitTime+time.Millisecond) // Batches sent before the move are taken until then.
 		late := batch(time.Minute)
 		late.ID.Part = 1
 		refused := origin.Run(t.Context(), "owner", late)
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -14,6 +14,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/jobs/retrybudget"
 )
 
@@ -103,7 +104,7 @@
 
 // answered ends a batch with an answer for each task after a second, unless it is cancelled.
 func answered(ctx context.Context, b model.Batch) model.BatchResult {
-	ran := pause(ctx, time.Second)
+	ran := wait.For(ctx, time.Second)
 	result := model.BatchResult{ID: b.ID}
 	for _, task := range b.Tasks {
 		result.Results = append(result.Results, model.TaskResult{
--- a/plugins/jobs/peers.go
+++ b/plugins/jobs/peers.go
@@ -10,6 +10,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/wait"
 )
 
 // Methods between members.
@@ -122,7 +123,7 @@
 		if j.peers.Call(call, owner, method, request(), &reply) == port.Delivered {
 			return decodeOutcome(reply)
 		}
-		if !j.thoughtAlive(owner) || !pause(ctx, askPause) {
+		if !j.thoughtAlive(owner) || !wait.For(ctx, askPause) {
 			return model.Failed(id, model.MayHaveRun, model.ReasonOwnerLost)
 		}
 		call = port.FreshConnection(ctx, begun)
@@ -148,18 +149,6 @@
 	return slices.ContainsFunc(j.membership.Alive(), func(n port.Node) bool { return n.ID == id })
 }
 
-// pause waits and reports whether the context lasted.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func encodeOutcome(o model.Outcome) wireOutcome {
 	w := wireOutcome{Job: o.Job, State: o.State, Run: o.Run, Reason: o.Reason, RetryAfterMS: o.RetryAfter.Milliseconds()}
 	for _, a := range o.Answers {
--- a/plugins/peer/http/link.go
+++ b/plugins/peer/http/link.go
@@ -76,7 +76,7 @@
 }
 
 // controlMethods are the prefixes of methods that serve no job.
-var controlMethods = []string{"membership/", "pools/loads", "pools/announce", "profiles/", "quota/"}
+var controlMethods = []string{"membership/", "pools/loads", "pools/announce", "pools/reach", "profiles/", "quota/"}
 
 func isControl(method string) bool {
 	for _, prefix := range controlMethods {
