--- a/plugins/endpoints/ownership_test.go
+++ b/plugins/endpoints/ownership_test.go
@@ -36,6 +36,8 @@
 	highest int // Tasks at the endpoint at once.
 }
 
+// The tests run in synctest bubbles: time.Sleep advances a virtual clock and takes no real time.
+
 // vm is one member with the ports that its Pools use.
 type vm struct {
 	world    *world
--- a/plugins/membership/membership_test.go
+++ b/plugins/membership/membership_test.go
@@ -50,7 +50,7 @@
 		<-ctx.Done()
 		return port.Unknown
 	}
-	time.Sleep(time.Millisecond)
+	time.Sleep(time.Millisecond) // On the virtual clock of the test's bubble.
 	out, err := target.handlers[method](ctx, e.self, func(v any) error { return json.Unmarshal(body, v) })
 	if err != nil {
 		return port.Unknown
@@ -136,7 +136,7 @@
 	for i := range count {
 		all = append(all, n.start(is, nodeID(i), count, ""))
 	}
-	time.Sleep(time.Minute)
+	time.Sleep(time.Minute) // On the virtual clock of the test's bubble.
 	synctest.Wait()
 	for _, p := range all {
 		is.Equal(len(p.shell.Alive()), count)
