--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -11,6 +11,7 @@
 	"redwingpulley/kernel/settings"
 	"redwingpulley/plugins/endpoints/poolstate"
 
+	_ "redwingpulley/platform"         // Links in the plug-ins for the users' platform.
 	_ "redwingpulley/plugins/standard" // Links in the plug-ins.
 )
 
--- a/cmd/internal/process/harness_test.go
+++ b/cmd/internal/process/harness_test.go
@@ -195,15 +195,16 @@
 	c.must(err)
 	c.must(os.WriteFile(v.file, raw, 0o600))
 	v.command = exec.Command(redwingd, "run", "--settings", v.file)
-	stderr, err := v.command.StderrPipe()
+	output, err := v.command.StdoutPipe()
 	c.must(err)
+	v.command.Stderr = v.command.Stdout
 	v.log = filepath.Join(c.dir, string(own.Node)+".log")
 	log, err := os.OpenFile(v.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	c.must(err)
 	c.reserved.Release(own.Listen.Callers, own.Listen.Endpoints, own.Listen.Operators, own.Listen.Peers)
 	c.must(v.command.Start())
 	serving := make(chan struct{})
-	go v.watch(stderr, log, serving)
+	go v.watch(output, log, serving)
 	select {
 	case <-serving:
 	case <-v.exited:
@@ -216,11 +217,11 @@
 }
 
 // watch copies the process's log, tells when it serves and when it has ended.
-func (v *vm) watch(stderr io.Reader, log *os.File, serving chan struct{}) {
+func (v *vm) watch(output io.Reader, log *os.File, serving chan struct{}) {
 	defer close(v.exited)
 	defer log.Close()
 	var once sync.Once
-	lines := bufio.NewReader(stderr)
+	lines := bufio.NewReader(output)
 	for {
 		line, err := lines.ReadBytes('\n')
 		log.Write(line)
--- a/cmd/redwingd/main.go
+++ b/cmd/redwingd/main.go
@@ -23,7 +23,8 @@
 const (
 	exitFailed  = 1
 	exitUsage   = 2
-	drainLimit  = time.Minute // Longest wait for requests in flight at shutdown.
+	drainLimit  = time.Minute            // Longest wait for requests in flight at shutdown.
+	stopMargin  = 700 * time.Millisecond // For what follows the drain, where the process is killed soon.
 	description = "redwingd is the entry VM's process of the redwingpulley dispatcher."
 )
 
@@ -34,7 +35,7 @@
 }
 
 type runCommand struct {
-	Settings string `required:"" help:"Settings file (JSON)." type:"path"`
+	Settings string `required:"" help:"Settings file (JSON)." type:"path" env:"REDWINGPULLEY_CONFIG"`
 }
 
 type checkCommand struct {
@@ -86,22 +87,51 @@
 	if err != nil {
 		return usageError{err}
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	log := slog.New(slog.NewJSONHandler(os.Stdout, nil))
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	host, err := node.Start(s, log)
 	if err != nil {
 		return err
 	}
 	log.Info("serving", "node", s.Node, "callers", s.Listen.Callers)
-	select {
-	case <-signals.Done():
-	case <-host.DrainRequested():
-	}
+	c.serve(signals, reloads, host, log)
 	log.Info("draining", "node", s.Node)
-	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime(s))
 	defer cancel()
-	return node.Stop(ctx, host)
+	err = node.Stop(ctx, host)
+	log.Info("stopped", "node", s.Node)
+	return err
+}
+
+// serve returns when the end is asked for. It reads the settings again at each reload signal.
+func (c *runCommand) serve(signals context.Context, reloads <-chan os.Signal, host *plugin.Host, log *slog.Logger) {
+	for {
+		select {
+		case <-reloads:
+			s, err := settings.Read(c.Settings)
+			if err != nil {
+				log.Error("settings not reloaded", "error", err.Error())
+				continue
+			}
+			host.Reload(s)
+			log.Info("settings reloaded", "seeds", s.Seeds)
+		case <-signals.Done():
+			return
+		case <-host.DrainRequested():
+			return
+		}
+	}
+}
+
+// drainTime returns how long the process may drain.
+func drainTime(s settings.Settings) time.Duration {
+	if s.StopWithinS == 0 {
+		return drainLimit
+	}
+	return max(time.Duration(s.StopWithinS*float64(time.Second))-stopMargin, 0)
 }
 
 // Run checks the settings of the kernel and of all plug-ins without opening anything.
--- a/kernel/model/identity.go
+++ b/kernel/model/identity.go
@@ -84,6 +84,15 @@
 	return TaskID(string(id) + "." + strconv.Itoa(index))
 }
 
+// Index returns the task's index in its job, or -1 when id is no task id.
+func (id TaskID) Index() int {
+	index, err := strconv.Atoi(string(id[strings.LastIndexByte(string(id), '.')+1:]))
+	if err != nil {
+		return -1
+	}
+	return index
+}
+
 // Job returns the id of the job that the task belongs to, or "" when id is no task id.
 func (id TaskID) Job() JobID {
 	cut := strings.LastIndexByte(string(id), '.')
--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -1,26 +1,68 @@
 package model
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // MaxTasksPerJob bounds the tasks of one job.
 const MaxTasksPerJob = 160
 
 // Needs are what a task asks of the worker that runs it.
 type Needs struct {
-	Cores        int
+	MilliCores   int // Thousandths of a core.
 	MemoryMB     int
 	Accelerators int
 }
 
 // Within reports whether a worker that has the given resources can run a task of these needs.
 func (n Needs) Within(has Needs) bool {
-	return n.Cores <= has.Cores && n.MemoryMB <= has.MemoryMB && n.Accelerators <= has.Accelerators
+	return n.MilliCores <= has.MilliCores && n.MemoryMB <= has.MemoryMB && n.Accelerators <= has.Accelerators
+}
+
+// Less returns what is left of n when other is taken out of it.
+func (n Needs) Less(other Needs) Needs {
+	return Needs{
+		MilliCores:   n.MilliCores - other.MilliCores,
+		MemoryMB:     n.MemoryMB - other.MemoryMB,
+		Accelerators: n.Accelerators - other.Accelerators,
+	}
+}
+
+// Plus returns the sum of both in each resource.
+func (n Needs) Plus(other Needs) Needs {
+	return Needs{
+		MilliCores:   n.MilliCores + other.MilliCores,
+		MemoryMB:     n.MemoryMB + other.MemoryMB,
+		Accelerators: n.Accelerators + other.Accelerators,
+	}
+}
+
+// Part returns an equal part of n among count.
+func (n Needs) Part(count int) Needs {
+	return Needs{MilliCores: n.MilliCores / count, MemoryMB: n.MemoryMB / count, Accelerators: n.Accelerators / count}
+}
+
+// Count returns for how many times each n has enough; math.MaxInt when each is nothing.
+func (n Needs) Count(each Needs) int {
+	count := math.MaxInt
+	for _, r := range [...][2]int{
+		{n.MilliCores, each.MilliCores}, {n.MemoryMB, each.MemoryMB}, {n.Accelerators, each.Accelerators},
+	} {
+		if has, one := r[0], r[1]; one > 0 {
+			count = min(count, max(has, 0)/one)
+		}
+	}
+	return count
 }
 
+// MilliCoresPerCore converts whole cores, as the product's own interfaces count them.
+const MilliCoresPerCore = 1000
+
 // Max returns the larger of the two in each resource.
 func (n Needs) Max(other Needs) Needs {
 	return Needs{
-		Cores:        max(n.Cores, other.Cores),
+		MilliCores:   max(n.MilliCores, other.MilliCores),
 		MemoryMB:     max(n.MemoryMB, other.MemoryMB),
 		Accelerators: max(n.Accelerators, other.Accelerators),
 	}
@@ -42,6 +84,15 @@
 	Deadline time.Time // Zero until the profile has given a job its default.
 	Tasks    []Task
 	Digest   uint64 // Hash of the submission; tells a resend from another body under the same id.
+
+	// Key is the caller's own id of the job; "" when it has none. A submission under the key of a
+	// job that runs or is complete joins it.
+	Key string `json:",omitempty"`
+	// MaxFailures is how many runs of a task may fail before its job does. 0 stands for a task that
+	// may be started only once, whatever comes of it.
+	MaxFailures int `json:",omitempty"`
+	// Attached says that the job is cancelled when its caller goes away.
+	Attached bool `json:",omitempty"`
 }
 
 // State tells how far a job has come.
--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -25,6 +25,7 @@
 const (
 	EndpointServing EndpointState = "serving"
 	EndpointLeaving EndpointState = "leaving"
+	EndpointGone    EndpointState = "gone" // It has ended; nothing runs there any more.
 )
 
 // Endpoint is one licensed copy as it announces itself.
@@ -40,6 +41,16 @@
 	Has         Needs  // Resources of its worker.
 	State       EndpointState
 	Running     []TaskID
+	// Born is when this lifetime of the endpoint began, Unix milliseconds; 0 when it does not tell.
+	// Of two at one address the later one is there.
+	Born int64 `json:",omitempty"`
+	// Sequence numbers the announcements of a lifetime, from 1; 0 when it does not tell.
+	Sequence uint64 `json:",omitempty"`
+	// Leased says that tasks run there under a lease that the pool's owner holds. Announcements then
+	// list no tasks.
+	Leased bool `json:",omitempty"`
+	// Lease is how long the endpoint gets work after this announcement; 0 is the pool's default.
+	Lease time.Duration `json:",omitempty"`
 }
 
 // PoolLoad is what a pool's owner tells of it, so that others can decide where a job goes.
@@ -70,6 +81,9 @@
 	Deadline time.Time
 	MaxWait  time.Duration // Longest expected wait of a task for which the batch is taken; 0 is any.
 	Tasks    []Task
+
+	Key         string `json:",omitempty"` // Of the job.
+	MaxFailures int    `json:",omitempty"` // Of a task of the job.
 }
 
 // TaskResult is how one task of a batch ended.
--- a/kernel/model/profile.go
+++ b/kernel/model/profile.go
@@ -57,6 +57,9 @@
 	Revision Revision
 	Profiles map[ProfileName]Profile
 	Services map[ServiceID]ProfileName
+	// Routing is what operators have declared; nil while that is nothing. It is not changed, only
+	// replaced.
+	Routing *Routing `json:",omitempty"`
 }
 
 // For returns the profile that service runs under.
@@ -97,6 +100,11 @@
 	PutProfile    EditKind = "put_profile"
 	DeleteProfile EditKind = "delete_profile"
 	SetService    EditKind = "set_service"
+	// DeclareRouting takes effect when its version is above the one that is agreed; an older one is
+	// accepted and changes nothing. Expect is not looked at.
+	DeclareRouting EditKind = "declare_routing"
+	// ConfirmRevision changes nothing. Its answer tells the newest agreed revision.
+	ConfirmRevision EditKind = "confirm_revision"
 )
 
 // ProfileEdit is a compare-and-set on the profile register.
@@ -109,6 +117,7 @@
 	Name     ProfileName // Of the profile that is put, deleted or chosen.
 	Profile  Profile     // When it is put.
 	Service  ServiceID   // When a service chooses.
+	Routing  *Routing    `json:",omitempty"` // When it is declared.
 }
 
 // EditStatus is how an edit ended.
--- a/kernel/plugin/host.go
+++ b/kernel/plugin/host.go
@@ -42,7 +42,7 @@
 // NewHost provisions and validates the given plug-ins. All faults of settings are reported
 // together.
 func NewHost(node settings.Settings, log *slog.Logger, definitions []Definition) (*Host, error) {
-	ordered, err := order(definitions)
+	ordered, err := order(chosen(node, definitions))
 	if err != nil {
 		return nil, err
 	}
@@ -92,6 +92,14 @@
 	return all
 }
 
+// chosen returns the plug-ins that a process with these settings runs.
+func chosen(node settings.Settings, definitions []Definition) []Definition {
+	return slices.DeleteFunc(slices.Clone(definitions), func(d Definition) bool {
+		_, named := node.Plugins[string(d.ID)]
+		return d.Optional && !named || slices.Contains(node.Without, string(d.ID))
+	})
+}
+
 func unknownPlugins(node settings.Settings, definitions []Definition) []error {
 	known := make(map[string]bool, len(definitions))
 	for _, d := range definitions {
@@ -103,6 +111,11 @@
 			faults = append(faults, errors.Newf("plugins.%s: no such plug-in", id))
 		}
 	}
+	for i, id := range node.Without {
+		if !known[id] {
+			faults = append(faults, errors.Newf("without[%d]: no such plug-in as %s", i, id))
+		}
+	}
 	return faults
 }
 
@@ -146,6 +159,15 @@
 	return nil
 }
 
+// Reload passes changed settings to the plug-ins that take them.
+func (h *Host) Reload(node settings.Settings) {
+	for _, i := range h.plugins {
+		if r, ok := i.plugin.(Reloader); ok {
+			r.Reload(node)
+		}
+	}
+}
+
 func (h *Host) requestDrain() { h.drainOnce.Do(func() { close(h.drain) }) }
 
 // DrainRequested returns a channel that is closed once a plug-in asks for a drain.
--- a/kernel/plugin/registry.go
+++ b/kernel/plugin/registry.go
@@ -13,6 +13,7 @@
 	"sync"
 
 	"redwingpulley/kernel/invariant"
+	"redwingpulley/kernel/settings"
 )
 
 // ID is a plug-in's kind and name joined by a dot.
@@ -49,6 +50,8 @@
 	Provides []Port // Ports that Provision fills.
 	Needs    []Port // Ports that must be provisioned, and started, before this one.
 	New      func() Plugin
+	// Optional plug-ins run only where settings name them under "plugins".
+	Optional bool
 }
 
 // Plugin is one instance of a plug-in. Provision reads settings and binds ports; it opens nothing.
@@ -66,6 +69,10 @@
 // none is left or the context ends.
 type Drainer interface{ Drain(DrainContext) }
 
+// Reloader is a plug-in that takes changed settings while it runs. What it does not take holds from
+// the next start on.
+type Reloader interface{ Reload(node settings.Settings) }
+
 // Stopper is a plug-in that releases what Start opened.
 type Stopper interface{ Stop() error }
 
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -60,17 +60,30 @@
 type Tasks interface {
 	// Start has the endpoint at address run the task and waits for its answer.
 	Start(ctx context.Context, address string, start TaskStart) TaskReply
-	// Revoke asks, over a new connection, that the task never start; with stop it also ends a
+	// Revoke asks, over a new connection, that the task never start; with Stop it also ends a
 	// running one.
-	Revoke(ctx context.Context, address string, id model.TaskID, stop bool) RevokeReply
+	Revoke(ctx context.Context, address string, revoke TaskRevoke) RevokeReply
 }
 
 // TaskStart is one attempt at a task.
 type TaskStart struct {
 	ID       model.TaskID
+	Endpoint model.EndpointID
 	Attempt  int
 	Deadline int64 // Milliseconds from now.
 	Payload  []byte
+	Key      string // Of the task's job.
+	Index    int    // In the job.
+}
+
+// TaskRevoke is a question about one attempt at a task.
+type TaskRevoke struct {
+	ID       model.TaskID
+	Endpoint model.EndpointID
+	Attempt  int
+	Stop     bool
+	Key      string
+	Index    int
 }
 
 // TaskReply is what came of a start.
@@ -92,6 +105,8 @@
 	TaskRevoked TaskState = "revoked"
 	TaskRunning TaskState = "running"
 	TaskStopped TaskState = "stopped"
+	// TaskLost is a task that has surely ended without a result, by no fault of its own.
+	TaskLost TaskState = "lost"
 )
 
 // RevokeReply is an endpoint's answer to a revoke; State is TaskUnknown when none came.
--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -46,8 +46,8 @@
 type EndpointLoad struct {
 	ID    model.EndpointID
 	Slots int
-	Free  int // May be negative when a Placer overcommits.
-	Has   model.Needs
+	Free  int         // May be negative when a Placer overcommits.
+	Left  model.Needs // Resources that its tasks have not taken.
 }
 
 // Placer picks endpoints for the tasks of one pool. It is used under the pool's lock.
--- a/kernel/port/port.go
+++ b/kernel/port/port.go
@@ -42,6 +42,7 @@
 	Owner    string        // ip:port of the owner's listener for endpoints.
 	Interval time.Duration // Between announcements.
 	Lease    time.Duration // Without an announcement the endpoint gets no more work after it.
+	Recorded bool          // The owner has taken the announcement in.
 }
 
 // EndpointStatus is an owned endpoint as operators see it.
@@ -60,6 +61,7 @@
 	Endpoints   string // ip:port of its listener for endpoints.
 	Disk        bool
 	Draining    bool
+	Reserve     bool // Owns pools only while no other member of its data centre can.
 }
 
 // Membership knows which entry VMs are alive.
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +22,21 @@
 	Members    []Member                   `json:"members"`
 	DataDir    string                     `json:"data_dir"`
 	Plugins    map[string]json.RawMessage `json:"plugins"`
+
+	// Seeds are addresses, ip:port, of entry VMs that are asked for the other members. Only the
+	// address counts: the port of their listeners for peers is the same as this VM's. They stand in
+	// for Members where no list of members can be given.
+	Seeds []string `json:"seeds"`
+	// Bootstrap says that the whole group starts for the first time, with empty disks and with the
+	// same seeds everywhere.
+	Bootstrap bool `json:"bootstrap"`
+	// Reserve keeps this VM from owning pools while another one of its data centre can.
+	Reserve bool `json:"reserve"`
+	// StopWithinS is how long after SIGTERM, in seconds, the process is killed where it has not ended;
+	// 0 is never.
+	StopWithinS float64 `json:"stop_within_s"`
+	// Without lists the ids of plug-ins that this process does not run.
+	Without []string `json:"without"`
 }
 
 // Listen holds the addresses of the process's listeners, each ip:port.
@@ -67,15 +83,31 @@
 	var f Faults
 	f.Require(nodeName.MatchString(string(s.Node)), "node", "must be lower-case letters, digits and hyphens")
 	f.Require(s.DataCentre != "", "data_centre", "must be set")
-	f.address("listen.callers", s.Listen.Callers)
-	f.address("listen.endpoints", s.Listen.Endpoints)
-	f.address("listen.operators", s.Listen.Operators)
-	f.address("listen.peers", s.Listen.Peers)
+	f.listener("listen.callers", s.Listen.Callers, s.runs("frontend.callers"))
+	f.listener("listen.endpoints", s.Listen.Endpoints, s.runs("frontend.announce"))
+	f.listener("listen.operators", s.Listen.Operators, s.runs("frontend.operators"))
+	f.listener("listen.peers", s.Listen.Peers, s.runs("peer.http"))
+	f.Require(s.StopWithinS >= 0, "stop_within_s", "must not be negative")
 	s.checkMembers(&f)
 	return f.Joined()
 }
 
+// runs reports whether the plug-in of that id is not left out.
+func (s Settings) runs(id string) bool { return !slices.Contains(s.Without, id) }
+
+func (s Settings) checkSeeds(f *Faults) {
+	for i, seed := range s.Seeds {
+		f.address(pathIndex("seeds", i), seed)
+	}
+	f.Require(len(s.Members) == 0, "seeds", "must not be given together with members")
+}
+
 func (s Settings) checkMembers(f *Faults) {
+	if len(s.Seeds) > 0 {
+		s.checkSeeds(f)
+		return
+	}
+	f.Require(!s.Bootstrap, "bootstrap", "must come with seeds")
 	seen := make(map[model.NodeID]bool)
 	for i, m := range s.Members {
 		path := pathIndex("members", i)
@@ -91,8 +123,15 @@
 	f.Require(!self.Disk || s.DataDir != "", "data_dir", "must be set on a member with a disk")
 }
 
-// Self returns this process's own entry in Members.
+// Self returns this process's own entry in Members, or one made of its settings where there are
+// seeds instead.
 func (s Settings) Self() (Member, bool) {
+	if len(s.Seeds) > 0 {
+		return Member{
+			Node: s.Node, DataCentre: s.DataCentre, Peers: s.Listen.Peers, Endpoints: s.Listen.Endpoints,
+			Disk: s.DataDir != "",
+		}, true
+	}
 	for _, m := range s.Members {
 		if m.Node == s.Node {
 			return m, true
@@ -120,6 +159,13 @@
 // Joined returns all faults, or nil.
 func (f *Faults) Joined() error { return errors.Join(f.all...) }
 
+// listener checks the address of a listener; one that no plug-in opens may be left out.
+func (f *Faults) listener(path, value string, opened bool) {
+	if opened || value != "" {
+		f.address(path, value)
+	}
+}
+
 func (f *Faults) address(path, value string) {
 	_, err := netip.ParseAddrPort(value)
 	f.Require(err == nil, path, "must be an IP address and port")
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -29,12 +29,14 @@
 
 // Settings are the plug-in's own.
 type Settings struct {
-	PoolsPerDataCentre int `json:"pools_per_data_centre"` // The same on every member.
+	PoolsPerDataCentre int   `json:"pools_per_data_centre"` // The same on every member.
+	LeaseMS            int64 `json:"lease_ms"`              // For which an endpoint gets work after an announcement.
 }
 
 // Check tells the faults of the settings.
 func (s *Settings) Check(faults *settings.Faults) {
 	faults.Require(s.PoolsPerDataCentre > 0, "pools_per_data_centre", "must be above 0")
+	faults.Require(s.LeaseMS > 0, "lease_ms", "must be above 0")
 }
 
 // Pools is the plug-in. Create it through the registry.
@@ -90,7 +92,7 @@
 
 // Provision binds the ports.
 func (p *Pools) Provision(c *plugin.Context) error {
-	p.settings.PoolsPerDataCentre = 1
+	p.settings = Settings{PoolsPerDataCentre: 1, LeaseMS: poolstate.EndpointLease.Milliseconds()}
 	err := errors.Join(
 		c.Settings(&p.settings),
 		plugin.Need(c, &p.membership),
@@ -353,7 +355,8 @@
 	started := attempt{s.Task, s.Attempt}
 	p.withPool(id, func(o *pool) { o.inFlight[started] = cancel })
 	reply := p.tasks.Start(ctx, s.Address, port.TaskStart{
-		ID: s.Task, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(), Payload: s.Payload,
+		ID: s.Task, Endpoint: s.Endpoint, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(),
+		Payload: s.Payload, Key: s.Key, Index: s.Task.Index(),
 	})
 	p.withPool(id, func(o *pool) { delete(o.inFlight, started) })
 	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
@@ -363,7 +366,9 @@
 	if !wait.For(p.life, r.After) {
 		return
 	}
-	reply := p.tasks.Revoke(p.life, r.Address, r.Task, r.Stop)
+	reply := p.tasks.Revoke(p.life, r.Address, port.TaskRevoke{
+		ID: r.Task, Endpoint: r.Endpoint, Attempt: r.Attempt, Stop: r.Stop, Key: r.Key, Index: r.Task.Index(),
+	})
 	p.step(id, poolstate.RevokeReplied{Task: r.Task, Attempt: r.Attempt, Reply: reply})
 	if reply.State != port.TaskRunning && reply.State != port.TaskUnknown {
 		p.stopWaiting(id, attempt{r.Task, r.Attempt})
--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -26,19 +26,19 @@
 
 // wireLoad is a load with short names, since it travels on the members' own messages.
 type wireLoad struct {
-	Service   model.ServiceID  `json:"s"`
-	Centre    model.DataCentre `json:"d"`
-	Part      int              `json:"p,omitempty"`
-	Owner     model.NodeID     `json:"o"`
-	Version   uint64           `json:"v"`
-	Slots     int              `json:"n"`
-	Free      int              `json:"f,omitempty"`
-	Queued    int              `json:"q,omitempty"`
-	QueuedMS  int64            `json:"w,omitempty"`
-	MeanRunMS int64            `json:"r,omitempty"`
-	Cores     int              `json:"c,omitempty"`
-	MemoryMB  int              `json:"m,omitempty"`
-	Accel     int              `json:"a,omitempty"`
+	Service    model.ServiceID  `json:"s"`
+	Centre     model.DataCentre `json:"d"`
+	Part       int              `json:"p,omitempty"`
+	Owner      model.NodeID     `json:"o"`
+	Version    uint64           `json:"v"`
+	Slots      int              `json:"n"`
+	Free       int              `json:"f,omitempty"`
+	Queued     int              `json:"q,omitempty"`
+	QueuedMS   int64            `json:"w,omitempty"`
+	MeanRunMS  int64            `json:"r,omitempty"`
+	MilliCores int              `json:"c,omitempty"`
+	MemoryMB   int              `json:"m,omitempty"`
+	Accel      int              `json:"a,omitempty"`
 }
 
 func encodeLoads(loads []model.PoolLoad) loadReport {
@@ -48,7 +48,7 @@
 			Service: l.Pool.Service, Centre: l.Pool.DataCentre, Part: l.Pool.Part, Owner: l.Owner, Version: l.Version,
 			Slots: l.Slots, Free: l.Free, Queued: l.Queued,
 			QueuedMS: l.QueuedRun.Milliseconds(), MeanRunMS: l.MeanRun.Milliseconds(),
-			Cores: l.Largest.Cores, MemoryMB: l.Largest.MemoryMB, Accel: l.Largest.Accelerators,
+			MilliCores: l.Largest.MilliCores, MemoryMB: l.Largest.MemoryMB, Accel: l.Largest.Accelerators,
 		})
 	}
 	return r
@@ -60,7 +60,7 @@
 		Owner: w.Owner, Version: w.Version, Slots: w.Slots, Free: w.Free, Queued: w.Queued,
 		QueuedRun: time.Duration(w.QueuedMS) * time.Millisecond,
 		MeanRun:   time.Duration(w.MeanRunMS) * time.Millisecond,
-		Largest:   model.Needs{Cores: w.Cores, MemoryMB: w.MemoryMB, Accelerators: w.Accel},
+		Largest:   model.Needs{MilliCores: w.MilliCores, MemoryMB: w.MemoryMB, Accelerators: w.Accel},
 	}
 }
 
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -23,7 +23,8 @@
 
 // announceReply names the pool's owner as the asked member sees it.
 type announceReply struct {
-	Owner string `json:"owner"` // ip:port of its listener for endpoints.
+	Owner    string `json:"owner"` // ip:port of its listener for endpoints.
+	Recorded bool   `json:"recorded,omitempty"`
 }
 
 // Announce records the announcement when this member owns the pool, and otherwise passes it on,
@@ -31,9 +32,10 @@
 func (p *Pools) Announce(ctx context.Context, endpoint model.Endpoint) port.Ownership {
 	id := p.poolOf(endpoint)
 	owner := p.ownerOf(id)
-	ownership := port.Ownership{Owner: owner.Endpoints, Interval: announceInterval, Lease: poolstate.EndpointLease}
+	endpoint.Lease = p.lease()
+	ownership := port.Ownership{Owner: owner.Endpoints, Interval: announceInterval, Lease: endpoint.Lease}
 	if owner.ID == p.membership.Self().ID {
-		p.accept(id, endpoint)
+		ownership.Recorded = p.accept(id, endpoint)
 		return ownership
 	}
 	ctx, cancel := context.WithTimeout(ctx, announceInterval/2)
@@ -45,29 +47,35 @@
 		return ownership
 	}
 	ownership.Owner = reply.Owner // The asked member may know of a newer owner.
+	ownership.Recorded = reply.Recorded
 	return ownership
 }
 
+// lease returns for how long an endpoint gets work after an announcement; 0 is the pool's default.
+func (p *Pools) lease() time.Duration { return time.Duration(p.settings.LeaseMS) * time.Millisecond }
+
 func (p *Pools) serveAnnounce(_ context.Context, _ model.NodeID, a announcement) announceReply {
 	id := p.poolOf(a.Endpoint)
 	owner := p.ownerOf(id)
+	recorded := false
 	switch {
 	case a.Former:
 		p.step(id, poolstate.Announced{Endpoint: a.Endpoint})
 	case owner.ID == p.membership.Self().ID:
-		p.accept(id, a.Endpoint)
+		recorded = p.accept(id, a.Endpoint)
 	}
-	return announceReply{owner.Endpoints}
+	return announceReply{owner.Endpoints, recorded}
 }
 
 // accept takes an announcement into the pool. A member whose view is stale takes none: others may
 // own the pool by now, and the endpoint comes again.
-func (p *Pools) accept(id model.PoolID, endpoint model.Endpoint) {
+func (p *Pools) accept(id model.PoolID, endpoint model.Endpoint) bool {
 	if !p.liveness.Fresh() {
-		return
+		return false
 	}
 	p.step(id, poolstate.Announced{Endpoint: endpoint})
 	p.tellFormers(id, endpoint)
+	return true
 }
 
 // another returns some member for an endpoint to announce itself to while the owner does not answer.
@@ -133,7 +141,7 @@
 }
 
 // near returns the members that can own a pool: the serving ones of its data centre, or of all data
-// centres when that has none, or all members.
+// centres when that has none, or all members; those in reserve only where there are no others.
 func near(alive []port.Node, id model.PoolID) []port.Node {
 	serving := slices.DeleteFunc(slices.Clone(alive), func(n port.Node) bool { return n.Draining })
 	if len(serving) == 0 {
@@ -141,9 +149,18 @@
 	}
 	local := slices.DeleteFunc(slices.Clone(serving), func(n port.Node) bool { return n.DataCentre != id.DataCentre })
 	if len(local) == 0 {
-		return serving
+		return unreserved(serving)
+	}
+	return unreserved(local)
+}
+
+// unreserved returns the members that are not in reserve, or all when there are no others.
+func unreserved(nodes []port.Node) []port.Node {
+	open := slices.DeleteFunc(slices.Clone(nodes), func(n port.Node) bool { return n.Reserve })
+	if len(open) == 0 {
+		return nodes
 	}
-	return local
+	return open
 }
 
 func compareWeight(key string, a, b model.NodeID) int {
--- a/plugins/endpoints/ownership_test.go
+++ b/plugins/endpoints/ownership_test.go
@@ -138,7 +138,7 @@
 	}
 }
 
-func (v *vm) Revoke(context.Context, string, model.TaskID, bool) port.RevokeReply {
+func (v *vm) Revoke(context.Context, string, port.TaskRevoke) port.RevokeReply {
 	return port.RevokeReply{State: port.TaskRunning}
 }
 
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -55,7 +55,8 @@
 	class    class
 	endpoint *endpoint        // While held or sent.
 	slot     int              // In the endpoint's tasks.
-	avoid    model.EndpointID // Refused the task last.
+	avoid    model.EndpointID // Refused the task last, or ran it without a result.
+	failures int              // Runs that failed.
 	sent     time.Time
 	unlisted time.Time // Since when its endpoint does not list it; zero while it does.
 	asking   int       // Revokes without a reply so far.
@@ -79,6 +80,7 @@
 	}
 	m.usePlacement(s.Profile.Placement)
 	b := m.newBatch(now, s)
+	m.learnUsual(b)
 	if verdict := m.admit(now, b); !verdict.Admit {
 		result := model.RefusedBatch(s.Batch.ID, verdict.Reason)
 		result.RetryAfter = verdict.RetryAfter
@@ -134,6 +136,30 @@
 	}
 }
 
+// usualWeight is the weight of a batch's mean needs in the average.
+const usualWeight = 8
+
+// learnUsual takes a batch's needs into the average, by which free slots are counted.
+func (m *Machine) learnUsual(b *batch) {
+	var sum model.Needs
+	for i := range b.Tasks {
+		sum = sum.Plus(b.Tasks[i].Needs)
+	}
+	mean := sum.Part(len(b.Tasks))
+	before := m.usual
+	if m.usual == (model.Needs{}) {
+		m.usual = mean
+	} else {
+		m.usual = m.usual.Plus(mean.Less(m.usual).Part(usualWeight))
+	}
+	if m.usual == before {
+		return
+	}
+	for _, e := range m.members {
+		m.refresh(e)
+	}
+}
+
 func (m *Machine) takeOn(now time.Time, b *batch) {
 	m.batchesIn++
 	b.order = m.batchesIn
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -1,6 +1,7 @@
 package poolstate
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,7 +10,7 @@
 )
 
 const (
-	// EndpointLease is how long an endpoint gets work after its last announcement.
+	// EndpointLease is how long an endpoint gets work after an announcement that names no lease.
 	EndpointLease = 3 * time.Second
 	// forgetAfter is how long after its deadline a task that the endpoint neither lists nor
 	// answers for holds its slot.
@@ -23,6 +24,7 @@
 	position int // In the machine's members.
 	live     bool
 	tasks    []*task        // Sent there, and their end there is not confirmed.
+	taken    model.Needs    // Of these tasks together.
 	held     []*task        // Bound to it by the placement, and not sent yet.
 	foreign  []model.TaskID // Running there, and sent by another owner.
 	refusals int            // Since the last announcement; each stands for a slot that is not there.
@@ -36,9 +38,10 @@
 
 // contribution is an endpoint's part of the pool's totals.
 type contribution struct {
-	slots int
-	free  int
-	held  int
+	slots   int
+	free    int
+	held    int
+	serving int // 1 while it gets work.
 }
 
 // totals are sums over the endpoints that get work.
@@ -72,16 +75,44 @@
 	return e.capacity()
 }
 
-func (e *endpoint) room() bool { return e.busy() < e.capacity() }
+// left returns the resources that no task there has taken.
+func (e *endpoint) left() model.Needs { return e.Has.Less(e.taken) }
 
-func (e *endpoint) load() port.EndpointLoad {
-	slots := e.offered()
-	return port.EndpointLoad{ID: e.ID, Slots: slots, Free: slots - e.busy() - len(e.held), Has: e.Has}
+func (e *endpoint) room(needs model.Needs) bool {
+	return e.busy() < e.capacity() && needs.Within(e.left())
+}
+
+// load returns the endpoint's load. The tasks of the usual needs for which resources are left bound
+// the free slots.
+func (e *endpoint) load(usual model.Needs) port.EndpointLoad {
+	load := port.EndpointLoad{ID: e.ID, Slots: e.offered(), Left: e.left()}
+	if load.Slots == 0 {
+		return load
+	}
+	free := max(load.Slots-e.busy(), 0)
+	if fitting := load.Left.Count(usual); fitting < free {
+		load.Slots -= free - fitting
+		free = fitting
+	}
+	load.Free = free - len(e.held)
+	return load
 }
 
 func (m *Machine) announced(now time.Time, a *model.Endpoint, fx *Effects) {
 	e, known := m.endpoints[a.ID]
+	if m.outdated(a, e) {
+		return
+	}
+	if a.State == model.EndpointGone {
+		if known && e.live {
+			e.Sequence = a.Sequence
+			m.timers.stop(&e.lease)
+			m.lost(e, fx)
+		}
+		return
+	}
 	if !known {
+		m.replaceAt(a, fx)
 		e = m.newEndpoint(a)
 	}
 	if e.State != a.State || e.Has != a.Has {
@@ -92,12 +123,36 @@
 		e.live = true
 		m.live++
 	}
-	m.timers.set(&e.lease, now.Add(EndpointLease))
+	m.timers.set(&e.lease, now.Add(cmp.Or(a.Lease, EndpointLease)))
 	m.reconcile(now, e, fx)
 	m.refresh(e)
 	m.unbindUnless(e)
 }
 
+// outdated reports whether an announcement was overtaken by a later one, or comes from a lifetime
+// whose address another one has by now.
+func (m *Machine) outdated(a *model.Endpoint, known *endpoint) bool {
+	if known != nil {
+		return a.Sequence > 0 && a.Sequence <= known.Sequence
+	}
+	return a.Born > 0 && slices.ContainsFunc(m.members, func(e *endpoint) bool {
+		return e.live && e.Address == a.Address && e.Born > a.Born
+	})
+}
+
+// replaceAt ends the lease of an earlier lifetime at the address of a new endpoint.
+func (m *Machine) replaceAt(a *model.Endpoint, fx *Effects) {
+	if a.Born == 0 {
+		return
+	}
+	for _, e := range slices.Clone(m.members) {
+		if e.live && e.Address == a.Address && e.Born > 0 && e.Born < a.Born {
+			m.timers.stop(&e.lease)
+			m.lost(e, fx)
+		}
+	}
+}
+
 func (m *Machine) newEndpoint(a *model.Endpoint) *endpoint {
 	e := &endpoint{position: len(m.members), released: make([]model.TaskID, max(minReleased, 2*a.Slots))}
 	e.lease = newTimer(func(_ time.Time, fx *Effects) { m.lost(e, fx) })
@@ -111,6 +166,9 @@
 func (m *Machine) reconcile(now time.Time, e *endpoint, fx *Effects) {
 	e.foreign = e.foreign[:0]
 	e.refusals = 0
+	if e.Leased {
+		return // Whoever holds the lease tells what has come of the tasks.
+	}
 	for _, id := range e.Running {
 		if _, ours := m.flights[id]; !ours && !slices.Contains(e.released, id) && !slices.Contains(e.foreign, id) {
 			e.foreign = append(e.foreign, id)
@@ -197,19 +255,21 @@
 
 // refresh brings the totals and the placer up to date after a change of the endpoint.
 func (m *Machine) refresh(e *endpoint) {
-	now := contribution{slots: e.offered(), held: len(e.held)}
-	now.free = max(now.slots-e.busy(), 0)
+	load := e.load(m.usual)
+	now := contribution{slots: load.Slots, held: len(e.held), serving: min(e.offered(), 1)}
+	now.free = max(load.Free+now.held, 0)
 	was := e.counted
 	e.counted = now
 	m.totals.free += now.free - was.free
 	m.totals.held += now.held - was.held
-	if now.slots != was.slots {
+	m.totals.serving += now.serving - was.serving
+	if now.slots != was.slots || now.serving != was.serving {
 		m.resized(was, now)
 	}
 	if m.placer != nil {
-		m.placer.Update(e.load())
+		m.placer.Update(load)
 	}
-	if len(e.held) > 0 && e.room() {
+	if len(e.held) > 0 && e.room(e.held[0].spec().Needs) {
 		m.freed = append(m.freed, e)
 	}
 }
@@ -217,8 +277,7 @@
 func (m *Machine) resized(was, now contribution) {
 	m.totals.slots += now.slots - was.slots
 	m.queue.resize(m.totals.slots)
-	m.totals.serving += min(now.slots, 1) - min(was.slots, 1)
-	m.totals.largestStale = true
+	m.totals.largestStale = m.totals.largestStale || now.serving != was.serving
 }
 
 // largest returns the componentwise maximum of the resources of endpoints that are not leaving,
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -89,6 +89,7 @@
 	Address  string
 	Deadline time.Time
 	Payload  []byte
+	Key      string `json:",omitempty"` // Of the job.
 }
 
 // Revoke asks an endpoint never to start a task, or with Stop to end it, after a delay. Each is
@@ -100,6 +101,7 @@
 	Address  string
 	Stop     bool
 	After    time.Duration
+	Key      string `json:",omitempty"` // Of the job.
 }
 
 // Decision is a placement or refusal for the log.
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -33,6 +33,8 @@
 			m.judge(now, t.endpoint, t.batch.ID.Job, true)
 		}
 		m.revoke(t, 0, fx)
+	case port.TaskLost:
+		m.lostRun(now, t, fx)
 	default:
 		m.failed(now, t, fx)
 	}
@@ -52,6 +54,8 @@
 		m.landed(now, t, r.Reply.Answer, fx)
 	case port.TaskRunning, port.TaskUnknown:
 		m.askAgain(now, t, fx)
+	case port.TaskLost:
+		m.lostRun(now, t, fx)
 	default:
 		m.failed(now, t, fx)
 	}
@@ -111,8 +115,34 @@
 	}
 }
 
-// failed ends the batch of a task that ran and failed: the job cannot complete any more.
+// lostRun handles a run that has surely ended without a result. Where the job allows further runs
+// the task waits for another endpoint; the lost run is no failed one.
+func (m *Machine) lostRun(now time.Time, t *task, fx *Effects) {
+	m.judge(now, t.endpoint, t.batch.ID.Job, true)
+	if t.batch.over || t.stopping || t.batch.MaxFailures == 0 {
+		m.failed(now, t, fx)
+		return
+	}
+	m.again(t)
+}
+
+// again puts a task back into the queue after a run that has surely ended.
+func (m *Machine) again(t *task) {
+	t.avoid = t.endpoint.ID
+	m.release(t)
+	m.enqueue(t)
+	m.timers.set(&t.batch.timer, m.nextDue(t.batch))
+}
+
+// failed handles a task that ran and failed. It runs again while its job allows that; otherwise the
+// job cannot complete any more.
 func (m *Machine) failed(now time.Time, t *task, fx *Effects) {
+	t.failures++
+	if !t.batch.over && !t.stopping && t.failures < t.batch.MaxFailures {
+		m.judge(now, t.endpoint, t.batch.ID.Job, true)
+		m.again(t)
+		return
+	}
 	switch {
 	case !t.stopping:
 		m.judge(now, t.endpoint, t.batch.ID.Job, true)
@@ -140,7 +170,7 @@
 	t.asking++
 	fx.Revokes = append(fx.Revokes, Revoke{
 		Task: t.id, Attempt: t.attempt, Endpoint: t.endpoint.ID, Address: t.endpoint.Address,
-		Stop: t.stopping, After: after,
+		Stop: t.stopping, After: after, Key: t.batch.Key,
 	})
 }
 
@@ -153,6 +183,7 @@
 	last.slot = t.slot
 	e.tasks[len(e.tasks)-1] = nil
 	e.tasks = e.tasks[:len(e.tasks)-1]
+	e.taken = e.taken.Less(t.spec().Needs)
 	t.endpoint, t.place = nil, ended
 	e.released[e.next] = t.id
 	e.next = (e.next + 1) % len(e.released)
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -27,6 +27,7 @@
 	endpoints map[model.EndpointID]*endpoint
 	members   []*endpoint // The same endpoints, in an order that depends on the events alone.
 	totals    totals
+	usual     model.Needs // Of a task, as a moving average.
 	batches   map[model.BatchID]*batch
 	flights   map[model.TaskID]*task
 	origins   origins
@@ -101,7 +102,7 @@
 	m.placement = name
 	m.placer = policy.NewPlacer(m.seed)
 	for _, e := range m.members {
-		m.placer.Update(e.load())
+		m.placer.Update(e.load(m.usual))
 	}
 }
 
--- a/plugins/endpoints/poolstate/place.go
+++ b/plugins/endpoints/poolstate/place.go
@@ -58,7 +58,7 @@
 // bind sends the task to the chosen endpoint, or holds it until a slot there is free.
 func (m *Machine) bind(now time.Time, t *task, choice port.Choice, fx *Effects) {
 	e := m.endpoints[choice.Endpoint]
-	if len(e.held) == 0 && e.room() {
+	if len(e.held) == 0 && e.room(t.spec().Needs) {
 		m.start(now, t, e, choice.Why, fx)
 		return
 	}
@@ -72,7 +72,7 @@
 func (m *Machine) sendHeld(now time.Time, fx *Effects) {
 	for i := 0; i < len(m.freed); i++ {
 		e := m.freed[i]
-		for len(e.held) > 0 && e.room() {
+		for len(e.held) > 0 && e.room(e.held[0].spec().Needs) {
 			m.sendNextHeld(now, e, fx)
 		}
 	}
@@ -106,7 +106,9 @@
 		invariant.Check(false, "one-start", "task %s is already at an endpoint", t.id)
 	case e.busy() >= e.Slots:
 		invariant.Check(false, "slots", "endpoint %s has %d of %d slots taken", e.ID, e.busy(), e.Slots)
-	case !e.room():
+	case !t.spec().Needs.Within(e.left()):
+		invariant.Check(false, "resources", "endpoint %s has %v left of %v", e.ID, e.left(), e.Has)
+	case !e.room(t.spec().Needs):
 		invariant.Check(false, "serving", "endpoint %s takes no work", e.ID)
 	}
 }
@@ -122,11 +124,12 @@
 	t.sent, t.unlisted = now, time.Time{}
 	t.asking, t.silences = 0, 0
 	e.tasks = append(e.tasks, t)
+	e.taken = e.taken.Plus(t.spec().Needs)
 	m.fly(t)
 	m.refresh(e)
 	fx.Starts = append(fx.Starts, Start{
 		Task: t.id, Attempt: t.attempt, Endpoint: e.ID, Address: e.Address,
-		Deadline: t.batch.Deadline, Payload: t.spec().Payload,
+		Deadline: t.batch.Deadline, Payload: t.spec().Payload, Key: t.batch.Key,
 	})
 	fx.Decisions = append(fx.Decisions, Decision{
 		Batch: t.batch.ID, Task: t.spec().Index, Endpoint: e.ID, Why: why, PassedOver: len(m.members) - 1,
--- a/plugins/endpoints/poolstate/quarantine.go
+++ b/plugins/endpoints/poolstate/quarantine.go
@@ -135,7 +135,7 @@
 func (m *Machine) probe(now time.Time, t *task) (port.Choice, bool) {
 	for _, e := range m.probing {
 		ripe := len(t.batch.tasks) == 1 || now.Sub(e.record.since) >= firstProbe
-		if ripe && e.room() && t.spec().Needs.Within(e.Has) && t.avoid != e.ID {
+		if ripe && e.room(t.spec().Needs) && t.avoid != e.ID {
 			return port.Choice{Endpoint: e.ID, Why: "probe of an endpoint in quarantine"}, true
 		}
 	}
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -131,7 +131,7 @@
 
 func (w *world) announce(t *rapid.T) {
 	id := rapid.SampledFrom(randomEndpoints).Draw(t, "endpoint")
-	e := model.Endpoint{ID: id, Slots: rapid.IntRange(1, 3).Draw(t, "slots"), State: model.EndpointServing, Has: model.Needs{Cores: 2 + 2*int(id[0]%2)}}
+	e := model.Endpoint{ID: id, Slots: rapid.IntRange(1, 3).Draw(t, "slots"), State: model.EndpointServing, Has: model.Needs{MilliCores: 2 + 2*int(id[0]%2)}}
 	if known, ok := w.declared[id]; ok {
 		e.Slots = known.Slots
 	}
@@ -155,7 +155,7 @@
 	}
 	most := rapid.IntRange(0, 5).Draw(t, "cores")
 	for i := range rapid.IntRange(1, 12).Draw(t, "tasks") {
-		b.Tasks = append(b.Tasks, model.Task{Index: i, Needs: model.Needs{Cores: most * (i % 2)}})
+		b.Tasks = append(b.Tasks, model.Task{Index: i, Needs: model.Needs{MilliCores: most * (i % 2)}})
 	}
 	w.open[b.ID] = len(b.Tasks)
 	w.step(Submitted{Batch: b, Profile: w.profile})
@@ -242,8 +242,21 @@
 	}
 	var sums totals
 	for _, e := range m.members {
-		sums.slots += e.offered()
-		sums.free += max(e.offered()-e.busy(), 0)
+		left := e.Has.MilliCores
+		for _, t := range e.tasks {
+			left -= t.spec().Needs.MilliCores
+		}
+		if left < 0 {
+			t.Fatalf("endpoint %s has tasks for %d more than it has", e.ID, -left)
+		}
+		free := max(e.offered()-e.busy(), 0)
+		slots := e.offered()
+		if usual := m.usual.MilliCores; usual > 0 && left/usual < free {
+			slots -= free - left/usual
+			free = left / usual
+		}
+		sums.slots += slots
+		sums.free += free
 		sums.held += len(e.held)
 		sums.serving += min(e.offered(), 1)
 	}
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -143,7 +143,8 @@
 	return m.tasks(ctx, s)
 }
 
-func (m *fakeMember) Revoke(_ context.Context, _ string, id model.TaskID, _ bool) port.RevokeReply {
+func (m *fakeMember) Revoke(_ context.Context, _ string, revoke port.TaskRevoke) port.RevokeReply {
+	id := revoke.ID
 	return m.asked(id)
 }
 
--- a/plugins/endpoints/wire.go
+++ b/plugins/endpoints/wire.go
@@ -26,6 +26,8 @@
 	Team        model.TeamID  `json:"team"`
 	RemainingMS int64         `json:"remaining_ms"`
 	MaxWaitMS   int64         `json:"max_wait_ms,omitempty"`
+	Key         string        `json:"key,omitempty"`
+	MaxFailures int           `json:"max_failures,omitempty"`
 	Tasks       []wireTask    `json:"tasks"`
 }
 
@@ -65,7 +67,8 @@
 		envelope: e, ID: batch.ID, Pool: batch.Pool, Team: batch.Team,
 		RemainingMS: time.Until(batch.Deadline).Milliseconds(),
 		MaxWaitMS:   batch.MaxWait.Milliseconds(),
-		Tasks:       make([]wireTask, 0, len(batch.Tasks)),
+		Key:         batch.Key, MaxFailures: batch.MaxFailures,
+		Tasks: make([]wireTask, 0, len(batch.Tasks)),
 	}
 	for _, t := range batch.Tasks {
 		r.Tasks = append(r.Tasks, wireTask{t.Index, t.Payload, t.Declared.Milliseconds(), t.Needs})
@@ -94,7 +97,8 @@
 		ID: r.ID, Pool: r.Pool, Origin: from, Team: r.Team,
 		Deadline: time.Now().Add(time.Duration(r.RemainingMS) * time.Millisecond),
 		MaxWait:  time.Duration(r.MaxWaitMS) * time.Millisecond,
-		Tasks:    make([]model.Task, 0, len(r.Tasks)),
+		Key:      r.Key, MaxFailures: r.MaxFailures,
+		Tasks: make([]model.Task, 0, len(r.Tasks)),
 	}
 	for _, t := range r.Tasks {
 		batch.Tasks = append(batch.Tasks, model.Task{
--- a/plugins/frontend/announce/announce.go
+++ b/plugins/frontend/announce/announce.go
@@ -117,7 +117,7 @@
 	return model.Endpoint{
 		ID: b.Endpoint, Service: b.Service, Worker: b.Worker, Rack: b.Rack, DataCentre: b.DataCentre,
 		Address: b.Address, Slots: b.Slots, Connections: b.Connections,
-		Has:   model.Needs{Cores: b.Cores, MemoryMB: b.MemoryMB, Accelerators: b.Accelerators},
+		Has:   model.Needs{MilliCores: b.Cores * model.MilliCoresPerCore, MemoryMB: b.MemoryMB, Accelerators: b.Accelerators},
 		State: b.State, Running: b.Running,
 	}
 }
--- a/plugins/frontend/announce/announce_test.go
+++ b/plugins/frontend/announce/announce_test.go
@@ -45,7 +45,7 @@
 	w, pools := announce(sound)
 	is.Equal(w.Code, 200)
 	is.Equal(strings.TrimSpace(w.Body.String()), `{"owner":"127.0.0.1:1","every_ms":1000,"lease_ms":3000}`)
-	is.Equal(pools.announced[0].Has, model.Needs{Cores: 16, MemoryMB: 65536})
+	is.Equal(pools.announced[0].Has, model.Needs{MilliCores: 16000, MemoryMB: 65536})
 }
 
 func TestBadAnnouncementsNameTheirField(t *testing.T) {
--- a/plugins/frontend/callers/body.go
+++ b/plugins/frontend/callers/body.go
@@ -43,6 +43,12 @@
 	Accelerators int `json:"accelerators"`
 }
 
+func (n needsBody) needs() model.Needs {
+	return model.Needs{
+		MilliCores: n.Cores * model.MilliCoresPerCore, MemoryMB: n.MemoryMB, Accelerators: n.Accelerators,
+	}
+}
+
 type completeBody struct {
 	JobID   model.JobID       `json:"job_id"`
 	Outcome model.State       `json:"outcome"`
@@ -81,7 +87,7 @@
 	for i, t := range b.Tasks {
 		job.Tasks = append(job.Tasks, model.Task{
 			Index: i, Payload: t.Payload, Declared: time.Duration(t.RunMS) * time.Millisecond,
-			Needs: model.Needs(t.Needs),
+			Needs: t.Needs.needs(),
 		})
 	}
 	return job
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -44,6 +44,7 @@
 	var now time.Time
 	var created *jobstate.Created
 	var number uint64
+	var gone string // Key of a job that is forgotten.
 	j.jobs.Do(id, func(jobs map[model.JobID]*entry) {
 		known := false
 		if e, known = jobs[id]; !known {
@@ -57,6 +58,7 @@
 		sends, cancels = j.track(e, event, fx)
 		if fx.Gone {
 			delete(jobs, id)
+			gone = e.key
 			return
 		}
 		e.timer.Reset(e.state.Wake().Sub(now))
@@ -76,6 +78,9 @@
 	if fx.Ended {
 		j.ended(id, e)
 	}
+	if gone != "" {
+		j.forgetKey(gone, id)
+	}
 }
 
 // track keeps the cancel functions of the open parts, under the job's lock. It returns the batches
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -55,6 +55,7 @@
 
 	mint     *mint
 	jobs     *shard.Map[model.JobID, *entry]
+	keys     *shard.Map[string, model.JobID] // The newest job of each caller's key.
 	services *shard.Map[model.ServiceID, *retrybudget.Budget]
 	draining atomic.Bool
 	life     context.Context
@@ -68,6 +69,8 @@
 	steps   uint64 // Taken so far.
 	begun   time.Time
 	fenced  bool // Cancelled before it was submitted.
+	key     string
+	callers int // That wait for its end.
 	ended   chan struct{}
 	timer   *time.Timer
 	cancels map[int]context.CancelFunc // Of the parts that are open.
@@ -100,6 +103,7 @@
 	j.self = j.membership.Self()
 	j.mint = newMint(j.self.ID, j.self.Incarnation, time.Now())
 	j.jobs = shard.New[model.JobID, *entry](shard.DefaultCount)
+	j.keys = shard.New[string, model.JobID](shard.DefaultCount)
 	j.services = shard.New[model.ServiceID, *retrybudget.Budget](shard.DefaultCount)
 	j.life, j.stop = context.WithCancel(context.Background())
 	j.registerMetrics(registry)
@@ -142,7 +146,7 @@
 // Submit runs the job, joins it when its id is known, or passes it to the member that owns it.
 func (j *Jobs) Submit(ctx context.Context, job model.Job) model.Outcome {
 	if job.ID == "" {
-		job.ID = j.mint.next(time.Now())
+		job.ID = j.idOf(job.Key)
 	}
 	if job.Deadline.IsZero() {
 		job.Deadline = time.Now().Add(j.defaultDeadline(job.Service))
@@ -207,7 +211,7 @@
 	case e.state.Digest() != job.Digest && !e.fenced:
 		return model.Failed(job.ID, model.NotRun, model.ReasonConflict)
 	}
-	return j.wait(ctx, job.ID, e)
+	return j.attend(ctx, job, e)
 }
 
 // refuseNew refuses an id that has no job when its time is over, since its outcome may have been
@@ -227,6 +231,7 @@
 	id := job.ID // The timer must not keep the tasks.
 	created := jobstate.Created{Job: job, Self: j.self.ID, Retention: jobstate.Retention{Answers: answers, Until: now.Add(left)}}
 	e := &entry{
+		key:     job.Key,
 		state:   created.Machine(),
 		begun:   now,
 		ended:   make(chan struct{}),
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -127,6 +127,9 @@
 		Team:     j.job.Team,
 		Deadline: j.batchDeadline(now),
 		MaxWait:  part.MaxWait,
+
+		Key:         j.job.Key,
+		MaxFailures: j.job.MaxFailures,
 	}
 	for _, index := range part.Tasks {
 		batch.Tasks = append(batch.Tasks, j.job.Tasks[index])
--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -48,6 +48,7 @@
 	health  *plugin.Health
 	peers   port.Peers
 	metrics instruments
+	seeds   atomic.Pointer[[]string]              // Addresses of listeners for peers, without this member's own.
 	receive map[string]func(model.NodeID, []byte) // By topic; not changed after Start.
 	view    atomic.Pointer[view]
 	life    context.Context
@@ -93,7 +94,11 @@
 	m.receive = make(map[string]func(model.NodeID, []byte))
 	m.arrived = make(chan struct{}, 1)
 	m.life, m.stop = context.WithCancel(context.Background())
-	m.machine = swim.New(time.Now(), m.config(c))
+	config, err := m.config(c)
+	if err != nil {
+		return err
+	}
+	m.machine = swim.New(time.Now(), config)
 	m.publishView(true)
 	m.handlePeers()
 	plugin.Bind[port.Membership](c, m)
@@ -102,8 +107,15 @@
 	return nil
 }
 
-func (m *Membership) config(c *plugin.Context) swim.Config {
-	config := swim.Config{Epoch: uint64(time.Now().UnixMilli()), Period: m.period, Seed: randomSeed()}
+func (m *Membership) config(c *plugin.Context) (config swim.Config, err error) {
+	config = swim.Config{Epoch: uint64(time.Now().UnixMilli()), Period: m.period, Seed: randomSeed()}
+	if len(c.Node.Seeds) > 0 {
+		var seeds []string
+		seeds, err = peerAddresses(c.Node)
+		m.seeds.Store(&seeds)
+		config.Self, config.Searching = ownNode(c.Node), true
+		return config, err
+	}
 	for _, member := range c.Node.Members {
 		node := port.Node{
 			ID: member.Node, DataCentre: member.DataCentre,
@@ -117,7 +129,7 @@
 		}
 		config.Seeds = append(config.Seeds, node)
 	}
-	return config
+	return config, nil
 }
 
 func newIncarnation() model.Incarnation {
@@ -136,6 +148,9 @@
 	m.health.Block(healthCondition, "not yet known to the other members")
 	m.running.Go(m.deliver)
 	m.running.Go(m.watchHealth)
+	if m.seeds.Load() != nil {
+		m.running.Go(m.findMembers)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(0, func() { m.step(swim.Elapsed{}) })
--- a/plugins/membership/swim/event.go
+++ b/plugins/membership/swim/event.go
@@ -44,6 +44,9 @@
 // Composed asks for a message to a member on behalf of another one.
 type Composed struct{ To model.NodeID }
 
+// Introduced is what a seed answered whose node was not known before.
+type Introduced struct{ Message Message }
+
 // Published sets a value of this member under a topic.
 type Published struct {
 	Topic string
@@ -69,6 +72,7 @@
 func (RelayEnded) event() {}
 func (Merged) event()     {}
 func (Composed) event()   {}
+func (Introduced) event() {}
 func (Published) event()  {}
 func (Doubted) event()    {}
 func (Serving) event()    {}
@@ -115,4 +119,6 @@
 	Seeds  []port.Node
 	Period time.Duration // Between probes.
 	Seed   uint64        // Of the machine's random choices.
+	// Searching says that there are other members, whose nodes are not known yet.
+	Searching bool
 }
--- a/plugins/membership/swim/machine.go
+++ b/plugins/membership/swim/machine.go
@@ -81,7 +81,7 @@
 		m.seeds[seed.ID] = true
 		m.add(seed.ID, Record{Node: seed, State: Alive})
 	}
-	m.fresh = len(m.members) == 0
+	m.fresh = len(m.members) == 0 && !config.Searching
 	m.joined = m.fresh
 	return m
 }
@@ -119,6 +119,11 @@
 		m.relayEnded(now, e, &fx)
 	case Merged:
 		m.merge(now, e.Message, &fx)
+	case Introduced:
+		m.merge(now, e.Message, &fx)
+		if !m.joined {
+			m.setFresh(&fx)
+		}
 	case Composed:
 		fx.Reply = m.compose(e.To)
 	case Published:
--- a/plugins/membership/wire.go
+++ b/plugins/membership/wire.go
@@ -29,6 +29,7 @@
 	Endpoints   string            `json:"e"`
 	Disk        bool              `json:"k,omitempty"`
 	Draining    bool              `json:"g,omitempty"`
+	Reserve     bool              `json:"x,omitempty"`
 	Epoch       uint64            `json:"t"`
 	Version     uint64            `json:"v,omitempty"`
 	State       swim.State        `json:"s"`
@@ -57,7 +58,7 @@
 	for _, r := range message.Records {
 		n := r.Node
 		w.Records = append(w.Records, wireRecord{
-			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, r.Epoch, r.Version, r.State,
+			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, n.Reserve, r.Epoch, r.Version, r.State,
 		})
 	}
 	for _, v := range message.Values {
@@ -72,7 +73,7 @@
 		message.Records = append(message.Records, swim.Record{
 			Node: port.Node{
 				ID: r.Node, Incarnation: r.Incarnation, DataCentre: r.DataCentre,
-				Peers: r.Peers, Endpoints: r.Endpoints, Disk: r.Disk, Draining: r.Draining,
+				Peers: r.Peers, Endpoints: r.Endpoints, Disk: r.Disk, Draining: r.Draining, Reserve: r.Reserve,
 			},
 			Epoch: r.Epoch, Version: r.Version, State: r.State,
 		})
--- a/plugins/placement/leastwait/leastwait_test.go
+++ b/plugins/placement/leastwait/leastwait_test.go
@@ -73,8 +73,8 @@
 func TestPlanTellsNeverFromNotNow(t *testing.T) {
 	is := is.New(t)
 	small := pool("sj1", 10, 0)
-	small.Largest = model.Needs{Cores: 2}
-	job := model.Job{Tasks: []model.Task{{Needs: model.Needs{Cores: 4}}}}
+	small.Largest = model.Needs{MilliCores: 2}
+	job := model.Job{Tasks: []model.Task{{Needs: model.Needs{MilliCores: 4}}}}
 	request := port.PlanRequest{Job: job, Pools: []model.PoolLoad{small}, Random: rand.New(rand.NewPCG(1, 1))}
 	is.Equal(Policy{}.Plan(request).Refused, model.ReasonNeverFits)
 	request.Pools = nil
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -64,7 +64,7 @@
 	first := p.random.IntN(len(bucket))
 	for i := range bucket {
 		e := bucket[(first+i)%len(bucket)]
-		if request.Needs.Within(e.load.Has) && e.load.ID != request.Avoid {
+		if request.Needs.Within(e.load.Left) && e.load.ID != request.Avoid {
 			return e
 		}
 	}
--- a/plugins/placement/plan/roster.go
+++ b/plugins/placement/plan/roster.go
@@ -49,7 +49,7 @@
 func (r *Roster) FirstFrom(position int, request port.PickRequest) (id model.EndpointID, ok bool) {
 	for i := range r.loads {
 		load := &r.loads[(position+i)%len(r.loads)]
-		if request.Needs.Within(load.Has) && load.ID != request.Avoid {
+		if request.Needs.Within(load.Left) && load.ID != request.Avoid {
 			return load.ID, true
 		}
 	}
--- a/plugins/profiles/disk/disk.go
+++ b/plugins/profiles/disk/disk.go
@@ -26,22 +26,28 @@
 	Folder  Folder
 	Node    model.NodeID
 	Cluster string
+	// Replicas is the group that this one belongs to, kept with what it agreed on.
+	Replicas []model.NodeID
 }
 
 // envelope is the file's content behind the checksum line.
 type envelope struct {
-	Format   int          `json:"format"`
-	Cluster  string       `json:"cluster"`
-	Node     model.NodeID `json:"node"`
-	Inode    uint64       `json:"inode"` // Of this file; differs in a copy.
-	Register wire.Durable `json:"register"`
+	Format  int          `json:"format"`
+	Cluster string       `json:"cluster"`
+	Node    model.NodeID `json:"node"`
+	Inode   uint64       `json:"inode"` // Of this file; differs in a copy.
+
+	Replicas []model.NodeID `json:"replicas,omitempty"`
+	Register wire.Durable   `json:"register"`
 }
 
 // Loaded is what a disk held at the start.
 type Loaded struct {
 	Durable *register.Durable // Nil when there is nothing that can be used.
 	Copied  bool              // The file is a copy of the one that was written.
-	Fault   error             // Why a file that is there cannot be used.
+
+	Replicas []model.NodeID // The group that the replica belongs to.
+	Fault    error          // Why a file that is there cannot be used.
 }
 
 // Load reads the file. A file that cannot be used is put aside.
@@ -58,7 +64,7 @@
 		return Loaded{Fault: fault}, errors.Wrap(d.Folder.Rename(current, rejected), "put a faulty file aside")
 	}
 	durable, _ := e.Register.Decode()
-	return Loaded{Durable: &durable, Copied: e.Inode != inode}, nil
+	return Loaded{Durable: &durable, Copied: e.Inode != inode, Replicas: e.Replicas}, nil
 }
 
 func (d Disk) decode(content []byte) (envelope, error) {
@@ -105,7 +111,10 @@
 	if err != nil {
 		return err
 	}
-	body, err := json.Marshal(envelope{format, d.Cluster, d.Node, inode, wire.EncodeDurable(durable)})
+	body, err := json.Marshal(envelope{
+		Format: format, Cluster: d.Cluster, Node: d.Node, Inode: inode, Replicas: d.Replicas,
+		Register: wire.EncodeDurable(durable),
+	})
 	if err != nil {
 		return err
 	}
--- a/plugins/profiles/disk/disk_test.go
+++ b/plugins/profiles/disk/disk_test.go
@@ -84,7 +84,7 @@
 func TestAForeignFileIsRefusedAndKept(t *testing.T) {
 	is := is.New(t)
 	d, path := open(t)
-	for _, other := range []Disk{{d.Folder, "b", "c"}, {d.Folder, "a", "d"}} {
+	for _, other := range []Disk{{d.Folder, "b", "c", nil}, {d.Folder, "a", "d", nil}} {
 		is.NoErr(other.Save(sample(4)))
 		loaded, err := d.Load()
 		is.NoErr(err)
@@ -186,7 +186,7 @@
 		is := is.New(t)
 		d, _ := open(t)
 		is.NoErr(d.Save(sample(4)))
-		full := Disk{fullFolder{d.Folder, failAt, new(int)}, d.Node, d.Cluster}
+		full := Disk{fullFolder{d.Folder, failAt, new(int)}, d.Node, d.Cluster, nil}
 		is.True(full.Save(sample(5)) != nil)
 		loaded, err := d.Load()
 		is.NoErr(err)
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -7,13 +7,12 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"path/filepath"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
@@ -51,9 +50,10 @@
 type Profiles struct {
 	settings   Settings
 	self       model.NodeID
-	replicas   []model.NodeID // Sorted.
-	group      uint64         // Hash of the replicas' ids.
-	path       string         // Of the folder on disk; "" without a disk.
+	group      atomic.Pointer[replicaGroup] // nil until the replicas are known.
+	told       chan []model.NodeID          // What other members told of the replicas; holds one.
+	founders   []netip.Addr                 // VMs of the replicas at the very first start; nil at a later one.
+	path       string                       // Of the folder on disk; "" without a disk.
 	peers      port.Peers
 	membership port.Membership
 	gossip     port.Gossip
@@ -104,54 +104,50 @@
 		return err
 	}
 	p.self, p.health, p.log = c.Node.Node, c.Health, c.Log
-	p.replicas = replicasOf(c)
-	p.group = hashOf(p.replicas)
-	if slices.Contains(p.replicas, p.self) {
-		p.path = filepath.Join(c.Node.DataDir, folderName)
+	if err := p.learnSettings(c); err != nil {
+		return err
 	}
 	p.revision = metrics.NewRegisteredGauge("profiles.revision", c.Metrics)
 	p.sent = metrics.NewRegisteredCounter("profiles.messages_sent", c.Metrics)
 	p.failed = metrics.NewRegisteredCounter("profiles.writes_failed", c.Metrics)
 	p.notify.changed = make(chan struct{})
 	p.work = make(chan struct{}, 1)
+	p.told = make(chan []model.NodeID, 1)
 	p.health.Block(condition, "no revision is learned yet")
 	p.handle()
 	plugin.Bind[port.Profiles](c, p)
 	plugin.Bind[port.ProfileRegister](c, p)
+	plugin.Bind[port.Routing](c, p)
 	return nil
 }
 
 const defaultServeAlone = 5 * time.Second
 
-func replicasOf(c *plugin.Context) []model.NodeID {
-	var replicas []model.NodeID
-	for _, m := range c.Node.Members {
-		if m.Disk {
-			replicas = append(replicas, m.Node)
-		}
-	}
-	slices.Sort(replicas)
-	return replicas
-}
-
-func hashOf(nodes []model.NodeID) uint64 {
-	d := xxhash.New()
-	for _, node := range nodes {
-		d.WriteString(string(node))
-		d.WriteString("\n")
-	}
-	return d.Sum64()
-}
-
-// Start reads the disk and takes up the agreement.
+// Start reads the disk and takes up the agreement, at once or when the replicas are known.
 func (p *Profiles) Start() error {
 	loaded, err := p.open()
 	if err != nil {
 		return err
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.running.Go(p.run)
+	switch {
+	case p.group.Load() != nil:
+		p.begin(loaded, p.group.Load().replicas)
+	case len(loaded.Replicas) > 0:
+		p.begin(loaded, loaded.Replicas)
+	default:
+		p.running.Go(func() { p.await(loaded) })
+	}
+	return nil
+}
+
+// begin takes up the agreement among the replicas.
+func (p *Profiles) begin(loaded disk.Loaded, replicas []model.NodeID) {
+	p.group.Store(newGroup(replicas))
+	p.tellGroup()
 	created := register.Created{Restored: loaded.Durable, Config: register.Config{
-		Self: p.self, Replicas: p.replicas, Seed: rand.Uint64(),
+		Self: p.self, Replicas: replicas, Seed: rand.Uint64(),
 		Copied: loaded.Copied, Reform: p.settings.Reform,
 		Alone: time.Duration(p.settings.ServeAloneMS) * time.Millisecond,
 	}}
@@ -159,10 +155,10 @@
 	p.core.Lock()
 	p.core.machine = created.Machine()
 	p.core.waiting = make(map[uint64]chan model.EditResult)
+	p.disk.Replicas = replicas
 	p.core.Unlock()
-	p.running.Go(p.run)
+	p.log.Info("takes part in the register", "replicas", replicas, "replica", slices.Contains(replicas, p.self))
 	p.step(register.Woken{})
-	return nil
 }
 
 func (p *Profiles) open() (disk.Loaded, error) {
@@ -227,7 +223,7 @@
 
 // Replica tells how this member takes part in the agreement.
 func (p *Profiles) Replica() port.ReplicaState {
-	if p.path == "" {
+	if known := p.group.Load(); p.path == "" || known != nil && !slices.Contains(known.replicas, p.self) {
 		return port.ReplicaNone
 	}
 	p.core.Lock()
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -52,8 +52,14 @@
 
 // settled reports whether what is known to be agreed is enough to answer the change.
 func (m *Machine) settled(c model.ProfileEdit) bool {
+	switch c.Kind {
+	case settle, model.ConfirmRevision:
+		return false
+	case model.DeclareRouting:
+		return m.served.declared(c)
+	}
 	_, found := m.served.find(c.ID)
-	return c.Kind != settle && (found || c.Expect < m.served.Revision())
+	return found || c.Expect < m.served.Revision()
 }
 
 func (m *Machine) expireQueue() {
@@ -196,7 +202,7 @@
 	if p.delta != nil {
 		p.value = base.with(*p.delta)
 	}
-	p.exposed = p.exposed || p.result.Status == model.EditDone && p.Edit.Kind != settle
+	p.exposed = p.exposed || p.result.Status == model.EditDone && p.Edit.Kind != settle && p.Edit.Kind != model.ConfirmRevision
 	p.phase = Accepted
 	p.votes = make(map[model.NodeID]Message)
 	p.until = m.now.Add(roundTimeout)
--- a/plugins/profiles/register/state.go
+++ b/plugins/profiles/register/state.go
@@ -33,13 +33,13 @@
 
 // apply returns the answer to an edit, and the difference that it makes; nil when it makes none.
 func (s State) apply(c model.ProfileEdit, now time.Time) (*Delta, model.EditResult) {
-	if c.Kind == settle {
+	if c.Kind == settle || c.Kind == model.ConfirmRevision || s.declared(c) {
 		return nil, model.EditResult{Status: model.EditDone, Revision: s.Revision()}
 	}
 	if first, found := s.find(c.ID); found {
 		return nil, s.repeated(c, first)
 	}
-	if c.Expect != s.Revision() {
+	if c.Kind != model.DeclareRouting && c.Expect != s.Revision() {
 		return nil, refused(model.EditStale, s.staleRun(c), s.Revision())
 	}
 	if refusal := s.check(c); refusal != "" {
@@ -49,6 +49,11 @@
 	return &delta, model.EditResult{Status: model.EditDone, Revision: delta.Change.Revision}
 }
 
+// declared reports whether the state holds a declaration at least as new.
+func (s State) declared(c model.ProfileEdit) bool {
+	return c.Kind == model.DeclareRouting && s.Set.Routing != nil && c.Routing.Version <= s.Set.Routing.Version
+}
+
 func (s State) find(id string) (model.ProfileChange, bool) {
 	i := slices.IndexFunc(s.History, func(c model.ProfileChange) bool { return c.ID == id })
 	if i < 0 {
@@ -82,6 +87,8 @@
 		return model.EditTooMany
 	case c.Kind == model.SetService && !chosen && len(s.Set.Services) >= maxServices:
 		return model.EditTooMany
+	case c.Kind == model.DeclareRouting:
+		return ""
 	case c.Kind != model.PutProfile && !exists:
 		return model.EditNotFound
 	case c.Kind == model.DeleteProfile && s.uses(c.Name):
@@ -105,7 +112,8 @@
 // Delta is what one change makes of a state.
 type Delta struct {
 	Change  model.ProfileChange
-	Profile model.Profile // When it is put.
+	Profile model.Profile  // When it is put.
+	Routing *model.Routing `json:",omitempty"` // When it is declared.
 }
 
 func (s State) delta(c model.ProfileEdit, now time.Time) Delta {
@@ -115,6 +123,7 @@
 			Kind: string(c.Kind), Profile: c.Name, Service: c.Service,
 		},
 		Profile: c.Profile,
+		Routing: c.Routing,
 	}
 }
 
@@ -124,6 +133,7 @@
 		Revision: s.Revision() + 1,
 		Profiles: maps.Clone(s.Set.Profiles),
 		Services: maps.Clone(s.Set.Services),
+		Routing:  s.Set.Routing,
 	}}
 	kept := s.History[max(0, len(s.History)-KeptChanges+1):]
 	next.History = append(slices.Clone(kept), d.Change)
@@ -134,6 +144,8 @@
 		delete(next.Set.Profiles, d.Change.Profile)
 	case model.SetService:
 		next.Set.Services[d.Change.Service] = d.Change.Profile
+	case model.DeclareRouting:
+		next.Set.Routing = d.Routing
 	}
 	return next
 }
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -27,6 +27,7 @@
 		edit, wait := e.Decode()
 		return wire.Result(p.propose(ctx, edit, wait))
 	})
+	p.gossip.Subscribe(topicGroup, p.hearGroup)
 	p.gossip.Subscribe(topic, func(from model.NodeID, value []byte) {
 		revision, n := binary.Uvarint(value)
 		if n > 0 {
@@ -38,8 +39,12 @@
 // received passes a message on to the machine, unless it is of another group. Members whose
 // settings name other replicas may exchange agreed states but no votes.
 func (p *Profiles) received(from model.NodeID, m wire.Message) {
+	known := p.group.Load()
+	if known == nil {
+		return // Not started yet; the sender asks again.
+	}
 	votes := m.Kind != register.Fetch && m.Kind != register.Chosen
-	if m.Cluster != p.settings.Cluster || votes && m.Replicas != p.group {
+	if m.Cluster != p.settings.Cluster || votes && m.Replicas != known.hash {
 		p.log.Warn("message of another group", "from", from, "cluster", m.Cluster, "kind", m.Kind)
 		return
 	}
@@ -176,7 +181,7 @@
 	for _, node := range p.membership.Alive() {
 		add(node.ID)
 	}
-	for _, node := range p.replicas {
+	for _, node := range p.replicas() {
 		add(node)
 	}
 	return others
@@ -188,7 +193,7 @@
 		return
 	}
 	p.sent.Inc(1)
-	encoded := wire.EncodeMessage(message, p.settings.Cluster, p.group)
+	encoded := wire.EncodeMessage(message, p.settings.Cluster, p.group.Load().hash)
 	p.running.Go(func() {
 		ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
 		defer cancel()
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -81,22 +81,23 @@
 }
 
 type delta struct {
-	Change  change  `json:"change"`
-	Profile profile `json:"profile"`
+	Change  change   `json:"change"`
+	Profile profile  `json:"profile"`
+	Routing *routing `json:"routing,omitempty"`
 }
 
 func encodeDelta(d *register.Delta) *delta {
 	if d == nil {
 		return nil
 	}
-	return &delta{change(d.Change), profile(d.Profile)}
+	return &delta{change(d.Change), profile(d.Profile), encodeRouting(d.Routing)}
 }
 
 func (d *delta) decode() *register.Delta {
 	if d == nil {
 		return nil
 	}
-	return &register.Delta{Change: model.ProfileChange(d.Change), Profile: model.Profile(d.Profile)}
+	return &register.Delta{Change: model.ProfileChange(d.Change), Profile: model.Profile(d.Profile), Routing: d.Routing.decode()}
 }
 
 func encodeStores(stores map[model.NodeID]register.Store) map[model.NodeID]store {
--- /dev/null
+++ b/plugins/profiles/wire/routing.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"time"
+
+	"redwingpulley/kernel/model"
+)
+
+// routing is the encoded form of a model.Routing.
+type routing struct {
+	Version  uint64          `json:"version"`
+	Routes   []route         `json:"routes,omitempty"`
+	Services []routedService `json:"services,omitempty"`
+	MaxBody  int64           `json:"max_body,omitempty"`
+	Document []byte          `json:"document,omitempty"`
+}
+
+type route struct {
+	Name        string          `json:"name"`
+	Host        string          `json:"host"`
+	PathPrefix  string          `json:"prefix"`
+	Service     model.ServiceID `json:"service"`
+	Timeout     time.Duration   `json:"timeout_ns"`
+	Priority    int             `json:"priority,omitempty"`
+	MaxFailures int             `json:"failures,omitempty"`
+	Stretch     float64         `json:"stretch,omitempty"`
+	Slack       time.Duration   `json:"slack_ns,omitempty"`
+}
+
+type routedService struct {
+	ID             model.ServiceID `json:"id"`
+	MaxConnections int             `json:"connections,omitempty"`
+	Guarded        bool            `json:"guarded,omitempty"`
+}
+
+func encodeRouting(r *model.Routing) *routing {
+	if r == nil {
+		return nil
+	}
+	encoded := &routing{Version: r.Version, MaxBody: r.MaxBody, Document: r.Document}
+	for _, one := range r.Routes {
+		encoded.Routes = append(encoded.Routes, route(one))
+	}
+	for _, one := range r.Services {
+		encoded.Services = append(encoded.Services, routedService(one))
+	}
+	return encoded
+}
+
+func (r *routing) decode() *model.Routing {
+	if r == nil {
+		return nil
+	}
+	decoded := &model.Routing{Version: r.Version, MaxBody: r.MaxBody, Document: r.Document}
+	for _, one := range r.Routes {
+		decoded.Routes = append(decoded.Routes, model.Route(one))
+	}
+	for _, one := range r.Services {
+		decoded.Services = append(decoded.Services, model.RoutedService(one))
+	}
+	return decoded
+}
--- a/plugins/profiles/wire/wire.go
+++ b/plugins/profiles/wire/wire.go
@@ -44,6 +44,7 @@
 	Profiles []profile                             `json:"profiles"`
 	Services map[model.ServiceID]model.ProfileName `json:"services,omitempty"`
 	History  []change                              `json:"history,omitempty"`
+	Routing  *routing                              `json:"routing,omitempty"`
 }
 
 // EncodeState returns the encoded form of s; nil when s is nil.
@@ -59,6 +60,7 @@
 	for _, c := range s.History {
 		encoded.History = append(encoded.History, change(c))
 	}
+	encoded.Routing = encodeRouting(s.Set.Routing)
 	return encoded
 }
 
@@ -71,6 +73,7 @@
 		Revision: s.Revision,
 		Profiles: make(map[model.ProfileName]model.Profile, len(s.Profiles)),
 		Services: s.Services,
+		Routing:  s.Routing.decode(),
 	}}
 	if decoded.Set.Services == nil {
 		decoded.Set.Services = make(map[model.ServiceID]model.ProfileName)
@@ -94,6 +97,7 @@
 	Name     model.ProfileName `json:"name"`
 	Profile  profile           `json:"profile"`
 	Service  model.ServiceID   `json:"service"`
+	Routing  *routing          `json:"routing,omitempty"`
 	WaitMS   int64             `json:"wait_ms"`
 }
 
@@ -101,7 +105,7 @@
 func EncodeEdit(e model.ProfileEdit, wait time.Duration) Edit {
 	return Edit{
 		ID: e.ID, Digest: e.Digest, Expect: e.Expect, Operator: e.Operator, Kind: e.Kind, Name: e.Name,
-		Profile: profile(e.Profile), Service: e.Service, WaitMS: wait.Milliseconds(),
+		Profile: profile(e.Profile), Service: e.Service, Routing: encodeRouting(e.Routing), WaitMS: wait.Milliseconds(),
 	}
 }
 
@@ -109,7 +113,7 @@
 func (e Edit) Decode() (model.ProfileEdit, time.Duration) {
 	return model.ProfileEdit{
 		ID: e.ID, Digest: e.Digest, Expect: e.Expect, Operator: e.Operator, Kind: e.Kind, Name: e.Name,
-		Profile: model.Profile(e.Profile), Service: e.Service,
+		Profile: model.Profile(e.Profile), Service: e.Service, Routing: e.Routing.decode(),
 	}, time.Duration(e.WaitMS) * time.Millisecond
 }
 
--- a/plugins/profiles/wire/wire_test.go
+++ b/plugins/profiles/wire/wire_test.go
@@ -33,6 +33,14 @@
 		})
 	}
 	state.Set.Revision = register.KeptChanges
+	state.Set.Routing = &model.Routing{
+		Version: 7, MaxBody: 1 << 18, Document: []byte("{}"),
+		Routes: []model.Route{{
+			Name: "r", Host: "h", PathPrefix: "/p/", Service: "finder", Timeout: time.Second, Priority: 1,
+			MaxFailures: 4, Stretch: 1.6, Slack: 60 * time.Millisecond,
+		}},
+		Services: []model.RoutedService{{ID: "finder", MaxConnections: 64, Guarded: true}},
+	}
 	return state
 }
 
@@ -44,7 +52,7 @@
 	sent := register.Message{
 		Kind: register.Joined, Ballot: ballot, Run: 3, Store: stores["a"], Votes: 4, Fences: stores,
 		Seen: map[model.NodeID]uint64{"a": 5}, Accepted: ballot, Value: &state,
-		Base: ballot, Delta: &register.Delta{Change: state.History[1], Profile: state.Set.Profiles["profile-1"]}, Copied: true, Voting: true, Empty: true,
+		Base: ballot, Delta: &register.Delta{Change: state.History[1], Profile: state.Set.Profiles["profile-1"], Routing: state.Set.Routing}, Copied: true, Voting: true, Empty: true,
 		Promised: ballot, Chosen: &state, Revision: 6, Pending: 7, Serving: true,
 	}
 	raw, err := json.Marshal(EncodeMessage(sent, "c", 1))
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -9,6 +9,7 @@
 	_ "redwingpulley/plugins/frontend/callers"     // Registers itself.
 	_ "redwingpulley/plugins/frontend/operators"   // Registers itself.
 	_ "redwingpulley/plugins/jobs"                 // Registers itself.
+	_ "redwingpulley/plugins/leases"               // Registers itself.
 	_ "redwingpulley/plugins/membership"           // Registers itself.
 	_ "redwingpulley/plugins/peer/http"            // Registers itself.
 	_ "redwingpulley/plugins/placement/leastwait"  // Registers itself.
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -186,7 +186,8 @@
 }
 
 // Revoke asks over a new connection that the task never start.
-func (c *Client) Revoke(ctx context.Context, address string, id model.TaskID, stop bool) port.RevokeReply {
+func (c *Client) Revoke(ctx context.Context, address string, revoke port.TaskRevoke) port.RevokeReply {
+	id, stop := revoke.ID, revoke.Stop
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	unknown := port.RevokeReply{State: port.TaskUnknown}
--- a/plugins/taskclient/taskclient_test.go
+++ b/plugins/taskclient/taskclient_test.go
@@ -93,7 +93,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			address := serve(t, answering(c.status, c.body))
-			is.Equal(newClient(t).Revoke(t.Context(), address, task, false).State, c.want)
+			is.Equal(newClient(t).Revoke(t.Context(), address, port.TaskRevoke{ID: task}).State, c.want)
 		})
 	}
 }
@@ -190,7 +190,7 @@
 	started := make(chan port.TaskReply)
 	go func() { started <- c.Start(ctx, address, port.TaskStart{ID: task, Attempt: 1}) }()
 	<-got
-	is.Equal(string(c.Revoke(t.Context(), address, task, false).Answer), "7")
+	is.Equal(string(c.Revoke(t.Context(), address, port.TaskRevoke{ID: task}).Answer), "7")
 	is.Equal(connections.Load(), int64(2))
 	settled()
 	is.Equal((<-started).State, port.TaskUnknown)
