A task that ran is never said not to have run; files without stable inodes

The replicas took their files for old copies, since inodes differ after a restart there, and waited for one another: RECOVER and CONFIG broken. Setting detect_copies turns the check off where no copy can be put in place.

--- /dev/null
+++ b/plugins/endpoints/poolstate/attempts_test.go
@@ -0,0 +1,154 @@
+package poolstate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// submitRepeatable submits a job whose tasks may run again.
+func (h *harness) submitRepeatable(maxFailures int, needs ...model.Needs) Effects {
+	b := model.Batch{
+		ID: model.BatchID{Job: "n.i.1.1.t"}, Pool: finderPool, Team: "t", Deadline: h.now.Add(10 * time.Second),
+		Key: "key", MaxFailures: maxFailures,
+	}
+	for i, n := range needs {
+		b.Tasks = append(b.Tasks, model.Task{Index: i, Needs: n})
+	}
+	return h.step(Submitted{b, model.BuiltInProfile()})
+}
+
+func TestAFailedRunIsRepeatedElsewhereUntilItsJobAllowsNoMore(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, 1)
+	first := h.submitRepeatable(2, model.Needs{}).Starts[0]
+	fx := h.reply(first, port.TaskFailed)
+	is.Equal(len(fx.Ended), 0)
+	is.Equal(fx.Starts[0].Attempt, 2)
+	is.True(fx.Starts[0].Endpoint != first.Endpoint)
+	fx = h.reply(fx.Starts[0], port.TaskFailed)
+	is.Equal(len(fx.Starts), 0)
+	is.Equal(fx.Ended[0].Results[0].Reason, model.ReasonTaskFailed)
+	is.Equal(fx.Ended[0].Results[0].Run, model.MayHaveRun)
+}
+
+func TestALostRunIsNoFailedOne(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, 1)
+	s := h.submitRepeatable(1, model.Needs{}).Starts[0]
+	for range 3 {
+		fx := h.reply(s, port.TaskLost)
+		is.Equal(len(fx.Ended), 0)
+		s = fx.Starts[0]
+	}
+	fx := h.reply(s, port.TaskDone)
+	is.True(fx.Ended[0].Results[0].Done)
+}
+
+func TestALostRunEndsAJobWhoseTasksStartOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, 1)
+	s := h.submit("n.i.1.1.t", "t", 1).Starts[0]
+	fx := h.reply(s, port.TaskLost)
+	is.Equal(len(fx.Starts), 0)
+	is.Equal(fx.Ended[0].Results[0].Run, model.MayHaveRun)
+}
+
+// TestATaskThatRanIsNeverSaidNotToHaveRun was found on a day on which the VM with the lease on the
+// first run's endpoint stopped.
+func TestATaskThatRanIsNeverSaidNotToHaveRun(t *testing.T) {
+	for _, state := range []port.TaskState{port.TaskLost, port.TaskFailed} {
+		t.Run(string(state), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(1)
+			s := h.submitRepeatable(3, model.Needs{}).Starts[0]
+			h.announce("a", 1, model.EndpointLeaving) // No room for the next run.
+			is.Equal(len(h.reply(s, state).Starts), 0)
+			fx := h.step(Cancelled{model.BatchID{Job: "n.i.1.1.t"}})
+			is.Equal(fx.Ended[0].Results[0].Run, model.MayHaveRun)
+		})
+	}
+	t.Run("refused afterwards", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(1, 1)
+		h.retries.tokens = 0
+		s := h.submitRepeatable(3, model.Needs{}).Starts[0]
+		fx := h.reply(s, port.TaskLost)
+		h.retries.tokens = 0
+		fx = h.reply(fx.Starts[0], port.TaskNotRun)
+		is.Equal(fx.Ended[0].Results[0].Run, model.MayHaveRun)
+	})
+}
+
+func (h *harness) announceWorker(id model.EndpointID, milliCores int) Effects {
+	return h.step(Announced{model.Endpoint{
+		ID: id, Service: "finder", DataCentre: "sj1", Slots: 8, State: model.EndpointServing, Address: string(id),
+		Has: model.Needs{MilliCores: milliCores, MemoryMB: 1024}, Leased: true,
+	}})
+}
+
+func TestTasksStartOnlyWhereTheirNeedsAreLeft(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.announceWorker("a", 16000)
+	h.announceWorker("b", 24000)
+	task := model.Needs{MilliCores: 7000, MemoryMB: 64}
+	fx := h.submitRepeatable(1, task, task, task, task, task, task)
+	is.Equal(len(fx.Starts), 5) // Two on a, three on b.
+	is.Equal(h.Load().Free, 0)
+	is.Equal(h.Load().Slots, 5)
+	is.Equal(len(h.reply(fx.Starts[0], port.TaskDone).Starts), 1)
+}
+
+func TestALateAnnouncementChangesNothing(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	worker := model.Endpoint{
+		ID: "a@5", Service: "finder", DataCentre: "sj1", Slots: 2, State: model.EndpointServing, Address: "x:1",
+		Born: 5, Sequence: 3, Leased: true,
+	}
+	leaving := worker
+	leaving.State, leaving.Sequence = model.EndpointLeaving, 4
+	h.step(Announced{leaving})
+	h.step(Announced{worker}) // Sent before.
+	is.Equal(h.Load().Slots, 0)
+
+	next := worker
+	next.ID, next.Born, next.Sequence = "a@9", 9, 1
+	h.step(Announced{next})
+	is.Equal(h.Load().Slots, 2)
+	worker.ID, worker.Born, worker.Sequence = "z@6", 6, 50
+	h.step(Announced{worker}) // Of a lifetime whose address another has by now.
+	is.Equal(h.Load().Slots, 2)
+	is.Equal(len(h.Endpoints()), 1)
+}
+
+func TestAnEndpointThatIsGoneGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	worker := model.Endpoint{
+		ID: "a", Service: "finder", DataCentre: "sj1", Slots: 2, State: model.EndpointServing, Address: "x:1",
+		Sequence: 1, Leased: true,
+	}
+	h.step(Announced{worker})
+	worker.State, worker.Sequence = model.EndpointGone, 2
+	h.step(Announced{worker})
+	h.step(Announced{worker})
+	is.Equal(h.Load().Slots, 0)
+	is.Equal(len(h.Endpoints()), 0)
+}
+
+func TestLeasedTasksAreNotAskedForBecauseAnnouncementsDoNotListThem(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.announceWorker("a", 16000)
+	h.submitRepeatable(1, model.Needs{MilliCores: 1000})
+	for range 5 {
+		h.now = h.now.Add(time.Second)
+		is.Equal(len(h.announceWorker("a", 16000).Revokes), 0)
+	}
+}
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -57,6 +57,7 @@
 	slot     int              // In the endpoint's tasks.
 	avoid    model.EndpointID // Refused the task last, or ran it without a result.
 	failures int              // Runs that failed.
+	ran      bool             // An earlier attempt ran, or may have.
 	sent     time.Time
 	unlisted time.Time // Since when its endpoint does not list it; zero while it does.
 	asking   int       // Revokes without a reply so far.
@@ -66,6 +67,14 @@
 
 func (t *task) spec() *model.Task { return &t.batch.Tasks[t.position] }
 
+// runState tells whether an earlier attempt ran, of a task that is not at an endpoint.
+func (t *task) runState() model.RunState {
+	if t.ran {
+		return model.MayHaveRun
+	}
+	return model.NotRun
+}
+
 // lastStart returns when the task has to start so that it can be expected to end in time.
 func (t *task) lastStart() time.Time {
 	if !t.class.learned() {
@@ -266,7 +275,7 @@
 }
 
 func (m *Machine) abandon(now time.Time, t *task, reason model.Reason, fx *Effects) {
-	result := model.TaskResult{Index: t.spec().Index, Run: model.NotRun, Reason: reason}
+	result := model.TaskResult{Index: t.spec().Index, Run: t.runState(), Reason: reason}
 	switch t.place {
 	case atEndpoint:
 		result.Run = model.MayHaveRun
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -111,7 +111,7 @@
 		m.enqueue(t)
 		m.timers.set(&t.batch.timer, m.nextDue(t.batch))
 	default:
-		m.giveUp(now, t, model.NotRun, model.ReasonRefused, fx)
+		m.giveUp(now, t, t.runState(), model.ReasonRefused, fx)
 	}
 }
 
@@ -128,6 +128,7 @@
 
 // again puts a task back into the queue after a run that has surely ended.
 func (m *Machine) again(t *task) {
+	t.ran = true
 	t.avoid = t.endpoint.ID
 	m.release(t)
 	m.enqueue(t)
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -39,6 +39,10 @@
 	// Reform lets this replica vote although the disks of a majority are lost. Set it only as
 	// OPERATIONS.md says, and take it out again.
 	Reform bool `json:"reform"`
+	// DetectCopies has a file whose inode is not the one it was written as taken for a copy. Turn it
+	// off where file systems do not keep inodes over a restart; then no old copy of the folder may
+	// ever be put in place.
+	DetectCopies bool `json:"detect_copies"`
 }
 
 // Check tells the faults of the settings.
@@ -92,7 +96,7 @@
 
 // Provision binds the ports and reads the settings.
 func (p *Profiles) Provision(c *plugin.Context) error {
-	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds()}
+	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds(), DetectCopies: true}
 	err := errors.Join(
 		c.Settings(&p.settings),
 		plugin.Need(c, &p.peers),
@@ -130,7 +134,6 @@
 		return err
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.running.Go(p.run)
 	switch {
 	case p.group.Load() != nil:
 		p.begin(loaded, p.group.Load().replicas)
@@ -158,6 +161,7 @@
 	p.disk.Replicas = replicas
 	p.core.Unlock()
 	p.log.Info("takes part in the register", "replicas", replicas, "replica", slices.Contains(replicas, p.self))
+	p.running.Go(p.run)
 	p.step(register.Woken{})
 }
 
@@ -175,6 +179,7 @@
 	if err != nil {
 		return disk.Loaded{}, errors.Join(err, release())
 	}
+	loaded.Copied = loaded.Copied && p.settings.DetectCopies
 	switch {
 	case loaded.Fault != nil:
 		p.log.Warn("the register's file is refused; the replica joins as one whose disk is lost", "fault", loaded.Fault.Error())
--- a/plugins/profiles/profiles_test.go
+++ b/plugins/profiles/profiles_test.go
@@ -29,6 +29,8 @@
 	members  []settings.Member
 	handlers map[model.NodeID]map[string]port.Handler
 	side     map[model.NodeID]int // Of the cut.
+	gossip   map[string]map[model.NodeID][]byte
+	hear     map[string]map[model.NodeID]func(model.NodeID, []byte)
 	calls    int
 	bytes    int
 }
@@ -113,18 +115,54 @@
 	var alive []port.Node
 	for _, m := range p.net.members {
 		if p.net.side[m.Node] == p.net.side[p.self] {
-			alive = append(alive, port.Node{ID: m.Node, Disk: m.Disk})
+			alive = append(alive, port.Node{ID: m.Node, Disk: m.Disk, Peers: m.Peers})
 		}
 	}
 	return alive
 }
 
-func (p *peers) Changed() <-chan struct{}                     { return nil }
-func (p *peers) Leave(context.Context)                        {}
-func (p *peers) Publish(string, []byte)                       {}
-func (p *peers) Subscribe(string, func(model.NodeID, []byte)) {}
-func (p *peers) Active() bool                                 { return false }
-func (p *peers) Record(port.RecordedStep)                     {}
+func (p *peers) Changed() <-chan struct{} { return nil }
+func (p *peers) Leave(context.Context)    {}
+func (p *peers) Active() bool             { return false }
+func (p *peers) Record(port.RecordedStep) {}
+
+// gossipDelay is how long gossip takes, which travels on the members' own messages.
+const gossipDelay = 100 * time.Millisecond
+
+// Publish tells the members of the same side, and those that subscribe later.
+func (p *peers) Publish(topic string, value []byte) {
+	p.net.mu.Lock()
+	var hear []func(model.NodeID, []byte)
+	if p.net.gossip[topic] == nil {
+		p.net.gossip[topic] = make(map[model.NodeID][]byte)
+	}
+	p.net.gossip[topic][p.self] = value
+	for node, f := range p.net.hear[topic] {
+		if node != p.self && p.net.side[node] == p.net.side[p.self] {
+			hear = append(hear, f)
+		}
+	}
+	p.net.mu.Unlock()
+	time.AfterFunc(gossipDelay, func() {
+		for _, f := range hear {
+			f(p.self, value)
+		}
+	})
+}
+
+func (p *peers) Subscribe(topic string, f func(model.NodeID, []byte)) {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	if p.net.hear[topic] == nil {
+		p.net.hear[topic] = make(map[model.NodeID]func(model.NodeID, []byte))
+	}
+	p.net.hear[topic][p.self] = f
+	for node, value := range p.net.gossip[topic] {
+		if node != p.self {
+			go f(node, value)
+		}
+	}
+}
 
 // group is members that run inside one test.
 type group struct {
@@ -132,24 +170,43 @@
 	net   *network
 	dir   string
 	hosts map[model.NodeID]*plugin.Host
+	// change, where it is set, replaces the settings of a member before it starts.
+	change func(settings.Settings) settings.Settings
 }
 
 func startGroup(t *testing.T, replicas, plain int) *group {
 	t.Helper()
-	g := &group{t: t, dir: t.TempDir(), hosts: make(map[model.NodeID]*plugin.Host)}
-	g.net = &network{handlers: make(map[model.NodeID]map[string]port.Handler)}
+	return startChanged(t, replicas, plain, nil)
+}
+
+func startChanged(t *testing.T, replicas, plain int, change func(settings.Settings) settings.Settings) *group {
+	t.Helper()
+	g := startUnknown(t, replicas, plain, change)
+	for i := range g.net.members {
+		g.await(node(i), 0)
+	}
+	return g
+}
+
+// startUnknown starts a group and does not wait for a revision.
+func startUnknown(t *testing.T, replicas, plain int, change func(settings.Settings) settings.Settings) *group {
+	t.Helper()
+	g := &group{t: t, dir: t.TempDir(), hosts: make(map[model.NodeID]*plugin.Host), change: change}
+	g.net = &network{
+		handlers: make(map[model.NodeID]map[string]port.Handler),
+		gossip:   make(map[string]map[model.NodeID][]byte), hear: make(map[string]map[model.NodeID]func(model.NodeID, []byte)),
+	}
 	for i := range replicas + plain {
-		g.net.members = append(g.net.members, settings.Member{Node: node(i), Disk: i < replicas})
+		g.net.members = append(g.net.members, settings.Member{Node: node(i), Disk: i < replicas, Peers: address(i)})
 	}
 	for i := range g.net.members {
 		g.start(node(i))
 	}
-	for i := range g.net.members {
-		g.await(node(i), 0)
-	}
 	return g
 }
 
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:7", i+1) }
+
 func node(i int) model.NodeID { return model.NodeID(fmt.Sprintf("n%d", i)) }
 
 func (g *group) start(id model.NodeID) {
@@ -167,6 +224,9 @@
 		}
 	}
 	own := settings.Settings{Node: id, Members: g.net.members, DataDir: filepath.Join(g.dir, string(id))}
+	if g.change != nil {
+		own = g.change(own)
+	}
 	host, err := plugin.NewHost(own, slog.New(slog.DiscardHandler), definitions)
 	if err == nil {
 		err = host.Start()
