--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -22,6 +22,7 @@
 	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
 	"redwingpulley/plugins/jobs/retrybudget",
+	"redwingpulley/plugins/leases/lease",
 	"redwingpulley/plugins/membership/swim",
 	"redwingpulley/plugins/placement/plan",
 	"redwingpulley/plugins/profiles/register",
@@ -128,6 +129,43 @@
 	}
 }
 
+// TestOnlyTheBinaryKnowsThePlatform keeps the platform's names in its own folder.
+func TestOnlyTheBinaryKnowsThePlatform(t *testing.T) {
+	is := is.New(t)
+	const platform = "redwingpulley/platform"
+	for path, p := range load(t) {
+		if strings.HasPrefix(path, platform) || path == "redwingpulley/cmd/internal/node" {
+			continue
+		}
+		for _, imported := range p.Imports {
+			if strings.HasPrefix(imported, platform) {
+				t.Logf("%s imports %s", path, imported)
+				is.Fail()
+			}
+		}
+	}
+}
+
+// TestPlatformMeetsTheProductAtItsPorts has the platform's plug-ins import the kernel, their own
+// folder and the shared HTTP helpers, so that nothing of the product is decided there.
+func TestPlatformMeetsTheProductAtItsPorts(t *testing.T) {
+	is := is.New(t)
+	for path, p := range load(t) {
+		if !strings.HasPrefix(path, "redwingpulley/platform") {
+			continue
+		}
+		for _, imported := range p.Imports {
+			ours := strings.HasPrefix(imported, "redwingpulley/")
+			allowed := strings.HasPrefix(imported, "redwingpulley/kernel/") || strings.HasPrefix(imported, "redwingpulley/platform/") ||
+				imported == "redwingpulley/plugins/frontend/web"
+			if ours && !allowed {
+				t.Logf("%s imports %s", path, imported)
+				is.Fail()
+			}
+		}
+	}
+}
+
 func TestKernelNamesNoPlugin(t *testing.T) {
 	is := is.New(t)
 	for path, p := range load(t) {
