Replicas are places that change hands

Ruled out: joint quorums, which would touch each step of the agreement; see ADR 22. A replica's place is taken by another member with a disk, as by a replica that has lost its disk. Tests replace all members of the first start, and bring members back.

--- a/plugins/profiles/disk/disk.go
+++ b/plugins/profiles/disk/disk.go
@@ -28,6 +28,7 @@
 	Cluster string
 	// Replicas is the group that this one belongs to, kept with what it agreed on.
 	Replicas []model.NodeID
+	Place    model.NodeID // The replica whose place the node has; "" is its own.
 }
 
 // envelope is the file's content behind the checksum line.
@@ -38,6 +39,7 @@
 	Inode   uint64       `json:"inode"` // Of this file; differs in a copy.
 
 	Replicas []model.NodeID `json:"replicas,omitempty"`
+	Place    model.NodeID   `json:"place,omitempty"`
 	Register wire.Durable   `json:"register"`
 }
 
@@ -47,6 +49,7 @@
 	Copied  bool              // The file is a copy of the one that was written.
 
 	Replicas []model.NodeID // The group that the replica belongs to.
+	Place    model.NodeID   // The replica whose place the node has; "" is its own.
 	Fault    error          // Why a file that is there cannot be used.
 }
 
@@ -64,7 +67,7 @@
 		return Loaded{Fault: fault}, errors.Wrap(d.Folder.Rename(current, rejected), "put a faulty file aside")
 	}
 	durable, _ := e.Register.Decode()
-	return Loaded{Durable: &durable, Copied: e.Inode != inode, Replicas: e.Replicas}, nil
+	return Loaded{Durable: &durable, Copied: e.Inode != inode, Replicas: e.Replicas, Place: e.Place}, nil
 }
 
 func (d Disk) decode(content []byte) (envelope, error) {
@@ -90,6 +93,15 @@
 
 func checksum(body []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(body)) }
 
+// Discard puts the file aside: another node has the replica's place.
+func (d Disk) Discard() error {
+	err := d.Folder.Rename(current, rejected)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	return errors.Join(errors.Wrap(err, "put the file aside"), d.Folder.Sync())
+}
+
 // Save replaces the file and returns once that lasts. After an error the former file is still
 // there.
 func (d Disk) Save(durable register.Durable) error {
@@ -112,7 +124,7 @@
 		return err
 	}
 	body, err := json.Marshal(envelope{
-		Format: format, Cluster: d.Cluster, Node: d.Node, Inode: inode, Replicas: d.Replicas,
+		Format: format, Cluster: d.Cluster, Node: d.Node, Inode: inode, Replicas: d.Replicas, Place: d.Place,
 		Register: wire.EncodeDurable(durable),
 	})
 	if err != nil {
--- a/plugins/profiles/disk/disk_test.go
+++ b/plugins/profiles/disk/disk_test.go
@@ -84,7 +84,7 @@
 func TestAForeignFileIsRefusedAndKept(t *testing.T) {
 	is := is.New(t)
 	d, path := open(t)
-	for _, other := range []Disk{{d.Folder, "b", "c", nil}, {d.Folder, "a", "d", nil}} {
+	for _, other := range []Disk{{Folder: d.Folder, Node: "b", Cluster: "c"}, {Folder: d.Folder, Node: "a", Cluster: "d"}} {
 		is.NoErr(other.Save(sample(4)))
 		loaded, err := d.Load()
 		is.NoErr(err)
@@ -186,7 +186,7 @@
 		is := is.New(t)
 		d, _ := open(t)
 		is.NoErr(d.Save(sample(4)))
-		full := Disk{fullFolder{d.Folder, failAt, new(int)}, d.Node, d.Cluster, nil}
+		full := Disk{Folder: fullFolder{d.Folder, failAt, new(int)}, Node: d.Node, Cluster: d.Cluster}
 		is.True(full.Save(sample(5)) != nil)
 		loaded, err := d.Load()
 		is.NoErr(err)
--- a/plugins/profiles/edit.go
+++ b/plugins/profiles/edit.go
@@ -69,7 +69,10 @@
 		}
 		return 2
 	}
-	ordered := slices.Clone(p.replicas())
+	var ordered []model.NodeID
+	for _, replica := range p.replicas() {
+		ordered = append(ordered, p.memberAt(replica))
+	}
 	rand.Shuffle(len(ordered), func(i, j int) { ordered[i], ordered[j] = ordered[j], ordered[i] })
 	slices.SortStableFunc(ordered, func(a, b model.NodeID) int { return rank(a) - rank(b) })
 	return ordered
--- a/plugins/profiles/group.go
+++ b/plugins/profiles/group.go
@@ -53,6 +53,7 @@
 		}
 		return nil
 	}
+	p.movable = true
 	if self.Disk {
 		p.path = filepath.Join(c.Node.DataDir, folderName)
 	}
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -4,6 +4,7 @@
 package profiles
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -55,6 +56,8 @@
 	settings   Settings
 	self       model.NodeID
 	group      atomic.Pointer[replicaGroup] // nil until the replicas are known.
+	place      model.NodeID                 // Replica whose place this member has, or its identity without one; guarded by core.
+	movable    bool                         // Whether members may take the place of a replica whose member is gone.
 	told       chan []model.NodeID          // What other members told of the replicas; holds one.
 	founders   []netip.Addr                 // VMs of the replicas at the very first start; nil at a later one.
 	path       string                       // Of the folder on disk; "" without a disk.
@@ -149,20 +152,36 @@
 func (p *Profiles) begin(loaded disk.Loaded, replicas []model.NodeID) {
 	p.group.Store(newGroup(replicas))
 	p.tellGroup()
+	p.core.Lock()
+	p.core.waiting = make(map[uint64]chan model.EditResult)
+	p.core.Unlock()
+	p.enter(cmp.Or(loaded.Place, p.self), loaded, register.Store{})
+	p.running.Go(p.run)
+	if p.path != "" && p.movable {
+		p.running.Go(p.watchPlaces)
+	}
+	p.step(register.Woken{})
+}
+
+// enter makes the machine of a place among the replicas, or of none.
+func (p *Profiles) enter(place model.NodeID, loaded disk.Loaded, takes register.Store) {
+	replicas := p.replicas()
 	created := register.Created{Restored: loaded.Durable, Config: register.Config{
-		Self: p.self, Replicas: replicas, Seed: rand.Uint64(),
+		Self: place, Takes: takes, Replicas: replicas, Seed: rand.Uint64(),
 		Copied: loaded.Copied, Reform: p.settings.Reform,
 		Alone: time.Duration(p.settings.ServeAloneMS) * time.Millisecond,
 	}}
+	if p.movable {
+		created.Config.Node = p.self
+	}
 	p.record(0, p.now(), created, nil)
 	p.core.Lock()
 	p.core.machine = created.Machine()
-	p.core.waiting = make(map[uint64]chan model.EditResult)
-	p.disk.Replicas = replicas
+	p.core.effects, p.core.steps = nil, 0
+	p.place = place
+	p.disk.Replicas, p.disk.Place = replicas, place
 	p.core.Unlock()
-	p.log.Info("takes part in the register", "replicas", replicas, "replica", slices.Contains(replicas, p.self))
-	p.running.Go(p.run)
-	p.step(register.Woken{})
+	p.log.Info("takes part in the register", "replicas", replicas, "place", place, "replica", slices.Contains(replicas, place))
 }
 
 func (p *Profiles) open() (disk.Loaded, error) {
@@ -228,11 +247,11 @@
 
 // Replica tells how this member takes part in the agreement.
 func (p *Profiles) Replica() port.ReplicaState {
-	if known := p.group.Load(); p.path == "" || known != nil && !slices.Contains(known.replicas, p.self) {
-		return port.ReplicaNone
-	}
 	p.core.Lock()
 	defer p.core.Unlock()
+	if p.path == "" || p.core.machine != nil && !slices.Contains(p.replicas(), p.place) {
+		return port.ReplicaNone
+	}
 	if p.core.machine != nil && p.core.machine.Votes() {
 		return port.ReplicaVoter
 	}
--- a/plugins/profiles/profiles_test.go
+++ b/plugins/profiles/profiles_test.go
@@ -28,7 +28,8 @@
 	mu       sync.Mutex
 	members  []settings.Member
 	handlers map[model.NodeID]map[string]port.Handler
-	side     map[model.NodeID]int // Of the cut.
+	side     map[model.NodeID]int  // Of the cut.
+	gone     map[model.NodeID]bool // Not thought alive.
 	gossip   map[string]map[model.NodeID][]byte
 	hear     map[string]map[model.NodeID]func(model.NodeID, []byte)
 	calls    int
@@ -114,7 +115,7 @@
 	defer p.net.mu.Unlock()
 	var alive []port.Node
 	for _, m := range p.net.members {
-		if p.net.side[m.Node] == p.net.side[p.self] {
+		if p.net.side[m.Node] == p.net.side[p.self] && !p.net.gone[m.Node] {
 			alive = append(alive, port.Node{ID: m.Node, Disk: m.Disk, Peers: m.Peers})
 		}
 	}
@@ -193,8 +194,8 @@
 	t.Helper()
 	g := &group{t: t, dir: t.TempDir(), hosts: make(map[model.NodeID]*plugin.Host), change: change}
 	g.net = &network{
-		handlers: make(map[model.NodeID]map[string]port.Handler),
-		gossip:   make(map[string]map[model.NodeID][]byte), hear: make(map[string]map[model.NodeID]func(model.NodeID, []byte)),
+		handlers: make(map[model.NodeID]map[string]port.Handler), gone: make(map[model.NodeID]bool),
+		gossip: make(map[string]map[model.NodeID][]byte), hear: make(map[string]map[model.NodeID]func(model.NodeID, []byte)),
 	}
 	for i := range replicas + plain {
 		g.net.members = append(g.net.members, settings.Member{Node: node(i), Disk: i < replicas, Peers: address(i)})
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -32,7 +32,7 @@
 // newStore begins a new life of the disk under a number above all known ones.
 func (m *Machine) newStore() {
 	number := max(m.durable.Store.Number, m.durable.Fences[m.config.Self].Number) + 1
-	m.durable.Store = Store{number, m.random.Uint64() | 1}
+	m.durable.Store = Store{number, m.random.Uint64() | 1, m.config.Node}
 	m.durable.Voting = false
 	m.durable.Votes = 0
 	m.durable.Fences[m.config.Self] = m.durable.Store
@@ -64,6 +64,9 @@
 		return
 	}
 	known := message.Fences[m.config.Self]
+	if m.lostPlace() {
+		return
+	}
 	if known != m.durable.Store || message.Votes > m.durable.Votes {
 		m.newStore()
 		m.joinAt = m.now
--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -15,6 +15,9 @@
 	}
 }
 
+// News returns the message that tells of the newest known agreed state, and of the stores.
+func (m *Machine) News() Message { return m.news(m.served) }
+
 // newsOf returns the message that tells of a proposal's value, as a difference where there is one.
 func (m *Machine) newsOf(p *proposal) Message {
 	news := m.news(p.value)
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -9,6 +9,7 @@
 package register
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -33,8 +34,10 @@
 
 // Config names the members that agree.
 type Config struct {
-	Self     model.NodeID
-	Replicas []model.NodeID // Members with a disk, sorted.
+	Self     model.NodeID   // Of the replica, where this member has the place of one.
+	Node     model.NodeID   `json:",omitempty"` // This member, where places may change hands; else "".
+	Replicas []model.NodeID // Sorted; each is named by the first member that had its place.
+	Takes    Store          `json:",omitzero"` // The store whose place this member takes.
 	Seed     uint64         // Random with each start; also tells the ballots of one run from the next.
 	Copied   bool           // Whether the file on the disk is a copy, as after a restore.
 	Alone    time.Duration  // Wait for a majority at the start before members that serve are believed; 0 is forever.
@@ -54,6 +57,7 @@
 	joinWait time.Duration
 	joining  bool // Whether this run has begun a new store.
 	verified bool // Whether others have confirmed that the file is no older copy.
+	replaced bool // Whether another member has this replica's place.
 
 	served    State
 	serving   bool
@@ -106,6 +110,9 @@
 	if m.durable.Fences == nil {
 		m.durable.Fences = make(map[model.NodeID]Store)
 	}
+	if config.Takes != (Store{}) {
+		m.durable.Fences[config.Self] = config.Takes
+	}
 	if m.durable.Seen == nil {
 		m.durable.Seen = make(map[model.NodeID]uint64)
 	}
@@ -136,7 +143,7 @@
 // Wake returns the time at which the machine wants to be stepped with Woken.
 func (m *Machine) Wake() time.Time {
 	at := m.learnAt
-	if m.replica() && !m.votes() && m.joinAt.Before(at) {
+	if m.replica() && !m.votes() && !m.replaced && m.joinAt.Before(at) {
 		at = m.joinAt
 	}
 	if !m.rewriteAt.IsZero() && m.rewriteAt.Before(at) {
@@ -160,7 +167,11 @@
 func (m *Machine) Votes() bool { return m.votes() }
 
 func (m *Machine) wake() {
-	if m.replica() && !m.votes() && !m.now.Before(m.joinAt) {
+	if m.lostPlace() {
+		m.replaced = true
+		m.do(Replaced{})
+	}
+	if m.replica() && !m.votes() && !m.replaced && !m.now.Before(m.joinAt) {
 		m.askToJoin()
 	}
 	if !m.now.Before(m.learnAt) {
@@ -232,6 +243,18 @@
 	return m.verified && m.durable.Voting && m.durable.Fences[m.config.Self] == m.durable.Store
 }
 
+// lostPlace reports whether another member has taken this replica's place since it had it.
+func (m *Machine) lostPlace() bool {
+	known := m.durable.Fences[m.config.Self]
+	return !m.replaced && m.replica() && known.Node != "" && known.Node != m.config.Node && known.Number > m.config.Takes.Number
+}
+
+// Holder returns the member that has the place of a replica, and the store that it has there.
+func (m *Machine) Holder(replica model.NodeID) (model.NodeID, Store) {
+	store := m.durable.Fences[replica]
+	return cmp.Or(store.Node, replica), store
+}
+
 func (m *Machine) majority() int { return len(m.config.Replicas)/2 + 1 }
 
 func (m *Machine) do(effect Effect) { m.effects = append(m.effects, effect) }
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -29,6 +29,9 @@
 type Store struct {
 	Number uint64
 	Nonce  uint64 // Tells two attempts at one number apart.
+	// Node is the member that has the store. Another member may take a replica's place under a new
+	// store, as if the replica had lost its disk.
+	Node model.NodeID `json:",omitempty"`
 }
 
 // Durable is what a replica keeps on its disk.
@@ -156,6 +159,10 @@
 	Result model.EditResult
 }
 
+// Replaced says that another member has taken this replica's place. The member goes on without a
+// vote, under a new machine.
+type Replaced struct{}
+
 // Serve puts a state in force in this process.
 type Serve struct{ State State }
 
@@ -165,3 +172,4 @@
 func (Ask) effect()       {}
 func (Answer) effect()    {}
 func (Serve) effect()     {}
+func (Replaced) effect()  {}
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -1,8 +1,10 @@
 package profiles
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"redwingpulley/kernel/model"
@@ -31,7 +33,7 @@
 	p.gossip.Subscribe(topic, func(from model.NodeID, value []byte) {
 		revision, n := binary.Uvarint(value)
 		if n > 0 {
-			p.step(register.Told{From: from, Revision: model.Revision(revision)})
+			p.step(register.Told{From: p.identityOf(from), Revision: model.Revision(revision)})
 		}
 	})
 }
@@ -48,7 +50,21 @@
 		p.log.Warn("message of another group", "from", from, "cluster", m.Cluster, "kind", m.Kind)
 		return
 	}
-	p.step(register.Received{From: from, Message: m.Decode()})
+	identity := cmp.Or(m.Sender, from)
+	p.step(register.Received{From: identity, Message: m.Decode()})
+	asks := m.Kind != register.Chosen // News is not answered by news.
+	if asks && slices.Contains(p.replicas(), identity) && p.memberAt(identity) != from {
+		p.tellReplaced(from)
+	}
+}
+
+// tellReplaced lets a member that believes to have a place know of the store that took it. Answers to
+// that place go to the store's member.
+func (p *Profiles) tellReplaced(to model.NodeID) {
+	p.core.Lock()
+	news := p.core.machine.News()
+	p.core.Unlock()
+	p.post(to, news)
 }
 
 // step advances the machine; the effects are carried out by run.
@@ -165,13 +181,15 @@
 		p.answer(e)
 	case register.Serve:
 		p.putInForce(e.State)
+	case register.Replaced:
+		p.leavePlace()
 	}
 }
 
 // others returns all other members that are alive, and all other replicas.
 func (p *Profiles) others() []model.NodeID {
 	var others []model.NodeID
-	seen := map[model.NodeID]bool{p.self: true}
+	seen := map[model.NodeID]bool{p.ownPlace(): true}
 	add := func(node model.NodeID) {
 		if !seen[node] {
 			others = append(others, node)
@@ -179,29 +197,45 @@
 		seen[node] = true
 	}
 	for _, node := range p.membership.Alive() {
-		add(node.ID)
+		add(p.identityOf(node.ID))
 	}
-	for _, node := range p.replicas() {
-		add(node)
+	for _, replica := range p.replicas() {
+		add(replica)
 	}
 	return others
 }
 
 func (p *Profiles) send(to model.NodeID, message register.Message) {
-	if to == p.self {
-		p.step(register.Received{From: p.self, Message: message})
+	own := p.ownPlace()
+	if to == own {
+		p.step(register.Received{From: own, Message: message})
 		return
 	}
+	node := p.memberAt(to)
+	if node == p.self {
+		return // This member had that place when the message was made.
+	}
+	p.post(node, message)
+}
+
+// post sends a message to a member; it may be lost.
+func (p *Profiles) post(node model.NodeID, message register.Message) {
 	p.sent.Inc(1)
 	encoded := wire.EncodeMessage(message, p.settings.Cluster, p.group.Load().hash)
+	if own := p.ownPlace(); own != p.self {
+		encoded.Sender = own
+	}
 	p.running.Go(func() {
 		ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
 		defer cancel()
-		p.peers.Call(ctx, to, methodMessage, encoded, &struct{}{}) // A lost message is sent anew by the machine.
+		p.peers.Call(ctx, node, methodMessage, encoded, &struct{}{}) // A lost message is sent anew by the machine.
 	})
 }
 
 func (p *Profiles) putInForce(state register.State) {
+	if former := p.serving.Load(); former != nil && former.Revision() > state.Revision() {
+		return // Learned under the place that this member had before.
+	}
 	p.serving.Store(&state)
 	p.health.Clear(condition)
 	p.revision.Update(int64(state.Revision()))
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -27,14 +27,17 @@
 }
 
 type store struct {
-	Number uint64 `json:"number"`
-	Nonce  uint64 `json:"nonce"`
+	Number uint64       `json:"number"`
+	Nonce  uint64       `json:"nonce"`
+	Node   model.NodeID `json:"node,omitempty"`
 }
 
 // Message is the encoded form of a register.Message, with the group that it belongs to.
 type Message struct {
 	Cluster  string `json:"cluster,omitempty"`
 	Replicas uint64 `json:"replicas"` // Hash of the sender's list of replicas.
+	// Sender is the replica whose place the sender has, or the sender itself.
+	Sender model.NodeID `json:"sender,omitempty"`
 
 	Kind     register.MessageKind    `json:"kind"`
 	Ballot   *ballot                 `json:"ballot,omitempty"`
