Jobs that would miss their objective are refused at once; a task waits for room

Admission now compares the expected wait with what the job's objective leaves, and a whole job that waits until its answer is of no use is given up. Parts of jobs are not refused for that, since others may have begun. Second cause: 103 jobs ended as endpoint_refused. A start refused for want of room blamed the endpoint and took from the retry budget; it now waits for room.

--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -91,10 +91,25 @@
 	// MaxFailures is how many runs of a task may fail before its job does. 0 stands for a task that
 	// may be started only once, whatever comes of it.
 	MaxFailures int `json:",omitempty"`
+	// Objective is the latency objective of the job; the zero value is none.
+	Objective Objective `json:",omitzero"`
 	// Attached says that the job is cancelled when its caller goes away.
 	Attached bool `json:",omitempty"`
 }
 
+// Objective is a latency objective that grows with a job's own work: Stretch times the run time of its
+// longest task, and Slack more.
+type Objective struct {
+	Stretch float64
+	Slack   time.Duration
+	Useful  float64 // Times the objective up to which an answer is of any use.
+}
+
+// For returns the objective of a job whose longest task runs for the given time.
+func (o Objective) For(run time.Duration) time.Duration {
+	return time.Duration(o.Stretch*float64(run)) + o.Slack
+}
+
 // State tells how far a job has come.
 type State string
 
--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -84,6 +84,9 @@
 
 	Key         string `json:",omitempty"` // Of the job.
 	MaxFailures int    `json:",omitempty"` // Of a task of the job.
+
+	Objective Objective `json:",omitzero"`  // Of the job.
+	Whole     bool      `json:",omitempty"` // The batch is the whole job.
 }
 
 // TaskResult is how one task of a batch ended.
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -96,7 +96,7 @@
 // TaskState is what is known of a task at an endpoint.
 type TaskState string
 
-// States of a task. TaskNotRun and TaskRevoked promise that it did not start.
+// States of a task. TaskNotRun, TaskNoRoom and TaskRevoked promise that it did not start.
 const (
 	TaskDone    TaskState = "done"
 	TaskFailed  TaskState = "failed"
@@ -105,6 +105,8 @@
 	TaskRevoked TaskState = "revoked"
 	TaskRunning TaskState = "running"
 	TaskStopped TaskState = "stopped"
+	// TaskNoRoom is a task that did not start, because it does not fit beside what runs there.
+	TaskNoRoom TaskState = "no_room"
 	// TaskLost is a task that has surely ended without a result, by no fault of its own.
 	TaskLost TaskState = "lost"
 )
--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -88,6 +88,8 @@
 	Expected  time.Duration // Run time that the batch's longest task exceeds in one of two cases.
 	RunTime   time.Duration // Run time that it exceeds in one of twenty cases.
 	Work      time.Duration // Estimate for all tasks of the batch together.
+	Wait      time.Duration // Expected until the batch's last task starts; 0 while all find a slot at once.
+	MaxWait   time.Duration // Longest such wait with which the job meets its objective; 0 is any.
 	Fits      bool          // Each task fits on some endpoint of the pool.
 
 	Slots       int
--- a/plugins/admission/deadline/deadline.go
+++ b/plugins/admission/deadline/deadline.go
@@ -31,6 +31,9 @@
 	case r.QueuedTasks > 0 && r.QueuedTasks+r.Tasks > r.QueueLimit:
 		return refuse(untilRoom(r))
 	}
+	if r.MaxWait > 0 && r.Wait > r.MaxWait {
+		return refuse(r.Wait - r.MaxWait)
+	}
 	late := r.Expected - r.Remaining
 	if r.QueuedTasks > 0 || r.Tasks > r.Free {
 		late = estimateWait(r) + r.RunTime - r.Remaining
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -211,6 +211,24 @@
 	}
 }
 
+// maxWait returns the longest wait of the batch's last task with which its job meets its objective; 0
+// is any. A part of a job has none: to refuse it would waste what the other parts have begun.
+func (b *batch) maxWait() time.Duration {
+	if !b.Whole {
+		return 0
+	}
+	return max(b.Objective.For(b.typicalRun)-b.typicalRun, 1)
+}
+
+// usefulUntil returns when the answer of a batch that is a whole job is of no use any more.
+func (b *batch) usefulUntil() time.Time {
+	useful := b.arrived.Add(time.Duration(b.Objective.Useful * float64(b.Objective.For(b.typicalRun))))
+	if !b.Whole || useful.After(b.Deadline) {
+		return b.Deadline
+	}
+	return useful
+}
+
 // dispatchBy returns when all of the batch's tasks have to be at endpoints.
 func (b *batch) dispatchBy() time.Time { return b.Deadline.Add(-b.cautiousRun) }
 
@@ -230,15 +248,20 @@
 	if b.started || !next.class.learned() {
 		return next.lastStart()
 	}
-	return b.Deadline.Add(-m.dispatch(b) - b.typicalRun)
+	return b.usefulUntil().Add(-m.dispatch(b) - b.typicalRun)
 }
 
 // nextDue returns when the batch needs attention next.
 func (m *Machine) nextDue(b *batch) time.Time {
+	giveUp := m.giveUpAt(b)
 	if b.urgent || len(b.waiting) == 0 {
-		return m.giveUpAt(b)
+		return giveUp
 	}
-	return b.dispatchBy().Add(-m.dispatch(b) - b.Deadline.Sub(b.arrived)/urgentShare)
+	urgent := b.dispatchBy().Add(-m.dispatch(b) - b.Deadline.Sub(b.arrived)/urgentShare)
+	if giveUp.Before(urgent) {
+		return giveUp
+	}
+	return urgent
 }
 
 func (m *Machine) due(now time.Time, b *batch, fx *Effects) {
@@ -246,7 +269,7 @@
 		m.timers.set(&b.timer, at)
 		return
 	}
-	if b.urgent || len(b.waiting) == 0 {
+	if b.urgent || len(b.waiting) == 0 || !m.giveUpAt(b).After(now) {
 		m.cancel(now, b, model.ReasonDeadline, fx)
 		return
 	}
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -33,6 +33,7 @@
 	record   record
 	lease    timer
 	probe    timer
+	crowded  timer // Ends the refusals of a leased endpoint.
 	counted  contribution
 }
 
@@ -157,6 +158,7 @@
 	e := &endpoint{position: len(m.members), released: make([]model.TaskID, max(minReleased, 2*a.Slots))}
 	e.lease = newTimer(func(_ time.Time, fx *Effects) { m.lost(e, fx) })
 	e.probe = newTimer(func(now time.Time, _ *Effects) { m.probeDue(now, e) })
+	e.crowded = newTimer(func(time.Time, *Effects) { m.roomAgain(e) })
 	m.endpoints[a.ID] = e
 	m.members = append(m.members, e)
 	return e
@@ -228,6 +230,7 @@
 	if e.live || len(e.tasks) > 0 {
 		return
 	}
+	m.timers.stop(&e.crowded)
 	last := m.members[len(m.members)-1]
 	m.members[e.position] = last
 	last.position = e.position
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -11,6 +11,9 @@
 	revokeRetry    = 200 * time.Millisecond // Before the second revoke of a task; doubles with each.
 	maxRevokeRetry = 2 * time.Second
 
+	// crowdedTime is how long a leased endpoint is taken to have no room after it has refused a task.
+	crowdedTime = 150 * time.Millisecond
+
 	// unlistedTime is how long a task without an answer may be missing in its endpoint's
 	// announcements before the endpoint is asked. A start or an answer may be under way at one of
 	// them, not for as long as this.
@@ -27,6 +30,9 @@
 	case port.TaskDone:
 		m.landed(now, t, r.Reply.Answer, fx)
 	case port.TaskNotRun:
+		m.judge(now, t.endpoint, t.batch.ID.Job, true)
+		m.refused(now, t, fx)
+	case port.TaskNoRoom:
 		m.refused(now, t, fx)
 	case port.TaskUnknown:
 		if !t.batch.over {
@@ -91,23 +97,31 @@
 
 // refused handles an endpoint's answer that it did not start the task. Something else has the slot,
 // such as a task of the pool's former owner, so it counts as taken until the endpoint says what it
-// runs.
+// runs, or for a short time where announcements do not tell.
 func (m *Machine) refused(now time.Time, t *task, fx *Effects) {
-	if t.endpoint.live {
-		t.endpoint.refusals++
+	if e := t.endpoint; e.live {
+		e.refusals++
+		if e.Leased {
+			m.timers.set(&e.crowded, now.Add(crowdedTime))
+		}
 	}
-	m.judge(now, t.endpoint, t.batch.ID.Job, true)
 	m.fenced(now, t, fx)
 }
 
-// fenced puts a task that is known not to have started back into the queue, or ends its batch when
-// the pool's retry budget is used up.
+// roomAgain takes it that an endpoint has room again.
+func (m *Machine) roomAgain(e *endpoint) {
+	e.refusals = 0
+	m.refresh(e)
+}
+
+// fenced puts a task that is known not to have started back into the queue. Where a task may be
+// started only once its batch ends when the pool's retry budget is used up.
 func (m *Machine) fenced(now time.Time, t *task, fx *Effects) {
 	t.avoid = t.endpoint.ID
 	m.release(t)
 	switch {
 	case t.batch.over:
-	case m.retries.spend():
+	case t.batch.MaxFailures > 0 || m.retries.spend():
 		m.enqueue(t)
 		m.timers.set(&t.batch.timer, m.nextDue(t.batch))
 	default:
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -123,7 +123,9 @@
 		QueueLimit:  b.profile.QueueTasks,
 	}
 	residual := time.Duration(len(m.flights)) * time.Duration(m.runTimes.all.mean) / 2
-	request.Ahead = residual + m.queue.workAhead(now, b, request.Work)
+	queued := m.queue.workAhead(now, b, request.Work)
+	request.Ahead = residual + queued
+	request.Wait, request.MaxWait = m.waitBehind(b, queued), b.maxWait()
 	verdict := policy.Admit(request)
 	if verdict.Admit && b.MaxWait > 0 && m.expectedWait(b) > b.MaxWait {
 		return port.Verdict{Reason: model.ReasonBusy}
@@ -131,6 +133,17 @@
 	return verdict
 }
 
+// waitBehind returns how long the batch's last task is expected to wait for a slot behind the given
+// work of others.
+func (m *Machine) waitBehind(b *batch, queued time.Duration) time.Duration {
+	room := max(m.totals.free-m.queue.count-m.totals.held, 0)
+	if len(b.Tasks) <= room {
+		return 0
+	}
+	own := b.work * time.Duration(len(b.Tasks)-room) / time.Duration(len(b.Tasks))
+	return (queued + own) / time.Duration(max(m.totals.slots, 1))
+}
+
 // expectedWait returns how long the batch's last task is expected to wait for a slot: 0 while all
 // find one at once, or while no run time is learned.
 func (m *Machine) expectedWait(b *batch) time.Duration {
--- /dev/null
+++ b/plugins/endpoints/poolstate/objective_test.go
@@ -0,0 +1,73 @@
+package poolstate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// learnRuns has the pool learn that tasks run for 100 ms.
+func (h *harness) learnRuns() {
+	for range 4 * priorSamples {
+		h.jobs++
+		fx := h.submit(model.JobID(fmt.Sprintf("n.i.1.%d.t", h.jobs)), "t", 1)
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.advance(0)
+		h.reply(fx.Starts[0], port.TaskDone)
+	}
+}
+
+// submitTimely submits a job of one task whose objective allows a wait of 260 ms.
+func (h *harness) submitTimely(whole bool) Effects {
+	h.jobs++
+	return h.step(Submitted{model.Batch{
+		ID: model.BatchID{Job: model.JobID(fmt.Sprintf("n.i.1.%d.t", h.jobs))}, Pool: finderPool, Team: "t",
+		Deadline: h.now.Add(10 * time.Second), Key: "k", MaxFailures: 1, Whole: whole,
+		Objective: model.Objective{Stretch: 1.6, Slack: 200 * time.Millisecond, Useful: 3},
+		Tasks:     []model.Task{{Index: 0}},
+	}, model.BuiltInProfile()})
+}
+
+func TestAJobThatWouldMissItsObjectiveIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.learnRuns()
+	is.Equal(len(h.submitTimely(true).Starts), 1)
+	is.Equal(len(h.submitTimely(true).Ended), 0) // Waits for 100 ms, and for what its team sends meanwhile.
+	fx := h.submitTimely(true)
+	is.True(fx.Ended[0].Refused)
+	is.Equal(fx.Ended[0].Reason, model.ReasonOverload)
+	is.True(fx.Ended[0].RetryAfter > 0)
+	is.Equal(len(h.submitTimely(false).Ended), 0) // Other parts of its job may have begun.
+}
+
+func TestAJobThatWaitsUntilItIsOfNoUseIsGivenUp(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		t.Run(fmt.Sprint("whole ", whole), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(1)
+			h.learnRuns()
+			running := h.submitTimely(whole).Starts[0] // Hangs.
+			h.submitTimely(whole)
+			var ended []model.BatchResult
+			begun := h.now
+			for h.now.Sub(begun) < 2*time.Second {
+				h.now = h.now.Add(50 * time.Millisecond)
+				ended = append(ended, h.step(Elapsed{}).Ended...)
+			}
+			if !whole {
+				is.Equal(len(ended), 0)
+				return
+			}
+			is.Equal(len(ended), 1)
+			is.Equal(ended[0].Results[0].Run, model.NotRun)
+			fx := h.reply(running, port.TaskDone) // What runs is still of use to its caller.
+			is.True(fx.Ended[0].Results[0].Done)
+		})
+	}
+}
--- a/plugins/endpoints/wire.go
+++ b/plugins/endpoints/wire.go
@@ -28,6 +28,8 @@
 	MaxWaitMS   int64         `json:"max_wait_ms,omitempty"`
 	Key         string        `json:"key,omitempty"`
 	MaxFailures int           `json:"max_failures,omitempty"`
+	Objective   wireObjective `json:"objective,omitzero"`
+	Whole       bool          `json:"whole,omitempty"`
 	Tasks       []wireTask    `json:"tasks"`
 }
 
@@ -38,6 +40,12 @@
 	Pool model.PoolID  `json:"pool"`
 }
 
+type wireObjective struct {
+	Stretch float64       `json:"stretch"`
+	Slack   time.Duration `json:"slack_ns"`
+	Useful  float64       `json:"useful"`
+}
+
 type wireTask struct {
 	Index      int             `json:"index"`
 	Payload    json.RawMessage `json:"payload,omitempty"`
@@ -68,6 +76,7 @@
 		RemainingMS: time.Until(batch.Deadline).Milliseconds(),
 		MaxWaitMS:   batch.MaxWait.Milliseconds(),
 		Key:         batch.Key, MaxFailures: batch.MaxFailures,
+		Objective: wireObjective(batch.Objective), Whole: batch.Whole,
 		Tasks: make([]wireTask, 0, len(batch.Tasks)),
 	}
 	for _, t := range batch.Tasks {
@@ -98,6 +107,7 @@
 		Deadline: time.Now().Add(time.Duration(r.RemainingMS) * time.Millisecond),
 		MaxWait:  time.Duration(r.MaxWaitMS) * time.Millisecond,
 		Key:      r.Key, MaxFailures: r.MaxFailures,
+		Objective: model.Objective(r.Objective), Whole: r.Whole,
 		Tasks: make([]model.Task, 0, len(r.Tasks)),
 	}
 	for _, t := range r.Tasks {
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -130,6 +130,8 @@
 
 		Key:         j.job.Key,
 		MaxFailures: j.job.MaxFailures,
+		Objective:   j.job.Objective,
+		Whole:       j.job.Objective != (model.Objective{}) && len(part.Tasks) == len(j.job.Tasks),
 	}
 	for _, index := range part.Tasks {
 		batch.Tasks = append(batch.Tasks, j.job.Tasks[index])
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -183,6 +183,8 @@
 		m.settle(now, e.Run, port.TaskNotRun, "another lifetime has taken its place", fx)
 		m.lost(now, "another lifetime has taken its place", fx)
 		m.gone = true
+	case port.OrderNoRoom:
+		m.settle(now, e.Run, port.TaskNoRoom, e.Reply.Detail, fx)
 	default:
 		m.settle(now, e.Run, port.TaskNotRun, string(e.Reply.State)+": "+e.Reply.Detail, fx)
 	}
--- a/plugins/profiles/wire/routing.go
+++ b/plugins/profiles/wire/routing.go
@@ -23,8 +23,13 @@
 	Timeout     time.Duration   `json:"timeout_ns"`
 	Priority    int             `json:"priority,omitempty"`
 	MaxFailures int             `json:"failures,omitempty"`
-	Stretch     float64         `json:"stretch,omitempty"`
-	Slack       time.Duration   `json:"slack_ns,omitempty"`
+	Objective   objective       `json:"objective,omitzero"`
+}
+
+type objective struct {
+	Stretch float64       `json:"stretch"`
+	Slack   time.Duration `json:"slack_ns"`
+	Useful  float64       `json:"useful"`
 }
 
 type routedService struct {
@@ -33,13 +38,27 @@
 	Guarded        bool            `json:"guarded,omitempty"`
 }
 
+func encodeRoute(r model.Route) route {
+	return route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Service: r.Service, Timeout: r.Timeout,
+		Priority: r.Priority, MaxFailures: r.MaxFailures, Objective: objective(r.Objective),
+	}
+}
+
+func (r route) decode() model.Route {
+	return model.Route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Service: r.Service, Timeout: r.Timeout,
+		Priority: r.Priority, MaxFailures: r.MaxFailures, Objective: model.Objective(r.Objective),
+	}
+}
+
 func encodeRouting(r *model.Routing) *routing {
 	if r == nil {
 		return nil
 	}
 	encoded := &routing{Version: r.Version, MaxBody: r.MaxBody, Document: r.Document}
 	for _, one := range r.Routes {
-		encoded.Routes = append(encoded.Routes, route(one))
+		encoded.Routes = append(encoded.Routes, encodeRoute(one))
 	}
 	for _, one := range r.Services {
 		encoded.Services = append(encoded.Services, routedService(one))
@@ -53,7 +72,7 @@
 	}
 	decoded := &model.Routing{Version: r.Version, MaxBody: r.MaxBody, Document: r.Document}
 	for _, one := range r.Routes {
-		decoded.Routes = append(decoded.Routes, model.Route(one))
+		decoded.Routes = append(decoded.Routes, one.decode())
 	}
 	for _, one := range r.Services {
 		decoded.Services = append(decoded.Services, model.RoutedService(one))
