Batches of lost origins are stopped; nothing starts on a stale view; shared dialing

Cause, by reading and by the chain of waits in ADR 43: a pool's owner ran the batch of a lost entry VM on until membership had taken it for dead and 2 s more, while its caller sends the job again after 1.3 s, to any VM: two runs of a task could overlap. A batch of a repeatable job now ends 0.25 s after its origin's request has ended unless it asks again; servers ping silent peers; a process that stood still starts nothing before a member has answered it. Tests fail without it. Own copies of dialers and drains became kernel/dial and web.DrainAfter.

--- /dev/null
+++ b/plugins/endpoints/attend_test.go
@@ -0,0 +1,85 @@
+package endpoints
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/poolstate"
+)
+
+// repeatable is a batch of a job that its caller may send again.
+func repeatable() model.Batch {
+	b := batch(10 * time.Second)
+	b.Key, b.MaxFailures = "key", 2
+	return b
+}
+
+func TestABatchWhoseOriginIsLostIsStopped(t *testing.T) {
+	for _, keyed := range []bool{true, false} {
+		inBubble(t, func(t *testing.T, is *is.I) {
+			_, _, owner, atOwner := pair(t)
+			stopped := 0
+			atOwner.asked = func(model.TaskID) port.RevokeReply {
+				stopped++
+				return port.RevokeReply{State: port.TaskStopped}
+			}
+			b := repeatable()
+			if !keyed {
+				b = batch(10 * time.Second)
+			}
+			ctx, lose := context.WithCancel(t.Context())
+			go owner.serveRun(ctx, "origin", encodeBatch(envelope{Origin: "o1", Target: "w1", Sequence: 1}, b))
+			time.Sleep(100 * time.Millisecond) // On the virtual clock.
+			lose()
+			time.Sleep(attendGrace + time.Millisecond)
+			synctest.Wait()
+			if keyed {
+				is.Equal(stopped, 2) // Both tasks, long before the caller sends the job again.
+			} else {
+				is.Equal(stopped, 0) // Its answer may still be asked for.
+			}
+		})
+	}
+}
+
+func TestABatchWhoseOriginAsksAgainGoesOn(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, _, owner, _ := pair(t)
+		ctx, lose := context.WithCancel(t.Context())
+		e := envelope{Origin: "o1", Target: "w1", Sequence: 1}
+		b := repeatable()
+		go owner.serveRun(ctx, "origin", encodeBatch(e, b))
+		time.Sleep(100 * time.Millisecond) // On the virtual clock.
+		lose()
+		time.Sleep(attendGrace / 2)
+		reply := owner.serveResume(t.Context(), "origin", askRequest{e, b.ID, b.Pool})
+		is.Equal(len(reply.Results), 2)
+		is.True(reply.Results[0].Done && reply.Results[1].Done)
+	})
+}
+
+// standstill is a member whose process stood still.
+type standstill struct{ *fakeMember }
+
+func (standstill) Fresh() bool { return false }
+
+func TestNothingStartsWhileTheViewOfTheMembersIsStale(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I) {
+		_, _, owner, atOwner := pair(t)
+		owner.liveness = standstill{atOwner}
+		owner.step(pool1, poolstate.Submitted{Batch: repeatable(), Profile: model.BuiltInProfile()})
+		time.Sleep(time.Second) // On the virtual clock.
+		is.Equal(owner.starts.Count(), int64(0))
+		owner.liveness = atOwner
+		time.Sleep(2 * poolstate.EndpointLease / 3)
+		owner.step(pool1, announced())
+		synctest.Wait()
+		is.Equal(owner.starts.Count(), int64(2))
+	})
+}
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -349,6 +349,12 @@
 }
 
 func (p *Pools) start(id model.PoolID, s poolstate.Start) {
+	if !p.liveness.Fresh() {
+		// This member stood still. Others may have its work by now.
+		reply := port.TaskReply{State: port.TaskNoRoom, Detail: "this member's view of the others is stale"}
+		p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
+		return
+	}
 	p.starts.Inc(1)
 	ctx, cancel := context.WithDeadline(p.life, s.Deadline)
 	defer cancel()
--- a/plugins/endpoints/serve.go
+++ b/plugins/endpoints/serve.go
@@ -16,6 +16,10 @@
 	result   model.BatchResult
 	origin   originKey
 	sequence uint64 // 0 for a batch of this member's own jobs.
+
+	pool      model.PoolID
+	attended  bool // The batch ends when its origin no longer waits for it.
+	attending int  // Requests of the origin that wait for the result.
 }
 
 type originKey struct {
@@ -50,9 +54,10 @@
 	w, verdict := p.receive(from, r.envelope, ledger.Arrived{Sequence: r.Sequence, Settled: r.Settled})
 	if verdict == ledger.Start {
 		p.noteSender(from)
+		w.pool, w.attended = r.Pool, r.Key != ""
 		p.submit(decodeBatch(from, r), w)
 	}
-	return reply(ctx, r.ID, w, verdict)
+	return p.reply(ctx, r.ID, w, verdict)
 }
 
 // serveResume gives the result of a batch whose reply did not come, and fences one that never
@@ -62,7 +67,7 @@
 		return runReply{Lost: true} // An earlier incarnation may have run it.
 	}
 	w, verdict := p.receive(from, r.envelope, ledger.Asked{Sequence: r.Sequence, Settled: r.Settled})
-	return reply(ctx, r.ID, w, verdict)
+	return p.reply(ctx, r.ID, w, verdict)
 }
 
 // serveCancel ends a batch, and fences one that has not arrived yet.
@@ -97,9 +102,11 @@
 	return w, verdict
 }
 
-func reply(ctx context.Context, id model.BatchID, w *waiter, verdict ledger.Verdict) runReply {
+func (p *Pools) reply(ctx context.Context, id model.BatchID, w *waiter, verdict ledger.Verdict) runReply {
 	switch verdict {
 	case ledger.Start, ledger.Join:
+		p.withOrigin(w.origin, func(*origin) { w.attending++ })
+		defer p.unattend(id, w)
 		select {
 		case <-w.ended:
 			return encodeResult(w.result)
@@ -113,6 +120,35 @@
 	}
 }
 
+// attendGrace is how long an origin may take to ask again for a batch whose request has ended.
+const attendGrace = 250 * time.Millisecond
+
+// unattend notes that a request for a batch's result has ended. The batch of a job that may run again
+// is cancelled when its origin asks no more: the job's caller may have sent it to another member.
+func (p *Pools) unattend(id model.BatchID, w *waiter) {
+	alone := false
+	p.withOrigin(w.origin, func(*origin) {
+		w.attending--
+		alone = w.attended && w.attending == 0
+	})
+	select {
+	case <-w.ended:
+		return
+	default:
+	}
+	if alone {
+		time.AfterFunc(attendGrace, func() { p.cancelUnattended(id, w) })
+	}
+}
+
+func (p *Pools) cancelUnattended(id model.BatchID, w *waiter) {
+	alone := false
+	p.withOrigin(w.origin, func(*origin) { alone = w.attending == 0 })
+	if alone {
+		p.step(w.pool, poolstate.Cancelled{Batch: id})
+	}
+}
+
 // noteEnded tells the ledger of the batch's origin that its result is there.
 func (p *Pools) noteEnded(w *waiter) {
 	if w.sequence == 0 {
--- a/plugins/frontend/callers/callers.go
+++ b/plugins/frontend/callers/callers.go
@@ -61,16 +61,8 @@
 // Drain serves on until the balancer has noticed, then takes no new job, and closes the listener
 // when those in flight have been answered.
 func (f *Frontend) Drain(ctx context.Context) {
-	f.server.Retire()
-	grace := time.NewTimer(time.Duration(f.settings.DrainGraceMS) * time.Millisecond)
-	defer grace.Stop()
-	select {
-	case <-grace.C:
-	case <-ctx.Done():
-	}
-	f.jobGate.Close()
-	f.jobGate.Wait(ctx)
-	f.server.Drain(ctx)
+	grace := time.Duration(f.settings.DrainGraceMS) * time.Millisecond
+	f.server.DrainAfter(ctx, grace, &f.jobGate)
 }
 
 // Stop closes the listener.
--- a/plugins/frontend/web/web.go
+++ b/plugins/frontend/web/web.go
@@ -14,8 +14,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"redwingpulley/kernel/drain"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/settings"
+	"redwingpulley/kernel/wait"
 )
 
 const (
@@ -59,6 +61,16 @@
 	return nil
 }
 
+// DrainAfter serves on for a grace time, in which the balancer notices, then takes no new request
+// through the gate, and closes the listener when those in flight have been answered.
+func (s *Server) DrainAfter(ctx context.Context, grace time.Duration, gate *drain.Gate) {
+	s.Retire()
+	wait.For(ctx, grace)
+	gate.Close()
+	gate.Wait(ctx)
+	s.Drain(ctx)
+}
+
 // Drain closes the listener and waits for requests in flight.
 func (s *Server) Drain(ctx context.Context) { s.server.Shutdown(ctx) }
 
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -104,9 +104,17 @@
 	return nil
 }
 
+// waiter is who waits for a run.
+type waiter struct {
+	run port.TaskRun
+	end chan lease.Settled // Holds one.
+}
+
 // step applies an event to an endpoint's machine and then carries out its effects, outside the lock.
-// Where wait is given it gets the end of the run.
-func (l *Leases) step(at port.Lessor, event lease.Event, run port.TaskRun, wait chan lease.Settled) {
+func (l *Leases) step(at port.Lessor, event lease.Event) { l.stepFor(at, event, nil) }
+
+// stepFor is step for an event whose sender waits for a run; w may be nil.
+func (l *Leases) stepFor(at port.Lessor, event lease.Event, w *waiter) {
 	var fx lease.Effects
 	var waiting []func()
 	lessor := at
@@ -119,11 +127,14 @@
 		now := time.Now()
 		s.used = now
 		lessor = s.at
-		if wait != nil {
-			s.waiters[run] = append(s.waiters[run], wait)
+		if w != nil {
+			s.waiters[w.run] = append(s.waiters[w.run], w.end)
 		}
 		fx = s.machine.Step(now, event)
 		waiting = s.settle(fx.Settled)
+		if w != nil && !s.machine.Waits(w.run) {
+			waiting = append(waiting, s.settle([]lease.Settled{{Run: w.run, State: port.TaskLost, Detail: "settled before"}})...)
+		}
 		l.arm(s, now)
 	})
 	for _, tell := range waiting {
@@ -150,7 +161,7 @@
 	}
 	if s.timer == nil {
 		lessor := s.at
-		s.timer = time.AfterFunc(at.Sub(now), func() { l.step(lessor, lease.Elapsed{}, port.TaskRun{}, nil) })
+		s.timer = time.AfterFunc(at.Sub(now), func() { l.step(lessor, lease.Elapsed{}) })
 		return
 	}
 	s.timer.Reset(at.Sub(now))
@@ -188,21 +199,21 @@
 	ctx, cancel := context.WithTimeout(l.life, l.orderTime())
 	defer cancel()
 	reply := l.client.Start(ctx, at, order)
-	l.step(at, lease.StartEnded{Run: order.Run, Reply: reply}, port.TaskRun{}, nil)
+	l.step(at, lease.StartEnded{Run: order.Run, Reply: reply})
 }
 
 func (l *Leases) stopRun(at port.Lessor, order port.StopOrder) {
 	ctx, cancel := context.WithTimeout(l.life, l.orderTime())
 	defer cancel()
 	reply := l.client.StopRun(ctx, at, order)
-	l.step(at, lease.StopEnded{Run: order.Run, Reply: reply}, port.TaskRun{}, nil)
+	l.step(at, lease.StopEnded{Run: order.Run, Reply: reply})
 }
 
 func (l *Leases) hold(at port.Lessor, order port.HoldOrder) {
 	ctx, cancel := context.WithTimeout(l.life, l.orderTime()+order.Wait)
 	defer cancel()
 	reply := l.client.Hold(ctx, at, order)
-	l.step(at, lease.HoldEnded{Reply: reply}, port.TaskRun{}, nil)
+	l.step(at, lease.HoldEnded{Reply: reply})
 }
 
 func (l *Leases) orderTime() time.Duration {
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -65,7 +65,7 @@
 	for _, end := range e.Ends {
 		run := port.TaskRun(end.Run)
 		if l.waits(e.Endpoint, run) {
-			l.step(port.Lessor{ID: e.Endpoint}, lease.Told{End: port.RunEnd{Run: run, How: end.How}}, run, nil)
+			l.step(port.Lessor{ID: e.Endpoint}, lease.Told{End: port.RunEnd{Run: run, How: end.How}})
 		}
 	}
 	return empty{}
@@ -106,7 +106,7 @@
 		}
 	}
 	l.log.Info("runs of another holder", "endpoint", at.ID, "runs", len(runs), "claimed", len(claimed.Claimed))
-	l.step(at, claimed, port.TaskRun{}, nil)
+	l.step(at, claimed)
 }
 
 // passOn tells the other members of ends whose runs one of them may wait for.
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -52,10 +52,10 @@
 
 // await applies an event and waits until the run is settled; ok is false when the context ends first.
 func (l *Leases) await(ctx context.Context, at port.Lessor, event lease.Event, run port.TaskRun) (settled lease.Settled, ok bool) {
-	end := make(chan lease.Settled, 1)
-	l.step(at, event, run, end)
+	w := &waiter{run: run, end: make(chan lease.Settled, 1)}
+	l.stepFor(at, event, w)
 	select {
-	case settled = <-end:
+	case settled = <-w.end:
 		return settled, true
 	case <-ctx.Done():
 		return lease.Settled{}, false
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -10,12 +10,12 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/dial"
 	"redwingpulley/kernel/drain"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
@@ -28,11 +28,11 @@
 	pathPrefix   = "/peer/v1/"
 	headerFrom   = "Redwing-Node"
 	maxBody      = 64 << 20               // Bytes of one request or reply.
-	pingAfter    = 500 * time.Millisecond // Silence after which a connection is pinged.
-	pingTimeout  = 500 * time.Millisecond // Wait for a ping's answer before the connection is closed.
+	pingAfter    = 400 * time.Millisecond // Silence after which a connection is pinged.
+	pingTimeout  = 400 * time.Millisecond // Wait for a ping's answer before the connection is closed.
 	dialTimeout  = 1 * time.Second        // Wait for a connection.
 	idleTimeout  = 15 * time.Second       // Before an unused connection is closed.
-	idleControl  = 400 * time.Millisecond // The same for control: before its first ping, so that idle peers cost nothing.
+	idleControl  = 300 * time.Millisecond // The same for control: before its first ping, so that idle peers cost nothing.
 	stopTimeout  = 2 * time.Second        // Wait for the last replies at the end.
 	headerWait   = 10 * time.Second       // Wait for the header of a request.
 	maxStreams   = 100_000                // Batches that may wait on one connection.
@@ -117,7 +117,10 @@
 		Handler:           http.HandlerFunc(p.serve),
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerWait,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams,
+			SendPingTimeout:      pingAfter, PingTimeout: pingTimeout, // A silent peer's requests end.
+		},
 	}
 	go p.server.Serve(listener)
 	return nil
@@ -191,10 +194,7 @@
 		p.log.Error("request not encoded", "method", method, "error", err)
 		return port.NotSent
 	}
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	ctx, connected := dial.Trace(ctx)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathPrefix+method, bytes.NewReader(body))
 	if err != nil {
 		return port.NotSent
--- a/plugins/peer/http/link.go
+++ b/plugins/peer/http/link.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/dial"
 	"redwingpulley/kernel/model"
 )
 
@@ -23,7 +24,7 @@
 }
 
 func newClient(idle time.Duration) *http.Client {
-	return &http.Client{Transport: newTransport(idle), CheckRedirect: noRedirect}
+	return &http.Client{Transport: newTransport(idle), CheckRedirect: dial.NoRedirect}
 }
 
 func (l *link) closeIdle() {
@@ -31,9 +32,6 @@
 	l.control.CloseIdleConnections()
 }
 
-// noRedirect keeps the client from sending a request a second time.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 func newTransport(idle time.Duration) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -7,18 +7,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
-	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sys/unix"
 
+	"redwingpulley/kernel/dial"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -26,17 +21,17 @@
 
 const (
 	maxAnswer     = 4 << 20 // Bytes of one endpoint's reply.
-	dialTimeout   = 1 * time.Second
 	revokeTimeout = 2 * time.Second
 	idlePerHost   = 60               // Connections kept open to one endpoint.
 	idleTimeout   = 30 * time.Second // Shorter than what endpoints must keep a connection open for.
 
-	probeAfter    = 1 * time.Second // Silence after which a connection is probed.
-	probeInterval = 1 * time.Second
-	probeCount    = 2
-	silenceLimit  = 3 * time.Second // Longest time for which sent bytes may stay unconfirmed.
 )
 
+// connection is when a connection to an endpoint is given up.
+var connection = dial.Limits{
+	Dial: time.Second, ProbeAfter: time.Second, ProbeInterval: time.Second, Probes: 2, Silence: 3 * time.Second,
+}
+
 // Client is the plug-in. Create it through the registry.
 type Client struct {
 	tasks   *http.Client
@@ -56,11 +51,11 @@
 }
 
 func (c *Client) init(registry metrics.Registry) {
-	dialer := newDialer()
-	c.tasks = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+	dialer := dial.New(connection)
+	c.tasks = &http.Client{CheckRedirect: dial.NoRedirect, Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout,
 	}}
-	c.revokes = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+	c.revokes = &http.Client{CheckRedirect: dial.NoRedirect, Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true,
 	}}
 	c.requests = metrics.GetOrRegisterCounter("messages.task.requests", registry)
@@ -69,25 +64,6 @@
 	c.wasted = metrics.GetOrRegisterCounter("messages.wasted", registry)
 }
 
-// noRedirect keeps the client from sending a task a second time, to where a reply points.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-// newDialer returns a dialer whose connections fail soon after the path to the endpoint has gone
-// silent: by probes while nothing is sent, by the user timeout while sent bytes are not confirmed.
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probeCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
-			})
-			return errors.Join(err, failed)
-		},
-	}
-}
-
 // Stop closes the connections.
 func (c *Client) Stop() error {
 	c.tasks.CloseIdleConnections()
@@ -115,10 +91,7 @@
 	if err != nil {
 		return port.TaskReply{State: port.TaskNotRun, Detail: err.Error()}
 	}
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	traced, connected := dial.Trace(ctx)
 	request, err := newRequest(traced, taskURL(address, start.ID), body)
 	if err != nil {
 		return port.TaskReply{State: port.TaskNotRun, Detail: err.Error()}
