An endpoint that another member holds is left alone until it announces itself

Announcements reach the pool's owner alone, so a fenced endpoint now gets no work before its next one. The random test of the pool draws the new ends of runs, objectives and leased endpoints; it found that a set-aside endpoint with held tasks counted them as free slots, mended here. Libraries' own log lines are JSON too.

--- a/cmd/redwingd/main.go
+++ b/cmd/redwingd/main.go
@@ -88,6 +88,7 @@
 		return usageError{err}
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stdout, nil))
+	slog.SetDefault(log) // For what libraries log by themselves.
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reloads := make(chan os.Signal, 1)
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -96,7 +96,7 @@
 // TaskState is what is known of a task at an endpoint.
 type TaskState string
 
-// States of a task. TaskNotRun, TaskNoRoom and TaskRevoked promise that it did not start.
+// States of a task. TaskNotRun, TaskNoRoom, TaskAway and TaskRevoked promise that it did not start.
 const (
 	TaskDone    TaskState = "done"
 	TaskFailed  TaskState = "failed"
@@ -107,6 +107,8 @@
 	TaskStopped TaskState = "stopped"
 	// TaskNoRoom is a task that did not start, because it does not fit beside what runs there.
 	TaskNoRoom TaskState = "no_room"
+	// TaskAway is a task that did not start, because another member holds the endpoint.
+	TaskAway TaskState = "away"
 	// TaskLost is a task that has surely ended without a result, by no fault of its own.
 	TaskLost TaskState = "lost"
 )
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -59,6 +59,7 @@
 	owner := p.ownerOf(id)
 	recorded := false
 	switch {
+	case a.Former && a.Endpoint.Leased: // Its next holder passes on what comes of the work there.
 	case a.Former:
 		p.step(id, poolstate.Announced{Endpoint: a.Endpoint})
 	case owner.ID == p.membership.Self().ID:
--- /dev/null
+++ b/plugins/endpoints/poolstate/away_test.go
@@ -0,0 +1,29 @@
+package poolstate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// TestAnEndpointThatAnotherMemberHoldsIsLeftAloneUntilItAnnouncesItself keeps two members that both
+// believe to own a pool from taking its endpoints from each other by turns: the one that gets no
+// announcements any more, since it is cut off, does not take them back.
+func TestAnEndpointThatAnotherMemberHoldsIsLeftAloneUntilItAnnouncesItself(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.announceWorker("a", 2000)
+	s := h.submitRepeatable(1, model.Needs{MilliCores: 1000}).Starts[0]
+	fx := h.reply(s, port.TaskAway)
+	is.Equal(len(fx.Starts)+len(fx.Ended), 0)
+	is.Equal(h.Load().Slots, 0)
+	h.now = h.now.Add(time.Second)
+	is.Equal(len(h.step(Elapsed{}).Starts), 0)
+	fx = h.announceWorker("a", 2000)
+	is.Equal(len(fx.Starts), 1)
+	is.Equal(fx.Starts[0].Attempt, 2)
+}
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -23,6 +23,7 @@
 	model.Endpoint
 	position int // In the machine's members.
 	live     bool
+	away     bool           // Another member holds it.
 	tasks    []*task        // Sent there, and their end there is not confirmed.
 	taken    model.Needs    // Of these tasks together.
 	held     []*task        // Bound to it by the placement, and not sent yet.
@@ -60,7 +61,7 @@
 // capacity returns how many tasks the endpoint may run at once, probes among them.
 func (e *endpoint) capacity() int {
 	switch {
-	case !e.live, e.State != model.EndpointServing, e.record.standing == quarantined:
+	case !e.live, e.away, e.State != model.EndpointServing, e.record.standing == quarantined:
 		return 0
 	case e.record.standing == probing:
 		return min(1, e.Slots)
@@ -120,6 +121,7 @@
 		m.totals.largestStale = true
 	}
 	e.Endpoint = *a
+	e.away = false
 	if !e.live {
 		e.live = true
 		m.live++
@@ -260,7 +262,9 @@
 func (m *Machine) refresh(e *endpoint) {
 	load := e.load(m.usual)
 	now := contribution{slots: load.Slots, held: len(e.held), serving: min(e.offered(), 1)}
-	now.free = max(load.Free+now.held, 0)
+	if load.Slots > 0 {
+		now.free = load.Free + now.held
+	}
 	was := e.counted
 	e.counted = now
 	m.totals.free += now.free - was.free
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -34,6 +34,9 @@
 		m.refused(now, t, fx)
 	case port.TaskNoRoom:
 		m.refused(now, t, fx)
+	case port.TaskAway:
+		m.away(t.endpoint)
+		m.fenced(now, t, fx)
 	case port.TaskUnknown:
 		if !t.batch.over {
 			m.judge(now, t.endpoint, t.batch.ID.Job, true)
@@ -108,6 +111,14 @@
 	m.fenced(now, t, fx)
 }
 
+// away gives an endpoint no work that another member holds. Its next announcement, which reaches the
+// pool's owner alone, tells that it is this member's again.
+func (m *Machine) away(e *endpoint) {
+	e.away = true
+	m.refresh(e)
+	m.unbindUnless(e)
+}
+
 // roomAgain takes it that an endpoint has room again.
 func (m *Machine) roomAgain(e *endpoint) {
 	e.refusals = 0
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -40,6 +40,8 @@
 	declared map[model.EndpointID]model.Endpoint
 	away     map[model.TaskID]Start // Sent and not settled.
 	tries    map[model.TaskID]int
+	ran      map[model.TaskID]bool     // Had a run that failed or was lost.
+	others   map[model.EndpointID]bool // Held by another member, as far as this one was told.
 	revokes  []Revoke
 	open     map[model.BatchID]int // Tasks of batches that have not ended.
 	started  map[model.BatchID]int
@@ -58,6 +60,7 @@
 		machine: New(finderPool, "sj1-a", shipped, 1), twin: New(finderPool, "sj1-a", shipped, 1),
 		leases: map[model.EndpointID]time.Time{}, declared: map[model.EndpointID]model.Endpoint{},
 		away: map[model.TaskID]Start{}, tries: map[model.TaskID]int{},
+		ran: map[model.TaskID]bool{}, others: map[model.EndpointID]bool{},
 		open: map[model.BatchID]int{}, started: map[model.BatchID]int{},
 	}
 }
@@ -89,6 +92,9 @@
 	if e.State != model.EndpointServing || !w.leases[s.Endpoint].After(w.now) {
 		w.t.Fatalf("task %s was sent to %s, which is leaving or behind its lease", s.Task, s.Endpoint)
 	}
+	if w.others[s.Endpoint] {
+		w.t.Fatalf("task %s was sent to %s, which another member holds", s.Task, s.Endpoint)
+	}
 	if !s.Deadline.After(w.now) {
 		w.t.Fatalf("task %s was sent behind its deadline", s.Task)
 	}
@@ -120,7 +126,8 @@
 		seen[r.Index] = true
 		tried := w.tries[result.ID.Job.TaskID(r.Index)] > 0
 		_, unsettled := w.away[result.ID.Job.TaskID(r.Index)]
-		if r.Run == model.NotRun && unsettled || r.Done && !tried {
+		ran := w.ran[result.ID.Job.TaskID(r.Index)]
+		if r.Run == model.NotRun && (unsettled || ran) || r.Done && !tried {
 			w.t.Fatalf("result %+v of a task with tries %t, unsettled %t", r, tried, unsettled)
 		}
 	}
@@ -138,7 +145,9 @@
 	if rapid.IntRange(0, 4).Draw(t, "leaving") == 0 {
 		e.State = model.EndpointLeaving
 	}
-	if rapid.IntRange(0, 4).Draw(t, "foreign") == 0 {
+	e.Leased = id > "b"
+	delete(w.others, id)
+	if !e.Leased && rapid.IntRange(0, 4).Draw(t, "foreign") == 0 {
 		e.Running = append(e.Running, "gone.x.1.1.t.0")
 	}
 	w.declared[id] = e
@@ -152,6 +161,12 @@
 		ID: model.BatchID{Job: model.JobID(fmt.Sprintf("n.i.1.%d.t", w.next))}, Pool: finderPool,
 		Team:     model.TeamID(rapid.SampledFrom([]string{"s", "t", "u"}).Draw(t, "team")),
 		Deadline: w.now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "deadline")) * time.Millisecond),
+
+		MaxFailures: rapid.IntRange(0, 3).Draw(t, "failures"),
+		Whole:       rapid.Bool().Draw(t, "whole"),
+	}
+	if rapid.Bool().Draw(t, "objective") {
+		b.Objective = model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3}
 	}
 	most := rapid.IntRange(0, 5).Draw(t, "cores")
 	for i := range rapid.IntRange(1, 12).Draw(t, "tasks") {
@@ -177,10 +192,17 @@
 	}
 	state := rapid.SampledFrom([]port.TaskState{
 		port.TaskDone, port.TaskDone, port.TaskDone, port.TaskNotRun, port.TaskFailed, port.TaskUnknown,
+		port.TaskLost, port.TaskNoRoom, port.TaskAway,
 	}).Draw(t, "state")
 	if state != port.TaskUnknown {
 		delete(w.away, s.Task)
 	}
+	switch state {
+	case port.TaskFailed, port.TaskLost:
+		w.ran[s.Task] = true
+	case port.TaskAway:
+		w.others[s.Endpoint] = true
+	}
 	w.step(Replied{s.Task, s.Attempt, port.TaskReply{State: state}})
 }
 
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -123,7 +123,7 @@
 		fx.Settled = append(fx.Settled, Settled{w.Run, port.TaskNotRun, "another lifetime has taken its place"})
 		return
 	case now.Before(m.fencedUntil):
-		fx.Settled = append(fx.Settled, Settled{w.Run, port.TaskNotRun, "another member holds the endpoint"})
+		fx.Settled = append(fx.Settled, Settled{w.Run, port.TaskAway, "another member holds the endpoint"})
 		return
 	case m.runs[w.Run] != nil:
 		return
@@ -177,7 +177,7 @@
 		r.phase = doubtful
 		r.stopAt = now // Stopped there, it never starts later.
 	case port.OrderFenced:
-		m.settle(now, e.Run, port.TaskNotRun, "another member holds the endpoint", fx)
+		m.settle(now, e.Run, port.TaskAway, "another member holds the endpoint", fx)
 		m.fenced(now, fx)
 	case port.OrderOtherLife:
 		m.settle(now, e.Run, port.TaskNotRun, "another lifetime has taken its place", fx)
@@ -375,7 +375,7 @@
 		switch {
 		case r.phase == sent: // Its answer is still to come.
 		case r.phase == waiting:
-			m.settle(now, id, port.TaskNotRun, "another member holds the endpoint", fx)
+			m.settle(now, id, port.TaskAway, "another member holds the endpoint", fx)
 		case r.unwanted:
 			m.settle(now, id, port.TaskLost, "the endpoint has another holder", fx)
 		default:
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -181,7 +181,7 @@
 	h.is.True(fx.Hold == nil)
 	_, ok := h.machine.Wake(h.now)
 	h.is.True(!ok) // No call before the time is over.
-	h.is.Equal(h.step(Wanted{Run: nth(1)}).Settled[0].State, port.TaskNotRun)
+	h.is.Equal(h.step(Wanted{Run: nth(1)}).Settled[0].State, port.TaskAway)
 	fx = h.step(Told{port.RunEnd{Run: nth(0), How: port.TaskDone}})
 	h.is.Equal(fx.Settled[0].State, port.TaskDone)
 
--- a/plugins/leases/lease/random_test.go
+++ b/plugins/leases/lease/random_test.go
@@ -176,7 +176,7 @@
 	switch {
 	case s.State == port.TaskDone && !w.model.done[s.Run]:
 		w.t.Fatalf("run %v is said to be done", s.Run)
-	case (s.State == port.TaskNotRun || s.State == port.TaskNoRoom) && w.model.begun[s.Run] > 0:
+	case (s.State == port.TaskNotRun || s.State == port.TaskNoRoom || s.State == port.TaskAway) && w.model.begun[s.Run] > 0:
 		w.t.Fatalf("run %v is said not to have run", s.Run)
 	case w.model.running[s.Run]:
 		w.t.Fatalf("run %v is settled as %s while it runs", s.Run, s.State)
@@ -257,7 +257,7 @@
 			w.until(w.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond))
 		}
 		for id, count := range w.model.begun {
-			if state := w.settled[id]; count > 1 || state == port.TaskNotRun || state == port.TaskNoRoom {
+			if state := w.settled[id]; count > 1 || state == port.TaskNotRun || state == port.TaskNoRoom || state == port.TaskAway {
 				t.Fatalf("run %v started %d times and was settled as %q", id, count, state)
 			}
 		}
