Log lines never hold a process up

Cause: the users ask for a bounded volume under load that is never blocked on; slog wrote to standard output in the caller.

--- a/cmd/redwingd/main.go
+++ b/cmd/redwingd/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
+	"redwingpulley/cmd/internal/logline"
 	"redwingpulley/cmd/internal/node"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/settings"
@@ -24,6 +25,7 @@
 	exitFailed  = 1
 	exitUsage   = 2
 	drainLimit  = time.Minute            // Longest wait for requests in flight at shutdown.
+	lastLines   = 200 * time.Millisecond // For the log lines that are queued at the end.
 	stopMargin  = 700 * time.Millisecond // For what follows the drain, where the process is killed soon.
 	description = "redwingd is the entry VM's process of the redwingpulley dispatcher."
 )
@@ -87,7 +89,9 @@
 	if err != nil {
 		return usageError{err}
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil))
+	lines := logline.New(os.Stdout)
+	defer lines.Close(lastLines)
+	log := slog.New(slog.NewJSONHandler(lines, nil))
 	slog.SetDefault(log) // For what libraries log by themselves.
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
