--- a/kernel/model/routing.go
+++ b/kernel/model/routing.go
@@ -10,8 +10,8 @@
 type Routing struct {
 	Version  uint64 // Given by the operator; 0 while nothing is declared.
 	Routes   []Route
-	Services []RoutedService
-	MaxBody  int64 // Bytes of a caller's request; 0 is the product's own limit.
+	Services []ServiceID // That routes may name.
+	MaxBody  int64       // Bytes of a caller's request; 0 is the product's own limit.
 
 	// Document is the declaration as it was sent. It is given back to who reads it.
 	Document []byte
@@ -24,18 +24,10 @@
 	PathPrefix  string
 	Service     ServiceID
 	Timeout     time.Duration // Longest time for a request.
-	Priority    int           // 0 goes first.
 	MaxFailures int           // Runs of a task that may fail before its job does.
 	Objective   Objective     // Latency objective of the route's jobs.
 }
 
-// RoutedService is what operators declare of a service.
-type RoutedService struct {
-	ID             ServiceID
-	MaxConnections int  // To one endpoint.
-	Guarded        bool // Its endpoints refuse what does not fit on them.
-}
-
 // Match returns the route of a request: of those for its host, the one with the longest prefix that
 // its path begins with.
 func (r *Routing) Match(host, path string) (route Route, ok bool) {
@@ -57,11 +49,11 @@
 		return "version: must be above 0"
 	}
 	services := make(map[ServiceID]bool, len(r.Services))
-	for _, s := range r.Services {
-		if s.ID == "" || services[s.ID] {
-			return "services: a name is missing or there twice: " + string(s.ID)
+	for _, id := range r.Services {
+		if id == "" || services[id] {
+			return "services: a name is missing or there twice: " + string(id)
 		}
-		services[s.ID] = true
+		services[id] = true
 	}
 	places := make(map[[2]string]string, len(r.Routes))
 	for _, route := range r.Routes {
--- a/kernel/model/routing_test.go
+++ b/kernel/model/routing_test.go
@@ -8,7 +8,7 @@
 )
 
 func declared(routes ...Route) Routing {
-	r := Routing{Version: 1, Services: []RoutedService{{ID: "finder"}}}
+	r := Routing{Version: 1, Services: []ServiceID{"finder"}}
 	for _, route := range routes {
 		route.Service, route.Timeout = "finder", time.Second
 		r.Routes = append(r.Routes, route)
--- a/plugins/endpoints/attend_test.go
+++ b/plugins/endpoints/attend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,9 +25,9 @@
 	for _, keyed := range []bool{true, false} {
 		inBubble(t, func(t *testing.T, is *is.I) {
 			_, _, owner, atOwner := pair(t)
-			stopped := 0
+			var stopped atomic.Int32
 			atOwner.asked = func(model.TaskID) port.RevokeReply {
-				stopped++
+				stopped.Add(1)
 				return port.RevokeReply{State: port.TaskStopped}
 			}
 			b := repeatable()
@@ -40,9 +41,9 @@
 			time.Sleep(attendGrace + time.Millisecond)
 			synctest.Wait()
 			if keyed {
-				is.Equal(stopped, 2) // Both tasks, long before the caller sends the job again.
+				is.Equal(stopped.Load(), int32(2)) // Both tasks, long before the caller sends the job again.
 			} else {
-				is.Equal(stopped, 0) // Its answer may still be asked for.
+				is.Equal(stopped.Load(), int32(0)) // Its answer may still be asked for.
 			}
 		})
 	}
@@ -64,19 +65,23 @@
 	})
 }
 
-// standstill is a member whose process stood still.
-type standstill struct{ *fakeMember }
+// standstill is a member whose process stood still, until it is thawed.
+type standstill struct {
+	*fakeMember
+	thawed atomic.Bool
+}
 
-func (standstill) Fresh() bool { return false }
+func (s *standstill) Fresh() bool { return s.thawed.Load() }
 
 func TestNothingStartsWhileTheViewOfTheMembersIsStale(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I) {
 		_, _, owner, atOwner := pair(t)
-		owner.liveness = standstill{atOwner}
+		frozen := &standstill{fakeMember: atOwner}
+		owner.liveness = frozen
 		owner.step(pool1, poolstate.Submitted{Batch: repeatable(), Profile: model.BuiltInProfile()})
 		time.Sleep(time.Second) // On the virtual clock.
 		is.Equal(owner.starts.Count(), int64(0))
-		owner.liveness = atOwner
+		frozen.thawed.Store(true)
 		time.Sleep(2 * poolstate.EndpointLease / 3)
 		owner.step(pool1, announced())
 		synctest.Wait()
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -145,30 +145,6 @@
 	}
 }
 
-// usualWeight is the weight of a batch's mean needs in the average.
-const usualWeight = 8
-
-// learnUsual takes a batch's needs into the average, by which free slots are counted.
-func (m *Machine) learnUsual(b *batch) {
-	var sum model.Needs
-	for i := range b.Tasks {
-		sum = sum.Plus(b.Tasks[i].Needs)
-	}
-	mean := sum.Part(len(b.Tasks))
-	before := m.usual
-	if m.usual == (model.Needs{}) {
-		m.usual = mean
-	} else {
-		m.usual = m.usual.Plus(mean.Less(m.usual).Part(usualWeight))
-	}
-	if m.usual == before {
-		return
-	}
-	for _, e := range m.members {
-		m.refresh(e)
-	}
-}
-
 func (m *Machine) takeOn(now time.Time, b *batch) {
 	m.batchesIn++
 	b.order = m.batchesIn
@@ -211,24 +187,6 @@
 	}
 }
 
-// maxWait returns the longest wait of the batch's last task with which its job meets its objective; 0
-// is any. A part of a job has none: to refuse it would waste what the other parts have begun.
-func (b *batch) maxWait() time.Duration {
-	if !b.Whole {
-		return 0
-	}
-	return max(b.Objective.For(b.typicalRun)-b.typicalRun, 1)
-}
-
-// usefulUntil returns when the answer of a batch that is a whole job is of no use any more.
-func (b *batch) usefulUntil() time.Time {
-	useful := b.arrived.Add(time.Duration(b.Objective.Useful * float64(b.Objective.For(b.typicalRun))))
-	if !b.Whole || useful.After(b.Deadline) {
-		return b.Deadline
-	}
-	return useful
-}
-
 // dispatchBy returns when all of the batch's tasks have to be at endpoints.
 func (b *batch) dispatchBy() time.Time { return b.Deadline.Add(-b.cautiousRun) }
 
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"redwingpulley/kernel/model"
-	"redwingpulley/kernel/port"
 )
 
 const (
@@ -77,29 +76,6 @@
 	return e.capacity()
 }
 
-// left returns the resources that no task there has taken.
-func (e *endpoint) left() model.Needs { return e.Has.Less(e.taken) }
-
-func (e *endpoint) room(needs model.Needs) bool {
-	return e.busy() < e.capacity() && needs.Within(e.left())
-}
-
-// load returns the endpoint's load. The tasks of the usual needs for which resources are left bound
-// the free slots.
-func (e *endpoint) load(usual model.Needs) port.EndpointLoad {
-	load := port.EndpointLoad{ID: e.ID, Slots: e.offered(), Left: e.left()}
-	if load.Slots == 0 {
-		return load
-	}
-	free := max(load.Slots-e.busy(), 0)
-	if fitting := load.Left.Count(usual); fitting < free {
-		load.Slots -= free - fitting
-		free = fitting
-	}
-	load.Free = free - len(e.held)
-	return load
-}
-
 func (m *Machine) announced(now time.Time, a *model.Endpoint, fx *Effects) {
 	e, known := m.endpoints[a.ID]
 	if m.outdated(a, e) {
@@ -132,30 +108,6 @@
 	m.unbindUnless(e)
 }
 
-// outdated reports whether an announcement was overtaken by a later one, or comes from a lifetime
-// whose address another one has by now.
-func (m *Machine) outdated(a *model.Endpoint, known *endpoint) bool {
-	if known != nil {
-		return a.Sequence > 0 && a.Sequence <= known.Sequence
-	}
-	return a.Born > 0 && slices.ContainsFunc(m.members, func(e *endpoint) bool {
-		return e.live && e.Address == a.Address && e.Born > a.Born
-	})
-}
-
-// replaceAt ends the lease of an earlier lifetime at the address of a new endpoint.
-func (m *Machine) replaceAt(a *model.Endpoint, fx *Effects) {
-	if a.Born == 0 {
-		return
-	}
-	for _, e := range slices.Clone(m.members) {
-		if e.live && e.Address == a.Address && e.Born > 0 && e.Born < a.Born {
-			m.timers.stop(&e.lease)
-			m.lost(e, fx)
-		}
-	}
-}
-
 func (m *Machine) newEndpoint(a *model.Endpoint) *endpoint {
 	e := &endpoint{position: len(m.members), released: make([]model.TaskID, max(minReleased, 2*a.Slots))}
 	e.lease = newTimer(func(_ time.Time, fx *Effects) { m.lost(e, fx) })
--- a/plugins/profiles/founders_test.go
+++ b/plugins/profiles/founders_test.go
@@ -48,7 +48,7 @@
 func declaration(version uint64, document string) model.Routing {
 	return model.Routing{
 		Version: version, Document: []byte(document),
-		Services: []model.RoutedService{{ID: "finder"}},
+		Services: []model.ServiceID{"finder"},
 		Routes:   []model.Route{{Name: "r", Host: "h", PathPrefix: "/p/", Service: "finder", Timeout: time.Second}},
 	}
 }
--- a/plugins/profiles/wire/routing.go
+++ b/plugins/profiles/wire/routing.go
@@ -8,11 +8,11 @@
 
 // routing is the encoded form of a model.Routing.
 type routing struct {
-	Version  uint64          `json:"version"`
-	Routes   []route         `json:"routes,omitempty"`
-	Services []routedService `json:"services,omitempty"`
-	MaxBody  int64           `json:"max_body,omitempty"`
-	Document []byte          `json:"document,omitempty"`
+	Version  uint64            `json:"version"`
+	Routes   []route           `json:"routes,omitempty"`
+	Services []model.ServiceID `json:"services,omitempty"`
+	MaxBody  int64             `json:"max_body,omitempty"`
+	Document []byte            `json:"document,omitempty"`
 }
 
 type route struct {
@@ -21,7 +21,6 @@
 	PathPrefix  string          `json:"prefix"`
 	Service     model.ServiceID `json:"service"`
 	Timeout     time.Duration   `json:"timeout_ns"`
-	Priority    int             `json:"priority,omitempty"`
 	MaxFailures int             `json:"failures,omitempty"`
 	Objective   objective       `json:"objective,omitzero"`
 }
@@ -32,23 +31,17 @@
 	Useful  float64       `json:"useful"`
 }
 
-type routedService struct {
-	ID             model.ServiceID `json:"id"`
-	MaxConnections int             `json:"connections,omitempty"`
-	Guarded        bool            `json:"guarded,omitempty"`
-}
-
 func encodeRoute(r model.Route) route {
 	return route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Service: r.Service, Timeout: r.Timeout,
-		Priority: r.Priority, MaxFailures: r.MaxFailures, Objective: objective(r.Objective),
+		MaxFailures: r.MaxFailures, Objective: objective(r.Objective),
 	}
 }
 
 func (r route) decode() model.Route {
 	return model.Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Service: r.Service, Timeout: r.Timeout,
-		Priority: r.Priority, MaxFailures: r.MaxFailures, Objective: model.Objective(r.Objective),
+		MaxFailures: r.MaxFailures, Objective: model.Objective(r.Objective),
 	}
 }
 
@@ -56,13 +49,10 @@
 	if r == nil {
 		return nil
 	}
-	encoded := &routing{Version: r.Version, MaxBody: r.MaxBody, Document: r.Document}
+	encoded := &routing{Version: r.Version, Services: r.Services, MaxBody: r.MaxBody, Document: r.Document}
 	for _, one := range r.Routes {
 		encoded.Routes = append(encoded.Routes, encodeRoute(one))
 	}
-	for _, one := range r.Services {
-		encoded.Services = append(encoded.Services, routedService(one))
-	}
 	return encoded
 }
 
@@ -70,12 +60,9 @@
 	if r == nil {
 		return nil
 	}
-	decoded := &model.Routing{Version: r.Version, MaxBody: r.MaxBody, Document: r.Document}
+	decoded := &model.Routing{Version: r.Version, Services: r.Services, MaxBody: r.MaxBody, Document: r.Document}
 	for _, one := range r.Routes {
 		decoded.Routes = append(decoded.Routes, one.decode())
 	}
-	for _, one := range r.Services {
-		decoded.Services = append(decoded.Services, model.RoutedService(one))
-	}
 	return decoded
 }
--- a/plugins/profiles/wire/wire_test.go
+++ b/plugins/profiles/wire/wire_test.go
@@ -36,10 +36,10 @@
 	state.Set.Routing = &model.Routing{
 		Version: 7, MaxBody: 1 << 18, Document: []byte("{}"),
 		Routes: []model.Route{{
-			Name: "r", Host: "h", PathPrefix: "/p/", Service: "finder", Timeout: time.Second, Priority: 1,
+			Name: "r", Host: "h", PathPrefix: "/p/", Service: "finder", Timeout: time.Second,
 			MaxFailures: 4, Objective: model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3},
 		}},
-		Services: []model.RoutedService{{ID: "finder", MaxConnections: 64, Guarded: true}},
+		Services: []model.ServiceID{"finder"},
 	}
 	return state
 }
