A pool that was not owned for a while waits for its endpoints' announcements

Ruled out: a lost heartbeat (it was recorded and acknowledged). A member that loses a pool, or stood still, now leaves its leased endpoints alone until they announce themselves, and hands none of them over.

--- a/cmd/internal/replay/machines.go
+++ b/cmd/internal/replay/machines.go
@@ -32,6 +32,7 @@
 	"RevokeReplied": poolEvent[poolstate.RevokeReplied],
 	"Cancelled":     poolEvent[poolstate.Cancelled],
 	"Owners":        poolEvent[poolstate.Owners],
+	"Disowned":      poolEvent[poolstate.Disowned],
 	"Elapsed":       poolEvent[poolstate.Elapsed],
 }
 
--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -34,6 +34,9 @@
 	for {
 		changed := p.membership.Changed()
 		p.dropLoads()
+		if !p.liveness.Fresh() {
+			p.disown(p.ownedPools()) // Others may have owned them while this process stood still.
+		}
 		p.signalNews() // Of pools that this member owns now.
 		var again <-chan time.Time
 		if p.handOver(p.life, p.membership.Alive()) {
@@ -72,6 +75,9 @@
 		}
 		message, first := p.handoverOf(id, owner)
 		working = working || message.Working
+		if first {
+			p.disown([]model.PoolID{id})
+		}
 		if first || message.Working {
 			told.Go(func() { p.sendHandover(ctx, owner.ID, message) })
 		}
@@ -80,6 +86,13 @@
 	return working
 }
 
+// disown has pools wait for the announcements of their leased endpoints.
+func (p *Pools) disown(pools []model.PoolID) {
+	for _, id := range pools {
+		p.step(id, poolstate.Disowned{})
+	}
+}
+
 func (p *Pools) handoverOf(id model.PoolID, owner port.Node) (message handover, first bool) {
 	to := originKey{owner.ID, owner.Incarnation}
 	var load model.PoolLoad
--- a/plugins/endpoints/poolstate/away_test.go
+++ b/plugins/endpoints/poolstate/away_test.go
@@ -27,3 +27,18 @@
 	is.Equal(len(fx.Starts), 1)
 	is.Equal(fx.Starts[0].Attempt, 2)
 }
+
+// TestAPoolThatWasNotOwnedForAWhileWaitsForAnnouncements was found on a day on which an endpoint said
+// that it leaves while another member owned its pool: the former owner got the pool back and sent
+// tasks to the endpoint as it had known it.
+func TestAPoolThatWasNotOwnedForAWhileWaitsForAnnouncements(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.announceWorker("z", 2000)
+	is.Equal(h.Load().Slots, 9)
+	h.step(Disowned{})
+	is.Equal(h.Load().Slots, 1) // The endpoint without a lease lists its own tasks.
+	is.Equal(len(h.Handover()), 1)
+	h.announceWorker("z", 2000)
+	is.Equal(h.Load().Slots, 9)
+}
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -51,6 +51,9 @@
 	Incarnation model.Incarnation
 }
 
+// Disowned says that another member owned the pool for a while, or may have.
+type Disowned struct{}
+
 // Elapsed says that the time returned by Wake has come.
 type Elapsed struct{}
 
@@ -60,6 +63,7 @@
 func (RevokeReplied) event() {}
 func (Cancelled) event()     {}
 func (Owners) event()        {}
+func (Disowned) event()      {}
 func (Elapsed) event()       {}
 
 // Effects are what the caller has to carry out.
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -119,6 +119,16 @@
 	m.unbindUnless(e)
 }
 
+// disowned gives leased endpoints no work before their next announcements: they may have told another
+// owner that they leave. Endpoints without a lease tell this member themselves.
+func (m *Machine) disowned() {
+	for _, e := range m.members {
+		if e.Leased {
+			m.away(e)
+		}
+	}
+}
+
 // roomAgain takes it that an endpoint has room again.
 func (m *Machine) roomAgain(e *endpoint) {
 	e.refusals = 0
--- a/plugins/endpoints/poolstate/handover.go
+++ b/plugins/endpoints/poolstate/handover.go
@@ -11,8 +11,8 @@
 func (m *Machine) Handover() []model.Endpoint {
 	var all []model.Endpoint
 	for _, e := range m.members {
-		if !e.live {
-			continue
+		if !e.live || e.away {
+			continue // It may have told another member something newer.
 		}
 		told := e.Endpoint
 		told.Running = slices.Clone(e.foreign)
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -86,6 +86,8 @@
 		m.cancelled(now, e.Batch, fx)
 	case Owners:
 		m.ownersChanged(now, e.Live)
+	case Disowned:
+		m.disowned()
 	}
 	m.place(now, fx)
 }
