--- a/cmd/internal/logline/logline_test.go
+++ b/cmd/internal/logline/logline_test.go
@@ -44,10 +44,12 @@
 		w := New(target)
 		for range 3 * room {
 			fmt.Fprintln(w, "line")
-			time.Sleep(time.Millisecond) // On the fake clock: within the rate.
+			// On the bubble's virtual clock: a line each millisecond is within the rate, so that the room
+			// alone bounds what is kept.
+			time.Sleep(time.Millisecond)
 		}
 		close(target.free)
-		time.Sleep(time.Second)
+		time.Sleep(time.Second) // On the virtual clock: dropped lines are told of once a second.
 		fmt.Fprintln(w, "line") // Tells of those that were dropped.
 		w.Close(time.Second)
 		is.True(target.lines >= room)
@@ -64,7 +66,7 @@
 			fmt.Fprintln(w, "line")
 			synctest.Wait() // Until it is written.
 		}
-		time.Sleep(time.Second)
+		time.Sleep(time.Second) // On the virtual clock: the next second has a new count.
 		fmt.Fprintln(w, "line")
 		w.Close(time.Second)
 		is.Equal(strings.Count(target.String(), "line\n"), perSecond+1)
--- a/plugins/endpoints/attend_test.go
+++ b/plugins/endpoints/attend_test.go
@@ -36,9 +36,9 @@
 			}
 			ctx, lose := context.WithCancel(t.Context())
 			go owner.serveRun(ctx, "origin", encodeBatch(envelope{Origin: "o1", Target: "w1", Sequence: 1}, b))
-			time.Sleep(100 * time.Millisecond) // On the virtual clock.
+			time.Sleep(100 * time.Millisecond) // On the virtual clock: the tasks run for a second.
 			lose()
-			time.Sleep(attendGrace + time.Millisecond)
+			time.Sleep(attendGrace + time.Millisecond) // On the virtual clock: the grace is over.
 			synctest.Wait()
 			if keyed {
 				is.Equal(stopped.Load(), int32(2)) // Both tasks, long before the caller sends the job again.
@@ -56,9 +56,9 @@
 		e := envelope{Origin: "o1", Target: "w1", Sequence: 1}
 		b := repeatable()
 		go owner.serveRun(ctx, "origin", encodeBatch(e, b))
-		time.Sleep(100 * time.Millisecond) // On the virtual clock.
+		time.Sleep(100 * time.Millisecond) // On the virtual clock: the tasks run for a second.
 		lose()
-		time.Sleep(attendGrace / 2)
+		time.Sleep(attendGrace / 2) // On the virtual clock: within the grace.
 		reply := owner.serveResume(t.Context(), "origin", askRequest{e, b.ID, b.Pool})
 		is.Equal(len(reply.Results), 2)
 		is.True(reply.Results[0].Done && reply.Results[1].Done)
@@ -79,10 +79,10 @@
 		frozen := &standstill{fakeMember: atOwner}
 		owner.liveness = frozen
 		owner.step(pool1, poolstate.Submitted{Batch: repeatable(), Profile: model.BuiltInProfile()})
-		time.Sleep(time.Second) // On the virtual clock.
+		time.Sleep(time.Second) // On the virtual clock: nothing may start however long it waits.
 		is.Equal(owner.starts.Count(), int64(0))
 		frozen.thawed.Store(true)
-		time.Sleep(2 * poolstate.EndpointLease / 3)
+		time.Sleep(2 * poolstate.EndpointLease / 3) // On the virtual clock: the endpoint's lease still holds.
 		owner.step(pool1, announced())
 		synctest.Wait()
 		is.Equal(owner.starts.Count(), int64(2))
--- a/plugins/endpoints/disown_test.go
+++ b/plugins/endpoints/disown_test.go
@@ -34,10 +34,10 @@
 		rival := port.Node{ID: rivalOf("owner"), Incarnation: "r1", DataCentre: "sj1"}
 		go owner.watchOwnership()
 		n.setAlive(origin1, owner1, rival)
-		time.Sleep(time.Second) // On the virtual clock.
+		time.Sleep(time.Second) // On the virtual clock: longer than a handover may take.
 		synctest.Wait()
 		n.setAlive(origin1, owner1)
-		time.Sleep(time.Second)
+		time.Sleep(time.Second) // On the virtual clock: the same for the way back.
 		synctest.Wait()
 		is.Equal(slotsOf(owner), 2) // The one that lists its tasks, not the leased one.
 		owner.step(pool1, leased(2, model.EndpointServing))
--- a/plugins/profiles/founders_test.go
+++ b/plugins/profiles/founders_test.go
@@ -176,7 +176,7 @@
 		is := is.New(t)
 		g := startUnknown(t, 4, 3, seeded(false))
 		defer g.stopAll()
-		time.Sleep(time.Minute) // On the fake clock.
+		time.Sleep(time.Minute) // On the fake clock: far longer than any founding takes.
 		for i := range 4 {
 			is.Equal(g.declare(node(i), 1), port.DeclareUnsure)
 			_, known := g.current(node(i))
--- a/plugins/profiles/places_test.go
+++ b/plugins/profiles/places_test.go
@@ -15,6 +15,9 @@
 	"redwingpulley/kernel/settings"
 )
 
+// settled is a time on the fake clock in which a vacant place is taken and its new store votes.
+const settled = 5 * time.Second
+
 // leave stops a member for good and has the others take it for dead.
 func (g *group) leave(id model.NodeID) {
 	g.stop(id)
@@ -49,7 +52,7 @@
 			g.leave(node(i))
 			next := model.NodeID(fmt.Sprintf("m%d", i))
 			g.join(next, 20+i)
-			time.Sleep(5 * time.Second) // On the fake clock.
+			time.Sleep(settled)
 			version++
 			is.Equal(g.declare("n5", version), port.DeclareDone)
 			is.Equal(g.confirmed(next), version)
@@ -77,21 +80,21 @@
 				defer g.stopAll()
 				is.Equal(g.declare("n5", 1), port.DeclareDone)
 				g.leave("n0")
-				time.Sleep(5 * time.Second) // On the fake clock.
+				time.Sleep(settled)
 				g.awaitVote("n3")
 				is.Equal(g.declare("n5", 2), port.DeclareDone)
 				if wiped {
 					is.NoErr(os.RemoveAll(filepath.Join(g.dir, "n0")))
 				}
 				g.back("n0")
-				time.Sleep(5 * time.Second)
+				time.Sleep(settled)
 				is.Equal(g.register("n0").Replica(), port.ReplicaNone)
 				is.Equal(g.register("n3").Replica(), port.ReplicaVoter)
 				is.Equal(g.confirmed("n0"), uint64(2))
 				is.Equal(g.declare("n0", 3), port.DeclareDone)
 
 				g.leave("n1") // The one that came back takes the next place.
-				time.Sleep(5 * time.Second)
+				time.Sleep(settled)
 				is.Equal(g.register("n0").Replica(), port.ReplicaVoter)
 				is.Equal(g.confirmed("n6"), uint64(3))
 				g.back("n1")
@@ -109,9 +112,9 @@
 		is.Equal(g.declare("n5", 1), port.DeclareDone)
 		g.awaitVersion("n3", 1)
 		g.net.cut("n3", "n4")
-		time.Sleep(10 * time.Second)
+		time.Sleep(2 * settled)
 		g.net.cut()
-		time.Sleep(5 * time.Second)
+		time.Sleep(settled)
 		is.Equal(g.register("n3").Replica(), port.ReplicaNone)
 		for i := range 3 {
 			is.Equal(g.register(node(i)).Replica(), port.ReplicaVoter)
