--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
@@ -17,7 +18,7 @@
 
 // Start provisions and starts all linked plug-ins.
 func Start(s settings.Settings, log *slog.Logger) (*plugin.Host, error) {
-	host, err := plugin.NewHost(s, log.With("node", string(s.Node)), plugin.Registered())
+	host, err := plugin.NewHost(s, log.With(event.Text(event.Node, s.Node)), plugin.Registered())
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/internal/process/harness_test.go
+++ b/cmd/internal/process/harness_test.go
@@ -10,17 +10,20 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
 
 	"redwingpulley/bench/caller"
 	"redwingpulley/bench/relay"
 	"redwingpulley/bench/standin"
 	"redwingpulley/cmd/internal/ports"
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/wait"
@@ -204,7 +207,7 @@
 	c.reserved.Release(own.Listen.Callers, own.Listen.Endpoints, own.Listen.Operators, own.Listen.Peers)
 	c.must(v.command.Start())
 	serving := make(chan struct{})
-	go v.watch(output, log, serving)
+	go v.watch(c.t, output, log, serving)
 	select {
 	case <-serving:
 	case <-v.exited:
@@ -217,7 +220,7 @@
 }
 
 // watch copies the process's log, tells when it serves and when it has ended.
-func (v *vm) watch(output io.Reader, log *os.File, serving chan struct{}) {
+func (v *vm) watch(t testing.TB, output io.Reader, log *os.File, serving chan struct{}) {
 	defer close(v.exited)
 	defer log.Close()
 	var once sync.Once
@@ -225,7 +228,10 @@
 	for {
 		line, err := lines.ReadBytes('\n')
 		log.Write(line)
-		if bytes.Contains(line, []byte(`"msg":"serving"`)) {
+		if fault := faultOf(line); fault != "" && err == nil { // The last line of a killed process may be torn.
+			t.Errorf("%s logs: %s", v.settings.Node, fault)
+		}
+		if bytes.Contains(line, []byte(`"msg":"`+event.ProcessStarted.Name+`"`)) {
 			once.Do(func() { close(serving) })
 		}
 		if err != nil {
@@ -235,6 +241,39 @@
 	}
 }
 
+// faultOf returns what is wrong with a line that a process wrote: each log line is one of the kinds that
+// operators find described, with the fields that are described there.
+func faultOf(line []byte) string {
+	if len(line) == 0 || line[0] != '{' {
+		return "" // Not of the log.
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(line, &fields); err != nil {
+		return fmt.Sprintf("%v: %s", err, line)
+	}
+	name, _ := fields["msg"].(string)
+	kind := event.Find(name)
+	if kind == nil {
+		return fmt.Sprintf("unknown kind: %s", line)
+	}
+	allowed := append([]event.Key{"time", "level", "msg", event.Node, event.Plugin}, kind.Fields...)
+	for key := range fields {
+		if !slices.Contains(allowed, event.Key(key)) {
+			return fmt.Sprintf("field %s is not described: %s", key, line)
+		}
+	}
+	return ""
+}
+
+func TestFaultyLogLinesAreFound(t *testing.T) {
+	is := is.New(t)
+	is.Equal(faultOf([]byte(`{"msg":"ready","node":"a"}`)), "")
+	is.Equal(faultOf([]byte("panic: x")), "")
+	is.True(faultOf([]byte(`{"msg":"ready","node":"a","why":"b"}`)) != "") // A field that ready does not have.
+	is.True(faultOf([]byte(`{"msg":"hello"}`)) != "")
+	is.True(faultOf([]byte(`{"msg":`)) != "")
+}
+
 func (c *cluster) tail(v *vm) []byte {
 	const kept = 4000
 	raw, _ := os.ReadFile(v.log) // What can be read is shown.
--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -3,7 +3,11 @@
 
 import (
 	"encoding/json"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -177,3 +181,67 @@
 		}
 	}
 }
+
+// loggers are the names under which the code base keeps loggers, and log/slog's own.
+var loggers = []string{"log", "Log", "logger", "Logger", "slog"}
+
+// plainLines returns the calls in a file that log a line without a kind of kernel/event.
+func plainLines(file *ast.File) (found []token.Pos) {
+	methods := []string{"Debug", "Info", "Warn", "Error", "Log", "LogAttrs", "DebugContext", "InfoContext", "WarnContext", "ErrorContext"}
+	ast.Inspect(file, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		if !ok {
+			return true
+		}
+		method, ok := call.Fun.(*ast.SelectorExpr)
+		if !ok || !slices.Contains(methods, method.Sel.Name) {
+			return true
+		}
+		receiver := ""
+		switch x := method.X.(type) {
+		case *ast.Ident:
+			receiver = x.Name
+		case *ast.SelectorExpr:
+			receiver = x.Sel.Name
+		}
+		if slices.Contains(loggers, receiver) {
+			found = append(found, call.Pos())
+		}
+		return true
+	})
+	return found
+}
+
+// TestEachLineHasAKind keeps the names of lines and fields in one package.
+func TestEachLineHasAKind(t *testing.T) {
+	for path, p := range load(t) {
+		if path == "redwingpulley/kernel/event" {
+			continue
+		}
+		for _, name := range p.GoFiles {
+			files := token.NewFileSet()
+			file, err := parser.ParseFile(files, filepath.Join(p.Dir, name), nil, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, at := range plainLines(file) {
+				t.Errorf("%s: a line without a kind", files.Position(at))
+			}
+		}
+	}
+}
+
+func TestPlainLinesAreFound(t *testing.T) {
+	is := is.New(t)
+	const source = `package p
+func f() {
+	p.log.Info("a")
+	slog.Warn("b")
+	c.Log.LogAttrs(nil, 0, "c")
+	event.JobTaken.Log(p.log)
+	math.Log(2)
+}`
+	file, err := parser.ParseFile(token.NewFileSet(), "p.go", source, 0)
+	is.NoErr(err)
+	is.Equal(len(plainLines(file)), 3)
+}
--- a/cmd/redwingctl/demo.go
+++ b/cmd/redwingctl/demo.go
@@ -16,6 +16,7 @@
 	"redwingpulley/bench/trace"
 	"redwingpulley/bench/traces"
 	"redwingpulley/cmd/internal/group"
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/wait"
 )
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "log")
 	}
-	return slog.New(slog.NewJSONHandler(file, nil)), file.Close, nil
+	return slog.New(slog.NewJSONHandler(file, &slog.HandlerOptions{Level: event.Routine})), file.Close, nil
 }
 
 func runDemo(ctx context.Context, out io.Writer, log *slog.Logger, dir string, jobs []trace.Job) error {
--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -64,6 +64,8 @@
 	QueuedRun time.Duration // Estimated run time of the waiting tasks together.
 	MeanRun   time.Duration // Estimated run time of one task; 0 until one has ended.
 	Largest   Needs         // Componentwise maximum over the endpoints.
+
+	Age time.Duration `json:"-"` // Since its owner told it; 0 at the owner.
 }
 
 // BatchID names the part of a job that one pool's owner runs.
--- a/kernel/plugin/host.go
+++ b/kernel/plugin/host.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors/errbase"
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/settings"
 )
 
@@ -125,7 +126,7 @@
 	return p.Provision(&Context{
 		ID:      d.ID,
 		Node:    h.node,
-		Log:     h.log.With("plugin", string(d.ID)),
+		Log:     h.log.With(event.Text(event.Plugin, d.ID)),
 		Metrics: h.Metrics,
 		Health:  h.Health,
 		host:    h,
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -37,8 +37,19 @@
 	StopWithinS float64 `json:"stop_within_s"`
 	// Without lists the ids of plug-ins that this process does not run.
 	Without []string `json:"without"`
+	// Log is the default where it is left out.
+	Log Log `json:"log,omitzero"`
 }
 
+// Log bounds the lines that the process logs.
+type Log struct {
+	LinesPerSecond int  `json:"lines_per_second"` // What is above is dropped and counted; 0 logs nothing.
+	Routine        bool `json:"routine"`          // Whether requests that are served as usual are logged.
+}
+
+// defaultLog lets a busy process log each decision.
+var defaultLog = Log{LinesPerSecond: 4000, Routine: true}
+
 // Listen holds the addresses of the process's listeners, each ip:port.
 type Listen struct {
 	Callers   string `json:"callers"`
@@ -68,7 +79,7 @@
 // Parse decodes and checks settings. With an error it returns as much as could be decoded, so that
 // further faults can be looked for.
 func Parse(raw []byte) (Settings, error) {
-	var s Settings
+	s := Settings{Log: defaultLog}
 	if err := DecodeStrict(raw, "", &s); err != nil {
 		json.Unmarshal(raw, &s) // What can be decoded.
 		return s, errors.Join(err, s.Check())
@@ -88,6 +99,7 @@
 	f.listener("listen.operators", s.Listen.Operators, s.runs("frontend.operators"))
 	f.listener("listen.peers", s.Listen.Peers, s.runs("peer.http"))
 	f.Require(s.StopWithinS >= 0, "stop_within_s", "must not be negative")
+	f.Require(s.Log.LinesPerSecond >= 0, "log.lines_per_second", "must not be negative")
 	s.checkMembers(&f)
 	return f.Joined()
 }
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"log/slog"
 	"maps"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -50,6 +52,7 @@
 	decisions  port.Decisions
 	recorder   port.Recorder
 	policies   poolstate.Policies
+	log        *slog.Logger
 
 	pools *shard.Map[model.PoolID, *pool]
 	loads *shard.Map[model.PoolID, *loadview.Known] // Of pools that others own.
@@ -111,14 +114,15 @@
 		Placements: plugin.UseAll[port.Placement](c),
 		Admissions: plugin.UseAll[port.Admission](c),
 	}
-	p.init(c.Metrics)
+	p.init(c.Log, c.Metrics)
 	p.gossip.Subscribe(topicLoads, p.hearLoads)
 	plugin.Bind[port.Pools](c, p)
 	return nil
 }
 
 // init makes the state behind the bound ports.
-func (p *Pools) init(registry metrics.Registry) {
+func (p *Pools) init(log *slog.Logger, registry metrics.Registry) {
+	p.log = log
 	p.pools = shard.New[model.PoolID, *pool](shard.DefaultCount)
 	p.loads = shard.New[model.PoolID, *loadview.Known](shard.DefaultCount)
 	p.senders = shard.New[model.NodeID, time.Time](shard.DefaultCount)
@@ -324,9 +328,7 @@
 }
 
 func (p *Pools) carryOut(id model.PoolID, fx *poolstate.Effects) {
-	for _, d := range fx.Decisions {
-		p.recordDecision(id, d)
-	}
+	p.tellOf(id, fx)
 	for _, s := range fx.Starts {
 		go p.start(id, s)
 	}
@@ -335,11 +337,20 @@
 	}
 }
 
-func (p *Pools) recordDecision(id model.PoolID, d poolstate.Decision) {
-	p.decisions.Record(port.Decision{
-		At: time.Now(), Kind: "placement", Job: d.Batch.Job, Task: d.Task, Pool: id.String(),
-		Endpoint: d.Endpoint, Why: d.Why, PassedOver: d.PassedOver,
-	})
+// tellOf logs what a step has decided and changed.
+func (p *Pools) tellOf(id model.PoolID, fx *poolstate.Effects) {
+	if len(fx.Decisions)+len(fx.Changes) == 0 {
+		return
+	}
+	now, pool := time.Now(), id.String()
+	for _, d := range fx.Decisions {
+		d.At, d.Pool = now, pool
+		p.decisions.Record(d)
+	}
+	for _, c := range fx.Changes {
+		event.EndpointChanged.Log(p.log, event.Text(event.Pool, pool), event.Text(event.Endpoint, c.Endpoint),
+			event.Text(event.From, c.From), event.Text(event.To, c.To), event.Count(event.Slots, c.Slots))
+	}
 }
 
 // attempt is one start of a task.
@@ -352,6 +363,7 @@
 	if !p.liveness.Fresh() {
 		// This member stood still. Others may have its work by now.
 		reply := port.TaskReply{State: port.TaskNoRoom, Detail: "this member's view of the others is stale"}
+		p.tellEnd(id, s, reply, 0)
 		p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
 		return
 	}
@@ -360,21 +372,48 @@
 	defer cancel()
 	started := attempt{s.Task, s.Attempt}
 	p.withPool(id, func(o *pool) { o.inFlight[started] = cancel })
+	begun := time.Now()
 	reply := p.tasks.Start(ctx, s.Address, port.TaskStart{
 		ID: s.Task, Endpoint: s.Endpoint, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(),
 		Payload: s.Payload, Key: s.Key, Index: s.Task.Index(),
 	})
+	p.tellEnd(id, s, reply, time.Since(begun))
 	p.withPool(id, func(o *pool) { delete(o.inFlight, started) })
 	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
 }
 
+// tellEnd logs what came of a start; one without an answer of the task is trouble.
+func (p *Pools) tellEnd(id model.PoolID, s poolstate.Start, reply port.TaskReply, took time.Duration) {
+	level := event.TaskEnded.Level
+	if reply.State != port.TaskDone {
+		level = event.Trouble
+	}
+	event.TaskEnded.LogAt(level, p.log, event.Text(event.Job, s.Task.Job()), event.Text(event.JobKey, s.Key),
+		event.Count(event.Task, s.Task.Index()), event.Count(event.Attempt, s.Attempt), event.Text(event.Pool, id.String()),
+		event.Text(event.Endpoint, s.Endpoint), event.Text(event.State, reply.State), event.MS(event.TookMS, took),
+		event.Text(event.Why, reply.Detail))
+}
+
+func (p *Pools) tellRevoked(id model.PoolID, r poolstate.Revoke, reply port.RevokeReply, took time.Duration) {
+	why := "to keep it from starting"
+	if r.Stop {
+		why = "to stop it"
+	}
+	event.TaskRevoked.Log(p.log, event.Text(event.Job, r.Task.Job()), event.Text(event.JobKey, r.Key),
+		event.Count(event.Task, r.Task.Index()), event.Count(event.Attempt, r.Attempt), event.Text(event.Pool, id.String()),
+		event.Text(event.Endpoint, r.Endpoint), event.Text(event.State, reply.State), event.MS(event.TookMS, took),
+		event.Text(event.Why, why))
+}
+
 func (p *Pools) revoke(id model.PoolID, r poolstate.Revoke) {
 	if !wait.For(p.life, r.After) {
 		return
 	}
+	begun := time.Now()
 	reply := p.tasks.Revoke(p.life, r.Address, port.TaskRevoke{
 		ID: r.Task, Endpoint: r.Endpoint, Attempt: r.Attempt, Stop: r.Stop, Key: r.Key, Index: r.Task.Index(),
 	})
+	p.tellRevoked(id, r, reply, time.Since(begun))
 	p.step(id, poolstate.RevokeReplied{Task: r.Task, Attempt: r.Attempt, Reply: reply})
 	if reply.State != port.TaskRunning && reply.State != port.TaskUnknown {
 		p.stopWaiting(id, attempt{r.Task, r.Attempt})
--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/endpoints/loadview"
@@ -76,6 +77,7 @@
 		message, first := p.handoverOf(id, owner)
 		working = working || message.Working
 		if first {
+			event.OwnershipMoved.Log(p.log, event.Text(event.Pool, id.String()), event.Text(event.Owner, owner.ID))
 			p.disown([]model.PoolID{id})
 		}
 		if first || message.Working {
--- a/plugins/endpoints/loadview/known.go
+++ b/plugins/endpoints/loadview/known.go
@@ -70,6 +70,7 @@
 		return model.PoolLoad{}, false
 	}
 	load = drained(k.load, age)
+	load.Age = age
 	for _, s := range k.sends {
 		if now.Sub(s.at) < maxSendAge {
 			load = joined(load, s.tasks)
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -90,25 +90,18 @@
 	m.usePlacement(s.Profile.Placement)
 	b := m.newBatch(now, s)
 	m.learnUsual(b)
-	if verdict := m.admit(now, b); !verdict.Admit {
+	verdict := m.admit(now, b)
+	m.noteVerdict(now, b, verdict, fx)
+	if !verdict.Admit {
 		result := model.RefusedBatch(s.Batch.ID, verdict.Reason)
 		result.RetryAfter = verdict.RetryAfter
 		result.Load = m.Load()
 		fx.Ended = append(fx.Ended, result)
-		fx.Decisions = append(fx.Decisions, Decision{Batch: s.Batch.ID, Task: -1, Why: refusals[verdict.Reason]})
 		return
 	}
 	m.takeOn(now, b)
 }
 
-// refusals are the texts of refusals in the decision log.
-var refusals = map[model.Reason]string{
-	model.ReasonNoEndpoint: "refused: no endpoint takes work",
-	model.ReasonNeverFits:  "refused: no endpoint has the resources",
-	model.ReasonBusy:       "refused: would wait longer than its origin expected",
-	model.ReasonOverload:   "refused: could not end before its deadline, or the queue is full",
-}
-
 func (m *Machine) newBatch(now time.Time, s *Submitted) *batch {
 	b := &batch{Batch: s.Batch, profile: s.Profile, arrived: now, index: absent}
 	b.tasks = make([]task, len(b.Tasks))
@@ -245,6 +238,7 @@
 // cancel ends a batch for the given reason: what waits never starts, what is at an endpoint is
 // told to stop and may have run.
 func (m *Machine) cancel(now time.Time, b *batch, reason model.Reason, fx *Effects) {
+	m.noteCut(now, b, reason, fx)
 	m.queue.remove(b)
 	b.waiting = nil
 	for i := range b.tasks {
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -35,6 +35,7 @@
 	probe    timer
 	crowded  timer // Ends the refusals of a leased endpoint.
 	counted  contribution
+	told     Standing // By the newest change.
 }
 
 // contribution is an endpoint's part of the pool's totals.
@@ -219,6 +220,7 @@
 	}
 	was := e.counted
 	e.counted = now
+	m.noteStanding(e)
 	m.totals.free += now.free - was.free
 	m.totals.held += now.held - was.held
 	m.totals.serving += now.serving - was.serving
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -71,7 +71,8 @@
 	Starts    []Start             `json:",omitempty"`
 	Revokes   []Revoke            `json:",omitempty"`
 	Ended     []model.BatchResult `json:",omitempty"`
-	Decisions []Decision          `json:",omitempty"`
+	Decisions []port.Decision     `json:",omitempty"` // Without their time and pool.
+	Changes   []EndpointChange    `json:",omitempty"`
 }
 
 // Reset empties the effects and keeps their buffers.
@@ -83,6 +84,7 @@
 	fx.Revokes = fx.Revokes[:0]
 	fx.Ended = fx.Ended[:0]
 	fx.Decisions = fx.Decisions[:0]
+	fx.Changes = fx.Changes[:0]
 }
 
 // Start sends a task to an endpoint.
@@ -108,11 +110,10 @@
 	Key      string `json:",omitempty"` // Of the job.
 }
 
-// Decision is a placement or refusal for the log.
-type Decision struct {
-	Batch      model.BatchID
-	Task       int // Index of the task, or -1 for the whole batch.
-	Endpoint   model.EndpointID
-	Why        string
-	PassedOver int // Endpoints of the pool that were not chosen.
+// EndpointChange says what the pool holds an endpoint for, for the log.
+type EndpointChange struct {
+	Endpoint model.EndpointID
+	From     Standing
+	To       Standing
+	Slots    int // That the pool counts with from now on.
 }
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -32,8 +32,9 @@
 	flights   map[model.TaskID]*task
 	origins   origins
 	queue     queue
-	skipped   []*batch    // Buffer of place.
-	freed     []*endpoint // Endpoints with held tasks that may have room.
+	skipped   []*batch         // Buffer of place.
+	freed     []*endpoint      // Endpoints with held tasks that may have room.
+	changes   []EndpointChange // Of this step.
 	runTimes  runTimes
 	retries   budget
 	timers    timers
@@ -90,6 +91,8 @@
 		m.disowned()
 	}
 	m.place(now, fx)
+	fx.Changes = append(fx.Changes, m.changes...)
+	m.changes = m.changes[:0]
 }
 
 // Wake returns when Elapsed is due next; ok is false when nothing is waiting for time to pass.
--- a/plugins/endpoints/poolstate/place.go
+++ b/plugins/endpoints/poolstate/place.go
@@ -131,9 +131,7 @@
 		Task: t.id, Attempt: t.attempt, Endpoint: e.ID, Address: e.Address,
 		Deadline: t.batch.Deadline, Payload: t.spec().Payload, Key: t.batch.Key,
 	})
-	fx.Decisions = append(fx.Decisions, Decision{
-		Batch: t.batch.ID, Task: t.spec().Index, Endpoint: e.ID, Why: why, PassedOver: len(m.members) - 1,
-	})
+	m.noteStart(now, t, why, fx)
 }
 
 // fly lists the task among those at endpoints, where it must not be already.
--- a/plugins/endpoints/poolstate/quarantine.go
+++ b/plugins/endpoints/poolstate/quarantine.go
@@ -127,6 +127,7 @@
 		e.record.standing = probing
 		e.record.since = now
 		m.probing = append(m.probing, e)
+		m.noteStanding(e)
 	}
 }
 
--- a/plugins/endpoints/reach.go
+++ b/plugins/endpoints/reach.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/wait"
@@ -25,13 +26,18 @@
 		nodes[to] = true
 	})
 	if first {
+		event.MemberUnreached.Log(p.log, event.Text(event.Member, to))
 		go p.regain(to)
 	}
 }
 
 // regain asks the member until it replies or is no longer thought alive.
 func (p *Pools) regain(to model.NodeID) {
-	defer p.unreached.Delete(to)
+	lost := time.Now()
+	defer func() {
+		p.unreached.Delete(to)
+		event.MemberReached.Log(p.log, event.Text(event.Member, to), event.MS(event.TookMS, time.Since(lost)))
+	}()
 	for wait.For(p.life, reachPause) {
 		if _, alive := p.member(to); !alive || p.reaches(to) {
 			return
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/wait"
@@ -82,6 +83,8 @@
 	}
 	for delivery != port.Delivered {
 		p.wasted.Inc(1)
+		event.BatchUnanswered.Log(p.log, event.Text(event.Job, batch.ID.Job), event.Count(event.Part, batch.ID.Part),
+			event.Text(event.Pool, batch.Pool.String()), event.Text(event.Owner, node.ID), event.MS(event.TookMS, time.Since(begun)))
 		if live.Err() == nil {
 			p.lostContact(node.ID)
 		}
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"slices"
 	"strings"
 	"sync"
@@ -177,7 +178,7 @@
 			Admissions: map[string]port.Admission{"deadline": deadline.Policy{}},
 		},
 	}
-	p.init(metrics.NewRegistry())
+	p.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	go p.watchMembers()
 	t.Cleanup(func() { p.Stop() })
 	return p, m
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -135,20 +135,46 @@
 }
 
 type decisionBody struct {
-	At         time.Time        `json:"at"`
-	Kind       string           `json:"kind"`
-	Job        model.JobID      `json:"job"`
-	Task       int              `json:"task"`
-	Pool       string           `json:"pool,omitempty"`
-	Endpoint   model.EndpointID `json:"endpoint,omitempty"`
-	Why        string           `json:"why"`
-	PassedOver int              `json:"passed_over"`
+	At           time.Time         `json:"at"`
+	Kind         port.DecisionKind `json:"kind"`
+	Job          model.JobID       `json:"job"`
+	Key          string            `json:"key,omitempty"`
+	Part         int               `json:"part"`
+	Task         int               `json:"task"`
+	Attempt      int               `json:"attempt,omitempty"`
+	Tasks        int               `json:"tasks"`
+	Pool         string            `json:"pool,omitempty"`
+	Pools        string            `json:"pools,omitempty"`
+	Endpoint     model.EndpointID  `json:"endpoint,omitempty"`
+	Revision     model.Revision    `json:"revision,omitempty"`
+	Slots        int               `json:"slots"`
+	Free         int               `json:"free"`
+	Queued       int               `json:"queued"`
+	AgeMS        int64             `json:"age_ms"`
+	AheadMS      int64             `json:"ahead_ms"`
+	LeftMS       int64             `json:"left_ms"`
+	ObjectiveMS  int64             `json:"objective_ms,omitempty"`
+	QueuedMS     int64             `json:"queued_ms"`
+	Reason       model.Reason      `json:"reason,omitempty"`
+	RetryAfterMS int64             `json:"retry_after_ms,omitempty"`
+	Why          string            `json:"why"`
+	PassedOver   int               `json:"passed_over"`
+}
+
+func encodeDecision(d port.Decision) decisionBody {
+	return decisionBody{
+		At: d.At, Kind: d.Kind, Job: d.Job, Key: d.Key, Part: d.Part, Task: d.Task, Attempt: d.Attempt, Tasks: d.Tasks,
+		Pool: d.Pool, Pools: d.Pools, Endpoint: d.Endpoint, Revision: d.Revision,
+		Slots: d.Slots, Free: d.Free, Queued: d.Waiting, AgeMS: d.Age.Milliseconds(), AheadMS: d.Ahead.Milliseconds(),
+		LeftMS: d.Left.Milliseconds(), ObjectiveMS: d.Objective.Milliseconds(), QueuedMS: d.Queued.Milliseconds(),
+		Reason: d.Reason, RetryAfterMS: d.RetryAfter.Milliseconds(), Why: d.Why, PassedOver: d.PassedOver,
+	}
 }
 
 func (f *Frontend) recentDecisions(w http.ResponseWriter, _ *http.Request) {
 	all := []decisionBody{}
 	for _, d := range f.decisions.Recent() {
-		all = append(all, decisionBody(d))
+		all = append(all, encodeDecision(d))
 	}
 	web.Reply(w, http.StatusOK, map[string]any{"decisions": all})
 }
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -76,7 +78,7 @@
 		j.step(id, j.replan(*fx.Replan))
 	}
 	if fx.Ended {
-		j.ended(id, e)
+		j.ended(id, e, now)
 	}
 	if gone != "" {
 		j.forgetKey(gone, id)
@@ -117,65 +119,106 @@
 }
 
 // ended wakes who waits for the job and counts its end.
-func (j *Jobs) ended(id model.JobID, e *entry) {
+func (j *Jobs) ended(id model.JobID, e *entry, now time.Time) {
 	var outcome model.Outcome
 	j.jobs.Do(id, func(map[model.JobID]*entry) { outcome = e.state.Outcome() })
-	j.responses.Update(time.Since(e.begun).Milliseconds())
+	took := now.Sub(e.begun)
+	j.responses.Update(took.Milliseconds())
 	if outcome.State == model.StateComplete {
 		metrics.GetOrRegisterCounter("jobs.complete", j.registry).Inc(1)
 	} else {
 		metrics.GetOrRegisterCounter("jobs.failed."+string(outcome.Reason), j.registry).Inc(1)
 	}
+	j.tellEnded(id, e, outcome, took)
 	close(e.ended)
 }
 
 // begin plans the job and sends its batches, or refuses it.
 func (j *Jobs) begin(job model.Job) {
-	event, why := j.route(job)
-	j.record(job.ID, why)
+	event, d := j.route(job)
+	j.decisions.Record(d)
 	j.step(job.ID, event)
 }
 
-func (j *Jobs) record(id model.JobID, why string) {
-	j.decisions.Record(port.Decision{At: time.Now(), Kind: "routing", Job: id, Task: -1, Why: why})
+// decision returns what the log tells of a decision on a job or a part of it.
+func decision(kind port.DecisionKind, job *model.Job) port.Decision {
+	now := time.Now()
+	return port.Decision{
+		At: now, Kind: kind, Job: job.ID, Key: job.Key, Task: -1, Tasks: len(job.Tasks), Left: job.Deadline.Sub(now),
+	}
 }
 
-// route returns the event that starts or refuses the job, and why.
-func (j *Jobs) route(job model.Job) (event jobstate.Event, why string) {
-	profiles, ok := j.profiles.Current()
-	if !ok {
-		return jobstate.Refused{Reason: model.ReasonNoProfile}, "no profile is known yet"
+// countLoads enters into a decision the loads that it counted with.
+func countLoads(d *port.Decision, loads []model.PoolLoad) {
+	for _, l := range loads {
+		d.Slots += l.Slots
+		d.Free += l.Free
+		d.Waiting += l.Queued
+		d.Age = max(d.Age, l.Age)
+	}
+}
+
+// poolsOf lists the pools of a plan with the tasks that each gets.
+func poolsOf(plan port.Plan) string {
+	parts := make([]string, 0, len(plan.Parts))
+	for _, part := range plan.Parts {
+		parts = append(parts, part.Pool.String()+":"+strconv.Itoa(len(part.Tasks)))
+	}
+	return strings.Join(parts, ",")
+}
+
+// route returns the event that starts or refuses the job, and the decision behind it.
+func (j *Jobs) route(job model.Job) (jobstate.Event, port.Decision) {
+	d := decision(port.DecidedRefusal, &job)
+	profiles, known := j.profiles.Current()
+	d.Revision = profiles.Revision
+	refuse := func(reason model.Reason, retryAfter time.Duration, why string) (jobstate.Event, port.Decision) {
+		d.Reason, d.RetryAfter, d.Why = reason, retryAfter, why
+		return jobstate.Refused{Reason: reason, RetryAfter: retryAfter}, d
+	}
+	if !known {
+		return refuse(model.ReasonNoProfile, 0, "no profile is known yet")
 	}
 	profile, ok := profiles.For(job.Service)
 	if !ok {
-		return jobstate.Refused{Reason: model.ReasonNoProfile}, "the service's profile is not in the register"
-	}
-	if _, listed := profile.Quotas[job.Team]; !listed && len(profile.Quotas) > 0 {
-		return jobstate.Refused{Reason: model.ReasonUnknownTeam}, "the profile's quotas do not list the team"
+		return refuse(model.ReasonNoProfile, 0, "the service's profile is not in the register")
 	}
-	if time.Until(job.Deadline) > profile.MaxDeadline {
-		return jobstate.Refused{Reason: model.ReasonDeadlineLimit}, "the profile allows no deadline as long"
+	if reason, why := forbids(profile, job); reason != "" {
+		return refuse(reason, 0, why)
 	}
 	loads := j.pools.Loads(job.Service)
+	countLoads(&d, loads)
 	if len(loads) == 0 && !j.knownService(profiles, job.Service) {
-		return jobstate.Refused{Reason: model.ReasonUnknownService}, "no endpoint announced the service and no profile names it"
+		return refuse(model.ReasonUnknownService, 0, "no endpoint announced the service and no profile names it")
 	}
 	if why, fits := fit.Check(job, loads, time.Now()); !fits {
-		return jobstate.Refused{Reason: model.ReasonNeverFits}, why
+		return refuse(model.ReasonNeverFits, 0, why)
 	}
 	if ok, retryAfter := j.quotas.Take(profile, job.Team, len(job.Tasks)); !ok {
-		return jobstate.Refused{Reason: model.ReasonQuota, RetryAfter: retryAfter}, "the team's quota is used up"
+		return refuse(model.ReasonQuota, retryAfter, "the team's quota is used up")
 	}
 	plan := j.plan(profile, job, loads)
 	if len(plan.Parts) == 0 {
-		return jobstate.Refused{Reason: plan.Refused}, plan.Reason
+		return refuse(plan.Refused, 0, plan.Reason)
 	}
 	j.withBudget(job.Service, func(b *retrybudget.Budget) {
 		for range plan.Parts {
 			b.Deposit(profile.RetryBudget)
 		}
 	})
-	return jobstate.Planned{Plan: plan}, plan.Reason
+	d.Kind, d.Pools, d.Why = port.DecidedPlan, poolsOf(plan), plan.Reason
+	return jobstate.Planned{Plan: plan}, d
+}
+
+// forbids returns why the profile takes no such job, or "".
+func forbids(profile model.Profile, job model.Job) (reason model.Reason, why string) {
+	if _, listed := profile.Quotas[job.Team]; !listed && len(profile.Quotas) > 0 {
+		return model.ReasonUnknownTeam, "the profile's quotas do not list the team"
+	}
+	if time.Until(job.Deadline) > profile.MaxDeadline {
+		return model.ReasonDeadlineLimit, "the profile allows no deadline as long"
+	}
+	return "", ""
 }
 
 // knownService reports whether a profile was chosen for the service, its jobs have been planned
@@ -209,19 +252,26 @@
 	loads := slices.DeleteFunc(j.pools.Loads(r.Job.Service), func(l model.PoolLoad) bool {
 		return slices.Contains(r.Avoid, l.Pool)
 	})
+	d := decision(port.DecidedReplan, &r.Job)
+	d.Part, d.Reason, d.Revision = r.Part, r.Reason, profiles.Revision
+	countLoads(&d, loads)
 	plan := j.plan(profile, r.Job, loads)
-	if len(plan.Parts) == 0 {
-		return none
-	}
 	granted := r.Busy // Once for a part, so that it takes nothing from the retry budget.
-	if !granted {
+	if len(plan.Parts) > 0 && !granted {
 		j.withBudget(r.Job.Service, func(b *retrybudget.Budget) { granted = b.Withdraw() })
 	}
-	if !granted {
-		j.record(r.Job.ID, "refused part not sent elsewhere: the retry budget is used up")
+	switch {
+	case len(plan.Parts) == 0:
+		d.Why = "not sent elsewhere: " + plan.Reason
+	case !granted:
+		d.Why = "not sent elsewhere: the retry budget is used up"
+	default:
+		d.Pools, d.Why = poolsOf(plan), plan.Reason
+	}
+	j.decisions.Record(d)
+	if d.Pools == "" {
 		return none
 	}
-	j.record(r.Job.ID, "refused part sent elsewhere: "+plan.Reason)
 	return jobstate.Replanned{Part: r.Part, Plan: plan}
 }
 
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -50,6 +52,7 @@
 	recorder   port.Recorder
 	placements map[string]port.Placement
 	registry   metrics.Registry
+	log        *slog.Logger
 	responses  metrics.Histogram // Milliseconds from submission to end.
 	wasted     metrics.Counter
 
@@ -70,6 +73,7 @@
 	begun   time.Time
 	fenced  bool // Cancelled before it was submitted.
 	key     string
+	told    told
 	callers int // That wait for its end.
 	ended   chan struct{}
 	timer   *time.Timer
@@ -93,13 +97,14 @@
 		return err
 	}
 	j.placements = plugin.UseAll[port.Placement](c)
-	j.init(c.Metrics)
+	j.init(c.Log, c.Metrics)
 	plugin.Bind[port.Jobs](c, j)
 	return nil
 }
 
 // init makes the state behind the bound ports.
-func (j *Jobs) init(registry metrics.Registry) {
+func (j *Jobs) init(log *slog.Logger, registry metrics.Registry) {
+	j.log = log
 	j.self = j.membership.Self()
 	j.mint = newMint(j.self.ID, j.self.Incarnation, time.Now())
 	j.jobs = shard.New[model.JobID, *entry](shard.DefaultCount)
@@ -156,6 +161,7 @@
 		return model.Failed(job.ID, model.NotRun, model.ReasonUnknownJob)
 	}
 	if parts.Owner != j.self.ID {
+		event.JobForwarded.Log(j.log, event.Text(event.Job, job.ID), event.Text(event.Owner, parts.Owner))
 		return j.forwardSubmit(ctx, parts.Owner, job)
 	}
 	if refusal, refused := j.refuseAlien(job.ID, parts); refused {
@@ -207,9 +213,12 @@
 	case e == nil:
 		return refusal
 	case created:
+		j.tellTaken(&job)
 		j.begin(job)
 	case e.state.Digest() != job.Digest && !e.fenced:
 		return model.Failed(job.ID, model.NotRun, model.ReasonConflict)
+	default:
+		j.tellJoined(&job, e)
 	}
 	return j.attend(ctx, job, e)
 }
@@ -232,6 +241,7 @@
 	created := jobstate.Created{Job: job, Self: j.self.ID, Retention: jobstate.Retention{Answers: answers, Until: now.Add(left)}}
 	e := &entry{
 		key:     job.Key,
+		told:    told{job.Service, job.Team, len(job.Tasks), job.Deadline},
 		state:   created.Machine(),
 		begun:   now,
 		ended:   make(chan struct{}),
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -131,7 +132,7 @@
 		membership: f, profiles: f, quotas: f, pools: f, peers: f, decisions: f,
 		placements: map[string]port.Placement{"least_wait": f},
 	}
-	j.init(metrics.NewRegistry())
+	j.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	t.Cleanup(func() { j.Stop() })
 	return j, f
 }
--- a/plugins/jobs/jobstate/event.go
+++ b/plugins/jobs/jobstate/event.go
@@ -62,10 +62,11 @@
 
 // Replan asks for a new plan for a part that its pool refused before any task started.
 type Replan struct {
-	Part  int
-	Job   model.Job      // With the tasks of the part alone.
-	Avoid []model.PoolID // Pools that refused a part of this job.
-	Busy  bool           // The part was refused for a longer wait than planned, which happens once.
+	Part   int
+	Job    model.Job      // With the tasks of the part alone.
+	Avoid  []model.PoolID // Pools that refused a part of this job.
+	Reason model.Reason   // Of the refusal.
+	Busy   bool           // The part was refused for a longer wait than planned, which happens once.
 }
 
 // Retention says how long an ended job is kept.
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -177,7 +177,7 @@
 	for _, index := range part.Tasks {
 		sub.Tasks = append(sub.Tasks, j.job.Tasks[index])
 	}
-	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Busy: result.Reason == model.ReasonBusy}
+	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Reason: result.Reason, Busy: result.Reason == model.ReasonBusy}
 }
 
 func (j *Job) replanned(now time.Time, e Replanned, fx *Effects) {
--- a/plugins/jobs/keys.go
+++ b/plugins/jobs/keys.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/plugins/jobs/jobstate"
 )
@@ -68,6 +69,7 @@
 		alone = e.callers == 0
 	})
 	if job.Attached && alone && outcome.State == model.StateRunning {
+		event.CallerGone.Log(j.log, event.Text(event.Job, job.ID), event.Text(event.JobKey, job.Key), event.MS(event.TookMS, time.Since(e.begun)))
 		j.step(job.ID, jobstate.Cancelled{})
 	}
 	return outcome
--- a/plugins/leases/lease/compare.go
+++ b/plugins/leases/lease/compare.go
@@ -75,7 +75,7 @@
 
 // fenced gives the endpoint up to its next holder.
 func (m *Machine) fenced(now time.Time, fx *Effects) {
-	fx.Fenced = true
+	fx.Lost = LossFenced
 	m.fencedUntil = now.Add(m.config.Away)
 	m.opened = false
 	m.acknowledged = m.seen // By the next holder.
@@ -96,6 +96,7 @@
 
 // lost settles all runs of an endpoint that has surely ended them.
 func (m *Machine) lost(now time.Time, why string, fx *Effects) {
+	fx.Lost = LossOtherLife
 	for _, id := range m.sorted() {
 		state := port.TaskLost
 		if m.runs[id].phase == waiting {
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -69,9 +69,20 @@
 	Settled []Settled
 	Ask     []port.TaskRun // Runs of others: does a live member wait for them?
 	PassOn  []port.RunEnd  // Ends of runs of others; to be told before the next hold.
-	Fenced  bool           // Another holder has taken the endpoint.
+	Taken   bool           // The endpoint has answered under a new token.
+	Lost    Loss
 }
 
+// Loss is why a lease has ended before its runs; "" when it has not.
+type Loss string
+
+// Losses of a lease.
+const (
+	LossFenced    Loss = "fenced"     // Another holder has taken the endpoint.
+	LossLapsed    Loss = "lapsed"     // The endpoint could not be reached for as long as the lease lasts.
+	LossOtherLife Loss = "other_life" // Another lifetime of the endpoint has taken its place.
+)
+
 // Settled is what has come of a run that was wanted.
 type Settled struct {
 	Run    port.TaskRun
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -53,7 +53,7 @@
 	}
 	m.compare(now, reply.Running, fx)
 	if !m.opened {
-		m.opened = true
+		m.opened, fx.Taken = true, true
 		m.startWaiting(now, fx)
 	}
 }
@@ -105,6 +105,7 @@
 func (m *Machine) loseLapsed(now time.Time, fx *Effects) {
 	for _, id := range m.sorted() {
 		if m.runs[id].phase != entrusted {
+			fx.Lost = LossLapsed
 			m.settle(now, id, port.TaskLost, "the lease has lapsed", fx)
 		}
 	}
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -176,7 +176,7 @@
 func TestAFencedHolderLeavesTheEndpointAloneAndTakesTheEndsItIsTold(t *testing.T) {
 	h := opened(t, 1)
 	fx := h.step(HoldEnded{port.HoldReply{State: port.OrderFenced}})
-	h.is.True(fx.Fenced)
+	h.is.Equal(fx.Lost, LossFenced)
 	h.is.Equal(len(fx.Settled), 0) // The next holder keeps it going.
 	h.is.True(fx.Hold == nil)
 	_, ok := h.machine.Wake(h.now)
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -168,14 +169,15 @@
 }
 
 func (l *Leases) carryOut(at port.Lessor, fx lease.Effects) {
-	if fx.Fenced {
-		l.log.Warn("another member holds the endpoint", "endpoint", at.ID)
+	if fx.Taken {
+		event.LeaseTaken.Log(l.log, event.Text(event.Endpoint, at.ID))
+	}
+	if fx.Lost != "" {
+		event.LeaseLost.Log(l.log, event.Text(event.Endpoint, at.ID), event.Text(event.Reason, fx.Lost), event.Count(event.Runs, len(fx.Settled)))
 	}
 	for _, s := range fx.Settled {
 		if s.State != port.TaskDone {
 			l.wasted.Inc(1)
-			l.log.Info("run without result", "endpoint", at.ID, "job", s.Run.Key, "task", s.Run.Index,
-				"attempt", s.Run.Attempt, "state", s.State, "why", s.Detail)
 		}
 	}
 	if len(fx.PassOn) > 0 {
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/leases/lease"
@@ -105,7 +106,7 @@
 			claimed.Claimed = append(claimed.Claimed, port.TaskRun(run))
 		}
 	}
-	l.log.Info("runs of another holder", "endpoint", at.ID, "runs", len(runs), "claimed", len(claimed.Claimed))
+	event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Count(event.Runs, len(runs)), event.Count(event.Claimed, len(claimed.Claimed)))
 	l.step(at, claimed)
 }
 
@@ -121,7 +122,7 @@
 			defer cancel()
 			var ignored empty
 			if l.peers.Call(ctx, node, methodEnded, message, &ignored) != port.Delivered {
-				l.log.Warn("ends not passed on", "endpoint", endpoint, "to", node, "ends", len(message.Ends))
+				event.EndsKept.Log(l.log, event.Text(event.Endpoint, endpoint), event.Text(event.Member, node), event.Count(event.Ends, len(message.Ends)))
 			}
 		}()
 	}
--- a/plugins/membership/carry.go
+++ b/plugins/membership/carry.go
@@ -5,25 +5,39 @@
 	"sync"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/membership/swim"
 )
 
 // apply applies an event under the lock, and what follows from it inside this process.
-func (m *Membership) apply(event swim.Event) swim.Effects {
+func (m *Membership) apply(e swim.Event) swim.Effects {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	now := time.Now()
-	fx := m.machine.Step(now, event)
+	fx := m.machine.Step(now, e)
 	m.waiting = append(m.waiting, fx.Values...)
+	was := m.view.Load()
 	m.publishView(fx.View)
+	is := m.view.Load()
 	if m.timer != nil {
 		m.timer.Reset(m.machine.Wake().Sub(now))
 	}
+	m.mu.Unlock()
+	if was.fresh != is.fresh {
+		m.tellFresh(is.fresh)
+	}
 	return fx
 }
 
+func (m *Membership) tellFresh(fresh bool) {
+	if fresh {
+		event.ViewFresh.Log(m.log)
+		return
+	}
+	event.ViewStale.Log(m.log)
+}
+
 // publishView makes the machine's view the one that others ask for, and wakes those who wait for a
 // change. Two views never change places, since it is called under the lock.
 func (m *Membership) publishView(changed bool) {
@@ -78,7 +92,8 @@
 	}
 	for _, c := range fx.Changes {
 		m.metrics.changes.Inc(1)
-		m.log.Info("member changed", "member", c.Node, "from", c.From.String(), "to", c.To.String(), "why", c.Why)
+		event.MemberChanged.Log(m.log, event.Text(event.Member, c.Node), event.Text(event.From, c.From.String()),
+			event.Text(event.To, c.To.String()), event.Text(event.Why, c.Why))
 	}
 	m.metrics.pings.Inc(int64(len(fx.Pings)))
 	m.metrics.relays.Inc(int64(len(fx.Relays)))
--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -242,7 +243,7 @@
 // Publish sets what this member tells under a topic. A value that is too large is dropped.
 func (m *Membership) Publish(topic string, value []byte) {
 	if len(value) > maxValue {
-		m.log.Error("value not published: too large", "topic", topic, "bytes", len(value))
+		event.ValueTooLarge.Log(m.log, event.Text(event.Topic, topic), event.Count(event.Bytes, len(value)))
 		return
 	}
 	m.step(swim.Published{Topic: topic, Data: value})
--- a/plugins/membership/seeds.go
+++ b/plugins/membership/seeds.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
@@ -54,7 +55,7 @@
 	}
 	seeds, err := peerAddresses(node)
 	if err != nil {
-		m.log.Error("seeds not taken", "error", err.Error())
+		event.SeedsRefused.Log(m.log, event.Err(err))
 		return
 	}
 	m.seeds.Store(&seeds)
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -17,6 +17,7 @@
 
 	"redwingpulley/kernel/dial"
 	"redwingpulley/kernel/drain"
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -139,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	if p.server.Shutdown(ctx) != nil {
-		p.log.Warn("requests of peers cut off at the end")
+		event.PeersCutOff.Log(p.log)
 	}
 	p.links.Each(func(links map[model.NodeID]*link) {
 		for _, l := range links {
@@ -176,7 +177,7 @@
 	}
 	w.Header().Set("Content-Type", contentJSON)
 	if err := json.NewEncoder(w).Encode(reply); err != nil {
-		p.log.Warn("reply not sent", "method", r.URL.Path, "error", err)
+		event.ReplyNotSent.Log(p.log, event.Text(event.Method, method), event.Err(err))
 	}
 	if p.draining.Load() {
 		http.NewResponseController(w).Flush() // Before the request counts as answered.
@@ -191,7 +192,7 @@
 	}
 	body, err := json.Marshal(request)
 	if err != nil {
-		p.log.Error("request not encoded", "method", method, "error", err)
+		event.RequestLost.Log(p.log, event.Text(event.Method, method), event.Err(err))
 		return port.NotSent
 	}
 	ctx, connected := dial.Trace(ctx)
--- a/plugins/profiles/edit.go
+++ b/plugins/profiles/edit.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/profiles/register"
@@ -19,11 +21,36 @@
 	inForceTimeout = 500 * time.Millisecond // Wait until an accepted edit is in force here, too.
 )
 
-// Edit has the replicas agree on an edit. This member answers itself when it votes. Otherwise the
+// Edit has the replicas agree on an edit.
+func (p *Profiles) Edit(ctx context.Context, edit model.ProfileEdit) model.EditResult {
+	if edit.Kind == model.ConfirmRevision {
+		return p.agree(ctx, edit) // Changes nothing.
+	}
+	begun := time.Now()
+	event.ConfigProposed.Log(p.log, editFields(edit, edit.Expect)...)
+	result := p.agree(ctx, edit)
+	fields := append(editFields(edit, result.Revision), event.MS(event.TookMS, time.Since(begun)))
+	if result.Status == model.EditDone {
+		event.ConfigAccepted.Log(p.log, fields...)
+		return result
+	}
+	event.ConfigRefused.Log(p.log, append(fields, event.Text(event.Status, result.Status), event.Text(event.Run, result.Run))...)
+	return result
+}
+
+func editFields(edit model.ProfileEdit, revision model.Revision) []slog.Attr {
+	fields := []slog.Attr{event.Text(event.Edit, edit.ID), event.Count(event.Revision, revision)}
+	if edit.Routing != nil {
+		fields = append(fields, event.Count(event.Version, edit.Routing.Version))
+	}
+	return fields
+}
+
+// agree asks for an edit. This member answers itself when it votes. Otherwise the
 // replicas are tried one after the other; that is safe, since they know the edit by its id. The
 // first that finds no majority ends it: to go on with others, which may be out of reach, would only
 // turn a certain not_run into an uncertain one.
-func (p *Profiles) Edit(ctx context.Context, edit model.ProfileEdit) model.EditResult {
+func (p *Profiles) agree(ctx context.Context, edit model.ProfileEdit) model.EditResult {
 	ctx, cancel := context.WithTimeout(ctx, editTimeout)
 	defer cancel()
 	result := model.EditResult{Status: model.EditNoMajority, Run: model.NotRun}
--- a/plugins/profiles/group.go
+++ b/plugins/profiles/group.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -129,7 +130,7 @@
 func (p *Profiles) hearGroup(from model.NodeID, value []byte) {
 	var replicas []model.NodeID
 	if err := json.Unmarshal(value, &replicas); err != nil || len(replicas) == 0 {
-		p.log.Warn("the replicas that a member told cannot be read", "from", from)
+		event.ReplicasUnread.Log(p.log, event.Text(event.Member, from))
 		return
 	}
 	select {
--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/profiles/disk"
@@ -67,9 +68,9 @@
 
 // leavePlace goes on without a vote: another member has this one's place.
 func (p *Profiles) leavePlace() {
-	p.log.Warn("another member has this one's place among the replicas", "place", p.ownPlace())
+	event.ReplicaReplaced.Log(p.log, event.Text(event.Place, p.ownPlace()))
 	if err := p.disk.Discard(); err != nil {
-		p.log.Error("the register's file is not put aside", "error", err.Error())
+		event.RegisterKept.Log(p.log, event.Err(err))
 	}
 	identity := p.self
 	if slices.Contains(p.replicas(), p.self) {
@@ -127,7 +128,7 @@
 
 func (p *Profiles) takePlace(place model.NodeID) {
 	former, store := p.holder(place)
-	p.log.Warn("takes the place of a replica whose member is gone", "place", place, "former", former)
+	event.ReplicaTakes.Log(p.log, event.Text(event.Place, place), event.Text(event.Member, former))
 	p.enter(place, disk.Loaded{}, store)
 	p.step(register.Woken{})
 }
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -70,6 +71,7 @@
 	revision   metrics.Gauge
 	sent       metrics.Counter
 	failed     metrics.Counter
+	unwritten  bool // The newest write has failed; used by run alone.
 
 	serving atomic.Pointer[register.State]
 	notify  struct {
@@ -181,7 +183,7 @@
 	p.place = place
 	p.disk.Replicas, p.disk.Place = replicas, place
 	p.core.Unlock()
-	p.log.Info("takes part in the register", "replicas", replicas, "place", place, "replica", slices.Contains(replicas, place))
+	event.ReplicaJoined.Log(p.log, event.List(event.Replicas, replicas), event.Text(event.Place, place), event.Is(event.Replica, slices.Contains(replicas, place)))
 }
 
 func (p *Profiles) open() (disk.Loaded, error) {
@@ -201,11 +203,11 @@
 	loaded.Copied = loaded.Copied && p.settings.DetectCopies
 	switch {
 	case loaded.Fault != nil:
-		p.log.Warn("the register's file is refused; the replica joins as one whose disk is lost", "fault", loaded.Fault.Error())
+		event.RegisterRefused.Log(p.log, event.Err(loaded.Fault))
 	case loaded.Durable == nil:
-		p.log.Info("the disk holds no register; the replica joins before it votes")
+		event.RegisterEmpty.Log(p.log)
 	case loaded.Copied:
-		p.log.Warn("the register's file is a copy; the replica joins before it votes")
+		event.RegisterCopied.Log(p.log)
 	}
 	return loaded, nil
 }
--- a/plugins/profiles/routing.go
+++ b/plugins/profiles/routing.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
@@ -29,7 +30,7 @@
 // Declare has the replicas agree on a routing.
 func (p *Profiles) Declare(ctx context.Context, routing model.Routing) port.Declaration {
 	if fault := routing.Fault(); fault != "" {
-		p.log.Info("declared routing refused", "version", routing.Version, "fault", fault)
+		event.ConfigRefused.Log(p.log, event.Count(event.Version, routing.Version), event.Text(event.Status, string(port.DeclareInvalid)), event.Text(event.Why, fault))
 		return port.Declaration{Status: port.DeclareInvalid, Detail: fault}
 	}
 	ctx, cancel := context.WithTimeout(ctx, declareTimeout)
@@ -40,7 +41,6 @@
 		ID:     "routing-" + strconv.FormatUint(routing.Version, 10) + "-" + strconv.FormatUint(digest, 16),
 		Digest: digest, Expect: current.Revision, Kind: model.DeclareRouting, Routing: &routing,
 	})
-	p.log.Info("routing declared", "version", routing.Version, "status", result.Status, "run", result.Run, "revision", result.Revision)
 	if result.Status != model.EditDone {
 		return port.Declaration{Status: port.DeclareUnsure}
 	}
@@ -52,9 +52,10 @@
 func (p *Profiles) Confirmed(ctx context.Context) (*model.Routing, bool) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	begun := time.Now()
 	result := p.Edit(ctx, model.ProfileEdit{Kind: model.ConfirmRevision})
 	if result.Status != model.EditDone {
-		p.log.Info("the newest routing is not known", "status", result.Status)
+		event.ConfigUnsure.Log(p.log, event.Text(event.Status, result.Status), event.MS(event.TookMS, time.Since(begun)))
 		return nil, false
 	}
 	state := p.serving.Load()
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -4,9 +4,11 @@
 	"cmp"
 	"context"
 	"encoding/binary"
+	"log/slog"
 	"slices"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/profiles/register"
@@ -47,7 +49,7 @@
 	}
 	votes := m.Kind != register.Fetch && m.Kind != register.Chosen
 	if m.Cluster != p.settings.Cluster || votes && m.Replicas != known.hash {
-		p.log.Warn("message of another group", "from", from, "cluster", m.Cluster, "kind", m.Kind)
+		event.OtherGroup.Log(p.log, event.Text(event.Member, from), event.Text(event.Cluster, m.Cluster))
 		return
 	}
 	identity := cmp.Or(m.Sender, from)
@@ -152,10 +154,15 @@
 	}
 	if err := p.disk.Save(last.Durable); err != nil {
 		p.failed.Inc(1)
-		p.log.Error("the register is not written; this replica casts no vote", "error", err.Error())
+		p.unwritten = true
+		event.RegisterFailed.Log(p.log, event.Err(err))
 		p.step(register.WriteFailed{})
 		return false
 	}
+	if p.unwritten {
+		p.unwritten = false
+		event.RegisterWritten.Log(p.log)
+	}
 	return true
 }
 
@@ -239,7 +246,7 @@
 	p.serving.Store(&state)
 	p.health.Clear(condition)
 	p.revision.Update(int64(state.Revision()))
-	p.log.Info("profiles in force", "revision", state.Revision())
+	event.ConfigInForce.Log(p.log, inForceFields(&state)...)
 	p.gossip.Publish(topic, binary.AppendUvarint(nil, uint64(state.Revision())))
 	p.notify.Lock()
 	defer p.notify.Unlock()
@@ -247,6 +254,14 @@
 	p.notify.changed = make(chan struct{})
 }
 
+func inForceFields(state *register.State) []slog.Attr {
+	fields := []slog.Attr{event.Count(event.Revision, state.Revision())}
+	if state.Set.Routing != nil {
+		fields = append(fields, event.Count(event.Version, state.Set.Routing.Version))
+	}
+	return fields
+}
+
 func (p *Profiles) answer(a register.Answer) {
 	p.core.Lock()
 	waiter, ok := p.core.waiting[a.Ticket]
--- a/plugins/record/decisions/decisions.go
+++ b/plugins/record/decisions/decisions.go
@@ -3,10 +3,10 @@
 package decisions
 
 import (
-	"context"
 	"log/slog"
 	"slices"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -40,9 +40,7 @@
 
 // Record writes the decision to the log and keeps it.
 func (l *Log) Record(d port.Decision) {
-	l.log.LogAttrs(context.Background(), slog.LevelInfo, d.Kind,
-		slog.String("job", string(d.Job)), slog.Int("task", d.Task), slog.String("pool", d.Pool),
-		slog.String("endpoint", string(d.Endpoint)), slog.String("why", d.Why), slog.Int("passed_over", d.PassedOver))
+	l.write(d)
 	l.rings.Do(d.Job, func(rings map[model.JobID]*ring) {
 		r, ok := rings[ringKey]
 		if !ok {
@@ -53,6 +51,49 @@
 	})
 }
 
+func (l *Log) write(d port.Decision) {
+	switch d.Kind {
+	case port.DecidedPlan:
+		event.JobPlanned.Log(l.log, append(planFields(d), event.Text(event.Pools, d.Pools), event.Count(event.Revision, d.Revision))...)
+	case port.DecidedRefusal:
+		event.JobRefused.Log(l.log, append(planFields(d), event.Count(event.Revision, d.Revision), event.Text(event.Reason, d.Reason))...)
+	case port.DecidedReplan:
+		event.PartReplanned.Log(l.log, append(planFields(d), event.Text(event.Pools, d.Pools), event.Count(event.Part, d.Part), event.Text(event.Reason, d.Reason))...)
+	case port.DecidedTake:
+		event.BatchTaken.Log(l.log, batchFields(d)...)
+	case port.DecidedBatchNo:
+		event.BatchRefused.Log(l.log, append(batchFields(d), event.Text(event.Reason, d.Reason),
+			event.MS(event.RetryAfterMS, d.RetryAfter), event.Text(event.Why, d.Why))...)
+	case port.DecidedCut:
+		event.BatchCut.Log(l.log, append(batchFields(d), event.Text(event.Reason, d.Reason))...)
+	case port.DecidedSend:
+		event.TaskSent.Log(l.log,
+			event.Text(event.Job, d.Job), event.Text(event.JobKey, d.Key), event.Count(event.Task, d.Task),
+			event.Count(event.Attempt, d.Attempt), event.Text(event.Pool, d.Pool), event.Text(event.Endpoint, d.Endpoint),
+			event.MS(event.QueuedMS, d.Queued), event.Count(event.PassedOver, d.PassedOver),
+			event.Count(event.Free, d.Free), event.Count(event.Queued, d.Waiting), event.Text(event.Why, d.Why))
+	}
+}
+
+// planFields returns the fields of a decision that a job's owner makes.
+func planFields(d port.Decision) []slog.Attr {
+	return []slog.Attr{
+		event.Text(event.Job, d.Job), event.Text(event.JobKey, d.Key), event.Count(event.Tasks, d.Tasks),
+		event.Count(event.Slots, d.Slots), event.Count(event.Free, d.Free),
+		event.Count(event.Queued, d.Waiting), event.MS(event.AgeMS, d.Age), event.Text(event.Why, d.Why),
+	}
+}
+
+// batchFields returns the fields of a decision on a part of a job that a pool's owner makes.
+func batchFields(d port.Decision) []slog.Attr {
+	return []slog.Attr{
+		event.Text(event.Job, d.Job), event.Text(event.JobKey, d.Key), event.Count(event.Part, d.Part),
+		event.Text(event.Pool, d.Pool), event.Count(event.Tasks, d.Tasks), event.Count(event.Slots, d.Slots),
+		event.Count(event.Free, d.Free), event.Count(event.Queued, d.Waiting), event.MS(event.AheadMS, d.Ahead),
+		event.MS(event.LeftMS, d.Left), event.MS(event.ObjectiveMS, d.Objective),
+	}
+}
+
 // ringKey is the one entry of each shard: decisions are spread over shards by their job, and kept
 // in one ring a shard.
 const ringKey model.JobID = ""
--- a/plugins/record/file/file.go
+++ b/plugins/record/file/file.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
@@ -104,7 +105,7 @@
 func (r *Recorder) Record(step port.RecordedStep) {
 	line, err := r.encode(step)
 	if err != nil {
-		r.log.Error("step not recorded", "machine", step.Machine, "key", step.Key, "error", err)
+		event.StepNotRecorded.Log(r.log, event.Err(errors.Wrapf(err, "%s %s", step.Machine, step.Key)))
 		return
 	}
 	select {
@@ -178,12 +179,12 @@
 		return
 	}
 	if s.left -= int64(len(line)); s.left < 0 {
-		s.log.Warn("recording ended: the file is full", "file", s.name)
+		event.RecordingEnded.Log(s.log, event.Text(event.File, s.name), event.Text(event.Error, "the file is full"))
 		s.closed = true
 		return
 	}
 	if _, err := s.out.Write(line); err != nil {
-		s.log.Error("recording ended", "file", s.name, "error", err)
+		event.RecordingEnded.Log(s.log, event.Text(event.File, s.name), event.Err(err))
 		s.closed = true
 	}
 }
--- a/plugins/record/file/file_test.go
+++ b/plugins/record/file/file_test.go
@@ -16,7 +16,7 @@
 	"redwingpulley/kernel/settings"
 )
 
-type event struct{ Text string }
+type happened struct{ Text string }
 
 // start returns a started recorder with the given settings.
 func start(t *testing.T, own string) *Recorder {
@@ -68,12 +68,12 @@
 	for range 2 { // A second run of the process appends.
 		r := start(t, `{"file":`+quote(t, path)+`}`)
 		is.True(r.Active())
-		r.Record(port.RecordedStep{Machine: "pool", Key: "k", Sequence: 1, At: time.Unix(1, 2), Event: event{"a"}, Effects: event{"b"}})
+		r.Record(port.RecordedStep{Machine: "pool", Key: "k", Sequence: 1, At: time.Unix(1, 2), Event: happened{"a"}, Effects: happened{"b"}})
 		is.NoErr(r.Stop())
 	}
 	got := lines(t, path)
 	is.Equal(len(got), 2)
-	is.Equal(got[0].Event, "event")
+	is.Equal(got[0].Event, "happened")
 	is.Equal(string(got[0].Body), `{"Text":"a"}`)
 	is.Equal(string(got[0].Effects), `{"Text":"b"}`)
 	is.True(got[0].At.Equal(time.Unix(1, 2)))
@@ -84,7 +84,7 @@
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "events.jsonl")
 	r := start(t, `{"file":`+quote(t, path)+`,"max_mb":1}`)
-	large := event{string(make([]byte, 100_000))} // Each zero byte takes six in JSON.
+	large := happened{string(make([]byte, 100_000))} // Each zero byte takes six in JSON.
 	for range 4 {
 		r.Record(port.RecordedStep{Machine: "pool", Key: "k", Event: large})
 	}
