--- a/cmd/internal/logline/logline.go
+++ b/cmd/internal/logline/logline.go
@@ -28,7 +28,7 @@
 
 // Lines is the queue of lines, written by one goroutine. Create one with New.
 type Lines struct {
-	options Options
+	options atomic.Pointer[Options]
 	target  io.Writer
 	queue   chan []byte
 	done    chan struct{}
@@ -46,9 +46,10 @@
 // New returns the lines to target, with a goroutine that ends at Close.
 func New(target io.Writer, options Options) *Lines {
 	l := &Lines{
-		options: options, target: target,
-		queue: make(chan []byte, room), done: make(chan struct{}), dropped: make(map[string]int),
+		target: target,
+		queue:  make(chan []byte, room), done: make(chan struct{}), dropped: make(map[string]int),
 	}
+	l.options.Store(&options)
 	l.tell = l.encoder()
 	go l.run()
 	return l
@@ -57,6 +58,9 @@
 // Logger returns a logger that writes to the lines.
 func (l *Lines) Logger() *slog.Logger { return slog.New(handler{l, l.encoder()}) }
 
+// Bound changes what is written from now on.
+func (l *Lines) Bound(options Options) { l.options.Store(&options) }
+
 // Dropped returns how many lines were dropped so far.
 func (l *Lines) Dropped() int64 { return l.total.Load() }
 
@@ -72,7 +76,8 @@
 
 // Enabled reports whether lines of the level are written at all.
 func (h handler) Enabled(_ context.Context, level slog.Level) bool {
-	return h.lines.options.PerSecond > 0 && (level > event.Routine || h.lines.options.Routine)
+	options := h.lines.options.Load()
+	return options.PerSecond > 0 && (level > event.Routine || options.Routine)
 }
 
 // Handle queues the line, or drops it. It never fails, so that a logger goes on.
@@ -98,7 +103,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.roll(now)
-	rate, places := l.options.PerSecond, room
+	rate, places := l.options.Load().PerSecond, room
 	if level <= event.Routine {
 		rate, places = int(routinePart*float64(rate)), routinePart*room
 	}
--- a/cmd/internal/logline/logline_test.go
+++ b/cmd/internal/logline/logline_test.go
@@ -162,6 +162,22 @@
 	}
 }
 
+func TestTheBoundsCanBeChanged(t *testing.T) {
+	is := is.New(t)
+	var target bytes.Buffer
+	l := New(&target, Options{PerSecond: testRate})
+	log := l.Logger()
+	routine(log)
+	l.Bound(Options{PerSecond: testRate, Routine: true})
+	routine(log)
+	l.Bound(Options{})
+	trouble(log)
+	l.Close(time.Minute)
+	written, _ := count(t, target.String(), event.JobTaken)
+	is.Equal(written, 1)
+	is.Equal(strings.Count(target.String(), "\n"), 1)
+}
+
 func BenchmarkLine(b *testing.B) {
 	for name, options := range map[string]Options{
 		"written": {PerSecond: 1 << 30, Routine: true}, "dropped": {PerSecond: 1, Routine: true}, "off": {},
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -4,7 +4,11 @@
 import (
 	"context"
 	"log/slog"
+	"runtime"
 	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/plugin"
@@ -16,15 +20,40 @@
 	_ "redwingpulley/plugins/standard" // Links in the plug-ins.
 )
 
+// New provisions all linked plug-ins. Its error joins the faults of the settings; nothing is opened.
+func New(s settings.Settings, log *slog.Logger) (*plugin.Host, error) {
+	host, err := plugin.NewHost(s, log.With(event.Text(event.Node, s.Node)), plugin.Registered())
+	if err != nil {
+		return nil, err
+	}
+	gaugeProcess(host.Metrics)
+	return host, nil
+}
+
 // Start provisions and starts all linked plug-ins.
 func Start(s settings.Settings, log *slog.Logger) (*plugin.Host, error) {
-	host, err := plugin.NewHost(s, log.With(event.Text(event.Node, s.Node)), plugin.Registered())
+	host, err := New(s, log)
 	if err != nil {
 		return nil, err
 	}
 	return host, host.Start()
 }
 
+// gaugeProcess registers what the process itself uses.
+func gaugeProcess(registry metrics.Registry) {
+	begun := time.Now()
+	metrics.NewRegisteredFunctionalGauge("process.uptime_s", registry, func() int64 { return int64(time.Since(begun).Seconds()) })
+	metrics.NewRegisteredFunctionalGauge("process.goroutines", registry, func() int64 { return int64(runtime.NumGoroutine()) })
+	metrics.NewRegisteredFunctionalGauge("process.memory_bytes", registry, usedMemory)
+}
+
+// usedMemory returns the bytes that the Go runtime has mapped and not given back.
+func usedMemory() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.Sys - m.HeapReleased)
+}
+
 // Policies returns the placements and admissions that are linked, provisioned with their defaults.
 func Policies(log *slog.Logger) (poolstate.Policies, error) {
 	pure := slices.DeleteFunc(plugin.Registered(), func(d plugin.Definition) bool {
--- a/cmd/internal/process/cost_test.go
+++ b/cmd/internal/process/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"redwingpulley/bench/caller"
 	"redwingpulley/bench/load"
 	"redwingpulley/bench/trace"
+	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/wait"
 )
 
@@ -129,3 +131,54 @@
 	b.ReportMetric(float64(tasks)/length.Seconds(), "tasks/s")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkLog measures what the log costs at loads of few and of many jobs of two tasks.
+func BenchmarkLog(b *testing.B) {
+	const perSecond = 4000
+	for _, rate := range []int{10, 500} {
+		for name, log := range map[string]settings.Log{
+			"on":              {LinesPerSecond: perSecond, Routine: true},
+			"without-routine": {LinesPerSecond: perSecond},
+		} {
+			b.Run(fmt.Sprintf("jobs=%d/%s", rate, name), func(b *testing.B) { logCost(b, rate, log) })
+		}
+	}
+}
+
+func logCost(b *testing.B, rate int, log settings.Log) {
+	const length, run, tasks = 8 * time.Second, 20, 2 // Of a task, in milliseconds; tasks of a job.
+	c := start(b, shape{dataCentres: 1, vms: 2, endpoints: 10, slots: 8, log: log})
+	jobs := make([]trace.Job, 0, rate*int(length.Seconds()))
+	for i := range cap(jobs) {
+		jobs = append(jobs, trace.Job{
+			AtMS: int64(i) * 1000 / int64(rate), Service: "finder", Team: "team-1", DeadlineMS: 10_000,
+			RunMS: slices.Repeat([]int64{run}, tasks),
+		})
+	}
+	client := caller.New(c.entries(), 0, 0)
+	defer client.Close()
+	before, lines := c.usedByAll(), c.logBytes()
+	results, err := load.Runner{Client: client, Tickets: true}.Run(c.ctx, jobs)
+	c.must(err)
+	after, moreLines := c.usedByAll(), c.logBytes()
+	complete := 0
+	for _, r := range results {
+		if r.Outcome == caller.Complete {
+			complete++
+		}
+	}
+	b.ReportMetric(float64((after.processor-before.processor).Microseconds())/float64(complete), "µs/job")
+	b.ReportMetric(float64(moreLines-lines)/float64(complete), "B/job")
+	b.ReportMetric(float64(complete)/float64(len(jobs)), "complete")
+	b.ReportMetric(0, "ns/op")
+}
+
+// logBytes returns how much the processes have logged so far.
+func (c *cluster) logBytes() (sum int64) {
+	for _, v := range c.vms {
+		info, err := os.Stat(v.log)
+		c.must(err)
+		sum += info.Size()
+	}
+	return sum
+}
--- a/cmd/internal/process/harness_test.go
+++ b/cmd/internal/process/harness_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -78,6 +79,8 @@
 	command  *exec.Cmd
 	exited   chan struct{} // Closed once the process has ended.
 	log      string
+	unread   atomic.Bool   // Nobody reads the process's output
+	resume   chan struct{} // until this is closed.
 }
 
 // shape is the entry VMs and endpoints of each data centre.
@@ -86,6 +89,7 @@
 	vms         int // In each data centre.
 	endpoints   int // In each data centre.
 	slots       int
+	log         settings.Log // The default when it is left out.
 }
 
 // start runs a cluster until the end of the test.
@@ -150,7 +154,7 @@
 			dc := model.DataCentre(fmt.Sprintf("dc%d", d+1))
 			node := model.NodeID(fmt.Sprintf("%s-%c", dc, 'a'+v))
 			c.members = append(c.members, settings.Settings{
-				Node: node, Region: "test", DataCentre: dc, DataDir: filepath.Join(c.dir, string(node)),
+				Node: node, Region: "test", DataCentre: dc, DataDir: filepath.Join(c.dir, string(node)), Log: s.log,
 				Listen: settings.Listen{Callers: free[0], Endpoints: free[1], Operators: free[2], Peers: free[3]},
 			})
 			known = append(known, settings.Member{Node: node, DataCentre: dc, Peers: free[3], Endpoints: free[1], Disk: true})
@@ -193,7 +197,7 @@
 func (c *cluster) tryLaunch(index int) (*vm, error) {
 	c.t.Helper()
 	own := c.members[index]
-	v := &vm{settings: own, file: filepath.Join(c.dir, string(own.Node)+".json"), exited: make(chan struct{})}
+	v := &vm{settings: own, file: filepath.Join(c.dir, string(own.Node)+".json"), exited: make(chan struct{}), resume: make(chan struct{})}
 	raw, err := json.Marshal(own)
 	c.must(err)
 	c.must(os.WriteFile(v.file, raw, 0o600))
@@ -226,6 +230,9 @@
 	var once sync.Once
 	lines := bufio.NewReader(output)
 	for {
+		if v.unread.Load() {
+			<-v.resume
+		}
 		line, err := lines.ReadBytes('\n')
 		log.Write(line)
 		if fault := faultOf(line); fault != "" && err == nil { // The last line of a killed process may be torn.
--- /dev/null
+++ b/cmd/redwingctl/explain.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"redwingpulley/cmd/internal/explain"
+)
+
+type explainCommand struct {
+	ID     string   `arg:"" help:"The job's id, or the caller's own id of it."`
+	Files  []string `arg:"" help:"Logs of any number of processes." type:"existingfile"`
+	Output string   `enum:"text,json" default:"text" help:"text or json."`
+}
+
+// Run prints the story of the request. It exits with 1 when no line names it.
+func (c *explainCommand) Run() error {
+	var lines []explain.Line
+	for _, name := range c.Files {
+		more, err := readLog(name)
+		if err != nil {
+			return exitError{exitUsage, errors.Wrap(err, name)}
+		}
+		lines = append(lines, more...)
+	}
+	story, ok := explain.Tell(lines, c.ID)
+	if !ok {
+		return exitError{exitRefused, errors.Newf("none of %d lines names %s", len(lines), c.ID)}
+	}
+	if c.Output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(story)
+	}
+	story.Write(os.Stdout)
+	return nil
+}
+
+func readLog(name string) ([]explain.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return explain.Read(file)
+}
--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -32,6 +32,7 @@
 	Status    statusCommand    `cmd:"" help:"Print the state of an entry VM."`
 	Endpoints endpointsCommand `cmd:"" help:"List the endpoints that an entry VM owns."`
 	Drain     drainCommand     `cmd:"" help:"Drain an entry VM."`
+	Explain   explainCommand   `cmd:"" help:"Tell the story of a request from the logs of any number of processes."`
 	Settings  settingsCommands `cmd:"" help:"Write settings files."`
 }
 
--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -58,6 +58,8 @@
 	Place      Key = "place" // Of a member among the replicas.
 	Replica    Key = "replica"
 	Seeds      Key = "seeds"
+	Changed    Key = "changed" // Settings that take effect at once.
+	Later      Key = "later"   // Settings that take effect at the next start.
 	DataCentre Key = "data_centre"
 	Topic      Key = "topic"
 	Bytes      Key = "bytes"
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -6,7 +6,7 @@
 	ProcessFailed    = define(Fault, "process_failed", "the process could not start and ends", Error)
 	ProcessDraining  = define(Change, "process_draining", "the process was asked to end", LeftMS)
 	ProcessStopped   = define(Change, "process_stopped", "the last line of a process that ends as asked", TookMS, Error)
-	SettingsReloaded = define(Change, "settings_reloaded", "changed settings were taken", Seeds)
+	SettingsReloaded = define(Change, "settings_reloaded", "changed settings were taken", Changed, Later, Seeds)
 	SettingsRefused  = define(Fault, "settings_refused", "changed settings were refused; the old ones stay", Error)
 	Ready            = define(Change, "ready", "nothing keeps the process from serving any more")
 	NotReady         = define(Trouble, "not_ready", "the process stopped to be ready, or why has changed", Condition)
@@ -41,8 +41,8 @@
 		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS, Reason, RetryAfterMS, Why)
 	BatchCut = define(Trouble, "batch_cut", "a pool gave up what had not ended of a part",
 		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS, Reason)
-	BatchUnanswered = define(Trouble, "batch_unanswered", "no reply of the pool's owner came to the job's owner; it is asked again",
-		Job, Part, Pool, Owner, TookMS)
+	BatchUnanswered = define(Trouble, "batch_unanswered", "no reply of the pool's owner came to the job's owner, which asks again until one comes",
+		Job, JobKey, Part, Pool, Owner, TookMS)
 	TaskSent = define(Routine, "task_sent", "an endpoint was chosen and is asked to run a task",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, QueuedMS, PassedOver, Free, Queued, Why)
 	TaskEnded = define(Routine, "task_ended", "a start has its end: done, or what came of it instead",
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -2,7 +2,9 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"os"
 	"regexp"
@@ -182,3 +184,31 @@
 	_, err := netip.ParseAddrPort(value)
 	f.Require(err == nil, path, "must be an IP address and port")
 }
+
+// Differences returns the paths of what differs in other settings: keys, and of plug-ins their ids.
+func (s Settings) Differences(other Settings) (paths []string) {
+	note := func(same bool, path string) {
+		if !same {
+			paths = append(paths, path)
+		}
+	}
+	note(s.Node == other.Node, "node")
+	note(s.Region == other.Region, "region")
+	note(s.DataCentre == other.DataCentre, "data_centre")
+	note(s.Listen == other.Listen, "listen")
+	note(slices.Equal(s.Members, other.Members), "members")
+	note(s.DataDir == other.DataDir, "data_dir")
+	note(slices.Equal(s.Seeds, other.Seeds), "seeds")
+	note(s.Bootstrap == other.Bootstrap, "bootstrap")
+	note(s.Reserve == other.Reserve, "reserve")
+	note(s.StopWithinS == other.StopWithinS, "stop_within_s")
+	note(slices.Equal(s.Without, other.Without), "without")
+	note(s.Log == other.Log, "log")
+	ids := slices.Sorted(maps.Keys(s.Plugins))
+	ids = slices.AppendSeq(ids, maps.Keys(other.Plugins))
+	slices.Sort(ids)
+	for _, id := range slices.Compact(ids) {
+		note(bytes.Equal(s.Plugins[id], other.Plugins[id]), "plugins."+id)
+	}
+	return paths
+}
--- a/kernel/settings/settings_test.go
+++ b/kernel/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -110,3 +111,32 @@
 		}
 	}
 }
+
+// TestDifferencesNameEachKey changes each field in turn, so that a new one is not forgotten.
+func TestDifferencesNameEachKey(t *testing.T) {
+	is := is.New(t)
+	fields := reflect.TypeFor[Settings]()
+	for i := range fields.NumField() {
+		key, _, _ := strings.Cut(fields.Field(i).Tag.Get("json"), ",")
+		var changed Settings
+		switch field := reflect.ValueOf(&changed).Elem().Field(i); field.Kind() {
+		case reflect.String:
+			field.SetString("x")
+		case reflect.Bool:
+			field.SetBool(true)
+		case reflect.Float64:
+			field.SetFloat(1)
+		case reflect.Slice:
+			field.Set(reflect.MakeSlice(field.Type(), 1, 1))
+		case reflect.Map:
+			changed.Plugins = map[string]json.RawMessage{"membership": json.RawMessage("{}")}
+			key = "plugins.membership"
+		default:
+			changed.Listen.Peers, changed.Log.Routine = "x", true
+			is.Equal(Settings{}.Differences(changed), []string{"listen", "log"})
+			continue
+		}
+		is.Equal(Settings{}.Differences(changed), []string{key})
+		is.Equal(changed.Differences(changed), nil)
+	}
+}
--- a/plugins/endpoints/attend_test.go
+++ b/plugins/endpoints/attend_test.go
@@ -80,11 +80,11 @@
 		owner.liveness = frozen
 		owner.step(pool1, poolstate.Submitted{Batch: repeatable(), Profile: model.BuiltInProfile()})
 		time.Sleep(time.Second) // On the virtual clock: nothing may start however long it waits.
-		is.Equal(owner.starts.Count(), int64(0))
+		is.Equal(owner.meters.starts.Count(), int64(0))
 		frozen.thawed.Store(true)
 		time.Sleep(2 * poolstate.EndpointLease / 3) // On the virtual clock: the endpoint's lease still holds.
 		owner.step(pool1, announced())
 		synctest.Wait()
-		is.Equal(owner.starts.Count(), int64(2))
+		is.Equal(owner.meters.starts.Count(), int64(2))
 	})
 }
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -75,8 +75,7 @@
 	origins  *shard.Map[originKey, *origin]
 	draining atomic.Bool
 
-	starts metrics.Counter
-	wasted metrics.Counter // Messages whose content nobody used.
+	meters meters
 }
 
 // pool is an owned pool: its decisions, and who waits for its batches.
@@ -134,8 +133,8 @@
 	p.unreached = shard.New[model.NodeID, bool](shard.DefaultCount)
 	p.owners = shard.New[model.PoolID, chosen](shard.DefaultCount)
 	p.formers = shard.New[model.PoolID, map[model.NodeID]time.Time](shard.DefaultCount)
-	p.starts = metrics.GetOrRegisterCounter("tasks.starts", registry)
-	p.wasted = metrics.GetOrRegisterCounter("messages.wasted", registry)
+	p.meters = newMeters(registry)
+	p.gaugePools(registry)
 	p.life, p.stop = context.WithCancel(context.Background())
 	p.handlePeers()
 }
@@ -328,6 +327,7 @@
 }
 
 func (p *Pools) carryOut(id model.PoolID, fx *poolstate.Effects) {
+	p.meters.countStep(fx)
 	p.tellOf(id, fx)
 	for _, s := range fx.Starts {
 		go p.start(id, s)
@@ -367,7 +367,7 @@
 		p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
 		return
 	}
-	p.starts.Inc(1)
+	p.meters.starts.Inc(1)
 	ctx, cancel := context.WithDeadline(p.life, s.Deadline)
 	defer cancel()
 	started := attempt{s.Task, s.Attempt}
@@ -384,6 +384,7 @@
 
 // tellEnd logs what came of a start; one without an answer of the task is trouble.
 func (p *Pools) tellEnd(id model.PoolID, s poolstate.Start, reply port.TaskReply, took time.Duration) {
+	p.meters.countEnd(reply.State)
 	level := event.TaskEnded.Level
 	if reply.State != port.TaskDone {
 		level = event.Trouble
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -267,14 +267,18 @@
 }
 
 // record takes a task's result into its batch, which ends with its last one.
-func (m *Machine) record(t *task, result model.TaskResult, fx *Effects) {
+func (m *Machine) record(now time.Time, t *task, result model.TaskResult, fx *Effects) {
 	b := t.batch
 	result.Index = t.spec().Index
 	t.place = ended
 	b.results = append(b.results, result)
-	if len(b.results) == len(b.tasks) {
-		m.end(b, fx)
+	if len(b.results) < len(b.tasks) {
+		return
+	}
+	if b.Whole {
+		fx.Served = append(fx.Served, Served{now.Sub(b.arrived), b.Objective.For(b.typicalRun)})
 	}
+	m.end(b, fx)
 }
 
 func (m *Machine) end(b *batch, fx *Effects) {
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -73,6 +73,7 @@
 	Ended     []model.BatchResult `json:",omitempty"`
 	Decisions []port.Decision     `json:",omitempty"` // Without their time and pool.
 	Changes   []EndpointChange    `json:",omitempty"`
+	Served    []Served            `json:",omitempty"`
 }
 
 // Reset empties the effects and keeps their buffers.
@@ -85,6 +86,7 @@
 	fx.Ended = fx.Ended[:0]
 	fx.Decisions = fx.Decisions[:0]
 	fx.Changes = fx.Changes[:0]
+	fx.Served = fx.Served[:0]
 }
 
 // Start sends a task to an endpoint.
@@ -117,3 +119,9 @@
 	To       Standing
 	Slots    int // That the pool counts with from now on.
 }
+
+// Served says how long a whole job with a latency objective took in the pool.
+type Served struct {
+	Took      time.Duration
+	Objective time.Duration // By the pool's estimate of its run time.
+}
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -88,7 +88,7 @@
 	m.learn(t, now.Sub(t.sent))
 	m.release(t)
 	if !t.batch.over {
-		m.record(t, model.TaskResult{Done: true, Answer: answer}, fx)
+		m.record(now, t, model.TaskResult{Done: true, Answer: answer}, fx)
 	}
 }
 
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -81,10 +81,13 @@
 		}
 		return model.RefusedBatch(batch.ID, model.ReasonUnreachable)
 	}
+	if delivery != port.Delivered {
+		event.BatchUnanswered.Log(p.log, event.Text(event.Job, batch.ID.Job), event.Text(event.JobKey, batch.Key),
+			event.Count(event.Part, batch.ID.Part), event.Text(event.Pool, batch.Pool.String()),
+			event.Text(event.Owner, node.ID), event.MS(event.TookMS, time.Since(begun)))
+	}
 	for delivery != port.Delivered {
-		p.wasted.Inc(1)
-		event.BatchUnanswered.Log(p.log, event.Text(event.Job, batch.ID.Job), event.Count(event.Part, batch.ID.Part),
-			event.Text(event.Pool, batch.Pool.String()), event.Text(event.Owner, node.ID), event.MS(event.TookMS, time.Since(begun)))
+		p.meters.wasted.Inc(1)
 		if live.Err() == nil {
 			p.lostContact(node.ID)
 		}
@@ -103,7 +106,7 @@
 		return unknownResult(batch, model.ReasonOwnerLost)
 	}
 	if reply.Refused {
-		p.wasted.Inc(2) // The request and the reply.
+		p.meters.wasted.Inc(2) // The request and the reply.
 	}
 	if reply.Load.Owner != "" {
 		p.learnLoad(reply.Load)
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -231,7 +231,7 @@
 		is.Equal(len(result.Results), 2)
 		is.True(result.Results[0].Done && result.Results[1].Done)
 		is.Equal(n.calls, map[string]int{methodRun: 1, methodResume: 3})
-		is.Equal(owner.starts.Count(), int64(2))
+		is.Equal(owner.meters.starts.Count(), int64(2))
 	})
 }
 
@@ -243,7 +243,7 @@
 		is.True(origin.Run(t.Context(), "owner", b).Refused)
 		late := encodeBatch(envelope{Origin: "o1", Target: "w1", Sequence: 1}, b)
 		is.True(owner.serveRun(t.Context(), "origin", late).Refused) // The request arrives after all.
-		is.Equal(owner.starts.Count(), int64(0))
+		is.Equal(owner.meters.starts.Count(), int64(0))
 	})
 }
 
@@ -266,7 +266,7 @@
 		is.Equal(owner.serveResume(t.Context(), "origin", askRequest{envelope: e}), runReply{Lost: true})
 		e.Target = "" // The sender did not know which incarnation it reached.
 		is.Equal(owner.serveResume(t.Context(), "origin", askRequest{envelope: e}), runReply{Lost: true})
-		is.Equal(owner.starts.Count(), int64(0))
+		is.Equal(owner.meters.starts.Count(), int64(0))
 	})
 }
 
@@ -288,7 +288,7 @@
 		for _, r := range result.Results {
 			is.Equal(r.Run, model.NotRun)
 		}
-		is.Equal(owner.starts.Count(), int64(2)) // Of the first batch.
+		is.Equal(owner.meters.starts.Count(), int64(2)) // Of the first batch.
 		<-done
 	})
 }
@@ -341,7 +341,7 @@
 			runs[r.Index] = r.Run
 		}
 		is.Equal(runs, map[int]model.RunState{0: model.MayHaveRun, 1: model.MayHaveRun, 2: model.NotRun})
-		is.Equal(owner.starts.Count(), int64(2))
+		is.Equal(owner.meters.starts.Count(), int64(2))
 	})
 }
 
--- /dev/null
+++ b/plugins/frontend/operators/metrics.go
@@ -0,0 +1,43 @@
+package operators
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// writeMetrics writes a line for each figure, its name and its value, sorted by name. A histogram has
+// several.
+func writeMetrics(w io.Writer, registry metrics.Registry) {
+	var lines []string
+	add := func(name string, value float64) {
+		const tenths = 10
+		lines = append(lines, name+" "+strconv.FormatFloat(math.Round(tenths*value)/tenths, 'f', -1, 64))
+	}
+	registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			add(name, float64(m.Count()))
+		case metrics.Gauge:
+			add(name, float64(m.Value()))
+		case metrics.Histogram:
+			seen := m.Snapshot()
+			add(name+".count", float64(seen.Count()))
+			add(name+".max", float64(seen.Max()))
+			add(name+".mean", seen.Mean())
+			for label, part := range map[string]float64{"p50": 0.5, "p95": 0.95, "p99": 0.99} {
+				add(name+"."+label, seen.Percentile(part))
+			}
+		default:
+			lines = append(lines, fmt.Sprintf("%s unknown kind %T", name, metric))
+		}
+	})
+	slices.Sort(lines)
+	for _, line := range lines {
+		fmt.Fprintln(w, line) // Who asked may be gone.
+	}
+}
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -72,6 +72,7 @@
 	mux.HandleFunc("GET /v1/endpoints", f.endpoints)
 	mux.HandleFunc("GET /v1/decisions", f.recentDecisions)
 	mux.HandleFunc("GET /metrics", f.serveMetrics)
+	mux.HandleFunc("GET /metrics.txt", f.serveMetricsText)
 	mux.HandleFunc("POST /v1/drain", f.drain)
 	f.handleProfiles(mux)
 	return mux
@@ -184,6 +185,11 @@
 	metrics.WriteJSONOnce(f.metrics, w)
 }
 
+func (f *Frontend) serveMetricsText(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	writeMetrics(w, f.metrics)
+}
+
 // drain starts the same drain as SIGTERM. It is answered at once.
 func (f *Frontend) drain(w http.ResponseWriter, _ *http.Request) {
 	f.requestDrain()
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -49,7 +49,9 @@
 	peers      port.Peers
 	membership port.Membership
 	log        *slog.Logger
+	registry   metrics.Registry
 	wasted     metrics.Counter // Runs that ended without a result.
+	taken      metrics.Counter
 
 	sessions *shard.Map[model.EndpointID, *session]
 	life     context.Context
@@ -78,7 +80,9 @@
 		return err
 	}
 	l.log = c.Log
-	l.wasted = metrics.GetOrRegisterCounter("runs.without_result", c.Metrics)
+	l.registry = c.Metrics
+	l.wasted = metrics.GetOrRegisterCounter("leases.runs_without_result", c.Metrics)
+	l.taken = metrics.GetOrRegisterCounter("leases.taken", c.Metrics)
 	l.sessions = shard.New[model.EndpointID, *session](shard.DefaultCount)
 	l.life, l.stop = context.WithCancel(context.Background())
 	self := l.membership.Self()
@@ -170,9 +174,11 @@
 
 func (l *Leases) carryOut(at port.Lessor, fx lease.Effects) {
 	if fx.Taken {
+		l.taken.Inc(1)
 		event.LeaseTaken.Log(l.log, event.Text(event.Endpoint, at.ID))
 	}
 	if fx.Lost != "" {
+		metrics.GetOrRegisterCounter("leases.lost."+string(fx.Lost), l.registry).Inc(1)
 		event.LeaseLost.Log(l.log, event.Text(event.Endpoint, at.ID), event.Text(event.Reason, fx.Lost), event.Count(event.Runs, len(fx.Settled)))
 	}
 	for _, s := range fx.Settled {
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -71,7 +71,8 @@
 	revision   metrics.Gauge
 	sent       metrics.Counter
 	failed     metrics.Counter
-	unwritten  bool // The newest write has failed; used by run alone.
+	inForce    atomic.Int64 // Unix time at which the newest revision came into force here.
+	unwritten  bool         // The newest write has failed; used by run alone.
 
 	serving atomic.Pointer[register.State]
 	notify  struct {
@@ -117,6 +118,7 @@
 		return err
 	}
 	p.revision = metrics.NewRegisteredGauge("profiles.revision", c.Metrics)
+	metrics.NewRegisteredFunctionalGauge("profiles.in_force_s", c.Metrics, p.sinceInForce)
 	p.sent = metrics.NewRegisteredCounter("profiles.messages_sent", c.Metrics)
 	p.failed = metrics.NewRegisteredCounter("profiles.writes_failed", c.Metrics)
 	p.notify.changed = make(chan struct{})
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -246,6 +246,7 @@
 	p.serving.Store(&state)
 	p.health.Clear(condition)
 	p.revision.Update(int64(state.Revision()))
+	p.inForce.Store(time.Now().Unix())
 	event.ConfigInForce.Log(p.log, inForceFields(&state)...)
 	p.gossip.Publish(topic, binary.AppendUvarint(nil, uint64(state.Revision())))
 	p.notify.Lock()
@@ -254,6 +255,15 @@
 	p.notify.changed = make(chan struct{})
 }
 
+// sinceInForce returns for how many seconds the newest revision has been in force here; -1 before one is.
+func (p *Profiles) sinceInForce() int64 {
+	since := p.inForce.Load()
+	if since == 0 {
+		return -1
+	}
+	return time.Now().Unix() - since
+}
+
 func inForceFields(state *register.State) []slog.Attr {
 	fields := []slog.Attr{event.Count(event.Revision, state.Revision())}
 	if state.Set.Routing != nil {
