--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -58,7 +58,9 @@
 var (
 	LeaseTaken = define(Change, "lease_taken", "an endpoint answers this member under a new fencing token", Endpoint)
 	LeaseLost  = define(Trouble, "lease_lost", "a lease has ended before its runs", Endpoint, Reason, Runs)
-	RunsAsked  = define(Change, "runs_asked", "runs of an endpoint's former holder were asked for among the members",
+	StartLost  = define(Trouble, "start_unanswered", "an endpoint did not answer a start; the run is stopped there before anything else",
+		Endpoint, JobKey, Task, Attempt, TookMS, Why)
+	RunsAsked = define(Change, "runs_asked", "runs of an endpoint's former holder were asked for among the members",
 		Endpoint, Runs, Claimed)
 	EndsKept = define(Trouble, "ends_not_passed_on", "another member did not hear of ends that it may wait for", Endpoint, Member, Ends)
 )
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -206,7 +206,13 @@
 func (l *Leases) start(at port.Lessor, order port.StartOrder) {
 	ctx, cancel := context.WithTimeout(l.life, l.orderTime())
 	defer cancel()
+	begun := time.Now()
 	reply := l.client.Start(ctx, at, order)
+	if reply.State == port.OrderUnknown {
+		event.StartLost.Log(l.log, event.Text(event.Endpoint, at.ID), event.Text(event.JobKey, order.Run.Key),
+			event.Count(event.Task, order.Run.Index), event.Count(event.Attempt, order.Run.Attempt),
+			event.MS(event.TookMS, time.Since(begun)), event.Text(event.Why, reply.Detail))
+	}
 	l.step(at, lease.StartEnded{Run: order.Run, Reply: reply})
 }
 
