--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -49,6 +49,9 @@
 	// Leased says that tasks run there under a lease that the pool's owner holds. Announcements then
 	// list no tasks.
 	Leased bool `json:",omitempty"`
+	// Taken are the resources that tasks of the pool's former owner use there, as it hands the endpoint
+	// over.
+	Taken Needs `json:",omitzero"`
 	// Lease is how long the endpoint gets work after this announcement; 0 is the pool's default.
 	Lease time.Duration `json:",omitempty"`
 }
--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -79,6 +79,7 @@
 		if first {
 			event.OwnershipMoved.Log(p.log, event.Text(event.Pool, id.String()), event.Text(event.Owner, owner.ID))
 			p.disown([]model.PoolID{id})
+			time.AfterFunc(transitTime, func() { p.giveBack(id) })
 		}
 		if first || message.Working {
 			told.Go(func() { p.sendHandover(ctx, owner.ID, message) })
@@ -88,6 +89,14 @@
 	return working
 }
 
+// giveBack refuses what waits in a pool that another member owns, once those who send batches have
+// heard of the move.
+func (p *Pools) giveBack(id model.PoolID) {
+	if p.life.Err() == nil && p.ownerOf(id).ID != p.membership.Self().ID {
+		p.step(id, poolstate.Moved{})
+	}
+}
+
 // disown has pools wait for the announcements of their leased endpoints.
 func (p *Pools) disown(pools []model.PoolID) {
 	for _, id := range pools {
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -103,7 +103,9 @@
 		return ""
 	}
 	inTransit := false
-	p.withPool(id, func(o *pool) { inTransit = time.Since(o.movedAt) < transitTime })
+	p.withPool(id, func(o *pool) {
+		inTransit = time.Since(o.movedAt) < transitTime && o.machine.Load().Slots > 0
+	})
 	if inTransit {
 		return ""
 	}
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -281,11 +281,16 @@
 	m.end(b, fx)
 }
 
-func (m *Machine) end(b *batch, fx *Effects) {
+// close forgets a batch that ends.
+func (m *Machine) close(b *batch) {
 	b.over = true
 	b.team.open--
 	b.origin.batches--
 	m.timers.stop(&b.timer)
 	delete(m.batches, b.ID)
+}
+
+func (m *Machine) end(b *batch, fx *Effects) {
+	m.close(b)
 	fx.Ended = append(fx.Ended, model.BatchResult{ID: b.ID, Results: b.results, Load: m.Load()})
 }
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -28,6 +28,7 @@
 	held     []*task        // Bound to it by the placement, and not sent yet.
 	foreign  []model.TaskID // Running there, and sent by another owner.
 	refusals int            // Since the last announcement; each stands for a slot that is not there.
+	absent   model.Needs    // Resources that tasks of others use at a leased endpoint.
 	released []model.TaskID // Ring of the tasks that ended last; announcements may still list them.
 	next     int            // Of the ring.
 	record   record
@@ -124,7 +125,12 @@
 	e.foreign = e.foreign[:0]
 	e.refusals = 0
 	if e.Leased {
-		return // Whoever holds the lease tells what has come of the tasks.
+		// Whoever holds the lease tells what has come of the tasks.
+		if len(e.Running) > 0 {
+			e.absent = model.Needs{}
+			m.crowd(now, e, len(e.Running), e.Taken)
+		}
+		return
 	}
 	for _, id := range e.Running {
 		if _, ours := m.flights[id]; !ours && !slices.Contains(e.released, id) && !slices.Contains(e.foreign, id) {
@@ -170,7 +176,7 @@
 	m.live--
 	m.totals.largestStale = true
 	e.foreign = e.foreign[:0]
-	e.refusals = 0
+	e.refusals, e.absent = 0, model.Needs{}
 	m.trust(e)
 	m.refresh(e)
 	m.unbindUnless(e)
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -54,6 +54,9 @@
 // Disowned says that another member owned the pool for a while, or may have.
 type Disowned struct{}
 
+// Moved says that another member owns the pool by now, and that those who send batches know it.
+type Moved struct{}
+
 // Elapsed says that the time returned by Wake has come.
 type Elapsed struct{}
 
@@ -64,6 +67,7 @@
 func (Cancelled) event()     {}
 func (Owners) event()        {}
 func (Disowned) event()      {}
+func (Moved) event()         {}
 func (Elapsed) event()       {}
 
 // Effects are what the caller has to carry out.
--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -102,11 +102,11 @@
 // such as a task of the pool's former owner, so it counts as taken until the endpoint says what it
 // runs, or for a short time where announcements do not tell.
 func (m *Machine) refused(now time.Time, t *task, fx *Effects) {
-	if e := t.endpoint; e.live {
+	switch e := t.endpoint; {
+	case e.live && e.Leased:
+		m.crowd(now, e, 1, t.spec().Needs)
+	case e.live:
 		e.refusals++
-		if e.Leased {
-			m.timers.set(&e.crowded, now.Add(crowdedTime))
-		}
 	}
 	m.fenced(now, t, fx)
 }
@@ -131,7 +131,7 @@
 
 // roomAgain takes it that an endpoint has room again.
 func (m *Machine) roomAgain(e *endpoint) {
-	e.refusals = 0
+	e.refusals, e.absent = 0, model.Needs{}
 	m.refresh(e)
 }
 
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -121,6 +121,13 @@
 		w.t.Fatalf("batch %v ended twice", result.ID)
 	}
 	delete(w.open, result.ID)
+	if result.Refused {
+		for index := range tasks {
+			if w.tries[result.ID.Job.TaskID(index)] > 0 {
+				w.t.Fatalf("batch %v was refused after its task %d had been sent", result.ID, index)
+			}
+		}
+	}
 	seen := map[int]bool{}
 	for _, r := range result.Results {
 		seen[r.Index] = true
@@ -147,6 +154,9 @@
 	}
 	e.Leased = id > "b"
 	delete(w.others, id)
+	if e.Leased && rapid.IntRange(0, 4).Draw(t, "handed over") == 0 {
+		e.Running, e.Taken = []model.TaskID{"gone.x.1.1.t.0"}, model.Needs{MilliCores: 1}
+	}
 	if !e.Leased && rapid.IntRange(0, 4).Draw(t, "foreign") == 0 {
 		e.Running = append(e.Running, "gone.x.1.1.t.0")
 	}
@@ -250,6 +260,17 @@
 	w.step(Owners{live})
 }
 
+// moved has another member own the pool, and this one perhaps again later.
+func (w *world) moved(*rapid.T) {
+	for id, e := range w.declared {
+		if e.Leased {
+			w.others[id] = true
+		}
+	}
+	w.step(Disowned{})
+	w.step(Moved{})
+}
+
 // check recounts what the machine keeps as running sums.
 func (w *world) check(t *rapid.T) {
 	m := w.machine
@@ -271,6 +292,10 @@
 		if left < 0 {
 			t.Fatalf("endpoint %s has tasks for %d more than it has", e.ID, -left)
 		}
+		left = max(left-e.absent.MilliCores, 0) // Of tasks that this owner did not send.
+		if e.absent != (model.Needs{}) && !m.timers.heap.has(&e.crowded) {
+			t.Fatalf("endpoint %s has %v taken by others for ever", e.ID, e.absent)
+		}
 		free := max(e.offered()-e.busy(), 0)
 		slots := e.offered()
 		if usual := m.usual.MilliCores; usual > 0 && left/usual < free {
@@ -299,7 +324,7 @@
 			"announce": w.announce, "announce too": w.announce, "submit": w.submit,
 			"reply": w.reply, "reply too": w.reply, "reply as well": w.reply, "late reply": w.lateReply,
 			"revoke reply": w.revokeReply, "revoke reply too": w.revokeReply,
-			"cancel": w.cancel, "wait": w.wait, "owners": w.owners, "": w.check,
+			"cancel": w.cancel, "wait": w.wait, "owners": w.owners, "moved": w.moved, "": w.check,
 		})
 	})
 }
--- a/plugins/endpoints/poolstate/resources.go
+++ b/plugins/endpoints/poolstate/resources.go
@@ -30,7 +30,7 @@
 }
 
 // left returns the resources that no task there has taken.
-func (e *endpoint) left() model.Needs { return e.Has.Less(e.taken) }
+func (e *endpoint) left() model.Needs { return e.Has.Less(e.taken).Less(e.absent) }
 
 func (e *endpoint) room(needs model.Needs) bool {
 	return e.busy() < e.capacity() && needs.Within(e.left())
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -256,7 +256,7 @@
 	d.Part, d.Reason, d.Revision = r.Part, r.Reason, profiles.Revision
 	countLoads(&d, loads)
 	plan := j.plan(profile, r.Job, loads)
-	granted := r.Busy // Once for a part, so that it takes nothing from the retry budget.
+	granted := r.Free
 	if len(plan.Parts) > 0 && !granted {
 		j.withBudget(r.Job.Service, func(b *retrybudget.Budget) { granted = b.Withdraw() })
 	}
--- a/plugins/jobs/jobstate/event.go
+++ b/plugins/jobs/jobstate/event.go
@@ -66,7 +66,7 @@
 	Job    model.Job      // With the tasks of the part alone.
 	Avoid  []model.PoolID // Pools that refused a part of this job.
 	Reason model.Reason   // Of the refusal.
-	Busy   bool           // The part was refused for a longer wait than planned, which happens once.
+	Free   bool           // Whether the new plan takes nothing from the retry budget.
 }
 
 // Retention says how long an ended job is kept.
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -177,7 +177,17 @@
 	for _, index := range part.Tasks {
 		sub.Tasks = append(sub.Tasks, j.job.Tasks[index])
 	}
-	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Reason: result.Reason, Busy: result.Reason == model.ReasonBusy}
+	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Reason: result.Reason, Free: j.free(result.Reason)}
+}
+
+// freeParts bounds the parts of a job that a moved pool costs nothing: where members do not agree on a
+// pool's owner, parts must not go back and forth for ever.
+const freeParts = 8
+
+// free reports whether a part that was refused for the reason is sent elsewhere without a part of the
+// retry budget: a part is refused for being busy once, and a moved pool refuses nothing itself.
+func (j *Job) free(reason model.Reason) bool {
+	return reason == model.ReasonBusy || reason == model.ReasonMoved && j.next <= freeParts
 }
 
 func (j *Job) replanned(now time.Time, e Replanned, fx *Effects) {
--- a/plugins/jobs/jobstate/jobstate_test.go
+++ b/plugins/jobs/jobstate/jobstate_test.go
@@ -79,6 +79,24 @@
 	is.Equal(j.Outcome().State, model.StateComplete)
 }
 
+// TestAMovedPoolCostsNoRetryBudget, but a part that is sent from one member to the next for ever does.
+func TestAMovedPoolCostsNoRetryBudget(t *testing.T) {
+	is := is.New(t)
+	j, _ := planned(4)
+	moved := func(part int) *Replan {
+		return j.Step(start, BatchEnded{model.RefusedBatch(model.BatchID{Job: "j", Part: part}, model.ReasonMoved)}).Replan
+	}
+	again := port.Plan{Parts: []port.PlanPart{{Pool: pool("sj2"), Owner: "sj2-b", Tasks: []int{0, 1}}}}
+	replan := moved(1)
+	is.True(replan.Free)
+	is.Equal(len(replan.Avoid), 0)
+	for part := 1; part < freeParts; part++ {
+		j.Step(start, Replanned{replan.Part, again})
+		replan = moved(part + 1)
+	}
+	is.True(!replan.Free)
+}
+
 func TestJobThatNoPoolTakesHasNotRunOnceItsOtherPartsSaySo(t *testing.T) {
 	for name, c := range map[string]struct {
 		other BatchEnded
