A start that finds no room takes what was thought to be left

Cause: a mutation showed that no test noticed what a refused start takes; adding its needs alone left room for the same task, which was sent again at once. Test fails without: TestATaskThatFoundNoRoomWaitsUntilThereMayBeSome.

--- a/plugins/endpoints/poolstate/flight.go
+++ b/plugins/endpoints/poolstate/flight.go
@@ -104,7 +104,7 @@
 func (m *Machine) refused(now time.Time, t *task, fx *Effects) {
 	switch e := t.endpoint; {
 	case e.live && e.Leased:
-		m.crowd(now, e, 1, t.spec().Needs)
+		m.crowd(now, e, 1, e.lacking(t.spec().Needs))
 	case e.live:
 		e.refusals++
 	}
--- a/plugins/endpoints/poolstate/moved_test.go
+++ b/plugins/endpoints/poolstate/moved_test.go
@@ -7,13 +7,18 @@
 	"github.com/matryer/is"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
 )
 
 // submitAs submits a part of one task of a core that may be repeated.
 func (h *harness) submitAs(part int) Effects {
+	return h.submitNeeding(part, model.Needs{MilliCores: 1000})
+}
+
+func (h *harness) submitNeeding(part int, needs model.Needs) Effects {
 	return h.step(Submitted{model.Batch{
 		ID: model.BatchID{Job: "n.i.1.1.t", Part: part}, Pool: finderPool, Team: "t", Deadline: h.now.Add(10 * time.Second),
-		Key: "key", MaxFailures: 1, Tasks: []model.Task{{Index: part, Needs: model.Needs{MilliCores: 1000}}},
+		Key: "key", MaxFailures: 1, Tasks: []model.Task{{Index: part, Needs: needs}},
 	}, model.BuiltInProfile()})
 }
 
@@ -46,7 +51,10 @@
 func TestAPoolThatMovedKeepsWhatItCanServe(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1)
-	h.submitRepeatable(1, model.Needs{}, model.Needs{})
+	for part := range 2 {
+		h.submitNeeding(part, model.Needs{})
+	}
+	is.Equal(h.Load().Queued, 1)
 	h.step(Disowned{})
 	is.Equal(len(h.step(Moved{}).Ended), 0)
 }
@@ -77,3 +85,17 @@
 	next.now = next.now.Add(crowdedTime)
 	is.Equal(len(next.step(Elapsed{}).Starts), 1)
 }
+
+// TestATaskThatFoundNoRoomWaitsUntilThereMayBeSome: what the endpoint has is in use by others, so that
+// neither this task nor another as large is sent there at once; a smaller one is.
+func TestATaskThatFoundNoRoomWaitsUntilThereMayBeSome(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.announceWorker("a", 4000)
+	first := h.submitAs(0).Starts[0]
+	is.Equal(len(h.reply(first, port.TaskNoRoom).Starts), 0)
+	is.Equal(len(h.submitAs(1).Starts), 0)
+	is.Equal(len(h.submitNeeding(2, model.Needs{MilliCores: 500}).Starts), 1)
+	h.now = h.now.Add(crowdedTime)
+	is.Equal(len(h.step(Elapsed{}).Starts), 2)
+}
--- a/plugins/endpoints/poolstate/resources.go
+++ b/plugins/endpoints/poolstate/resources.go
@@ -32,6 +32,15 @@
 // left returns the resources that no task there has taken.
 func (e *endpoint) left() model.Needs { return e.Has.Less(e.taken).Less(e.absent) }
 
+// lacking returns what must be in use by others at an endpoint that has no room for a task which was
+// counted there: all that was thought to be left beside it, and some of its own.
+func (e *endpoint) lacking(needs model.Needs) model.Needs {
+	if needs.MilliCores == 0 {
+		return model.Needs{} // Something else than cores has run out.
+	}
+	return model.Needs{MilliCores: max(e.left().MilliCores, 0) + 1}
+}
+
 func (e *endpoint) room(needs model.Needs) bool {
 	return e.busy() < e.capacity() && needs.Within(e.left())
 }
