--- a/cmd/redwingctl/demo_test.go
+++ b/cmd/redwingctl/demo_test.go
@@ -12,15 +12,20 @@
 	"redwingpulley/bench/caller"
 	"redwingpulley/bench/trace"
 	"redwingpulley/bench/traces"
+	"redwingpulley/kernel/event"
 )
 
 func TestDemoCompletesEveryJob(t *testing.T) {
 	is := is.New(t)
 	all, err := traces.Demo()
 	is.NoErr(err)
-	var out bytes.Buffer
-	log := slog.New(slog.DiscardHandler)
-	is.NoErr(runDemo(context.Background(), &out, log, t.TempDir(), all[:40]))
+	var out, lines bytes.Buffer
+	log := slog.New(slog.NewJSONHandler(&lines, &slog.HandlerOptions{Level: event.Change})) // Locks around each write.
+	err = runDemo(context.Background(), &out, log, t.TempDir(), all[:40])
+	if err != nil {
+		t.Logf("%s\n%s", out.String(), lines.String()) // How it came about is not to be seen otherwise.
+	}
+	is.NoErr(err)
 	is.True(strings.Contains(out.String(), "promises broken: 0"))
 }
 
