--- a/kernel/event/event.go
+++ b/kernel/event/event.go
@@ -38,6 +38,9 @@
 // Kinds returns all kinds.
 func Kinds() []*Kind { return all }
 
+// Enabled reports whether lines of the kind are written at all.
+func (k *Kind) Enabled(log *slog.Logger) bool { return log.Enabled(context.Background(), k.Level) }
+
 // Log writes a line.
 func (k *Kind) Log(log *slog.Logger, fields ...slog.Attr) { k.LogAt(k.Level, log, fields...) }
 
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -209,7 +209,7 @@
 	begun := time.Now()
 	reply := l.client.Start(ctx, at, order)
 	if reply.State == port.OrderUnknown {
-		event.StartLost.Log(l.log, event.Text(event.Endpoint, at.ID), event.Text(event.JobKey, order.Run.Key),
+		event.StartUnanswered.Log(l.log, event.Text(event.Endpoint, at.ID), event.Text(event.JobKey, order.Run.Key),
 			event.Count(event.Task, order.Run.Index), event.Count(event.Attempt, order.Run.Attempt),
 			event.MS(event.TookMS, time.Since(begun)), event.Text(event.Why, reply.Detail))
 	}
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -122,7 +122,7 @@
 			defer cancel()
 			var ignored empty
 			if l.peers.Call(ctx, node, methodEnded, message, &ignored) != port.Delivered {
-				event.EndsKept.Log(l.log, event.Text(event.Endpoint, endpoint), event.Text(event.Member, node), event.Count(event.Ends, len(message.Ends)))
+				event.EndsNotPassedOn.Log(l.log, event.Text(event.Endpoint, endpoint), event.Text(event.Member, node), event.Count(event.Ends, len(message.Ends)))
 			}
 		}()
 	}
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -192,7 +192,7 @@
 	}
 	body, err := json.Marshal(request)
 	if err != nil {
-		event.RequestLost.Log(p.log, event.Text(event.Method, method), event.Err(err))
+		event.RequestNotEncoded.Log(p.log, event.Text(event.Method, method), event.Err(err))
 		return port.NotSent
 	}
 	ctx, connected := dial.Trace(ctx)
--- a/plugins/profiles/group.go
+++ b/plugins/profiles/group.go
@@ -130,7 +130,7 @@
 func (p *Profiles) hearGroup(from model.NodeID, value []byte) {
 	var replicas []model.NodeID
 	if err := json.Unmarshal(value, &replicas); err != nil || len(replicas) == 0 {
-		event.ReplicasUnread.Log(p.log, event.Text(event.Member, from))
+		event.ReplicasUnreadable.Log(p.log, event.Text(event.Member, from))
 		return
 	}
 	select {
--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -70,7 +70,7 @@
 func (p *Profiles) leavePlace() {
 	event.ReplicaReplaced.Log(p.log, event.Text(event.Place, p.ownPlace()))
 	if err := p.disk.Discard(); err != nil {
-		event.RegisterKept.Log(p.log, event.Err(err))
+		event.RegisterNotPutAside.Log(p.log, event.Err(err))
 	}
 	identity := p.self
 	if slices.Contains(p.replicas(), p.self) {
@@ -128,7 +128,7 @@
 
 func (p *Profiles) takePlace(place model.NodeID) {
 	former, store := p.holder(place)
-	event.ReplicaTakes.Log(p.log, event.Text(event.Place, place), event.Text(event.Member, former))
+	event.ReplicaTakesPlace.Log(p.log, event.Text(event.Place, place), event.Text(event.Member, former))
 	p.enter(place, disk.Loaded{}, store)
 	p.step(register.Woken{})
 }
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -185,7 +185,7 @@
 	p.place = place
 	p.disk.Replicas, p.disk.Place = replicas, place
 	p.core.Unlock()
-	event.ReplicaJoined.Log(p.log, event.List(event.Replicas, replicas), event.Text(event.Place, place), event.Is(event.Replica, slices.Contains(replicas, place)))
+	event.ReplicaPlaced.Log(p.log, event.List(event.Replicas, replicas), event.Text(event.Place, place), event.Is(event.Replica, slices.Contains(replicas, place)))
 }
 
 func (p *Profiles) open() (disk.Loaded, error) {
--- a/plugins/profiles/routing.go
+++ b/plugins/profiles/routing.go
@@ -55,7 +55,7 @@
 	begun := time.Now()
 	result := p.Edit(ctx, model.ProfileEdit{Kind: model.ConfirmRevision})
 	if result.Status != model.EditDone {
-		event.ConfigUnsure.Log(p.log, event.Text(event.Status, result.Status), event.MS(event.TookMS, time.Since(begun)))
+		event.ConfigUnconfirmed.Log(p.log, event.Text(event.Status, result.Status), event.MS(event.TookMS, time.Since(begun)))
 		return nil, false
 	}
 	state := p.serving.Load()
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -49,7 +49,7 @@
 	}
 	votes := m.Kind != register.Fetch && m.Kind != register.Chosen
 	if m.Cluster != p.settings.Cluster || votes && m.Replicas != known.hash {
-		event.OtherGroup.Log(p.log, event.Text(event.Member, from), event.Text(event.Cluster, m.Cluster))
+		event.MessageOfOtherGroup.Log(p.log, event.Text(event.Member, from), event.Text(event.Cluster, m.Cluster))
 		return
 	}
 	identity := cmp.Or(m.Sender, from)
@@ -155,7 +155,7 @@
 	if err := p.disk.Save(last.Durable); err != nil {
 		p.failed.Inc(1)
 		p.unwritten = true
-		event.RegisterFailed.Log(p.log, event.Err(err))
+		event.RegisterWriteFailed.Log(p.log, event.Err(err))
 		p.step(register.WriteFailed{})
 		return false
 	}
--- a/plugins/record/decisions/decisions.go
+++ b/plugins/record/decisions/decisions.go
@@ -51,27 +51,45 @@
 	})
 }
 
+// kinds are the kinds of lines that tell of decisions.
+var kinds = map[port.DecisionKind]*event.Kind{
+	port.DecidedPlan: event.JobPlanned, port.DecidedRefusal: event.JobRefused, port.DecidedReplan: event.PartReplanned,
+	port.DecidedTake: event.BatchTaken, port.DecidedBatchNo: event.BatchRefused, port.DecidedCut: event.BatchCut,
+	port.DecidedSend: event.TaskSent,
+}
+
 func (l *Log) write(d port.Decision) {
+	if kind := kinds[d.Kind]; kind.Enabled(l.log) {
+		kind.Log(l.log, fields(d)...)
+	}
+}
+
+// fields returns what the line of a decision tells.
+func fields(d port.Decision) []slog.Attr {
+	reason := event.Text(event.Reason, d.Reason)
 	switch d.Kind {
 	case port.DecidedPlan:
-		event.JobPlanned.Log(l.log, append(planFields(d), event.Text(event.Pools, d.Pools), event.Count(event.Revision, d.Revision))...)
+		return append(planFields(d), event.Text(event.Pools, d.Pools), event.Count(event.Revision, d.Revision))
 	case port.DecidedRefusal:
-		event.JobRefused.Log(l.log, append(planFields(d), event.Count(event.Revision, d.Revision), event.Text(event.Reason, d.Reason))...)
+		return append(planFields(d), reason, event.Count(event.Revision, d.Revision))
 	case port.DecidedReplan:
-		event.PartReplanned.Log(l.log, append(planFields(d), event.Text(event.Pools, d.Pools), event.Count(event.Part, d.Part), event.Text(event.Reason, d.Reason))...)
+		return append(planFields(d), event.Text(event.Pools, d.Pools), event.Count(event.Part, d.Part), reason)
 	case port.DecidedTake:
-		event.BatchTaken.Log(l.log, batchFields(d)...)
+		return batchFields(d)
 	case port.DecidedBatchNo:
-		event.BatchRefused.Log(l.log, append(batchFields(d), event.Text(event.Reason, d.Reason),
-			event.MS(event.RetryAfterMS, d.RetryAfter), event.Text(event.Why, d.Why))...)
+		return append(batchFields(d), reason, event.MS(event.RetryAfterMS, d.RetryAfter), event.Text(event.Why, d.Why))
 	case port.DecidedCut:
-		event.BatchCut.Log(l.log, append(batchFields(d), event.Text(event.Reason, d.Reason))...)
-	case port.DecidedSend:
-		event.TaskSent.Log(l.log,
-			event.Text(event.Job, d.Job), event.Text(event.JobKey, d.Key), event.Count(event.Task, d.Task),
-			event.Count(event.Attempt, d.Attempt), event.Text(event.Pool, d.Pool), event.Text(event.Endpoint, d.Endpoint),
-			event.MS(event.QueuedMS, d.Queued), event.Count(event.PassedOver, d.PassedOver),
-			event.Count(event.Free, d.Free), event.Count(event.Queued, d.Waiting), event.Text(event.Why, d.Why))
+		return append(batchFields(d), reason)
+	}
+	return taskFields(d)
+}
+
+func taskFields(d port.Decision) []slog.Attr {
+	return []slog.Attr{
+		event.Text(event.Job, d.Job), event.Text(event.JobKey, d.Key), event.Count(event.Task, d.Task),
+		event.Count(event.Attempt, d.Attempt), event.Text(event.Pool, d.Pool), event.Text(event.Endpoint, d.Endpoint),
+		event.MS(event.QueuedMS, d.Queued), event.Count(event.PassedOver, d.PassedOver),
+		event.Count(event.Free, d.Free), event.Count(event.Queued, d.Waiting), event.Text(event.Why, d.Why),
 	}
 }
 
