--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -16,7 +16,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
@@ -337,22 +336,6 @@
 	}
 }
 
-// tellOf logs what a step has decided and changed.
-func (p *Pools) tellOf(id model.PoolID, fx *poolstate.Effects) {
-	if len(fx.Decisions)+len(fx.Changes) == 0 {
-		return
-	}
-	now, pool := time.Now(), id.String()
-	for _, d := range fx.Decisions {
-		d.At, d.Pool = now, pool
-		p.decisions.Record(d)
-	}
-	for _, c := range fx.Changes {
-		event.EndpointChanged.Log(p.log, event.Text(event.Pool, pool), event.Text(event.Endpoint, c.Endpoint),
-			event.Text(event.From, c.From), event.Text(event.To, c.To), event.Count(event.Slots, c.Slots))
-	}
-}
-
 // attempt is one start of a task.
 type attempt struct {
 	task   model.TaskID
@@ -382,30 +365,6 @@
 	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
 }
 
-// tellEnd logs what came of a start; one without an answer of the task is trouble.
-func (p *Pools) tellEnd(id model.PoolID, s poolstate.Start, reply port.TaskReply, took time.Duration) {
-	p.meters.countEnd(reply.State)
-	level := event.TaskEnded.Level
-	if reply.State != port.TaskDone {
-		level = event.Trouble
-	}
-	event.TaskEnded.LogAt(level, p.log, event.Text(event.Job, s.Task.Job()), event.Text(event.JobKey, s.Key),
-		event.Count(event.Task, s.Task.Index()), event.Count(event.Attempt, s.Attempt), event.Text(event.Pool, id.String()),
-		event.Text(event.Endpoint, s.Endpoint), event.Text(event.State, reply.State), event.MS(event.TookMS, took),
-		event.Text(event.Why, reply.Detail))
-}
-
-func (p *Pools) tellRevoked(id model.PoolID, r poolstate.Revoke, reply port.RevokeReply, took time.Duration) {
-	why := "to keep it from starting"
-	if r.Stop {
-		why = "to stop it"
-	}
-	event.TaskRevoked.Log(p.log, event.Text(event.Job, r.Task.Job()), event.Text(event.JobKey, r.Key),
-		event.Count(event.Task, r.Task.Index()), event.Count(event.Attempt, r.Attempt), event.Text(event.Pool, id.String()),
-		event.Text(event.Endpoint, r.Endpoint), event.Text(event.State, reply.State), event.MS(event.TookMS, took),
-		event.Text(event.Why, why))
-}
-
 func (p *Pools) revoke(id model.PoolID, r poolstate.Revoke) {
 	if !wait.For(p.life, r.After) {
 		return
