The demo waits until its entry VMs count with all endpoints

Cause of the test that failed once (one job not_run no_endpoint, beside load): the demo gave the entry VMs one second to hear of each other's pools, whatever the machine does meanwhile. Shown by a wait of one millisecond: one run of nine fails with job_refused, no_endpoint, slots=0 at a member that has heard of no pool. Ruled out: 28 runs beside 8 and 12 busy processes with the second's wait did not fail, so nothing else was seen.

--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -22,6 +22,7 @@
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
+	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/record/file"
 )
 
@@ -259,6 +260,44 @@
 	return nil
 }
 
+// lookPause is how long AwaitLoads waits before it looks again; members do not tell that a load has come.
+const lookPause = 20 * time.Millisecond
+
+// AwaitLoads waits until each entry VM is ready and counts with the slots of all endpoints. Before that a
+// job may be refused for want of endpoints.
+func (g *Group) AwaitLoads(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, warmUpLimit)
+	defer cancel()
+	for _, host := range g.Hosts {
+		pools, err := plugin.Lookup[port.Pools](host)
+		if err != nil {
+			return err
+		}
+		for !g.settled(host, pools) {
+			if !wait.For(ctx, lookPause) {
+				return errors.Newf("the entry VMs do not know all pools: %v", ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+func (g *Group) settled(host *plugin.Host, pools port.Pools) bool {
+	if ready, _ := host.Health.Ready(); !ready {
+		return false
+	}
+	for service, slots := range g.Slots() {
+		known := 0
+		for _, load := range pools.Loads(model.ServiceID(service)) {
+			known += load.Slots
+		}
+		if known < slots {
+			return false
+		}
+	}
+	return true
+}
+
 // Entries returns the callers' listeners of the entry VMs, ip:port.
 func (g *Group) Entries() []string {
 	var entries []string
--- a/cmd/redwingctl/demo.go
+++ b/cmd/redwingctl/demo.go
@@ -17,13 +17,11 @@
 	"redwingpulley/bench/traces"
 	"redwingpulley/cmd/internal/group"
 	"redwingpulley/kernel/event"
-	"redwingpulley/kernel/wait"
 )
 
 const (
 	demoSlots   = 8
 	demoResends = 3
-	settleTime  = time.Second // For the entry VMs to hear of each other's pools.
 	demoLimit   = 18 * time.Second
 )
 
@@ -74,8 +72,8 @@
 		return err
 	}
 	fmt.Fprintf(out, "%d entry VMs in 2 data centres, %d endpoints of %d slots, %d jobs\n", len(g.Hosts), len(g.Endpoints), demoSlots, len(jobs))
-	if !wait.For(ctx, settleTime) {
-		return errors.Join(ctx.Err(), g.Stop())
+	if err := g.AwaitLoads(ctx); err != nil {
+		return errors.Join(err, g.Stop())
 	}
 	results, err := playDemo(ctx, out, g, jobs)
 	if err = errors.Join(err, g.Stop()); err != nil {
