--- a/cmd/internal/logline/logline_test.go
+++ b/cmd/internal/logline/logline_test.go
@@ -79,13 +79,11 @@
 		log := l.Logger()
 		for range 3 * room {
 			routine(log)
-			// On the bubble's virtual clock: a line each millisecond is within the rate, so that the room
-			// alone bounds what is kept.
-			time.Sleep(time.Millisecond)
+			time.Sleep(time.Millisecond) // On the virtual clock: within the rate, so that the room alone is the bound.
 		}
 		for range room {
 			trouble(log)
-			time.Sleep(time.Millisecond) // As above.
+			time.Sleep(time.Millisecond) // On the virtual clock: within the rate, as for the lines before.
 		}
 		close(target.free)
 		time.Sleep(2 * time.Second) // On the virtual clock: dropped lines are told of in a later second.
