Log which replicas vote, whose replies a joining one has, and the age of a change

Callers saw reads and changes refused with no_majority, and 404 for routes that had been added. No decision is changed.

--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -35,7 +35,7 @@
 	ObjectiveMS  Key = "objective_ms"   // Latency objective of a job, based on the pool's estimate of its run time.
 	QueuedMS     Key = "queued_ms"      // Time from when the pool accepted a part until a task of it was sent.
 	AheadMS      Key = "ahead_ms"       // Estimated run time of the queued tasks divided by the pool's slots.
-	AgeMS        Key = "age_ms"         // Age of the oldest load report that a plan is based on.
+	AgeMS        Key = "age_ms"         // Age of the oldest load report that a plan is based on, or of a configuration change.
 
 	Slots      Key = "slots"
 	Free       Key = "free"        // Free slots.
@@ -58,6 +58,8 @@
 	Replicas   Key = "replicas"
 	Place      Key = "place"   // Identity of a member among the replicas.
 	Replica    Key = "replica" // Whether the member is a replica.
+	Voting     Key = "voting"  // Whether the replica votes.
+	Replied    Key = "replied" // Replicas whose replies count for a replica that joins the group.
 	Seeds      Key = "seeds"   // Addresses from which the process learns the other members.
 	Changed    Key = "changed" // Paths of changed settings that take effect at once.
 	Later      Key = "later"   // Paths of changed settings that take effect at the next start.
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -72,6 +72,7 @@
 	messagesSent     metrics.Counter
 	writesFailed     metrics.Counter
 	inForceSince     atomic.Int64 // Unix time in seconds at which the newest revision came into force here; 0 before one is.
+	loggedState      []slog.Attr  // Fields of the newest line about this replica's state; used by the goroutine of run only.
 	lastWriteFailed  bool         // Whether the last write to disk failed; used by the goroutine of run only.
 
 	serving atomic.Pointer[register.State] // State in force here; nil before there is one.
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -168,6 +168,22 @@
 // CanVote reports whether this member is a replica that may vote now.
 func (m *Machine) CanVote() bool { return m.canVote() }
 
+// Standing is a member's part in the votes of the replicas.
+type Standing struct {
+	Replica bool           // Whether the member has a replica's place.
+	Voting  bool           // Whether it may vote now.
+	Replied []model.NodeID // Replicas whose replies to Join count, sorted; nil once it votes.
+}
+
+// Standing returns this member's part in the votes.
+func (m *Machine) Standing() Standing {
+	standing := Standing{Replica: m.isReplica(), Voting: m.canVote()}
+	if !standing.Voting {
+		standing.Replied = slices.Sorted(maps.Keys(m.joinReplies))
+	}
+	return standing
+}
+
 func (m *Machine) runTimers() {
 	if m.placeTaken() {
 		m.replaced = true
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -121,10 +121,26 @@
 		}
 		effects, nextTimer := p.takeEffects()
 		p.execute(effects)
+		p.logReplicaState()
 		timer.Reset(time.Until(nextTimer))
 	}
 }
 
+// logReplicaState logs whether this replica votes and whose replies it has, when that has changed.
+func (p *Profiles) logReplicaState() {
+	p.core.Lock()
+	place, standing := p.place, p.core.machine.Standing()
+	p.core.Unlock()
+	fields := []slog.Attr{
+		event.Text(event.Place, place), event.Flag(event.Voting, standing.Voting), event.List(event.Replied, standing.Replied),
+	}
+	if !standing.Replica || slices.EqualFunc(fields, p.loggedState, slog.Attr.Equal) {
+		return
+	}
+	p.loggedState = fields
+	event.ReplicaState.Log(p.log, fields...)
+}
+
 // takeEffects returns the effects that are still to be executed, and the time at which the machine
 // has to be stepped with Woken next.
 func (p *Profiles) takeEffects() ([]register.Effect, time.Time) {
@@ -284,6 +300,9 @@
 	if state.Set.Routing != nil {
 		fields = append(fields, event.Int(event.Version, state.Set.Routing.Version))
 	}
+	if newest := len(state.History) - 1; newest >= 0 {
+		fields = append(fields, event.MS(event.AgeMS, time.Since(state.History[newest].At)))
+	}
 	return fields
 }
 
