A start whose endpoint did not accept the token yet is not lost with an old lease

Cause: after two failed holds each later start was queued and in the same step reported as lost, since the lease that it never had was past its end. Now only runs that may be under the lease end with it. A queued start asks again by a hold, and ends as not run when that fails. Ruled out: endpoints that really lapse (nothing left the process; several attempts fall into one millisecond).

--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -104,16 +104,27 @@
 	return m.leaseExtendedAt.Add(time.Duration(lease) + expiryMargin)
 }
 
-// finishExpiredRuns finishes the runs of an expired lease as lost, except those that were handed over.
+// finishExpiredRuns finishes the runs of an expired lease as lost. A start that was not sent yet waits on
+// for the endpoint to accept the token.
 func (m *Machine) finishExpiredRuns(now time.Time, fx *Effects) {
 	for _, id := range m.sortedRuns() {
-		if m.runs[id].phase != handedOver {
+		if m.runs[id].underLease() {
 			fx.Lost = LossExpired
 			m.finish(now, id, port.TaskLost, "the lease has expired", fx)
 		}
 	}
 }
 
+// hasRunsUnderLease reports whether a run may be running at the endpoint under this holder's lease.
+func (m *Machine) hasRunsUnderLease() bool {
+	for _, r := range m.runs {
+		if r.underLease() {
+			return true
+		}
+	}
+	return false
+}
+
 // hasActiveRuns reports whether a run is waiting to start or may be running at the endpoint under this
 // holder's lease.
 func (m *Machine) hasActiveRuns() bool {
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -82,6 +82,9 @@
 	stopAckedAt   time.Time // When the endpoint acknowledged the stop order.
 }
 
+// underLease reports whether the run may be running at the endpoint under this holder's lease.
+func (r *run) underLease() bool { return r.phase != queued && r.phase != handedOver }
+
 // New returns the machine of an endpoint that this member has not called yet.
 func New(config Config) *Machine {
 	return &Machine{
@@ -155,7 +158,7 @@
 	if due, needed := m.nextHoldAt(now); needed && !m.holdInFlight {
 		earliest(due)
 	}
-	if m.failedHolds >= maxFailedHolds && m.hasActiveRuns() {
+	if m.failedHolds >= maxFailedHolds && m.hasRunsUnderLease() {
 		earliest(m.leaseExpiredBy())
 	}
 	return at, ok
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -224,3 +224,39 @@
 	h.is.True(fx.Hold.Token > first)
 	h.is.Equal(len(fx.Starts), 0)
 }
+
+// refuseFirstHolds requests a start count times, and lets the hold that asks the endpoint to accept the
+// token fail each time.
+func (h *harness) refuseFirstHolds(count int) {
+	for i := range count {
+		h.step(StartRequested{Run: testRun(i)})
+		h.advance(retryDelay).step(Elapsed{})
+		h.step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	}
+}
+
+// Guards against issue 16: after two failed holds each start was reported as lost at once, without a
+// request to the endpoint, and its pool started it again without a pause.
+func TestStartAfterFailedHoldsWaitsForEndpoint(t *testing.T) {
+	h := newHarness(t)
+	h.refuseFirstHolds(maxFailedHolds)
+	h.advance(2 * time.Second)
+	fx := h.step(StartRequested{Run: testRun(9), Payload: []byte("x")})
+	h.is.Equal(fx.Finished, nil)
+	h.is.Equal(fx.Lost, LossReason(""))
+	h.is.True(fx.Hold != nil)
+	at, ok := h.machine.NextTimer(h.now)
+	h.is.True(!ok || at.After(h.now)) // A timer that is due at once would fire again and again.
+	fx = h.advance(time.Millisecond).replyToHold(nil)
+	h.is.Equal(len(fx.Starts), 1)
+}
+
+// Guards against issue 16: a start whose hold fails has not run, and must not be reported as lost.
+func TestStartWhoseHoldFailsIsNotRun(t *testing.T) {
+	h := newHarness(t)
+	h.refuseFirstHolds(maxFailedHolds)
+	h.advance(2 * time.Second).step(StartRequested{Run: testRun(9)})
+	fx := h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	h.is.Equal(len(fx.Finished), 1)
+	h.is.Equal(fx.Finished[0].State, port.TaskNotRun)
+}
