A lost run blocks a slot of its leased endpoint for a moment, as a refused one does

Refusals block a slot for 150 ms; lost runs did not. Evidence: TestRunsLostAtOnceAreRepeatedAtBoundedRate counts more starts within a second of virtual time than each slot can have before, and passes now. Looked for elsewhere: runs leased elsewhere cordon the endpoint until its next announcement, starts that did not run block a slot, parts of jobs have a retry budget; no other repeat is without a pause.

--- a/plugins/endpoints/poolstate/attempts_test.go
+++ b/plugins/endpoints/poolstate/attempts_test.go
@@ -172,3 +172,28 @@
 		is.Equal(len(h.announceLeased("a", 16000).Revokes), 0)
 	}
 }
+
+// Guards against issue 16: a task whose runs were lost at once was started again without a pause,
+// thousands of times a second, and its pool's owner did nothing else.
+func TestRunsLostAtOnceAreRepeatedAtBoundedRate(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.announceLeased("a", 16000)
+	h.announceLeased("b", 16000)
+	slots := h.Load().Slots
+	const replies = time.Millisecond // Time from a start to the report that its run is lost.
+	starts := 0
+	pending := h.submitRepeatable(1, model.Needs{MilliCores: 1000}).Starts
+	for since := h.now; h.now.Sub(since) < time.Second; h.now = h.now.Add(replies) {
+		fx := h.step(Elapsed{})
+		pending = append(pending, fx.Starts...)
+		var next []Start
+		for _, s := range pending {
+			starts++
+			next = append(next, h.reply(s, port.TaskLost).Starts...)
+		}
+		pending = next
+	}
+	is.True(starts > 1)
+	is.True(starts <= slots*int(time.Second/blockedTime+1)) // Each slot at most once in each blockedTime.
+}
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -12,7 +12,8 @@
 	maxRevokeBackoff = 2 * time.Second
 
 	// blockedTime is how long slots and resources of a leased endpoint are assumed to be taken by others
-	// after it has refused a task or was handed over with running tasks.
+	// after it has refused a task, has lost a run, or was handed over with running tasks. It bounds how
+	// often a task starts whose runs end at once.
 	blockedTime = 150 * time.Millisecond
 
 	// unlistedTime is how long a task without an answer may be missing from its endpoint's announcements
@@ -161,6 +162,9 @@
 // runs, the task is queued again; the lost run does not count as a failed one.
 func (m *Machine) handleLostRun(now time.Time, t *task, fx *Effects) {
 	m.recordOutcome(now, t.endpoint, t.batch.ID.Job, true)
+	if t.endpoint.live && t.endpoint.Leased {
+		m.blockCapacity(now, t.endpoint, 1, model.Needs{})
+	}
 	if t.batch.ended || t.stopping || t.batch.MaxFailures == 0 {
 		m.handleFailure(now, t, fx)
 		return
