A first start makes as many replicas as the deployment's lost disks need

Cause: a first start made three replicas, the members on its three seeds, and two of three disks were lost; the deployments have to tolerate two.

--- a/plugins/profiles/bootstrap_test.go
+++ b/plugins/profiles/bootstrap_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -136,9 +138,48 @@
 	})
 }
 
-// TestDeclare_SurvivesPowerFailureWithOneDiskLost stops all members and loses the disk of one replica.
-// The other replicas' files come back with other inode numbers, as after a power failure of VMs whose
-// file systems do not keep inode numbers.
+// losePower stops all members, loses the disks of the given ones and starts all members again. The
+// files of the others come back with other inode numbers, as after a power failure of VMs whose file
+// systems do not keep inode numbers.
+func (c *cluster) losePower(lost ...model.NodeID) {
+	for _, m := range c.net.members {
+		c.stop(m.Node)
+	}
+	c.net.gossiped = make(map[string]map[model.NodeID][]byte) // No member remembers published values.
+	for _, m := range c.net.members {
+		if slices.Contains(lost, m.Node) {
+			c.loseDisk(m.Node)
+		} else {
+			c.copyFile(m.Node)
+		}
+	}
+	for _, m := range c.net.members {
+		c.start(m.Node)
+	}
+}
+
+// loseDisk empties the disk of a stopped member.
+func (c *cluster) loseDisk(id model.NodeID) {
+	if err := os.RemoveAll(filepath.Join(c.dir, string(id))); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// copyFile replaces the register's file of a stopped member, if it has one, by a copy.
+func (c *cluster) copyFile(id model.NodeID) {
+	path := filepath.Join(c.dir, string(id), folderName, "register.json")
+	content, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return
+	}
+	if err == nil {
+		err = errors.Join(os.Remove(path), os.WriteFile(path, content, 0o600))
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 func TestDeclare_SurvivesPowerFailureWithOneDiskLost(t *testing.T) {
 	for lost := range 3 {
 		t.Run(string(node(lost)), func(t *testing.T) {
@@ -147,23 +188,7 @@
 				c := startBootstrapped(t)
 				defer c.stopAll()
 				is.Equal(c.declare("n4", 5), port.DeclareDone)
-				for i := range 7 {
-					c.stop(node(i))
-				}
-				c.net.gossiped = make(map[string]map[model.NodeID][]byte) // No member remembers published values.
-				for i := range 3 {
-					path := filepath.Join(c.dir, string(node(i)), folderName, "register.json")
-					content, err := os.ReadFile(path)
-					is.NoErr(err)
-					is.NoErr(os.RemoveAll(filepath.Join(c.dir, string(node(i)))))
-					if i != lost {
-						is.NoErr(os.MkdirAll(filepath.Dir(path), 0o700))
-						is.NoErr(os.WriteFile(path, content, 0o600))
-					}
-				}
-				for i := range 7 {
-					c.start(node(i))
-				}
+				c.losePower(node(lost))
 				for i := range 7 {
 					c.awaitVersion(node(i), 5)
 				}
@@ -177,6 +202,41 @@
 	}
 }
 
+// Guards against issue 16: a first start made three replicas whatever the deployment has to tolerate, and
+// an acknowledged change was gone, with the service, when two disks were lost in a power failure.
+func TestDeclare_SurvivesPowerFailureWithTwoDisksLost(t *testing.T) {
+	for first := range 5 {
+		for second := range first {
+			t.Run(fmt.Sprint(second, first), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					c := startCustomCluster(t, 5, 2, toleratingTwo(true))
+					defer c.stopAll()
+					c.customize = toleratingTwo(false)
+					is.Equal(c.declare("n5", 5), port.DeclareDone)
+					c.losePower(node(first), node(second))
+					time.Sleep(takeoverTime)
+					is.Equal(c.confirmedVersion("n6"), uint64(5))
+					is.Equal(c.declare("n6", 6), port.DeclareDone)
+					for i := range 5 {
+						is.Equal(c.register(node(i)).Replica(), port.ReplicaVoter)
+					}
+				})
+			})
+		}
+	}
+}
+
+// toleratingTwo is seededSettings for members that have to tolerate the loss of two disks.
+func toleratingTwo(bootstrap bool) func(settings.Settings) settings.Settings {
+	seeded := seededSettings(bootstrap)
+	return func(s settings.Settings) settings.Settings {
+		s = seeded(s)
+		s.Plugins["profiles"] = json.RawMessage(`{"detect_copies": false, "tolerated_disks": 2}`)
+		return s
+	}
+}
+
 func TestBootstrap_NoGroupWithoutBootstrapSetting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -190,3 +250,14 @@
 		}
 	})
 }
+
+func TestSpreadReplicas_OverDataCentres(t *testing.T) {
+	is := is.New(t)
+	var candidates []port.Node
+	for _, id := range []string{"a1", "a2", "a3", "b1", "b2", "c1"} {
+		candidates = append(candidates, port.Node{ID: model.NodeID(id), DataCentre: model.DataCentre(id[:1])})
+	}
+	is.Equal(spreadReplicas(candidates, 3), []model.NodeID{"a1", "b1", "c1"})
+	is.Equal(spreadReplicas(candidates, 5), []model.NodeID{"a1", "b1", "c1", "a2", "b2"})
+	is.Equal(len(spreadReplicas(candidates, 9)), 6)
+}
--- a/plugins/profiles/group.go
+++ b/plugins/profiles/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/netip"
 	"path/filepath"
 	"slices"
 
@@ -11,8 +10,6 @@
 	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
-	"redwingpulley/kernel/port"
-	"redwingpulley/plugins/profiles/disk"
 )
 
 // groupTopic is the gossip topic under which members publish the ids of the replicas.
@@ -44,9 +41,8 @@
 }
 
 // configureGroup takes the replicas from the list of members in the settings. Where the settings hold
-// seeds instead, the replicas are found later: with the setting bootstrap they are the members on the
-// VMs of the seeds, whose addresses are kept here; otherwise the disk or another member names them. It
-// also sets the path of the folder on disk.
+// seeds instead, the replicas are found later: the disk or another member names them, or this member
+// chooses them at a first start. It also sets the path of the folder on disk.
 func (p *Profiles) configureGroup(c *plugin.Context) error {
 	self, _ := c.Node.Self()
 	if len(c.Node.Seeds) == 0 {
@@ -63,14 +59,7 @@
 	if !c.Node.Bootstrap {
 		return nil
 	}
-	for _, seed := range c.Node.Seeds {
-		addr, err := netip.ParseAddrPort(seed)
-		if err != nil {
-			return err
-		}
-		p.bootstrapAddrs = append(p.bootstrapAddrs, addr.Addr())
-	}
-	return nil
+	return p.configureBootstrap(c.Node)
 }
 
 // configuredReplicas returns the members with disks in the settings' list of members.
@@ -84,46 +73,6 @@
 	return replicas
 }
 
-// awaitGroup starts consensus once the replicas are known: there is a live member with a disk on
-// each bootstrap VM, or another member has published the replicas.
-func (p *Profiles) awaitGroup(loaded disk.Loaded) {
-	for {
-		changed := p.membership.Changed()
-		if replicas := p.bootstrapReplicas(); len(replicas) > 0 {
-			p.startConsensus(loaded, replicas)
-			return
-		}
-		select {
-		case <-changed:
-		case replicas := <-p.gossipedReplicas:
-			p.startConsensus(loaded, replicas)
-			return
-		case <-p.ctx.Done():
-			return
-		}
-	}
-}
-
-// bootstrapReplicas returns the live members with disks on the bootstrap VMs, one for each VM; nil
-// while one is missing, or when the settings do not ask for a bootstrap.
-func (p *Profiles) bootstrapReplicas() []model.NodeID {
-	var replicas []model.NodeID
-	for _, addr := range p.bootstrapAddrs {
-		i := slices.IndexFunc(p.membership.Alive(), func(n port.Node) bool { return n.Disk && onVM(n, addr) })
-		if i < 0 {
-			return nil
-		}
-		replicas = append(replicas, p.membership.Alive()[i].ID)
-	}
-	return replicas
-}
-
-// onVM reports whether a member listens for peers at the address of a VM.
-func onVM(n port.Node, vm netip.Addr) bool {
-	addr, err := netip.ParseAddrPort(n.Peers)
-	return err == nil && addr.Addr() == vm
-}
-
 // publishGroup publishes the replicas by gossip, if they are known.
 func (p *Profiles) publishGroup() {
 	if raw, err := json.Marshal(p.replicas()); err == nil && len(p.replicas()) > 0 {
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -45,11 +45,15 @@
 	// written with. Turn it off where file systems do not keep inode numbers over a restart; then an old
 	// copy of the folder must never be restored.
 	DetectCopies bool `json:"detect_copies"`
+	// ToleratedDisks is the number of replicas whose disks may be lost at the same time without the loss
+	// of an accepted change. A first start makes 2*ToleratedDisks+1 replicas, if so many members have disks.
+	ToleratedDisks int `json:"tolerated_disks"`
 }
 
 // Check reports invalid settings.
 func (s *Settings) Check(faults *settings.Faults) {
 	faults.Require(s.ServeAloneMS >= 0, "serve_alone_ms", "must not be negative")
+	faults.Require(s.ToleratedDisks >= 0, "tolerated_disks", "must not be negative")
 }
 
 // Profiles is the plug-in. It is created through the plug-in registry.
@@ -60,7 +64,7 @@
 	place            model.NodeID                 // Replica whose place this member has, or its identity without a place; guarded by core.
 	takeoverEnabled  bool                         // Whether a member may take the place of a replica whose member is gone.
 	gossipedReplicas chan []model.NodeID          // Replicas that another member published; buffers one value.
-	bootstrapAddrs   []netip.Addr                 // Addresses of the seeds' VMs, whose members become the replicas; nil without the setting bootstrap.
+	bootstrapAddrs   []netip.Addr                 // Addresses of the seeds' VMs; nil unless this member chooses the replicas of a first start.
 	path             string                       // Path of the register's folder on disk; "" without a disk.
 	peers            port.Peers
 	membership       port.Membership
@@ -103,7 +107,7 @@
 
 // Provision binds the ports and reads the settings.
 func (p *Profiles) Provision(c *plugin.Context) error {
-	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds(), DetectCopies: true}
+	p.settings = Settings{ServeAloneMS: defaultServeAlone.Milliseconds(), DetectCopies: true, ToleratedDisks: defaultToleratedDisks}
 	err := errors.Join(
 		c.Settings(&p.settings),
 		plugin.Need(c, &p.peers),
@@ -133,7 +137,10 @@
 	return nil
 }
 
-const defaultServeAlone = 5 * time.Second
+const (
+	defaultServeAlone     = 5 * time.Second
+	defaultToleratedDisks = 1
+)
 
 // Start reads the file on disk and starts consensus, at once or as soon as the replicas are known.
 func (p *Profiles) Start() error {
