Places: a holder with a lost disk rejoins, two are taken at once, none while its new store could not join

Three faults of taking over places, in the same lines and so in one commit; each has a test that fails before. 1. No place was taken while two were vacant. With five replicas two can be; the bound is now what JoinQuorum leaves. Members of data centres with few places come first. 3. A takeover fences the store of a member that is only away, which then puts its file aside. With another replica's disk lost at the same time nobody could join any more, and a change that only the former member still held was gone. A place is taken only while enough others answer that they vote. Evidence: TestTakeover_HolderWithLostDisk, _TwoPlacesAtOnce and _NotWhileTooFewOthersVote.

--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -1,6 +1,7 @@
 package profiles
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/profiles/disk"
 	"redwingpulley/plugins/profiles/register"
+	"redwingpulley/plugins/profiles/wire"
 )
 
 // In a group that was bootstrapped from seeds, each replica is a place named after the member that had
@@ -107,30 +109,129 @@
 	}
 }
 
-// placeToTake returns the place that this member is to take over now, if any. Only one place may be
-// vacant, since the members of all the others have to report what its former store may have promised.
-// Of the live members with a disk and without a place, the first takes it. It updates goneSince.
+// placeToTake returns the place that this member is to take over now, if any: its own one, when it has
+// lost the disk with which it held it, or a vacant one, when so many others vote that the new store can
+// join at once. It updates goneSince.
 func (p *Profiles) placeToTake(now time.Time, goneSince map[model.NodeID]time.Time) (place model.NodeID, ok bool) {
+	if p.serving.Load() == nil {
+		return "", false
+	}
+	if place, lost := p.lostPlace(); lost {
+		return place, true
+	}
+	due, vacant := p.vacantPlaces(now, goneSince)
+	if vacant > len(p.replicas())-register.JoinQuorum(len(p.replicas())) {
+		return "", false // Too few others are left; this member is probably the partitioned one.
+	}
+	for place, member := range assignPlaces(due, p.placeless(), p.placesByDataCentre()) {
+		if member == p.self {
+			return place, p.enoughOthersVote(place)
+		}
+	}
+	return "", false
+}
+
+// lostPlace returns the place that this member had taken over, if its present machine does not know so:
+// its disk was lost.
+func (p *Profiles) lostPlace() (place model.NodeID, lost bool) {
+	own := p.ownPlace()
+	for _, replica := range p.replicas() {
+		if _, store := p.holder(replica); store.Node == p.self && replica != own {
+			return replica, true
+		}
+	}
+	return "", false
+}
+
+// vacantPlaces returns the places that have been vacant for takeoverDelay, and the number of all places
+// that are vacant.
+func (p *Profiles) vacantPlaces(now time.Time, goneSince map[model.NodeID]time.Time) (due []model.NodeID, vacant int) {
 	alive := p.membership.Alive()
-	holders := make(map[model.NodeID]bool)
-	var missing []model.NodeID
 	for _, replica := range p.replicas() {
 		holder, _ := p.holder(replica)
-		holders[holder] = true
 		if slices.ContainsFunc(alive, func(n port.Node) bool { return n.ID == holder }) {
 			delete(goneSince, replica)
 			continue
 		}
-		missing = append(missing, replica)
+		vacant++
 		if goneSince[replica].IsZero() {
 			goneSince[replica] = now
 		}
+		if now.Sub(goneSince[replica]) >= takeoverDelay {
+			due = append(due, replica)
+		}
 	}
-	if len(missing) != 1 || holders[p.self] || p.serving.Load() == nil || now.Sub(goneSince[missing[0]]) < takeoverDelay {
-		return "", false
+	return due, vacant
+}
+
+// placeless returns the live members that have a disk and no place.
+func (p *Profiles) placeless() []port.Node {
+	holders := make(map[model.NodeID]bool)
+	for _, replica := range p.replicas() {
+		holder, _ := p.holder(replica)
+		holders[holder] = true
+	}
+	return slices.DeleteFunc(slices.Clone(p.membership.Alive()), func(n port.Node) bool { return !n.Disk || holders[n.ID] })
+}
+
+// placesByDataCentre returns the number of places that live members have in each data centre.
+func (p *Profiles) placesByDataCentre() map[model.DataCentre]int {
+	places := make(map[model.DataCentre]int)
+	for _, n := range p.membership.Alive() {
+		for _, replica := range p.replicas() {
+			if holder, _ := p.holder(replica); holder == n.ID {
+				places[n.DataCentre]++
+			}
+		}
+	}
+	return places
+}
+
+// assignPlaces returns the members that are to take over vacant places, by place. Members of the data
+// centres with the fewest places come first.
+func assignPlaces(vacant []model.NodeID, placeless []port.Node, placesIn map[model.DataCentre]int) map[model.NodeID]model.NodeID {
+	assigned := make(map[model.NodeID]model.NodeID)
+	for _, place := range vacant {
+		if len(placeless) == 0 {
+			break
+		}
+		next := nextInSpread(placeless, placesIn)
+		placesIn[next.DataCentre]++
+		assigned[place] = next.ID
+		placeless = slices.DeleteFunc(placeless, func(n port.Node) bool { return n.ID == next.ID })
+	}
+	return assigned
+}
+
+// enoughOthersVote reports whether so many other replicas vote that a new store of the place can join at
+// once. A place is not taken otherwise: its former member gives up its file as soon as it learns of the
+// new store, and that file may hold the only copy of a change that is left.
+func (p *Profiles) enoughOthersVote(place model.NodeID) bool {
+	ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
+	defer cancel()
+	replicas := p.replicas()
+	answers := make(chan bool, len(replicas))
+	for _, replica := range replicas {
+		if replica != place {
+			p.goroutines.Go(func() { answers <- p.votes(ctx, p.memberAt(replica)) })
+		}
 	}
-	first := slices.IndexFunc(alive, func(n port.Node) bool { return n.Disk && !holders[n.ID] })
-	return missing[0], first >= 0 && alive[first].ID == p.self
+	voting := 0
+	for range len(replicas) - 1 {
+		if <-answers {
+			voting++
+		}
+		if voting >= register.JoinQuorum(len(replicas)) {
+			return true
+		}
+	}
+	return false
+}
+
+// votes asks a member whether it votes.
+func (p *Profiles) votes(ctx context.Context, member model.NodeID) bool {
+	var reply wire.Voting
+	return p.peers.Call(ctx, member, methodVoting, struct{}{}, &reply) == port.Delivered && reply.Voting
 }
 
 // takePlace takes over a replica's place with a new machine, which starts a new store.
--- a/plugins/profiles/places_test.go
+++ b/plugins/profiles/places_test.go
@@ -126,3 +126,87 @@
 		}
 	})
 }
+
+// lossAndReturn stops a member, loses its disk and starts it again before the others consider it dead.
+func (c *cluster) lossAndReturn(id model.NodeID) {
+	c.stop(id)
+	c.loseDisk(id)
+	c.start(id)
+}
+
+// Guards against issue 16: a member that had taken over a place and then lost its disk went on without a
+// place, and nobody else could take the place since its holder was alive.
+func TestTakeover_HolderWithLostDiskRejoinsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startBootstrapped(t)
+		defer c.stopAll()
+		is.Equal(c.declare("n5", 1), port.DeclareDone)
+		c.remove("n0")
+		time.Sleep(takeoverTime)
+		c.awaitVoter("n3")
+		c.rejoin("n0")
+		is.Equal(c.declare("n5", 2), port.DeclareDone)
+		c.lossAndReturn("n3")
+		time.Sleep(takeoverTime)
+		is.Equal(c.register("n3").Replica(), port.ReplicaVoter)
+		is.Equal(c.register("n0").Replica(), port.ReplicaNone)
+		c.remove("n1") // Without the place of n3 there is no majority now.
+		is.Equal(c.declare("n5", 3), port.DeclareDone)
+		c.rejoin("n1")
+	})
+}
+
+// startToleratingTwo starts eight members, the first seven with disks, of which five are replicas.
+func startToleratingTwo(t *testing.T) *cluster {
+	c := startCustomCluster(t, 7, 1, toleratingTwo(true))
+	for i := range 5 {
+		c.awaitVoter(node(i))
+	}
+	c.customize = toleratingTwo(false)
+	return c
+}
+
+// Guards against issue 16: no place was taken over while two were vacant, although five replicas have
+// enough others for both.
+func TestTakeover_TwoPlacesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startToleratingTwo(t)
+		defer c.stopAll()
+		is.Equal(c.declare("n7", 1), port.DeclareDone)
+		c.remove("n0")
+		c.remove("n3")
+		time.Sleep(takeoverTime)
+		is.Equal(c.register("n5").Replica(), port.ReplicaVoter)
+		is.Equal(c.register("n6").Replica(), port.ReplicaVoter)
+		is.Equal(c.declare("n7", 2), port.DeclareDone)
+		c.remove("n1") // The majority holds without the members that had the places first.
+		c.remove("n2")
+		is.Equal(c.declare("n7", 3), port.DeclareDone)
+		for _, id := range []model.NodeID{"n0", "n1", "n2", "n3"} {
+			c.rejoin(id)
+		}
+	})
+}
+
+// Guards against the loss of an acknowledged change: taking over a place makes its former member give up
+// its file, so it must not happen while the new one cannot join, as here with another replica's disk lost.
+func TestTakeover_NotWhileTooFewOthersVote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startBootstrapped(t)
+		defer c.stopAll()
+		is.Equal(c.declare("n5", 1), port.DeclareDone)
+		c.remove("n0")
+		c.lossAndReturn("n1") // Cannot vote before n0 is back.
+		time.Sleep(takeoverTime)
+		is.Equal(c.register("n3").Replica(), port.ReplicaNone)
+		c.rejoin("n0")
+		time.Sleep(takeoverTime)
+		for i := range 3 {
+			is.Equal(c.register(node(i)).Replica(), port.ReplicaVoter)
+		}
+		is.Equal(c.declare("n5", 2), port.DeclareDone)
+	})
+}
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -121,9 +121,13 @@
 	case empty == others: // No other replica has accepted a value, so none was chosen.
 		return true
 	}
-	return voting >= len(m.config.Replicas)-m.majority()+1
+	return voting >= JoinQuorum(len(m.config.Replicas))
 }
 
+// JoinQuorum returns how many voting others have to reply to a replica that joins under a new store:
+// each majority of the replicas holds one of them.
+func JoinQuorum(replicas int) int { return replicas - majorityOf(replicas) + 1 }
+
 // adoptHighestBallots takes over the highest promised and accepted ballots, and the newest chosen
 // state, of the replies to Join.
 func (m *Machine) adoptHighestBallots() {
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -276,7 +276,9 @@
 	return cmp.Or(store.Node, replica), store
 }
 
-func (m *Machine) majority() int { return len(m.config.Replicas)/2 + 1 }
+func (m *Machine) majority() int { return majorityOf(len(m.config.Replicas)) }
+
+func majorityOf(replicas int) int { return replicas/2 + 1 }
 
 func (m *Machine) emit(effect Effect) { m.effects = append(m.effects, effect) }
 
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -18,6 +18,7 @@
 const (
 	methodMessage = "profiles/message"
 	methodEdit    = "profiles/edit"
+	methodVoting  = "profiles/voting"
 	revisionTopic = "profiles" // Gossip topic for the newest revision in force, encoded as a varint.
 	sendTimeout   = time.Second
 )
@@ -32,6 +33,9 @@
 		edit, wait := e.Decode()
 		return wire.Result(p.submitLocally(ctx, edit, wait))
 	})
+	port.Handle(p.peers, methodVoting, func(context.Context, model.NodeID, struct{}) wire.Voting {
+		return wire.Voting{Voting: p.Replica() == port.ReplicaVoter}
+	})
 	p.gossip.Subscribe(groupTopic, p.handleGossipedGroup)
 	p.gossip.Subscribe(revisionTopic, func(from model.NodeID, value []byte) {
 		revision, n := binary.Uvarint(value)
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -120,6 +120,11 @@
 	return decoded
 }
 
+// Voting is the reply to the question whether a member votes.
+type Voting struct {
+	Voting bool `json:"voting"`
+}
+
 // Durable is the encoded form of a register.Durable.
 type Durable struct {
 	Store    store                   `json:"store"`
