Replies of a replica's former member no longer count for joining and for the first read

A proposer counts no vote of a store that any voter knows to be replaced, but a replica that joined, and a process that started, counted the reply of a member whose place another one had taken over. Replies count now only from the newest store that the replies together know, and the reply to a process that does not serve yet always names the stores.

--- /dev/null
+++ b/plugins/profiles/register/former_test.go
@@ -0,0 +1,106 @@
+package register
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+)
+
+// The tests below have the replicas a, b and c. F has taken over the place of a from A, which was away.
+// A change is accepted by F and by b alone; c knows of the takeover, and A comes back with its old file.
+var (
+	storeOfA     = Store{Number: 1, Nonce: 11, Node: "A"}
+	storeOfF     = Store{Number: 2, Nonce: 22, Node: "F"}
+	storeOfC     = Store{Number: 1, Nonce: 33, Node: "C"}
+	threePlaces  = []model.NodeID{"a", "b", "c"}
+	olderBallot  = Ballot{Round: 1, Node: "a", Run: 1}
+	latestBallot = Ballot{Round: 2, Node: "b", Run: 1}
+)
+
+// acceptedState returns the state after the change, at revision 1.
+func acceptedState() State {
+	state, _ := applyEdit(Initial(), model.ProfileEdit{ID: "c", Kind: model.PutProfile, Name: "p"}, time.Unix(0, 0))
+	return state
+}
+
+// replyToJoin returns the reply of a replica that votes to the Join of b, with the other stores that it
+// knows.
+func replyToJoin(join Message, fences map[model.NodeID]Store, accepted Ballot, value State) Message {
+	initial := Initial()
+	fences["b"] = join.Store
+	return Message{
+		Kind: Joined, Run: join.Run, Store: join.Store, Fences: fences, Voting: true,
+		Accepted: accepted, Value: &value, Chosen: &initial,
+	}
+}
+
+// sentJoin returns the Join that the effects send.
+func sentJoin(effects []Effect) Message {
+	for _, effect := range effects {
+		if send, ok := effect.(Send); ok && send.Message.Kind == Join {
+			return send.Message
+		}
+	}
+	return Message{}
+}
+
+// Guards against issue 16: a replica with a lost disk counted the reply of a member whose place another one
+// had taken over, and voted without an acknowledged change.
+func TestJoin_ReplyOfFormerHolderDoesNotCount(t *testing.T) {
+	for _, formerFirst := range []bool{true, false} {
+		is := is.New(t)
+		m := New(Config{Self: "b", Node: "B", Replicas: threePlaces, Seed: 7}, nil)
+		join := sentJoin(m.Step(time.Unix(0, 0), Woken{}))
+		replies := []Received{
+			{"a", replyToJoin(join, map[model.NodeID]Store{"a": storeOfA}, olderBallot, Initial())},
+			{"c", replyToJoin(join, map[model.NodeID]Store{"a": storeOfF, "c": storeOfC}, olderBallot, Initial())},
+		}
+		if !formerFirst {
+			slices.Reverse(replies)
+		}
+		for _, reply := range replies {
+			m.Step(time.Unix(1, 0), reply)
+		}
+		is.True(!m.CanVote())
+		present := replyToJoin(join, map[model.NodeID]Store{"a": storeOfF}, latestBallot, acceptedState())
+		m.Step(time.Unix(2, 0), Received{"a", present})
+		is.True(m.CanVote())
+		is.Equal(m.durable.Value.Revision(), model.Revision(1))
+	}
+}
+
+// Guards against issue 16: a process that started served an older revision when the reply of a member
+// whose place another one had taken over made up the majority.
+func TestLearn_ReplyOfFormerHolderDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{Self: "x", Replicas: threePlaces, Seed: 7}, nil)
+	m.Step(time.Unix(0, 0), Woken{})
+	reply := func(fences map[model.NodeID]Store) Message {
+		return Message{Kind: Chosen, Run: 7, Voting: true, Serving: true, Fences: fences}
+	}
+	m.Step(time.Unix(1, 0), Received{"a", reply(map[model.NodeID]Store{"a": storeOfA})})
+	m.Step(time.Unix(1, 0), Received{"c", reply(map[model.NodeID]Store{"a": storeOfF, "c": storeOfC})})
+	is.True(!m.serving)
+	present, state := reply(map[model.NodeID]Store{"a": storeOfF}), acceptedState()
+	present.Value, present.Revision, present.Pending = &state, 1, 1
+	m.Step(time.Unix(2, 0), Received{"a", present})
+	is.True(m.serving)
+	is.Equal(m.served.Revision(), model.Revision(1))
+}
+
+// A process that starts needs the stores of the replicas that reply, whether they have a newer state or not.
+func TestFetch_ReplyToStartingMemberNamesStores(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{Self: "c", Node: "C", Replicas: threePlaces, Seed: 7}, nil)
+	m.Step(time.Unix(0, 0), Woken{})
+	for _, serving := range []bool{true, false} {
+		effects := m.Step(time.Unix(1, 0), Received{"x", Message{Kind: Fetch, Run: 3, Serving: serving}})
+		reply := effects[0].(Send).Message
+		is.Equal(reply.Value, nil)
+		is.Equal(len(reply.Fences) > 0, !serving)
+	}
+}
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -102,8 +102,8 @@
 		return len(m.joinReplies) >= m.majority()-1
 	}
 	voting, empty, withFile := 0, 0, 0
-	for _, reply := range m.joinReplies {
-		if reply.Voting {
+	for node, reply := range m.joinReplies {
+		if reply.Voting && m.fromNewestStore(node, reply) {
 			voting++
 		}
 		if reply.Voting || reply.Copied {
@@ -124,6 +124,13 @@
 	return voting >= JoinQuorum(len(m.config.Replicas))
 }
 
+// fromNewestStore reports whether a replica's message comes from the newest known store of its place, and
+// not from a member whose place another one has taken over. Any join quorum that the newest store has had
+// and any majority have a replica in common, which names that store in its own message.
+func (m *Machine) fromNewestStore(node model.NodeID, message Message) bool {
+	return message.Fences[node] == m.durable.Fences[node]
+}
+
 // JoinQuorum returns how many voting others have to reply to a replica that joins under a new store:
 // each majority of the replicas holds one of them.
 func JoinQuorum(replicas int) int { return replicas - majorityOf(replicas) + 1 }
@@ -133,7 +140,7 @@
 func (m *Machine) adoptHighestBallots() {
 	for _, node := range m.config.Replicas {
 		reply, ok := m.joinReplies[node]
-		if !ok {
+		if !ok || !m.fromNewestStore(node, reply) {
 			continue
 		}
 		m.learnState(*reply.Chosen)
--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -52,7 +52,10 @@
 func (m *Machine) handleFetch(from model.NodeID, message Message) {
 	reply := m.chosenMessage(m.served)
 	if m.served.Revision() <= message.Revision {
-		reply.Value, reply.Fences, reply.Seen = nil, nil, nil
+		reply.Value = nil
+	}
+	if reply.Value == nil && message.Serving {
+		reply.Fences, reply.Seen = nil, nil // A member that does not serve yet needs them, to judge the replies.
 	}
 	reply.Run = message.Run
 	m.send(from, reply)
@@ -133,7 +136,7 @@
 		return m.canVote() && m.durable.Value.Revision() <= m.served.Revision()
 	}
 	reply := m.learnReplies[node]
-	return reply.Voting && reply.Pending <= m.served.Revision()
+	return reply.Voting && m.fromNewestStore(node, reply) && reply.Pending <= m.served.Revision()
 }
 
 // mayTrustServingMember reports whether the wait for a majority is over and a member that serves has
