Profiles: no goroutine after Stop, no step without a machine, no edit left waiting

A message in flight made a stopping member start a goroutine in the group that Stop waits for: the data race of TestTakeover_ReturningReplicaHasNoPlace. Goroutines start through a gate that Stop closes. A message of a replaced member that arrived after the replicas were known and before the machine was installed dereferenced nil. 3. An edit that waited at a member whose machine was replaced got no result before its caller gave up (the test hung until its time was up): the operator waited up to 3 s for an answer that could not come.

--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -216,16 +216,17 @@
 			p.goroutines.Go(func() { answers <- p.votes(ctx, p.memberAt(replica)) })
 		}
 	}
-	voting := 0
-	for range len(replicas) - 1 {
-		if <-answers {
-			voting++
-		}
-		if voting >= register.JoinQuorum(len(replicas)) {
-			return true
+	for voting, needed := 0, register.JoinQuorum(len(replicas)); voting < needed; {
+		select {
+		case votes := <-answers:
+			if votes {
+				voting++
+			}
+		case <-ctx.Done():
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // votes asks a member whether it votes.
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -91,7 +91,7 @@
 	wakeup     chan struct{}   // Wakes run when there are effects to execute; buffers one signal.
 	ctx        context.Context // Ends when the plug-in stops.
 	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
+	goroutines goroutines
 }
 
 // core holds the machine and the effects of its steps that are still to be executed, under one lock.
@@ -165,9 +165,6 @@
 func (p *Profiles) startConsensus(loaded disk.Loaded, replicas []model.NodeID) {
 	p.group.Store(newGroup(replicas))
 	p.publishGroup()
-	p.core.Lock()
-	p.core.waiters = make(map[uint64]chan model.EditResult)
-	p.core.Unlock()
 	p.installMachine(cmp.Or(loaded.Place, p.self), loaded, register.Store{})
 	p.goroutines.Go(p.run)
 	if p.path != "" && p.takeoverEnabled {
@@ -193,9 +190,14 @@
 	p.core.Lock()
 	p.core.machine = created.Machine()
 	p.core.effects, p.core.steps = nil, 0
+	abandoned := p.core.waiters
+	p.core.waiters = make(map[uint64]chan model.EditResult)
 	p.place = place
 	p.disk.Replicas, p.disk.Place = replicas, place
 	p.core.Unlock()
+	for _, waiter := range abandoned { // The former machine gives them no result any more.
+		waiter <- model.EditResult{Status: model.EditNoMajority, Run: model.MayHaveRun}
+	}
 	event.ReplicaPlaced.Log(p.log, event.List(event.Replicas, replicas), event.Text(event.Place, place), event.Flag(event.Replica, slices.Contains(replicas, place)))
 }
 
@@ -230,7 +232,7 @@
 // Stop ends the goroutines of this member and unlocks its folder on disk.
 func (p *Profiles) Stop() error {
 	p.cancel()
-	p.goroutines.Wait()
+	p.goroutines.Stop()
 	if p.release == nil {
 		return nil
 	}
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -71,6 +71,10 @@
 // place now.
 func (p *Profiles) notifyReplaced(to model.NodeID) {
 	p.core.Lock()
+	if p.core.machine == nil {
+		p.core.Unlock()
+		return // There is no machine yet; the sender tries again.
+	}
 	chosen := p.core.machine.ChosenMessage()
 	p.core.Unlock()
 	p.sendToMember(to, chosen)
