A member that was told of a newer revision asks for it until it has it

The pushed change and the one Fetch that gossip causes were lost at the overloaded process, and the next attempt is 3 s later, at one random member: longer than a change may take. While a newer revision is known to exist a member now asks another one every 300 ms. Evidence: TestFetch_RepeatedUntilToldRevisionIsKnown fails before (no Fetch within a second).

--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -34,6 +34,9 @@
 	fetchMessage := m.fetchMessage()
 	if m.serving {
 		m.learnAt = m.now.Add(fetchInterval)
+		if m.toldRevision > m.served.Revision() {
+			m.learnAt = m.now.Add(refetchInterval)
+		}
 		m.emit(Ask{m.random.Uint64(), fetchMessage})
 		return
 	}
@@ -66,10 +69,17 @@
 
 func (m *Machine) handleGossipedRevision(t Told) { m.fetchIfNewer(t.From, t.Revision) }
 
+// fetchIfNewer fetches a revision that a member is known to have, if it is newer than the one served here.
+// Until it is known, other members are asked at short intervals: the message or its reply may be lost.
 func (m *Machine) fetchIfNewer(node model.NodeID, revision model.Revision) {
-	if revision > m.served.Revision() {
-		m.send(node, m.fetchMessage())
+	if revision <= m.served.Revision() {
+		return
+	}
+	m.toldRevision = max(m.toldRevision, revision)
+	if again := m.now.Add(refetchInterval); m.serving && again.Before(m.learnAt) {
+		m.learnAt = again
 	}
+	m.send(node, m.fetchMessage())
 }
 
 // handleChosen learns a chosen state, if the message has one. Until this member serves, it also records
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -29,6 +29,7 @@
 	resolveDelay       = 2 * time.Second        // Shortest wait before a replica resolves whether a value it accepted was chosen.
 	learnInterval      = 500 * time.Millisecond // Longest interval between Fetch broadcasts before this member serves.
 	fetchInterval      = 3 * time.Second        // Between Fetch messages to one other member, in case Chosen messages were lost.
+	refetchInterval    = 300 * time.Millisecond // The same while a newer revision is known to exist.
 	rewriteDelay       = 2 * time.Second        // Before a failed write is tried again.
 	queueLimit         = 64                     // Most edits that wait for their turn to be proposed.
 )
@@ -66,6 +67,7 @@
 	learnReplies map[model.NodeID]Message // Replies to Fetch until this member serves, by sender.
 	learnAt      time.Time                // When Fetch is sent next.
 	learnWait    time.Duration
+	toldRevision model.Revision // Newest revision that another member is known to have.
 	startedAt    time.Time
 	rewriteAt    time.Time // Zero unless a write has failed.
 	resolveAt    time.Time // Earliest time to resolve an accepted value; see hasUnresolvedValue.
