Ends of runs go to the member that has claimed them

Members are asked once which of these runs they wait for; the answer is kept now and the end goes to that member alone, to all of them only when nobody has claimed the run or the claimant does not reply. Evidence: TestForeignRunIsStoppedUnlessMemberClaimsIt checks the addressee.

--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -46,7 +46,13 @@
 // Claimed reports which runs of a ClaimQuery live members wait for.
 type Claimed struct {
 	Queried []port.TaskRun // Runs of the query.
-	Claimed []port.TaskRun // Those of them that a live member waits for.
+	Claimed []Claim        // Those of them that a live member waits for.
+}
+
+// Claim says that a member waits for a run that it started as an earlier holder of the lease.
+type Claim struct {
+	Run    port.TaskRun
+	Member model.NodeID
 }
 
 // EndForwarded is the end of a run as forwarded by the member that now holds the lease.
@@ -74,13 +80,19 @@
 	Finished []Finished // Runs that have finished, each reported once.
 	// ClaimQuery lists runs that this holder does not wait for: ask which of them a live member waits for.
 	ClaimQuery []port.TaskRun
-	// ForwardEnds lists ends of runs that this holder does not wait for: send them to the other members
+	// ForwardEnds lists ends of runs that this holder does not wait for: send them to those that do,
 	// before the next hold, which acknowledges them.
-	ForwardEnds []port.RunEnd
+	ForwardEnds []ForwardedEnd
 	Acquired    bool       // The endpoint has accepted a new fencing token.
 	Lost        LossReason // Why the lease was lost; "" when this step has not lost it.
 }
 
+// ForwardedEnd is the end of a run that another member waits for.
+type ForwardedEnd struct {
+	End port.RunEnd
+	To  model.NodeID // The member that has claimed the run; "" when it is not known which one waits.
+}
+
 // LossReason is why a lease ended before its runs did; "" when it did not.
 type LossReason string
 
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -46,7 +46,7 @@
 		}
 		m.lastEnd = end.Number
 		if !m.Pending(end.Run) {
-			fx.ForwardEnds = append(fx.ForwardEnds, end)
+			fx.ForwardEnds = append(fx.ForwardEnds, ForwardedEnd{end, m.foreignRuns[end.Run]})
 			delete(m.foreignRuns, end.Run)
 			continue
 		}
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
@@ -55,9 +56,9 @@
 	fencedUntil    time.Time // Until then the endpoint is left to the holder that fenced this one.
 
 	runs map[port.TaskRun]*run
-	// foreignRuns are runs of other holders that a ClaimQuery asked about; the value is true when a live
-	// member waits for the run.
-	foreignRuns map[port.TaskRun]bool
+	// foreignRuns are runs of other holders that a ClaimQuery asked about, with the live member that waits
+	// for the run; "" when none has claimed it yet.
+	foreignRuns map[port.TaskRun]model.NodeID
 }
 
 // phase is the progress of a run.
@@ -88,7 +89,7 @@
 // New returns the machine of an endpoint that this member has not called yet.
 func New(config Config) *Machine {
 	return &Machine{
-		config: config, runs: make(map[port.TaskRun]*run), foreignRuns: make(map[port.TaskRun]bool),
+		config: config, runs: make(map[port.TaskRun]*run), foreignRuns: make(map[port.TaskRun]model.NodeID),
 	}
 }
 
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
@@ -196,11 +197,21 @@
 	h.step(StartRequested{Run: testRun(0)})
 	fx := h.replyToHold([]port.TaskRun{testRun(5), testRun(6)})
 	h.is.Equal(fx.ClaimQuery, []port.TaskRun{testRun(5), testRun(6)})
-	fx = h.step(Claimed{Queried: fx.ClaimQuery, Claimed: []port.TaskRun{testRun(6)}})
+	fx = h.step(Claimed{Queried: fx.ClaimQuery, Claimed: []Claim{{testRun(6), "n2"}}})
 	h.is.Equal(len(fx.Stops), 1)
 	h.is.Equal(fx.Stops[0].Run, testRun(5))
 	fx = h.advance(time.Millisecond).replyToHold(nil, port.RunEnd{Number: 4, Run: testRun(6), How: port.TaskDone})
-	h.is.Equal(fx.ForwardEnds, []port.RunEnd{{Number: 4, Run: testRun(6), How: port.TaskDone}})
+	h.is.Equal(fx.ForwardEnds, []ForwardedEnd{{port.RunEnd{Number: 4, Run: testRun(6), How: port.TaskDone}, "n2"}})
+}
+
+// An end that arrives before its run was listed, or before a member has claimed it, goes to all members.
+func TestEndOfUnclaimedRunIsForwardedToAll(t *testing.T) {
+	h := newHarness(t)
+	h.step(StartRequested{Run: testRun(0)})
+	h.replyToHold([]port.TaskRun{testRun(5)})
+	fx := h.advance(time.Millisecond).replyToHold(nil, port.RunEnd{Number: 1, Run: testRun(5), How: port.TaskDone})
+	h.is.Equal(len(fx.ForwardEnds), 1)
+	h.is.Equal(fx.ForwardEnds[0].To, model.NodeID(""))
 }
 
 func TestStoppedRunFinishesWithReportedEnd(t *testing.T) {
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -20,7 +20,7 @@
 		case known && r.phase == startSent:
 			m.confirmStart(now, r)
 		case !known && !queried:
-			m.foreignRuns[id] = false
+			m.foreignRuns[id] = ""
 			fx.ClaimQuery = append(fx.ClaimQuery, id)
 		}
 	}
@@ -67,8 +67,8 @@
 // handleClaims stops the runs of other holders that no live member waits for.
 func (m *Machine) handleClaims(e Claimed, fx *Effects) {
 	for _, id := range e.Queried {
-		if slices.Contains(e.Claimed, id) {
-			m.foreignRuns[id] = true
+		if i := slices.IndexFunc(e.Claimed, func(c Claim) bool { return c.Run == id }); i >= 0 {
+			m.foreignRuns[id] = e.Claimed[i].Member
 			continue
 		}
 		delete(m.foreignRuns, id) // If the stop is lost, the next list of running runs triggers a new query.
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -99,43 +99,71 @@
 		request.Runs = append(request.Runs, runMessage(run))
 	}
 	otherMembers := l.otherMembers()
-	replies := make(chan claimReply, len(otherMembers))
+	replies := make(chan []lease.Claim, len(otherMembers))
 	for _, node := range otherMembers {
-		go func() {
-			var reply claimReply
-			l.peers.Call(ctx, node, methodClaim, request, &reply) // A member that does not reply in time claims no run.
-			replies <- reply
-		}()
+		go func() { replies <- l.queryClaimsOf(ctx, node, request) }()
 	}
 	claimed := lease.Claimed{Queried: runs}
 	for range otherMembers {
-		for _, run := range (<-replies).Runs {
-			claimed.Claimed = append(claimed.Claimed, port.TaskRun(run))
-		}
+		claimed.Claimed = append(claimed.Claimed, <-replies...)
 	}
 	event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Int(event.Runs, len(runs)), event.Int(event.Claimed, len(claimed.Claimed)))
 	l.step(at, claimed)
 }
 
-// forwardEnds sends the ends of runs that this member does not wait for to the other members, one of
-// which may.
-func (l *Leases) forwardEnds(endpoint model.EndpointID, ends []port.RunEnd) {
-	message := endsMessage{Endpoint: endpoint}
+// queryClaimsOf asks one member which of the runs it waits for. A member that does not reply in time
+// claims none.
+func (l *Leases) queryClaimsOf(ctx context.Context, node model.NodeID, request claimRequest) (claims []lease.Claim) {
+	var reply claimReply
+	l.peers.Call(ctx, node, methodClaim, request, &reply)
+	for _, run := range reply.Runs {
+		claims = append(claims, lease.Claim{Run: port.TaskRun(run), Member: node})
+	}
+	return claims
+}
+
+// forwardEnds sends the ends of runs that this member does not wait for to the members that have claimed
+// them. Those that nobody has claimed, and those whose claimant cannot be reached, go to all other members.
+func (l *Leases) forwardEnds(endpoint model.EndpointID, ends []lease.ForwardedEnd) {
+	byMember := make(map[model.NodeID]*endsMessage)
 	for _, end := range ends {
-		message.Ends = append(message.Ends, endMessage{runMessage(end.Run), end.How})
+		if byMember[end.To] == nil {
+			byMember[end.To] = &endsMessage{Endpoint: endpoint}
+		}
+		message := byMember[end.To]
+		message.Ends = append(message.Ends, endMessage{runMessage(end.End.Run), end.End.How})
 	}
-	for _, node := range l.otherMembers() {
+	for member, message := range byMember {
+		if member == "" {
+			l.forwardToAll(*message)
+			continue
+		}
 		go func() {
-			ctx, cancel := context.WithTimeout(l.baseCtx, claimTimeout)
-			defer cancel()
-			var ignored emptyReply
-			if l.peers.Call(ctx, node, methodEnded, message, &ignored) != port.Delivered {
-				event.EndsNotPassedOn.Log(l.log, event.Text(event.Endpoint, endpoint), event.Text(event.Member, node), event.Int(event.Ends, len(message.Ends)))
+			if !l.forwardTo(member, *message) {
+				l.forwardToAll(*message)
 			}
 		}()
 	}
 }
 
+func (l *Leases) forwardToAll(message endsMessage) {
+	for _, node := range l.otherMembers() {
+		go l.forwardTo(node, message)
+	}
+}
+
+// forwardTo sends ends of runs to a member and reports whether it has acknowledged them.
+func (l *Leases) forwardTo(node model.NodeID, message endsMessage) bool {
+	ctx, cancel := context.WithTimeout(l.baseCtx, claimTimeout)
+	defer cancel()
+	var ignored emptyReply
+	if l.peers.Call(ctx, node, methodEnded, message, &ignored) == port.Delivered {
+		return true
+	}
+	event.EndsNotPassedOn.Log(l.log, event.Text(event.Endpoint, message.Endpoint), event.Text(event.Member, node), event.Int(event.Ends, len(message.Ends)))
+	return false
+}
+
 // evictIdle periodically removes the state of endpoints that are idle and have had no event for
 // idleRetention.
 func (l *Leases) evictIdle() {
