Stores of one place are totally ordered, and a place is not taken from a holder not yet known

Two members that took over one place at the same time chose the same number. Replicas kept whichever store they heard of first, replies went to one of the two, and the other never served again. A member that had not heard of a takeover took the place once more, which fenced a store that voted; with a lost disk beside it no majority was left. Members that know a newer store of the place refuse their support and send it.

--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -110,8 +110,8 @@
 }
 
 // placeToTake returns the place that this member is to take over now, if any: its own one, when it has
-// lost the disk with which it held it, or a vacant one, when so many others vote that the new store can
-// join at once. It updates goneSince.
+// lost the disk with which it held it, or a vacant one that enough others support its taking. It updates
+// goneSince.
 func (p *Profiles) placeToTake(now time.Time, goneSince map[model.NodeID]time.Time) (place model.NodeID, ok bool) {
 	if p.serving.Load() == nil {
 		return "", false
@@ -125,7 +125,7 @@
 	}
 	for place, member := range assignPlaces(due, p.placeless(), p.placesByDataCentre()) {
 		if member == p.self {
-			return place, p.enoughOthersVote(place)
+			return place, p.enoughSupport(place)
 		}
 	}
 	return "", false
@@ -203,36 +203,51 @@
 	return assigned
 }
 
-// enoughOthersVote reports whether so many other replicas vote that a new store of the place can join at
-// once. A place is not taken otherwise: its former member gives up its file as soon as it learns of the
-// new store, and that file may hold the only copy of a change that is left.
-func (p *Profiles) enoughOthersVote(place model.NodeID) bool {
+// enoughSupport reports whether so many other replicas support taking over a place that its new store can
+// join at once. A place is not taken otherwise: its former member gives up its file as soon as it learns
+// of the new store, and that file may hold the only copy of a change that is left.
+func (p *Profiles) enoughSupport(place model.NodeID) bool {
 	ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
 	defer cancel()
+	_, newest := p.holder(place)
+	request := wire.NewTakeover(place, newest)
 	replicas := p.replicas()
 	answers := make(chan bool, len(replicas))
 	for _, replica := range replicas {
 		if replica != place {
-			p.goroutines.Go(func() { answers <- p.votes(ctx, p.memberAt(replica)) })
+			p.goroutines.Go(func() { answers <- p.requestSupport(ctx, p.memberAt(replica), request) })
 		}
 	}
-	for voting, needed := 0, register.JoinQuorum(len(replicas)); voting < needed; {
+	supporters := 0
+	for range len(replicas) - 1 {
 		select {
-		case votes := <-answers:
-			if votes {
-				voting++
+		case supported := <-answers:
+			if supported {
+				supporters++
 			}
 		case <-ctx.Done():
 			return false
 		}
+		if supporters >= register.JoinQuorum(len(replicas)) {
+			return true
+		}
 	}
-	return true
+	return false
+}
+
+func (p *Profiles) requestSupport(ctx context.Context, member model.NodeID, request wire.Takeover) bool {
+	var reply wire.TakeoverReply
+	return p.peers.Call(ctx, member, methodTakeover, request, &reply) == port.Delivered && reply.Supported
 }
 
-// votes asks a member whether it votes.
-func (p *Profiles) votes(ctx context.Context, member model.NodeID) bool {
-	var reply wire.Voting
-	return p.peers.Call(ctx, member, methodVoting, struct{}{}, &reply) == port.Delivered && reply.Voting
+// supportsTakeover reports whether this member votes and knows no newer store of the place. A sender that
+// does not know the newest store gets all of them.
+func (p *Profiles) supportsTakeover(from model.NodeID, request wire.Takeover) bool {
+	if _, known := p.holder(request.Place); request.Newest().Less(known) {
+		p.sendStores(from)
+		return false
+	}
+	return p.Replica() == port.ReplicaVoter
 }
 
 // takePlace takes over a replica's place with a new machine, which starts a new store.
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -250,7 +250,7 @@
 // returns false for a store that is fenced itself.
 func (m *Machine) fenceOlderStores(node model.NodeID, store Store) bool {
 	known := m.durable.Fences[node]
-	if store.Number <= known.Number {
+	if !known.Less(store) {
 		return store == known
 	}
 	m.durable.Fences[node] = store
@@ -269,7 +269,7 @@
 // replaced does not yet record it.
 func (m *Machine) placeTaken() bool {
 	known := m.durable.Fences[m.config.Self]
-	return !m.replaced && m.isReplica() && known.Node != "" && known.Node != m.config.Node && known.Number > m.config.Takes.Number
+	return !m.replaced && m.isReplica() && known.Node != "" && known.Node != m.config.Node && m.config.Takes.Less(known)
 }
 
 // Holder returns the member that has a replica's place, and that member's store.
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -34,6 +34,15 @@
 	Node model.NodeID `json:",omitempty"`
 }
 
+// Less reports whether s is older than other. Two members that take over one place at the same time choose
+// the same number; the nonce then decides, so that all replicas fence the same one of them.
+func (s Store) Less(other Store) bool {
+	if s.Number != other.Number {
+		return s.Number < other.Number
+	}
+	return s.Nonce < other.Nonce
+}
+
 // Durable is what a replica keeps on its disk.
 type Durable struct {
 	Store    Store
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	methodMessage = "profiles/message"
-	methodEdit    = "profiles/edit"
-	methodVoting  = "profiles/voting"
-	revisionTopic = "profiles" // Gossip topic for the newest revision in force, encoded as a varint.
-	sendTimeout   = time.Second
+	methodMessage  = "profiles/message"
+	methodEdit     = "profiles/edit"
+	methodTakeover = "profiles/takeover"
+	revisionTopic  = "profiles" // Gossip topic for the newest revision in force, encoded as a varint.
+	sendTimeout    = time.Second
 )
 
 // registerHandlers registers the handlers of messages, edits and gossip from other members.
@@ -33,8 +33,8 @@
 		edit, wait := e.Decode()
 		return wire.Result(p.submitLocally(ctx, edit, wait))
 	})
-	port.Handle(p.peers, methodVoting, func(context.Context, model.NodeID, struct{}) wire.Voting {
-		return wire.Voting{Voting: p.Replica() == port.ReplicaVoter}
+	port.Handle(p.peers, methodTakeover, func(_ context.Context, from model.NodeID, request wire.Takeover) wire.TakeoverReply {
+		return wire.TakeoverReply{Supported: p.supportsTakeover(from, request)}
 	})
 	p.gossip.Subscribe(groupTopic, p.handleGossipedGroup)
 	p.gossip.Subscribe(revisionTopic, func(from model.NodeID, value []byte) {
@@ -62,14 +62,14 @@
 	p.step(register.Received{From: identity, Message: m.Decode()})
 	answerable := m.Kind != register.Chosen // An announcement is not answered by another one.
 	if answerable && slices.Contains(p.replicas(), identity) && p.memberAt(identity) != from {
-		p.notifyReplaced(from)
+		p.sendStores(from)
 	}
 }
 
-// notifyReplaced sends the newest known stores to a member that does not know yet that another member
-// has taken its place. The machine's own replies do not reach it: they go to the member that has the
-// place now.
-func (p *Profiles) notifyReplaced(to model.NodeID) {
+// sendStores sends the newest known stores to a member that does not know yet that another member has taken
+// a place, for instance its own: then the machine's replies do not reach it, as they go to the member
+// that has the place now.
+func (p *Profiles) sendStores(to model.NodeID) {
 	p.core.Lock()
 	if p.core.machine == nil {
 		p.core.Unlock()
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -120,9 +120,24 @@
 	return decoded
 }
 
-// Voting is the reply to the question whether a member votes.
-type Voting struct {
-	Voting bool `json:"voting"`
+// Takeover asks a member whether the sender may take over a place whose newest store it knows to be Store.
+type Takeover struct {
+	Place model.NodeID `json:"place"`
+	Store store        `json:"store"`
+}
+
+// NewTakeover returns the request for a place and its newest known store.
+func NewTakeover(place model.NodeID, newest register.Store) Takeover {
+	return Takeover{place, store(newest)}
+}
+
+// Newest returns the newest store of the place that the sender knows.
+func (t Takeover) Newest() register.Store { return register.Store(t.Store) }
+
+// TakeoverReply is the reply to Takeover. Supported is true when the member votes, and so can reply to the
+// new store's Join, and knows no newer store of the place.
+type TakeoverReply struct {
+	Supported bool `json:"supported"`
 }
 
 // Durable is the encoded form of a register.Durable.
