A large state goes to a member that needs it once, not from everybody at once

Cause: a state with such a routing is some hundred KB; a member that started asked all others for it every 0.5 s, and each that had it sent it; each member whose gossip told of a newer revision was asked for all of it; replicas that joined with an intact file got two states from each of the others; and a change was encoded once for each member. Sent within 1 s or not at all, over 25 Mbit/s, little of it arrived.

--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -24,6 +24,8 @@
 	// takeoverDelay is how long a place must be vacant, its member not considered alive, before another
 	// member takes it over.
 	takeoverDelay = 1500 * time.Millisecond
+	// supportTimeout is the longest wait for the other replicas' support of a takeover.
+	supportTimeout = time.Second
 	// placelessSuffix is appended to the identity of a member without a place when its own name is that
 	// of a place, which another member has.
 	placelessSuffix = "~"
@@ -207,7 +209,7 @@
 // join at once. A place is not taken otherwise: its former member gives up its file as soon as it learns
 // of the new store, and that file may hold the only copy of a change that is left.
 func (p *Profiles) enoughSupport(place model.NodeID) bool {
-	ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, supportTimeout)
 	defer cancel()
 	_, newest := p.holder(place)
 	request := wire.NewTakeover(place, newest)
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -24,7 +24,7 @@
 	}
 	for _, node := range m.config.Replicas {
 		if node != m.config.Self {
-			m.send(node, Message{Kind: Join, Run: m.config.Seed, Store: m.durable.Store, Votes: m.durable.Votes})
+			m.send(node, Message{Kind: Join, Run: m.config.Seed, Store: m.durable.Store, Votes: m.durable.Votes, Brief: m.intact})
 		}
 	}
 	m.tryStartVoting()
@@ -50,21 +50,28 @@
 		return
 	}
 	m.fenceOlderStores(from, message.Store)
-	value, chosen := m.durable.Value, m.served
-	m.persist(Send{from, Message{
+	reply := Message{
 		Kind: Joined, Run: message.Run, Store: message.Store, Votes: m.durable.Seen[from],
 		Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
 		Voting: m.durable.Voting && !m.durable.Copied, Copied: m.durable.Copied, Promised: m.durable.Promised,
-		Accepted: m.durable.Accepted, Value: &value, Chosen: &chosen,
-	}})
+		Accepted: m.durable.Accepted,
+	}
+	if !message.Brief {
+		value, chosen := m.durable.Value, m.served
+		reply.Value, reply.Chosen = &value, &chosen
+	}
+	m.persist(Send{from, reply})
 }
 
 // handleJoined records a reply to Join. It starts a new store when the reply shows that this replica's
 // store is fenced or that its file is older than a vote that it has cast.
 func (m *Machine) handleJoined(from model.NodeID, message Message) {
-	if !m.isReplica() || m.canVote() || message.Run != m.config.Seed || message.Store != m.durable.Store || message.Value == nil || message.Chosen == nil {
+	if !m.isReplica() || m.canVote() || message.Run != m.config.Seed || message.Store != m.durable.Store {
 		return
 	}
+	if !m.intact && (message.Value == nil || message.Chosen == nil) {
+		return // A reply to a Join that was sent before this store was found not to be intact.
+	}
 	known := message.Fences[m.config.Self]
 	if m.placeTaken() {
 		return
--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -28,20 +28,22 @@
 	return chosenMessage
 }
 
-// fetchNewer sends Fetch for a newer chosen state: to all members until this one serves, then to one
-// random member at a time.
+// fetchNewer sends Fetch for a newer chosen state to one random member. Until this member serves, it asks
+// all of them for their revisions instead, and one that has the newest for the state.
 func (m *Machine) fetchNewer() {
 	fetchMessage := m.fetchMessage()
 	if m.serving {
 		m.learnAt = m.now.Add(fetchInterval)
 		if m.toldRevision > m.served.Revision() {
 			m.learnAt = m.now.Add(refetchInterval)
+			m.stateFetchAt = m.learnAt
 		}
 		m.emit(Ask{m.random.Uint64(), fetchMessage})
 		return
 	}
 	m.learnAt = m.now.Add(m.learnWait)
 	m.learnWait = min(2*m.learnWait, learnInterval)
+	fetchMessage.Brief = true
 	m.emit(Broadcast{fetchMessage})
 	m.tryStartServing()
 }
@@ -54,7 +56,7 @@
 // else without a state. Where the sender serves a newer one, this member fetches that in turn.
 func (m *Machine) handleFetch(from model.NodeID, message Message) {
 	reply := m.chosenMessage(m.served)
-	if m.served.Revision() <= message.Revision {
+	if m.served.Revision() <= message.Revision || message.Brief {
 		reply.Value = nil
 	}
 	if reply.Value == nil && message.Serving {
@@ -79,6 +81,15 @@
 	if again := m.now.Add(refetchInterval); m.serving && again.Before(m.learnAt) {
 		m.learnAt = again
 	}
+	m.requestState(node)
+}
+
+// requestState requests the newest state of a member, unless another request is under way.
+func (m *Machine) requestState(node model.NodeID) {
+	if m.now.Before(m.stateFetchAt) {
+		return
+	}
+	m.stateFetchAt = m.now.Add(refetchInterval)
 	m.send(node, m.fetchMessage())
 }
 
@@ -95,6 +106,9 @@
 		return
 	}
 	m.learnReplies[from] = message
+	if message.Revision > m.served.Revision() {
+		m.requestState(from)
+	}
 	m.tryStartServing()
 }
 
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -29,7 +29,7 @@
 	resolveDelay       = 2 * time.Second        // Shortest wait before a replica resolves whether a value it accepted was chosen.
 	learnInterval      = 500 * time.Millisecond // Longest interval between Fetch broadcasts before this member serves.
 	fetchInterval      = 3 * time.Second        // Between Fetch messages to one other member, in case Chosen messages were lost.
-	refetchInterval    = 300 * time.Millisecond // The same while a newer revision is known to exist.
+	refetchInterval    = 500 * time.Millisecond // Between two requests for a state, which may be large, while a newer revision is known to exist.
 	rewriteDelay       = 2 * time.Second        // Before a failed write is tried again.
 	queueLimit         = 64                     // Most edits that wait for their turn to be proposed.
 )
@@ -68,6 +68,7 @@
 	learnAt      time.Time                // When Fetch is sent next.
 	learnWait    time.Duration
 	toldRevision model.Revision // Newest revision that another member is known to have.
+	stateFetchAt time.Time      // Earliest time to request the next state.
 	startedAt    time.Time
 	rewriteAt    time.Time // Zero unless a write has failed.
 	resolveAt    time.Time // Earliest time to resolve an accepted value; see hasUnresolvedValue.
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"log/slog"
 	"slices"
 	"time"
@@ -19,8 +20,8 @@
 	methodMessage  = "profiles/message"
 	methodEdit     = "profiles/edit"
 	methodTakeover = "profiles/takeover"
-	revisionTopic  = "profiles" // Gossip topic for the newest revision in force, encoded as a varint.
-	sendTimeout    = time.Second
+	revisionTopic  = "profiles"      // Gossip topic for the newest revision in force, encoded as a varint.
+	sendTimeout    = 3 * time.Second // A state may be large and the way to a member narrow.
 )
 
 // registerHandlers registers the handlers of messages, edits and gossip from other members.
@@ -211,9 +212,7 @@
 	case register.Send:
 		p.send(e.To, e.Message)
 	case register.Broadcast:
-		for _, node := range p.others() {
-			p.send(node, e.Message)
-		}
+		p.broadcast(e.Message)
 	case register.Ask:
 		if others := p.others(); len(others) > 0 {
 			p.send(others[e.Number%uint64(len(others))], e.Message)
@@ -261,13 +260,38 @@
 	p.sendToMember(node, message)
 }
 
-// sendToMember sends a message to a member without waiting for its delivery; it may be lost.
-func (p *Profiles) sendToMember(node model.NodeID, message register.Message) {
-	p.messagesSent.Inc(1)
+// broadcast sends a message to all other live members and replicas. It is encoded once, since it may hold
+// a large state.
+func (p *Profiles) broadcast(message register.Message) {
+	body, err := json.Marshal(p.encode(message))
+	if err != nil {
+		event.RequestNotEncoded.Log(p.log, event.Text(event.Method, methodMessage), event.Err(err))
+		return
+	}
+	for _, identity := range p.others() {
+		if node := p.memberAt(identity); node != p.self {
+			p.sendEncoded(node, json.RawMessage(body))
+		}
+	}
+}
+
+// encode returns a message as this member sends it.
+func (p *Profiles) encode(message register.Message) wire.Message {
 	encoded := wire.EncodeMessage(message, p.settings.Cluster, p.group.Load().hash)
 	if own := p.ownPlace(); own != p.self {
 		encoded.Sender = own
 	}
+	return encoded
+}
+
+// sendToMember sends a message to a member without waiting for its delivery; it may be lost.
+func (p *Profiles) sendToMember(node model.NodeID, message register.Message) {
+	p.sendEncoded(node, p.encode(message))
+}
+
+// sendEncoded sends an encoded message to a member without waiting for its delivery.
+func (p *Profiles) sendEncoded(node model.NodeID, encoded any) {
+	p.messagesSent.Inc(1)
 	p.goroutines.Go(func() {
 		ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
 		defer cancel()
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -58,6 +58,7 @@
 	Chosen   *State                  `json:"chosen,omitempty"`
 	Revision model.Revision          `json:"revision,omitempty"`
 	Pending  model.Revision          `json:"pending,omitempty"`
+	Brief    bool                    `json:"brief,omitempty"`
 	Serving  bool                    `json:"serving,omitempty"`
 }
 
@@ -69,7 +70,7 @@
 		Fences: encodeStores(m.Fences), Seen: m.Seen,
 		Accepted: encodeBallot(m.Accepted), Value: EncodeState(m.Value), Base: encodeBallot(m.Base), Delta: encodeDelta(m.Delta),
 		Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
-		Revision: m.Revision, Pending: m.Pending, Serving: m.Serving,
+		Revision: m.Revision, Pending: m.Pending, Brief: m.Brief, Serving: m.Serving,
 	}
 }
 
@@ -80,7 +81,7 @@
 		Fences: decodeStores(m.Fences), Seen: m.Seen,
 		Accepted: m.Accepted.decode(), Value: m.Value.Decode(), Base: m.Base.decode(), Delta: m.Delta.decode(),
 		Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
-		Revision: m.Revision, Pending: m.Pending, Serving: m.Serving,
+		Revision: m.Revision, Pending: m.Pending, Brief: m.Brief, Serving: m.Serving,
 	}
 }
 
