--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -112,7 +112,7 @@
 }
 
 // placeToTake returns the place that this member is to take over now, if any: its own one, when it has
-// lost the disk with which it held it, or a vacant one that enough others support its taking. It updates
+// lost the disk with which it held it, or a vacant one whose takeover enough others support. It updates
 // goneSince.
 func (p *Profiles) placeToTake(now time.Time, goneSince map[model.NodeID]time.Time) (place model.NodeID, ok bool) {
 	if p.serving.Load() == nil {
