--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -100,7 +100,7 @@
 	Chosen   *State         // In Joined: newest state that the sender knows to be chosen.
 	Revision model.Revision // In Fetch and Chosen: revision of the newest chosen state that the sender knows.
 	Pending  model.Revision // In Chosen: revision of the state that the sender accepted last.
-	Brief    bool           // In Fetch and Join: the reply is to hold no states.
+	Brief    bool           `json:",omitempty"` // In Fetch and Join: the reply is to hold no states.
 	Serving  bool           // In Fetch and Chosen: whether the sender serves a state.
 }
 
