A returning member's store is never newer than that of the member that took its place

Cause: a member that has lost its disk starts a store with the next number. It stops before that store votes, and another member takes its place, with the next number as well. When the first one comes back it gives its file, which may not vote, the next number again: the same one as the new holder's. With the higher nonce it replaces the new holder, which votes and holds what was accepted; beside one more lost disk the majority is gone. The same happens without a file, when a replica that has not heard of the takeover replies first. Change: the numbers of two holders of a place differ by 2^32. A member counts its own stores up by one.

--- a/plugins/profiles/register/former_test.go
+++ b/plugins/profiles/register/former_test.go
@@ -104,3 +104,22 @@
 		is.Equal(len(reply.Fences) > 0, !serving)
 	}
 }
+
+// Guards against a member that comes back to a place that another one has taken over meanwhile, with a file that may not
+// vote or with none: the store that it started got the same number as the new holder's, and where its nonce was the
+// higher one the new holder lost its vote, beside another lost disk the majority.
+func TestTakeover_ReturningMembersStoreIsOlderThanNewHolders(t *testing.T) {
+	joining := Durable{Store: storeOfA, Value: Initial(), Chosen: Initial()}
+	takeover := New(Config{Self: "a", Node: "F", Replicas: threePlaces, Seed: 1, Takes: storeOfA}, nil)
+	storeOfNewHolder := sentJoin(takeover.Step(time.Unix(0, 0), Woken{})).Store
+	for seed := range uint64(16) {
+		is := is.New(t)
+		withFile := New(Config{Self: "a", Node: "A", Replicas: threePlaces, Seed: seed}, &joining)
+		is.True(sentJoin(withFile.Step(time.Unix(0, 0), Woken{})).Store.Less(storeOfNewHolder))
+		withoutFile := New(Config{Self: "a", Node: "A", Replicas: threePlaces, Seed: seed}, nil)
+		join := sentJoin(withoutFile.Step(time.Unix(0, 0), Woken{}))
+		uninformed := replyToJoin(join, map[model.NodeID]Store{"a": storeOfA}, Ballot{}, Initial()) // Of a replica that has not heard of F.
+		again := sentJoin(withoutFile.Step(time.Unix(1, 0), Received{"b", uninformed}))
+		is.True(again.Store.Less(storeOfNewHolder))
+	}
+}
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -30,9 +30,16 @@
 	m.tryStartVoting()
 }
 
+// takeoverStep is the distance between the store numbers of two holders of a place. A member that comes back counts
+// its own stores up by one, so that none of them is newer than that of a member that has taken its place.
+const takeoverStep = 1 << 32
+
 // startNewStore gives the disk a new store, with a number above all known ones of this place.
 func (m *Machine) startNewStore() {
 	number := max(m.durable.Store.Number, m.durable.Fences[m.config.Self].Number) + 1
+	if m.config.Takes != (Store{}) && !m.newStoreStarted {
+		number = (number/takeoverStep + 1) * takeoverStep
+	}
 	m.durable.Store = Store{number, m.random.Uint64() | 1, m.config.Node}
 	m.durable.Voting = false
 	m.durable.Votes = 0
