Reads that wait at several replicas share the rounds of the one that proposes

Cause: each read was a round of agreement of the replica asked, and the rounds of five replicas outbid one another for as long as reads keep coming. Rounds that settle an accepted value were outbid as well, and a process that starts waits for those. Change: all reads that wait at a replica share its next round. A replica that has promised another one's ballot within the last 0.7 s, or whose round without an edit is outbid, passes its reads on to that one and starts no round. Before: TestConfirm_ConcurrentReadsAtAllReplicas, no read in 4 s.

--- a/plugins/profiles/register/acceptor.go
+++ b/plugins/profiles/register/acceptor.go
@@ -16,7 +16,7 @@
 		m.send(from, Message{Kind: Rejected, Ballot: m.durable.Promised})
 		return
 	}
-	m.durable.Promised = message.Ballot
+	m.durable.Promised, m.promisedAt = message.Ballot, m.now
 	m.durable.Votes++
 	vote := m.vote(Promise, message.Ballot)
 	vote.Accepted = m.durable.Accepted
@@ -41,7 +41,7 @@
 		m.send(from, Message{Kind: NeedValue, Ballot: message.Ballot})
 		return
 	}
-	m.durable.Promised = message.Ballot
+	m.durable.Promised, m.promisedAt = message.Ballot, m.now
 	m.durable.Accepted = message.Ballot
 	m.durable.Value = value
 	m.durable.Votes++
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -74,6 +74,9 @@
 	resolveAt    time.Time // Earliest time to resolve an accepted value; see hasUnresolvedValue.
 
 	queue          []Submitted
+	reads          []read        // Reads that the next round answers.
+	passed         []passedReads // Reads that other replicas are asked to answer.
+	promisedAt     time.Time     // When this machine last promised a ballot or accepted a value.
 	proposal       *proposal
 	highestRound   uint64                    // Highest round of any ballot seen.
 	outcomeUnknown map[string]model.Revision // Expected revisions, by ID, of edits proposed here whose outcome is unknown.
@@ -165,7 +168,7 @@
 			at = waiting.Deadline
 		}
 	}
-	return at
+	return m.nextReadTimer(at)
 }
 
 // CanVote reports whether this member is a replica that may vote now.
@@ -205,6 +208,7 @@
 		m.resolveAccepted()
 	}
 	m.expireQueue()
+	m.runReadTimers()
 	m.runProposalTimer()
 }
 
@@ -225,6 +229,10 @@
 		m.handleFetch(from, message)
 	case Chosen:
 		m.handleChosen(from, message)
+	case Confirm:
+		m.handleConfirm(from, message)
+	case Confirmed:
+		m.handleConfirmed(from, message)
 	}
 }
 
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -75,13 +75,15 @@
 	NeedValue MessageKind = "need" // Reply to an Accept that proposes a difference from a value that the voter lacks.
 	Fetch     MessageKind = "fetch"
 	Chosen    MessageKind = "chosen"
+	Confirm   MessageKind = "confirm"   // Passes reads on to a replica that proposes.
+	Confirmed MessageKind = "confirmed" // Reply to Confirm, once a round that began after it has ended.
 )
 
 // Message passes between members. Fields that a kind does not use are zero.
 type Message struct {
 	Kind   MessageKind
 	Ballot Ballot // The ballot voted on, or the higher promised one in Rejected.
-	Run    uint64 // In Join and Fetch: the sender's Config.Seed, which the reply repeats.
+	Run    uint64 // In Join and Fetch the sender's Config.Seed, in Confirm a number; the reply repeats it.
 
 	Store  Store                   // The sender's; in Joined the store of the replica that joins.
 	Votes  uint64                  // Votes cast from Store; in Joined those that the sender knows of.
@@ -98,7 +100,7 @@
 	Empty    bool           // In Chosen: the sender is a replica whose disk holds no trace of a vote.
 	Promised Ballot         // In Joined: highest ballot that the sender promised.
 	Chosen   *State         // In Joined: newest state that the sender knows to be chosen.
-	Revision model.Revision // In Fetch and Chosen: revision of the newest chosen state that the sender knows.
+	Revision model.Revision // In Fetch and Chosen: revision of the newest chosen state that the sender knows; in Confirmed the confirmed one.
 	Pending  model.Revision // In Chosen: revision of the state that the sender accepted last.
 	Brief    bool           `json:",omitempty"` // In Fetch and Join: the reply is to hold no states.
 	Serving  bool           // In Fetch and Chosen: whether the sender serves a state.
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -23,6 +23,7 @@
 	base        Ballot // Ballot of the accepted value that the edit is applied to.
 	sendWhole   bool   // Whether the value has to be sent whole, since its base has no ballot.
 	result      model.EditResult
+	reads       []read // Reads that this proposal answers besides.
 }
 
 func (p *proposal) nextTimer() time.Time {
@@ -42,6 +43,10 @@
 		m.emit(Answer{s.Ticket, m.failureResult(model.EditNotVoting, s.Edit)})
 		return
 	}
+	if s.Edit.Kind == model.ConfirmRevision {
+		m.queueRead(read{Submitted: s})
+		return
+	}
 	if len(m.queue) >= queueLimit {
 		m.emit(Answer{s.Ticket, m.failureResult(model.EditBusy, s.Edit)})
 		return
@@ -84,7 +89,13 @@
 }
 
 func (m *Machine) startNextProposal() {
-	if m.proposal != nil || len(m.queue) == 0 {
+	if m.proposal != nil {
+		return
+	}
+	if len(m.queue) == 0 {
+		if len(m.reads) > 0 {
+			m.startReadRound()
+		}
 		return
 	}
 	m.proposal = &proposal{Submitted: m.queue[0]}
@@ -92,9 +103,10 @@
 	m.startRound()
 }
 
-// startRound asks the replicas to promise a new ballot.
+// startRound asks the replicas to promise a new ballot. The round answers the reads that wait now.
 func (m *Machine) startRound() {
 	p := m.proposal
+	p.reads, m.reads = append(p.reads, m.reads...), nil
 	m.highestRound++
 	p.ballot = Ballot{m.highestRound, m.config.Self, m.config.Seed}
 	p.phase = Promise
@@ -132,9 +144,10 @@
 }
 
 func (m *Machine) finishProposal(result model.EditResult) {
-	if m.proposal.Edit.Kind != resolveKind {
+	if m.proposal.Edit.Kind != resolveKind && m.proposal.Edit.Kind != model.ConfirmRevision {
 		m.emit(Answer{m.proposal.Ticket, result})
 	}
+	m.reads = append(m.proposal.reads, m.reads...)
 	m.proposal = nil
 	m.startNextProposal()
 }
@@ -149,6 +162,16 @@
 	p.phaseEnds = m.now.Add(jitter)
 }
 
+// handleOutbid gives way to the replica that has the higher ballot, or tries again when there is an edit to be made.
+func (m *Machine) handleOutbid(proposer model.NodeID) {
+	switch m.proposal.Edit.Kind {
+	case model.ConfirmRevision, resolveKind:
+		m.yieldTo(proposer)
+	default:
+		m.backOff()
+	}
+}
+
 // handleVote handles a reply to Prepare or Accept.
 func (m *Machine) handleVote(from model.NodeID, message Message) {
 	p := m.proposal
@@ -158,7 +181,7 @@
 	switch {
 	case message.Kind == Rejected:
 		if p.ballot.Less(message.Ballot) {
-			m.backOff()
+			m.handleOutbid(message.Ballot.Node)
 		}
 		return
 	case message.Kind == NeedValue && message.Ballot == p.ballot && p.phase == Accepted:
@@ -254,6 +277,8 @@
 		m.emit(Broadcast{m.chosenProposalMessage(p)})
 	}
 	delete(m.outcomeUnknown, p.Edit.ID)
+	m.answerReads(p.reads, p.value.Revision())
+	p.reads = nil
 	m.finishProposal(p.result)
 }
 
--- a/plugins/profiles/register/sim_test.go
+++ b/plugins/profiles/register/sim_test.go
@@ -37,11 +37,14 @@
 	firstResult    map[string]model.EditResult
 	states         map[model.Revision]State // By revision, all states served so far.
 	done           int                      // Number of answers that reported an edit as done.
+	newestDone     model.Revision           // Newest revision that an edit or a read was answered with.
+	readsDone      int
 }
 
 type awaitedEdit struct {
-	edit model.ProfileEdit
-	to   model.NodeID
+	edit    model.ProfileEdit
+	to      model.NodeID
+	atLeast model.Revision // Newest revision that was answered as done before a read was submitted.
 }
 
 type member struct {
@@ -211,7 +214,7 @@
 		return
 	}
 	sim.lastTicket++
-	sim.awaited[sim.lastTicket] = awaitedEdit{edit, to}
+	sim.awaited[sim.lastTicket] = awaitedEdit{edit: edit, to: to}
 	delete(sim.notRun, edit.ID)                                                             // A not_run covers only the submissions so far.
 	sim.outcomeUnknown[edit.ID] = sim.outcomeUnknown[edit.ID] || sim.random.Float64() < 0.2 // A fifth of the answers count as lost.
 	sim.step(to, Submitted{sim.lastTicket, edit, sim.now.Add(2 * time.Second)})
@@ -234,6 +237,11 @@
 		sim.t.Fatalf("answer to unknown ticket %d", a.Ticket)
 	}
 	delete(sim.awaited, a.Ticket)
+	if submission.edit.Kind == model.ConfirmRevision {
+		sim.checkRead(submission, a.Result)
+		return
+	}
+	sim.newestDone = max(sim.newestDone, doneRevision(a.Result))
 	id := submission.edit.ID
 	switch {
 	case a.Result.Status == model.EditDone:
@@ -339,7 +347,7 @@
 	sim.outcomeUnknown["last"] = true
 	sim.lastTicket++
 	to := sim.memberWithPlace(sim.replicaIDs[0])
-	sim.awaited[sim.lastTicket] = awaitedEdit{last, to}
+	sim.awaited[sim.lastTicket] = awaitedEdit{edit: last, to: to}
 	sim.step(to, Submitted{sim.lastTicket, last, sim.now.Add(5 * time.Second)})
 	sim.advance(9 * time.Second)
 	if _, ok := sim.firstResult["last"]; !ok {
