A round that ends after a newer state was learned puts that one in force

Cause: a replica that does not serve yet proposes, learns of a newer state while the votes are on their way, and then puts the round's older state in force. Change: it puts the newer one in force, which is chosen and not older than what the round has confirmed. Before: TestCompleteProposal_NewerStateLearnedMeanwhile panics. After: it passes.

--- a/plugins/profiles/register/learner_test.go
+++ b/plugins/profiles/register/learner_test.go
@@ -118,3 +118,45 @@
 	restored := New(Config{Self: "a", Replicas: threePlaces, Seed: 8}, &Durable{Store: Store{Number: 1, Nonce: 3}, Voting: true, Value: Initial(), Chosen: Initial()})
 	is.True(sentJoin(restored.Step(time.Unix(0, 0), Woken{})).Brief)
 }
+
+// stepAll steps a machine with an event and with the messages that it sends to itself.
+func stepAll(m *Machine, now time.Time, event Event) {
+	for _, effect := range m.Step(now, event) {
+		if persist, ok := effect.(Persist); ok {
+			for _, then := range persist.Then {
+				stepOwn(m, now, then)
+			}
+		}
+		stepOwn(m, now, effect)
+	}
+}
+
+func stepOwn(m *Machine, now time.Time, effect Effect) {
+	if send, ok := effect.(Send); ok && send.To == m.config.Self {
+		stepAll(m, now, Received{send.To, send.Message})
+	}
+}
+
+// Guards against a process that ends by a broken invariant: a replica that does not serve yet completes a round, and
+// has learned meanwhile of a newer state than the round confirmed.
+func TestCompleteProposal_NewerStateLearnedMeanwhile(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	store := Store{Number: 1, Nonce: 1}
+	m := New(Config{Self: "a", Replicas: threePlaces, Seed: 1}, &Durable{
+		Store: store, Voting: true, Value: Initial(), Chosen: Initial(), Fences: map[model.NodeID]Store{"a": store},
+	})
+	stepAll(m, now, Woken{})
+	stepAll(m, now, Received{"b", Message{Kind: Joined, Run: 1, Store: store, Fences: map[model.NodeID]Store{"a": store}}})
+	is.True(m.CanVote())
+	stepAll(m, now, Submitted{1, model.ProfileEdit{Kind: model.ConfirmRevision}, now.Add(time.Second)})
+	ballot := m.proposal.ballot
+	stepAll(m, now, Received{"b", Message{Kind: Promise, Ballot: ballot}})
+	is.Equal(m.proposal.phase, Accepted)
+	newer := acceptedState()
+	stepAll(m, now, Received{"c", Message{Kind: Chosen, Value: &newer, Revision: newer.Revision()}})
+	is.True(!m.serving)
+	stepAll(m, now, Received{"b", Message{Kind: Accepted, Ballot: ballot}})
+	is.True(m.serving)
+	is.Equal(m.served.Revision(), newer.Revision())
+}
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -269,12 +269,16 @@
 	return base, highest, false
 }
 
-// completeProposal answers the edit and announces the chosen state to all members.
+// completeProposal answers the edit and announces the chosen state to all members. A replica that does not serve yet may
+// have learned of a newer one during the round.
 func (m *Machine) completeProposal() {
 	p := m.proposal
-	if p.value.Revision() > m.served.Revision() || !m.serving {
+	switch {
+	case p.value.Revision() > m.served.Revision():
 		m.serve(p.value)
 		m.emit(Broadcast{m.chosenProposalMessage(p)})
+	case !m.serving:
+		m.serve(m.served)
 	}
 	delete(m.outcomeUnknown, p.Edit.ID)
 	m.answerReads(p.reads, p.value.Revision())
