A replica shows as a voter only once that is synced

Cause: the status, and the support of a takeover, followed the machine, whose write was still to come. A replica that stops in between has a file that may not vote; it comes back as if its disk were lost and needs more of the others than a majority. Change: Replica reports a voter once the file with that vote is written and synced. Before: TestReplica_VotesOnlyOnceThatIsSynced, voter before the write. After: it passes.

--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -101,8 +101,9 @@
 	effects    []register.Effect                // Effects of steps that run has not taken yet, in order.
 	waiters    map[uint64]chan model.EditResult // By ticket: where the result of a submitted edit is delivered.
 	lastTicket uint64
-	steps      uint64    // Steps of the current machine so far.
-	nextTimer  time.Time // When the machine has to be stepped with Woken next.
+	steps      uint64         // Steps of the current machine so far.
+	syncedVote register.Store // Store that may vote by the file as it was last synced; zero when none may.
+	nextTimer  time.Time      // When the machine has to be stepped with Woken next.
 }
 
 // Provision binds the ports and reads the settings.
@@ -265,15 +266,19 @@
 	return p.notify.changed
 }
 
-// Replica reports whether this member votes, only learns, or has no place among the replicas.
+// Replica reports whether this member votes, only learns, or has no place among the replicas. It votes once that
+// is synced: a replica that stops before would come back as one that has lost its disk.
 func (p *Profiles) Replica() port.ReplicaState {
 	p.core.Lock()
 	defer p.core.Unlock()
 	if p.path == "" || p.core.machine != nil && !slices.Contains(p.replicas(), p.place) {
 		return port.ReplicaNone
 	}
-	if p.core.machine != nil && p.core.machine.CanVote() {
-		return port.ReplicaVoter
+	if p.core.machine == nil || !p.core.machine.CanVote() {
+		return port.ReplicaLearner
 	}
-	return port.ReplicaLearner
+	if _, store := p.core.machine.Holder(p.place); store != p.core.syncedVote {
+		return port.ReplicaLearner
+	}
+	return port.ReplicaVoter
 }
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -194,6 +194,7 @@
 		p.step(register.WriteFailed{})
 		return false
 	}
+	p.noteSynced(last.Durable)
 	if p.lastWriteFailed {
 		p.lastWriteFailed = false
 		event.RegisterWritten.Log(p.log)
@@ -201,6 +202,16 @@
 	return true
 }
 
+// noteSynced records whether the file as it is now on the disk may vote.
+func (p *Profiles) noteSynced(durable register.Durable) {
+	p.core.Lock()
+	defer p.core.Unlock()
+	p.core.syncedVote = register.Store{}
+	if durable.Voting {
+		p.core.syncedVote = durable.Store
+	}
+}
+
 func (p *Profiles) executeAll(effects []register.Effect) {
 	for _, effect := range effects {
 		p.executeOne(effect)
