The register's file encodes a state once, not with each vote

Change: the disk keeps the encoded states of its last write and compares by identity; states are immutable. The format is the same.

--- a/plugins/profiles/disk/disk.go
+++ b/plugins/profiles/disk/disk.go
@@ -29,10 +29,12 @@
 	// Replicas is the group that the replica belongs to, saved with its durable state.
 	Replicas []model.NodeID
 	Place    model.NodeID // The replica whose place the member has; "" means the place named after the member itself.
+
+	encoder wire.DurableEncoder
 }
 
-// envelope is the file's content after the checksum line.
-type envelope struct {
+// envelope is the file's content after the checksum line, with the encoded form R of what the replica keeps.
+type envelope[R any] struct {
 	Format  int          `json:"format"`
 	Cluster string       `json:"cluster"`
 	Node    model.NodeID `json:"node"`
@@ -40,7 +42,7 @@
 
 	Replicas []model.NodeID `json:"replicas,omitempty"`
 	Place    model.NodeID   `json:"place,omitempty"`
-	Register wire.Durable   `json:"register"`
+	Register R              `json:"register"`
 }
 
 // Loaded is the result of Load.
@@ -54,7 +56,7 @@
 }
 
 // Load reads the file. An unusable file is renamed, so that it is kept but not read again.
-func (d Disk) Load() (Loaded, error) {
+func (d *Disk) Load() (Loaded, error) {
 	content, inode, err := d.Folder.Read(currentFile)
 	if errors.Is(err, os.ErrNotExist) {
 		return Loaded{}, nil
@@ -70,23 +72,23 @@
 	return Loaded{Durable: &durable, Copied: e.Inode != inode, Replicas: e.Replicas, Place: e.Place}, nil
 }
 
-func (d Disk) decode(content []byte) (envelope, error) {
+func (d *Disk) decode(content []byte) (envelope[wire.Durable], error) {
 	sum, body, _ := bytes.Cut(content, []byte("\n"))
 	if string(sum) != checksum(body) {
-		return envelope{}, errors.New("the checksum does not match: the file is torn or damaged")
+		return envelope[wire.Durable]{}, errors.New("the checksum does not match: the file is torn or damaged")
 	}
-	var e envelope
+	var e envelope[wire.Durable]
 	if err := json.Unmarshal(body, &e); err != nil {
-		return envelope{}, err
+		return envelope[wire.Durable]{}, err
 	}
 	if e.Format != formatVersion {
-		return envelope{}, errors.Newf("the file has format %d, not %d", e.Format, formatVersion)
+		return envelope[wire.Durable]{}, errors.Newf("the file has format %d, not %d", e.Format, formatVersion)
 	}
 	if e.Node != d.Node || e.Cluster != d.Cluster {
-		return envelope{}, errors.Newf("the file belongs to node %q of cluster %q", e.Node, e.Cluster)
+		return envelope[wire.Durable]{}, errors.Newf("the file belongs to node %q of cluster %q", e.Node, e.Cluster)
 	}
 	if _, ok := e.Register.Decode(); !ok {
-		return envelope{}, errors.New("the file lacks the accepted or the chosen state")
+		return envelope[wire.Durable]{}, errors.New("the file lacks the accepted or the chosen state")
 	}
 	return e, nil
 }
@@ -95,7 +97,7 @@
 
 // Discard renames the file, so that it is kept but not read again. It is called when another member has
 // taken the replica's place.
-func (d Disk) Discard() error {
+func (d *Disk) Discard() error {
 	err := d.Folder.Rename(currentFile, rejectedFile)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
@@ -105,7 +107,7 @@
 
 // Save replaces the file atomically and returns once the new one is synced. After an error the file
 // is whole: the former one, or the new one when only the sync of the folder failed.
-func (d Disk) Save(durable register.Durable) error {
+func (d *Disk) Save(durable register.Durable) error {
 	f, err := d.Folder.Create(temporaryFile)
 	if err != nil {
 		return errors.Wrapf(err, "create %s", temporaryFile)
@@ -119,14 +121,18 @@
 	return errors.Wrap(d.Folder.Sync(), "sync the folder")
 }
 
-func (d Disk) writeFile(f File, durable register.Durable) error {
+func (d *Disk) writeFile(f File, durable register.Durable) error {
 	inode, err := f.Inode()
 	if err != nil {
 		return err
 	}
-	body, err := json.Marshal(envelope{
+	encoded, err := d.encoder.Encode(durable)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(envelope[wire.EncodedDurable]{
 		Format: formatVersion, Cluster: d.Cluster, Node: d.Node, Inode: inode, Replicas: d.Replicas, Place: d.Place,
-		Register: wire.EncodeDurable(durable),
+		Register: encoded,
 	})
 	if err != nil {
 		return err
--- a/plugins/profiles/wire/wire_test.go
+++ b/plugins/profiles/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,7 +66,10 @@
 		Store: stores["a"], Voting: true, Copied: true, Votes: 4, Promised: ballot, Accepted: ballot,
 		Value: state, Chosen: state, Fences: stores, Seen: sent.Seen,
 	}
-	raw, err = json.Marshal(EncodeDurable(kept))
+	var encoder DurableEncoder
+	encoded, err := encoder.Encode(kept)
+	is.NoErr(err)
+	raw, err = json.Marshal(encoded)
 	is.NoErr(err)
 	var loaded Durable
 	is.NoErr(json.Unmarshal(raw, &loaded))
@@ -82,3 +86,26 @@
 	}
 	b.ReportMetric(float64(len(raw)), "bytes")
 }
+
+// A vote that leaves the states as they are encodes none of them again; a state that changed is encoded.
+func TestDurableEncoder_EncodesEachStateOnce(t *testing.T) {
+	is := is.New(t)
+	state := largeState()
+	next := state
+	next.History = slices.Clone(state.History[1:])
+	next.History = append(next.History, model.ProfileChange{Revision: register.KeptChanges + 1, ID: "next"})
+	next.Set.Revision++
+	var encoder DurableEncoder
+	first, err := encoder.Encode(register.Durable{Value: state, Chosen: state})
+	is.NoErr(err)
+	is.True(&first.Value[0] == &first.Chosen[0])
+	second, err := encoder.Encode(register.Durable{Votes: 1, Value: next, Chosen: state})
+	is.NoErr(err)
+	is.True(&second.Chosen[0] == &first.Chosen[0])
+	third, err := encoder.Encode(register.Durable{Votes: 2, Value: next, Chosen: next})
+	is.NoErr(err)
+	is.True(&third.Chosen[0] == &second.Value[0])
+	fresh, err := new(DurableEncoder).Encode(register.Durable{Votes: 2, Value: next, Chosen: next})
+	is.NoErr(err)
+	is.Equal(string(third.Value), string(fresh.Value))
+}
