A member that starts asks the replicas and three others, not all members

Only the replies of the replicas count, and those of a few others where no majority can be reached. Change: it asks the replicas and three random members at a time. Before: TestFetch_MessagesOfAStartDoNotGrowWithTheMembers counts 62 messages of a start at 60 other members and 22 at 20; after: equal.

--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -28,8 +28,13 @@
 	return chosenMessage
 }
 
+// membersAskedAtStart is the number of members, besides the replicas, that a member asks at a time until it serves.
+// They matter only where no majority of the replicas can be reached. The number does not grow with that of all
+// members, since many may start at the same time.
+const membersAskedAtStart = 3
+
 // fetchNewer sends Fetch for a newer chosen state to one random member. Until this member serves, it asks
-// all of them for their revisions instead, and one that has the newest for the state.
+// the replicas and some other members for their revisions instead, and one that has the newest for the state.
 func (m *Machine) fetchNewer() {
 	fetchMessage := m.fetchMessage()
 	if m.serving {
@@ -44,7 +49,14 @@
 	m.learnAt = m.now.Add(m.learnWait)
 	m.learnWait = min(2*m.learnWait, learnInterval)
 	fetchMessage.Brief = true
-	m.emit(Broadcast{fetchMessage})
+	for _, replica := range m.config.Replicas {
+		if replica != m.config.Self {
+			m.send(replica, fetchMessage)
+		}
+	}
+	for range membersAskedAtStart {
+		m.emit(Ask{m.random.Uint64(), fetchMessage})
+	}
 	m.tryStartServing()
 }
 
--- a/plugins/profiles/register/learner_test.go
+++ b/plugins/profiles/register/learner_test.go
@@ -160,3 +160,23 @@
 	is.True(m.serving)
 	is.Equal(m.served.Revision(), newer.Revision())
 }
+
+// Guards against starts whose cost grows with the square of the deployment: many members start at the same time, and each
+// of them asked all the others. The number of messages of a start must not depend on the number of members.
+func TestFetch_MessagesOfAStartDoNotGrowWithTheMembers(t *testing.T) {
+	is := is.New(t)
+	messages := func(others int) int {
+		sim := newSimulation(t, 3, others, 1)
+		sim.advance(3 * time.Second)
+		started := model.NodeID("n3")
+		sim.crash(started)
+		sim.advance(10 * time.Second)
+		before := sim.sent[started]
+		sim.startMember(started)
+		for !sim.members[started].machine.serving {
+			sim.advance(time.Millisecond)
+		}
+		return sim.sent[started] - before
+	}
+	is.Equal(messages(60), messages(20))
+}
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -27,7 +27,7 @@
 	firstRetryInterval = 50 * time.Millisecond  // Between the first attempts to join or to learn; doubles with each.
 	joinInterval       = time.Second            // Longest interval between attempts to join.
 	resolveDelay       = 2 * time.Second        // Shortest wait before a replica resolves whether a value it accepted was chosen.
-	learnInterval      = 500 * time.Millisecond // Longest interval between Fetch broadcasts before this member serves.
+	learnInterval      = 500 * time.Millisecond // Longest interval between requests for the newest revision before this member serves.
 	fetchInterval      = 3 * time.Second        // Between Fetch messages to one other member, in case Chosen messages were lost.
 	refetchInterval    = 500 * time.Millisecond // Between two requests for a state, which may be large, while a newer revision is known to exist.
 	rewriteDelay       = 2 * time.Second        // Before a failed write is tried again.
--- a/plugins/profiles/register/sim_test.go
+++ b/plugins/profiles/register/sim_test.go
@@ -39,6 +39,7 @@
 	done           int                      // Number of answers that reported an edit as done.
 	newestDone     model.Revision           // Newest revision that an edit or a read was answered with.
 	readsDone      int
+	sent           map[model.NodeID]int // Messages sent so far, by sender.
 }
 
 type awaitedEdit struct {
@@ -82,6 +83,7 @@
 	sim.t, sim.random, sim.now = t, rand.New(rand.NewPCG(seed, 1)), time.Unix(0, 0)
 	sim.members, sim.partition, sim.delay = map[model.NodeID]*member{}, map[model.NodeID]int{}, 5*time.Millisecond
 	sim.awaited, sim.outcomeUnknown, sim.notRun = map[uint64]awaitedEdit{}, map[string]bool{}, map[string]bool{}
+	sim.sent = map[model.NodeID]int{}
 	sim.firstResult, sim.states = map[string]model.EditResult{}, map[model.Revision]State{0: Initial()}
 	for i := range replicas + others {
 		id := model.NodeID(fmt.Sprintf("n%d", i))
@@ -159,6 +161,7 @@
 	if from != to && sim.random.Float64() < sim.lossRate {
 		return
 	}
+	sim.sent[from]++
 	copies := 1
 	if sim.random.Float64() < sim.duplicateRate {
 		copies = 2
