Large messages between members travel compressed, and a state for all members is encoded once

Cause: a change of the routing is the routing as a whole; it was sent plainly to each member, and encoded again for each. Change: bodies of more than 8 KiB are compressed, replies where the caller accepts it; port.Peers encodes a request once for many calls. A member of an earlier version, which answers 400, gets the same request plainly.

--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -13,10 +13,21 @@
 	Handle(method string, handler Handler)
 	// Call sends request to the node's handler of method and decodes the answer into reply.
 	Call(ctx context.Context, to model.NodeID, method string, request, reply any) Delivery
+	// Encode encodes a request once for calls to many nodes. The result takes the place of the request in Call.
+	Encode(request any) (EncodedRequest, error)
 	// SetAddress sets the address of a node, ip:port.
 	SetAddress(node model.NodeID, address string)
 }
 
+// EncodedRequest is a request as it travels.
+type EncodedRequest struct {
+	Plain      []byte
+	Compressed []byte // Nil where the request is too small to gain by it.
+}
+
+// MarshalJSON returns the request itself, so that an encoder passes it on as it is.
+func (e EncodedRequest) MarshalJSON() ([]byte, error) { return e.Plain, nil }
+
 // Handler serves the requests of one method. decode decodes the request's body into the given
 // pointer. An error means that the request was invalid; outcomes of the method itself are part of the
 // reply.
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -88,6 +88,11 @@
 
 func (m *fakeMember) SetAddress(model.NodeID, string) {}
 
+func (*fakeMember) Encode(request any) (port.EncodedRequest, error) {
+	plain, err := json.Marshal(request)
+	return port.EncodedRequest{Plain: plain}, err
+}
+
 func (m *fakeMember) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
 	handler, f := m.nextFault(to, method)
 	if handler == nil || ctx.Err() != nil {
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -62,6 +62,11 @@
 
 func (f *fake) SetAddress(model.NodeID, string) {}
 
+func (*fake) Encode(request any) (port.EncodedRequest, error) {
+	plain, err := json.Marshal(request)
+	return port.EncodedRequest{Plain: plain}, err
+}
+
 func (f *fake) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
 	peer, known := f.members[to]
 	if !known || ctx.Err() != nil {
--- a/plugins/membership/membership_test.go
+++ b/plugins/membership/membership_test.go
@@ -38,6 +38,11 @@
 func (p *fakePeers) Handle(method string, h port.Handler) { p.handlers[method] = h }
 func (p *fakePeers) SetAddress(model.NodeID, string)      {}
 
+func (*fakePeers) Encode(request any) (port.EncodedRequest, error) {
+	plain, err := json.Marshal(request)
+	return port.EncodedRequest{Plain: plain}, err
+}
+
 func (p *fakePeers) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
 	body, _ := json.Marshal(request) // Never fails for the types of this package.
 	p.network.mu.Lock()
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -169,7 +169,11 @@
 		p.jobRequests.Enter()
 		defer p.jobRequests.Leave()
 	}
-	body := http.MaxBytesReader(w, r.Body, maxBody)
+	body, err := requestBody(w, r, maxBody)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	decode := func(target any) error { return json.NewDecoder(body).Decode(target) }
 	reply, err := handler(r.Context(), model.NodeID(r.Header.Get(headerFrom)), decode)
 	if err != nil {
@@ -177,7 +181,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", contentJSON)
-	if err := json.NewEncoder(w).Encode(reply); err != nil {
+	if err := writeReply(w, r, reply); err != nil {
 		event.ReplyNotSent.Log(p.log, event.Text(event.Method, method), event.Err(err))
 	}
 	if p.draining.Load() {
@@ -192,15 +196,31 @@
 	if !ok {
 		return port.NotSent
 	}
-	body, err := json.Marshal(request)
+	encoded, err := p.Encode(request)
 	if err != nil {
 		event.RequestNotEncoded.Log(p.log, event.Text(event.Method, method), event.Err(err))
 		return port.NotSent
 	}
+	delivery, invalid := p.send(ctx, address, to, method, encoded, reply)
+	if invalid && encoded.Compressed != nil { // A member of an earlier version does not decompress, and has not run it.
+		delivery, _ = p.send(ctx, address, to, method, port.EncodedRequest{Plain: encoded.Plain}, reply)
+	}
+	return delivery
+}
+
+// send sends an encoded request and waits for its reply. invalid reports that the member could not read it.
+func (p *Peers) send(ctx context.Context, address string, to model.NodeID, method string, encoded port.EncodedRequest, reply any) (delivery port.Delivery, invalid bool) {
+	body := encoded.Plain
+	if encoded.Compressed != nil {
+		body = encoded.Compressed
+	}
 	ctx, connected := dial.Trace(ctx)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathPrefix+method, bytes.NewReader(body))
 	if err != nil {
-		return port.NotSent
+		return port.NotSent, false
+	}
+	if encoded.Compressed != nil {
+		r.Header.Set("Content-Encoding", encodingGzip)
 	}
 	r.Header.Set(headerFrom, string(p.self))
 	r.Header.Set("Content-Type", contentJSON)
@@ -211,12 +231,12 @@
 		if connected.Load() {
 			counters.requests.Inc(1)
 		}
-		return deliveryWithoutReply(connected.Load())
+		return deliveryWithoutReply(connected.Load()), false
 	}
 	defer response.Body.Close()
 	counters.requests.Inc(1)
 	counters.replies.Inc(1)
-	return decodeReply(response, reply)
+	return decodeReply(response, reply), response.StatusCode == http.StatusBadRequest
 }
 
 // deliveryWithoutReply returns the delivery of a request without a reply; connected tells whether the
--- a/plugins/profiles/profiles_test.go
+++ b/plugins/profiles/profiles_test.go
@@ -87,6 +87,11 @@
 
 func (p *fakePorts) SetAddress(model.NodeID, string) {}
 
+func (*fakePorts) Encode(request any) (port.EncodedRequest, error) {
+	plain, err := json.Marshal(request)
+	return port.EncodedRequest{Plain: plain}, err
+}
+
 func (p *fakePorts) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
 	body, err := json.Marshal(request)
 	if err != nil {
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"log/slog"
 	"slices"
 	"time"
@@ -274,14 +273,14 @@
 // broadcast sends a message to all other live members and replicas. It is encoded once, since it may hold
 // a large state.
 func (p *Profiles) broadcast(message register.Message) {
-	body, err := json.Marshal(p.encode(message))
+	encoded, err := p.peers.Encode(p.encode(message))
 	if err != nil {
 		event.RequestNotEncoded.Log(p.log, event.Text(event.Method, methodMessage), event.Err(err))
 		return
 	}
 	for _, identity := range p.others() {
 		if node := p.memberAt(identity); node != p.self {
-			p.sendEncoded(node, json.RawMessage(body))
+			p.sendEncoded(node, encoded)
 		}
 	}
 }
--- a/plugins/quota/quota_test.go
+++ b/plugins/quota/quota_test.go
@@ -45,6 +45,11 @@
 func (m *testMember) Handle(method string, h port.Handler)      { m.handlers[method] = h }
 func (m *testMember) SetAddress(model.NodeID, string)           {}
 
+func (*testMember) Encode(request any) (port.EncodedRequest, error) {
+	plain, err := json.Marshal(request)
+	return port.EncodedRequest{Plain: plain}, err
+}
+
 func (m *testMember) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
 	if m.cluster.partitioned.Load() {
 		return port.NotSent
