Gossip in a large group: records are not displaced by values that change often, and messages grow with the group

Cause: a message held at most 1,000 bytes of updates, whatever the size of the group, those sent least often first. Loads of pools, published once a second by a hundred owners, are always new, so records that had been sent once waited behind them. Each member also published the numbers of pools of all data centres, again with each change of one of them. Change: 25 bytes more a live member; a value counts as sent more often the more often it has changed; a member publishes the numbers of pools of its own data centre.

--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -101,7 +101,9 @@
 	}
 	p.parts.Do(group, func(all map[poolGroup]int) { all[group] = max(all[group], parts) })
 	event.PoolsSplit.Log(p.log, event.Text(event.Service, group.service), event.Text(event.DataCentre, group.dataCentre), event.Int(event.Parts, parts))
-	p.publishParts()
+	if group.dataCentre == p.membership.Self().DataCentre {
+		p.publishParts()
+	}
 	for _, id := range p.poolIDs() {
 		if groupOf(id) == group {
 			p.redistribute(id)
@@ -109,12 +111,16 @@
 	}
 }
 
-// publishParts publishes the raised numbers of pools by gossip.
+// publishParts publishes the raised numbers of pools in this member's data centre by gossip. The members there own
+// those pools, so that the number of published values does not grow with that of data centres times members.
 func (p *Pools) publishParts() {
+	own := p.membership.Self().DataCentre
 	var all []groupParts
 	p.parts.Each(func(parts map[poolGroup]int) {
 		for group, n := range parts {
-			all = append(all, groupParts{group.service, group.dataCentre, n})
+			if group.dataCentre == own {
+				all = append(all, groupParts{group.service, group.dataCentre, n})
+			}
 		}
 	})
 	slices.SortFunc(all, func(a, b groupParts) int {
--- a/plugins/membership/swim/compose.go
+++ b/plugins/membership/swim/compose.go
@@ -2,13 +2,15 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"redwingpulley/kernel/model"
 )
 
 const (
-	maxUpdateBytes     = 1000 // Bytes of updates in one message, besides the sender's own record.
+	minUpdateBytes     = 1000 // Bytes of updates that one message may have in a small group, besides the sender's own record.
+	updateBytesAMember = 25   // Bytes that each live member adds to that: the updates of a mass restart grow with the group.
 	maxBackgroundBytes = 250  // Bytes of records and values that are repeated when there are few updates.
 	retransmitFactor   = 2    // An update is sent this many times the logarithm of the number of members.
 )
@@ -52,7 +54,7 @@
 
 // addUpdates adds pending updates that fit into the message and returns the bytes left over.
 func (m *Machine) addUpdates(to model.NodeID, message *Message) (remaining int) {
-	remaining = maxUpdateBytes
+	remaining = max(minUpdateBytes, updateBytesAMember*m.countLive())
 	for _, u := range m.pending(to) {
 		if u.size > remaining {
 			continue
@@ -69,8 +71,8 @@
 	return remaining
 }
 
-// pending returns the updates that have to be sent again, the least often sent first, without
-// those that concern the receiver.
+// pending returns the updates that have to be sent again, the least often sent first, without those that concern the
+// receiver. In a large group, values that change each second must not take the place of all else.
 func (m *Machine) pending(to model.NodeID) []pending {
 	limit := retransmitFactor * m.logLive()
 	var all []pending
@@ -84,10 +86,21 @@
 			all = append(all, pending{value: e, transmits: e.transmits, size: e.size()})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b pending) int { return cmp.Compare(a.transmits, b.transmits) })
+	slices.SortStableFunc(all, comparePending)
 	return all
 }
 
+// comparePending orders updates by how often they were sent. A value counts as sent more often the more often it has
+// changed.
+func comparePending(a, b pending) int { return cmp.Compare(a.precedence(), b.precedence()) }
+
+func (p pending) precedence() int {
+	if p.value == nil {
+		return p.transmits
+	}
+	return p.transmits + bits.Len64(p.value.Version)
+}
+
 // addBackground repeats live members' records and values, each in its turn, within the budget in
 // bytes. It stops at maxBackgroundBytes, but adds one that is larger when it is the first.
 func (m *Machine) addBackground(to model.NodeID, budget int, message *Message) {
--- a/plugins/membership/swim/probe.go
+++ b/plugins/membership/swim/probe.go
@@ -43,14 +43,17 @@
 }
 
 // logLive returns the binary logarithm of the number of live members, rounded down, plus one.
-func (m *Machine) logLive() int {
+func (m *Machine) logLive() int { return bits.Len(uint(m.countLive())) }
+
+// countLive returns the number of live members, this one among them.
+func (m *Machine) countLive() int {
 	live := 1
 	for _, other := range m.members {
 		if other.State.Live() {
 			live++
 		}
 	}
-	return bits.Len(uint(live))
+	return live
 }
 
 // ping starts a probe of a member.
