A job goes elsewhere once a pool has refused it twice as moved

Cause: two members disagreed on who owns the pool; a refusal as moved excludes no pool, since the next owner is mostly known by the second try, and the pool looked freest all the while. Change: a pool that refused parts of a job twice as moved is planned for only where no other has room. Before: TestPoolThatMovedTwiceIsAvoided does not hold (there was no such list); after: it passes.

--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -256,13 +256,14 @@
 	if !ok {
 		return noPlan
 	}
-	loads := slices.DeleteFunc(j.pools.Loads(r.Job.Service), func(l model.PoolLoad) bool {
-		return slices.Contains(r.Avoid, l.Pool)
-	})
+	loads := withoutPools(j.pools.Loads(r.Job.Service), r.Avoid)
 	d := newDecision(port.DecidedReplan, &r.Job)
 	d.Part, d.Reason, d.Revision = r.Part, r.Reason, profiles.Revision
 	addLoads(&d, loads)
-	plan := j.plan(profile, r.Job, loads)
+	plan := j.plan(profile, r.Job, withoutPools(loads, r.Moved))
+	if len(plan.Parts) == 0 && len(r.Moved) > 0 {
+		plan = j.plan(profile, r.Job, loads)
+	}
 	granted := r.Free
 	if len(plan.Parts) > 0 && !granted {
 		j.withRetryBudget(r.Job.Service, func(b *retrybudget.Budget) { granted = b.Withdraw() })
@@ -282,6 +283,16 @@
 	return jobstate.Replanned{Part: r.Part, Plan: plan}
 }
 
+// withoutPools returns the loads of the pools that are not excluded.
+func withoutPools(loads []model.PoolLoad, excluded []model.PoolID) (rest []model.PoolLoad) {
+	for _, l := range loads {
+		if !slices.Contains(excluded, l.Pool) {
+			rest = append(rest, l)
+		}
+	}
+	return rest
+}
+
 // withRetryBudget calls f with the service's retry budget, under the lock of its shard. A service
 // without a budget gets a full one.
 func (j *Jobs) withRetryBudget(service model.ServiceID, f func(*retrybudget.Budget)) {
--- a/plugins/jobs/jobstate/event.go
+++ b/plugins/jobs/jobstate/event.go
@@ -65,6 +65,7 @@
 	Part   int
 	Job    model.Job      // The job with only the tasks of this part.
 	Avoid  []model.PoolID // Pools that refused a part of this job, other than with ReasonBusy or ReasonMoved.
+	Moved  []model.PoolID `json:",omitempty"` // Pools that refused parts of this job with ReasonMoved twice; to be planned for only where no other has room.
 	Reason model.Reason   // Why the pool refused the part.
 	Free   bool           // The new plan is not charged to the retry budget.
 }
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -27,6 +27,7 @@
 	inFlight       map[int]port.PlanPart // Batches that were sent and have not ended, by part number.
 	awaitingReplan map[int]refusal       // Parts that a pool refused and that wait for a new plan, by part number.
 	avoid          []model.PoolID        // Pools that are not asked again for a part of this job.
+	moved          []model.PoolID        // Pools that refused a part with ReasonMoved, once for each time.
 	nextPart       int                   // Part number of the next batch to be sent.
 
 	answers    [][]byte
@@ -177,7 +178,11 @@
 		return
 	}
 	j.awaitingReplan[result.ID.Part] = refusal{part.Tasks, failure{result.Reason, result.RetryAfter}}
-	if result.Reason != model.ReasonMoved && result.Reason != model.ReasonBusy {
+	switch result.Reason {
+	case model.ReasonBusy:
+	case model.ReasonMoved:
+		j.moved = append(j.moved, part.Pool)
+	default:
 		j.avoid = append(j.avoid, part.Pool)
 	}
 	sub := j.job
@@ -185,7 +190,17 @@
 	for _, index := range part.Tasks {
 		sub.Tasks = append(sub.Tasks, j.job.Tasks[index])
 	}
-	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Reason: result.Reason, Free: j.isFreeReplan(result.Reason)}
+	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Moved: repeated(j.moved), Reason: result.Reason, Free: j.isFreeReplan(result.Reason)}
+}
+
+// repeated returns the pools that are in the list more than once.
+func repeated(pools []model.PoolID) (twice []model.PoolID) {
+	for i, pool := range pools {
+		if slices.Contains(pools[:i], pool) && !slices.Contains(twice, pool) {
+			twice = append(twice, pool)
+		}
+	}
+	return twice
 }
 
 // maxFreeParts bounds the replans that ReasonMoved makes free: they are free only while the job has
--- a/plugins/jobs/jobstate/jobstate_test.go
+++ b/plugins/jobs/jobstate/jobstate_test.go
@@ -104,6 +104,22 @@
 	is.True(!replan.Free)
 }
 
+// Pattern: members disagree for seconds on who owns a pool, as after a mass restart, and the pool looks free to the job's
+// owner. Guards against a job that is sent there until its retry budget is used up, beside free pools elsewhere.
+func TestPoolThatMovedTwiceIsAvoided(t *testing.T) {
+	is := is.New(t)
+	j, _ := newPlannedJob(4)
+	refuseAsMoved := func(part int) *Replan {
+		return j.Step(start, BatchEnded{model.RefusedBatch(model.BatchID{Job: "j", Part: part}, model.ReasonMoved)}).Replan
+	}
+	replan := refuseAsMoved(1)
+	is.Equal(len(replan.Moved), 0) // The job's owner may have learned of the next owner by now.
+	j.Step(start, Replanned{replan.Part, port.Plan{Parts: []port.PlanPart{{Pool: pool("sj2"), Owner: "sj2-b", Tasks: []int{0, 1}}}}})
+	replan = refuseAsMoved(2)
+	is.Equal(replan.Moved, []model.PoolID{pool("sj2")})
+	is.Equal(len(replan.Avoid), 0)
+}
+
 func TestRefusedJobRunStateFollowsOtherParts(t *testing.T) {
 	for name, c := range map[string]struct {
 		other BatchEnded
