In a large group a member announces its start, drain and end to its data centre, the rest learns by gossip

Change: above 64 members it sends it to those of its own data centre, to the members in reserve, which forward heartbeats to owners, and to as many others as gossip needs. Up to 64 members all are told, as before, which TestDrainIsAnnouncedToAllMembersAtOnce keeps. Before: TestAnnouncementsDoNotGrowWithTheGroup counts twice the members. After: it passes, and TestAnnouncementReachesALargeGroupByGossip has all 100 members know of a drain within two seconds.

--- a/plugins/membership/swim/machine.go
+++ b/plugins/membership/swim/machine.go
@@ -264,9 +264,8 @@
 	}
 }
 
-// setDraining changes whether this member drains and announces it to all live members directly
-// instead of by gossip: ownership then moves at once, and starts and planned stops are rare enough
-// for one message to each member.
+// setDraining changes whether this member drains and announces it directly instead of by gossip alone: ownership then
+// moves at once.
 func (m *Machine) setDraining(draining bool, fx *Effects) {
 	if m.self.Node.Draining == draining || (m.leaving && !draining) {
 		return
@@ -277,7 +276,7 @@
 	m.announceSelf(fx)
 }
 
-// handleStopping marks this member as left and announces it to all live members.
+// handleStopping marks this member as left and announces it.
 func (m *Machine) handleStopping(fx *Effects) {
 	m.self.State = Left
 	m.bumpVersion()
@@ -288,9 +287,31 @@
 // each message begins with it.
 func (m *Machine) bumpVersion() { m.self.Version++ }
 
-// announceSelf sends this member's own record to all live members.
+// announceSelf sends this member's own record to those that need it at once; gossip brings it to the others.
 func (m *Machine) announceSelf(fx *Effects) {
-	for _, other := range m.shuffledLive("") {
+	for _, other := range m.announceTargets() {
 		m.ping(other, probeAnnounce, false, fx)
 	}
 }
+
+// announceToAll is the number of live members up to which each of them is sent a member's own record directly. Above it,
+// the messages of a restart of all members would grow with the square of their number.
+const announceToAll = 64
+
+// announceTargets returns the members that are sent this member's own record directly: all in a small group. In a
+// large one, those of its data centre, among which its pools move, the members in reserve, which forward endpoints'
+// announcements to the owners, and as many others as gossip needs to spread it.
+func (m *Machine) announceTargets() []*member {
+	live := m.shuffledLive("")
+	if len(live) < announceToAll {
+		return live
+	}
+	spread := m.logLive()
+	return slices.DeleteFunc(live, func(other *member) bool {
+		if other.Node.DataCentre == m.self.Node.DataCentre || other.Node.Reserve {
+			return false
+		}
+		spread--
+		return spread < 0
+	})
+}
