The members are listed for a load report only when one may be sent

What it costs: an owner of a busy pool looked twenty times a second at all other members and sorted them, to send at most four messages a second: some 0.1 ms each time at 153 members. Change: they are listed when loads have changed and the budget allows a message. TestMembersAreListedOnlyForMessages counts it.

--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -166,7 +166,7 @@
 	reporter := loadview.NewReporter()
 	for {
 		loads := p.ownedLoads()
-		publication := reporter.Plan(time.Now(), loads, p.otherMembers())
+		publication := reporter.Plan(time.Now(), loads, p.otherMembers)
 		p.publish(publication, encodeLoads(loads))
 		if !p.waitForLoadChange(publication.Next) {
 			return
--- a/plugins/endpoints/loadview/loadview_test.go
+++ b/plugins/endpoints/loadview/loadview_test.go
@@ -70,13 +70,13 @@
 	is.True(SignificantChange(load(1, 0, 3), load(2, 4, 0))) // The pool has free slots again.
 	r := NewReporter()
 	recent := []Member{{"sj2-a", start}, {"sj2-b", start.Add(-senderWindow)}}
-	first := r.Plan(start, []model.PoolLoad{load(1, 50, 0)}, recent)
+	first := r.Plan(start, []model.PoolLoad{load(1, 50, 0)}, listed(recent))
 	is.Equal(first, Publication{Gossip: true, To: []model.NodeID{"sj2-a", "sj2-b"}, Next: refreshInterval}) // The pool is new to all members.
-	is.Equal(r.Plan(start.Add(time.Millisecond), []model.PoolLoad{load(2, 48, 0)}, recent), Publication{Next: refreshInterval})
+	is.Equal(r.Plan(start.Add(time.Millisecond), []model.PoolLoad{load(2, 48, 0)}, listed(recent)), Publication{Next: refreshInterval})
 	changed := []model.PoolLoad{load(3, 10, 0)}
-	is.Equal(r.Plan(start.Add(2*time.Millisecond), changed, recent).To, []model.NodeID{"sj2-a"})
-	is.True(r.Plan(start.Add(gossipInterval), changed, nil).Gossip) // Gossip was held back until the interval had passed.
-	is.True(r.Plan(start.Add(gossipInterval+refreshInterval), []model.PoolLoad{load(2, 48, 0)}, recent).Gossip)
+	is.Equal(r.Plan(start.Add(2*time.Millisecond), changed, listed(recent)).To, []model.NodeID{"sj2-a"})
+	is.True(r.Plan(start.Add(gossipInterval), changed, listed(nil)).Gossip) // Gossip was held back until the interval had passed.
+	is.True(r.Plan(start.Add(gossipInterval+refreshInterval), []model.PoolLoad{load(2, 48, 0)}, listed(recent)).Gossip)
 }
 
 func TestReporterStaysWithinItsMessageBudget(t *testing.T) {
@@ -90,8 +90,26 @@
 		for i := range senders {
 			senders[i] = Member{"member", now}
 		}
-		sent += len(r.Plan(now, []model.PoolLoad{load(uint64(step), 100*(step%2), 0)}, senders).To)
+		sent += len(r.Plan(now, []model.PoolLoad{load(uint64(step), 100*(step%2), 0)}, listed(senders)).To)
 	}
 	is.True(sent <= messageBurst+messageRate*seconds)
 	is.True(sent > messageRate*(seconds-1)) // The reporter uses the budget.
 }
+
+func listed(members []Member) func() []Member { return func() []Member { return members } }
+
+// Pattern: a hundred busy owners among hundreds of members. The members are listed only when a message may be sent.
+func TestMembersAreListedOnlyForMessages(t *testing.T) {
+	is := is.New(t)
+	r := NewReporter()
+	lists := 0
+	sender := func() []Member {
+		lists++
+		return []Member{{Node: "sj2-a", NewestBatch: start}}
+	}
+	for step := range 40 { // One second in steps of 25 ms; the load changes with each.
+		now := start.Add(time.Duration(step) * 25 * time.Millisecond)
+		r.Plan(now, []model.PoolLoad{load(uint64(step), 100*(step%2), 0)}, sender)
+	}
+	is.True(lists <= messageBurst+messageRate)
+}
--- a/plugins/endpoints/loadview/reporter.go
+++ b/plugins/endpoints/loadview/reporter.go
@@ -76,8 +76,9 @@
 }
 
 // Plan decides how the loads of all owned pools are published now. When the message budget does not
-// suffice for all members, the first ones are preferred.
-func (r *Reporter) Plan(now time.Time, loads []model.PoolLoad, members []Member) Publication {
+// suffice for all members, the first ones are preferred. members is called only when there are loads to be sent and the
+// budget allows a message: in a large group it is expensive.
+func (r *Reporter) Plan(now time.Time, loads []model.PoolLoad, members func() []Member) Publication {
 	r.refill(now)
 	pub := Publication{Next: refreshInterval}
 	since := now.Sub(r.lastGossip.at)
@@ -128,8 +129,11 @@
 
 // recipients returns the members to send the loads to: those that have sent a batch within
 // senderWindow, or all. It takes a token for each, and stops when none is left.
-func (r *Reporter) recipients(now time.Time, members []Member, all bool) (to []model.NodeID) {
-	for _, m := range members {
+func (r *Reporter) recipients(now time.Time, members func() []Member, all bool) (to []model.NodeID) {
+	if r.tokens < 1 {
+		return nil
+	}
+	for _, m := range members() {
 		if r.tokens < 1 {
 			break
 		}
