Routine log lines are written together

Change: routine lines wait up to 50 ms for others and are written in one batch; any other line is written at once, with those before it. Order, limits and counts of dropped lines are as before. TestRoutineLinesAreWrittenTogether counts the writes.

--- a/cmd/internal/logline/logline.go
+++ b/cmd/internal/logline/logline.go
@@ -19,6 +19,9 @@
 const (
 	queueCapacity = 4096 // Lines that may wait to be written.
 	routineShare  = 0.75 // Share of the queue and of the lines per second that routine lines may use.
+
+	gatherTime = 50 * time.Millisecond // Longest time for which routine lines wait for others, to be written together.
+	batchBytes = 32 << 10              // Size of a batch of lines from which on it is written.
 )
 
 // Options limit which lines are written and how many.
@@ -32,6 +35,7 @@
 	options      atomic.Pointer[Options]
 	target       io.Writer
 	queue        chan []byte
+	urgent       chan struct{} // Ends the wait for further lines; buffers one signal.
 	done         chan struct{}
 	dropReports  slog.Handler // Encodes lines_dropped lines into the queue; they are exempt from the rate limit.
 	droppedTotal atomic.Int64 // Number of lines dropped so far.
@@ -49,15 +53,18 @@
 	l := &Lines{
 		target: target,
 		queue:  make(chan []byte, queueCapacity), done: make(chan struct{}), dropped: make(map[string]int),
+		urgent: make(chan struct{}, 1),
 	}
 	l.options.Store(&options)
-	l.dropReports = l.encoder()
+	l.dropReports = l.encoder(true)
 	go l.writeQueued()
 	return l
 }
 
 // Logger returns a logger whose lines go into the queue.
-func (l *Lines) Logger() *slog.Logger { return slog.New(handler{l, l.encoder()}) }
+func (l *Lines) Logger() *slog.Logger {
+	return slog.New(handler{l, l.encoder(false), l.encoder(true)})
+}
 
 // SetOptions replaces the options for all later lines.
 func (l *Lines) SetOptions(options Options) { l.options.Store(&options) }
@@ -65,14 +72,14 @@
 // Dropped returns the number of lines that were dropped so far.
 func (l *Lines) Dropped() int64 { return l.droppedTotal.Load() }
 
-func (l *Lines) encoder() slog.Handler {
-	return slog.NewJSONHandler(queueWriter{l}, &slog.HandlerOptions{Level: event.Routine})
+func (l *Lines) encoder(urgent bool) slog.Handler {
+	return slog.NewJSONHandler(queueWriter{l, urgent}, &slog.HandlerOptions{Level: event.Routine})
 }
 
 // handler is a slog.Handler that encodes and queues the lines that are admitted and drops the others.
 type handler struct {
-	log  *Lines
-	next slog.Handler
+	log             *Lines
+	routine, urgent slog.Handler // Encode the lines of level event.Routine, and the others.
 }
 
 // Enabled reports whether the options allow lines of the level.
@@ -88,16 +95,21 @@
 	if !h.log.admit(now, line.Level, line.Message) {
 		return nil
 	}
-	return h.next.Handle(ctx, line)
+	if line.Level > event.Routine {
+		return h.urgent.Handle(ctx, line)
+	}
+	return h.routine.Handle(ctx, line)
 }
 
 // WithAttrs returns a handler that adds the fields to each of its lines.
 func (h handler) WithAttrs(fields []slog.Attr) slog.Handler {
-	return handler{h.log, h.next.WithAttrs(fields)}
+	return handler{h.log, h.routine.WithAttrs(fields), h.urgent.WithAttrs(fields)}
 }
 
 // WithGroup returns a handler that puts the fields of its lines into a group.
-func (h handler) WithGroup(name string) slog.Handler { return handler{h.log, h.next.WithGroup(name)} }
+func (h handler) WithGroup(name string) slog.Handler {
+	return handler{h.log, h.routine.WithGroup(name), h.urgent.WithGroup(name)}
+}
 
 // admit takes a place in the queue for a line and reports whether it did. If the rate or the queue is
 // exhausted, it counts the line as dropped.
@@ -154,7 +166,10 @@
 
 // queueWriter is the io.Writer through which encoded lines enter the queue. Each of them already holds a
 // place there.
-type queueWriter struct{ log *Lines }
+type queueWriter struct {
+	log    *Lines
+	urgent bool // Whether its lines are written without waiting for others.
+}
 
 // Write queues one line.
 func (w queueWriter) Write(line []byte) (int, error) {
@@ -162,20 +177,59 @@
 	defer w.log.mu.Unlock()
 	if !w.log.closed {
 		w.log.queue <- slices.Clone(line) // Never blocks: a line is sent only after a place was reserved for it.
+		if w.urgent {
+			w.log.flushSoon()
+		}
 	}
 	return len(line), nil
 }
 
+// flushSoon ends the wait for further lines. It does not block.
+func (l *Lines) flushSoon() {
+	select {
+	case l.urgent <- struct{}{}:
+	default: // An earlier signal is still pending.
+	}
+}
+
+// writeQueued writes the lines in batches: a system call for each would cost more than the lines themselves.
 func (l *Lines) writeQueued() {
 	defer close(l.done)
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
 	for line := range l.queue {
-		l.target.Write(line) // A failure can't be reported: this is the log.
+		timer.Reset(gatherTime)
+		select {
+		case <-l.urgent:
+		case <-timer.C:
+		}
+		batch, lines := l.gather(line)
+		l.target.Write(batch) // A failure can't be reported: this is the log.
 		l.mu.Lock()
-		l.queued--
+		l.queued -= lines
 		l.mu.Unlock()
 	}
 }
 
+// gather returns the line together with those that are queued, up to batchBytes, and their number.
+func (l *Lines) gather(line []byte) (batch []byte, lines int) {
+	batch, lines = line, 1
+	for len(batch) < batchBytes {
+		select {
+		case next, open := <-l.queue:
+			if !open {
+				return batch, lines
+			}
+			batch = append(batch, next...)
+			lines++
+		default:
+			return batch, lines
+		}
+	}
+	l.flushSoon() // The rest need not wait.
+	return batch, lines
+}
+
 // Close reports the lines that were dropped, then waits until the queue is written or the limit has passed.
 // Later lines are dropped.
 func (l *Lines) Close(limit time.Duration) {
@@ -187,6 +241,7 @@
 	}
 	l.closed = true
 	close(l.queue)
+	l.flushSoon()
 	l.mu.Unlock()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
--- a/cmd/internal/logline/logline_test.go
+++ b/cmd/internal/logline/logline_test.go
@@ -193,3 +193,35 @@
 		})
 	}
 }
+
+// countingWriter counts the calls of Write, each of which is a system call at a file.
+type countingWriter struct{ writes int }
+
+func (w *countingWriter) Write(line []byte) (int, error) {
+	w.writes++
+	return len(line), nil
+}
+
+// Pattern: a busy owner of a pool, which logs hundreds of routine lines a second. They are written together; a line about
+// trouble is written at once, with those before it.
+func TestRoutineLinesAreWrittenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		target := &countingWriter{}
+		l := New(target, Options{PerSecond: testRate, Routine: true})
+		log := l.Logger()
+		for range 200 {
+			logRoutine(log)
+			time.Sleep(5 * time.Millisecond)
+		}
+		synctest.Wait()
+		is.True(target.writes <= int(time.Second/gatherTime)+1)
+		logRoutine(log)
+		synctest.Wait()
+		before := target.writes
+		logRefusal(log)
+		synctest.Wait()
+		is.Equal(target.writes, before+1)
+		l.Close(time.Minute)
+	})
+}
