A pool that is large by chance does not halve all pools of its group

Cause: one of sixteen pools with a mean of 11.5 endpoints had more than 20 by the hash of their names, and its owner doubled the number of pools. Change: a pool is split when it is too large and the pools of its group are so on average, by the slots that their owners report; the number of pools follows from that average.

--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -73,9 +73,28 @@
 	})
 }
 
-// tooLarge reports whether the pool has more serving endpoints than the settings allow.
+// tooLarge reports whether the pool has more serving endpoints than the settings allow, and the pools of its group have
+// so many on average: one that is large by the chance of the hash is no reason to halve all of them.
 func (p *Pools) tooLarge(id model.PoolID) bool {
-	return p.settings.SplitAbove > 0 && p.servingEndpoints(id) > p.settings.SplitAbove
+	return p.settings.SplitAbove > 0 && p.servingEndpoints(id) > p.settings.SplitAbove && p.meanServing(id) > p.settings.SplitAbove
+}
+
+// meanServing returns the number of endpoints that the pools of this one's group serve on average, by the slots in the loads
+// that their owners report.
+func (p *Pools) meanServing(id model.PoolID) int {
+	var serving, own int
+	p.withPool(id, func(o *pool) { serving, own = o.machine.ServingEndpoints(), o.machine.Load().Slots })
+	if own == 0 {
+		return serving
+	}
+	slots, pools := own, 1
+	for _, load := range p.reportedLoads(id.Service) {
+		if load.Pool != id && groupOf(load.Pool) == groupOf(id) && load.Pool.Part < p.partsIn(groupOf(id)) {
+			slots += load.Slots
+			pools++
+		}
+	}
+	return serving * slots / (own * pools)
 }
 
 // servingEndpoints returns the number of the pool's endpoints that get work.
@@ -87,7 +106,7 @@
 // requiredParts returns the number of pools in the group at which this one is no longer too large.
 func (p *Pools) requiredParts(id model.PoolID) int {
 	parts := p.partsIn(groupOf(id))
-	for serving := p.servingEndpoints(id); serving > p.settings.SplitAbove && parts < maxParts; serving /= 2 {
+	for serving := p.meanServing(id); serving > p.settings.SplitAbove && parts < maxParts; serving /= 2 {
 		parts *= 2
 	}
 	return parts
--- a/plugins/endpoints/parts_test.go
+++ b/plugins/endpoints/parts_test.go
@@ -121,3 +121,36 @@
 		}
 	})
 }
+
+// Pattern: a large group whose endpoints the hash spreads unevenly. Guards against all its pools being halved for one that
+// is larger than the others: jobs of many tasks then fit into none of them.
+func TestPoolThatIsLargeByChanceIsNotSplit(t *testing.T) {
+	for _, c := range []struct {
+		others int // Slots of each of the other pools.
+		split  bool
+	}{{10, false}, {100, true}} {
+		withVirtualClock(t, func(t *testing.T, is *is.I) {
+			_, _, owner, _ := newPair(t)
+			owner.raiseParts(testGroup, 4)
+			var mine []model.Endpoint
+			id := model.PoolID{Service: testGroup.service, DataCentre: testGroup.dataCentre}
+			for _, e := range leasedEndpoints(60) {
+				if owner.poolOf(e) == id {
+					mine = append(mine, e)
+				}
+			}
+			for part := 1; part < 4; part++ {
+				other := model.PoolID{Service: id.Service, DataCentre: id.DataCentre, Part: part}
+				owner.updateLoad(model.PoolLoad{Pool: other, Owner: "other", Version: 1, Slots: c.others})
+			}
+			owner.settings.SplitAbove = len(mine) - 1
+			for _, e := range mine {
+				owner.step(id, poolstate.Announced{Endpoint: e})
+			}
+			owner.splitIfLarge(id)
+			time.Sleep(2 * splitDelay) // On the virtual clock.
+			synctest.Wait()
+			is.Equal(owner.partsIn(testGroup) > 4, c.split)
+		})
+	}
+}
