A group that has been split is split again only when its pools stay too large for three seconds

Cause: while members use different numbers of pools, endpoints count in the pool that they leave and in the next one, and a pool whose endpoints grant no slots yet has a ratio of slots to endpoints that says nothing. Change: a further split waits three seconds and is then weighed anew; the average counts at most as the pool's own number.

--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -20,6 +20,9 @@
 	// splitDelay is the time from the first sign of a large pool to its split, so that endpoints that are
 	// announced at about the same time are counted together.
 	splitDelay = 500 * time.Millisecond
+	// splitAgainDelay is the same time where the group has been split before: until the endpoints have left the pools that
+	// they no longer belong to, some count twice.
+	splitAgainDelay = 3 * time.Second
 )
 
 // groupParts is an entry of the gossiped list: the number of pools in a group. The number only grows while
@@ -65,9 +68,13 @@
 	if pending {
 		return
 	}
-	time.AfterFunc(splitDelay, func() {
+	delay := splitDelay
+	if p.partsIn(groupOf(id)) > 1 {
+		delay = splitAgainDelay
+	}
+	time.AfterFunc(delay, func() {
 		p.splitPending.Delete(groupOf(id))
-		if p.baseCtx.Err() == nil && p.owns(id) {
+		if p.baseCtx.Err() == nil && p.owns(id) && p.tooLarge(id) {
 			p.raiseParts(groupOf(id), p.requiredParts(id))
 		}
 	})
@@ -80,7 +87,7 @@
 }
 
 // meanServing returns the number of endpoints that the pools of this one's group serve on average, by the slots in the loads
-// that their owners report.
+// that their owners report, and at most this pool's own.
 func (p *Pools) meanServing(id model.PoolID) int {
 	var serving, own int
 	p.withPool(id, func(o *pool) { serving, own = o.machine.ServingEndpoints(), o.machine.Load().Slots })
@@ -94,7 +101,7 @@
 			pools++
 		}
 	}
-	return serving * slots / (own * pools)
+	return min(serving, serving*slots/(own*pools))
 }
 
 // servingEndpoints returns the number of the pool's endpoints that get work.
--- a/plugins/endpoints/parts_test.go
+++ b/plugins/endpoints/parts_test.go
@@ -148,7 +148,7 @@
 				owner.step(id, poolstate.Announced{Endpoint: e})
 			}
 			owner.splitIfLarge(id)
-			time.Sleep(2 * splitDelay) // On the virtual clock.
+			time.Sleep(2 * splitAgainDelay) // On the virtual clock.
 			synctest.Wait()
 			is.Equal(owner.partsIn(testGroup) > 4, c.split)
 		})
