Control requests go over HTTP/1.1

What it costs: probes, forwarded heartbeats and load reports mostly go to another member each time; on the large fleet they opened some 1,700 HTTP/2 connections a second, each with its settings, goroutines and system calls at both ends. Change: they have HTTP/1.1 connections, idle ones are closed after 2 s. Requests of jobs stay on HTTP/2, whose pings detect a stalled connection; control requests have timeouts of their own, and one that fails closes its connection.

--- a/plugins/peer/http/clients.go
+++ b/plugins/peer/http/clients.go
@@ -16,16 +16,16 @@
 // by a new one when the connections may have stalled.
 type peerClients struct {
 	client    *http.Client // For requests that belong to jobs.
-	control   *http.Client // For control requests; its idle connections are closed sooner.
+	control   *http.Client // For control requests, which go over HTTP/1.1; its idle connections are closed sooner.
 	createdAt time.Time
 }
 
 func newPeerClients() *peerClients {
-	return &peerClients{client: newClient(idleTimeout), control: newClient(controlIdleTimeout), createdAt: time.Now()}
+	return &peerClients{client: newClient(newJobTransport()), control: newClient(newControlTransport()), createdAt: time.Now()}
 }
 
-func newClient(idle time.Duration) *http.Client {
-	return &http.Client{Transport: newTransport(idle), CheckRedirect: dial.NoRedirect}
+func newClient(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: transport, CheckRedirect: dial.NoRedirect}
 }
 
 func (c *peerClients) closeIdle() {
@@ -33,13 +33,15 @@
 	c.control.CloseIdleConnections()
 }
 
-func newTransport(idle time.Duration) *http.Transport {
+// newJobTransport returns the transport of requests that belong to jobs: one HTTP/2 connection carries all batches that
+// wait for their results, and its pings detect that it has stalled.
+func newJobTransport() *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		Protocols:       protocols,
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout: idle,
+		IdleConnTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingAfter,
 			PingTimeout:     pingTimeout,
@@ -47,6 +49,18 @@
 	}
 }
 
+// newControlTransport returns the transport of control requests. Most of them go to another member each time, so they
+// mostly open a connection, which costs less with HTTP/1.1; and an idle one costs no pings.
+func newControlTransport() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		Protocols:       protocols,
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: controlIdleTimeout,
+	}
+}
+
 // client returns the client for calls of method to a node. With wantFresh set, it is one that was
 // created after since, so that it shares no connection with earlier calls. Retries of calls that
 // failed at the same time share the new client.
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -33,7 +33,7 @@
 	pingTimeout        = 400 * time.Millisecond // Time without an answer to a ping after which the connection is closed.
 	dialTimeout        = 1 * time.Second        // Longest wait for a connection.
 	idleTimeout        = 15 * time.Second       // Time after which an idle connection is closed.
-	controlIdleTimeout = 300 * time.Millisecond // The same for control requests; less than pingAfter, so that idle peers cost no pings.
+	controlIdleTimeout = 2 * time.Second        // The same for control requests.
 	stopTimeout        = 2 * time.Second        // Longest wait at shutdown for the last replies.
 	headerTimeout      = 10 * time.Second       // Longest wait for a request's header.
 	maxStreams         = 100_000                // Requests in flight on one connection; each batch that waits for its result is one.
