--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -127,7 +127,7 @@
 	}
 	p.parts.Do(group, func(all map[poolGroup]int) { all[group] = max(all[group], parts) })
 	event.PoolsSplit.Log(p.log, event.Text(event.Service, group.service), event.Text(event.DataCentre, group.dataCentre), event.Int(event.Parts, parts))
-	if group.dataCentre == p.membership.Self().DataCentre {
+	if p.publishesPartsOf(group) {
 		p.publishParts()
 	}
 	for _, id := range p.poolIDs() {
@@ -137,18 +137,25 @@
 	}
 }
 
-// publishParts publishes the raised numbers of pools in this member's data centre by gossip. The members there own
-// those pools, so that the number of published values does not grow with that of data centres times members.
+// publishesPartsOf reports whether this member publishes the number of pools in the group: when that is in its own data
+// centre, or when it owns one of them because no member there can. So the published values do not grow with the number of
+// data centres times that of members.
+func (p *Pools) publishesPartsOf(group poolGroup) bool {
+	if group.dataCentre == p.membership.Self().DataCentre {
+		return true
+	}
+	return slices.ContainsFunc(p.poolIDs(), func(id model.PoolID) bool { return groupOf(id) == group && p.owns(id) })
+}
+
+// publishParts publishes the raised numbers of pools by gossip.
 func (p *Pools) publishParts() {
-	own := p.membership.Self().DataCentre
 	var all []groupParts
 	p.parts.Each(func(parts map[poolGroup]int) {
 		for group, n := range parts {
-			if group.dataCentre == own {
-				all = append(all, groupParts{group.service, group.dataCentre, n})
-			}
+			all = append(all, groupParts{group.service, group.dataCentre, n})
 		}
 	})
+	all = slices.DeleteFunc(all, func(g groupParts) bool { return !p.publishesPartsOf(poolGroup{g.Service, g.DataCentre}) })
 	slices.SortFunc(all, func(a, b groupParts) int {
 		return strings.Compare(string(a.Service)+" "+string(a.DataCentre), string(b.Service)+" "+string(b.DataCentre))
 	})
--- a/plugins/endpoints/parts_test.go
+++ b/plugins/endpoints/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,3 +155,31 @@
 		})
 	}
 }
+
+// recordingGossip keeps the newest value that was published.
+type recordingGossip struct {
+	noGossip
+	published string
+}
+
+func (g *recordingGossip) Publish(_ string, value []byte) { g.published = string(value) }
+
+// Each member publishes the numbers of pools in its own data centre, and those of pools elsewhere that it owns because no
+// member there can; not all that it knows, since every member knows all of them.
+func TestNumbersOfPoolsArePublishedByTheirOwners(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		_, _, owner, _ := newPair(t)
+		gossip := &recordingGossip{}
+		owner.gossip = gossip
+		owner.raiseParts(testGroup, 4)
+		is.True(strings.Contains(gossip.published, `"n":4`))
+		elsewhere := poolGroup{testGroup.service, "sj9"}
+		owner.raiseParts(elsewhere, 4)
+		is.True(!strings.Contains(gossip.published, "sj9"))
+		for part := range 4 {
+			owner.step(model.PoolID{Service: elsewhere.service, DataCentre: elsewhere.dataCentre, Part: part}, poolstate.Elapsed{})
+		}
+		owner.raiseParts(elsewhere, 8)
+		is.True(strings.Contains(gossip.published, "sj9"))
+	})
+}
--- a/plugins/peer/http/compress_test.go
+++ b/plugins/peer/http/compress_test.go
@@ -14,24 +14,31 @@
 	"redwingpulley/kernel/port"
 )
 
+// startHTTP2 starts a server for the requests of jobs.
+func startHTTP2(t *testing.T, handler http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols = protocols
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
 // Guards against a large routing that occupies the narrow links of all VMs for seconds after each change. Large requests
 // and replies travel compressed; small ones do not.
 func TestLargeBodiesAreCompressed(t *testing.T) {
 	is := is.New(t)
 	var sizes []int64
 	server := newPeers(t, "b", nil)
-	counting := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	counting := startHTTP2(t, func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		is.NoErr(err)
 		sizes = append(sizes, int64(len(body)))
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		server.serve(w, r)
-	}))
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	counting.Config.Protocols = protocols
-	counting.Start()
-	defer counting.Close()
+	})
 	p := newPeers(t, "a", nil)
 	p.SetAddress("b", counting.Listener.Addr().String())
 	large := strings.Repeat(`{"name":"r","host":"h.example"},`, 10_000)
@@ -52,18 +59,13 @@
 // A member of an earlier version answers 400 to a compressed request; it then gets the same one as it is.
 func TestCompressedRequestIsRepeatedPlainly(t *testing.T) {
 	is := is.New(t)
-	earlier := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	earlier := startHTTP2(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Content-Encoding") != "" {
 			http.Error(w, "invalid character", http.StatusBadRequest)
 			return
 		}
 		io.Copy(w, r.Body)
-	}))
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	earlier.Config.Protocols = protocols
-	earlier.Start()
-	defer earlier.Close()
+	})
 	p := newPeers(t, "a", nil)
 	p.SetAddress("b", earlier.Listener.Addr().String())
 	sent, reply := note{strings.Repeat("x", 2*compressAbove)}, note{}
--- a/plugins/profiles/register/reads.go
+++ b/plugins/profiles/register/reads.go
@@ -45,7 +45,7 @@
 	m.startNextProposal()
 }
 
-// dropRead gives up a read. A replica that passed it on notices by the time.
+// dropRead gives up a read. The replica that passed it on tries again after passTimeout.
 func (m *Machine) dropRead(r read, status model.EditStatus) {
 	if r.from == "" {
 		m.emit(Answer{r.Ticket, m.failureResult(status, r.Edit)})
@@ -84,8 +84,8 @@
 	m.fetchIfNewer(from, message.Revision)
 }
 
-// proposerToFollow returns the replica that proposed last, if that was so recently that its next round is
-// likely to come before one of this replica would end.
+// proposerToFollow returns the replica that proposed last, if it did so within the time of a round and so is likely to
+// propose again soon.
 func (m *Machine) proposerToFollow() (replica model.NodeID, ok bool) {
 	proposer := m.durable.Promised.Node
 	if proposer == m.config.Self || !slices.Contains(m.config.Replicas, proposer) {
