A torn line at the end of a record is removed before the next run appends to it

Change: the file is cut after its last whole line when it is opened. Replay stays strict about all other lines. Before: TestTornLineOfAKilledProcessIsRemoved finds an unreadable line; after: it passes.

--- a/plugins/record/file/file.go
+++ b/plugins/record/file/file.go
@@ -79,15 +79,15 @@
 	if !r.Active() {
 		return nil
 	}
-	file, err := os.OpenFile(r.settings.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	file, err := os.OpenFile(r.settings.File, os.O_APPEND|os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "record")
 	}
-	info, err := file.Stat()
+	size, err := removeTornLine(file)
 	if err != nil {
 		return errors.Join(errors.Wrap(err, "record"), file.Close())
 	}
-	r.writer.Go(func() { r.write(file, info.Size()) })
+	r.writer.Go(func() { r.write(file, size) })
 	return nil
 }
 
--- a/plugins/record/file/file_test.go
+++ b/plugins/record/file/file_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +101,18 @@
 	is.True(!r.Active())
 	is.NoErr(r.Stop())
 }
+
+// Guards against a record that cannot be replayed at all, because its process was killed while it wrote a line and the next
+// one appended to that.
+func TestTornLineOfAKilledProcessIsRemoved(t *testing.T) {
+	is := is.New(t)
+	whole := `{"run":"r","machine":"pool","key":"k","event":"e"}` + "\n"
+	for _, content := range []string{whole + `{"run":"r","mach`, whole + strings.Repeat("x", 3*searchBlock), `{"run":`, whole, ""} {
+		path := filepath.Join(t.TempDir(), "events.jsonl")
+		is.NoErr(os.WriteFile(path, []byte(content), 0o600))
+		r := newRecorder(t, `{"file":`+jsonString(t, path)+`}`)
+		r.Record(port.RecordedStep{Machine: "pool", Key: "k", Event: testEvent{"a"}})
+		is.NoErr(r.Stop())
+		is.Equal(len(readLines(t, path)), 1+strings.Count(content, "\n"))
+	}
+}
