--- a/cmd/internal/logline/logline_test.go
+++ b/cmd/internal/logline/logline_test.go
@@ -212,7 +212,7 @@
 		log := l.Logger()
 		for range 200 {
 			logRoutine(log)
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(5 * time.Millisecond) // Virtual time. The rate of lines of a busy owner.
 		}
 		synctest.Wait()
 		is.True(target.writes <= int(time.Second/gatherTime)+1)
