A lease that ends with an incarnation says which one answered, and whether its runs had been listed

The text of task_ended tells that now, and lease_lost names the incarnation that answered (successor). The client returns it with the reply of a hold. No decision changes.

--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -5,20 +5,21 @@
 	Node   Key = "node"   // Name of the process that wrote the line; in every line.
 	Plugin Key = "plugin" // Plug-in that wrote the line; in every line of a plug-in.
 
-	Job      Key = "job"     // The product's id of a job.
-	JobKey   Key = "key"     // The caller's own id of a job.
-	Part     Key = "part"    // Number of the part of a job that goes to one pool.
-	Task     Key = "task"    // Index of a task in its job.
-	Attempt  Key = "attempt" // Number of the attempt at a task.
-	Service  Key = "service"
-	Team     Key = "team"
-	Tasks    Key = "tasks"
-	Pool     Key = "pool"
-	Pools    Key = "pools" // Pools to which a job's parts are sent.
-	Parts    Key = "parts" // Number of pools into which a service's endpoints in a data centre are split.
-	Endpoint Key = "endpoint"
-	Member   Key = "member" // Another process of the product.
-	Owner    Key = "owner"  // Member that owns the job or pool; when a pool moves, its new owner.
+	Job       Key = "job"     // The product's id of a job.
+	JobKey    Key = "key"     // The caller's own id of a job.
+	Part      Key = "part"    // Number of the part of a job that goes to one pool.
+	Task      Key = "task"    // Index of a task in its job.
+	Attempt   Key = "attempt" // Number of the attempt at a task.
+	Service   Key = "service"
+	Team      Key = "team"
+	Tasks     Key = "tasks"
+	Pool      Key = "pool"
+	Pools     Key = "pools" // Pools to which a job's parts are sent.
+	Parts     Key = "parts" // Number of pools into which a service's endpoints in a data centre are split.
+	Endpoint  Key = "endpoint"
+	Successor Key = "successor" // Incarnation that has replaced an endpoint; empty when it is not known.
+	Member    Key = "member"    // Another process of the product.
+	Owner     Key = "owner"     // Member that owns the job or pool; when a pool moves, its new owner.
 
 	Outcome Key = "outcome"
 	Run     Key = "run"    // Whether the job may have run.
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -59,7 +59,7 @@
 // Kinds of lines about leases on endpoints.
 var (
 	LeaseTaken      = define(Change, "lease_taken", "an endpoint accepted a new fencing token of this member", Endpoint)
-	LeaseLost       = define(Trouble, "lease_lost", "this member lost the lease on an endpoint before the runs under it had ended", Endpoint, Reason, Runs)
+	LeaseLost       = define(Trouble, "lease_lost", "this member lost the lease on an endpoint before the runs under it had ended", Endpoint, Reason, Successor, Runs)
 	StartUnanswered = define(Trouble, "start_unanswered", "an endpoint did not answer a start; the run is stopped there before its task may start elsewhere",
 		Endpoint, JobKey, Task, Attempt, TookMS, Why)
 	RunsAsked = define(Change, "runs_asked", "the other members were asked whether they wait for runs that an endpoint's former lease holder started",
--- a/kernel/port/leases.go
+++ b/kernel/port/leases.go
@@ -73,18 +73,20 @@
 
 // OrderReply is the reply to a start or stop order.
 type OrderReply struct {
-	State  OrderState
-	Clock  int64 // Clock of the endpoint in milliseconds; 0 when the reply holds none.
-	Detail string
+	State       OrderState
+	Clock       int64            // Clock of the endpoint in milliseconds; 0 when the reply holds none.
+	Incarnation model.EndpointID // With OrderOtherIncarnation, the one that replied; "" when the reply does not tell.
+	Detail      string
 }
 
 // HoldReply is the reply to a hold order.
 type HoldReply struct {
-	State   OrderState
-	Clock   int64 // Clock of the endpoint in milliseconds; 0 when the reply holds none.
-	Running []TaskRun
-	Ended   []RunEnd
-	Detail  string
+	State       OrderState
+	Clock       int64            // Clock of the endpoint in milliseconds; 0 when the reply holds none.
+	Incarnation model.EndpointID // With OrderOtherIncarnation, the one that replied; "" when the reply does not tell.
+	Running     []TaskRun
+	Ended       []RunEnd
+	Detail      string
 }
 
 // RunEnd is the end of a run.
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -85,6 +85,8 @@
 	ForwardEnds []ForwardedEnd
 	Acquired    bool       // The endpoint has accepted a new fencing token.
 	Lost        LossReason // Why the lease was lost; "" when this step has not lost it.
+	// Successor is the incarnation that has replaced the endpoint, with LossOtherIncarnation; "" when it is not known.
+	Successor model.EndpointID
 }
 
 // ForwardedEnd is the end of a run that another member waits for.
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -26,8 +26,7 @@
 	case port.OrderFenced:
 		m.handleFenced(now, fx)
 	case port.OrderOtherIncarnation:
-		m.handleOtherIncarnation(now, "another incarnation has replaced the endpoint", fx)
-		m.replaced = true
+		m.handleOtherIncarnation(now, reply.Incarnation, fx)
 	default:
 		m.failedHolds++
 		m.holdRetryAt = now.Add(retryDelay)
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -77,6 +77,7 @@
 	phase         phase
 	payload       []byte
 	confirmedAt   time.Time
+	listed        bool // The endpoint has listed the run, which is therefore one of this incarnation.
 	stopRequested bool
 	stopInFlight  bool      // A stop order has no reply yet.
 	stopDueAt     time.Time // When to send the next stop order; zero when none is due.
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
@@ -16,6 +17,9 @@
 		listed[id] = true
 		r, known := m.runs[id]
 		_, queried := m.foreignRuns[id]
+		if known {
+			r.listed = true
+		}
 		switch {
 		case known && r.phase == startSent:
 			m.confirmStart(now, r)
@@ -100,13 +104,17 @@
 
 // handleOtherIncarnation finishes all runs after another incarnation of the endpoint has answered. None
 // of them is running any more.
-func (m *Machine) handleOtherIncarnation(now time.Time, detail string, fx *Effects) {
-	fx.Lost = LossOtherIncarnation
+func (m *Machine) handleOtherIncarnation(now time.Time, successor model.EndpointID, fx *Effects) {
+	m.replaced = true
+	fx.Lost, fx.Successor = LossOtherIncarnation, successor
 	for _, id := range m.sortedRuns() {
-		state := port.TaskLost
-		if m.runs[id].phase == queued {
-			state = port.TaskNotRun
+		switch r := m.runs[id]; {
+		case r.phase == queued:
+			m.finish(now, id, port.TaskNotRun, "another incarnation has replaced the endpoint", fx)
+		case r.listed:
+			m.finish(now, id, port.TaskLost, "another incarnation has replaced the one that listed the run", fx)
+		default:
+			m.finish(now, id, port.TaskLost, "another incarnation has replaced the endpoint, which had not listed the run", fx)
 		}
-		m.finish(now, id, state, detail, fx)
 	}
 }
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -79,8 +79,7 @@
 		m.handleFenced(now, fx)
 	case port.OrderOtherIncarnation:
 		m.finish(now, e.Run, port.TaskNotRun, "another incarnation has replaced the endpoint", fx)
-		m.handleOtherIncarnation(now, "another incarnation has replaced the endpoint", fx)
-		m.replaced = true
+		m.handleOtherIncarnation(now, e.Reply.Incarnation, fx)
 	case port.OrderNoRoom:
 		m.finish(now, e.Run, port.TaskNoRoom, e.Reply.Detail, fx)
 	default:
@@ -133,8 +132,7 @@
 	case port.OrderFenced:
 		m.handleFenced(now, fx)
 	case port.OrderOtherIncarnation:
-		m.handleOtherIncarnation(now, "another incarnation has replaced the endpoint", fx)
-		m.replaced = true
+		m.handleOtherIncarnation(now, e.Reply.Incarnation, fx)
 	default:
 		r.stopDueAt = now.Add(retryDelay)
 	}
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -186,7 +186,8 @@
 	}
 	if fx.Lost != "" {
 		metrics.GetOrRegisterCounter("leases.lost."+string(fx.Lost), l.registry).Inc(1)
-		event.LeaseLost.Log(l.log, event.Text(event.Endpoint, at.ID), event.Text(event.Reason, fx.Lost), event.Int(event.Runs, len(fx.Finished)))
+		event.LeaseLost.Log(l.log, event.Text(event.Endpoint, at.ID), event.Text(event.Reason, fx.Lost),
+			event.Text(event.Successor, fx.Successor), event.Int(event.Runs, len(fx.Finished)))
 	}
 	for _, s := range fx.Finished {
 		if s.State != port.TaskDone {
