--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -35,6 +35,8 @@
 	OrderMS int64 `json:"order_ms"`
 }
 
+var defaultSettings = Settings{LeaseMS: 1000, StopMS: 50, AwayMS: 3000, OrderMS: 200}
+
 // Check reports invalid settings.
 func (s *Settings) Check(faults *settings.Faults) {
 	faults.Require(s.LeaseMS > 0, "lease_ms", "must be above 0")
@@ -71,7 +73,7 @@
 
 // Provision reads the settings and binds the ports.
 func (l *Leases) Provision(c *plugin.Context) error {
-	l.settings = Settings{LeaseMS: 1000, StopMS: 50, AwayMS: 3000, OrderMS: 200}
+	l.settings = defaultSettings
 	err := errors.Join(
 		c.Settings(&l.settings),
 		plugin.Need(c, &l.client),
@@ -81,10 +83,17 @@
 	if err != nil {
 		return err
 	}
-	l.log = c.Log
-	l.registry = c.Metrics
-	l.runsWithoutResult = metrics.GetOrRegisterCounter("leases.runs_without_result", c.Metrics)
-	l.leasesTaken = metrics.GetOrRegisterCounter("leases.taken", c.Metrics)
+	l.init(c.Log, c.Metrics)
+	plugin.Bind[port.Tasks](c, tasks{l})
+	return nil
+}
+
+// init creates the state of the plug-in and registers its handlers and metrics.
+func (l *Leases) init(log *slog.Logger, registry metrics.Registry) {
+	l.log = log
+	l.registry = registry
+	l.runsWithoutResult = metrics.GetOrRegisterCounter("leases.runs_without_result", registry)
+	l.leasesTaken = metrics.GetOrRegisterCounter("leases.taken", registry)
 	l.sessions = shard.New[model.EndpointID, *session](shard.DefaultCount)
 	l.baseCtx, l.stop = context.WithCancel(context.Background())
 	self := l.membership.Self()
@@ -95,8 +104,6 @@
 		FencedBackoff: time.Duration(l.settings.AwayMS) * time.Millisecond,
 	}
 	l.registerHandlers()
-	plugin.Bind[port.Tasks](c, tasks{l})
-	return nil
 }
 
 // Start begins to evict the state of idle endpoints.
