A run that the next incarnation of an endpoint may have started is settled there before it is reported

What callers saw: a task ran twice (TWICE) at moments when a third of the endpoints started again under their ids: a run began 8 to 23 ms after its endpoint's restart, and its own entry VM started the task again while that run was still being stopped. Cause: an order names the endpoint's id, which the next incarnation has too, so that this one carries out a start that was meant for the earlier one; the reply to a start does not tell the incarnation, the reply to the next hold does. Then all runs of the earlier incarnation were reported as lost, among them the one that was running. The class: an order that is carried out by another incarnation than the one it was meant for, and the end of a holder taken for the end of its work. Fix: only a run that the incarnation itself has listed ends with it. Any other is settled at the successor: its machine takes a token above that of the start, so that the start is never carried out after the hold, and the first list under that token tells whether the run is there; if so it is stopped, and its end is awaited. An end that came before is kept and reported. The random test also checks that no run starts after its outcome.

--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -58,17 +58,33 @@
 // EndForwarded is the end of a run as forwarded by the member that now holds the lease.
 type EndForwarded struct{ End port.RunEnd }
 
+// Replaced says that another incarnation of the endpoint has announced itself.
+type Replaced struct{ Successor model.EndpointID }
+
+// SettleRequested asks what became of a run that an earlier incarnation of the endpoint was asked to start. This one may
+// have started it instead.
+type SettleRequested struct {
+	Run   port.TaskRun
+	Token uint64 // Fencing token of the start order.
+}
+
+// Settled reports what became of a run at the incarnation that has replaced this one.
+type Settled struct{ Outcome Finished }
+
 // Elapsed says that the time returned by NextTimer has come.
 type Elapsed struct{}
 
-func (StartRequested) event() {}
-func (StopRequested) event()  {}
-func (StartReplied) event()   {}
-func (StopReplied) event()    {}
-func (HoldReplied) event()    {}
-func (Claimed) event()        {}
-func (EndForwarded) event()   {}
-func (Elapsed) event()        {}
+func (StartRequested) event()  {}
+func (StopRequested) event()   {}
+func (StartReplied) event()    {}
+func (StopReplied) event()     {}
+func (HoldReplied) event()     {}
+func (Claimed) event()         {}
+func (EndForwarded) event()    {}
+func (Replaced) event()        {}
+func (SettleRequested) event() {}
+func (Settled) event()         {}
+func (Elapsed) event()         {}
 
 // Effects are what the caller has to carry out. Each order is a request of its own: the caller reports
 // the reply to a start as StartReplied, to a stop as StopReplied, to a hold as HoldReplied, and the
@@ -85,8 +101,11 @@
 	ForwardEnds []ForwardedEnd
 	Acquired    bool       // The endpoint has accepted a new fencing token.
 	Lost        LossReason // Why the lease was lost; "" when this step has not lost it.
-	// Successor is the incarnation that has replaced the endpoint, with LossOtherIncarnation; "" when it is not known.
-	Successor model.EndpointID
+	// Successor is the incarnation that has replaced the endpoint, with LossOtherIncarnation, Settle or SettleStops;
+	// "" when it is not known.
+	Successor   model.EndpointID
+	Settle      []SettleRequested // Requests to the machine of Successor; their outcomes are reported as Settled.
+	SettleStops []port.TaskRun    // Runs of such requests that are to be stopped, by the machine of Successor.
 }
 
 // ForwardedEnd is the end of a run that another member waits for.
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -45,6 +45,7 @@
 		}
 		m.lastEnd = end.Number
 		if !m.Pending(end.Run) {
+			m.keepUnclaimedEnd(end)
 			fx.ForwardEnds = append(fx.ForwardEnds, ForwardedEnd{end, m.foreignRuns[end.Run]})
 			delete(m.foreignRuns, end.Run)
 			continue
@@ -52,7 +53,7 @@
 		m.handleRunEnd(now, end, fx)
 	}
 	m.reconcile(now, reply.Running, fx)
-	if !m.tokenAccepted {
+	if !m.tokenAccepted && m.holdToken == m.token {
 		m.tokenAccepted, fx.Acquired = true, true
 		m.sendQueuedStarts(now, fx)
 	}
@@ -81,7 +82,7 @@
 }
 
 func (m *Machine) sendHold(now time.Time, fx *Effects) {
-	m.holdInFlight, m.holdSentAt, m.lastEndSent = true, now, m.lastEnd
+	m.holdInFlight, m.holdSentAt, m.holdToken, m.lastEndSent = true, now, m.token, m.lastEnd
 	order := port.HoldOrder{Seen: m.lastEnd, Token: m.token}
 	if m.tokenAccepted && m.hasActiveRuns() {
 		order.Wait = time.Duration(holdWaitFraction * float64(m.config.MaxLease))
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -37,14 +37,16 @@
 type Machine struct {
 	config        Config
 	token         uint64
-	tokenAccepted bool // The endpoint has answered a hold with this token.
-	replaced      bool // Another incarnation of the endpoint has replaced this one.
+	tokenAccepted bool             // The endpoint has answered a hold with this token.
+	replaced      bool             // Another incarnation of the endpoint has replaced this one.
+	successor     model.EndpointID // That incarnation; "" when it is not known.
 
 	endpointClock int64     // Newest reading of the endpoint's clock, in milliseconds.
 	clockReadAt   time.Time // When endpointClock was read.
 
 	holdInFlight    bool
 	holdSentAt      time.Time // When the newest hold was sent.
+	holdToken       uint64    // Fencing token of the newest hold.
 	failedHolds     int       // Consecutive holds that failed.
 	holdRetryAt     time.Time // When to send the next hold after a failed one; zero after a successful one.
 	leaseExtendedAt time.Time // When the newest hold or start that extends the lease was sent.
@@ -59,6 +61,8 @@
 	// foreignRuns are runs of other holders that a ClaimQuery asked about, with the live member that waits
 	// for the run; "" when none has claimed it yet.
 	foreignRuns map[port.TaskRun]model.NodeID
+	// unclaimedEnds are the latest ends of runs that were not requested here, oldest first.
+	unclaimedEnds []port.RunEnd
 }
 
 // phase is the progress of a run.
@@ -70,6 +74,8 @@
 	confirmed                    // The endpoint has confirmed the start.
 	startUnanswered              // No reply to the start came in time; the run is being stopped.
 	handedOver                   // Another member holds the lease now and forwards the run's end.
+	atSuccessor                  // The machine of the endpoint's next incarnation settles the run.
+	inherited                    // An earlier incarnation was asked to start the run, and this one has not listed its runs since.
 )
 
 // run is the state of a run that was requested and has not finished.
@@ -82,10 +88,14 @@
 	stopInFlight  bool      // A stop order has no reply yet.
 	stopDueAt     time.Time // When to send the next stop order; zero when none is due.
 	stopAckedAt   time.Time // When the endpoint acknowledged the stop order.
+	// inheritedToken is the token of the start order, if it was sent to an earlier incarnation.
+	inheritedToken uint64
 }
 
 // underLease reports whether the run may be running at the endpoint under this holder's lease.
-func (r *run) underLease() bool { return r.phase != queued && r.phase != handedOver }
+func (r *run) underLease() bool {
+	return r.phase != queued && r.phase != handedOver && r.phase != atSuccessor
+}
 
 // New returns the machine of an endpoint that this member has not called yet.
 func New(config Config) *Machine {
@@ -112,6 +122,12 @@
 		m.handleClaims(e, &fx)
 	case EndForwarded:
 		m.handleRunEnd(now, e.End, &fx)
+	case Replaced:
+		m.handleReplaced(now, e.Successor, &fx)
+	case SettleRequested:
+		m.handleSettleRequest(now, e, &fx)
+	case Settled:
+		m.handleSettled(now, e.Outcome, &fx)
 	case Elapsed:
 	}
 	m.advance(now, &fx)
--- a/plugins/leases/lease/random_test.go
+++ b/plugins/leases/lease/random_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
@@ -15,6 +18,8 @@
 // length of leases, and remembers which runs were stopped or have ended.
 type fakeEndpoint struct {
 	now         time.Time
+	incarnation int       // Number of its restarts.
+	born        time.Time // When the present incarnation started.
 	token       uint64
 	leaseEnd    time.Time
 	running     map[port.TaskRun]bool
@@ -25,6 +30,15 @@
 	endCount    uint64
 }
 
+// restart ends all runs, and forgets them and all tokens. Orders keep reaching the endpoint.
+func (e *fakeEndpoint) restart() {
+	e.incarnation++
+	e.born, e.token, e.leaseEnd = e.now, 0, time.Time{}
+	e.endCount, e.unackedEnds = 0, nil
+	clear(e.running)
+	clear(e.finished)
+}
+
 // rejects reports whether a token is older than the newest one, and otherwise stores it.
 func (e *fakeEndpoint) rejects(token uint64) bool {
 	if token < e.token {
@@ -72,7 +86,7 @@
 
 // clock returns the endpoint's clock in milliseconds; it is 2% slow.
 func (e *fakeEndpoint) clock() int64 {
-	return int64(float64(e.now.Sub(startTime).Milliseconds())/(1+maxClockDrift)) + 1000
+	return int64(float64(e.now.Sub(e.born).Milliseconds())/(1+maxClockDrift)) + 1000
 }
 
 func (e *fakeEndpoint) start(o port.StartOrder) port.OrderReply {
@@ -103,57 +117,106 @@
 	return port.OrderReply{State: port.OrderDone, Clock: e.clock()}
 }
 
-func (e *fakeEndpoint) hold(o port.HoldOrder) port.HoldReply {
+// hold returns the lists of runs. It has acknowledged ends also when it was meant for another incarnation.
+func (e *fakeEndpoint) hold(incarnation int, o port.HoldOrder) port.HoldReply {
 	e.expire()
 	if e.rejects(o.Token) {
 		return port.HoldReply{State: port.OrderFenced}
 	}
+	if incarnation != e.incarnation {
+		return port.HoldReply{State: port.OrderOtherIncarnation, Incarnation: incarnationID(e.incarnation)}
+	}
 	e.extend(o.Until)
 	e.unackedEnds = slices.DeleteFunc(e.unackedEnds, func(end port.RunEnd) bool { return end.Number <= o.Seen })
 	return port.HoldReply{State: port.OrderDone, Clock: e.clock(), Running: e.sortedRunning(), Ended: slices.Clone(e.unackedEnds)}
 }
 
+func incarnationID(number int) model.EndpointID { return model.EndpointID(strconv.Itoa(number)) }
+
 // call is an order in flight, or the timeout of one whose reply is lost.
 type call struct {
 	at        time.Time
-	execute   func() Event // Applies the order to the endpoint and returns its reply; nil for a lost order.
-	noReply   Event        // Event that the machine gets when no reply comes in time.
+	machine   model.EndpointID // Incarnation whose machine has sent the order.
+	reaches   int              // Incarnation that the order reaches: its connection ends with that one.
+	execute   func() Event     // Applies the order to the endpoint and returns its reply; nil for a lost order.
+	noReply   *call            // The timeout that the machine gets when no reply comes in time.
 	replyLost bool
 	event     Event // Set for a timeout: the event to apply to the machine.
 }
 
-// simulation connects a machine to a fakeEndpoint over an unreliable network.
+// simulation connects the machines of an endpoint's incarnations to a fakeEndpoint over an unreliable network.
 type simulation struct {
 	t        *rapid.T
 	now      time.Time
 	endpoint *fakeEndpoint
-	machine  *Machine
+	machines map[model.EndpointID]*Machine
+	known    model.EndpointID // The incarnation at which runs are requested: the newest that has announced itself.
 	calls    []*call
+	settles  map[port.TaskRun]model.EndpointID // The incarnation whose machine has requested to settle the run.
 	outcomes map[port.TaskRun]port.TaskState
 	lastRun  int
 }
 
-// step applies an event and sends the orders that result from it.
-func (s *simulation) step(e Event) {
-	fx := s.machine.Step(s.now, e)
+func newSimulation(t *rapid.T) *simulation {
+	return &simulation{
+		t: t, now: startTime, known: incarnationID(0), machines: make(map[model.EndpointID]*Machine),
+		settles: make(map[port.TaskRun]model.EndpointID), outcomes: make(map[port.TaskRun]port.TaskState),
+		endpoint: &fakeEndpoint{
+			now: startTime, born: startTime, running: make(map[port.TaskRun]bool), finished: make(map[port.TaskRun]bool),
+			startCounts: make(map[port.TaskRun]int), done: make(map[port.TaskRun]bool),
+		},
+	}
+}
+
+func (s *simulation) machine(id model.EndpointID) *Machine {
+	if s.machines[id] == nil {
+		s.machines[id] = New(testConfig)
+	}
+	return s.machines[id]
+}
+
+// sortedMachines returns the incarnations that have a machine, oldest first.
+func (s *simulation) sortedMachines() []model.EndpointID { return slices.Sorted(maps.Keys(s.machines)) }
+
+// step applies an event to the machine of an incarnation and sends the orders that result from it.
+func (s *simulation) step(id model.EndpointID, e Event) {
+	fx := s.machine(id).Step(s.now, e)
 	for _, outcome := range fx.Finished {
-		s.checkOutcome(outcome)
+		s.report(id, outcome)
 	}
 	for _, o := range fx.Starts {
-		s.send(func() Event { return StartReplied{o.Run, s.endpoint.start(o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+		s.send(id, func() Event { return StartReplied{o.Run, s.endpoint.start(o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
 	}
 	for _, o := range fx.Stops {
-		s.send(func() Event { return StopReplied{o.Run, s.endpoint.stop(o)} }, StopReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+		s.send(id, func() Event { return StopReplied{o.Run, s.endpoint.stop(o)} }, StopReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
 	}
 	if o := fx.Hold; o != nil {
-		s.send(func() Event { return HoldReplied{s.endpoint.hold(*o)} }, HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+		incarnation, _ := strconv.Atoi(string(id))
+		s.send(id, func() Event { return HoldReplied{s.endpoint.hold(incarnation, *o)} }, HoldReplied{port.HoldReply{State: port.OrderUnknown}})
 	}
+	for _, request := range fx.Settle {
+		s.settles[request.Run] = id
+		s.step(fx.Successor, request)
+	}
+	for _, run := range fx.SettleStops {
+		s.step(fx.Successor, StopRequested{run})
+	}
+}
+
+// report passes the outcome of a run on to the machine that has requested to settle it, and otherwise checks it.
+func (s *simulation) report(id model.EndpointID, outcome Finished) {
+	if requester, settled := s.settles[outcome.Run]; settled && requester < id {
+		delete(s.settles, outcome.Run)
+		s.step(requester, Settled{outcome})
+		return
+	}
+	s.checkOutcome(outcome)
 }
 
 // send schedules an order, which may arrive late or not at all and whose reply may be lost.
-func (s *simulation) send(execute func() Event, noReply Event) {
+func (s *simulation) send(id model.EndpointID, execute func() Event, noReply Event) {
 	fault := rapid.IntRange(0, 9).Draw(s.t, "fault")
-	c := &call{at: s.now.Add(time.Millisecond), execute: execute, noReply: noReply}
+	c := &call{at: s.now.Add(time.Millisecond), machine: id, reaches: s.endpoint.incarnation, execute: execute}
 	switch fault {
 	case 0: // The order is executed and its reply is lost.
 		c.replyLost = true
@@ -163,8 +226,9 @@
 	case 2: // The order is lost.
 		c.replyLost, c.execute = true, nil
 	}
+	c.noReply = &call{at: s.now.Add(200 * time.Millisecond), machine: id, event: noReply}
 	if c.replyLost {
-		s.calls = append(s.calls, &call{at: s.now.Add(200 * time.Millisecond), event: noReply})
+		s.calls = append(s.calls, c.noReply)
 	}
 	s.calls = append(s.calls, c)
 }
@@ -196,10 +260,9 @@
 				next, nextCall = c.at, i
 			}
 		}
-		timer, armed := s.machine.NextTimer(s.now)
-		if armed && timer.Before(next) {
+		if id, timer, armed := s.nextTimer(); armed && timer.Before(next) {
 			s.now = maxTime(s.now, timer)
-			s.step(Elapsed{})
+			s.step(id, Elapsed{})
 			continue
 		}
 		if nextCall < 0 {
@@ -213,15 +276,41 @@
 	}
 }
 
+// nextTimer returns the earliest timer of the machines.
+func (s *simulation) nextTimer() (id model.EndpointID, at time.Time, armed bool) {
+	for _, candidate := range s.sortedMachines() {
+		timer, ok := s.machines[candidate].NextTimer(s.now)
+		if ok && (!armed || timer.Before(at)) {
+			id, at, armed = candidate, timer, true
+		}
+	}
+	return id, at, armed
+}
+
 func (s *simulation) deliver(c *call) {
 	s.endpoint.now = s.now
 	switch {
 	case c.event != nil:
-		s.step(c.event)
+		s.step(c.machine, c.event)
+	case c.execute != nil && c.reaches != s.endpoint.incarnation:
+		if !c.replyLost { // The connection has ended with the incarnation.
+			s.calls = append(s.calls, c.noReply)
+		}
 	case c.execute != nil:
+		started := maps.Clone(s.endpoint.startCounts)
 		reply := c.execute()
+		s.checkNewStarts(started)
 		if !c.replyLost {
-			s.step(reply)
+			s.step(c.machine, reply)
+		}
+	}
+}
+
+// checkNewStarts fails if a run was started since that has an outcome already.
+func (s *simulation) checkNewStarts(before map[port.TaskRun]int) {
+	for run, count := range s.endpoint.startCounts {
+		if state, reported := s.outcomes[run]; reported && count > before[run] {
+			s.t.Fatalf("run %v started after it was reported as %s", run, state)
 		}
 	}
 }
@@ -237,41 +326,70 @@
 // that receives orders late or not at all and whose replies get lost. A longer run:
 // -rapid.checks=100000 -rapid.seed=1.
 func TestOutcomesMatchEndpointUnderRandomFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{t: t, now: startTime, machine: New(testConfig), outcomes: make(map[port.TaskRun]port.TaskState), endpoint: &fakeEndpoint{
-			now: startTime, running: make(map[port.TaskRun]bool), finished: make(map[port.TaskRun]bool),
-			startCounts: make(map[port.TaskRun]int), done: make(map[port.TaskRun]bool),
-		}}
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			switch rapid.IntRange(0, 3).Draw(t, "action") {
-			case 0:
-				s.lastRun++
-				s.step(StartRequested{Run: testRun(s.lastRun)})
-			case 1:
-				if s.lastRun > 0 {
-					s.step(StopRequested{testRun(rapid.IntRange(1, s.lastRun).Draw(t, "run"))})
-				}
-			case 2:
-				s.endpoint.now = s.now
-				s.endpoint.expire()
-				if candidates := s.endpoint.sortedRunning(); len(candidates) > 0 {
-					how := rapid.SampledFrom([]port.TaskState{port.TaskDone, port.TaskFailed}).Draw(t, "how")
-					s.endpoint.end(candidates[rapid.IntRange(0, len(candidates)-1).Draw(t, "which")], how)
+	rapid.Check(t, func(t *rapid.T) { newSimulation(t).run(0) })
+}
+
+// Guards against issue 24: the endpoint also starts again under its id, so that orders for one incarnation
+// are carried out by the next one.
+func TestOutcomesMatchEndpointThatRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { newSimulation(t).run(3) })
+}
+
+// run takes random steps, among them at most the given number of restarts, and checks the outcomes of all runs.
+func (s *simulation) run(restarts int) {
+	for range rapid.IntRange(1, 40).Draw(s.t, "steps") {
+		s.endpoint.now = s.now
+		s.endpoint.expire()
+		switch rapid.IntRange(0, 3+min(restarts-s.endpoint.incarnation, 1)*2).Draw(s.t, "action") {
+		case 0:
+			s.lastRun++
+			s.step(s.known, StartRequested{Run: testRun(s.lastRun)})
+		case 1:
+			if s.lastRun > 0 {
+				stopped := testRun(rapid.IntRange(1, s.lastRun).Draw(s.t, "run"))
+				for _, id := range s.sortedMachines() {
+					if s.machines[id].Pending(stopped) && s.settles[stopped] != id {
+						s.step(id, StopRequested{stopped})
+					}
 				}
 			}
-			s.runUntil(s.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond))
-		}
-		for id, count := range s.endpoint.startCounts {
-			if state := s.outcomes[id]; count > 1 || state == port.TaskNotRun || state == port.TaskNoRoom || state == port.TaskLeasedElsewhere {
-				t.Fatalf("run %v started %d times and was reported as %q", id, count, state)
+		case 2:
+			if candidates := s.endpoint.sortedRunning(); len(candidates) > 0 {
+				how := rapid.SampledFrom([]port.TaskState{port.TaskDone, port.TaskFailed}).Draw(s.t, "how")
+				s.endpoint.end(candidates[rapid.IntRange(0, len(candidates)-1).Draw(s.t, "which")], how)
 			}
+		case 4:
+			s.endpoint.restart()
+		case 5:
+			s.announce()
+		}
+		s.runUntil(s.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(s.t, "ms")) * time.Millisecond))
+	}
+	for id, count := range s.endpoint.startCounts {
+		if state := s.outcomes[id]; count > 1 || state == port.TaskNotRun || state == port.TaskNoRoom || state == port.TaskLeasedElsewhere {
+			s.t.Fatalf("run %v started %d times and was reported as %q", id, count, state)
 		}
-		s.finishAllRuns()
-	})
+	}
+	s.finishAllRuns()
+}
+
+// announce makes the newest incarnation known.
+func (s *simulation) announce() {
+	newest := incarnationID(s.endpoint.incarnation)
+	if s.known == newest {
+		return
+	}
+	for _, id := range s.sortedMachines() {
+		if id < newest {
+			s.step(id, Replaced{newest})
+		}
+	}
+	s.known = newest
 }
 
 // finishAllRuns ends all running runs without new ones and checks that each run gets an outcome.
 func (s *simulation) finishAllRuns() {
+	s.announce()
 	for range 100 {
 		s.endpoint.now = s.now
 		s.endpoint.expire()
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
@@ -23,6 +22,8 @@
 		switch {
 		case known && r.phase == startSent:
 			m.confirmStart(now, r)
+		case known && r.phase == inherited:
+			r.phase, r.confirmedAt, r.stopDueAt = confirmed, now, now
 		case !known && !queried:
 			m.foreignRuns[id] = ""
 			fx.ClaimQuery = append(fx.ClaimQuery, id)
@@ -42,10 +43,13 @@
 
 // handleMissing finishes a run that the endpoint lists neither as running nor among the ends. It does
 // so only when the hold was sent late enough for the list to be conclusive: after the confirmation of
-// the start, or at least StopTimeout after the acknowledgement of a stop.
+// the start, or at least StopTimeout after the acknowledgement of a stop; for a start order that was sent to an earlier
+// incarnation, with a token above that of the order.
 func (m *Machine) handleMissing(now time.Time, id port.TaskRun, r *run, fx *Effects) {
 	stopped := !r.stopAckedAt.IsZero() && m.holdSentAt.After(r.stopAckedAt.Add(m.config.StopTimeout))
 	switch {
+	case r.phase == inherited && m.holdToken == m.token:
+		m.finish(now, id, port.TaskNotRun, "not started by this incarnation", fx)
 	case r.phase == startUnanswered && stopped:
 		m.finish(now, id, port.TaskNotRun, "stopped before it started", fx)
 	case r.phase == confirmed && stopped:
@@ -63,7 +67,7 @@
 	}
 	state := end.How
 	if state == port.TaskStopped && !r.stopRequested {
-		state = port.TaskLost // Stopped because its start was unanswered, or by another holder.
+		state = port.TaskLost // Stopped because its start was unanswered, to settle it, or by another holder.
 	}
 	m.finish(now, end.Run, state, "ended "+string(end.How), fx)
 }
@@ -101,20 +105,3 @@
 		}
 	}
 }
-
-// handleOtherIncarnation finishes all runs after another incarnation of the endpoint has answered. None
-// of them is running any more.
-func (m *Machine) handleOtherIncarnation(now time.Time, successor model.EndpointID, fx *Effects) {
-	m.replaced = true
-	fx.Lost, fx.Successor = LossOtherIncarnation, successor
-	for _, id := range m.sortedRuns() {
-		switch r := m.runs[id]; {
-		case r.phase == queued:
-			m.finish(now, id, port.TaskNotRun, "another incarnation has replaced the endpoint", fx)
-		case r.listed:
-			m.finish(now, id, port.TaskLost, "another incarnation has replaced the one that listed the run", fx)
-		default:
-			m.finish(now, id, port.TaskLost, "another incarnation has replaced the endpoint, which had not listed the run", fx)
-		}
-	}
-}
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -78,7 +78,9 @@
 		m.finish(now, e.Run, port.TaskLeasedElsewhere, "another member holds the endpoint's lease", fx)
 		m.handleFenced(now, fx)
 	case port.OrderOtherIncarnation:
-		m.finish(now, e.Run, port.TaskNotRun, "another incarnation has replaced the endpoint", fx)
+		if e.Reply.Incarnation == "" { // An endpoint with another id, which refuses the order.
+			m.finish(now, e.Run, port.TaskNotRun, "another endpoint has replaced this one", fx)
+		}
 		m.handleOtherIncarnation(now, e.Reply.Incarnation, fx)
 	case port.OrderNoRoom:
 		m.finish(now, e.Run, port.TaskNoRoom, e.Reply.Detail, fx)
@@ -112,6 +114,8 @@
 		m.finish(now, id, port.TaskNotRun, "the start was never sent", fx)
 	case handedOver:
 		m.finish(now, id, port.TaskLost, "another member holds the endpoint's lease", fx)
+	case atSuccessor:
+		fx.Successor, fx.SettleStops = m.successor, append(fx.SettleStops, id)
 	case startSent, confirmed, startUnanswered:
 		if !r.stopInFlight && r.stopAckedAt.IsZero() {
 			r.stopDueAt = now // A stop that arrives before the start keeps the run from starting.
@@ -122,7 +126,7 @@
 func (m *Machine) handleStopReply(now time.Time, e StopReplied, fx *Effects) {
 	m.recordClock(now, e.Reply.Clock)
 	r, known := m.runs[e.Run]
-	if !known {
+	if !known || r.phase == atSuccessor {
 		return
 	}
 	r.stopInFlight = false
--- /dev/null
+++ b/plugins/leases/lease/successor.go
@@ -0,0 +1,111 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// An order names its endpoint's id, which the endpoint keeps when it starts again, and only lists of runs tell
+// which incarnation has answered. So a start that was meant for one incarnation may be carried out by the next one. A run
+// that the replaced incarnation has not listed is therefore settled at its successor before it is reported: the successor's
+// machine takes a higher token, after which the start is never carried out, and stops the run if it is there.
+
+// maxUnclaimedEnds bounds the ends that are kept for runs which are settled later.
+const maxUnclaimedEnds = 256
+
+// handleOtherIncarnation handles the news that another incarnation has replaced the endpoint. A run that the
+// endpoint has listed has ended with it; the successor may have started any other, unless it is not known.
+func (m *Machine) handleOtherIncarnation(now time.Time, successor model.EndpointID, fx *Effects) {
+	m.replaced, m.successor = true, successor
+	fx.Lost = LossOtherIncarnation
+	for _, id := range m.sortedRuns() {
+		switch r := m.runs[id]; {
+		case r.phase == queued:
+			m.finish(now, id, port.TaskNotRun, "another incarnation has replaced the endpoint", fx)
+		case r.listed || successor == "":
+			m.finish(now, id, port.TaskLost, "another incarnation has replaced the endpoint", fx)
+		default:
+			m.settleAtSuccessor(id, r, fx)
+		}
+	}
+	fx.Successor = successor
+}
+
+// handleReplaced handles a Replaced event. An announcement proves less than a reply to a hold, so all runs are settled
+// at the successor.
+func (m *Machine) handleReplaced(now time.Time, successor model.EndpointID, fx *Effects) {
+	if m.replaced {
+		return
+	}
+	for _, r := range m.runs {
+		r.listed = false
+	}
+	m.handleOtherIncarnation(now, successor, fx)
+}
+
+// settleAtSuccessor requests the outcome of a run from the machine of the incarnation that has replaced this one.
+func (m *Machine) settleAtSuccessor(id port.TaskRun, r *run, fx *Effects) {
+	r.phase, r.stopDueAt, r.payload = atSuccessor, time.Time{}, nil
+	fx.Successor = m.successor
+	fx.Settle = append(fx.Settle, SettleRequested{Run: id, Token: max(m.token, r.inheritedToken)})
+}
+
+// handleSettled finishes a run with its outcome at the successor. Without a result there, the run may have been
+// lost with this incarnation.
+func (m *Machine) handleSettled(now time.Time, outcome Finished, fx *Effects) {
+	r, known := m.runs[outcome.Run]
+	if !known || r.phase != atSuccessor {
+		return
+	}
+	state := outcome.State
+	if state != port.TaskDone && state != port.TaskFailed {
+		state = port.TaskLost
+	}
+	m.finish(now, outcome.Run, state, "settled at the endpoint's next incarnation: "+outcome.Detail, fx)
+}
+
+// handleSettleRequest takes over a run that an earlier incarnation was asked to start.
+func (m *Machine) handleSettleRequest(now time.Time, e SettleRequested, fx *Effects) {
+	if i := slices.IndexFunc(m.unclaimedEnds, func(end port.RunEnd) bool { return end.Run == e.Run }); i >= 0 {
+		fx.Finished = append(fx.Finished, Finished{e.Run, m.unclaimedEnds[i].How, "ended before it was settled"})
+		return
+	}
+	if m.runs[e.Run] != nil {
+		return
+	}
+	r := &run{phase: inherited, inheritedToken: e.Token}
+	switch {
+	case m.replaced && m.successor == "":
+		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLost, "another incarnation has replaced the endpoint"})
+		return
+	case m.replaced:
+		m.settleAtSuccessor(e.Run, r, fx)
+	case now.Before(m.fencedUntil):
+		r.phase = handedOver // The holder of the lease finds the run, if it is there, and forwards its end.
+	default:
+		m.outbid(now, e.Token)
+		m.leaseExtendedAt = now // The start may just have extended the lease.
+	}
+	m.runs[e.Run] = r
+}
+
+// outbid makes sure that the fencing token is above that of an earlier incarnation's holder, so that no order under
+// that token is carried out any more once the endpoint has accepted the new one.
+func (m *Machine) outbid(now time.Time, token uint64) {
+	m.renewToken(now)
+	if m.token <= token {
+		m.token = token + 1<<holderBits
+		m.tokenAccepted = false
+	}
+}
+
+// keepUnclaimedEnd keeps the end of a run that nobody here waits for yet: the run may be settled later.
+func (m *Machine) keepUnclaimedEnd(end port.RunEnd) {
+	if len(m.unclaimedEnds) == maxUnclaimedEnds {
+		m.unclaimedEnds = slices.Delete(m.unclaimedEnds, 0, 1)
+	}
+	m.unclaimedEnds = append(m.unclaimedEnds, end)
+}
--- /dev/null
+++ b/plugins/leases/lease/successor_test.go
@@ -0,0 +1,106 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+const successor = model.EndpointID("e@2")
+
+// replace reports to the harness's machine that the successor has answered its hold.
+func (h *harness) replace() Effects {
+	return h.step(HoldReplied{port.HoldReply{State: port.OrderOtherIncarnation, Incarnation: successor}})
+}
+
+// newSuccessorHarness returns a harness of the successor's machine after a request to settle run 0, whose start was
+// sent with the given token.
+func newSuccessorHarness(t *testing.T, token uint64) *harness {
+	h := newHarness(t)
+	h.step(SettleRequested{Run: testRun(0), Token: token})
+	return h
+}
+
+// Guards against issue 24: a run that the replaced incarnation had confirmed but not listed was reported as lost, although
+// the confirmation may have been its successor's.
+func TestUnlistedRunOfReplacedIncarnationIsSettledAtSuccessor(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	fx := h.replace()
+	h.is.Equal(len(fx.Finished), 0)
+	h.is.Equal(fx.Successor, successor)
+	h.is.Equal(fx.Settle, []SettleRequested{{Run: testRun(0), Token: h.machine.token}})
+	h.is.True(h.machine.Pending(testRun(0)))
+	fx = h.step(Settled{Finished{Run: testRun(0), State: port.TaskNotRun}})
+	h.is.Equal(fx.Finished[0].State, port.TaskLost) // It may have run at the replaced incarnation.
+}
+
+func TestListedRunOfReplacedIncarnationIsLost(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
+	fx := h.replace()
+	h.is.Equal(fx.Finished[0].State, port.TaskLost)
+	h.is.Equal(len(fx.Settle), 0)
+}
+
+// Guards against runs that wait until their deadline: the successor has fenced the machine of the replaced incarnation, which
+// gets no other reply any more.
+func TestAnnouncedSuccessorSettlesRunsOfFencedHolder(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.step(HoldReplied{port.HoldReply{State: port.OrderFenced}})
+	fx := h.step(Replaced{successor})
+	h.is.Equal(len(fx.Settle), 1)
+}
+
+func TestStopOfRunThatIsSettledGoesToSuccessor(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.replace()
+	fx := h.step(StopRequested{testRun(0)})
+	h.is.Equal(fx.SettleStops, []port.TaskRun{testRun(0)})
+	h.is.Equal(len(fx.Stops), 0)
+}
+
+func TestSettledRunThatSuccessorListsIsStoppedFirst(t *testing.T) {
+	const token = uint64(1) << 60 // Above any token made of the time.
+	h := newSuccessorHarness(t, token)
+	h.is.True(h.fx.Hold.Token > token) // The start is not carried out after this hold.
+	fx := h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
+	h.is.Equal(len(fx.Finished), 0)
+	h.is.Equal(len(fx.Stops), 1)
+	fx = h.advance(time.Millisecond).replyToHold(nil, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskStopped})
+	h.is.Equal(fx.Finished[0].State, port.TaskLost)
+}
+
+func TestSettledRunThatSuccessorDoesNotListHasNotRunThere(t *testing.T) {
+	h := newSuccessorHarness(t, 1)
+	fx := h.advance(time.Millisecond).replyToHold(nil)
+	h.is.Equal(fx.Finished[0].State, port.TaskNotRun)
+}
+
+func TestListUnderLowerTokenDoesNotSettle(t *testing.T) {
+	h := newHarness(t)
+	h.step(StartRequested{Run: testRun(1)})
+	h.step(SettleRequested{Run: testRun(0), Token: h.machine.token})
+	fx := h.advance(time.Millisecond).replyToHold(nil) // Of the hold that was sent before.
+	h.is.Equal(len(fx.Finished), 0)
+	fx = h.advance(time.Millisecond).replyToHold(nil)
+	h.is.Equal(fx.Finished[0].Run, testRun(0))
+}
+
+// Guards against a task that runs again although its run is done: the end arrived before the run was settled.
+func TestRunThatEndedBeforeItIsSettledIsReportedWithItsEnd(t *testing.T) {
+	h := newHarness(t)
+	h.step(StartRequested{Run: testRun(1)})
+	h.advance(time.Millisecond).replyToHold(nil, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskDone})
+	fx := h.step(SettleRequested{Run: testRun(0)})
+	h.is.Equal(fx.Finished[0].State, port.TaskDone)
+}
+
+func TestRunIsSettledAtTheLastOfSeveralSuccessors(t *testing.T) {
+	h := newSuccessorHarness(t, 1)
+	fx := h.step(HoldReplied{port.HoldReply{State: port.OrderOtherIncarnation, Incarnation: "e@3"}})
+	h.is.Equal(len(fx.Finished), 0)
+	h.is.Equal(fx.Successor, model.EndpointID("e@3"))
+	h.is.Equal(len(fx.Settle), 1)
+}
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -204,6 +204,12 @@
 	if len(fx.ForwardEnds) > 0 {
 		l.forwardEnds(at.ID, fx.ForwardEnds)
 	}
+	for _, request := range fx.Settle {
+		go l.settle(at, fx.Successor, request)
+	}
+	for _, run := range fx.SettleStops {
+		go l.step(port.EndpointIncarnation{ID: fx.Successor, Address: at.Address}, lease.StopRequested{Run: run})
+	}
 	for _, order := range fx.Starts {
 		go l.sendStart(at, order)
 	}
@@ -245,6 +251,14 @@
 	l.step(at, lease.HoldReplied{Reply: reply})
 }
 
+// settle waits for the outcome of a run at the incarnation that has replaced its endpoint, and applies it.
+func (l *Leases) settle(at port.EndpointIncarnation, successor model.EndpointID, request lease.SettleRequested) {
+	next := port.EndpointIncarnation{ID: successor, Address: at.Address}
+	if outcome, ok := l.stepAndWait(l.baseCtx, next, request, request.Run); ok {
+		l.step(at, lease.Settled{Outcome: outcome})
+	}
+}
+
 func (l *Leases) orderTimeout() time.Duration {
 	return time.Duration(l.settings.OrderMS) * time.Millisecond
 }
