The holder of a lease learns from its pool that the endpoint has started again

What callers saw: jobs that waited until their deadline after an endpoint had started again. Cause: when this member already holds the lease on the endpoint's next incarnation, its holds for the earlier one are refused for their lower token, and such a refusal does not tell the incarnation. The runs then counted as handed over, and nobody forwards their ends. The pool knows better: the next incarnation has announced itself at the same address, so the revokes of tasks there name it, and their runs are settled at that incarnation.

--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -95,9 +95,11 @@
 	ID       model.TaskID
 	Endpoint model.EndpointID
 	Attempt  int
-	Stop     bool   // Whether a running task is ended too.
-	Key      string // The caller's own id of the task's job.
-	Index    int    // Index of the task in its job.
+	Stop     bool // Whether a running task is ended too.
+	// ReplacedBy is the incarnation of the endpoint that has replaced the one that was asked to start the task; "" when none has.
+	ReplacedBy model.EndpointID
+	Key        string // The caller's own id of the task's job.
+	Index      int    // Index of the task in its job.
 }
 
 // TaskReply is the result of a start.
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -392,7 +392,8 @@
 	}
 	sentAt := time.Now()
 	reply := p.tasks.Revoke(p.baseCtx, r.Address, port.TaskRevoke{
-		ID: r.Task, Endpoint: r.Endpoint, Attempt: r.Attempt, Stop: r.Stop, Key: r.Key, Index: r.Task.Index(),
+		ID: r.Task, Endpoint: r.Endpoint, Attempt: r.Attempt, Stop: r.Stop, ReplacedBy: r.ReplacedBy,
+		Key: r.Key, Index: r.Task.Index(),
 	})
 	p.logTaskRevoked(id, r, reply, time.Since(sentAt))
 	p.step(id, poolstate.RevokeReplied{Task: r.Task, Attempt: r.Attempt, Reply: reply})
--- a/plugins/endpoints/poolstate/attempts_test.go
+++ b/plugins/endpoints/poolstate/attempts_test.go
@@ -37,6 +37,22 @@
 	is.Equal(fx.Ended[0].Results[0].Run, model.MayHaveRun)
 }
 
+// Guards against runs that wait until their deadline at an endpoint that has started again: their lease's holder has to learn
+// of the endpoint's next incarnation.
+func TestRevokeAtReplacedEndpointNamesItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	first := model.Endpoint{ID: "e@1", Service: "finder", Address: "10.0.0.1:1", Slots: 1, State: model.EndpointServing, Born: 1, Sequence: 1, Leased: true}
+	h.step(Announced{first})
+	next := first
+	next.ID, next.Born = "e@2", 2
+	is.Equal(len(h.submitRepeatable(2, model.Needs{}).Starts), 1)
+	fx := h.step(Announced{next})
+	is.Equal(len(fx.Revokes), 1)
+	is.Equal(fx.Revokes[0].Endpoint, first.ID)
+	is.Equal(fx.Revokes[0].ReplacedBy, next.ID)
+}
+
 func TestLostRunDoesNotCountAsFailure(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1, 1)
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -23,15 +23,16 @@
 	model.Endpoint
 	position     int // Index in the machine's endpointList.
 	live         bool
-	cordon       bool           // Gets no work until its next announcement: another member may hold its lease.
-	tasks        []*task        // Tasks that were sent there and whose end is not confirmed.
-	taken        model.Needs    // Resources that these tasks use together.
-	held         []*task        // Tasks that the placement bound to the endpoint and that are not sent yet.
-	foreign      []model.TaskID // Tasks running there that another owner of the pool sent.
-	blockedSlots int            // Slots assumed to be taken by tasks that this owner did not send.
-	blockedNeeds model.Needs    // Resources assumed to be used by others at a leased endpoint.
-	released     []model.TaskID // Ring buffer of the latest ended tasks, which announcements may still list.
-	releasedNext int            // Next position to overwrite in the ring buffer.
+	replacedBy   model.EndpointID // Later incarnation at the same address; "" when none has announced itself.
+	cordon       bool             // Gets no work until its next announcement: another member may hold its lease.
+	tasks        []*task          // Tasks that were sent there and whose end is not confirmed.
+	taken        model.Needs      // Resources that these tasks use together.
+	held         []*task          // Tasks that the placement bound to the endpoint and that are not sent yet.
+	foreign      []model.TaskID   // Tasks running there that another owner of the pool sent.
+	blockedSlots int              // Slots assumed to be taken by tasks that this owner did not send.
+	blockedNeeds model.Needs      // Resources assumed to be used by others at a leased endpoint.
+	released     []model.TaskID   // Ring buffer of the latest ended tasks, which announcements may still list.
+	releasedNext int              // Next position to overwrite in the ring buffer.
 	health       health
 	leaseTimer   timer
 	probeTimer   timer
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -116,8 +116,10 @@
 	Endpoint model.EndpointID
 	Address  string
 	Stop     bool
-	After    time.Duration // Delay before the revoke is sent.
-	Key      string        `json:",omitempty"` // Key of the job, as chosen by the caller.
+	// ReplacedBy is the incarnation that has replaced the endpoint; "" when none has.
+	ReplacedBy model.EndpointID `json:",omitempty"`
+	After      time.Duration    // Delay before the revoke is sent.
+	Key        string           `json:",omitempty"` // Key of the job, as chosen by the caller.
 }
 
 // EndpointChange reports, for the log, that an endpoint's status changed in this pool.
--- a/plugins/endpoints/poolstate/outdated.go
+++ b/plugins/endpoints/poolstate/outdated.go
@@ -17,13 +17,18 @@
 	})
 }
 
-// expirePredecessors ends the leases of earlier incarnations at the address of a new endpoint.
+// expirePredecessors ends the leases of earlier incarnations at the address of a new endpoint. The revokes of tasks
+// there name the new one.
 func (m *Machine) expirePredecessors(a *model.Endpoint, fx *Effects) {
 	if a.Born == 0 {
 		return
 	}
 	for _, e := range slices.Clone(m.endpointList) {
-		if e.live && e.Address == a.Address && e.Born > 0 && e.Born < a.Born {
+		if e.Address != a.Address || e.Born == 0 || e.Born >= a.Born {
+			continue
+		}
+		e.replacedBy = a.ID
+		if e.live {
 			m.timers.stop(&e.leaseTimer)
 			m.handleLeaseEnd(e, fx)
 		}
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -217,7 +217,7 @@
 	t.openRevokes++
 	fx.Revokes = append(fx.Revokes, Revoke{
 		Task: t.id, Attempt: t.attempt, Endpoint: t.endpoint.ID, Address: t.endpoint.Address,
-		Stop: t.stopping, After: after, Key: t.batch.Key,
+		Stop: t.stopping, ReplacedBy: t.endpoint.replacedBy, After: after, Key: t.batch.Key,
 	})
 }
 
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -23,13 +23,16 @@
 }
 
 // Revoke returns the state of a run. With revoke.Stop it first stops the run and waits up to
-// revokeTimeout for its outcome.
+// revokeTimeout for its outcome. A run at an endpoint that has been replaced is settled at its successor.
 func (t tasks) Revoke(ctx context.Context, address string, revoke port.TaskRevoke) port.RevokeReply {
 	at := port.EndpointIncarnation{ID: revoke.Endpoint, Address: address}
 	run := port.TaskRun{Key: revoke.Key, Index: revoke.Index, Attempt: revoke.Attempt}
 	if !t.leases.pending(at.ID, run) {
 		return port.RevokeReply{State: port.TaskLost} // The run finished before, or was never requested here.
 	}
+	if revoke.ReplacedBy != "" {
+		t.leases.step(at, lease.Replaced{Successor: revoke.ReplacedBy})
+	}
 	if !revoke.Stop {
 		return port.RevokeReply{State: port.TaskRunning}
 	}
