A start is sent only while the endpoint answers holds

Cause of runs that had to be settled in the first place: while an endpoint starts again, its holds fail at once, but starts still went out, and the next incarnation carried them out. Evidence: TestStartWaitsForHoldAfterFailedOne fails before (the start is sent at once).

--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -55,6 +55,8 @@
 	m.reconcile(now, reply.Running, fx)
 	if !m.tokenAccepted && m.holdToken == m.token {
 		m.tokenAccepted, fx.Acquired = true, true
+	}
+	if m.tokenAccepted {
 		m.sendQueuedStarts(now, fx)
 	}
 }
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -69,7 +69,7 @@
 type phase int
 
 const (
-	queued          phase = iota // The endpoint has not accepted the token yet.
+	queued          phase = iota // The endpoint has not accepted the token yet, or has left the last hold unanswered.
 	startSent                    // The start has no reply yet.
 	confirmed                    // The endpoint has confirmed the start.
 	startUnanswered              // No reply to the start came in time; the run is being stopped.
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -72,6 +72,19 @@
 	h.is.Equal(fx.Starts[0].Token, fx.Hold.Token)
 }
 
+// Guards against issue 24: an endpoint that leaves a hold unanswered may be starting again, and its next incarnation would carry
+// out the start.
+func TestStartWaitsForHoldAfterFailedOne(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	fx := h.step(StartRequested{Run: testRun(1)})
+	h.is.Equal(len(fx.Starts), 0)
+	fx = h.advance(retryDelay).step(Elapsed{})
+	h.is.True(fx.Hold != nil)
+	fx = h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
+	h.is.Equal(len(fx.Starts), 1)
+}
+
 func TestRunEndFinishesRunAndIsAcknowledgedByNextHold(t *testing.T) {
 	h := newRunningHarness(t, 2)
 	fx := h.advance(60*time.Millisecond).replyToHold([]port.TaskRun{testRun(1)}, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskDone})
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -20,7 +20,7 @@
 	m.renewToken(now)
 	r := &run{payload: e.Payload}
 	m.runs[e.Run] = r
-	if m.tokenAccepted {
+	if m.tokenAccepted && m.failedHolds == 0 {
 		m.sendStart(now, e.Run, r, fx)
 	}
 }
@@ -43,7 +43,7 @@
 	r.payload = nil
 }
 
-// sendQueuedStarts sends the starts that waited for the endpoint to accept the token.
+// sendQueuedStarts sends the starts that waited for the endpoint to answer a hold.
 func (m *Machine) sendQueuedStarts(now time.Time, fx *Effects) {
 	for _, id := range m.sortedRuns() {
 		if r := m.runs[id]; r.phase == queued {
@@ -52,8 +52,7 @@
 	}
 }
 
-// rejectQueuedStarts finishes the runs that waited for the endpoint to accept the token, after a hold
-// has failed.
+// rejectQueuedStarts finishes the runs that waited for the endpoint to answer a hold, after one has failed.
 func (m *Machine) rejectQueuedStarts(now time.Time, detail string, fx *Effects) {
 	for _, id := range m.sortedRuns() {
 		if m.runs[id].phase == queued {
