A hold after a failed one acknowledges no ends of runs

What could happen: a task ran again although its run was done. Ends are acknowledged by number, and the numbers of an endpoint's next incarnation start anew, so a hold that was meant for the earlier one made the next one forget ends that nobody had read. Before such a hold another one always fails, since a hold is in flight while runs are. After a failed one nothing is acknowledged until a reply shows which incarnation answers.

--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -85,7 +85,10 @@
 
 func (m *Machine) sendHold(now time.Time, fx *Effects) {
 	m.holdInFlight, m.holdSentAt, m.holdToken, m.lastEndSent = true, now, m.token, m.lastEnd
-	order := port.HoldOrder{Seen: m.lastEnd, Token: m.token}
+	if m.failedHolds > 0 { // The next incarnation may answer, whose ends have the same numbers.
+		m.lastEndSent = 0
+	}
+	order := port.HoldOrder{Seen: m.lastEndSent, Token: m.token}
 	if m.tokenAccepted && m.hasActiveRuns() {
 		order.Wait = time.Duration(holdWaitFraction * float64(m.config.MaxLease))
 		if m.failedHolds > 0 {
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -94,6 +94,19 @@
 	h.is.True(fx.Hold.Until > h.clock())
 }
 
+// Guards against ends of the endpoint's next incarnation that are acknowledged unread: their numbers start anew.
+func TestHoldAfterFailedOneAcknowledgesNoEnds(t *testing.T) {
+	h := newRunningHarness(t, 2)
+	fx := h.replyToHold([]port.TaskRun{testRun(1)}, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskDone})
+	h.is.Equal(fx.Hold.Seen, uint64(1))
+	h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(1)})
+	h.step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	fx = h.advance(retryDelay).step(Elapsed{})
+	h.is.Equal(fx.Hold.Seen, uint64(0))
+	fx = h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(1)})
+	h.is.Equal(fx.Hold.Seen, uint64(1))
+}
+
 func TestIdleEndpointGetsHoldThatAcknowledgesEnds(t *testing.T) {
 	h := newRunningHarness(t, 1)
 	fx := h.replyToHold(nil, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskDone})
