A run that the next holder of a lease has been told to keep does not end with its former holder's lease

What could happen: a task ran twice after a hand-over. A holder that lists runs of the former one asks the members which of them they wait for, keeps those running and extends the lease of all runs. The former holder answered yes and went on as before: if it could not reach the endpoint, it took its own lease for expired after 1.07 s, reported the run as lost, and its pool started the task elsewhere. Now the answer is a hand-over: the query carries the token under which the runs were listed, and a member with a lower one treats it like the endpoint's refusal of its own token.

--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -55,6 +55,13 @@
 	Member model.NodeID
 }
 
+// TakenOver says that another member holds the lease, under a token of its own, and lets the given runs of this member
+// continue.
+type TakenOver struct {
+	Token   uint64
+	Running []port.TaskRun
+}
+
 // EndForwarded is the end of a run as forwarded by the member that now holds the lease.
 type EndForwarded struct{ End port.RunEnd }
 
@@ -80,6 +87,7 @@
 func (StopReplied) event()     {}
 func (HoldReplied) event()     {}
 func (Claimed) event()         {}
+func (TakenOver) event()       {}
 func (EndForwarded) event()    {}
 func (Replaced) event()        {}
 func (SettleRequested) event() {}
@@ -96,6 +104,7 @@
 	Finished []Finished // Runs that have finished, each reported once.
 	// ClaimQuery lists runs that this holder does not wait for: ask which of them a live member waits for.
 	ClaimQuery []port.TaskRun
+	ClaimToken uint64 // Fencing token under which the runs of ClaimQuery were listed.
 	// ForwardEnds lists ends of runs that this holder does not wait for: send them to those that do,
 	// before the next hold, which acknowledges them.
 	ForwardEnds []ForwardedEnd
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -120,6 +120,8 @@
 		m.handleHoldReply(now, e.Reply, &fx)
 	case Claimed:
 		m.handleClaims(e, &fx)
+	case TakenOver:
+		m.handleTakeover(now, e, &fx)
 	case EndForwarded:
 		m.handleRunEnd(now, e.End, &fx)
 	case Replaced:
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -26,7 +26,7 @@
 			r.phase, r.confirmedAt, r.stopDueAt = confirmed, now, now
 		case !known && !queried:
 			m.foreignRuns[id] = ""
-			fx.ClaimQuery = append(fx.ClaimQuery, id)
+			fx.ClaimQuery, fx.ClaimToken = append(fx.ClaimQuery, id), m.holdToken
 		}
 	}
 	for id := range m.foreignRuns {
@@ -84,6 +84,21 @@
 	}
 }
 
+// handleTakeover handles the news that another member holds the lease. The endpoint's refusal of this holder's token, which
+// says the same, may not arrive here, and the other holder extends the lease of all runs: from now on the end of this
+// holder's own lease does not end them.
+func (m *Machine) handleTakeover(now time.Time, e TakenOver, fx *Effects) {
+	if e.Token <= m.token || m.replaced {
+		return
+	}
+	for _, id := range e.Running {
+		if r := m.runs[id]; r != nil && r.phase == startSent {
+			m.confirmStart(now, r)
+		}
+	}
+	m.handleFenced(now, fx)
+}
+
 // handleFenced gives up the lease to the member that has taken it over. Runs that may be running are
 // handed over: the new holder forwards their ends.
 func (m *Machine) handleFenced(now time.Time, fx *Effects) {
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -220,7 +220,7 @@
 		go l.sendHold(at, *fx.Hold)
 	}
 	if len(fx.ClaimQuery) > 0 {
-		go l.queryClaims(at, fx.ClaimQuery)
+		go l.queryClaims(at, fx.ClaimToken, fx.ClaimQuery)
 	}
 }
 
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -23,6 +23,7 @@
 // claimRequest asks which of the runs at an endpoint a member waits for.
 type claimRequest struct {
 	Endpoint model.EndpointID `json:"endpoint"`
+	Token    uint64           `json:"token"` // Fencing token under which the sender holds the lease.
 	Runs     []runMessage     `json:"runs"`
 }
 
@@ -57,16 +58,30 @@
 	port.Handle(l.peers, methodEnded, l.handleForwardedEnds)
 }
 
-// handleClaim returns those of the requested runs that this member waits for.
-func (l *Leases) handleClaim(_ context.Context, _ model.NodeID, c claimRequest) (reply claimReply) {
-	for _, run := range c.Runs {
-		if l.pending(c.Endpoint, port.TaskRun(run)) {
-			reply.Runs = append(reply.Runs, run)
-		}
+// handleClaim returns those of the requested runs that this member waits for. They are the sender's to end from now on.
+func (l *Leases) handleClaim(_ context.Context, _ model.NodeID, c claimRequest) claimReply {
+	claimed := l.pendingRuns(c.Endpoint, c.Runs)
+	if len(claimed) == 0 {
+		return claimReply{}
+	}
+	l.step(port.EndpointIncarnation{ID: c.Endpoint}, lease.TakenOver{Token: c.Token, Running: claimed})
+	var reply claimReply
+	for _, run := range l.pendingRuns(c.Endpoint, c.Runs) { // A run may have finished meanwhile.
+		reply.Runs = append(reply.Runs, runMessage(run))
 	}
 	return reply
 }
 
+// pendingRuns returns those of the runs that were requested by this member and have not finished.
+func (l *Leases) pendingRuns(endpoint model.EndpointID, runs []runMessage) (pending []port.TaskRun) {
+	for _, run := range runs {
+		if l.pending(endpoint, port.TaskRun(run)) {
+			pending = append(pending, port.TaskRun(run))
+		}
+	}
+	return pending
+}
+
 // handleForwardedEnds applies the ends of runs that this member waits for.
 func (l *Leases) handleForwardedEnds(_ context.Context, _ model.NodeID, e endsMessage) emptyReply {
 	for _, end := range e.Ends {
@@ -91,10 +106,10 @@
 
 // queryClaims asks the other live members which of the runs at the endpoint they wait for, and applies
 // their replies.
-func (l *Leases) queryClaims(at port.EndpointIncarnation, runs []port.TaskRun) {
+func (l *Leases) queryClaims(at port.EndpointIncarnation, token uint64, runs []port.TaskRun) {
 	ctx, cancel := context.WithTimeout(l.baseCtx, claimTimeout)
 	defer cancel()
-	request := claimRequest{Endpoint: at.ID}
+	request := claimRequest{Endpoint: at.ID, Token: token}
 	for _, run := range runs {
 		request.Runs = append(request.Runs, runMessage(run))
 	}
