--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -88,8 +88,7 @@
 	stopInFlight  bool      // A stop order has no reply yet.
 	stopDueAt     time.Time // When to send the next stop order; zero when none is due.
 	stopAckedAt   time.Time // When the endpoint acknowledged the stop order.
-	// inheritedToken is the token of the start order, if it was sent to an earlier incarnation.
-	inheritedToken uint64
+	startToken    uint64    // Fencing token of the start order; 0 before it is sent.
 }
 
 // underLease reports whether the run may be running at the endpoint under this holder's lease.
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -37,7 +37,7 @@
 }
 
 func (m *Machine) sendStart(now time.Time, id port.TaskRun, r *run, fx *Effects) {
-	r.phase = startSent
+	r.phase, r.startToken = startSent, m.token
 	m.leaseExtendedAt = now
 	fx.Starts = append(fx.Starts, port.StartOrder{Run: id, Payload: r.payload, Until: m.leaseEnd(now), Token: m.token})
 	r.payload = nil
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -50,7 +50,7 @@
 func (m *Machine) settleAtSuccessor(id port.TaskRun, r *run, fx *Effects) {
 	r.phase, r.stopDueAt, r.payload = atSuccessor, time.Time{}, nil
 	fx.Successor = m.successor
-	fx.Settle = append(fx.Settle, SettleRequested{Run: id, Token: max(m.token, r.inheritedToken)})
+	fx.Settle = append(fx.Settle, SettleRequested{Run: id, Token: r.startToken})
 }
 
 // handleSettled finishes a run with its outcome at the successor. Without a result there, the run may have been
@@ -76,7 +76,7 @@
 	if m.runs[e.Run] != nil {
 		return
 	}
-	r := &run{phase: inherited, inheritedToken: e.Token}
+	r := &run{phase: inherited, startToken: e.Token}
 	switch {
 	case m.replaced && m.successor == "":
 		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLost, "another incarnation has replaced the endpoint"})
