That an endpoint leaves is acknowledged once it refuses the starts of all members

What callers saw: a task was started on an endpoint 2.6 s after the endpoint's announcement that it leaves had been acknowledged; allowed are 2 s. The endpoint may be gone before such a task has ended.

Cause: the acknowledgement meant that one member, the pool's owner by its own view, had recorded the announcement. Another member can take itself for the owner of that pool, or have the endpoint in another pool, and it uses the endpoint for up to the announcement's lease (15 s on the users' platform) after it last heard of it. Nothing brings the news to it in time, and a message could come late.

Why this fixes it: the member that records that a leased endpoint leaves now retires it before it acknowledges: it shows the endpoint a fencing token a year ahead of those under which members start runs. From then on the endpoint itself refuses every start, whatever the sender knows. The runs in progress continue: the member that retired the endpoint extends the lease for them, also for those that others wait for. An ordinary hold goes first, so that a late message of an earlier incarnation does not retire a later one with the same id. Where the endpoint does not answer, there is no acknowledgement, and the endpoint repeats its announcement.

--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -11,6 +11,10 @@
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
+// retireTimeout is the longest wait for an endpoint that leaves to refuse all starts. When it has not done so by then, its
+// announcement is not acknowledged, and the endpoint repeats it.
+const retireTimeout = announceInterval / 2
+
 // announcement is an endpoint's announcement that one member forwards to another. With Former it goes to a
 // former owner of the pool, which needs it to finish its work there.
 type announcement struct {
@@ -34,7 +38,7 @@
 	endpoint.Lease = p.lease()
 	ownership := port.Ownership{Owner: owner.Endpoints, Interval: announceInterval, Lease: endpoint.Lease}
 	if owner.ID == p.membership.Self().ID {
-		ownership.Recorded = p.recordAnnouncement(id, endpoint)
+		ownership.Recorded = p.recordAnnouncement(ctx, id, endpoint)
 		return ownership
 	}
 	ctx, cancel := context.WithTimeout(ctx, announceInterval/2)
@@ -54,7 +58,7 @@
 func (p *Pools) lease() time.Duration { return time.Duration(p.settings.LeaseMS) * time.Millisecond }
 
 // handleAnnounce handles an announcement that another member has forwarded. It is not forwarded again.
-func (p *Pools) handleAnnounce(_ context.Context, _ model.NodeID, a announcement) announceReply {
+func (p *Pools) handleAnnounce(ctx context.Context, _ model.NodeID, a announcement) announceReply {
 	id := p.poolOf(a.Endpoint)
 	owner := p.ownerOf(id)
 	recorded := false
@@ -63,7 +67,7 @@
 	case a.Former:
 		p.step(id, poolstate.Announced{Endpoint: a.Endpoint})
 	case owner.ID == p.membership.Self().ID:
-		recorded = p.recordAnnouncement(id, a.Endpoint)
+		recorded = p.recordAnnouncement(ctx, id, a.Endpoint)
 	}
 	return announceReply{owner.Endpoints, recorded}
 }
@@ -71,7 +75,10 @@
 // recordAnnouncement applies an announcement to the pool, and reports whether it did. A member whose
 // membership view is stale records none: others may own the pool by now, and the endpoint repeats its
 // announcement.
-func (p *Pools) recordAnnouncement(id model.PoolID, endpoint model.Endpoint) bool {
+//
+// That a leased endpoint leaves counts as recorded once it refuses the starts of all members. Other members may take
+// themselves for the pool's owner, or for that of another pool with this endpoint, and learn of it late or not at all.
+func (p *Pools) recordAnnouncement(ctx context.Context, id model.PoolID, endpoint model.Endpoint) bool {
 	if !p.liveness.Fresh() {
 		return false
 	}
@@ -80,9 +87,19 @@
 	if endpoint.Leased {
 		p.splitIfLarge(id)
 	}
+	if endpoint.Leased && endpoint.State == model.EndpointLeaving {
+		return p.retire(ctx, endpoint)
+	}
 	return true
 }
 
+// retire has an endpoint that leaves refuse all starts, and reports whether it does.
+func (p *Pools) retire(ctx context.Context, endpoint model.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
+	return p.tasks.Retire(ctx, endpoint.Address, endpoint.ID)
+}
+
 // otherMember returns a random member, other than the owner, to which an endpoint can announce itself
 // while the owner does not reply to this member. The other one may reach the owner, and learns soon of a
 // new owner.
--- a/plugins/endpoints/ownership_test.go
+++ b/plugins/endpoints/ownership_test.go
@@ -147,6 +147,8 @@
 	return port.RevokeReply{State: port.TaskRunning}
 }
 
+func (m *testMember) Retire(context.Context, string, model.EndpointID) bool { return true }
+
 // finish finishes one running task, no matter which.
 func (c *cluster) finish() {
 	c.mu.Lock()
--- a/plugins/endpoints/run_test.go
+++ b/plugins/endpoints/run_test.go
@@ -150,6 +150,8 @@
 	return m.tasks(ctx, s)
 }
 
+func (m *fakeMember) Retire(context.Context, string, model.EndpointID) bool { return true }
+
 func (m *fakeMember) Revoke(_ context.Context, _ string, revoke port.TaskRevoke) port.RevokeReply {
 	id := revoke.ID
 	return m.revokeReply(id)
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -28,6 +28,10 @@
 // StopRequested asks the machine to stop a run, or to keep it from starting.
 type StopRequested struct{ Run port.TaskRun }
 
+// RetireRequested asks the machine to retire an endpoint that leaves: to see to it that no member can start a run there
+// any more. Machine.Retired reports when that is certain. Runs in progress continue.
+type RetireRequested struct{}
+
 // StartReplied reports the endpoint's reply to a start order, or that none came.
 type StartReplied struct {
 	Run   port.TaskRun
@@ -61,14 +65,15 @@
 // Elapsed says that the time returned by NextTimer has come.
 type Elapsed struct{}
 
-func (StartRequested) event() {}
-func (StopRequested) event()  {}
-func (StartReplied) event()   {}
-func (StopReplied) event()    {}
-func (HoldReplied) event()    {}
-func (Claimed) event()        {}
-func (EndForwarded) event()   {}
-func (Elapsed) event()        {}
+func (StartRequested) event()  {}
+func (StopRequested) event()   {}
+func (RetireRequested) event() {}
+func (StartReplied) event()    {}
+func (StopReplied) event()     {}
+func (HoldReplied) event()     {}
+func (Claimed) event()         {}
+func (EndForwarded) event()    {}
+func (Elapsed) event()         {}
 
 // Effects are what the caller has to carry out. Each order is a request of its own: the caller reports
 // the reply to a start as StartReplied, to a stop as StopReplied, to a hold as HoldReplied, and the
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -20,6 +20,7 @@
 
 func (m *Machine) handleHoldReply(now time.Time, reply port.HoldReply, fx *Effects) {
 	m.holdInFlight = false
+	m.recordRetireReply(reply.State)
 	switch reply.State {
 	case port.OrderDone:
 		m.applyHoldReply(now, reply, fx)
@@ -67,9 +68,13 @@
 // nextHoldAt returns when the next hold is due; needed is false when none is.
 func (m *Machine) nextHoldAt(now time.Time) (at time.Time, needed bool) {
 	switch {
-	case m.replaced || now.Before(m.fencedUntil) && m.token != 0:
+	case m.replaced || m.awaitsRetiringToken():
 		return time.Time{}, false
-	case m.hasActiveRuns():
+	case m.retireHoldNeeded(now):
+		return m.retireHoldAt(), true
+	case now.Before(m.fencedUntil) && m.token != 0:
+		return time.Time{}, false
+	case m.needsLease():
 		return m.holdRetryAt, true
 	case m.lastEndAcked < m.lastEnd:
 		at = m.lastFinishedAt.Add(ackDelay)
@@ -84,9 +89,9 @@
 func (m *Machine) sendHold(now time.Time, fx *Effects) {
 	m.holdInFlight, m.holdSentAt, m.lastEndSent = true, now, m.lastEnd
 	order := port.HoldOrder{Seen: m.lastEnd, Token: m.token}
-	if m.tokenAccepted && m.hasActiveRuns() {
+	if (m.tokenAccepted || m.retirement.sent && !m.clockReadAt.IsZero()) && m.needsLease() {
 		order.Wait = time.Duration(holdWaitFraction * float64(m.config.MaxLease))
-		if m.failedHolds > 0 {
+		if m.failedHolds > 0 || m.retireHoldNeeded(now) {
 			order.Wait = 0
 		}
 		if m.failedHolds < maxFailedHolds {
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -54,6 +54,7 @@
 	lastEndAcked   uint64    // Newest end whose acknowledgement the endpoint has received.
 	lastFinishedAt time.Time // When the newest outcome of a run was reported.
 	fencedUntil    time.Time // Until then the endpoint is left to the holder that fenced this one.
+	retirement     retirement
 
 	runs map[port.TaskRun]*run
 	// foreignRuns are runs of other holders that a ClaimQuery asked about, with the live member that waits
@@ -101,6 +102,8 @@
 		m.handleStartRequest(now, e, &fx)
 	case StopRequested:
 		m.stopRequested(now, e.Run, &fx)
+	case RetireRequested:
+		m.handleRetireRequest(now, &fx)
 	case StartReplied:
 		m.handleStartReply(now, e, &fx)
 	case StopReplied:
@@ -139,6 +142,7 @@
 			fx.Stops = append(fx.Stops, port.StopOrder{Run: id, Token: m.token})
 		}
 	}
+	m.raiseRetiringToken(now)
 	if !m.holdInFlight && m.holdDue(now) {
 		m.sendHold(now, fx)
 	}
--- a/plugins/leases/lease/random_test.go
+++ b/plugins/leases/lease/random_test.go
@@ -237,6 +237,12 @@
 // that receives orders late or not at all and whose replies get lost. A longer run:
 // -rapid.checks=100000 -rapid.seed=1.
 func TestOutcomesMatchEndpointUnderRandomFaults(t *testing.T) {
+	checkRandomRuns(t, func(*simulation) {})
+}
+
+// checkRandomRuns runs random simulations and checks their outcomes. It calls check after each action.
+func checkRandomRuns(t *testing.T, check func(*simulation)) {
+	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
 		s := &simulation{t: t, now: startTime, machine: New(testConfig), outcomes: make(map[port.TaskRun]port.TaskState), endpoint: &fakeEndpoint{
 			now: startTime, running: make(map[port.TaskRun]bool), finished: make(map[port.TaskRun]bool),
@@ -259,7 +265,11 @@
 					s.endpoint.end(candidates[rapid.IntRange(0, len(candidates)-1).Draw(t, "which")], how)
 				}
 			}
+			if retire := rapid.IntRange(0, 19).Draw(t, "retire"); retire == 0 {
+				s.step(RetireRequested{})
+			}
 			s.runUntil(s.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond))
+			check(s)
 		}
 		for id, count := range s.endpoint.startCounts {
 			if state := s.outcomes[id]; count > 1 || state == port.TaskNotRun || state == port.TaskNoRoom || state == port.TaskLeasedElsewhere {
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -16,6 +16,9 @@
 		return
 	case m.runs[e.Run] != nil:
 		return
+	case m.retirement.requested:
+		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLeasedElsewhere, detailRetired})
+		return
 	}
 	m.renewToken(now)
 	r := &run{payload: e.Payload}
@@ -31,11 +34,15 @@
 	if m.token != 0 && (len(m.runs) > 0 || m.holdInFlight || now.Sub(m.lastFinishedAt) < tokenIdleTimeout) {
 		return
 	}
-	candidate := uint64(now.UnixMilli())<<holderBits | m.config.HolderID&(1<<holderBits-1)
-	m.token = max(candidate, m.token+1<<holderBits)
+	m.token = max(m.newToken(now), m.token+1<<holderBits)
 	m.tokenAccepted = false
 }
 
+// newToken returns this holder's fencing token of a time.
+func (m *Machine) newToken(at time.Time) uint64 {
+	return uint64(at.UnixMilli())<<holderBits | m.config.HolderID&(1<<holderBits-1)
+}
+
 func (m *Machine) sendStart(now time.Time, id port.TaskRun, r *run, fx *Effects) {
 	r.phase = startSent
 	m.leaseExtendedAt = now
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -65,6 +65,8 @@
 	at       port.EndpointIncarnation
 	machine  *lease.Machine
 	waiters  map[port.TaskRun][]chan lease.Finished // Each channel has a buffer of one, so that a send never blocks.
+	retired  chan struct{}                          // Closed once the machine reports that the endpoint is retired.
+	isClosed bool                                   // Whether that channel is closed.
 	timer    *time.Timer
 	lastUsed time.Time // When the newest event was applied.
 }
@@ -130,7 +132,7 @@
 	l.sessions.Do(at.ID, func(sessions map[model.EndpointID]*session) {
 		s, known := sessions[at.ID]
 		if !known {
-			s = &session{at: at, machine: lease.New(l.config), waiters: make(map[port.TaskRun][]chan lease.Finished)}
+			s = newSession(at, l.config)
 			sessions[at.ID] = s
 		}
 		now := time.Now()
@@ -140,6 +142,7 @@
 			s.waiters[w.run] = append(s.waiters[w.run], w.result)
 		}
 		fx = s.machine.Step(now, event)
+		s.signalRetired()
 		notifications = s.notifyFuncs(fx.Finished)
 		if w != nil && !s.machine.Pending(w.run) {
 			notifications = append(notifications, s.notifyFuncs([]lease.Finished{{Run: w.run, State: port.TaskLost, Detail: "the run had finished before"}})...)
@@ -152,6 +155,20 @@
 	l.execute(target, fx)
 }
 
+func newSession(at port.EndpointIncarnation, config lease.Config) *session {
+	return &session{
+		at: at, machine: lease.New(config), waiters: make(map[port.TaskRun][]chan lease.Finished), retired: make(chan struct{}),
+	}
+}
+
+// signalRetired releases those that wait for the endpoint to be retired, once it is.
+func (s *session) signalRetired() {
+	if s.machine.Retired() && !s.isClosed {
+		s.isClosed = true
+		close(s.retired)
+	}
+}
+
 // notifyFuncs removes the waiters for the runs and returns functions that send them the outcomes. They
 // are to be called without holding the lock.
 func (s *session) notifyFuncs(outcomes []lease.Finished) (notifications []func()) {
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -42,6 +42,27 @@
 	return port.RevokeReply{State: outcome.State}
 }
 
+// Retire retires the endpoint and waits until that is certain.
+func (t tasks) Retire(ctx context.Context, address string, endpoint model.EndpointID) bool {
+	t.leases.step(port.EndpointIncarnation{ID: endpoint, Address: address}, lease.RetireRequested{})
+	select {
+	case <-t.leases.retired(endpoint):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// retired returns a channel that is closed once the endpoint is retired; nil, if this member does not know it.
+func (l *Leases) retired(endpoint model.EndpointID) (retired <-chan struct{}) {
+	l.sessions.Do(endpoint, func(sessions map[model.EndpointID]*session) {
+		if s, known := sessions[endpoint]; known {
+			retired = s.retired
+		}
+	})
+	return retired
+}
+
 // pending reports whether the run was requested by this member and has not finished.
 func (l *Leases) pending(endpoint model.EndpointID, run port.TaskRun) (pending bool) {
 	l.sessions.Do(endpoint, func(sessions map[model.EndpointID]*session) {
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -186,6 +186,9 @@
 	return decodeRevokeReply(id, response)
 }
 
+// Retire reports false: the endpoints of this client run tasks without a lease and without fencing tokens.
+func (c *Client) Retire(context.Context, string, model.EndpointID) bool { return false }
+
 // revokeStates are the states that an endpoint may report in reply to a revoke.
 var revokeStates = []port.TaskState{port.TaskRevoked, port.TaskRunning, port.TaskDone, port.TaskStopped, port.TaskFailed}
 
