Endpoints that are handed over come to the pools that they belong to

What callers saw: after all control VMs had lost power at the same moment, jobs were refused or late for five seconds longer than the control VMs were away, and tasks started at endpoints whose leaving had been acknowledged.

Cause: a member that has just started takes a group for one pool until gossip tells it that the group is split, and as long as it knows no entry VM it owns that pool. It records announcements, and hands its pool over once it learns of the entry VMs. The receiver put all these endpoints into the first pool of the group, although it knew better where they belong. The endpoints announce themselves to the owners of their own pools, so that the receiver heard nothing more of them, and used them until the lease of 15 s had ended: beside their owners, which lost the lease on them again and again, and after they had announced that they leave.

Why this fixes it: the receiver assigns leased endpoints by its own number of pools and passes those that belong elsewhere on, as it does after a split. A handover tells the sender's number of pools, and the receiver uses the larger one: no two members send an endpoint back and forth. Both tests failed before.

--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -28,6 +28,7 @@
 	Pool      model.PoolID     `json:"pool"`
 	Endpoints []model.Endpoint `json:"endpoints,omitempty"`
 	Working   bool             `json:"working,omitempty"`
+	Parts     int              `json:"parts,omitempty"` // Number of pools in the group, as far as the sender knows.
 }
 
 // watchOwnership hands over the pools that have another owner after a change of the membership view. The
@@ -124,6 +125,7 @@
 			load = o.machine.Load()
 		}
 	})
+	message.Parts = p.partsIn(groupOf(id))
 	if first {
 		p.updateLoad(load) // Used until the next owner reports the load.
 	}
@@ -151,15 +153,37 @@
 			known[h.Pool][from] = time.Now().Add(formerOwnerExpiry)
 		})
 	}
+	p.raiseParts(groupOf(h.Pool), h.Parts)
 	p.adoptEndpoints(h)
 	return empty{}
 }
 
-// adoptEndpoints adds the endpoints of a handover to their pool.
+// adoptEndpoints adds the endpoints of a handover to their pool. Leased ones that belong to other pools are passed on to the
+// owners of these: the sender may not know yet that the group has been split.
 func (p *Pools) adoptEndpoints(h handover) {
+	elsewhere := make(map[model.PoolID][]model.Endpoint)
 	for _, e := range h.Endpoints {
+		if id := p.poolOf(e); e.Leased && id != h.Pool {
+			elsewhere[id] = append(elsewhere[id], e)
+			continue
+		}
 		p.step(h.Pool, poolstate.Announced{Endpoint: e})
 	}
+	p.passOn(elsewhere)
+}
+
+// passOn hands endpoints over to the owners of their pools. Each receiver knows at least as many pools in the group as this
+// member when it assigns them, so that they come to rest.
+func (p *Pools) passOn(endpoints map[model.PoolID][]model.Endpoint) {
+	for id, all := range endpoints {
+		message := handover{Pool: id, Endpoints: all, Parts: p.partsIn(groupOf(id))}
+		owner := p.ownerOf(id)
+		if owner.ID == p.membership.Self().ID {
+			p.adoptEndpoints(message)
+			continue
+		}
+		go p.sendHandover(p.baseCtx, owner.ID, message)
+	}
 }
 
 // forwardToFormerOwners forwards an announcement to former owners that still have work in the pool.
--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -1,7 +1,6 @@
 package endpoints
 
 import (
-	"context"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -193,17 +192,5 @@
 		return
 	}
 	p.step(id, poolstate.Departed{Endpoints: moved})
-	for next, endpoints := range leaving {
-		message := handover{Pool: next, Endpoints: endpoints}
-		owner := p.ownerOf(next)
-		if owner.ID == p.membership.Self().ID {
-			p.adoptEndpoints(message)
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(p.baseCtx, announceInterval)
-			defer cancel()
-			p.sendHandover(ctx, owner.ID, message)
-		}()
-	}
+	p.passOn(leaving)
 }
--- a/plugins/endpoints/parts_test.go
+++ b/plugins/endpoints/parts_test.go
@@ -123,6 +123,60 @@
 	})
 }
 
+// Pattern: a member that does not know that a group has been split, such as one that has just started, hands its pool over.
+// Guards against endpoints that stay in a pool which they do not belong to: its owner gets no announcements of them, uses
+// them beside the owners of their pools, and does not learn that they leave.
+func TestHandoverOfUnsplitPoolBringsEndpointsToTheirPools(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n, _, owner, _ := newPair(t)
+		second := port.Node{ID: "second", Incarnation: "s1", DataCentre: "sj1"}
+		other, _ := newPools(t, n, second)
+		n.setAlive(origin1, owner1, second)
+		for _, p := range []*Pools{owner, other} {
+			p.raiseParts(testGroup, 8)
+		}
+		receiver := owner // The owner of the first of the pools.
+		if owner.ownerOf(pool1).ID == second.ID {
+			receiver = other
+		}
+		receiver.handleHandover(t.Context(), "started-just-now", handover{Pool: pool1, Endpoints: leasedEndpoints(24), Parts: 1})
+		time.Sleep(time.Second) // On the virtual clock: until the endpoints have been passed on.
+		synctest.Wait()
+		for _, p := range []*Pools{owner, other} {
+			expected := make(map[int]int)
+			for _, e := range leasedEndpoints(24) {
+				if id := p.poolOf(e); p.owns(id) {
+					expected[id.Part]++
+				}
+			}
+			if p == owner {
+				expected[0]++ // The pair's endpoint without a lease, which stays where it announces itself.
+			}
+			is.Equal(p.servingByPart(), expected)
+		}
+	})
+}
+
+// Pattern: the receiver of a handover does not know that the group has been split. Guards against endpoints that the two
+// send back and forth.
+func TestHandoverTellsTheNumberOfPools(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n, _, owner, _ := newPair(t)
+		second := port.Node{ID: "second", Incarnation: "s1", DataCentre: "sj1"}
+		other, _ := newPools(t, n, second)
+		for _, e := range leasedEndpoints(24) {
+			owner.step(pool1, poolstate.Announced{Endpoint: e})
+		}
+		n.setAlive(origin1, owner1, second)
+		owner.raiseParts(testGroup, 8)
+		time.Sleep(time.Second) // On the virtual clock: for the handovers.
+		synctest.Wait()
+		is.Equal(other.partsIn(testGroup), 8)
+		is.Equal(total(owner.servingByPart())-1+total(other.servingByPart()), 24)
+		is.True(n.calls[methodHandover] <= 8)
+	})
+}
+
 // Pattern: a large group whose endpoints the hash spreads unevenly. Guards against all its pools being halved for one that
 // is larger than the others: jobs of many tasks then fit into none of them.
 func TestPoolThatIsLargeByChanceIsNotSplit(t *testing.T) {
