A forwarded announcement tells both members how many pools there are

What callers saw: endpoints' announcements were answered with 503 for three seconds after all control VMs had started again, and so would be the announcement that an endpoint leaves, which has to be acknowledged within 4 s.

Cause: a member that has just started takes a group for one pool until gossip tells it of the split. It forwarded each announcement to the owner of the first pool, who did not own the endpoint's pool and recorded nothing.

The test failed before this change.

Why this fixes it: the request and the reply tell the number of pools that their senders know, and both use the larger one from then on. When the reply tells a larger one, the announcement goes to the owner by that number at once.

--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -204,7 +204,7 @@
 			ctx, cancel := context.WithTimeout(p.baseCtx, announceInterval/2)
 			defer cancel()
 			var ignored announceReply
-			p.peers.Call(ctx, node, methodAnnounce, announcement{endpoint, true}, &ignored)
+			p.peers.Call(ctx, node, methodAnnounce, announcement{Endpoint: endpoint, Former: true}, &ignored)
 		}()
 	}
 }
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -20,6 +20,7 @@
 type announcement struct {
 	Endpoint model.Endpoint `json:"endpoint"`
 	Former   bool           `json:"former,omitempty"`
+	Parts    int            `json:"parts,omitempty"` // Number of pools in the endpoint's group, as far as the sender knows.
 }
 
 // announceReply is the reply to a forwarded announcement: the pool's owner by the view of the member that
@@ -27,11 +28,12 @@
 type announceReply struct {
 	Owner    string `json:"owner"` // ip:port of its listener for endpoints.
 	Recorded bool   `json:"recorded,omitempty"`
+	Parts    int    `json:"parts,omitempty"` // Number of pools in the endpoint's group, as far as that member knows.
 }
 
 // Announce records the announcement when this member owns the pool, and otherwise forwards it to the
-// owner, which does not forward it again. The endpoint sends its next announcements to the owner in the
-// result.
+// owner, which does not forward it again. When that one knows of more pools in the group, the announcement is sent to the
+// owner by that number. The endpoint sends its next announcements to the owner in the result.
 func (p *Pools) Announce(ctx context.Context, endpoint model.Endpoint) port.Ownership {
 	id := p.poolOf(endpoint)
 	owner := p.ownerOf(id)
@@ -44,11 +46,15 @@
 	ctx, cancel := context.WithTimeout(ctx, announceInterval/2)
 	defer cancel()
 	var reply announceReply
-	if p.peers.Call(ctx, owner.ID, methodAnnounce, announcement{Endpoint: endpoint}, &reply) != port.Delivered {
+	if p.peers.Call(ctx, owner.ID, methodAnnounce, announcement{Endpoint: endpoint, Parts: p.partsIn(groupOf(id))}, &reply) != port.Delivered {
 		p.liveness.RequestProbe(owner.ID)
 		ownership.Owner = p.otherMember(id, owner).Endpoints
 		return ownership
 	}
+	if !reply.Recorded && reply.Parts > p.partsIn(groupOf(id)) && reply.Parts <= maxParts {
+		p.raiseParts(groupOf(id), reply.Parts)
+		return p.Announce(ctx, endpoint)
+	}
 	ownership.Owner = reply.Owner // The replying member may know a newer owner.
 	ownership.Recorded = reply.Recorded
 	return ownership
@@ -59,6 +65,7 @@
 
 // handleAnnounce handles an announcement that another member has forwarded. It is not forwarded again.
 func (p *Pools) handleAnnounce(ctx context.Context, _ model.NodeID, a announcement) announceReply {
+	p.raiseParts(poolGroup{a.Endpoint.Service, a.Endpoint.DataCentre}, a.Parts)
 	id := p.poolOf(a.Endpoint)
 	owner := p.ownerOf(id)
 	recorded := false
@@ -69,7 +76,7 @@
 	case owner.ID == p.membership.Self().ID:
 		recorded = p.recordAnnouncement(ctx, id, a.Endpoint)
 	}
-	return announceReply{owner.Endpoints, recorded}
+	return announceReply{owner.Endpoints, recorded, p.partsIn(groupOf(id))}
 }
 
 // recordAnnouncement applies an announcement to the pool, and reports whether it did. A member whose
--- a/plugins/endpoints/parts_test.go
+++ b/plugins/endpoints/parts_test.go
@@ -157,6 +157,25 @@
 	})
 }
 
+// Pattern: an endpoint announces itself to a member that does not know that the group has been split, such as a control VM
+// that has just started. Guards against announcements that nobody records until gossip has told the member of the split.
+func TestAnnouncementOverAMemberThatDoesNotKnowOfASplitIsRecorded(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n, origin, owner, _ := newPair(t)
+		second := port.Node{ID: "second", Incarnation: "s1", DataCentre: "sj1"}
+		other, _ := newPools(t, n, second)
+		n.setAlive(origin1, owner1, second)
+		for _, p := range []*Pools{owner, other} {
+			p.raiseParts(testGroup, 8)
+		}
+		for _, e := range leasedEndpoints(24) {
+			is.True(origin.Announce(t.Context(), e).Recorded)
+		}
+		is.Equal(origin.partsIn(testGroup), 8)
+		is.True(n.calls[methodAnnounce] <= 25) // Only the first one goes to a member that does not own its pool.
+	})
+}
+
 // Pattern: the receiver of a handover does not know that the group has been split. Guards against endpoints that the two
 // send back and forth.
 func TestHandoverTellsTheNumberOfPools(t *testing.T) {
