An endpoint is not retired by a late announcement of an earlier incarnation

What callers would have seen: an endpoint that had started again at its address lost the runs in progress, when a late announcement of its earlier incarnation said that it leaves.

Cause: retiring an endpoint begins with a hold under an ordinary token, which tells whether the incarnation that leaves still answers. The later incarnation accepts that token, and so the member that starts runs there is fenced. The member does that to itself, too, where it has recorded the later incarnation and the announcement is outdated.

Evidence: the test fails without this change in the case of a member that knows the later incarnation: the endpoint has seen a higher token. It also shows that the later incarnation stays usable when another member, which does not know it, receives the announcement; there the runs in progress may end.

Why this fixes it: an endpoint is retired only if it leaves by what its pool's state has recorded last, and that ignores outdated announcements.

--- a/plugins/endpoints/leaving_test.go
+++ b/plugins/endpoints/leaving_test.go
@@ -139,6 +139,12 @@
 	return len(e.started)
 }
 
+func (e *leasedEndpoint) newestToken() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.token
+}
+
 // leasedMember is a testMember whose tasks run under leases at a leasedEndpoint.
 type leasedMember struct {
 	*testMember
@@ -260,3 +266,35 @@
 		is.Equal(e.startCount(), 2)
 	})
 }
+
+// Pattern: an endpoint has started again under its id, and an announcement of the earlier incarnation that it leaves comes
+// late. Guards against the later one being taken out of use, or its runs being ended: by a member that knows it and by one
+// that does not.
+func TestLateAnnouncementOfAnEarlierIncarnationRetiresNothing(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			a, b, e := newLeasedPair(t, is)
+			later := leasedAnnouncement(1, model.EndpointServing)
+			later.ID, later.Born = "e1@2", 2
+			e.born = later.ID
+			is.True(a.announce(later).Recorded)
+			receiver := b
+			if known {
+				receiver = a
+			}
+			result := a.runBatch(a, 0, 2)
+			time.Sleep(leasedRunTime / 2)
+			token := e.newestToken()
+			receiver.announce(leasedAnnouncement(7, model.EndpointLeaving))
+			if known {
+				is.Equal(e.newestToken(), token)
+				is.Equal(countDone(<-result), 2)
+			}
+			time.Sleep(5 * time.Second)
+			later.Sequence = 2
+			is.True(a.announce(later).Recorded)
+			is.Equal(countDone(<-a.runBatch(a, 1, 2)), 2)
+		})
+	}
+}
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -94,12 +94,19 @@
 	if endpoint.Leased {
 		p.splitIfLarge(id)
 	}
-	if endpoint.Leased && endpoint.State == model.EndpointLeaving {
+	if endpoint.Leased && p.leaves(id, endpoint.ID) {
 		return p.retire(ctx, endpoint)
 	}
 	return true
 }
 
+// leaves reports whether the endpoint leaves by its newest announcement. It does not when the announcement that says so was
+// overtaken by one of a later incarnation at its address: that one must not be retired.
+func (p *Pools) leaves(id model.PoolID, endpoint model.EndpointID) (leaves bool) {
+	p.withPool(id, func(o *pool) { leaves = o.machine.Leaves(endpoint) })
+	return leaves
+}
+
 // retire has an endpoint that leaves refuse all starts, and reports whether it does.
 func (p *Pools) retire(ctx context.Context, endpoint model.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -80,6 +80,12 @@
 	return e.capacity()
 }
 
+// Leaves reports whether the endpoint is known and its newest announcement says that it leaves.
+func (m *Machine) Leaves(id model.EndpointID) bool {
+	e, known := m.endpoints[id]
+	return known && e.live && e.State == model.EndpointLeaving
+}
+
 func (m *Machine) handleAnnouncement(now time.Time, a *model.Endpoint, fx *Effects) {
 	e, known := m.endpoints[a.ID]
 	if m.isOutdated(a, e) {
