The order to cancel a batch is repeated until its pool's owner has answered it

A job whose caller had gone could go on running at another member for as long as its tasks took, so that the caller's next submission, 1.3 s later, ran beside it.

Cause: the order was sent once. When the connection between the members broke together with that of the caller, the order was lost. The request for the result was repeated over a new connection, which told the pool's owner that somebody still waited for the batch, so that the rule for orphaned batches did not end it either.

Evidence: TestBatchIsCancelledWhenTheFirstOrderToCancelItIsLost failed before with both runs still at work half a second after the cancellation.

The order is repeated over new connections, 50 ms apart as the request for the result is, until it is answered, the batch's call has ended or the owner is no longer considered alive. It is idempotent: it fences a batch that has not arrived and joins one that has.

--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -116,9 +116,21 @@
 	return decodeResult(batch.ID, reply)
 }
 
+// sendCancel cancels the batch at its owner. While no reply arrives, it repeats the request over new connections: the
+// connection over which the batch was sent may have broken together with that of the job's caller.
 func (p *Pools) sendCancel(ctx context.Context, b outgoingBatch, batch model.Batch) {
-	var ignored empty
-	p.peers.Call(ctx, b.owner.ID, methodCancel, batchRef{p.envelope(b), batch.ID, batch.Pool}, &ignored)
+	request := batchRef{p.envelope(b), batch.ID, batch.Pool}
+	for callCtx := ctx; ; {
+		var ignored empty
+		sentAt := time.Now()
+		if p.peers.Call(callCtx, b.owner.ID, methodCancel, request, &ignored) == port.Delivered {
+			return
+		}
+		if _, alive := p.member(b.owner.ID); !alive || !wait.For(ctx, resumePause) {
+			return
+		}
+		callCtx = port.FreshConnection(ctx, sentAt)
+	}
 }
 
 // unknownResult returns a result by which every task of the batch may have run.
--- a/plugins/endpoints/turns_test.go
+++ b/plugins/endpoints/turns_test.go
@@ -174,3 +174,22 @@
 		})
 	}
 }
+
+// Guards against runs that go on, and start again when the caller submits its job again, because the order to cancel
+// their batch was lost together with a connection.
+func TestBatchIsCancelledWhenTheFirstOrderToCancelItIsLost(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n, origin, _, atOwner := newPair(t)
+		r := useRuns(atOwner)
+		n.faults[methodCancel] = []fault{dropRequest, dropRequest}
+		ctx, cancel := context.WithCancel(t.Context())
+		go origin.Run(ctx, "owner", repeatableBatch())
+		time.Sleep(10 * time.Millisecond) // On the virtual clock: the runs are at work.
+		before := r.atWork()
+		cancel()
+		time.Sleep(runTime / 2) // On the virtual clock: longer than a stop takes, shorter than the runs.
+		after := r.atWork()
+		time.Sleep(runTime) // On the virtual clock: the runs have ended by themselves.
+		is.Equal([]int{before, after}, []int{2, 0})
+	})
+}
