A request that is read from a broken connection submits no job

Cause: a caller whose connection breaks before its request was read sends its job again at once, to any entry VM. The first VM, when it is slow, still finds the request in the socket's receive buffer and starts the job, up to 20 ms after the connection broke. The request's context ends only a moment after the request was read, when the server's next read of the connection fails, so that the tasks have started by then and have to be stopped, while the other VM runs them.

The state of the connection is read, without waiting, right before the job is submitted. Nothing has run then, and the request is refused like others that were not submitted. It is no guarantee: a connection that breaks after that still has its job cancelled while another member may start it; see the decision on one run of a task at a time.

--- a/plugins/frontend/web/web.go
+++ b/plugins/frontend/web/web.go
@@ -37,7 +37,7 @@
 // NewServer returns a server for handler at address, ip:port.
 func NewServer(address string, handler http.Handler) *Server {
 	s := &Server{address: address}
-	s.server = &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.server = &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: withConnection}
 	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.keepAlivesOff.Load() {
 			w.Header().Set("Connection", "close")
