--- a/plugins/leases/lease/retire_test.go
+++ b/plugins/leases/lease/retire_test.go
@@ -13,7 +13,7 @@
 // ordinaryToken returns the highest token under which any member starts runs at the harness's time, if its clock is ten
 // seconds ahead.
 func (h *harness) ordinaryToken() uint64 {
-	return uint64(h.now.Add(10 * time.Second).UnixMilli()+1) << holderBits
+	return uint64(h.now.Add(10*time.Second).UnixMilli()+1) << holderBits
 }
 
 // Pattern: an endpoint that this member has not called before leaves. Guards against a retirement that is reported before
@@ -142,7 +142,7 @@
 				return
 			}
 			s.endpoint.now = s.now
-			ordinary := uint64(s.now.Add(10 * time.Second).UnixMilli()) << holderBits
+			ordinary := uint64(s.now.Add(10*time.Second).UnixMilli()) << holderBits
 			is.Equal(s.endpoint.start(port.StartOrder{Run: testRun(-1), Token: ordinary}).State, port.OrderFenced)
 		})
 	})
