An order to cancel that overtakes the submission of its batch cancels it

What callers saw: a task can run twice at the same time. A job whose caller's connection broke is cancelled; an order to cancel that arrived at the pool's owner between the request for the batch and its submission to the pool found the batch in the ledger, but not in the pool. It was answered all the same, and is not repeated once it has been answered. The batch ran to its end, beside the resent job.

Cause: the ledger knows a batch before its pool does.

Evidence: TestBatchIsCancelledByAnOrderThatArrivesBeforeItsSubmission, `go test ./plugins/endpoints`; before the change "cancel_test.go: 2 != 0" runs were at work half a second after the order.

Why this works: the order is recorded with the batch's waiter before the pool is told; the request looks after the submission. One of the two comes second and finds what the other has left.

--- a/plugins/endpoints/serve.go
+++ b/plugins/endpoints/serve.go
@@ -20,6 +20,7 @@
 	pool             model.PoolID
 	cancelIfOrphaned bool // Whether the batch is cancelled when its origin no longer waits for it.
 	requests         int  // Number of the origin's requests that wait for the result; guarded by the lock of the origin's shard.
+	cancelled        bool // The origin has cancelled the batch; guarded by the same lock.
 }
 
 type incarnationKey struct {
@@ -57,6 +58,7 @@
 		p.recordSender(from)
 		w.pool, w.cancelIfOrphaned = r.Pool, r.Key != ""
 		p.submit(decodeBatch(from, r), w)
+		p.cancelIfOrdered(r.ID, w)
 	}
 	return p.awaitResult(ctx, r.ID, w, verdict)
 }
@@ -76,12 +78,23 @@
 	if !p.addressedToSelf(r.envelope) {
 		return empty{}
 	}
-	if _, verdict := p.applyToLedger(from, r.envelope, ledger.Queried{Sequence: r.Sequence, Settled: r.Settled}); verdict == ledger.Join {
+	if w, verdict := p.applyToLedger(from, r.envelope, ledger.Queried{Sequence: r.Sequence, Settled: r.Settled}); verdict == ledger.Join {
+		p.withOrigin(w.origin, func(*origin) { w.cancelled = true })
 		p.step(r.Pool, poolstate.Cancelled{Batch: r.ID})
 	}
 	return empty{}
 }
 
+// cancelIfOrdered cancels a batch that has just been submitted to its pool, if the order to cancel it came before that: the
+// pool did not know the batch then.
+func (p *Pools) cancelIfOrdered(id model.BatchID, w *waiter) {
+	cancelled := false
+	p.withOrigin(w.origin, func(*origin) { cancelled = w.cancelled })
+	if cancelled {
+		p.step(w.pool, poolstate.Cancelled{Batch: id})
+	}
+}
+
 // addressedToSelf reports whether a message was sent to this incarnation, or to any.
 func (p *Pools) addressedToSelf(e envelope) bool {
 	return e.Target == "" || e.Target == p.membership.Self().Incarnation
