A revoke that finds its run ended waits until the reply to the start has been applied

What callers saw: a task that is done runs a second time; a job without repeats may be reported as failed although it is done. The endpoint's announcements had expired, so that its tasks were revoked without a stop, just when a run ended there.

Cause: the call of the start was marked as returned before its reply was applied to the pool. In between, a revoke found neither the run nor a call that might still register it; its reply "lost" could reach the pool before the answer.

Why this works: the mark follows the reply's step. An attempt that this step released is unknown to the pool, and the late reply of the revoke is ignored.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -383,9 +383,9 @@
 		return
 	}
 	reply, took := p.callStart(c.ctx, s)
-	p.withPool(id, func(*pool) { c.returned = true })
 	p.logTaskEnded(id, s, reply, took)
 	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
+	p.withPool(id, func(*pool) { c.replied = true })
 }
 
 // callStart sends a start and waits for its reply, unless this member's view of the others is stale.
@@ -403,7 +403,7 @@
 	return reply, time.Since(startedAt)
 }
 
-// registerPause is the time before a revoke that found no run is repeated while the call of its start has not returned.
+// registerPause is the time before a revoke that found no run is repeated while the reply to its start has not been applied.
 const registerPause = 5 * time.Millisecond
 
 // revokeTask revokes an attempt at its endpoint and applies the reply to the pool.
@@ -418,7 +418,7 @@
 }
 
 // callRevoke withdraws a start that has not been sent, or sends the revoke. A revoke that finds no run is repeated while
-// the call of the start has not returned: the call may register the run later.
+// the reply to the start has not been applied: the call may register the run later, or the run may just have ended.
 func (p *Pools) callRevoke(id model.PoolID, r poolstate.Revoke) port.RevokeReply {
 	revoked := attempt{r.Task, r.Attempt}
 	if p.withdraw(id, revoked) {
@@ -429,7 +429,7 @@
 			ID: r.Task, Endpoint: r.Endpoint, Attempt: r.Attempt, Stop: r.Stop, ReplacedBy: r.ReplacedBy,
 			Key: r.Key, Index: r.Task.Index(),
 		})
-		if reply.State != port.TaskLost || !p.mayBeUnregistered(id, revoked) {
+		if reply.State != port.TaskLost || !p.awaitsReply(id, revoked) {
 			return reply
 		}
 		if !wait.For(p.baseCtx, registerPause) {
--- a/plugins/endpoints/turns.go
+++ b/plugins/endpoints/turns.go
@@ -82,7 +82,7 @@
 	cancel    context.CancelFunc
 	withdrawn bool // The start must not be sent any more.
 	sent      bool // The start was given to port.Tasks.
-	returned  bool // The call of port.Tasks has returned.
+	replied   bool // The reply of port.Tasks has been applied to the pool.
 }
 
 // updateCalls adds the attempts that a step starts, and removes and ends the calls of those that it has released. It is called under the lock of
@@ -131,12 +131,12 @@
 	return withdrawn
 }
 
-// mayBeUnregistered reports whether the call of an attempt's start has not returned, so that port.Tasks may not know the
-// run yet.
-func (p *Pools) mayBeUnregistered(id model.PoolID, a attempt) (unregistered bool) {
+// awaitsReply reports whether an attempt's start was sent and its reply has not been applied to the pool. Port.Tasks may not
+// know the run yet, or no more.
+func (p *Pools) awaitsReply(id model.PoolID, a attempt) (awaits bool) {
 	p.withPool(id, func(o *pool) {
 		c := o.inFlight[a]
-		unregistered = c != nil && c.sent && !c.returned
+		awaits = c != nil && c.sent && !c.replied
 	})
-	return unregistered
+	return awaits
 }
