--- /dev/null
+++ b/plugins/endpoints/attempts.go
@@ -0,0 +1,154 @@
+package endpoints
+
+import (
+	"context"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/wait"
+	"redwingpulley/plugins/endpoints/poolstate"
+)
+
+// attempt identifies one start of a task.
+type attempt struct {
+	task   model.TaskID
+	number int
+}
+
+// call is an attempt whose task occupies its endpoint. Its fields are guarded by the lock of the pool's shard.
+type call struct {
+	ctx       context.Context // Ends at the batch's deadline, or when the attempt is withdrawn or released.
+	cancel    context.CancelFunc
+	withdrawn bool // The start must not be sent any more.
+	sent      bool // The start was given to port.Tasks.
+	replied   bool // The reply of port.Tasks has been applied to the pool.
+}
+
+// updateCalls adds the attempts that a step starts, and removes and ends the calls of those that it has released. It is
+// called under the lock of the pool's shard, so that no revoke of an attempt is handled before it is known.
+func (p *Pools) updateCalls(o *pool, fx *poolstate.Effects) {
+	for _, r := range fx.Released {
+		a := attempt{r.Task, r.Attempt}
+		if c := o.inFlight[a]; c != nil {
+			c.withdrawn = true
+			c.cancel()
+			delete(o.inFlight, a)
+		}
+	}
+	for _, s := range fx.Starts {
+		c := &call{}
+		c.ctx, c.cancel = context.WithDeadline(p.baseCtx, s.Deadline)
+		o.inFlight[attempt{s.Task, s.Attempt}] = c
+	}
+}
+
+// callOf returns the call of an attempt, or nil when the pool has released the attempt.
+func (p *Pools) callOf(id model.PoolID, a attempt) (c *call) {
+	p.withPool(id, func(o *pool) { c = o.inFlight[a] })
+	return c
+}
+
+// markSent reports whether the start of a call may be sent, and then records that it is.
+func (p *Pools) markSent(id model.PoolID, c *call) (sent bool) {
+	p.withPool(id, func(*pool) {
+		c.sent = !c.withdrawn && c.ctx.Err() == nil
+		sent = c.sent
+	})
+	return sent
+}
+
+// withdraw keeps the start of an attempt from being sent. It reports false when the start may have been sent.
+func (p *Pools) withdraw(id model.PoolID, a attempt) (withdrawn bool) {
+	p.withPool(id, func(o *pool) {
+		c := o.inFlight[a]
+		if c == nil || c.sent {
+			return
+		}
+		c.withdrawn, withdrawn = true, true
+		c.cancel()
+	})
+	return withdrawn
+}
+
+// awaitsReply reports whether an attempt's start was sent and its reply has not been applied to the pool. Port.Tasks may not
+// know the run yet, or no more.
+func (p *Pools) awaitsReply(id model.PoolID, a attempt) (awaits bool) {
+	p.withPool(id, func(o *pool) {
+		c := o.inFlight[a]
+		awaits = c != nil && c.sent && !c.replied
+	})
+	return awaits
+}
+
+// startTask starts a task at its endpoint and applies the reply to the pool. It first waits for the known end of an
+// earlier run of the task. The start of an attempt that is revoked before then is never sent; its revoke ends it.
+func (p *Pools) startTask(id model.PoolID, s poolstate.Start) {
+	started := attempt{s.Task, s.Attempt}
+	c := p.callOf(id, started)
+	if c == nil {
+		return
+	}
+	defer c.cancel()
+	if !p.takeTurn(c.ctx, id, s) {
+		return
+	}
+	if !p.markSent(id, c) {
+		p.endTurn(id, refOf(s.Key, s.Task), started)
+		return
+	}
+	reply, took := p.callStart(c.ctx, s)
+	p.logTaskEnded(id, s, reply, took)
+	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
+	p.withPool(id, func(*pool) { c.replied = true })
+}
+
+// callStart sends a start and waits for its reply, unless this member's view of the others is stale.
+func (p *Pools) callStart(ctx context.Context, s poolstate.Start) (reply port.TaskReply, took time.Duration) {
+	if !p.liveness.Fresh() {
+		// This process was paused, or has not yet reached another member. Others may own the pool by now.
+		return port.TaskReply{State: port.TaskNoRoom, Detail: "this member's view of the others is stale"}, 0
+	}
+	p.instruments.starts.Inc(1)
+	startedAt := time.Now()
+	reply = p.tasks.Start(ctx, s.Address, port.TaskStart{
+		ID: s.Task, Endpoint: s.Endpoint, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(),
+		Payload: s.Payload, Key: s.Key, Index: s.Task.Index(),
+	})
+	return reply, time.Since(startedAt)
+}
+
+// registerPause is the time before a revoke that found no run is repeated while the reply to its start has not been applied.
+const registerPause = 5 * time.Millisecond
+
+// revokeTask revokes an attempt at its endpoint and applies the reply to the pool.
+func (p *Pools) revokeTask(id model.PoolID, r poolstate.Revoke) {
+	if !wait.For(p.baseCtx, r.After) {
+		return
+	}
+	sentAt := time.Now()
+	reply := p.callRevoke(id, r)
+	p.logTaskRevoked(id, r, reply, time.Since(sentAt))
+	p.step(id, poolstate.RevokeReplied{Task: r.Task, Attempt: r.Attempt, Reply: reply})
+}
+
+// callRevoke withdraws a start that has not been sent, or sends the revoke. A revoke that finds no run is repeated while
+// the reply to the start has not been applied: the call may register the run later, or the run may just have ended.
+func (p *Pools) callRevoke(id model.PoolID, r poolstate.Revoke) port.RevokeReply {
+	revoked := attempt{r.Task, r.Attempt}
+	if p.withdraw(id, revoked) {
+		return port.RevokeReply{State: port.TaskRevoked}
+	}
+	for {
+		reply := p.tasks.Revoke(p.baseCtx, r.Address, port.TaskRevoke{
+			ID: r.Task, Endpoint: r.Endpoint, Attempt: r.Attempt, Stop: r.Stop, ReplacedBy: r.ReplacedBy,
+			Key: r.Key, Index: r.Task.Index(),
+		})
+		if reply.State != port.TaskLost || !p.awaitsReply(id, revoked) {
+			return reply
+		}
+		if !wait.For(p.baseCtx, registerPause) {
+			return port.RevokeReply{State: port.TaskUnknown}
+		}
+	}
+}
