A lease is extended only while somebody waits for each run at the endpoint

A task could run twice when its pool's owner was cut off or killed and another member took the endpoint over.

Cause: a holder that does not reach an endpoint takes its runs for ended when the lease that it extended last has certainly expired, 1.07 s later; the caller of a VM that died relies on the same bound, since it sends its job again after 1.3 s. But the lease is one for all runs, and the next holder's first start extended it, while that holder was still asking who waits for the runs that it had found, or had only sent the order to stop them: the end of the earlier run depended on a message arriving. With a stop that was lost, the run went on until the next list, query and stop.

Evidence: TestLeaseIsNotExtendedWhileARunIsListedThatNobodyWaitsFor failed before: a start was sent with the first list.

Now the next holder asks first, which takes one round trip where the runs are claimed, and extends the lease (by a start or a hold) only while each run that it did not start has been claimed. It stops the others and repeats that with each list; if all stops are lost, the endpoint itself ends them with the former holder's lease. An answered query no longer waits for members whose answers cannot matter.

TestRetiredEndpointIsHeldUntilRunsOfOthersHaveEnded expected the lease to be extended before the claims were known. It now expects the same extension at the moment at which they are, and no hold without it before.

--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -47,7 +47,7 @@
 		m.lastEnd = end.Number
 		if !m.Pending(end.Run) {
 			m.keepUnclaimedEnd(end)
-			fx.ForwardEnds = append(fx.ForwardEnds, ForwardedEnd{end, m.foreignRuns[end.Run]})
+			fx.ForwardEnds = append(fx.ForwardEnds, ForwardedEnd{end, m.claimantOf(end.Run)})
 			delete(m.foreignRuns, end.Run)
 			continue
 		}
@@ -70,7 +70,7 @@
 // nextHoldAt returns when the next hold is due; needed is false when none is.
 func (m *Machine) nextHoldAt(now time.Time) (at time.Time, needed bool) {
 	switch {
-	case m.replaced || m.awaitsRetiringToken():
+	case m.replaced || m.awaitsRetiringToken() || m.claimQueryInFlight:
 		return time.Time{}, false
 	case m.retireHoldNeeded(now):
 		return m.retireHoldAt(), true
@@ -99,7 +99,7 @@
 		if m.failedHolds > 0 || m.retireHoldNeeded(now) {
 			order.Wait = 0
 		}
-		if m.failedHolds < maxFailedHolds {
+		if m.failedHolds < maxFailedHolds && m.mayExtend() {
 			order.Until = m.leaseEnd(now)
 			m.leaseExtendedAt = now
 		}
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -1,9 +1,7 @@
 package lease
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"redwingpulley/kernel/model"
@@ -59,9 +57,9 @@
 	retirement     retirement
 
 	runs map[port.TaskRun]*run
-	// foreignRuns are runs of other holders that a ClaimQuery asked about, with the live member that waits
-	// for the run; "" when none has claimed it yet.
-	foreignRuns map[port.TaskRun]model.NodeID
+	// foreignRuns are the runs of other holders that the endpoint has listed last.
+	foreignRuns        map[port.TaskRun]*foreignRun
+	claimQueryInFlight bool // A ClaimQuery has not been answered. No hold is sent meanwhile.
 	// unclaimedEnds are the latest ends of runs that were not requested here, oldest first.
 	unclaimedEnds []port.RunEnd
 }
@@ -100,7 +98,7 @@
 // New returns the machine of an endpoint that this member has not called yet.
 func New(config Config) *Machine {
 	return &Machine{
-		config: config, runs: make(map[port.TaskRun]*run), foreignRuns: make(map[port.TaskRun]model.NodeID),
+		config: config, runs: make(map[port.TaskRun]*run), foreignRuns: make(map[port.TaskRun]*foreignRun),
 	}
 }
 
@@ -121,7 +119,7 @@
 	case HoldReplied:
 		m.handleHoldReply(now, e.Reply, &fx)
 	case Claimed:
-		m.handleClaims(e, &fx)
+		m.handleClaims(now, e, &fx)
 	case TakenOver:
 		m.handleTakeover(now, e, &fx)
 	case EndForwarded:
@@ -194,8 +192,6 @@
 	for id := range m.runs {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, func(a, b port.TaskRun) int {
-		return cmp.Or(strings.Compare(a.Key, b.Key), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Attempt, b.Attempt))
-	})
+	slices.SortFunc(ids, byRun)
 	return ids
 }
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"slices"
 	"time"
 
 	"redwingpulley/kernel/port"
@@ -15,7 +14,6 @@
 	for _, id := range running {
 		listed[id] = true
 		r, known := m.runs[id]
-		_, queried := m.foreignRuns[id]
 		if known {
 			r.listed = true
 		}
@@ -24,16 +22,9 @@
 			m.confirmStart(now, r)
 		case known && r.phase == inherited:
 			r.phase, r.confirmedAt, r.stopDueAt = confirmed, now, now
-		case !known && !queried:
-			m.foreignRuns[id] = ""
-			fx.ClaimQuery, fx.ClaimToken = append(fx.ClaimQuery, id), m.holdToken
-		}
-	}
-	for id := range m.foreignRuns {
-		if !listed[id] {
-			delete(m.foreignRuns, id)
 		}
 	}
+	m.recordForeignRuns(now, running, listed, fx)
 	for _, id := range m.sortedRuns() {
 		if r := m.runs[id]; !listed[id] {
 			m.handleMissing(now, id, r, fx)
@@ -72,18 +63,6 @@
 	m.finish(now, end.Run, state, "ended "+string(end.How), fx)
 }
 
-// handleClaims stops the runs of other holders that no live member waits for.
-func (m *Machine) handleClaims(e Claimed, fx *Effects) {
-	for _, id := range e.Queried {
-		if i := slices.IndexFunc(e.Claimed, func(c Claim) bool { return c.Run == id }); i >= 0 {
-			m.foreignRuns[id] = e.Claimed[i].Member
-			continue
-		}
-		delete(m.foreignRuns, id) // If the stop is lost, the next list of running runs triggers a new query.
-		fx.Stops = append(fx.Stops, port.StopOrder{Run: id, Token: m.token})
-	}
-}
-
 // handleTakeover handles the news that another member holds the lease. The endpoint's refusal of this holder's token, which
 // says the same, may not arrive here, and the other holder extends the lease of all runs: from now on the end of this
 // holder's own lease does not end them.
@@ -107,6 +86,7 @@
 	m.tokenAccepted = false
 	m.lastEndAcked = m.lastEnd // The new holder acknowledges the ends.
 	clear(m.foreignRuns)
+	m.claimQueryInFlight = false
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
 		switch {
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -23,7 +23,7 @@
 	m.renewToken(now)
 	r := &run{payload: e.Payload}
 	m.runs[e.Run] = r
-	if m.tokenAccepted && m.failedHolds == 0 {
+	if m.tokenAccepted && m.failedHolds == 0 && m.mayExtend() {
 		m.sendStart(now, e.Run, r, fx)
 	}
 }
@@ -50,8 +50,11 @@
 	r.payload = nil
 }
 
-// sendQueuedStarts sends the starts that waited for the endpoint to answer a hold.
+// sendQueuedStarts sends the starts that waited for the endpoint to answer a hold, unless the lease must not be extended.
 func (m *Machine) sendQueuedStarts(now time.Time, fx *Effects) {
+	if !m.mayExtend() {
+		return
+	}
 	for _, id := range m.sortedRuns() {
 		if r := m.runs[id]; r.phase == queued {
 			m.sendStart(now, id, r, fx)
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -105,7 +105,7 @@
 }
 
 // queryClaims asks the other live members which of the runs at the endpoint they wait for, and applies
-// their replies.
+// their replies once all have replied or each run is claimed.
 func (l *Leases) queryClaims(at port.EndpointIncarnation, token uint64, runs []port.TaskRun) {
 	ctx, cancel := context.WithTimeout(l.baseCtx, claimTimeout)
 	defer cancel()
@@ -121,6 +121,9 @@
 	claimed := lease.Claimed{Queried: runs}
 	for range otherMembers {
 		claimed.Claimed = append(claimed.Claimed, <-replies...)
+		if len(claimed.Claimed) >= len(runs) {
+			break
+		}
 	}
 	event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Int(event.Runs, len(runs)), event.Int(event.Claimed, len(claimed.Claimed)))
 	l.step(at, claimed)
