A run that was handed over is reported only when its end is known

A task could run twice after its pool had moved: its run went on at the endpoint under the next holder of the lease, while its batch was cancelled, for instance because its caller had gone, and the caller sent the job again.

Cause: the next holder asks once who waits for the runs that it finds, and lets those run on. When the member that had claimed a run was told to stop it, it reported the run as lost at once: it can send no order under its own token. Nobody told the holder, so that the run went on until its own end, and the task could start again at this member immediately. The same happened to a run that was being stopped when the lease moved. A claim also outlived its member: the run of a VM that died after it had claimed the run went on for as long as the holder had work at the endpoint.

Evidence: TestRunThatIsStoppedAfterAHandoverFinishesWhenItsEndIsKnown failed before in both orders of the events.

The run now stays pending until its end is forwarded. The holder asks the claimants again with each list of runs, every 150 ms while there are such runs; a claim says whether the run is to go on or to be stopped, and lets the lease be extended for 250 ms. So the claimant knows without a message by when the run is certainly over, 1.32 s after its last claim, and a run that nobody forwards no longer waits for its deadline. A member that takes a lease back takes a new token, not the one that was refused, and keeps its own runs. A pool that has not moved costs no message more.

Changed tests: TestClaimedRunIsNotLostWhenItsFormerHolderCannotReachTheEndpoint and TestRetiredEndpointIsHeldUntilRunsOfOthersHaveEnded renew the claims, as the next holder has to, for the same time and with the same checks. TestFencedHolderBacksOffAndAcceptsForwardedEnds expected no timer; now the only one is that for the end of the run, and there is none after the end.

--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -10,24 +11,42 @@
 	"redwingpulley/kernel/port"
 )
 
-// A former holder of the lease takes its runs for ended once the lease that it has extended last has certainly expired.
-// So the next holder extends the lease, which is one for all runs at the endpoint, only while a live member has claimed
-// each run that it did not start itself. It has the others stopped first, and starts nothing until they are gone.
+// A former holder of the lease takes its runs for ended once the lease that was extended last, by itself or for a claim of
+// its own, has certainly expired. So the next holder extends the lease, which is one for all runs at the endpoint, only while
+// a live member has claimed each run that it did not start itself. It has the others stopped first, and starts nothing until
+// they are gone. A claim is soon out of date: the claimant may die, or want the run stopped.
+const (
+	// claimValidity is how long the lease may be extended after a query whose reply contained the claims. After the
+	// loss of a claimant the lease ends before the caller of an attached job sends it again, even if no stop arrives.
+	claimValidity = 250 * time.Millisecond
+	// claimRenewal is the age from which claims are queried again with the next list of runs.
+	claimRenewal = 100 * time.Millisecond
+	// claimWaitFraction replaces holdWaitFraction while runs of others are listed, so that their claims stay valid.
+	claimWaitFraction = 0.15
+)
 
 // foreignRun is a run of another holder that the endpoint has listed.
 type foreignRun struct {
 	claimant   model.NodeID // The live member that waits for the run; "" when none has claimed it.
-	stopSentAt time.Time    // When the newest stop order was sent; zero when none was.
+	stopSentAt time.Time    // When the newest stop order was sent; zero while the run is not to be stopped.
+}
+
+// Wanted reports whether a run was requested, has not finished and is not to be stopped.
+func (m *Machine) Wanted(id port.TaskRun) bool {
+	r, known := m.runs[id]
+	return known && !r.stopRequested
 }
 
 // recordForeignRuns records the listed runs that this holder did not start, forgets those that are no longer listed, and
-// queries claims to new ones. A run that was to be stopped and is still listed is stopped again.
+// queries claims: of all members when there are new runs, otherwise of the claimants. A run that was to be stopped and is
+// still listed is stopped again.
 func (m *Machine) recordForeignRuns(now time.Time, running []port.TaskRun, listed map[port.TaskRun]bool, fx *Effects) {
 	for id := range m.foreignRuns {
 		if !listed[id] {
 			delete(m.foreignRuns, id)
 		}
 	}
+	added := false
 	for _, id := range running {
 		f, known := m.foreignRuns[id]
 		switch {
@@ -35,18 +54,38 @@
 			delete(m.foreignRuns, id)
 		case !known:
 			m.foreignRuns[id] = &foreignRun{}
-			fx.ClaimQuery = append(fx.ClaimQuery, id)
-			fx.ClaimToken, m.claimQueryInFlight = m.holdToken, true
+			added = true
 		case !f.stopSentAt.IsZero() && now.Sub(f.stopSentAt) > m.config.StopTimeout:
 			m.stopForeignRun(now, id, f, fx)
 		}
 	}
+	if added || now.Sub(m.claimsAskedAt) >= claimRenewal {
+		m.queryClaims(now, added, fx)
+	}
 }
 
-// handleClaims stops the runs of other holders that no live member waits for. The starts that have waited for the claims
-// are sent if there are no such runs.
+// queryClaims queries claims to the runs of other holders that are not to be stopped.
+func (m *Machine) queryClaims(now time.Time, ofAll bool, fx *Effects) {
+	for _, id := range slices.SortedFunc(maps.Keys(m.foreignRuns), byRun) {
+		f := m.foreignRuns[id]
+		if !f.stopSentAt.IsZero() {
+			continue
+		}
+		fx.ClaimQuery = append(fx.ClaimQuery, id)
+		if !ofAll && !slices.Contains(fx.Claimants, f.claimant) {
+			fx.Claimants = append(fx.Claimants, f.claimant)
+		}
+	}
+	if len(fx.ClaimQuery) > 0 {
+		fx.ClaimToken = m.holdToken
+		m.claimQueryInFlight, m.claimsAskedAt = true, now
+	}
+}
+
+// handleClaims stops the runs of other holders that no live member waits for any more. The starts that have waited for the
+// claims are sent if there are no such runs.
 func (m *Machine) handleClaims(now time.Time, e Claimed, fx *Effects) {
-	m.claimQueryInFlight = false
+	m.claimQueryInFlight, m.claimsValidFrom = false, m.claimsAskedAt
 	for _, id := range e.Queried {
 		f, known := m.foreignRuns[id]
 		if !known {
@@ -54,7 +93,9 @@
 		}
 		if i := slices.IndexFunc(e.Claimed, func(c Claim) bool { return c.Run == id }); i >= 0 {
 			f.claimant = e.Claimed[i].Member
-			continue
+			if !e.Claimed[i].Stop {
+				continue
+			}
 		}
 		m.stopForeignRun(now, id, f, fx)
 	}
@@ -69,15 +110,54 @@
 }
 
 // mayExtend reports whether this holder may extend the lease.
-func (m *Machine) mayExtend() bool {
+func (m *Machine) mayExtend(now time.Time) bool {
 	for _, f := range m.foreignRuns {
-		if f.claimant == "" {
+		if f.claimant == "" || !f.stopSentAt.IsZero() || now.Sub(m.claimsValidFrom) > claimValidity {
 			return false
 		}
 	}
 	return true
 }
 
+// handleTakeover handles the news that another member holds the lease. The endpoint's refusal of this holder's token, which
+// says the same, may not arrive here, and the other holder extends the lease of all runs while this one claims its runs: from
+// now on the end of this holder's own lease does not end them.
+func (m *Machine) handleTakeover(now time.Time, e TakenOver, fx *Effects) {
+	if e.Token <= m.token || m.replaced {
+		return
+	}
+	for _, id := range e.Running {
+		r, known := m.runs[id]
+		if known && r.phase == startSent {
+			m.confirmStart(now, r)
+		}
+		if m.Wanted(id) {
+			r.claimedAt = now
+		}
+	}
+	if !now.Before(m.fencedUntil) {
+		m.handleFenced(now, fx)
+	}
+}
+
+// goneBy returns the time by which a run that was handed over has certainly ended, unless this member claims it again.
+func (m *Machine) goneBy(r *run) time.Time {
+	extended := r.claimedAt.Add(claimValidity)
+	if m.leaseExtendedAt.After(extended) {
+		extended = m.leaseExtendedAt
+	}
+	return m.expiredBy(extended)
+}
+
+// finishGoneRuns finishes the runs that were handed over and whose ends nobody has forwarded.
+func (m *Machine) finishGoneRuns(now time.Time, fx *Effects) {
+	for _, id := range m.sortedRuns() {
+		if r := m.runs[id]; r.phase == handedOver && !now.Before(m.goneBy(r)) {
+			m.finish(now, id, port.TaskLost, "no member has extended the lease for the run", fx)
+		}
+	}
+}
+
 // claimantOf returns the member that has claimed a run, or "" when none has.
 func (m *Machine) claimantOf(id port.TaskRun) (claimant model.NodeID) {
 	if f, known := m.foreignRuns[id]; known {
--- a/plugins/leases/lease/claims_test.go
+++ b/plugins/leases/lease/claims_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
@@ -29,3 +30,81 @@
 	h.is.Equal(len(fx.Starts), 1)
 	h.is.True(fx.Hold.Until > 0)
 }
+
+// Guards against a task that starts again while its earlier run is at work: the next holder of the lease lets the run
+// continue, and the run was reported as lost as soon as it was to be stopped, before or after the lease had moved.
+func TestRunThatIsStoppedAfterAHandoverFinishesWhenItsEndIsKnown(t *testing.T) {
+	fenced := HoldReplied{port.HoldReply{State: port.OrderFenced}}
+	for _, events := range [][]Event{{fenced, StopRequested{testRun(0)}}, {StopRequested{testRun(0)}, fenced}} {
+		h := newRunningHarness(t, 1)
+		for _, e := range events {
+			h.is.Equal(len(h.step(e).Finished), 0)
+		}
+		fx := h.advance(100 * time.Millisecond).step(EndForwarded{port.RunEnd{Run: testRun(0), How: port.TaskStopped}})
+		h.is.Equal(fx.Finished, []Finished{{testRun(0), port.TaskStopped, "ended stopped"}})
+	}
+}
+
+// Guards against a run that goes on after the member that waits for it has died, or wants it stopped: the holder of the
+// lease asked for claims only once.
+func TestClaimsAreRenewedUntilTheRunHasEnded(t *testing.T) {
+	running := []port.TaskRun{testRun(5)}
+	for _, second := range [][]Claim{nil, {{Run: testRun(5), Member: "n2", Stop: true}}} {
+		h := newHarness(t)
+		h.step(StartRequested{Run: testRun(0)})
+		h.advance(time.Millisecond).replyToHold(running)
+		fx := h.step(Claimed{Queried: running, Claimed: []Claim{{Run: testRun(5), Member: "n2"}}})
+		h.is.Equal(len(fx.Starts), 1)
+		h.is.True(fx.Hold.Wait < claimValidity)
+		h.step(StartReplied{testRun(0), port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
+		fx = h.advance(claimRenewal).replyToHold([]port.TaskRun{testRun(0), testRun(5)})
+		h.is.Equal(fx.ClaimQuery, running)
+		h.is.Equal(fx.Claimants, []model.NodeID{"n2"})
+		h.is.Equal(len(h.advance(claimValidity).step(StartRequested{Run: testRun(1)}).Starts), 0) // The claim is out of date.
+		fx = h.step(Claimed{Queried: running, Claimed: second})
+		h.is.Equal(len(fx.Stops), 1)
+		h.is.Equal(fx.Hold.Until, int64(0))
+		end := port.RunEnd{Number: 1, Run: testRun(5), How: port.TaskStopped}
+		fx = h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)}, end)
+		h.is.Equal(fx.ForwardEnds, []ForwardedEnd{{end, "n2"}})
+		h.is.Equal(len(fx.Starts), 1)
+	}
+}
+
+// Guards against a task that never starts again because the end of its run, which was handed over, is not forwarded.
+func TestHandedOverRunFinishesOnceNobodyCanHaveExtendedItsLease(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	higher := h.machine.token + 1<<holderBits
+	for range 20 { // Two seconds.
+		h.is.Equal(len(h.advance(100*time.Millisecond).step(TakenOver{higher, []port.TaskRun{testRun(0)}}).Finished), 0)
+	}
+	claimed := h.now
+	at, armed := h.machine.NextTimer(h.now)
+	h.is.True(armed)
+	h.now = at
+	fx := h.step(Elapsed{})
+	h.is.Equal(fx.Finished[0].State, port.TaskLost)
+	h.is.True(h.now.Sub(claimed) >= claimValidity+1020*time.Millisecond) // The holder's lease, by a clock that is 2% slow.
+	h.is.True(h.now.Sub(claimed) < 1500*time.Millisecond)
+}
+
+// Guards against a second fencing under a token that was refused, and against a run that a member waits for in vain although
+// it holds the lease again.
+func TestMemberThatTakesTheLeaseBackKeepsItsRun(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	refused := h.machine.token
+	higher := refused + 1<<holderBits
+	for range 31 { // Three seconds, until the lease may be taken back.
+		h.step(TakenOver{higher, []port.TaskRun{testRun(0)}})
+		h.advance(100 * time.Millisecond)
+	}
+	h.step(HoldReplied{port.HoldReply{State: port.OrderFenced}}) // The hold that was in flight.
+	h.advance(testConfig.FencedBackoff - claimValidity).step(TakenOver{higher, []port.TaskRun{testRun(0)}})
+	fx := h.advance(claimValidity).step(StartRequested{Run: testRun(1)})
+	h.is.True(fx.Hold != nil)
+	h.is.True(fx.Hold.Token > higher)
+	fx = h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
+	h.is.Equal(fx.ClaimQuery, nil)
+	fx = h.advance(time.Millisecond).step(StopRequested{testRun(0)})
+	h.is.Equal(fx.Stops[0].Run, testRun(0))
+}
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -57,10 +57,11 @@
 type Claim struct {
 	Run    port.TaskRun
 	Member model.NodeID
+	Stop   bool // The run is to be stopped; the member waits for its end.
 }
 
 // TakenOver says that another member holds the lease, under a token of its own, and lets the given runs of this member
-// continue.
+// continue that are not to be stopped.
 type TakenOver struct {
 	Token   uint64
 	Running []port.TaskRun
@@ -109,7 +110,8 @@
 	Finished []Finished // Runs that have finished, each reported once.
 	// ClaimQuery lists runs that this holder does not wait for: ask which of them a live member waits for.
 	ClaimQuery []port.TaskRun
-	ClaimToken uint64 // Fencing token under which the runs of ClaimQuery were listed.
+	ClaimToken uint64         // Fencing token under which the runs of ClaimQuery were listed.
+	Claimants  []model.NodeID // The members to ask; all other live members when there are none.
 	// ForwardEnds lists ends of runs that this holder does not wait for: send them to those that do,
 	// before the next hold, which acknowledges them.
 	ForwardEnds []ForwardedEnd
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -95,11 +95,11 @@
 	}
 	order := port.HoldOrder{Seen: m.lastEndSent, Token: m.token}
 	if (m.tokenAccepted || m.retirement.sent && !m.clockReadAt.IsZero()) && m.needsLease() {
-		order.Wait = time.Duration(holdWaitFraction * float64(m.config.MaxLease))
+		order.Wait = m.holdWait()
 		if m.failedHolds > 0 || m.retireHoldNeeded(now) {
 			order.Wait = 0
 		}
-		if m.failedHolds < maxFailedHolds && m.mayExtend() {
+		if m.failedHolds < maxFailedHolds && m.mayExtend(now) {
 			order.Until = m.leaseEnd(now)
 			m.leaseExtendedAt = now
 		}
@@ -107,11 +107,23 @@
 	fx.Hold = &order
 }
 
-// leaseExpiredBy returns the time by which the lease has certainly expired, even when the endpoint's
-// clock is slow.
-func (m *Machine) leaseExpiredBy() time.Time {
+// holdWait returns the time for which the endpoint may delay its reply to a hold.
+func (m *Machine) holdWait() time.Duration {
+	fraction := holdWaitFraction
+	if len(m.foreignRuns) > 0 {
+		fraction = claimWaitFraction
+	}
+	return time.Duration(fraction * float64(m.config.MaxLease))
+}
+
+// leaseExpiredBy returns the time by which this holder's lease has certainly expired.
+func (m *Machine) leaseExpiredBy() time.Time { return m.expiredBy(m.leaseExtendedAt) }
+
+// expiredBy returns the time by which a lease that was extended last at the given time has certainly expired, even when
+// the endpoint's clock is slow.
+func (m *Machine) expiredBy(extended time.Time) time.Time {
 	lease := float64(m.config.MaxLease) * (1 + maxClockDrift)
-	return m.leaseExtendedAt.Add(time.Duration(lease) + expiryMargin)
+	return extended.Add(time.Duration(lease) + expiryMargin)
 }
 
 // finishExpiredRuns finishes the runs of an expired lease as lost. A start that was not sent yet waits on
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -36,6 +36,7 @@
 	config        Config
 	token         uint64
 	tokenAccepted bool             // The endpoint has answered a hold with this token.
+	fenced        bool             // The endpoint has accepted a higher token of another holder.
 	replaced      bool             // Another incarnation of the endpoint has replaced this one.
 	successor     model.EndpointID // That incarnation; "" when it is not known.
 
@@ -59,7 +60,9 @@
 	runs map[port.TaskRun]*run
 	// foreignRuns are the runs of other holders that the endpoint has listed last.
 	foreignRuns        map[port.TaskRun]*foreignRun
-	claimQueryInFlight bool // A ClaimQuery has not been answered. No hold is sent meanwhile.
+	claimQueryInFlight bool      // A ClaimQuery has not been answered. No hold is sent meanwhile.
+	claimsAskedAt      time.Time // When the newest ClaimQuery was sent.
+	claimsValidFrom    time.Time // When the newest one that was answered was sent.
 	// unclaimedEnds are the latest ends of runs that were not requested here, oldest first.
 	unclaimedEnds []port.RunEnd
 }
@@ -88,6 +91,7 @@
 	stopDueAt     time.Time // When to send the next stop order; zero when none is due.
 	stopAckedAt   time.Time // When the endpoint acknowledged the stop order.
 	startToken    uint64    // Fencing token of the start order; 0 before it is sent.
+	claimedAt     time.Time // When this member last claimed the run, which another holder keeps running.
 }
 
 // underLease reports whether the run may be running at the endpoint under this holder's lease.
@@ -151,6 +155,7 @@
 	if m.failedHolds >= maxFailedHolds && !now.Before(m.leaseExpiredBy()) {
 		m.finishExpiredRuns(now, fx)
 	}
+	m.finishGoneRuns(now, fx)
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
 		if !r.stopDueAt.IsZero() && !now.Before(r.stopDueAt) && !r.stopInFlight {
@@ -175,6 +180,9 @@
 		if !r.stopDueAt.IsZero() && !r.stopInFlight {
 			earliest(r.stopDueAt)
 		}
+		if r.phase == handedOver {
+			earliest(m.goneBy(r))
+		}
 	}
 	if due, needed := m.nextHoldAt(now); needed && !m.holdInFlight {
 		earliest(due)
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -206,11 +206,13 @@
 	h.is.Equal(fx.Lost, LossFenced)
 	h.is.Equal(len(fx.Finished), 0) // The run continues under the next holder.
 	h.is.True(fx.Hold == nil)
-	_, ok := h.machine.NextTimer(h.now)
-	h.is.True(!ok) // No hold is due during FencedBackoff.
+	at, _ := h.machine.NextTimer(h.now)
+	h.is.Equal(at, h.machine.goneBy(h.machine.runs[testRun(0)])) // No hold is due during FencedBackoff.
 	h.is.Equal(h.step(StartRequested{Run: testRun(1)}).Finished[0].State, port.TaskLeasedElsewhere)
 	fx = h.step(EndForwarded{port.RunEnd{Run: testRun(0), How: port.TaskDone}})
 	h.is.Equal(fx.Finished[0].State, port.TaskDone)
+	_, ok := h.machine.NextTimer(h.now)
+	h.is.True(!ok) // Nothing else is due either.
 
 	token := h.machine.token
 	fx = h.advance(testConfig.FencedBackoff).step(StartRequested{Run: testRun(2)})
@@ -223,7 +225,7 @@
 	h.step(StartRequested{Run: testRun(0)})
 	fx := h.replyToHold([]port.TaskRun{testRun(5), testRun(6)})
 	h.is.Equal(fx.ClaimQuery, []port.TaskRun{testRun(5), testRun(6)})
-	fx = h.step(Claimed{Queried: fx.ClaimQuery, Claimed: []Claim{{testRun(6), "n2"}}})
+	fx = h.step(Claimed{Queried: fx.ClaimQuery, Claimed: []Claim{{Run: testRun(6), Member: "n2"}}})
 	h.is.Equal(len(fx.Stops), 1)
 	h.is.Equal(fx.Stops[0].Run, testRun(5))
 	fx = h.advance(time.Millisecond).replyToHold(nil, port.RunEnd{Number: 4, Run: testRun(6), How: port.TaskDone})
--- /dev/null
+++ b/plugins/leases/lease/members_test.go
@@ -0,0 +1,243 @@
+package lease
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// resendAfter is the time after which the caller of a member that has died sends its job again.
+const resendAfter = 1300 * time.Millisecond
+
+// membersSimulation connects the machines of several members to one fakeEndpoint. Orders, queries for claims and
+// forwarded ends are lost or late at random; a member can die.
+type membersSimulation struct {
+	t        *rapid.T
+	now      time.Time
+	endpoint *fakeEndpoint
+	members  map[model.NodeID]*Machine
+	diedAt   map[model.NodeID]time.Time
+	pending  []delivery
+	owners   map[port.TaskRun]model.NodeID // The member that has requested the run.
+	finished map[port.TaskRun]bool
+}
+
+// delivery is something that happens at a time, unless the member has died.
+type delivery struct {
+	at  time.Time
+	to  model.NodeID // "" for the endpoint.
+	run func()
+}
+
+func newMembersSimulation(t *rapid.T) *membersSimulation {
+	s := &membersSimulation{
+		t: t, now: startTime, endpoint: newSimulation(t).endpoint, members: make(map[model.NodeID]*Machine),
+		diedAt: make(map[model.NodeID]time.Time), owners: make(map[port.TaskRun]model.NodeID), finished: make(map[port.TaskRun]bool),
+	}
+	for i, id := range []model.NodeID{"a", "b", "c"} {
+		config := testConfig
+		config.HolderID = uint64(i + 1)
+		s.members[id] = New(config)
+	}
+	return s
+}
+
+func (s *membersSimulation) alive() (ids []model.NodeID) {
+	for _, id := range []model.NodeID{"a", "b", "c"} {
+		if _, died := s.diedAt[id]; !died {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (s *membersSimulation) after(d time.Duration, to model.NodeID, run func()) {
+	s.pending = append(s.pending, delivery{s.now.Add(d), to, run})
+}
+
+// faulty reports, one time in n, that a message is lost.
+func (s *membersSimulation) faulty(n int) bool { return rapid.IntRange(1, n).Draw(s.t, "fault") == 1 }
+
+// order sends an order to the endpoint, which may be executed late; its reply, or the lack of one, is an event.
+func (s *membersSimulation) order(from model.NodeID, execute func() Event, noReply Event) {
+	switch rapid.IntRange(0, 7).Draw(s.t, "order") {
+	case 0:
+		late := time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "late")) * time.Millisecond
+		s.after(late, "", func() { execute() })
+		s.after(200*time.Millisecond, from, func() { s.step(from, noReply) })
+	case 1:
+		s.after(200*time.Millisecond, from, func() { s.step(from, noReply) })
+	default:
+		s.after(time.Millisecond, "", func() {
+			reply := execute()
+			s.after(time.Millisecond, from, func() { s.step(from, reply) })
+		})
+	}
+}
+
+func (s *membersSimulation) step(id model.NodeID, e Event) {
+	fx := s.members[id].Step(s.now, e)
+	for _, f := range fx.Finished {
+		s.checkFinished(f)
+	}
+	for _, o := range fx.Starts {
+		s.order(id, func() Event { return StartReplied{o.Run, s.startInTime(o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+	}
+	for _, o := range fx.Stops {
+		s.order(id, func() Event { return StopReplied{o.Run, s.endpoint.stop(o)} }, StopReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+	}
+	if o := fx.Hold; o != nil {
+		s.order(id, func() Event { return HoldReplied{s.endpoint.hold(0, *o)} }, HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	}
+	for _, end := range fx.ForwardEnds {
+		for _, to := range s.alive() {
+			if to != id && !s.faulty(4) && s.members[to].Pending(end.End.Run) {
+				s.after(time.Millisecond, to, func() { s.step(to, EndForwarded{end.End}) })
+			}
+		}
+	}
+	if len(fx.ClaimQuery) > 0 {
+		s.queryClaims(id, fx)
+	}
+}
+
+// startInTime executes a start unless the lease that it asks for has ended.
+func (s *membersSimulation) startInTime(o port.StartOrder) port.OrderReply {
+	if o.Until <= s.endpoint.clock() {
+		return port.OrderReply{State: port.OrderRefused, Clock: s.endpoint.clock()}
+	}
+	return s.endpoint.start(o)
+}
+
+// queryClaims carries a query for claims to the members, and their replies back after 150 ms at most.
+func (s *membersSimulation) queryClaims(from model.NodeID, fx Effects) {
+	members, claimed := fx.Claimants, Claimed{Queried: fx.ClaimQuery}
+	if len(members) == 0 {
+		members = s.alive()
+	}
+	took := time.Millisecond
+	for _, to := range members {
+		if to == from {
+			continue
+		}
+		if !slices.Contains(s.alive(), to) || s.faulty(6) {
+			took = 150 * time.Millisecond
+			continue
+		}
+		m := s.members[to]
+		queried := slices.DeleteFunc(slices.Clone(fx.ClaimQuery), func(run port.TaskRun) bool { return !m.Pending(run) })
+		if len(queried) == 0 {
+			continue
+		}
+		s.step(to, TakenOver{fx.ClaimToken, queried})
+		for _, run := range queried {
+			if m.Pending(run) && !s.faulty(6) {
+				claimed.Claimed = append(claimed.Claimed, Claim{Run: run, Member: to, Stop: !m.Wanted(run)})
+			}
+		}
+	}
+	s.after(took, from, func() { s.step(from, claimed) })
+}
+
+func (s *membersSimulation) checkFinished(f Finished) {
+	s.endpoint.now = s.now
+	s.endpoint.expire()
+	if s.endpoint.running[f.Run] {
+		s.t.Fatalf("run %v was reported as %s (%s) while it was running", f.Run, f.State, f.Detail)
+	}
+	s.finished[f.Run] = true
+}
+
+// runUntil advances the time to end and checks that runs of members that have died are over in time.
+func (s *membersSimulation) runUntil(end time.Time) {
+	for {
+		next, index, timerOf := end, -1, model.NodeID("")
+		for i, d := range s.pending {
+			if d.at.Before(next) {
+				next, index = d.at, i
+			}
+		}
+		for _, id := range s.alive() {
+			if at, armed := s.members[id].NextTimer(s.now); armed && at.Before(next) {
+				next, timerOf = at, id
+			}
+		}
+		s.now = maxTime(s.now, next)
+		s.endpoint.now = s.now
+		s.endpoint.expire()
+		s.checkDeadMembers()
+		switch {
+		case timerOf != "":
+			s.step(timerOf, Elapsed{})
+		case index >= 0:
+			d := s.pending[index]
+			s.pending = slices.Delete(s.pending, index, index+1)
+			if _, died := s.diedAt[d.to]; !died {
+				d.run()
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (s *membersSimulation) checkDeadMembers() {
+	for run := range s.endpoint.running {
+		if at, died := s.diedAt[s.owners[run]]; died && s.now.Sub(at) > resendAfter {
+			s.t.Fatalf("run %v was at work %s after its member %s had died", run, s.now.Sub(at), s.owners[run])
+		}
+	}
+}
+
+// act takes a random step.
+func (s *membersSimulation) act() {
+	alive := s.alive()
+	id := rapid.SampledFrom(alive).Draw(s.t, "member")
+	switch rapid.IntRange(0, 5).Draw(s.t, "action") {
+	case 0, 1:
+		run := testRun(len(s.owners) + 1)
+		s.owners[run] = id
+		s.step(id, StartRequested{Run: run})
+	case 2:
+		if pending := s.members[id].sortedRuns(); len(pending) > 0 {
+			run := rapid.SampledFrom(pending).Draw(s.t, "stopped")
+			s.after(0, id, func() { s.step(id, StopRequested{run}) })
+		}
+	case 3:
+		if running := s.endpoint.sortedRunning(); len(running) > 0 {
+			s.endpoint.end(running[0], port.TaskDone)
+		}
+	case 4:
+		if len(alive) > 1 && s.faulty(4) {
+			s.diedAt[id] = s.now
+		}
+	}
+	s.runUntil(s.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(s.t, "ms")) * time.Millisecond))
+}
+
+// Guards against two runs of a task after a lease has moved among members: a run that is reported while it is at work, and
+// one that is still at work when the caller of a member that has died sends its job again.
+func TestRunsOfSeveralMembersAreOverWhenTheirTasksMayStartAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newMembersSimulation(t)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			s.act()
+		}
+		for range 20 { // Each run of a member that lives has an outcome in the end.
+			for _, run := range s.endpoint.sortedRunning() {
+				s.endpoint.end(run, port.TaskDone)
+			}
+			s.runUntil(s.now.Add(time.Second))
+		}
+		for run, owner := range s.owners {
+			if _, died := s.diedAt[owner]; !died && !s.finished[run] {
+				t.Fatalf("run %v of member %s has no outcome", run, owner)
+			}
+		}
+	})
+}
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -18,7 +18,7 @@
 			r.listed = true
 		}
 		switch {
-		case known && r.phase == startSent:
+		case known && (r.phase == startSent || r.phase == handedOver && m.heldAgain()):
 			m.confirmStart(now, r)
 		case known && r.phase == inherited:
 			r.phase, r.confirmedAt, r.stopDueAt = confirmed, now, now
@@ -45,6 +45,8 @@
 		m.finish(now, id, port.TaskNotRun, "stopped before it started", fx)
 	case r.phase == confirmed && stopped:
 		m.finish(now, id, port.TaskStopped, "stopped", fx)
+	case r.phase == handedOver && m.heldAgain():
+		m.finish(now, id, port.TaskLost, "the endpoint no longer lists the run", fx)
 	case r.phase == confirmed && m.holdSentAt.After(r.confirmedAt):
 		m.finish(now, id, port.TaskLost, "the endpoint no longer lists the run", fx)
 	}
@@ -63,27 +65,15 @@
 	m.finish(now, end.Run, state, "ended "+string(end.How), fx)
 }
 
-// handleTakeover handles the news that another member holds the lease. The endpoint's refusal of this holder's token, which
-// says the same, may not arrive here, and the other holder extends the lease of all runs: from now on the end of this
-// holder's own lease does not end them.
-func (m *Machine) handleTakeover(now time.Time, e TakenOver, fx *Effects) {
-	if e.Token <= m.token || m.replaced {
-		return
-	}
-	for _, id := range e.Running {
-		if r := m.runs[id]; r != nil && r.phase == startSent {
-			m.confirmStart(now, r)
-		}
-	}
-	m.handleFenced(now, fx)
-}
+// heldAgain reports whether the newest hold was sent under a token that this holder has taken since it was fenced.
+func (m *Machine) heldAgain() bool { return !m.fenced && m.holdToken == m.token }
 
 // handleFenced gives up the lease to the member that has taken it over. Runs that may be running are
-// handed over: the new holder forwards their ends.
+// handed over, also those that are to be stopped: the new holder forwards their ends.
 func (m *Machine) handleFenced(now time.Time, fx *Effects) {
 	fx.Lost = LossFenced
 	m.fencedUntil = now.Add(m.config.FencedBackoff)
-	m.tokenAccepted = false
+	m.tokenAccepted, m.fenced = false, true
 	m.lastEndAcked = m.lastEnd // The new holder acknowledges the ends.
 	clear(m.foreignRuns)
 	m.claimQueryInFlight = false
@@ -93,8 +83,6 @@
 		case r.phase == startSent: // The reply to its start is still to come.
 		case r.phase == queued:
 			m.finish(now, id, port.TaskLeasedElsewhere, "another member holds the endpoint's lease", fx)
-		case r.stopRequested:
-			m.finish(now, id, port.TaskLost, "another member holds the endpoint's lease", fx)
 		default:
 			r.phase, r.stopDueAt = handedOver, time.Time{}
 		}
--- a/plugins/leases/lease/retire.go
+++ b/plugins/leases/lease/retire.go
@@ -70,7 +70,7 @@
 		}
 	}
 	m.token = max(m.newToken(now.Add(retireAhead)), m.token+1<<holderBits)
-	m.tokenAccepted, m.retirement.sent = false, true
+	m.tokenAccepted, m.fenced, m.retirement.sent = false, false, true
 }
 
 // retireHoldNeeded reports whether a hold is to be sent because the endpoint is being retired.
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -23,19 +23,19 @@
 	m.renewToken(now)
 	r := &run{payload: e.Payload}
 	m.runs[e.Run] = r
-	if m.tokenAccepted && m.failedHolds == 0 && m.mayExtend() {
+	if m.tokenAccepted && m.failedHolds == 0 && m.mayExtend(now) {
 		m.sendStart(now, e.Run, r, fx)
 	}
 }
 
-// renewToken creates a new fencing token when there is none, or when the current one has been idle for so
-// long that another member may have held the lease meanwhile.
+// renewToken creates a new fencing token when there is none, when another holder has a higher one, or when the current one
+// has been idle for so long that another member may have held the lease meanwhile.
 func (m *Machine) renewToken(now time.Time) {
-	if m.token != 0 && (len(m.runs) > 0 || m.holdInFlight || now.Sub(m.lastFinishedAt) < tokenIdleTimeout) {
+	if m.token != 0 && !m.fenced && (len(m.runs) > 0 || m.holdInFlight || now.Sub(m.lastFinishedAt) < tokenIdleTimeout) {
 		return
 	}
 	m.token = max(m.newToken(now), m.token+1<<holderBits)
-	m.tokenAccepted = false
+	m.tokenAccepted, m.fenced = false, false
 }
 
 // newToken returns this holder's fencing token of a time.
@@ -52,7 +52,7 @@
 
 // sendQueuedStarts sends the starts that waited for the endpoint to answer a hold, unless the lease must not be extended.
 func (m *Machine) sendQueuedStarts(now time.Time, fx *Effects) {
-	if !m.mayExtend() {
+	if !m.mayExtend(now) {
 		return
 	}
 	for _, id := range m.sortedRuns() {
@@ -121,8 +121,7 @@
 	switch r.phase {
 	case queued:
 		m.finish(now, id, port.TaskNotRun, "the start was never sent", fx)
-	case handedOver:
-		m.finish(now, id, port.TaskLost, "another member holds the endpoint's lease", fx)
+	case handedOver: // The holder of the lease stops the run when it queries claims again, and forwards its end.
 	case atSuccessor:
 		fx.Successor, fx.SettleStops = m.successor, append(fx.SettleStops, id)
 	case startSent, confirmed, startUnanswered:
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -84,7 +84,7 @@
 	case m.replaced:
 		m.settleAtSuccessor(e.Run, r, fx)
 	case now.Before(m.fencedUntil):
-		r.phase = handedOver // The holder of the lease finds the run, if it is there, and forwards its end.
+		r.phase, r.claimedAt = handedOver, now // The holder of the lease finds the run, if it is there, and forwards its end.
 	default:
 		m.outbid(now, e.Token)
 		m.leaseExtendedAt = now // The start may just have extended the lease.
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -237,7 +237,7 @@
 		go l.sendHold(at, *fx.Hold)
 	}
 	if len(fx.ClaimQuery) > 0 {
-		go l.queryClaims(at, fx.ClaimToken, fx.ClaimQuery)
+		go l.queryClaims(at, fx)
 	}
 }
 
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -27,9 +27,10 @@
 	Runs     []runMessage     `json:"runs"`
 }
 
-// claimReply lists the runs that the member waits for.
+// claimReply lists the runs that the member waits for: those that are to continue, and those that are to be stopped.
 type claimReply struct {
 	Runs []runMessage `json:"runs,omitempty"`
+	Stop []runMessage `json:"stop,omitempty"`
 }
 
 // endsMessage forwards the ends of runs that the sender does not wait for.
@@ -65,10 +66,25 @@
 		return claimReply{}
 	}
 	l.step(port.EndpointIncarnation{ID: c.Endpoint}, lease.TakenOver{Token: c.Token, Running: claimed})
-	var reply claimReply
-	for _, run := range l.pendingRuns(c.Endpoint, c.Runs) { // A run may have finished meanwhile.
-		reply.Runs = append(reply.Runs, runMessage(run))
-	}
+	return l.claimsTo(c.Endpoint, claimed)
+}
+
+// claimsTo returns the claims of this member to the given runs, some of which may have finished.
+func (l *Leases) claimsTo(endpoint model.EndpointID, runs []port.TaskRun) (reply claimReply) {
+	l.sessions.Do(endpoint, func(sessions map[model.EndpointID]*session) {
+		s, known := sessions[endpoint]
+		if !known {
+			return
+		}
+		for _, run := range runs {
+			switch {
+			case s.machine.Wanted(run):
+				reply.Runs = append(reply.Runs, runMessage(run))
+			case s.machine.Pending(run):
+				reply.Stop = append(reply.Stop, runMessage(run))
+			}
+		}
+	})
 	return reply
 }
 
@@ -104,28 +120,33 @@
 	return otherMembers
 }
 
-// queryClaims asks the other live members which of the runs at the endpoint they wait for, and applies
-// their replies once all have replied or each run is claimed.
-func (l *Leases) queryClaims(at port.EndpointIncarnation, token uint64, runs []port.TaskRun) {
+// queryClaims asks members which of the runs at the endpoint they wait for, and applies their replies once all have
+// replied or each run is claimed.
+func (l *Leases) queryClaims(at port.EndpointIncarnation, fx lease.Effects) {
 	ctx, cancel := context.WithTimeout(l.baseCtx, claimTimeout)
 	defer cancel()
-	request := claimRequest{Endpoint: at.ID, Token: token}
-	for _, run := range runs {
+	request := claimRequest{Endpoint: at.ID, Token: fx.ClaimToken}
+	for _, run := range fx.ClaimQuery {
 		request.Runs = append(request.Runs, runMessage(run))
 	}
-	otherMembers := l.otherMembers()
-	replies := make(chan []lease.Claim, len(otherMembers))
-	for _, node := range otherMembers {
+	members := fx.Claimants
+	if len(members) == 0 {
+		members = l.otherMembers()
+	}
+	replies := make(chan []lease.Claim, len(members))
+	for _, node := range members {
 		go func() { replies <- l.queryClaimsOf(ctx, node, request) }()
 	}
-	claimed := lease.Claimed{Queried: runs}
-	for range otherMembers {
+	claimed := lease.Claimed{Queried: fx.ClaimQuery}
+	for range members {
 		claimed.Claimed = append(claimed.Claimed, <-replies...)
-		if len(claimed.Claimed) >= len(runs) {
+		if len(claimed.Claimed) >= len(fx.ClaimQuery) {
 			break
 		}
 	}
-	event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Int(event.Runs, len(runs)), event.Int(event.Claimed, len(claimed.Claimed)))
+	if renewed := len(fx.Claimants) > 0 && len(claimed.Claimed) == len(fx.ClaimQuery); !renewed {
+		event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Int(event.Runs, len(fx.ClaimQuery)), event.Int(event.Claimed, len(claimed.Claimed)))
+	}
 	l.step(at, claimed)
 }
 
@@ -137,6 +158,9 @@
 	for _, run := range reply.Runs {
 		claims = append(claims, lease.Claim{Run: port.TaskRun(run), Member: node})
 	}
+	for _, run := range reply.Stop {
+		claims = append(claims, lease.Claim{Run: port.TaskRun(run), Member: node, Stop: true})
+	}
 	return claims
 }
 
--- a/plugins/leases/takeover_test.go
+++ b/plugins/leases/takeover_test.go
@@ -43,11 +43,38 @@
 		}()
 		time.Sleep(10 * time.Millisecond) // Fake time: until the run is confirmed.
 		const token = uint64(1) << 63     // Above any token made of the time.
-		reply := l.handleClaim(t.Context(), "n2", claimRequest{Endpoint: "e", Token: token, Runs: []runMessage{runMessage(run)}})
-		is.Equal(len(reply.Runs), 1)
-		time.Sleep(5 * time.Second)
-		is.Equal(len(outcome), 0) // No outcome while the next holder may keep the run running.
+		for range 50 {                    // For five seconds; the next holder extends the lease only while it renews the claim.
+			reply := l.handleClaim(t.Context(), "n2", claimRequest{Endpoint: "e", Token: token, Runs: []runMessage{runMessage(run)}})
+			is.Equal(len(reply.Runs), 1)
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(len(outcome), 0) // No outcome while the next holder may keep the run running.
+		}
 		l.handleForwardedEnds(t.Context(), "n2", endsMessage{Endpoint: "e", Ends: []endMessage{{Run: runMessage(run), How: port.TaskDone}}})
 		is.Equal(<-outcome, port.TaskDone)
 	})
 }
+
+// Guards against a run that nobody stops: its batch was cancelled after the lease had moved, and the claim to it stood.
+func TestClaimSaysThatARunIsToBeStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLeases(t, &unreachableEndpoint{})
+		run := port.TaskRun{Key: "k", Index: 0, Attempt: 1}
+		outcome := make(chan port.TaskState, 1)
+		go func() {
+			outcome <- tasks{l}.Start(t.Context(), "127.0.0.1:1", port.TaskStart{Endpoint: "e", Key: run.Key, Index: run.Index, Attempt: run.Attempt}).State
+		}()
+		time.Sleep(10 * time.Millisecond) // Fake time: until the run is confirmed.
+		query := claimRequest{Endpoint: "e", Token: uint64(1) << 63, Runs: []runMessage{runMessage(run)}}
+		is.Equal(l.handleClaim(t.Context(), "n2", query), claimReply{Runs: query.Runs})
+		revoked := make(chan port.TaskState, 1)
+		go func() {
+			revoked <- tasks{l}.Revoke(t.Context(), "127.0.0.1:1", port.TaskRevoke{Endpoint: "e", Stop: true, Key: run.Key, Index: run.Index, Attempt: run.Attempt}).State
+		}()
+		time.Sleep(10 * time.Millisecond) // Fake time: until the stop is requested.
+		is.Equal(l.handleClaim(t.Context(), "n2", query), claimReply{Stop: query.Runs})
+		is.Equal(len(outcome)+len(revoked), 0) // The run may still be at work.
+		l.handleForwardedEnds(t.Context(), "n2", endsMessage{Endpoint: "e", Ends: []endMessage{{Run: runMessage(run), How: port.TaskStopped}}})
+		is.Equal([]port.TaskState{<-outcome, <-revoked}, []port.TaskState{port.TaskStopped, port.TaskStopped})
+	})
+}
