Tests: the endpoint of the tests of leaving endpoints ends a hold when its caller stops

With the runs' claims renewed every 150 ms, the end of TestRunsContinueWhenAnotherMemberRecordsThatTheirEndpointLeaves met a hold in its first millisecond, which the endpoint slept through: blocked goroutines remained when the test ended. No check has changed.

--- a/plugins/endpoints/leaving_test.go
+++ b/plugins/endpoints/leaving_test.go
@@ -16,6 +16,7 @@
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
+	"redwingpulley/kernel/wait"
 
 	_ "redwingpulley/plugins/leases"
 )
@@ -103,7 +104,9 @@
 // Hold answers, like the platform's endpoints, which incarnation it is. Its client then reports another than the one
 // that was asked for, although the endpoint has carried the order out.
 func (e *leasedEndpoint) Hold(ctx context.Context, at port.EndpointIncarnation, order port.HoldOrder) port.HoldReply {
-	time.Sleep(orderTime)
+	if !wait.For(ctx, orderTime) {
+		return port.HoldReply{State: port.OrderUnknown}
+	}
 	e.mu.Lock()
 	refused := e.take(order.Token, order.Until)
 	other := e.other(at)
