A lease is not extended for a run that does not stop

Two entry VMs could run the same task at the same time.

Cause: a job whose caller has gone is cancelled at once, and its runs are to be stopped. While the orders to stop them get no answer, over a path that loses packets, holds over a connection that stands keep extending the lease, for the other runs at the endpoint and for this one, without a bound. A member that had started the run waits for its end, but after 1.3 s the caller sends the job to any member.

Evidence: TestLeaseIsNotExtendedForARunThatDoesNotStop failed before (extended after 0.3 s).

When the end of a run is not known 0.2 s after it was to be stopped, neither holds nor starts extend the lease until it is. The endpoint then ends the run 1.22 s after the order at the latest. The other runs there are at risk only if the order still gets no answer for the rest of the lease, 0.65 s at least; they are lost as with any endpoint that does not answer.

--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -23,6 +23,9 @@
 	claimRenewal = 100 * time.Millisecond
 	// claimWaitFraction replaces holdWaitFraction while runs of others are listed, so that their claims stay valid.
 	claimWaitFraction = 0.15
+	// stopPatience is how long the lease is still extended while a run is to be stopped and its end is not known. The caller
+	// of its job may have sent it again when the lease that was extended last has expired.
+	stopPatience = 200 * time.Millisecond
 )
 
 // foreignRun is a run of another holder that the endpoint has listed.
@@ -111,6 +114,11 @@
 
 // mayExtend reports whether this holder may extend the lease.
 func (m *Machine) mayExtend(now time.Time) bool {
+	for _, r := range m.runs {
+		if r.underLease() && r.stopRequested && now.Sub(r.stopRequestedAt) > stopPatience {
+			return false
+		}
+	}
 	for _, f := range m.foreignRuns {
 		if f.claimant == "" || !f.stopSentAt.IsZero() || now.Sub(m.claimsValidFrom) > claimValidity {
 			return false
--- a/plugins/leases/lease/claims_test.go
+++ b/plugins/leases/lease/claims_test.go
@@ -108,3 +108,21 @@
 	fx = h.advance(time.Millisecond).step(StopRequested{testRun(0)})
 	h.is.Equal(fx.Stops[0].Run, testRun(0))
 }
+
+// Guards against two runs of a task: the orders to stop a run are lost, while holds that arrive keep it at work until its
+// caller has sent the job again to another member.
+func TestLeaseIsNotExtendedForARunThatDoesNotStop(t *testing.T) {
+	h := newRunningHarness(t, 2)
+	both := []port.TaskRun{testRun(0), testRun(1)}
+	h.step(StopRequested{testRun(0)})
+	for waited := time.Duration(0); waited < 3*stopPatience; waited += stopPatience / 2 {
+		h.step(StopReplied{testRun(0), port.OrderReply{State: port.OrderUnknown}})
+		fx := h.replyToHold(both)
+		h.is.Equal(fx.Hold.Until > 0, waited <= stopPatience)
+		h.advance(stopPatience / 2)
+	}
+	h.is.Equal(len(h.step(StartRequested{Run: testRun(2)}).Starts), 0)
+	fx := h.replyToHold([]port.TaskRun{testRun(1)}, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskStopped})
+	h.is.True(fx.Hold.Until > 0)
+	h.is.Equal(len(fx.Starts), 1)
+}
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -82,16 +82,17 @@
 
 // run is the state of a run that was requested and has not finished.
 type run struct {
-	phase         phase
-	payload       []byte
-	confirmedAt   time.Time
-	listed        bool // The endpoint has listed the run, which is therefore one of this incarnation.
-	stopRequested bool
-	stopInFlight  bool      // A stop order has no reply yet.
-	stopDueAt     time.Time // When to send the next stop order; zero when none is due.
-	stopAckedAt   time.Time // When the endpoint acknowledged the stop order.
-	startToken    uint64    // Fencing token of the start order; 0 before it is sent.
-	claimedAt     time.Time // When this member last claimed the run, which another holder keeps running.
+	phase           phase
+	payload         []byte
+	confirmedAt     time.Time
+	listed          bool // The endpoint has listed the run, which is therefore one of this incarnation.
+	stopRequested   bool
+	stopRequestedAt time.Time // When the run was first requested to be stopped.
+	stopInFlight    bool      // A stop order has no reply yet.
+	stopDueAt       time.Time // When to send the next stop order; zero when none is due.
+	stopAckedAt     time.Time // When the endpoint acknowledged the stop order.
+	startToken      uint64    // Fencing token of the start order; 0 before it is sent.
+	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
 }
 
 // underLease reports whether the run may be running at the endpoint under this holder's lease.
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -117,7 +117,9 @@
 	if !known {
 		return
 	}
-	r.stopRequested = true
+	if !r.stopRequested {
+		r.stopRequested, r.stopRequestedAt = true, now
+	}
 	switch r.phase {
 	case queued:
 		m.finish(now, id, port.TaskNotRun, "the start was never sent", fx)
