The holder that has taken over a lease extends it until the runs that others wait for have ended

What callers would have seen: a run that was in progress when its endpoint's pool was handed over ended with the lease, and its task ran again, or its answer came only at its deadline: the next owner had no run of its own there, or one that ended first. In the other direction, a member that has retired an endpoint sent it a hold every 30 ms, each over a new connection, for as long as it lived, when the endpoint ended without a list that showed the ends of such runs.

Cause: a lease was extended only for runs of the holder, except at retired endpoints. The former holder is fenced and cannot extend it. And only the member's own runs ended with the lease; those of others left the list only with a list of the endpoint.

Why this works: the runs of others are known from the lists, and leave with their ends, or with the lease once it has certainly expired. Whether the lease may be extended for them is decided by their claims, as before.

--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -126,9 +126,14 @@
 	return extended.Add(time.Duration(lease) + expiryMargin)
 }
 
+// needsLease reports whether holds are due: for runs of this member, or for runs of others. The members that wait for those
+// have been fenced, so that only this one can extend the lease and learn how the runs end.
+func (m *Machine) needsLease() bool { return m.hasActiveRuns() || len(m.foreignRuns) > 0 }
+
 // finishExpiredRuns finishes the runs of an expired lease as lost. A start that was not sent yet waits on
-// for the endpoint to accept the token.
+// for the endpoint to accept the token. Runs of others have ended, too.
 func (m *Machine) finishExpiredRuns(now time.Time, fx *Effects) {
+	clear(m.foreignRuns)
 	for _, id := range m.sortedRuns() {
 		if m.runs[id].underLease() {
 			fx.Lost = LossExpired
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -188,7 +188,7 @@
 	if due, needed := m.nextHoldAt(now); needed && !m.holdInFlight {
 		earliest(due)
 	}
-	if m.failedHolds >= maxFailedHolds && m.hasRunsUnderLease() {
+	if m.failedHolds >= maxFailedHolds && (m.hasRunsUnderLease() || len(m.foreignRuns) > 0) {
 		earliest(m.leaseExpiredBy())
 	}
 	return at, ok
--- a/plugins/leases/lease/retire.go
+++ b/plugins/leases/lease/retire.go
@@ -86,12 +86,6 @@
 	return at
 }
 
-// needsLease reports whether the lease has to be extended: for runs of this member or, where it has retired the endpoint,
-// so that no other member can, for runs that others wait for.
-func (m *Machine) needsLease() bool {
-	return m.hasActiveRuns() || m.retirement.requested && len(m.foreignRuns) > 0
-}
-
 // recordRetireReply records the endpoint's reply to a hold while it is being retired. Only the token of another member that
 // retires it, too, is higher than the one of this member.
 func (m *Machine) recordRetireReply(state port.OrderState) {
