A task starts where less than the average needs is left

What callers saw: jobs waited, came late or were refused while a quarter of the cores was idle.

Cause: an endpoint without resources for a task with average needs had no free slot and was in no bucket of the placer; the search for a task to send ended when no endpoint had one. With tasks of 8 cores, a fifth more or less, on endpoints of 16, half of all tasks need less than the average, and fit where another one of less than 16 cores in sum runs already.

Why this works: endpoints with a remnant are a bucket of their own, looked at first, so that slots with average resources stay free for tasks that need more. The number of remnants looked at for a task is bounded. Where tasks declare no needs, nothing changes.

--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -52,6 +52,9 @@
 	Slots int
 	Free  int         // Free slots; negative when the Placer has overcommitted the endpoint.
 	Left  model.Needs // Resources of the endpoint that its tasks do not use.
+	// Remnant says that a slot is free, but not enough resources for a task with average needs. A task that needs less may
+	// fit.
+	Remnant bool
 }
 
 // Placer picks endpoints for the tasks of one pool. It is called with the pool's lock held.
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -34,7 +34,7 @@
 			m.bind(now, t, choice, fx)
 			continue
 		}
-		if m.totals.free == 0 {
+		if m.totals.free+m.totals.remnants == 0 {
 			break
 		}
 		m.queue.remove(t.batch)
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -47,6 +47,7 @@
 	free    int
 	held    int
 	serving int // 1 while the endpoint gets work, otherwise 0.
+	remnant int // 1 while it has a free slot, but not the resources for a task with average needs; otherwise 0.
 }
 
 // totals are sums over the endpoints that get work.
@@ -55,6 +56,7 @@
 	free         int
 	held         int
 	serving      int // Number of endpoints that get work.
+	remnants     int // Number of endpoints with a free slot, but not the resources for a task with average needs.
 	largest      model.Needs
 	largestStale bool
 }
@@ -235,12 +237,16 @@
 	if load.Slots > 0 {
 		now.free = load.Free + now.held
 	}
+	if load.Remnant {
+		now.remnant = 1
+	}
 	was := e.counted
 	e.counted = now
 	m.recordStatusChange(e)
 	m.totals.free += now.free - was.free
 	m.totals.held += now.held - was.held
 	m.totals.serving += now.serving - was.serving
+	m.totals.remnants += now.remnant - was.remnant
 	if now.slots != was.slots || now.serving != was.serving {
 		m.applySlotChange(was, now)
 	}
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -321,6 +321,9 @@
 		if averageNeeds := m.averageNeeds.MilliCores; averageNeeds > 0 && left/averageNeeds < free {
 			slots -= free - left/averageNeeds
 			free = left / averageNeeds
+			if free == 0 && len(e.held) == 0 {
+				sums.remnants++
+			}
 		}
 		sums.slots += slots
 		sums.free += free
--- a/plugins/endpoints/poolstate/resources.go
+++ b/plugins/endpoints/poolstate/resources.go
@@ -57,6 +57,7 @@
 	free := max(load.Slots-e.busy(), 0)
 	if fitting := load.Left.CountFitting(averageNeeds); fitting < free {
 		load.Slots -= free - fitting
+		load.Remnant = fitting == 0 && len(e.held) == 0
 		free = fitting
 	}
 	load.Free = free - len(e.held)
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -7,8 +7,11 @@
 	"redwingpulley/kernel/port"
 )
 
+// maxRemnantTries bounds the endpoints with a remnant of resources that are looked at for a task.
+const maxRemnantTries = 64
+
 // placer keeps the endpoints in buckets by their number of free slots, so that the cost of an update
-// or a pick does not grow with the number of endpoints.
+// or a pick does not grow with the number of endpoints. Bucket 0 holds those with a remnant of resources.
 type placer struct {
 	random  *rand.Rand
 	entries map[model.EndpointID]*entry
@@ -16,10 +19,12 @@
 	highest int        // Index of the highest bucket that may hold an endpoint.
 }
 
+const noBucket = -1
+
 // entry is an endpoint and its place in the buckets.
 type entry struct {
 	load     port.EndpointLoad
-	bucket   int // -1 while the endpoint has no free slot and is in no bucket.
+	bucket   int // noBucket while the endpoint has no free slot.
 	position int // Index in the bucket.
 }
 
@@ -31,7 +36,7 @@
 func (p *placer) Update(load port.EndpointLoad) {
 	e, ok := p.entries[load.ID]
 	if !ok {
-		e = &entry{bucket: -1}
+		e = &entry{bucket: noBucket}
 		p.entries[load.ID] = e
 	}
 	p.removeFromBucket(e)
@@ -47,11 +52,17 @@
 	}
 }
 
-// Pick returns a random endpoint among those with the most free slots that can run the task, or false
-// when none that can run it has a free slot.
+// Pick returns an endpoint that can run the task, or false when none that can run it has a free slot. A task that fits into
+// a remnant goes there and leaves the free slots to tasks that need more; others go to a random endpoint among those with
+// the most free slots.
 func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
+	if len(p.buckets) > 0 {
+		if e := p.pickFromBucket(p.buckets[0], &request, maxRemnantTries); e != nil {
+			return port.Choice{Endpoint: e.load.ID, Why: "fits into what others leave"}, true
+		}
+	}
 	for free := p.highest; free > 0; free-- {
-		if e := p.pickFromBucket(p.buckets[free], &request); e != nil {
+		if e := p.pickFromBucket(p.buckets[free], &request, len(p.buckets[free])); e != nil {
 			return port.Choice{Endpoint: e.load.ID, Why: "most free slots"}, true
 		}
 	}
@@ -59,13 +70,13 @@
 }
 
 // pickFromBucket returns the first endpoint of the bucket that can run the task, starting at a random
-// one, or nil.
-func (p *placer) pickFromBucket(bucket []*entry, request *port.PickRequest) *entry {
+// one, or nil if there is none among the given number.
+func (p *placer) pickFromBucket(bucket []*entry, request *port.PickRequest, tries int) *entry {
 	if len(bucket) == 0 {
 		return nil
 	}
 	offset := p.random.IntN(len(bucket))
-	for i := range bucket {
+	for i := range min(len(bucket), tries) {
 		e := bucket[(offset+i)%len(bucket)]
 		if request.Needs.FitsIn(e.load.Left) && e.load.ID != request.Avoid {
 			return e
@@ -77,7 +88,7 @@
 // removeFromBucket takes the endpoint out of its bucket, if it is in one; the bucket's last endpoint
 // takes its position.
 func (p *placer) removeFromBucket(e *entry) {
-	if e.bucket < 0 {
+	if e.bucket == noBucket {
 		return
 	}
 	bucket := p.buckets[e.bucket]
@@ -86,7 +97,7 @@
 	last.position = e.position
 	bucket[len(bucket)-1] = nil
 	p.buckets[e.bucket] = bucket[:len(bucket)-1]
-	e.bucket = -1
+	e.bucket = noBucket
 	for p.highest > 0 && len(p.buckets[p.highest]) == 0 {
 		p.highest--
 	}
@@ -94,13 +105,13 @@
 
 // addToBucket puts the endpoint into the bucket of its free slots, if it has any.
 func (p *placer) addToBucket(e *entry) {
-	if e.load.Free <= 0 {
+	if e.load.Free <= 0 && !e.load.Remnant {
 		return
 	}
-	for len(p.buckets) <= e.load.Free {
+	e.bucket = max(e.load.Free, 0)
+	for len(p.buckets) <= e.bucket {
 		p.buckets = append(p.buckets, nil)
 	}
-	e.bucket = e.load.Free
 	e.position = len(p.buckets[e.bucket])
 	p.buckets[e.bucket] = append(p.buckets[e.bucket], e)
 	p.highest = max(p.highest, e.bucket)
