A run that is settled at the next incarnation does not end with a lease that its start may still extend

Its start was carried out late by the endpoint's next incarnation, while that one's replies were lost.

Cause: the end of a lease was taken for the end of the run. The member that settles the run counted the lease from its request. A late start extends the lease when it is carried out, by the clock of the next incarnation, which does not refuse it as too old.

TestRunThatMayStillStartAtTheNextIncarnationDoesNotEndWithTheLease fails before.

Why this works: only a list under the higher token, or of the run itself, tells; holds go on until one is answered. The lease counts from that list. A bound stays for an incarnation that never answers: 5 s, beyond any late order, after the lease would have expired.

--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -148,20 +148,29 @@
 	}
 }
 
-// goneBy returns the time by which a run that was handed over has certainly ended, unless this member claims it again.
-func (m *Machine) goneBy(r *run) time.Time {
-	extended := r.claimedAt.Add(claimValidity)
-	if m.leaseExtendedAt.After(extended) {
-		extended = m.leaseExtendedAt
+// goneBy returns the time by which a run that this holder does not follow has certainly ended; bounded is false for others. One
+// that was handed over ends with its lease unless this member claims it again. One that was inherited may still start, and
+// extend the lease, while the order may arrive.
+func (m *Machine) goneBy(r *run) (at time.Time, bounded bool) {
+	switch r.phase {
+	case handedOver:
+		extended := r.claimedAt.Add(claimValidity)
+		if m.leaseExtendedAt.After(extended) {
+			extended = m.leaseExtendedAt
+		}
+		return m.expiredBy(extended), true
+	case inherited:
+		return r.lostAt, true
+	default:
+		return time.Time{}, false
 	}
-	return m.expiredBy(extended)
 }
 
-// finishGoneRuns finishes the runs that were handed over and whose ends nobody has forwarded.
+// finishGoneRuns finishes the runs that have certainly ended and whose ends nobody has reported.
 func (m *Machine) finishGoneRuns(now time.Time, fx *Effects) {
 	for _, id := range m.sortedRuns() {
-		if r := m.runs[id]; r.phase == handedOver && !now.Before(m.goneBy(r)) {
-			m.finish(now, id, port.TaskLost, "no member has extended the lease for the run", fx)
+		if at, bounded := m.goneBy(m.runs[id]); bounded && !now.Before(at) {
+			m.finish(now, id, port.TaskLost, "no member can have extended the lease for the run", fx)
 		}
 	}
 }
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -93,11 +93,12 @@
 	stopAckedAt     time.Time // When the endpoint acknowledged the stop order.
 	startToken      uint64    // Fencing token of the start order; 0 before it is sent.
 	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
+	lostAt          time.Time // When an inherited run counts as lost, although the endpoint has never listed its runs.
 }
 
 // underLease reports whether the run may be running at the endpoint under this holder's lease.
 func (r *run) underLease() bool {
-	return r.phase != queued && r.phase != handedOver && r.phase != atSuccessor
+	return r.phase == startSent || r.phase == confirmed || r.phase == startUnanswered
 }
 
 // New returns the machine of an endpoint that this member has not called yet.
@@ -181,8 +182,8 @@
 		if !r.stopDueAt.IsZero() && !r.stopInFlight {
 			earliest(r.stopDueAt)
 		}
-		if r.phase == handedOver {
-			earliest(m.goneBy(r))
+		if at, bounded := m.goneBy(r); bounded {
+			earliest(at)
 		}
 	}
 	if due, needed := m.nextHoldAt(now); needed && !m.holdInFlight {
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -22,6 +22,7 @@
 			m.confirmStart(now, r)
 		case known && r.phase == inherited:
 			r.phase, r.confirmedAt, r.stopDueAt = confirmed, now, now
+			m.leaseExtendedAt = now // The start may have been carried out just before the list.
 		}
 	}
 	m.recordForeignRuns(now, running, listed, fx)
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -13,8 +13,12 @@
 // that the replaced incarnation has not listed is therefore settled at its successor before it is reported: the successor's
 // machine takes a higher token, after which the start is never carried out, and stops the run if it is there.
 
-// maxUnclaimedEnds bounds the ends that are kept for runs which are settled later.
-const maxUnclaimedEnds = 256
+const (
+	// maxUnclaimedEnds bounds the ends that are kept for runs which are settled later.
+	maxUnclaimedEnds = 256
+	// maxOrderDelay is how long after it was sent an endpoint may carry out an order.
+	maxOrderDelay = 5 * time.Second
+)
 
 // handleOtherIncarnation handles the news that another incarnation has replaced the endpoint. A run that the
 // endpoint has listed has ended with it; the successor may have started any other, unless it is not known.
@@ -88,6 +92,7 @@
 	default:
 		m.outbid(now, e.Token)
 		m.leaseExtendedAt = now // The start may just have extended the lease.
+		r.lostAt = m.leaseExpiredBy().Add(maxOrderDelay)
 	}
 	m.runs[e.Run] = r
 }
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -104,3 +104,45 @@
 	h.is.Equal(fx.Successor, model.EndpointID("e@3"))
 	h.is.Equal(len(fx.Settle), 1)
 }
+
+// Guards against issue 24: the start that was meant for an earlier incarnation arrived late, and its run was reported as lost
+// when the lease would have expired that it extends only on arrival.
+func TestRunThatMayStillStartAtTheNextIncarnationDoesNotEndWithTheLease(t *testing.T) {
+	h := newHarness(t)
+	h.step(SettleRequested{Run: testRun(0), Token: 1})
+	h.failHolds() // For longer than a lease.
+	h.is.True(h.machine.Pending(testRun(0)))
+	h.advance(retryDelay).step(Elapsed{})
+	h.is.True(h.machine.holdInFlight)
+	h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
+	h.is.Equal(len(h.fx.Stops), 1)
+	for range 4 { // For less than a lease, which the start may have extended just before the list.
+		h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+		h.advance(retryDelay).step(Elapsed{})
+	}
+	h.is.True(h.machine.Pending(testRun(0)))
+}
+
+// Guards against a run that never ends for its pool: the next incarnation has gone, too, and nobody can tell.
+func TestRunAtAnIncarnationThatNeverAnswersIsLostOnceNoOrderCanArriveAnyMore(t *testing.T) {
+	h := newHarness(t)
+	h.step(SettleRequested{Run: testRun(0), Token: 1})
+	for range 3 {
+		h.failHolds()
+	}
+	h.is.True(!h.machine.Pending(testRun(0)))
+	_, armed := h.machine.NextTimer(h.now)
+	h.is.True(!armed)
+}
+
+// Guards against issue 24: the same where a hold that was sent before the request lists the run, and no later one is answered.
+func TestRunThatALateStartHasBegunDoesNotEndBeforeItsLease(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.step(SettleRequested{Run: testRun(5), Token: h.machine.token + 1<<holderBits})
+	h.advance(900 * time.Millisecond).replyToHold([]port.TaskRun{testRun(0), testRun(5)})
+	for range 2 {
+		h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+		h.advance(retryDelay).step(Elapsed{})
+	}
+	h.is.True(h.machine.Pending(testRun(5)))
+}
