A connection that keep-alive probes have ended counts as broken before a job is submitted

Only a reset and a close counted as broken; a time-out did not. TestConnectionThatHasTimedOutIsBroken states the rule; it does not compile before, since the decision was part of the read.

--- a/plugins/frontend/web/connection.go
+++ b/plugins/frontend/web/connection.go
@@ -37,9 +37,21 @@
 	return err != nil || broken
 }
 
-// hungUp reports whether the remote side of a socket has closed or reset it. It does not wait and takes no data.
+// hungUp reports whether the remote side of a socket has closed or reset it, or no longer answers. It does not wait and takes no data.
 func hungUp(fd int) bool {
 	var next [1]byte
 	n, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
+	return isBroken(n, err)
+}
+
+// isBroken reports whether the result of a read that does not wait says that the connection has ended.
+func isBroken(n int, err error) bool {
+	switch {
+	case err == nil:
+		return n == 0
+	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
+		return false
+	default: // Reset, or timed out by keep-alive probes.
+		return true
+	}
 }
--- a/plugins/frontend/web/connection_test.go
+++ b/plugins/frontend/web/connection_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 // serveOne serves one request of a client that has called use with its connection before the request is read. It returns
@@ -48,3 +49,13 @@
 		w.Flush()
 	}))
 }
+
+// Guards against a job that is submitted although its caller's connection was ended by keep-alive probes.
+func TestConnectionThatHasTimedOutIsBroken(t *testing.T) {
+	is := is.New(t)
+	is.True(isBroken(0, unix.ETIMEDOUT))
+	is.True(isBroken(0, unix.ECONNRESET))
+	is.True(isBroken(0, nil))
+	is.True(!isBroken(0, unix.EAGAIN))
+	is.True(!isBroken(1, nil))
+}
