Free slots are counted by typical needs, and room by the job's own

What callers saw: parts of jobs were refused as busy and planned again, 30 to 50 ms later (p90), more often than there were jobs; jobs were refused while endpoints had room for them, and taken where they had to wait.

Cause: free slots are counted by a moving average of the needs of a task that followed the last eight batches. With an average near half an endpoint, an idle endpoint counted as one slot or as two by the last few jobs, all endpoints of a pool at the same time: a pool of eleven endpoints reported 12 to 26 slots. Admission used the same count for jobs whose tasks need more or less than that.

Why this works: the averages move four times more slowly and include the deviation. A slot is counted by the average less the deviation, since tasks with greater needs run beside those with smaller ones; where all needs are equal, the count is exact as before. Admission counts the room for a batch by its own needs.

--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -44,6 +44,9 @@
 	return Needs{MilliCores: n.MilliCores / count, MemoryMB: n.MemoryMB / count, Accelerators: n.Accelerators / count}
 }
 
+// Negated returns the resources with the opposite signs.
+func (n Needs) Negated() Needs { return Needs{}.Minus(n) }
+
 // CountFitting returns how many times the resources of each fit into n. It returns math.MaxInt
 // when each requires no resources.
 func (n Needs) CountFitting(each Needs) int {
--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -52,7 +52,7 @@
 	Slots int
 	Free  int         // Free slots; negative when the Placer has overcommitted the endpoint.
 	Left  model.Needs // Resources of the endpoint that its tasks do not use.
-	// Remnant says that a slot is free, but not enough resources for a task with average needs. A task that needs less may
+	// Remnant says that a slot is free, but not enough resources for a task with typical needs. A task that needs less may
 	// fit.
 	Remnant bool
 }
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -47,7 +47,7 @@
 	free    int
 	held    int
 	serving int // 1 while the endpoint gets work, otherwise 0.
-	remnant int // 1 while it has a free slot, but not the resources for a task with average needs; otherwise 0.
+	remnant int // 1 while it has a free slot, but not the resources for a task with typical needs; otherwise 0.
 }
 
 // totals are sums over the endpoints that get work.
@@ -56,7 +56,7 @@
 	free         int
 	held         int
 	serving      int // Number of endpoints that get work.
-	remnants     int // Number of endpoints with a free slot, but not the resources for a task with average needs.
+	remnants     int // Number of endpoints with a free slot, but not the resources for a task with typical needs.
 	largest      model.Needs
 	largestStale bool
 }
@@ -232,7 +232,7 @@
 
 // updateTotals updates the pool's totals and the placer after a change of the endpoint.
 func (m *Machine) updateTotals(e *endpoint) {
-	load := e.load(m.averageNeeds)
+	load := e.load(m.typicalNeeds)
 	now := contribution{slots: load.Slots, held: len(e.held), serving: min(e.schedulableSlots(), 1)}
 	if load.Slots > 0 {
 		now.free = load.Free + now.held
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -28,6 +28,8 @@
 	endpointList         []*endpoint // The same endpoints, in an order that only the events determine.
 	totals               totals
 	averageNeeds         model.Needs // Moving average of the needs of a task.
+	needsDeviation       model.Needs // Moving average of how far the needs of a task are from it.
+	typicalNeeds         model.Needs // The average less the deviation, by which free slots are counted.
 	batches              map[model.BatchID]*batch
 	inFlight             map[model.TaskID]*task
 	origins              origins
@@ -114,13 +116,14 @@
 	m.placement = name
 	m.placer = policy.NewPlacer(m.seed)
 	for _, e := range m.endpointList {
-		m.placer.Update(e.load(m.averageNeeds))
+		m.placer.Update(e.load(m.typicalNeeds))
 	}
 }
 
 func (m *Machine) admit(now time.Time, b *batch) port.Verdict {
 	policy, ok := m.policies.Admissions[b.profile.Admission]
 	invariant.Check(ok, "profile-admission", "profile names unknown admission %q", b.profile.Admission)
+	room := m.roomFor(b)
 	request := port.AdmissionRequest{
 		Tasks:       len(b.Tasks),
 		Remaining:   b.Deadline.Sub(now),
@@ -128,7 +131,7 @@
 		RunTime:     b.p95LongestRun,
 		Work:        b.work,
 		Slots:       m.totals.slots,
-		Free:        m.totals.free,
+		Free:        room,
 		Fits:        m.fits(b.Tasks),
 		QueuedTasks: m.queue.count + m.totals.held,
 		QueuedWork:  m.queue.work,
@@ -137,18 +140,18 @@
 	residual := time.Duration(len(m.inFlight)) * time.Duration(m.runTimes.service.mean) / 2
 	queued := m.queue.workAhead(now, b, request.Work)
 	request.Ahead = residual + queued
-	request.Wait, request.MaxWait = m.waitBehind(b, queued), b.maxWait()
+	unclaimed := max(room-m.queue.count-m.totals.held, 0)
+	request.Wait, request.MaxWait = m.waitBehind(b, unclaimed, queued), b.maxWait()
 	verdict := policy.Admit(request)
-	if verdict.Admit && b.MaxWait > 0 && m.expectedWait(b) > b.MaxWait {
+	if verdict.Admit && b.MaxWait > 0 && m.expectedWait(b, unclaimed) > b.MaxWait {
 		return port.Verdict{Reason: model.ReasonBusy}
 	}
 	return verdict
 }
 
 // waitBehind returns how long the batch's last task is expected to wait for a slot when the given work
-// of other batches goes first.
-func (m *Machine) waitBehind(b *batch, queued time.Duration) time.Duration {
-	room := max(m.totals.free-m.queue.count-m.totals.held, 0)
+// of other batches goes first and the given number of tasks can start at once.
+func (m *Machine) waitBehind(b *batch, room int, queued time.Duration) time.Duration {
 	if len(b.Tasks) <= room {
 		return 0
 	}
@@ -158,8 +161,7 @@
 
 // expectedWait returns how long the batch's last task is expected to wait for a slot behind all work in
 // the pool: 0 if all tasks find one at once. Until a run time has been learned, only queued work counts.
-func (m *Machine) expectedWait(b *batch) time.Duration {
-	room := max(m.totals.free-m.queue.count-m.totals.held, 0)
+func (m *Machine) expectedWait(b *batch, room int) time.Duration {
 	if len(b.Tasks) <= room {
 		return 0
 	}
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -318,9 +318,9 @@
 		}
 		free := max(e.schedulableSlots()-e.busy(), 0)
 		slots := e.schedulableSlots()
-		if averageNeeds := m.averageNeeds.MilliCores; averageNeeds > 0 && left/averageNeeds < free {
-			slots -= free - left/averageNeeds
-			free = left / averageNeeds
+		if each := m.typicalNeeds.MilliCores; each > 0 && left/each < free {
+			slots -= free - left/each
+			free = left / each
 			if free == 0 && len(e.held) == 0 {
 				sums.remnants++
 			}
--- a/plugins/endpoints/poolstate/resources.go
+++ b/plugins/endpoints/poolstate/resources.go
@@ -6,23 +6,28 @@
 )
 
 // averageNeedsDivisor is the inverse of the weight that a batch's mean needs get in the moving average.
-const averageNeedsDivisor = 8
+const averageNeedsDivisor = 32
 
-// learnAverageNeeds adds a batch to the moving average of the needs of a task, by which free slots are
-// counted.
+// maxSpread bounds the deviation of needs: free slots are counted by at least the average divided by it.
+const maxSpread = 2
+
+// learnAverageNeeds adds a batch to the moving averages of the needs of a task and of their deviation. Free slots are
+// counted by the needs that a smaller task has: tasks that need more are put beside those that need less.
 func (m *Machine) learnAverageNeeds(b *batch) {
 	var sum model.Needs
 	for i := range b.Tasks {
 		sum = sum.Plus(b.Tasks[i].Needs)
 	}
 	mean := sum.DividedBy(len(b.Tasks))
-	before := m.averageNeeds
+	before := m.typicalNeeds
 	if m.averageNeeds == (model.Needs{}) {
 		m.averageNeeds = mean
-	} else {
-		m.averageNeeds = m.averageNeeds.Plus(mean.Minus(m.averageNeeds).DividedBy(averageNeedsDivisor))
 	}
-	if m.averageNeeds == before {
+	off := mean.Minus(m.averageNeeds)
+	m.averageNeeds = m.averageNeeds.Plus(off.DividedBy(averageNeedsDivisor))
+	m.needsDeviation = m.needsDeviation.Plus(off.Max(off.Negated()).Minus(m.needsDeviation).DividedBy(averageNeedsDivisor))
+	m.typicalNeeds = m.averageNeeds.Minus(m.needsDeviation).Max(m.averageNeeds.DividedBy(maxSpread))
+	if m.typicalNeeds == before {
 		return
 	}
 	for _, e := range m.endpointList {
@@ -30,6 +35,24 @@
 	}
 }
 
+// roomFor returns how many tasks like those of the batch could start now if none were queued.
+func (m *Machine) roomFor(b *batch) int {
+	largest := model.Needs{}
+	for i := range b.Tasks {
+		largest = largest.Max(b.Tasks[i].Needs)
+	}
+	if largest == (model.Needs{}) {
+		return m.totals.free
+	}
+	room := 0
+	for _, e := range m.endpointList {
+		if free := e.schedulableSlots() - e.busy() - len(e.held); free > 0 {
+			room += min(free, e.available().CountFitting(largest))
+		}
+	}
+	return room
+}
+
 // available returns the resources of the endpoint that are not in use, as far as the pool knows.
 func (e *endpoint) available() model.Needs { return e.Has.Minus(e.taken).Minus(e.blockedNeeds) }
 
@@ -47,15 +70,15 @@
 	return e.busy() < e.capacity() && needs.FitsIn(e.available())
 }
 
-// load returns the endpoint's load. Its free slots are at most the number of tasks with average needs
+// load returns the endpoint's load. Its free slots are at most the number of tasks with the given needs
 // for which resources are left.
-func (e *endpoint) load(averageNeeds model.Needs) port.EndpointLoad {
+func (e *endpoint) load(typicalNeeds model.Needs) port.EndpointLoad {
 	load := port.EndpointLoad{ID: e.ID, Slots: e.schedulableSlots(), Left: e.available()}
 	if load.Slots == 0 {
 		return load
 	}
 	free := max(load.Slots-e.busy(), 0)
-	if fitting := load.Left.CountFitting(averageNeeds); fitting < free {
+	if fitting := load.Left.CountFitting(typicalNeeds); fitting < free {
 		load.Slots -= free - fitting
 		load.Remnant = fitting == 0 && len(e.held) == 0
 		free = fitting
