--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -64,7 +64,7 @@
 	LeaseLost       = define(Trouble, "lease_lost", "this member lost the lease on an endpoint before the runs under it had ended", Endpoint, Reason, Successor, Runs)
 	StartUnanswered = define(Trouble, "start_unanswered", "an endpoint did not answer a start; the run is stopped there before its task may start elsewhere",
 		Endpoint, JobKey, Task, Attempt, TookMS, Why)
-	RunsAsked = define(Change, "runs_asked", "the other members were asked whether they wait for runs that an endpoint's former lease holder started",
+	RunsAsked = define(Change, "runs_asked", "the other members were asked whether they wait for runs that an endpoint's former lease holder started; not logged when all claims were renewed",
 		Endpoint, Runs, Claimed)
 	EndsNotPassedOn = define(Trouble, "ends_not_passed_on", "another member did not acknowledge ends of runs that it may wait for", Endpoint, Member, Ends)
 )
