Lease machine: retirement as one phase, the former holder's part in its own file

Hard to read: retirement had four booleans of which only five combinations occur; claims.go held the part of the lease's holder and that of its former holder, and the latter stood partly in reconcile.go; the condition under which a hold extends the lease stood inline; two details of outcomes were repeated six times; one handler was named like a field.

Changed: retirePhase replaces the booleans; handover.go has what a former holder does (handleFenced, handleTakeover, goneBy); holdsLease, claimTo and replaceToken are named functions; Wanted stands beside Pending and compareRuns beside sortedRuns; detailReplaced and detailLeasedElsewhere are constants; comments reworded.

--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -1,20 +1,19 @@
 package lease
 
 import (
-	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
-// A former holder of the lease takes its runs for ended once the lease that was extended last, by itself or for a claim of
-// its own, has certainly expired. So the next holder extends the lease, which is one for all runs at the endpoint, only while
-// a live member has claimed each run that it did not start itself. It has the others stopped first, and starts nothing until
+// The lease is one for all runs at the endpoint. A former holder takes its runs for ended once the lease has certainly
+// expired that was extended last, by itself or for a claim of its own. So the next holder extends the lease only while a
+// live member claims each run that the holder did not start itself. It has the others stopped, and starts nothing until
 // they are gone. A claim is soon out of date: the claimant may die, or want the run stopped.
+
 const (
 	// claimValidity is how long the lease may be extended after a query whose reply contained the claims. After the
 	// loss of a claimant the lease ends before the caller of an attached job sends it again, even if no stop arrives.
@@ -34,12 +33,6 @@
 	stopSentAt time.Time    // When the newest stop order was sent; zero while the run is not to be stopped.
 }
 
-// Wanted reports whether a run was requested, has not finished and is not to be stopped.
-func (m *Machine) Wanted(id port.TaskRun) bool {
-	r, known := m.runs[id]
-	return known && !r.stopRequested
-}
-
 // recordForeignRuns records the listed runs that this holder did not start, forgets those that are no longer listed, and
 // queries claims: of all members when there are new runs, otherwise of the claimants. A run that was to be stopped and is
 // still listed is stopped again.
@@ -62,14 +55,14 @@
 			m.stopForeignRun(now, id, f, fx)
 		}
 	}
-	if added || now.Sub(m.claimsAskedAt) >= claimRenewal {
+	if added || now.Sub(m.claimsQueriedAt) >= claimRenewal {
 		m.queryClaims(now, added, fx)
 	}
 }
 
-// queryClaims queries claims to the runs of other holders that are not to be stopped.
+// queryClaims queries claims to the runs of other holders that are not to be stopped, of all members or of the claimants.
 func (m *Machine) queryClaims(now time.Time, ofAll bool, fx *Effects) {
-	for _, id := range slices.SortedFunc(maps.Keys(m.foreignRuns), byRun) {
+	for _, id := range slices.SortedFunc(maps.Keys(m.foreignRuns), compareRuns) {
 		f := m.foreignRuns[id]
 		if !f.stopSentAt.IsZero() {
 			continue
@@ -81,38 +74,49 @@
 	}
 	if len(fx.ClaimQuery) > 0 {
 		fx.ClaimToken = m.holdToken
-		m.claimQueryInFlight, m.claimsAskedAt = true, now
+		m.claimQueryInFlight, m.claimsQueriedAt = true, now
 	}
 }
 
-// handleClaims stops the runs of other holders that no live member waits for any more. The starts that have waited for the
-// claims are sent if there are no such runs.
+// handleClaims handles a Claimed event. It stops the runs of other holders that no live member waits for any more, and
+// sends the starts that have waited for the claims if there are no such runs.
 func (m *Machine) handleClaims(now time.Time, e Claimed, fx *Effects) {
-	m.claimQueryInFlight, m.claimsValidFrom = false, m.claimsAskedAt
+	m.claimQueryInFlight, m.claimsValidFrom = false, m.claimsQueriedAt
 	for _, id := range e.Queried {
 		f, known := m.foreignRuns[id]
 		if !known {
 			continue
 		}
-		if i := slices.IndexFunc(e.Claimed, func(c Claim) bool { return c.Run == id }); i >= 0 {
-			f.claimant = e.Claimed[i].Member
-			if !e.Claimed[i].Stop {
-				continue
-			}
+		claim, claimed := e.claimTo(id)
+		if claimed {
+			f.claimant = claim.Member
+		}
+		if !claimed || claim.Stop {
+			m.stopForeignRun(now, id, f, fx)
 		}
-		m.stopForeignRun(now, id, f, fx)
 	}
 	if m.tokenAccepted && m.failedHolds == 0 {
 		m.sendQueuedStarts(now, fx)
 	}
 }
 
+// claimTo returns the claim to a run; claimed is false when there is none.
+func (e Claimed) claimTo(id port.TaskRun) (claim Claim, claimed bool) {
+	i := slices.IndexFunc(e.Claimed, func(c Claim) bool { return c.Run == id })
+	if i < 0 {
+		return Claim{}, false
+	}
+	return e.Claimed[i], true
+}
+
+// stopForeignRun sends a stop order for a run of another holder.
 func (m *Machine) stopForeignRun(now time.Time, id port.TaskRun, f *foreignRun, fx *Effects) {
 	f.stopSentAt = now
 	fx.Stops = append(fx.Stops, port.StopOrder{Run: id, Token: m.token})
 }
 
-// mayExtend reports whether this holder may extend the lease.
+// mayExtend reports whether this holder may extend the lease: no run that is to be stopped is overdue, and each run of
+// another holder has a valid claim.
 func (m *Machine) mayExtend(now time.Time) bool {
 	for _, r := range m.runs {
 		if r.underLease() && r.stopRequested && now.Sub(r.stopRequestedAt) > stopPatience {
@@ -127,54 +131,6 @@
 	return true
 }
 
-// handleTakeover handles the news that another member holds the lease. The endpoint's refusal of this holder's token, which
-// says the same, may not arrive here, and the other holder extends the lease of all runs while this one claims its runs: from
-// now on the end of this holder's own lease does not end them.
-func (m *Machine) handleTakeover(now time.Time, e TakenOver, fx *Effects) {
-	if e.Token <= m.token || m.replaced {
-		return
-	}
-	for _, id := range e.Running {
-		r, known := m.runs[id]
-		if known && r.phase == startSent {
-			m.confirmStart(now, r)
-		}
-		if m.Wanted(id) {
-			r.claimedAt = now
-		}
-	}
-	if !now.Before(m.fencedUntil) {
-		m.handleFenced(now, fx)
-	}
-}
-
-// goneBy returns the time by which a run that this holder does not follow has certainly ended; bounded is false for others. One
-// that was handed over ends with its lease unless this member claims it again. One that was inherited may still start, and
-// extend the lease, while the order may arrive.
-func (m *Machine) goneBy(r *run) (at time.Time, bounded bool) {
-	switch r.phase {
-	case handedOver:
-		extended := r.claimedAt.Add(claimValidity)
-		if m.leaseExtendedAt.After(extended) {
-			extended = m.leaseExtendedAt
-		}
-		return m.expiredBy(extended), true
-	case inherited:
-		return r.lostAt, true
-	default:
-		return time.Time{}, false
-	}
-}
-
-// finishGoneRuns finishes the runs that have certainly ended and whose ends nobody has reported.
-func (m *Machine) finishGoneRuns(now time.Time, fx *Effects) {
-	for _, id := range m.sortedRuns() {
-		if at, bounded := m.goneBy(m.runs[id]); bounded && !now.Before(at) {
-			m.finish(now, id, port.TaskLost, "no member can have extended the lease for the run", fx)
-		}
-	}
-}
-
 // claimantOf returns the member that has claimed a run, or "" when none has.
 func (m *Machine) claimantOf(id port.TaskRun) (claimant model.NodeID) {
 	if f, known := m.foreignRuns[id]; known {
@@ -182,8 +138,3 @@
 	}
 	return claimant
 }
-
-// byRun orders runs.
-func byRun(a, b port.TaskRun) int {
-	return cmp.Or(strings.Compare(a.Key, b.Key), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Attempt, b.Attempt))
-}
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -88,16 +88,16 @@
 	return time.Time{}, false
 }
 
+// sendHold sends the next hold. It extends the lease if this member holds it, needs it and may extend it.
 func (m *Machine) sendHold(now time.Time, fx *Effects) {
 	m.holdInFlight, m.holdSentAt, m.holdToken, m.lastEndSent = true, now, m.token, m.lastEnd
 	if m.failedHolds > 0 { // The next incarnation may answer, whose ends have the same numbers.
 		m.lastEndSent = 0
 	}
 	order := port.HoldOrder{Seen: m.lastEndSent, Token: m.token}
-	if (m.tokenAccepted || m.retirement.sent && !m.clockReadAt.IsZero()) && m.needsLease() {
-		order.Wait = m.holdWait()
-		if m.failedHolds > 0 || m.retireHoldNeeded(now) {
-			order.Wait = 0
+	if m.holdsLease() && m.needsLease() {
+		if m.failedHolds == 0 && !m.retireHoldNeeded(now) {
+			order.Wait = m.holdWait()
 		}
 		if m.failedHolds < maxFailedHolds && m.mayExtend(now) {
 			order.Until = m.leaseEnd(now)
@@ -107,6 +107,12 @@
 	fx.Hold = &order
 }
 
+// holdsLease reports whether a hold under the token can extend the lease: the endpoint has accepted the token, or the token
+// is the retiring one, which it accepts with that hold, and the endpoint's clock is known.
+func (m *Machine) holdsLease() bool {
+	return m.tokenAccepted || m.hasRetiringToken() && !m.clockReadAt.IsZero()
+}
+
 // holdWait returns the time for which the endpoint may delay its reply to a hold.
 func (m *Machine) holdWait() time.Duration {
 	fraction := holdWaitFraction
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"redwingpulley/kernel/model"
@@ -31,6 +33,12 @@
 	holderBits = 12 // Lowest bits of a token, which contain the holder's id; the others are a time in milliseconds.
 )
 
+// Details of outcomes.
+const (
+	detailReplaced        = "another incarnation has replaced the endpoint"
+	detailLeasedElsewhere = "another member holds the endpoint's lease"
+)
+
 // Machine holds the state of the lease on one incarnation of an endpoint. Create one with New.
 type Machine struct {
 	config        Config
@@ -61,8 +69,8 @@
 	// foreignRuns are the runs of other holders that the endpoint has listed last.
 	foreignRuns        map[port.TaskRun]*foreignRun
 	claimQueryInFlight bool      // A ClaimQuery has not been answered. No hold is sent meanwhile.
-	claimsAskedAt      time.Time // When the newest ClaimQuery was sent.
-	claimsValidFrom    time.Time // When the newest one that was answered was sent.
+	claimsQueriedAt    time.Time // When the newest ClaimQuery was sent.
+	claimsValidFrom    time.Time // When the newest ClaimQuery that was answered was sent.
 	// unclaimedEnds are the latest ends of runs that were not requested here, oldest first.
 	unclaimedEnds []port.RunEnd
 }
@@ -71,7 +79,7 @@
 type phase int
 
 const (
-	queued          phase = iota // The endpoint has not accepted the token yet, or has left the last hold unanswered.
+	queued          phase = iota // The start waits: for a reply to a hold, or until the lease may be extended.
 	startSent                    // The start has no reply yet.
 	confirmed                    // The endpoint has confirmed the start.
 	startUnanswered              // No reply to the start came in time; the run is being stopped.
@@ -115,7 +123,7 @@
 	case StartRequested:
 		m.handleStartRequest(now, e, &fx)
 	case StopRequested:
-		m.stopRequested(now, e.Run, &fx)
+		m.handleStopRequest(now, e.Run, &fx)
 	case RetireRequested:
 		m.handleRetireRequest(now, &fx)
 	case StartReplied:
@@ -151,6 +159,12 @@
 // Pending reports whether a run was requested and has not finished.
 func (m *Machine) Pending(id port.TaskRun) bool { _, known := m.runs[id]; return known }
 
+// Wanted reports whether a run was requested, has not finished and is not to be stopped.
+func (m *Machine) Wanted(id port.TaskRun) bool {
+	r, known := m.runs[id]
+	return known && !r.stopRequested
+}
+
 // advance does what is due at the given time: it finishes the runs of an expired lease and sends stop
 // orders and the next hold.
 func (m *Machine) advance(now time.Time, fx *Effects) {
@@ -165,7 +179,7 @@
 			fx.Stops = append(fx.Stops, port.StopOrder{Run: id, Token: m.token})
 		}
 	}
-	m.raiseRetiringToken(now)
+	m.takeRetiringToken(now)
 	if !m.holdInFlight && m.holdDue(now) {
 		m.sendHold(now, fx)
 	}
@@ -202,6 +216,11 @@
 	for id := range m.runs {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, byRun)
+	slices.SortFunc(ids, compareRuns)
 	return ids
 }
+
+// compareRuns orders runs.
+func compareRuns(a, b port.TaskRun) int {
+	return cmp.Or(strings.Compare(a.Key, b.Key), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Attempt, b.Attempt))
+}
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -65,27 +65,3 @@
 	}
 	m.finish(now, end.Run, state, "ended "+string(end.How), fx)
 }
-
-// heldAgain reports whether the newest hold was sent under a token that this holder has taken since it was fenced.
-func (m *Machine) heldAgain() bool { return !m.fenced && m.holdToken == m.token }
-
-// handleFenced gives up the lease to the member that has taken it over. Runs that may be running are
-// handed over, also those that are to be stopped: the new holder forwards their ends.
-func (m *Machine) handleFenced(now time.Time, fx *Effects) {
-	fx.Lost = LossFenced
-	m.fencedUntil = now.Add(m.config.FencedBackoff)
-	m.tokenAccepted, m.fenced = false, true
-	m.lastEndAcked = m.lastEnd // The new holder acknowledges the ends.
-	clear(m.foreignRuns)
-	m.claimQueryInFlight = false
-	for _, id := range m.sortedRuns() {
-		r := m.runs[id]
-		switch {
-		case r.phase == startSent: // The reply to its start is still to come.
-		case r.phase == queued:
-			m.finish(now, id, port.TaskLeasedElsewhere, "another member holds the endpoint's lease", fx)
-		default:
-			r.phase, r.stopDueAt = handedOver, time.Time{}
-		}
-	}
-}
--- a/plugins/leases/lease/retire.go
+++ b/plugins/leases/lease/retire.go
@@ -7,44 +7,54 @@
 )
 
 const (
-	// retireAhead is the time by which the token that retires an endpoint is ahead of the tokens under which members start
-	// runs. It is longer than a member uses an endpoint after it last heard of it (15 s) and the clocks of members differ. An
-	// endpoint that starts again under its id may see the token, too, and is then refused to other members for as long.
+	// retireAhead is the time by which the retiring token is ahead of the clock. It exceeds the sum of the 15 s for which
+	// a member uses an endpoint after it last heard of it and the difference between the clocks of members. An endpoint
+	// that starts again under its id and sees the token refuses the other members for as long.
 	retireAhead = 30 * time.Second
 	// retirePatience is how long holds are sent to retire an endpoint after the newest request.
 	retirePatience = time.Second
-	// retireRetryDelay is the delay before such a hold is sent again when it had no success.
+	// retireRetryDelay is the delay before such a hold is sent again after one that failed.
 	retireRetryDelay = 100 * time.Millisecond
 
 	detailRetired = "the endpoint leaves"
 )
 
-// retirement is the progress of retiring an endpoint: no member, whatever it knows, can start a run there afterwards.
-// The endpoint itself refuses the starts, because a hold has shown it a token that is higher than all under which members start
-// runs. Two orders lead there. The first one, under an ordinary token, makes sure that this incarnation answers: the
-// request may be based on a late message of an earlier one with the same id, and the later one is not to be retired.
+// retirement is the progress of retiring an endpoint, after which no member can start a run there: a hold has shown the
+// endpoint the retiring token, which is higher than all tokens under which members start runs.
 type retirement struct {
-	requested bool
-	until     time.Time // Holds are sent until then, for the newest request.
-	verified  bool      // The incarnation has answered since the first request, or has refused this member for a higher token.
-	sent      bool      // The token is the one that retires the endpoint.
-	complete  bool      // The endpoint has accepted that token, or a higher one of another member.
+	phase retirePhase
+	until time.Time // When the holds for the newest request end.
 }
 
+// retirePhase is the progress of a retirement. The phases follow one another in this order.
+type retirePhase int
+
+const (
+	retireNotRequested retirePhase = iota
+	// retireVerifying: a hold under an ordinary token is to show that this incarnation answers. A request that is based on
+	// a late message of an earlier incarnation with the same id must not retire the later one.
+	retireVerifying
+	retireVerified // This incarnation answers, or has fenced this member; the token is still an ordinary one.
+	retiring       // The token is the retiring one.
+	retired        // The endpoint has accepted the retiring token, or a higher one of another member.
+)
+
 // Retired reports whether no member can start a run at this incarnation of the endpoint any more.
-func (m *Machine) Retired() bool { return m.replaced || m.retirement.complete }
+func (m *Machine) Retired() bool { return m.replaced || m.retirement.phase == retired }
 
-// handleRetireRequest handles a RetireRequested event. Runs that were not sent yet do not start.
+// handleRetireRequest handles a RetireRequested event. Runs whose starts were not sent yet do not start.
 func (m *Machine) handleRetireRequest(now time.Time, fx *Effects) {
 	if m.Retired() {
 		return
 	}
 	m.retirement.until = now.Add(retirePatience)
-	if m.retirement.requested {
+	if m.retirement.phase != retireNotRequested {
 		return
 	}
-	m.retirement.requested = true
-	m.retirement.verified = now.Before(m.fencedUntil)
+	m.retirement.phase = retireVerifying
+	if now.Before(m.fencedUntil) {
+		m.retirement.phase = retireVerified
+	}
 	m.renewToken(now)
 	for _, id := range m.sortedRuns() {
 		if m.runs[id].phase == queued {
@@ -53,14 +63,11 @@
 	}
 }
 
-// awaitsRetiringToken reports whether the next hold is the one that retires the endpoint, and its token is not raised yet.
-func (m *Machine) awaitsRetiringToken() bool {
-	return m.retirement.requested && m.retirement.verified && !m.retirement.sent
-}
+// awaitsRetiringToken reports whether the next hold is to carry the retiring token, which is not taken yet.
+func (m *Machine) awaitsRetiringToken() bool { return m.retirement.phase == retireVerified }
 
-// raiseRetiringToken replaces the token by the one that retires the endpoint, once no order is in flight that the
-// endpoint would then refuse.
-func (m *Machine) raiseRetiringToken(now time.Time) {
+// takeRetiringToken replaces the token by the retiring one, once no order is in flight that the endpoint would then refuse.
+func (m *Machine) takeRetiringToken(now time.Time) {
 	if !m.awaitsRetiringToken() || m.replaced || m.holdInFlight {
 		return
 	}
@@ -69,13 +76,16 @@
 			return
 		}
 	}
-	m.token = max(m.newToken(now.Add(retireAhead)), m.token+1<<holderBits)
-	m.tokenAccepted, m.fenced, m.retirement.sent = false, false, true
+	m.replaceToken(now.Add(retireAhead))
+	m.retirement.phase = retiring
 }
 
+// hasRetiringToken reports whether the retiring token has been taken.
+func (m *Machine) hasRetiringToken() bool { return m.retirement.phase >= retiring }
+
 // retireHoldNeeded reports whether a hold is to be sent because the endpoint is being retired.
 func (m *Machine) retireHoldNeeded(now time.Time) bool {
-	return m.retirement.requested && !m.Retired() && now.Before(m.retirement.until)
+	return m.retirement.phase != retireNotRequested && !m.Retired() && now.Before(m.retirement.until)
 }
 
 // retireHoldAt returns when that hold is due.
@@ -86,13 +96,16 @@
 	return at
 }
 
-// recordRetireReply records the endpoint's reply to a hold while it is being retired. Only the token of another member that
-// retires it, too, is higher than the one of this member.
+// recordRetireReply records the state of a reply to a hold while the endpoint is being retired. The only token above the
+// retiring one is that of another member that retires the endpoint, too.
 func (m *Machine) recordRetireReply(state port.OrderState) {
-	r := &m.retirement
-	if !r.requested || state != port.OrderDone && state != port.OrderFenced {
+	if state != port.OrderDone && state != port.OrderFenced {
 		return
 	}
-	r.complete = r.complete || r.sent
-	r.verified = true
+	switch m.retirement.phase {
+	case retireVerifying:
+		m.retirement.phase = retireVerified
+	case retiring:
+		m.retirement.phase = retired
+	}
 }
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -9,14 +9,14 @@
 func (m *Machine) handleStartRequest(now time.Time, e StartRequested, fx *Effects) {
 	switch {
 	case m.replaced:
-		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskNotRun, "another incarnation has replaced the endpoint"})
+		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskNotRun, detailReplaced})
 		return
 	case now.Before(m.fencedUntil):
-		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLeasedElsewhere, "another member holds the endpoint's lease"})
+		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLeasedElsewhere, detailLeasedElsewhere})
 		return
 	case m.runs[e.Run] != nil:
 		return
-	case m.retirement.requested:
+	case m.retirement.phase != retireNotRequested:
 		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLeasedElsewhere, detailRetired})
 		return
 	}
@@ -34,7 +34,12 @@
 	if m.token != 0 && !m.fenced && (len(m.runs) > 0 || m.holdInFlight || now.Sub(m.lastFinishedAt) < tokenIdleTimeout) {
 		return
 	}
-	m.token = max(m.newToken(now), m.token+1<<holderBits)
+	m.replaceToken(now)
+}
+
+// replaceToken replaces the token by that of a time, or by a later one where that is not higher.
+func (m *Machine) replaceToken(at time.Time) {
+	m.token = max(m.newToken(at), m.token+1<<holderBits)
 	m.tokenAccepted, m.fenced = false, false
 }
 
@@ -84,7 +89,7 @@
 		r.phase = startUnanswered
 		r.stopDueAt = now // The endpoint never starts a run after its stop, even when the start arrives later.
 	case port.OrderFenced:
-		m.finish(now, e.Run, port.TaskLeasedElsewhere, "another member holds the endpoint's lease", fx)
+		m.finish(now, e.Run, port.TaskLeasedElsewhere, detailLeasedElsewhere, fx)
 		m.handleFenced(now, fx)
 	case port.OrderOtherIncarnation:
 		if e.Reply.Incarnation == "" { // An endpoint with another id, which refuses the order.
@@ -111,8 +116,8 @@
 	}
 }
 
-// stopRequested handles a StopRequested event.
-func (m *Machine) stopRequested(now time.Time, id port.TaskRun, fx *Effects) {
+// handleStopRequest handles a StopRequested event.
+func (m *Machine) handleStopRequest(now time.Time, id port.TaskRun, fx *Effects) {
 	r, known := m.runs[id]
 	if !known {
 		return
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -28,9 +28,9 @@
 	for _, id := range m.sortedRuns() {
 		switch r := m.runs[id]; {
 		case r.phase == queued:
-			m.finish(now, id, port.TaskNotRun, "another incarnation has replaced the endpoint", fx)
+			m.finish(now, id, port.TaskNotRun, detailReplaced, fx)
 		case r.listed || successor == "":
-			m.finish(now, id, port.TaskLost, "another incarnation has replaced the endpoint", fx)
+			m.finish(now, id, port.TaskLost, detailReplaced, fx)
 		default:
 			m.settleAtSuccessor(id, r, fx)
 		}
@@ -83,7 +83,7 @@
 	r := &run{phase: inherited, startToken: e.Token}
 	switch {
 	case m.replaced && m.successor == "":
-		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLost, "another incarnation has replaced the endpoint"})
+		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLost, detailReplaced})
 		return
 	case m.replaced:
 		m.settleAtSuccessor(e.Run, r, fx)
