--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -59,7 +59,7 @@
 	port.Handle(l.peers, methodEnded, l.handleForwardedEnds)
 }
 
-// handleClaim returns those of the requested runs that this member waits for. They are the sender's to end from now on.
+// handleClaim returns those of the requested runs that this member waits for. The sender holds their lease from now on.
 func (l *Leases) handleClaim(_ context.Context, _ model.NodeID, c claimRequest) claimReply {
 	claimed := l.pendingRuns(c.Endpoint, c.Runs)
 	if len(claimed) == 0 {
@@ -71,11 +71,7 @@
 
 // claimsTo returns the claims of this member to the given runs, some of which may have finished.
 func (l *Leases) claimsTo(endpoint model.EndpointID, runs []port.TaskRun) (reply claimReply) {
-	l.sessions.Do(endpoint, func(sessions map[model.EndpointID]*session) {
-		s, known := sessions[endpoint]
-		if !known {
-			return
-		}
+	l.withKnownSession(endpoint, func(s *session) {
 		for _, run := range runs {
 			switch {
 			case s.machine.Wanted(run):
@@ -133,21 +129,26 @@
 	if len(members) == 0 {
 		members = l.otherMembers()
 	}
+	claims := l.collectClaims(ctx, members, request)
+	if renewed := len(fx.Claimants) > 0 && len(claims) == len(fx.ClaimQuery); !renewed {
+		event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Int(event.Runs, len(fx.ClaimQuery)), event.Int(event.Claimed, len(claims)))
+	}
+	l.step(at, lease.Claimed{Queried: fx.ClaimQuery, Claimed: claims})
+}
+
+// collectClaims asks members for claims at the same time, until all have replied or there are as many claims as runs.
+func (l *Leases) collectClaims(ctx context.Context, members []model.NodeID, request claimRequest) (claims []lease.Claim) {
 	replies := make(chan []lease.Claim, len(members))
 	for _, node := range members {
 		go func() { replies <- l.queryClaimsOf(ctx, node, request) }()
 	}
-	claimed := lease.Claimed{Queried: fx.ClaimQuery}
 	for range members {
-		claimed.Claimed = append(claimed.Claimed, <-replies...)
-		if len(claimed.Claimed) >= len(fx.ClaimQuery) {
+		claims = append(claims, <-replies...)
+		if len(claims) >= len(request.Runs) {
 			break
 		}
 	}
-	if renewed := len(fx.Claimants) > 0 && len(claimed.Claimed) == len(fx.ClaimQuery); !renewed {
-		event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Int(event.Runs, len(fx.ClaimQuery)), event.Int(event.Claimed, len(claimed.Claimed)))
-	}
-	l.step(at, claimed)
+	return claims
 }
 
 // queryClaimsOf asks one member which of the runs it waits for. A member that does not reply in time
@@ -205,24 +206,3 @@
 	event.EndsNotPassedOn.Log(l.log, event.Text(event.Endpoint, message.Endpoint), event.Text(event.Member, node), event.Int(event.Ends, len(message.Ends)))
 	return false
 }
-
-// evictIdle periodically removes the state of endpoints that are idle and have had no event for
-// idleRetention.
-func (l *Leases) evictIdle() {
-	ticker := time.NewTicker(idleRetention)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-l.baseCtx.Done():
-			return
-		}
-		l.sessions.Each(func(sessions map[model.EndpointID]*session) {
-			for id, s := range sessions {
-				if s.machine.Idle() && time.Since(s.lastUsed) > idleRetention {
-					delete(sessions, id)
-				}
-			}
-		})
-	}
-}
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -45,7 +45,7 @@
 	return port.RevokeReply{State: outcome.State}
 }
 
-// Retire retires the endpoint and waits until that is certain.
+// Retire retires the endpoint, and reports whether it has been retired by the end of the context.
 func (t tasks) Retire(ctx context.Context, address string, endpoint model.EndpointID) bool {
 	t.leases.step(port.EndpointIncarnation{ID: endpoint, Address: address}, lease.RetireRequested{})
 	select {
@@ -56,22 +56,15 @@
 	}
 }
 
-// retired returns a channel that is closed once the endpoint is retired; nil, if this member does not know it.
+// retired returns a channel that is closed once the endpoint is retired; nil when this member does not know it.
 func (l *Leases) retired(endpoint model.EndpointID) (retired <-chan struct{}) {
-	l.sessions.Do(endpoint, func(sessions map[model.EndpointID]*session) {
-		if s, known := sessions[endpoint]; known {
-			retired = s.retired
-		}
-	})
+	l.withKnownSession(endpoint, func(s *session) { retired = s.retired })
 	return retired
 }
 
 // pending reports whether the run was requested by this member and has not finished.
 func (l *Leases) pending(endpoint model.EndpointID, run port.TaskRun) (pending bool) {
-	l.sessions.Do(endpoint, func(sessions map[model.EndpointID]*session) {
-		s, known := sessions[endpoint]
-		pending = known && s.machine.Pending(run)
-	})
+	l.withKnownSession(endpoint, func(s *session) { pending = s.machine.Pending(run) })
 	return pending
 }
 
