--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -16,22 +16,33 @@
 	number int
 }
 
-// call is an attempt whose task occupies its endpoint. Its fields are guarded by the lock of the pool's shard.
+// registerPause is the time before a revoke that found no run is repeated while the reply to its start has not been applied.
+const registerPause = 5 * time.Millisecond
+
+// call is the call that starts an attempt whose task occupies its endpoint. It is guarded by the lock of the pool's shard.
 type call struct {
-	ctx       context.Context // Ends at the batch's deadline, or when the attempt is withdrawn or released.
-	cancel    context.CancelFunc
-	withdrawn bool // The start must not be sent any more.
-	sent      bool // The start was given to port.Tasks.
-	replied   bool // The reply of port.Tasks has been applied to the pool.
+	ctx    context.Context // Ends at the batch's deadline, or when the attempt is withdrawn or released.
+	cancel context.CancelFunc
+	state  callState
 }
 
+// callState is the progress of a call.
+type callState int
+
+const (
+	callWaiting   callState = iota // The start waits for its turn.
+	callWithdrawn                  // The start must not be sent any more, or the pool has released the attempt.
+	callSent                       // The start was given to port.Tasks.
+	callReplied                    // The reply of port.Tasks has been applied to the pool.
+)
+
 // updateCalls adds the attempts that a step starts, and removes and ends the calls of those that it has released. It is
 // called under the lock of the pool's shard, so that no revoke of an attempt is handled before it is known.
 func (p *Pools) updateCalls(o *pool, fx *poolstate.Effects) {
 	for _, r := range fx.Released {
 		a := attempt{r.Task, r.Attempt}
 		if c := o.inFlight[a]; c != nil {
-			c.withdrawn = true
+			c.state = callWithdrawn
 			c.cancel()
 			delete(o.inFlight, a)
 		}
@@ -52,31 +63,37 @@
 // markSent reports whether the start of a call may be sent, and then records that it is.
 func (p *Pools) markSent(id model.PoolID, c *call) (sent bool) {
 	p.withPool(id, func(*pool) {
-		c.sent = !c.withdrawn && c.ctx.Err() == nil
-		sent = c.sent
+		if c.state == callWaiting && c.ctx.Err() == nil {
+			c.state, sent = callSent, true
+		}
 	})
 	return sent
 }
 
+// markReplied records that the reply to a call has been applied to the pool.
+func (p *Pools) markReplied(id model.PoolID, c *call) {
+	p.withPool(id, func(*pool) { c.state = callReplied })
+}
+
 // withdraw keeps the start of an attempt from being sent. It reports false when the start may have been sent.
 func (p *Pools) withdraw(id model.PoolID, a attempt) (withdrawn bool) {
 	p.withPool(id, func(o *pool) {
 		c := o.inFlight[a]
-		if c == nil || c.sent {
+		if c == nil || c.state == callSent || c.state == callReplied {
 			return
 		}
-		c.withdrawn, withdrawn = true, true
+		c.state, withdrawn = callWithdrawn, true
 		c.cancel()
 	})
 	return withdrawn
 }
 
-// awaitsReply reports whether an attempt's start was sent and its reply has not been applied to the pool. Port.Tasks may not
-// know the run yet, or no more.
+// awaitsReply reports whether an attempt's start was sent and its reply has not been applied to the pool. Meanwhile
+// port.Tasks may not know the run yet, or may have finished it already.
 func (p *Pools) awaitsReply(id model.PoolID, a attempt) (awaits bool) {
 	p.withPool(id, func(o *pool) {
 		c := o.inFlight[a]
-		awaits = c != nil && c.sent && !c.replied
+		awaits = c != nil && c.state == callSent
 	})
 	return awaits
 }
@@ -94,13 +111,13 @@
 		return
 	}
 	if !p.markSent(id, c) {
-		p.endTurn(id, refOf(s.Key, s.Task), started)
+		p.endTurn(id, s.Key, started)
 		return
 	}
 	reply, took := p.callStart(c.ctx, s)
 	p.logTaskEnded(id, s, reply, took)
 	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
-	p.withPool(id, func(*pool) { c.replied = true })
+	p.markReplied(id, c)
 }
 
 // callStart sends a start and waits for its reply, unless this member's view of the others is stale.
@@ -118,9 +135,6 @@
 	return reply, time.Since(startedAt)
 }
 
-// registerPause is the time before a revoke that found no run is repeated while the reply to its start has not been applied.
-const registerPause = 5 * time.Millisecond
-
 // revokeTask revokes an attempt at its endpoint and applies the reply to the pool.
 func (p *Pools) revokeTask(id model.PoolID, r poolstate.Revoke) {
 	if !wait.For(p.baseCtx, r.After) {
--- a/plugins/endpoints/log.go
+++ b/plugins/endpoints/log.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// logStartWaits logs that a start waits for the end of an earlier attempt's run.
+func (p *Pools) logStartWaits(id model.PoolID, s poolstate.Start, earlier attempt) {
+	event.StartWaits.Log(p.log, event.Text(event.Job, s.Task.Job()), event.Text(event.JobKey, s.Key),
+		event.Int(event.Task, s.Task.Index()), event.Int(event.Attempt, s.Attempt), event.Text(event.Pool, id.String()),
+		event.Text(event.Endpoint, s.Endpoint), event.Text(event.Earlier, earlier.task))
+}
+
 // logTaskEnded counts and logs the reply of a start. A reply other than the task's answer is logged as a
 // warning.
 func (p *Pools) logTaskEnded(id model.PoolID, s poolstate.Start, reply port.TaskReply, took time.Duration) {
@@ -50,3 +57,10 @@
 		event.Text(event.Endpoint, r.Endpoint), event.Text(event.State, reply.State), event.MS(event.TookMS, took),
 		event.Text(event.Why, why))
 }
+
+// logBatchUnanswered logs that a batch that was sent to its pool's owner got no reply.
+func (p *Pools) logBatchUnanswered(batch model.Batch, owner model.NodeID, took time.Duration) {
+	event.BatchUnanswered.Log(p.log, event.Text(event.Job, batch.ID.Job), event.Text(event.JobKey, batch.Key),
+		event.Int(event.Part, batch.ID.Part), event.Text(event.Pool, batch.Pool.String()),
+		event.Text(event.Owner, owner), event.MS(event.TookMS, took))
+}
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -32,10 +32,11 @@
 }
 
 // Announce records the announcement when this member owns the pool, and otherwise forwards it to the
-// owner, which does not forward it again. When that one knows of more pools in the group, the announcement is sent to the
-// owner by that number. The endpoint sends its next announcements to the owner in the result.
+// owner, which does not forward it again. If the owner knows of more pools in the group, the announcement is
+// sent to the owner by that number. The endpoint sends its next announcements to the owner in the result.
 func (p *Pools) Announce(ctx context.Context, endpoint model.Endpoint) port.Ownership {
 	id := p.poolOf(endpoint)
+	group := groupOf(id)
 	owner := p.ownerOf(id)
 	endpoint.Lease = p.lease()
 	ownership := port.Ownership{Owner: owner.Endpoints, Interval: announceInterval, Lease: endpoint.Lease}
@@ -46,13 +47,14 @@
 	ctx, cancel := context.WithTimeout(ctx, announceInterval/2)
 	defer cancel()
 	var reply announceReply
-	if p.peers.Call(ctx, owner.ID, methodAnnounce, announcement{Endpoint: endpoint, Parts: p.partsIn(groupOf(id))}, &reply) != port.Delivered {
+	forwarded := announcement{Endpoint: endpoint, Parts: p.partsIn(group)}
+	if p.peers.Call(ctx, owner.ID, methodAnnounce, forwarded, &reply) != port.Delivered {
 		p.liveness.RequestProbe(owner.ID)
 		ownership.Owner = p.otherMember(id, owner).Endpoints
 		return ownership
 	}
-	if !reply.Recorded && reply.Parts > p.partsIn(groupOf(id)) && reply.Parts <= maxParts {
-		p.raiseParts(groupOf(id), reply.Parts)
+	if !reply.Recorded && reply.Parts > p.partsIn(group) && reply.Parts <= maxParts {
+		p.raiseParts(group, reply.Parts)
 		return p.Announce(ctx, endpoint)
 	}
 	ownership.Owner = reply.Owner // The replying member may know a newer owner.
@@ -70,7 +72,7 @@
 	owner := p.ownerOf(id)
 	recorded := false
 	switch {
-	case a.Former && a.Endpoint.Leased: // The next holder of its lease forwards the results of the work there.
+	case a.Former && a.Endpoint.Leased: // Not needed: the next holder of the lease forwards the ends of the runs there.
 	case a.Former:
 		p.step(id, poolstate.Announced{Endpoint: a.Endpoint})
 	case owner.ID == p.membership.Self().ID:
@@ -79,12 +81,11 @@
 	return announceReply{owner.Endpoints, recorded, p.partsIn(groupOf(id))}
 }
 
-// recordAnnouncement applies an announcement to the pool, and reports whether it did. A member whose
-// membership view is stale records none: others may own the pool by now, and the endpoint repeats its
-// announcement.
+// recordAnnouncement applies an announcement to the pool, and reports whether it has been recorded: the endpoint repeats
+// it otherwise. A member whose membership view is stale records none, since others may own the pool by now.
 //
-// That a leased endpoint leaves counts as recorded once it refuses the starts of all members. Other members may take
-// themselves for the pool's owner, or for that of another pool with this endpoint, and learn of it late or not at all.
+// The announcement of a leased endpoint that leaves is recorded once the endpoint refuses the starts of all members.
+// Others may consider themselves the owner of this pool, or of another one with the endpoint, and learn of it late or never.
 func (p *Pools) recordAnnouncement(ctx context.Context, id model.PoolID, endpoint model.Endpoint) bool {
 	if !p.liveness.Fresh() {
 		return false
@@ -100,14 +101,14 @@
 	return true
 }
 
-// leaves reports whether the endpoint leaves by its newest announcement. It does not when the announcement that says so was
-// overtaken by one of a later incarnation at its address: that one must not be retired.
+// leaves reports whether the endpoint's newest announcement says that it leaves. When that announcement was overtaken by one
+// of a later incarnation at the same address, it does not count: the later one must not be retired.
 func (p *Pools) leaves(id model.PoolID, endpoint model.EndpointID) (leaves bool) {
 	p.withPool(id, func(o *pool) { leaves = o.machine.Leaves(endpoint) })
 	return leaves
 }
 
-// retire has an endpoint that leaves refuse all starts, and reports whether it does.
+// retire makes an endpoint that leaves refuse all starts, and reports whether it does.
 func (p *Pools) retire(ctx context.Context, endpoint model.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
 	defer cancel()
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/wait"
@@ -76,30 +75,43 @@
 	var reply runReply
 	sentAt := time.Now()
 	delivery := p.peers.Call(callCtx, node.ID, methodRun, encodeBatch(p.envelope(b), batch), &reply)
-	if delivery == port.NotSent {
-		if callCtx.Err() == nil {
-			p.markUnreachable(node.ID)
-		}
+	switch delivery {
+	case port.Delivered:
+	case port.NotSent:
+		p.recordNoReply(callCtx, node.ID)
 		return model.RefusedBatch(batch.ID, model.ReasonUnreachable)
+	default:
+		p.logBatchUnanswered(batch, node.ID, time.Since(sentAt))
+		if !p.resume(callCtx, b, batch, sentAt, &reply) {
+			return unknownResult(batch, model.ReasonOwnerLost)
+		}
 	}
-	if delivery != port.Delivered {
-		event.BatchUnanswered.Log(p.log, event.Text(event.Job, batch.ID.Job), event.Text(event.JobKey, batch.Key),
-			event.Int(event.Part, batch.ID.Part), event.Text(event.Pool, batch.Pool.String()),
-			event.Text(event.Owner, node.ID), event.MS(event.TookMS, time.Since(sentAt)))
-	}
-	for delivery != port.Delivered {
+	return p.handleReply(batch, reply)
+}
+
+// resume requests the reply of a batch that was sent at sentAt and got none. Each request uses a connection that is newer
+// than the request before. It reports false when no reply can be expected any more.
+func (p *Pools) resume(ctx context.Context, b outgoingBatch, batch model.Batch, sentAt time.Time, reply *runReply) (delivered bool) {
+	for {
 		p.instruments.wasted.Inc(1)
-		if callCtx.Err() == nil {
-			p.markUnreachable(node.ID)
-		}
-		if _, alive := p.member(node.ID); !alive || !wait.For(callCtx, resumePause) {
-			return unknownResult(batch, model.ReasonOwnerLost)
+		p.recordNoReply(ctx, b.owner.ID)
+		if _, alive := p.member(b.owner.ID); !alive || !wait.For(ctx, resumePause) {
+			return false
 		}
-		freshCtx := port.FreshConnection(callCtx, sentAt)
+		freshCtx := port.FreshConnection(ctx, sentAt)
 		sentAt = time.Now()
-		delivery = p.peers.Call(freshCtx, node.ID, methodResume, batchRef{p.envelope(b), batch.ID, batch.Pool}, &reply)
+		request := batchRef{p.envelope(b), batch.ID, batch.Pool}
+		if p.peers.Call(freshCtx, b.owner.ID, methodResume, request, reply) == port.Delivered {
+			return true
+		}
+	}
+}
+
+// recordNoReply marks a member as unreachable that did not reply to a call, unless the call's context has ended.
+func (p *Pools) recordNoReply(ctx context.Context, node model.NodeID) {
+	if ctx.Err() == nil {
+		p.markUnreachable(node)
 	}
-	return p.handleReply(batch, reply)
 }
 
 // handleReply returns the result in the owner's reply.
--- a/plugins/endpoints/serve.go
+++ b/plugins/endpoints/serve.go
@@ -10,6 +10,10 @@
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
+// orphanGrace is how long an origin may take to send a resume request for a batch after its last request
+// has ended.
+const orphanGrace = 250 * time.Millisecond
+
 // waiter lets requests wait for the result of a batch. The result is set before ended is closed.
 type waiter struct {
 	ended    chan struct{}
@@ -23,6 +27,7 @@
 	cancelled        bool // The origin has cancelled the batch; guarded by the same lock.
 }
 
+// incarnationKey identifies an incarnation of a member.
 type incarnationKey struct {
 	node        model.NodeID
 	incarnation model.Incarnation
@@ -85,8 +90,8 @@
 	return empty{}
 }
 
-// cancelIfOrdered cancels a batch that has just been submitted to its pool, if the order to cancel it came before that: the
-// pool did not know the batch then.
+// cancelIfOrdered cancels a batch that has just been submitted to its pool, if the order to cancel it arrived before the
+// pool knew the batch.
 func (p *Pools) cancelIfOrdered(id model.BatchID, w *waiter) {
 	cancelled := false
 	p.withOrigin(w.origin, func(*origin) { cancelled = w.cancelled })
@@ -137,10 +142,6 @@
 	}
 }
 
-// orphanGrace is how long an origin may take to send a resume request for a batch after its last request
-// has ended.
-const orphanGrace = 250 * time.Millisecond
-
 // releaseRequest is called when a request for a batch's result has ended. The batch of a job that may run
 // again is cancelled when its origin sends no further request: the job's caller may have sent the job to
 // another member.
--- a/plugins/endpoints/turns.go
+++ b/plugins/endpoints/turns.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
@@ -15,6 +14,7 @@
 	index int
 }
 
+// refOf returns the reference of a task in a job with the given key; "" stands for none.
 func refOf(key string, task model.TaskID) taskRef {
 	if key == "" {
 		key = string(task.Job())
@@ -22,28 +22,26 @@
 	return taskRef{key, task.Index()}
 }
 
-// turn is the right to start a task. One attempt at a time has it, among all attempts in the pools of this member: from
-// before its start is sent until its pool has released it, when the end of its run is known.
+// turn is the right to start a task. Among all attempts in the pools of this member one at a time has it: from before its
+// start is sent until its pool has released the attempt, when the end of its run is known.
 type turn struct {
 	pool    model.PoolID
-	attempt attempt
+	attempt attempt       // The attempt that has the turn.
 	ended   chan struct{} // Closed when the turn is given back.
 }
 
 // takeTurn waits until no other attempt at the start's task has the turn, and takes it. It reports false when the
 // context ends first.
 func (p *Pools) takeTurn(ctx context.Context, id model.PoolID, s poolstate.Start) bool {
-	waits := false
+	logged := false
 	for {
 		earlier, taken := p.tryTurn(id, s)
 		if taken {
 			return true
 		}
-		if !waits {
-			waits = true
-			event.StartWaits.Log(p.log, event.Text(event.Job, s.Task.Job()), event.Text(event.JobKey, s.Key),
-				event.Int(event.Task, s.Task.Index()), event.Int(event.Attempt, s.Attempt), event.Text(event.Pool, id.String()),
-				event.Text(event.Endpoint, s.Endpoint), event.Text(event.Earlier, earlier.attempt.task))
+		if !logged {
+			logged = true
+			p.logStartWaits(id, s, earlier.attempt)
 		}
 		select {
 		case <-earlier.ended:
@@ -53,23 +51,25 @@
 	}
 }
 
-// tryTurn takes the turn of the start's task unless an earlier attempt has it.
+// tryTurn takes the turn of the start's task, unless an earlier attempt has it.
 func (p *Pools) tryTurn(id model.PoolID, s poolstate.Start) (earlier turn, taken bool) {
 	ref := refOf(s.Key, s.Task)
 	p.turns.Do(ref, func(turns map[taskRef]turn) {
-		if earlier, taken = turns[ref]; taken {
-			taken = false
+		if t, held := turns[ref]; held {
+			earlier = t
 			return
 		}
-		turns[ref], taken = turn{id, attempt{s.Task, s.Attempt}, make(chan struct{})}, true
+		turns[ref] = turn{id, attempt{s.Task, s.Attempt}, make(chan struct{})}
+		taken = true
 	})
 	return earlier, taken
 }
 
-// endTurn gives the turn back if the attempt has it.
-func (p *Pools) endTurn(id model.PoolID, ref taskRef, a attempt) {
+// endTurn gives back the turn of a task in a job with the given key, if the attempt has it.
+func (p *Pools) endTurn(id model.PoolID, key string, a attempt) {
+	ref := refOf(key, a.task)
 	p.turns.Do(ref, func(turns map[taskRef]turn) {
-		if t, ok := turns[ref]; ok && t.pool == id && t.attempt == a {
+		if t, held := turns[ref]; held && t.pool == id && t.attempt == a {
 			close(t.ended)
 			delete(turns, ref)
 		}
