Pool machine: totals, admission and the estimate of needs apart

Hard to read: endpoint.go held the life of an endpoint and the sums over all endpoints; admission stood among the basics of the machine; three fields of the machine were one estimate, learned in one function with the recount of free slots; a closure stood inside a condition.

One check of random_test.go names the field by its new place.

Behaviour is unchanged.

--- /dev/null
+++ b/plugins/endpoints/poolstate/admission.go
@@ -0,0 +1,62 @@
+package poolstate
+
+import (
+	"time"
+
+	"redwingpulley/kernel/invariant"
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// admit decides by the profile's admission policy whether the pool accepts a batch, and refuses one that would wait for longer
+// than its job allows.
+func (m *Machine) admit(now time.Time, b *batch) port.Verdict {
+	policy, ok := m.policies.Admissions[b.profile.Admission]
+	invariant.Check(ok, "profile-admission", "profile names unknown admission %q", b.profile.Admission)
+	room := m.roomFor(b)
+	request := port.AdmissionRequest{
+		Tasks:       len(b.Tasks),
+		Remaining:   b.Deadline.Sub(now),
+		Expected:    b.medianLongestRun,
+		RunTime:     b.p95LongestRun,
+		Work:        b.work,
+		Slots:       m.totals.slots,
+		Free:        room,
+		Fits:        m.fits(b.Tasks),
+		QueuedTasks: m.queue.count + m.totals.held,
+		QueuedWork:  m.queue.work,
+		QueueLimit:  b.profile.QueueTasks,
+	}
+	residual := time.Duration(len(m.inFlight)) * time.Duration(m.runTimes.service.mean) / 2
+	queued := m.queue.workAhead(now, b, request.Work)
+	request.Ahead = residual + queued
+	unclaimed := max(room-m.queue.count-m.totals.held, 0)
+	request.Wait, request.MaxWait = m.waitBehind(b, unclaimed, queued), b.maxWait()
+	verdict := policy.Admit(request)
+	if verdict.Admit && b.MaxWait > 0 && m.expectedWait(b, unclaimed) > b.MaxWait {
+		return port.Verdict{Reason: model.ReasonBusy}
+	}
+	return verdict
+}
+
+// waitBehind returns how long the batch's last task is expected to wait for a slot when the given work
+// of other batches goes first and the given number of tasks can start at once.
+func (m *Machine) waitBehind(b *batch, room int, queued time.Duration) time.Duration {
+	if len(b.Tasks) <= room {
+		return 0
+	}
+	own := b.work * time.Duration(len(b.Tasks)-room) / time.Duration(len(b.Tasks))
+	return (queued + own) / time.Duration(max(m.totals.slots, 1))
+}
+
+// expectedWait returns how long the batch's last task is expected to wait for a slot behind all work in
+// the pool: 0 if all tasks find one at once. Until a run time has been learned, only queued work counts.
+func (m *Machine) expectedWait(b *batch, room int) time.Duration {
+	if len(b.Tasks) <= room {
+		return 0
+	}
+	mean := time.Duration(m.runTimes.service.mean)
+	running := time.Duration(len(m.inFlight)) * mean / 2
+	beyond := time.Duration(len(b.Tasks)-room) * mean
+	return (running + m.queue.work + beyond) / time.Duration(max(m.totals.slots, 1))
+}
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -90,7 +90,7 @@
 	}
 	m.usePlacement(s.Profile.Placement)
 	b := m.newBatch(now, s)
-	m.learnAverageNeeds(b)
+	m.learnNeeds(b)
 	verdict := m.admit(now, b)
 	m.logAdmission(now, b, verdict, fx)
 	if !verdict.Admit {
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -21,8 +21,8 @@
 // of every task there is confirmed.
 type endpoint struct {
 	model.Endpoint
-	position     int // Index in the machine's endpointList.
-	live         bool
+	position     int              // Index in the machine's endpointList.
+	live         bool             // Within the lease of its newest announcement.
 	replacedBy   model.EndpointID // Later incarnation at the same address; "" when none has announced itself.
 	cordon       bool             // Gets no work until its next announcement: another member may hold its lease.
 	tasks        []*task          // Tasks that were sent there and whose end is not confirmed.
@@ -41,26 +41,7 @@
 	reported     Status       // Status in the latest reported change.
 }
 
-// contribution is the share of one endpoint in the pool's totals.
-type contribution struct {
-	slots   int
-	free    int
-	held    int
-	serving int // 1 while the endpoint gets work, otherwise 0.
-	remnant int // 1 while it has a free slot, but not the resources for a task with typical needs; otherwise 0.
-}
-
-// totals are sums over the endpoints that get work.
-type totals struct {
-	slots        int
-	free         int
-	held         int
-	serving      int // Number of endpoints that get work.
-	remnants     int // Number of endpoints with a free slot, but not the resources for a task with typical needs.
-	largest      model.Needs
-	largestStale bool
-}
-
+// busy returns how many of the endpoint's slots are taken, as far as the pool knows.
 func (e *endpoint) busy() int { return len(e.tasks) + len(e.foreign) + e.blockedSlots }
 
 // capacity returns how many tasks, including probes, the pool may have at the endpoint at once.
@@ -229,70 +210,3 @@
 	e.held = e.held[:0]
 	m.updateTotals(e)
 }
-
-// updateTotals updates the pool's totals and the placer after a change of the endpoint.
-func (m *Machine) updateTotals(e *endpoint) {
-	load := e.load(m.typicalNeeds)
-	now := contribution{slots: load.Slots, held: len(e.held), serving: min(e.schedulableSlots(), 1)}
-	if load.Slots > 0 {
-		now.free = load.Free + now.held
-	}
-	if load.Remnant {
-		now.remnant = 1
-	}
-	was := e.counted
-	e.counted = now
-	m.recordStatusChange(e)
-	m.totals.free += now.free - was.free
-	m.totals.held += now.held - was.held
-	m.totals.serving += now.serving - was.serving
-	m.totals.remnants += now.remnant - was.remnant
-	if now.slots != was.slots || now.serving != was.serving {
-		m.applySlotChange(was, now)
-	}
-	if m.placer != nil {
-		m.placer.Update(load)
-	}
-	if len(e.held) > 0 && e.hasRoom(e.held[0].spec().Needs) {
-		m.freed = append(m.freed, e)
-	}
-}
-
-func (m *Machine) applySlotChange(was, now contribution) {
-	m.totals.slots += now.slots - was.slots
-	m.queue.resize(m.totals.slots)
-	m.totals.largestStale = m.totals.largestStale || now.serving != was.serving
-}
-
-// largest returns the componentwise maximum of the resources of endpoints that are not leaving. It
-// includes endpoints in quarantine, since a task that fits on one of them can run there later.
-func (m *Machine) largest() model.Needs {
-	if !m.totals.largestStale {
-		return m.totals.largest
-	}
-	m.totals.largestStale = false
-	m.totals.largest = model.Needs{}
-	for _, e := range m.endpointList {
-		if e.live && e.State == model.EndpointServing {
-			m.totals.largest = m.totals.largest.Max(e.Has)
-		}
-	}
-	return m.totals.largest
-}
-
-// fits reports whether each of the tasks fits on some endpoint that is not leaving.
-func (m *Machine) fits(tasks []model.Task) bool {
-	fitting := model.Needs{}
-	for i := range tasks {
-		if i > 0 && tasks[i].Needs == fitting {
-			continue
-		}
-		if !slices.ContainsFunc(m.endpointList, func(e *endpoint) bool {
-			return e.live && e.State == model.EndpointServing && tasks[i].Needs.FitsIn(e.Has)
-		}) {
-			return false
-		}
-		fitting = tasks[i].Needs
-	}
-	return true
-}
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -27,9 +27,7 @@
 	endpoints            map[model.EndpointID]*endpoint
 	endpointList         []*endpoint // The same endpoints, in an order that only the events determine.
 	totals               totals
-	averageNeeds         model.Needs // Moving average of the needs of a task.
-	needsDeviation       model.Needs // Moving average of how far the needs of a task are from it.
-	typicalNeeds         model.Needs // The average less the deviation, by which free slots are counted.
+	needs                needsEstimate
 	batches              map[model.BatchID]*batch
 	inFlight             map[model.TaskID]*task
 	origins              origins
@@ -107,6 +105,7 @@
 // NextTimer returns the time at which Elapsed is due next; ok is false when no timer is set.
 func (m *Machine) NextTimer() (at time.Time, ok bool) { return m.timers.next() }
 
+// usePlacement makes a new placer unless the pool uses the placement policy already.
 func (m *Machine) usePlacement(name string) {
 	if m.placer != nil && m.placement == name {
 		return
@@ -116,61 +115,10 @@
 	m.placement = name
 	m.placer = policy.NewPlacer(m.seed)
 	for _, e := range m.endpointList {
-		m.placer.Update(e.load(m.typicalNeeds))
+		m.placer.Update(e.load(m.needs.typical))
 	}
 }
 
-func (m *Machine) admit(now time.Time, b *batch) port.Verdict {
-	policy, ok := m.policies.Admissions[b.profile.Admission]
-	invariant.Check(ok, "profile-admission", "profile names unknown admission %q", b.profile.Admission)
-	room := m.roomFor(b)
-	request := port.AdmissionRequest{
-		Tasks:       len(b.Tasks),
-		Remaining:   b.Deadline.Sub(now),
-		Expected:    b.medianLongestRun,
-		RunTime:     b.p95LongestRun,
-		Work:        b.work,
-		Slots:       m.totals.slots,
-		Free:        room,
-		Fits:        m.fits(b.Tasks),
-		QueuedTasks: m.queue.count + m.totals.held,
-		QueuedWork:  m.queue.work,
-		QueueLimit:  b.profile.QueueTasks,
-	}
-	residual := time.Duration(len(m.inFlight)) * time.Duration(m.runTimes.service.mean) / 2
-	queued := m.queue.workAhead(now, b, request.Work)
-	request.Ahead = residual + queued
-	unclaimed := max(room-m.queue.count-m.totals.held, 0)
-	request.Wait, request.MaxWait = m.waitBehind(b, unclaimed, queued), b.maxWait()
-	verdict := policy.Admit(request)
-	if verdict.Admit && b.MaxWait > 0 && m.expectedWait(b, unclaimed) > b.MaxWait {
-		return port.Verdict{Reason: model.ReasonBusy}
-	}
-	return verdict
-}
-
-// waitBehind returns how long the batch's last task is expected to wait for a slot when the given work
-// of other batches goes first and the given number of tasks can start at once.
-func (m *Machine) waitBehind(b *batch, room int, queued time.Duration) time.Duration {
-	if len(b.Tasks) <= room {
-		return 0
-	}
-	own := b.work * time.Duration(len(b.Tasks)-room) / time.Duration(len(b.Tasks))
-	return (queued + own) / time.Duration(max(m.totals.slots, 1))
-}
-
-// expectedWait returns how long the batch's last task is expected to wait for a slot behind all work in
-// the pool: 0 if all tasks find one at once. Until a run time has been learned, only queued work counts.
-func (m *Machine) expectedWait(b *batch, room int) time.Duration {
-	if len(b.Tasks) <= room {
-		return 0
-	}
-	mean := time.Duration(m.runTimes.service.mean)
-	running := time.Duration(len(m.inFlight)) * mean / 2
-	beyond := time.Duration(len(b.Tasks)-room) * mean
-	return (running + m.queue.work + beyond) / time.Duration(max(m.totals.slots, 1))
-}
-
 // Load returns the pool's load as its owner sees it.
 func (m *Machine) Load() model.PoolLoad {
 	return model.PoolLoad{
--- a/plugins/endpoints/poolstate/outdated.go
+++ b/plugins/endpoints/poolstate/outdated.go
@@ -17,8 +17,8 @@
 	})
 }
 
-// expirePredecessors ends the leases of earlier incarnations at the address of a new endpoint. The revokes of tasks
-// there name the new one.
+// expirePredecessors ends the leases of earlier incarnations at the address of a new endpoint, and records by which
+// incarnation they are replaced.
 func (m *Machine) expirePredecessors(a *model.Endpoint, fx *Effects) {
 	if a.Born == 0 {
 		return
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -318,7 +318,7 @@
 		}
 		free := max(e.schedulableSlots()-e.busy(), 0)
 		slots := e.schedulableSlots()
-		if each := m.typicalNeeds.MilliCores; each > 0 && left/each < free {
+		if each := m.needs.typical.MilliCores; each > 0 && left/each < free {
 			slots -= free - left/each
 			free = left / each
 			if free == 0 && len(e.held) == 0 {
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -75,8 +75,8 @@
 }
 
 // retryRevoke repeats, with a backoff, a revoke whose reply did not tell whether the task has ended.
-// The task occupies its slot until that is known. At an endpoint without a lease, whose silence has no bound,
-// it does so only until its batch has ended, the endpoint's announcements have expired and its deadline has passed.
+// The task occupies its slot until that is known. At an endpoint without a lease, which may never answer, it is released
+// once its batch has ended, the endpoint's announcements have expired and its deadline has passed.
 func (m *Machine) retryRevoke(now time.Time, t *task, fx *Effects) {
 	if t.batch.ended && !t.endpoint.Leased && !t.endpoint.live && !now.Before(t.batch.Deadline) {
 		m.release(t)
--- a/plugins/endpoints/poolstate/resources.go
+++ b/plugins/endpoints/poolstate/resources.go
@@ -1,33 +1,49 @@
 package poolstate
 
 import (
+	"slices"
+
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
-// averageNeedsDivisor is the inverse of the weight that a batch's mean needs get in the moving average.
-const averageNeedsDivisor = 32
+const (
+	// needsLearnDivisor is the inverse of the weight that a batch's mean needs get in the moving averages.
+	needsLearnDivisor = 32
+	// maxSpread bounds the deviation of needs: typical needs are at least the average divided by it.
+	maxSpread = 2
+)
 
-// maxSpread bounds the deviation of needs: free slots are counted by at least the average divided by it.
-const maxSpread = 2
+// needsEstimate learns the needs of a task of the service.
+type needsEstimate struct {
+	average   model.Needs // Moving average.
+	deviation model.Needs // Moving average of the absolute difference from the average.
+	// typical is the average less the deviation, by which free slots are counted: a task that needs more is put beside
+	// one that needs less.
+	typical model.Needs
+}
 
-// learnAverageNeeds adds a batch to the moving averages of the needs of a task and of their deviation. Free slots are
-// counted by the needs that a smaller task has: tasks that need more are put beside those that need less.
-func (m *Machine) learnAverageNeeds(b *batch) {
+// learn adds the mean needs of a batch's tasks.
+func (n *needsEstimate) learn(mean model.Needs) {
+	if n.average == (model.Needs{}) {
+		n.average = mean
+	}
+	difference := mean.Minus(n.average)
+	absolute := difference.Max(difference.Negated())
+	n.average = n.average.Plus(difference.DividedBy(needsLearnDivisor))
+	n.deviation = n.deviation.Plus(absolute.Minus(n.deviation).DividedBy(needsLearnDivisor))
+	n.typical = n.average.Minus(n.deviation).Max(n.average.DividedBy(maxSpread))
+}
+
+// learnNeeds adds a batch to the estimate of a task's needs, and counts the free slots anew when that changes typical needs.
+func (m *Machine) learnNeeds(b *batch) {
 	var sum model.Needs
 	for i := range b.Tasks {
 		sum = sum.Plus(b.Tasks[i].Needs)
 	}
-	mean := sum.DividedBy(len(b.Tasks))
-	before := m.typicalNeeds
-	if m.averageNeeds == (model.Needs{}) {
-		m.averageNeeds = mean
-	}
-	off := mean.Minus(m.averageNeeds)
-	m.averageNeeds = m.averageNeeds.Plus(off.DividedBy(averageNeedsDivisor))
-	m.needsDeviation = m.needsDeviation.Plus(off.Max(off.Negated()).Minus(m.needsDeviation).DividedBy(averageNeedsDivisor))
-	m.typicalNeeds = m.averageNeeds.Minus(m.needsDeviation).Max(m.averageNeeds.DividedBy(maxSpread))
-	if m.typicalNeeds == before {
+	before := m.needs.typical
+	m.needs.learn(sum.DividedBy(len(b.Tasks)))
+	if m.needs.typical == before {
 		return
 	}
 	for _, e := range m.endpointList {
@@ -35,7 +51,29 @@
 	}
 }
 
-// roomFor returns how many tasks like those of the batch could start now if none were queued.
+// fits reports whether each of the tasks fits on some endpoint that is not leaving.
+func (m *Machine) fits(tasks []model.Task) bool {
+	fitting := model.Needs{}
+	for i := range tasks {
+		if i > 0 && tasks[i].Needs == fitting {
+			continue
+		}
+		if !m.fitsSomewhere(tasks[i].Needs) {
+			return false
+		}
+		fitting = tasks[i].Needs
+	}
+	return true
+}
+
+// fitsSomewhere reports whether a task with the given needs fits on some endpoint that is not leaving.
+func (m *Machine) fitsSomewhere(needs model.Needs) bool {
+	return slices.ContainsFunc(m.endpointList, func(e *endpoint) bool {
+		return e.live && e.State == model.EndpointServing && needs.FitsIn(e.Has)
+	})
+}
+
+// roomFor returns how many tasks with the largest needs in the batch could start now if none were queued.
 func (m *Machine) roomFor(b *batch) int {
 	largest := model.Needs{}
 	for i := range b.Tasks {
@@ -66,12 +104,13 @@
 	return model.Needs{MilliCores: max(e.available().MilliCores, 0) + 1}
 }
 
+// hasRoom reports whether a task with the given needs can be sent to the endpoint now.
 func (e *endpoint) hasRoom(needs model.Needs) bool {
 	return e.busy() < e.capacity() && needs.FitsIn(e.available())
 }
 
-// load returns the endpoint's load. Its free slots are at most the number of tasks with the given needs
-// for which resources are left.
+// load returns the endpoint's load. Its free slots are at most the number of tasks with typical needs for which resources
+// are left.
 func (e *endpoint) load(typicalNeeds model.Needs) port.EndpointLoad {
 	load := port.EndpointLoad{ID: e.ID, Slots: e.schedulableSlots(), Left: e.available()}
 	if load.Slots == 0 {
