Tests of leases: the fake endpoint apart, replies named

Hard to read: random_test.go held a fake endpoint, a simulation and 50 lines of random actions in one loop; the simulation of several members made a whole simulation of one to get its endpoint; the same four replies were spelled out some thirty times; two tests began with the same ten lines; two fields were named lossy and noStops.

--- a/plugins/leases/lease/claims_test.go
+++ b/plugins/leases/lease/claims_test.go
@@ -56,7 +56,7 @@
 		fx := h.step(Claimed{Queried: running, Claimed: []Claim{{Run: testRun(5), Member: "n2"}}})
 		h.is.Equal(len(fx.Starts), 1)
 		h.is.True(fx.Hold.Wait < claimValidity)
-		h.step(StartReplied{testRun(0), port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
+		h.confirm(testRun(0))
 		fx = h.advance(claimRenewal).replyToHold([]port.TaskRun{testRun(0), testRun(5)})
 		h.is.Equal(fx.ClaimQuery, running)
 		h.is.Equal(fx.Claimants, []model.NodeID{"n2"})
@@ -98,7 +98,7 @@
 		h.step(TakenOver{higher, []port.TaskRun{testRun(0)}})
 		h.advance(100 * time.Millisecond)
 	}
-	h.step(HoldReplied{port.HoldReply{State: port.OrderFenced}}) // The hold that was in flight.
+	h.fence() // The hold that was in flight.
 	h.advance(testConfig.FencedBackoff - claimValidity).step(TakenOver{higher, []port.TaskRun{testRun(0)}})
 	fx := h.advance(claimValidity).step(StartRequested{Run: testRun(1)})
 	h.is.True(fx.Hold != nil)
--- a/plugins/leases/lease/foreign_test.go
+++ b/plugins/leases/lease/foreign_test.go
@@ -15,7 +15,7 @@
 	h.step(StartRequested{Run: testRun(0)})
 	h.advance(time.Millisecond).replyToHold(foreign)
 	h.step(Claimed{Queried: foreign, Claimed: []Claim{{Run: testRun(5), Member: "m2"}}})
-	h.step(StartReplied{testRun(0), port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
+	h.confirm(testRun(0))
 	h.advance(100*time.Millisecond).replyToHold(foreign, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskDone})
 	h.claim(testRun(5))
 	return h, foreign
@@ -48,7 +48,7 @@
 func (h *harness) failHolds() {
 	for range 15 {
 		if h.machine.holdInFlight {
-			h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+			h.advance(200 * time.Millisecond).failHold()
 		}
 		h.advance(retryDelay).step(Elapsed{})
 	}
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -45,6 +45,21 @@
 	return h.step(HoldReplied{port.HoldReply{State: port.OrderDone, Clock: h.clock(), Running: running, Ended: ended}})
 }
 
+// failHold reports that the hold in flight gets no reply.
+func (h *harness) failHold() Effects {
+	return h.step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+}
+
+// fence reports that the endpoint refuses the hold in flight, since another member holds the lease.
+func (h *harness) fence() Effects {
+	return h.step(HoldReplied{port.HoldReply{State: port.OrderFenced}})
+}
+
+// confirm reports that the endpoint has started a run.
+func (h *harness) confirm(run port.TaskRun) Effects {
+	return h.step(StartReplied{run, port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
+}
+
 // newRunningHarness returns a harness whose endpoint has accepted the token and confirmed count runs.
 func newRunningHarness(t *testing.T, count int) *harness {
 	h := newHarness(t)
@@ -55,7 +70,7 @@
 	}
 	h.advance(time.Millisecond).replyToHold(nil)
 	for _, r := range runs {
-		h.advance(time.Millisecond).step(StartReplied{r, port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
+		h.advance(time.Millisecond).confirm(r)
 	}
 	return h
 }
@@ -76,7 +91,7 @@
 // out the start.
 func TestStartWaitsForHoldAfterFailedOne(t *testing.T) {
 	h := newRunningHarness(t, 1)
-	h.step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	h.failHold()
 	fx := h.step(StartRequested{Run: testRun(1)})
 	h.is.Equal(len(fx.Starts), 0)
 	fx = h.advance(retryDelay).step(Elapsed{})
@@ -100,7 +115,7 @@
 	fx := h.replyToHold([]port.TaskRun{testRun(1)}, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskDone})
 	h.is.Equal(fx.Hold.Seen, uint64(1))
 	h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(1)})
-	h.step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	h.failHold()
 	fx = h.advance(retryDelay).step(Elapsed{})
 	h.is.Equal(fx.Hold.Seen, uint64(0))
 	fx = h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(1)})
@@ -165,7 +180,7 @@
 	extended := h.machine.leaseExtendedAt
 	for h.now.Sub(startTime) < 3*time.Second {
 		if h.machine.holdInFlight {
-			h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+			h.advance(200 * time.Millisecond).failHold()
 		} else {
 			at, ok := h.machine.NextTimer(h.now)
 			h.is.True(ok)
@@ -202,7 +217,7 @@
 
 func TestFencedHolderBacksOffAndAcceptsForwardedEnds(t *testing.T) {
 	h := newRunningHarness(t, 1)
-	fx := h.step(HoldReplied{port.HoldReply{State: port.OrderFenced}})
+	fx := h.fence()
 	h.is.Equal(fx.Lost, LossFenced)
 	h.is.Equal(len(fx.Finished), 0) // The run continues under the next holder.
 	h.is.True(fx.Hold == nil)
@@ -271,7 +286,7 @@
 	for i := range count {
 		h.step(StartRequested{Run: testRun(i)})
 		h.advance(retryDelay).step(Elapsed{})
-		h.step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+		h.failHold()
 	}
 }
 
@@ -296,7 +311,7 @@
 	h := newHarness(t)
 	h.refuseFirstHolds(maxFailedHolds)
 	h.advance(2 * time.Second).step(StartRequested{Run: testRun(9)})
-	fx := h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	fx := h.advance(200 * time.Millisecond).failHold()
 	h.is.Equal(len(fx.Finished), 1)
 	h.is.Equal(fx.Finished[0].State, port.TaskNotRun)
 }
--- a/plugins/leases/lease/members_test.go
+++ b/plugins/leases/lease/members_test.go
@@ -26,8 +26,8 @@
 	owners   map[port.TaskRun]model.NodeID // The member that has requested the run.
 	stopped  map[port.TaskRun]time.Time    // When that member was first told to stop it.
 	finished map[port.TaskRun]bool
-	lossy    int // How many of eight starts and holds get no answer.
-	noStops  int // The same for stops.
+	// unansweredOrders is how many of eight starts and holds get no answer, and unansweredStops the same for stops.
+	unansweredOrders, unansweredStops int
 }
 
 // delivery is something that happens at a time, unless the member has died.
@@ -39,10 +39,10 @@
 
 func newMembersSimulation(t *rapid.T) *membersSimulation {
 	s := &membersSimulation{
-		t: t, now: startTime, endpoint: newSimulation(t).endpoint, members: make(map[model.NodeID]*Machine),
+		t: t, now: startTime, endpoint: newFakeEndpoint(), members: make(map[model.NodeID]*Machine),
 		diedAt: make(map[model.NodeID]time.Time), owners: make(map[port.TaskRun]model.NodeID), finished: make(map[port.TaskRun]bool),
-		stopped: make(map[port.TaskRun]time.Time), lossy: rapid.IntRange(1, 6).Draw(t, "lossy"),
-		noStops: rapid.IntRange(1, 8).Draw(t, "noStops"),
+		stopped: make(map[port.TaskRun]time.Time), unansweredOrders: rapid.IntRange(1, 6).Draw(t, "lossy"),
+		unansweredStops: rapid.IntRange(1, 8).Draw(t, "noStops"),
 	}
 	for i, id := range []model.NodeID{"a", "b", "c"} {
 		config := testConfig
@@ -65,14 +65,14 @@
 	s.pending = append(s.pending, delivery{s.now.Add(d), to, run})
 }
 
-// faulty reports, one time in n, that a message is lost.
-func (s *membersSimulation) faulty(n int) bool { return rapid.IntRange(1, n).Draw(s.t, "fault") == 1 }
+// oneIn reports true one time in n.
+func (s *membersSimulation) oneIn(n int) bool { return rapid.IntRange(1, n).Draw(s.t, "fault") == 1 }
 
-// order sends an order to the endpoint, which may be executed late; its reply, or the lack of one, is an event. It gets no
-// answer in lossy of eight cases.
-func (s *membersSimulation) order(from model.NodeID, lossy int, execute func() Event, noReply Event) {
-	switch lost := rapid.IntRange(1, 8).Draw(s.t, "order") <= lossy; {
-	case lost && s.faulty(2):
+// order sends an order to the endpoint; its reply, or the lack of one, is an event. The order gets no answer in the given
+// number of eight cases, and is then executed late or never.
+func (s *membersSimulation) order(from model.NodeID, unanswered int, execute func() Event, noReply Event) {
+	switch lost := rapid.IntRange(1, 8).Draw(s.t, "order") <= unanswered; {
+	case lost && s.oneIn(2):
 		late := time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "late")) * time.Millisecond
 		s.after(late, "", func() { execute() })
 		s.after(200*time.Millisecond, from, func() { s.step(from, noReply) })
@@ -92,17 +92,17 @@
 		s.checkFinished(f)
 	}
 	for _, o := range fx.Starts {
-		s.order(id, s.lossy, func() Event { return StartReplied{o.Run, s.startInTime(o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+		s.order(id, s.unansweredOrders, func() Event { return StartReplied{o.Run, s.startInTime(o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
 	}
 	for _, o := range fx.Stops {
-		s.order(id, s.noStops, func() Event { return StopReplied{o.Run, s.endpoint.stop(o)} }, StopReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+		s.order(id, s.unansweredStops, func() Event { return StopReplied{o.Run, s.endpoint.stop(o)} }, StopReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
 	}
 	if o := fx.Hold; o != nil {
-		s.order(id, s.lossy, func() Event { return HoldReplied{s.endpoint.hold(0, *o)} }, HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+		s.order(id, s.unansweredOrders, func() Event { return HoldReplied{s.endpoint.hold(0, *o)} }, HoldReplied{port.HoldReply{State: port.OrderUnknown}})
 	}
 	for _, end := range fx.ForwardEnds {
 		for _, to := range s.alive() {
-			if to != id && !s.faulty(4) && s.members[to].Pending(end.End.Run) {
+			if to != id && !s.oneIn(4) && s.members[to].Pending(end.End.Run) {
 				s.after(time.Millisecond, to, func() { s.step(to, EndForwarded{end.End}) })
 			}
 		}
@@ -131,7 +131,7 @@
 		if to == from {
 			continue
 		}
-		if !slices.Contains(s.alive(), to) || s.faulty(6) {
+		if !slices.Contains(s.alive(), to) || s.oneIn(6) {
 			took = 150 * time.Millisecond
 			continue
 		}
@@ -142,7 +142,7 @@
 		}
 		s.step(to, TakenOver{fx.ClaimToken, queried})
 		for _, run := range queried {
-			if m.Pending(run) && !s.faulty(6) {
+			if m.Pending(run) && !s.oneIn(6) {
 				claimed.Claimed = append(claimed.Claimed, Claim{Run: run, Member: to, Stop: !m.Wanted(run)})
 			}
 		}
@@ -226,7 +226,7 @@
 			s.endpoint.end(running[0], port.TaskDone)
 		}
 	case 4:
-		if len(alive) > 1 && s.faulty(4) {
+		if len(alive) > 1 && s.oneIn(4) {
 			s.diedAt[id] = s.now
 		}
 	}
@@ -241,7 +241,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			s.act()
 		}
-		s.lossy, s.noStops = 1, 1
+		s.unansweredOrders, s.unansweredStops = 1, 1
 		for range 20 { // Each run of a member that lives has an outcome in the end.
 			for _, run := range s.endpoint.sortedRunning() {
 				s.endpoint.end(run, port.TaskDone)
--- a/plugins/leases/lease/random_test.go
+++ b/plugins/leases/lease/random_test.go
@@ -14,125 +14,6 @@
 	"redwingpulley/kernel/port"
 )
 
-// fakeEndpoint implements the published endpoint protocol: it rejects older fencing tokens, limits the
-// length of leases, and remembers which runs were stopped or have ended.
-type fakeEndpoint struct {
-	now         time.Time
-	incarnation int       // Number of its restarts.
-	born        time.Time // When the present incarnation started.
-	token       uint64
-	leaseEnd    time.Time
-	running     map[port.TaskRun]bool
-	finished    map[port.TaskRun]bool // Stopped or ended; such a run never starts again.
-	startCounts map[port.TaskRun]int
-	done        map[port.TaskRun]bool
-	unackedEnds []port.RunEnd
-	endCount    uint64
-}
-
-// restart ends all runs, and forgets them and all tokens. Orders keep reaching the endpoint.
-func (e *fakeEndpoint) restart() {
-	e.incarnation++
-	e.born, e.token, e.leaseEnd = e.now, 0, time.Time{}
-	e.endCount, e.unackedEnds = 0, nil
-	clear(e.running)
-	clear(e.finished)
-}
-
-// rejects reports whether a token is older than the newest one, and otherwise stores it.
-func (e *fakeEndpoint) rejects(token uint64) bool {
-	if token < e.token {
-		return true
-	}
-	e.token = token
-	return false
-}
-
-// expire ends all runs once the lease has expired.
-func (e *fakeEndpoint) expire() {
-	if e.now.Before(e.leaseEnd) {
-		return
-	}
-	for _, id := range e.sortedRunning() {
-		e.end(id, port.TaskLost)
-	}
-}
-
-func (e *fakeEndpoint) sortedRunning() []port.TaskRun {
-	var runs []port.TaskRun
-	for id := range e.running {
-		runs = append(runs, id)
-	}
-	slices.SortFunc(runs, func(a, b port.TaskRun) int { return a.Index - b.Index })
-	return runs
-}
-
-func (e *fakeEndpoint) end(id port.TaskRun, how port.TaskState) {
-	delete(e.running, id)
-	e.finished[id] = true
-	e.done[id] = how == port.TaskDone
-	e.endCount++
-	e.unackedEnds = append(e.unackedEnds, port.RunEnd{Number: e.endCount, Run: id, How: how})
-}
-
-// extend extends the lease until a time on the endpoint's clock, which is 2% slow. It never shortens the
-// lease.
-func (e *fakeEndpoint) extend(until int64) {
-	left := min(time.Duration(until-e.clock())*time.Millisecond, testConfig.MaxLease)
-	if end := e.now.Add(time.Duration(float64(left) * (1 + maxClockDrift))); until > 0 && end.After(e.leaseEnd) {
-		e.leaseEnd = end
-	}
-}
-
-// clock returns the endpoint's clock in milliseconds; it is 2% slow.
-func (e *fakeEndpoint) clock() int64 {
-	return int64(float64(e.now.Sub(e.born).Milliseconds())/(1+maxClockDrift)) + 1000
-}
-
-func (e *fakeEndpoint) start(o port.StartOrder) port.OrderReply {
-	e.expire()
-	switch {
-	case e.rejects(o.Token):
-		return port.OrderReply{State: port.OrderFenced}
-	case e.running[o.Run]:
-		return port.OrderReply{State: port.OrderDone, Clock: e.clock()}
-	case e.finished[o.Run]:
-		return port.OrderReply{State: port.OrderSuperseded, Clock: e.clock()}
-	}
-	e.extend(o.Until)
-	e.running[o.Run] = true
-	e.startCounts[o.Run]++
-	return port.OrderReply{State: port.OrderDone, Clock: e.clock()}
-}
-
-func (e *fakeEndpoint) stop(o port.StopOrder) port.OrderReply {
-	e.expire()
-	if e.rejects(o.Token) {
-		return port.OrderReply{State: port.OrderFenced}
-	}
-	if e.running[o.Run] {
-		e.end(o.Run, port.TaskStopped)
-	}
-	e.finished[o.Run] = true
-	return port.OrderReply{State: port.OrderDone, Clock: e.clock()}
-}
-
-// hold returns the lists of runs. It has acknowledged ends also when it was meant for another incarnation.
-func (e *fakeEndpoint) hold(incarnation int, o port.HoldOrder) port.HoldReply {
-	e.expire()
-	if e.rejects(o.Token) {
-		return port.HoldReply{State: port.OrderFenced}
-	}
-	if incarnation != e.incarnation {
-		return port.HoldReply{State: port.OrderOtherIncarnation, Incarnation: incarnationID(e.incarnation)}
-	}
-	e.extend(o.Until)
-	e.unackedEnds = slices.DeleteFunc(e.unackedEnds, func(end port.RunEnd) bool { return end.Number <= o.Seen })
-	return port.HoldReply{State: port.OrderDone, Clock: e.clock(), Running: e.sortedRunning(), Ended: slices.Clone(e.unackedEnds)}
-}
-
-func incarnationID(number int) model.EndpointID { return model.EndpointID(strconv.Itoa(number)) }
-
 // call is an order in flight, or the timeout of one whose reply is lost.
 type call struct {
 	at        time.Time
@@ -161,10 +42,7 @@
 	return &simulation{
 		t: t, now: startTime, known: incarnationID(0), machines: make(map[model.EndpointID]*Machine),
 		settles: make(map[port.TaskRun]model.EndpointID), outcomes: make(map[port.TaskRun]port.TaskState),
-		endpoint: &fakeEndpoint{
-			now: startTime, born: startTime, running: make(map[port.TaskRun]bool), finished: make(map[port.TaskRun]bool),
-			startCounts: make(map[port.TaskRun]int), done: make(map[port.TaskRun]bool),
-		},
+		endpoint: newFakeEndpoint(),
 	}
 }
 
@@ -341,29 +219,7 @@
 	for range rapid.IntRange(1, 40).Draw(s.t, "steps") {
 		s.endpoint.now = s.now
 		s.endpoint.expire()
-		switch rapid.IntRange(0, 3+min(restarts-s.endpoint.incarnation, 1)*2).Draw(s.t, "action") {
-		case 0:
-			s.lastRun++
-			s.step(s.known, StartRequested{Run: testRun(s.lastRun)})
-		case 1:
-			if s.lastRun > 0 {
-				stopped := testRun(rapid.IntRange(1, s.lastRun).Draw(s.t, "run"))
-				for _, id := range s.sortedMachines() {
-					if s.machines[id].Pending(stopped) && s.settles[stopped] != id {
-						s.step(id, StopRequested{stopped})
-					}
-				}
-			}
-		case 2:
-			if candidates := s.endpoint.sortedRunning(); len(candidates) > 0 {
-				how := rapid.SampledFrom([]port.TaskState{port.TaskDone, port.TaskFailed}).Draw(s.t, "how")
-				s.endpoint.end(candidates[rapid.IntRange(0, len(candidates)-1).Draw(s.t, "which")], how)
-			}
-		case 4:
-			s.endpoint.restart()
-		case 5:
-			s.announce()
-		}
+		s.act(restarts)
 		if retire := rapid.IntRange(0, 19).Draw(s.t, "retire"); retire == 0 {
 			s.step(s.known, RetireRequested{})
 		}
@@ -378,6 +234,37 @@
 	s.finishAllRuns()
 }
 
+// act takes a random action. The endpoint restarts at most the given number of times.
+func (s *simulation) act(restarts int) {
+	switch rapid.IntRange(0, 3+min(restarts-s.endpoint.incarnation, 1)*2).Draw(s.t, "action") {
+	case 0:
+		s.lastRun++
+		s.step(s.known, StartRequested{Run: testRun(s.lastRun)})
+	case 1:
+		if s.lastRun > 0 {
+			s.requestStop(testRun(rapid.IntRange(1, s.lastRun).Draw(s.t, "run")))
+		}
+	case 2:
+		if candidates := s.endpoint.sortedRunning(); len(candidates) > 0 {
+			how := rapid.SampledFrom([]port.TaskState{port.TaskDone, port.TaskFailed}).Draw(s.t, "how")
+			s.endpoint.end(candidates[rapid.IntRange(0, len(candidates)-1).Draw(s.t, "which")], how)
+		}
+	case 4:
+		s.endpoint.restart()
+	case 5:
+		s.announce()
+	}
+}
+
+// requestStop requests the machines that wait for the run, and do not settle it elsewhere, to stop it.
+func (s *simulation) requestStop(run port.TaskRun) {
+	for _, id := range s.sortedMachines() {
+		if s.machines[id].Pending(run) && s.settles[run] != id {
+			s.step(id, StopRequested{run})
+		}
+	}
+}
+
 // announce makes the newest incarnation known.
 func (s *simulation) announce() {
 	newest := incarnationID(s.endpoint.incarnation)
--- a/plugins/leases/lease/retire_test.go
+++ b/plugins/leases/lease/retire_test.go
@@ -58,7 +58,7 @@
 	count(h.step(RetireRequested{}))
 	for range 40 {
 		if h.machine.holdInFlight {
-			count(h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}}))
+			count(h.advance(200 * time.Millisecond).failHold())
 		}
 		count(h.advance(retireRetryDelay).step(Elapsed{}))
 		h.is.True(!h.machine.Retired())
@@ -74,7 +74,7 @@
 }
 
 // Pattern: the endpoint leaves while one of its runs is in progress and another is being started. Guards against a higher
-// token that overtakes the start order: the endpoint would refuse it, and this member take itself for fenced.
+// token that overtakes the start order: the endpoint would refuse it, and this member would take itself for fenced.
 func TestRetirementWaitsForOrdersInFlightAndKeepsTheLease(t *testing.T) {
 	h := newRunningHarness(t, 1)
 	fx := h.advance(time.Millisecond).step(StartRequested{Run: testRun(1)})
@@ -82,7 +82,7 @@
 	h.step(RetireRequested{})
 	fx = h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
 	h.is.Equal(fx.Hold, nil)
-	fx = h.advance(time.Millisecond).step(StartReplied{testRun(1), port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
+	fx = h.advance(time.Millisecond).confirm(testRun(1))
 	h.is.True(fx.Hold != nil)
 	h.is.True(fx.Hold.Token > h.ordinaryToken())
 	h.is.Equal(fx.Hold.Until, h.clock()+1000)
@@ -124,18 +124,17 @@
 func TestFencedHolderRetiresEndpointWithAHigherToken(t *testing.T) {
 	h := newHarness(t)
 	h.step(RetireRequested{})
-	fenced := HoldReplied{port.HoldReply{State: port.OrderFenced}}
-	fx := h.advance(time.Millisecond).step(fenced)
+	fx := h.advance(time.Millisecond).fence()
 	h.is.True(!h.machine.Retired())
 	h.is.True(fx.Hold != nil)
 	h.is.True(fx.Hold.Token > h.ordinaryToken())
-	fx = h.advance(time.Millisecond).step(fenced) // Only another retirement has a higher one.
+	fx = h.advance(time.Millisecond).fence() // Only another retirement has a higher one.
 	h.is.True(h.machine.Retired())
 	h.is.Equal(fx.Hold, nil)
 }
 
-// Guards against a state in which a member reports an endpoint as
-// retired that still accepts the orders of others, whatever orders are late or lost.
+// Guards against a member that reports an endpoint as retired which still accepts the orders of others, whatever orders are
+// late or lost.
 func TestStartsOfOtherMembersAreRefusedAfterRetirement(t *testing.T) {
 	is := is.New(t)
 	rapid.Check(t, func(t *rapid.T) {
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -48,7 +48,7 @@
 // gets no other reply any more.
 func TestAnnouncedSuccessorSettlesRunsOfFencedHolder(t *testing.T) {
 	h := newRunningHarness(t, 1)
-	h.step(HoldReplied{port.HoldReply{State: port.OrderFenced}})
+	h.fence()
 	fx := h.step(Replaced{successor})
 	h.is.Equal(len(fx.Settle), 1)
 }
@@ -117,7 +117,7 @@
 	h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
 	h.is.Equal(len(h.fx.Stops), 1)
 	for range 4 { // For less than a lease, which the start may have extended just before the list.
-		h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+		h.advance(200 * time.Millisecond).failHold()
 		h.advance(retryDelay).step(Elapsed{})
 	}
 	h.is.True(h.machine.Pending(testRun(0)))
@@ -141,7 +141,7 @@
 	h.step(SettleRequested{Run: testRun(5), Token: h.machine.token + 1<<holderBits})
 	h.advance(900 * time.Millisecond).replyToHold([]port.TaskRun{testRun(0), testRun(5)})
 	for range 2 {
-		h.advance(200 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+		h.advance(200 * time.Millisecond).failHold()
 		h.advance(retryDelay).step(Elapsed{})
 	}
 	h.is.True(h.machine.Pending(testRun(5)))
--- a/plugins/leases/takeover_test.go
+++ b/plugins/leases/takeover_test.go
@@ -30,21 +30,28 @@
 	return port.HoldReply{State: port.OrderDone, Clock: 1}
 }
 
+// startRun starts a run at endpoint e and returns once it is confirmed; the outcome follows.
+func startRun(t *testing.T, l *Leases) (run port.TaskRun, outcome chan port.TaskState) {
+	run, outcome = port.TaskRun{Key: "k", Index: 0, Attempt: 1}, make(chan port.TaskState, 1)
+	go func() {
+		outcome <- tasks{l}.Start(t.Context(), "127.0.0.1:1", port.TaskStart{Endpoint: "e", Key: run.Key, Index: run.Index, Attempt: run.Attempt}).State
+	}()
+	time.Sleep(10 * time.Millisecond) // On the virtual clock: until the run is confirmed.
+	return run, outcome
+}
+
+// higherToken is a fencing token above any that is made of the time.
+const higherToken = uint64(1) << 63
+
 // Guards against a task that runs twice after a hand-over: its run had been claimed, so that the next holder of the lease kept it
 // running, and was reported as lost all the same once its former holder's lease would have expired.
 func TestClaimedRunIsNotLostWhenItsFormerHolderCannotReachTheEndpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := newLeases(t, &unreachableEndpoint{})
-		run := port.TaskRun{Key: "k", Index: 0, Attempt: 1}
-		outcome := make(chan port.TaskState, 1)
-		go func() {
-			outcome <- tasks{l}.Start(t.Context(), "127.0.0.1:1", port.TaskStart{Endpoint: "e", Key: run.Key, Index: run.Index, Attempt: run.Attempt}).State
-		}()
-		time.Sleep(10 * time.Millisecond) // Fake time: until the run is confirmed.
-		const token = uint64(1) << 63     // Above any token made of the time.
-		for range 50 {                    // For five seconds; the next holder extends the lease only while it renews the claim.
-			reply := l.handleClaim(t.Context(), "n2", claimRequest{Endpoint: "e", Token: token, Runs: []runMessage{runMessage(run)}})
+		run, outcome := startRun(t, l)
+		for range 50 { // For five seconds; the next holder extends the lease only while it renews the claim.
+			reply := l.handleClaim(t.Context(), "n2", claimRequest{Endpoint: "e", Token: higherToken, Runs: []runMessage{runMessage(run)}})
 			is.Equal(len(reply.Runs), 1)
 			time.Sleep(100 * time.Millisecond)
 			is.Equal(len(outcome), 0) // No outcome while the next holder may keep the run running.
@@ -59,19 +66,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := newLeases(t, &unreachableEndpoint{})
-		run := port.TaskRun{Key: "k", Index: 0, Attempt: 1}
-		outcome := make(chan port.TaskState, 1)
-		go func() {
-			outcome <- tasks{l}.Start(t.Context(), "127.0.0.1:1", port.TaskStart{Endpoint: "e", Key: run.Key, Index: run.Index, Attempt: run.Attempt}).State
-		}()
-		time.Sleep(10 * time.Millisecond) // Fake time: until the run is confirmed.
-		query := claimRequest{Endpoint: "e", Token: uint64(1) << 63, Runs: []runMessage{runMessage(run)}}
+		run, outcome := startRun(t, l)
+		query := claimRequest{Endpoint: "e", Token: higherToken, Runs: []runMessage{runMessage(run)}}
 		is.Equal(l.handleClaim(t.Context(), "n2", query), claimReply{Runs: query.Runs})
 		revoked := make(chan port.TaskState, 1)
 		go func() {
 			revoked <- tasks{l}.Revoke(t.Context(), "127.0.0.1:1", port.TaskRevoke{Endpoint: "e", Stop: true, Key: run.Key, Index: run.Index, Attempt: run.Attempt}).State
 		}()
-		time.Sleep(10 * time.Millisecond) // Fake time: until the stop is requested.
+		time.Sleep(10 * time.Millisecond) // On the virtual clock: until the stop is requested.
 		is.Equal(l.handleClaim(t.Context(), "n2", query), claimReply{Stop: query.Runs})
 		is.Equal(len(outcome)+len(revoked), 0) // The run may still be at work.
 		l.handleForwardedEnds(t.Context(), "n2", endsMessage{Endpoint: "e", Ends: []endMessage{{Run: runMessage(run), How: port.TaskStopped}}})
