--- a/plugins/endpoints/parts_test.go
+++ b/plugins/endpoints/parts_test.go
@@ -14,7 +14,17 @@
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
-var testGroup = poolGroup{pool1.Service, pool1.DataCentre}
+var (
+	testGroup = poolGroup{pool1.Service, pool1.DataCentre}
+	second1   = port.Node{ID: "second", Incarnation: "s1", DataCentre: "sj1"} // Can own pools of the test group, too.
+)
+
+// raiseParts tells members that the test group has the given number of pools.
+func raiseParts(parts int, members ...*Pools) {
+	for _, p := range members {
+		p.raiseParts(testGroup, parts)
+	}
+}
 
 // leasedEndpoints returns the given number of leased endpoints with one slot each.
 func leasedEndpoints(count int) (all []model.Endpoint) {
@@ -103,22 +113,19 @@
 func TestSplitHandsEndpointsOverToTheOwnersOfTheirPools(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		n, _, owner, _ := newPair(t)
-		second := port.Node{ID: "second", Incarnation: "s1", DataCentre: "sj1"}
-		other, _ := newPools(t, n, second)
+		other, _ := newPools(t, n, second1)
 		for _, e := range leasedEndpoints(24) {
 			owner.step(pool1, poolstate.Announced{Endpoint: e})
 		}
-		n.setAlive(origin1, owner1, second)
-		for _, p := range []*Pools{owner, other} {
-			p.raiseParts(testGroup, 8)
-		}
+		n.setAlive(origin1, owner1, second1)
+		raiseParts(8, owner, other)
 		time.Sleep(time.Second) // On the virtual clock: for the handovers.
 		synctest.Wait()
 		mine, theirs := owner.servingByPart(), other.servingByPart()
 		is.Equal(total(mine)-1+total(theirs), 24)
 		is.True(total(theirs) > 0)
 		for part := range theirs {
-			is.Equal(assignOwners([]port.Node{owner1, second}, testGroup, 8)[part].ID, second.ID)
+			is.Equal(assignOwners([]port.Node{owner1, second1}, testGroup, 8)[part].ID, second1.ID)
 		}
 	})
 }
@@ -129,14 +136,11 @@
 func TestHandoverOfUnsplitPoolBringsEndpointsToTheirPools(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		n, _, owner, _ := newPair(t)
-		second := port.Node{ID: "second", Incarnation: "s1", DataCentre: "sj1"}
-		other, _ := newPools(t, n, second)
-		n.setAlive(origin1, owner1, second)
-		for _, p := range []*Pools{owner, other} {
-			p.raiseParts(testGroup, 8)
-		}
+		other, _ := newPools(t, n, second1)
+		n.setAlive(origin1, owner1, second1)
+		raiseParts(8, owner, other)
 		receiver := owner // The owner of the first of the pools.
-		if owner.ownerOf(pool1).ID == second.ID {
+		if owner.ownerOf(pool1).ID == second1.ID {
 			receiver = other
 		}
 		receiver.handleHandover(t.Context(), "started-just-now", handover{Pool: pool1, Endpoints: leasedEndpoints(24), Parts: 1})
@@ -162,12 +166,9 @@
 func TestAnnouncementOverAMemberThatDoesNotKnowOfASplitIsRecorded(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		n, origin, owner, _ := newPair(t)
-		second := port.Node{ID: "second", Incarnation: "s1", DataCentre: "sj1"}
-		other, _ := newPools(t, n, second)
-		n.setAlive(origin1, owner1, second)
-		for _, p := range []*Pools{owner, other} {
-			p.raiseParts(testGroup, 8)
-		}
+		other, _ := newPools(t, n, second1)
+		n.setAlive(origin1, owner1, second1)
+		raiseParts(8, owner, other)
 		for _, e := range leasedEndpoints(24) {
 			is.True(origin.Announce(t.Context(), e).Recorded)
 		}
@@ -181,12 +182,11 @@
 func TestHandoverTellsTheNumberOfPools(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		n, _, owner, _ := newPair(t)
-		second := port.Node{ID: "second", Incarnation: "s1", DataCentre: "sj1"}
-		other, _ := newPools(t, n, second)
+		other, _ := newPools(t, n, second1)
 		for _, e := range leasedEndpoints(24) {
 			owner.step(pool1, poolstate.Announced{Endpoint: e})
 		}
-		n.setAlive(origin1, owner1, second)
+		n.setAlive(origin1, owner1, second1)
 		owner.raiseParts(testGroup, 8)
 		time.Sleep(time.Second) // On the virtual clock: for the handovers.
 		synctest.Wait()
--- a/plugins/endpoints/poolstate/remnant_test.go
+++ b/plugins/endpoints/poolstate/remnant_test.go
@@ -12,8 +12,8 @@
 	"redwingpulley/kernel/port"
 )
 
-// submitNeeding submits a job of the given number of tasks, each with the same needs.
-func (h *harness) submitNeeding(tasks, milliCores int) Effects {
+// batchNeeding returns a batch of a new job with the given number of tasks, each with the same needs.
+func (h *harness) batchNeeding(tasks, milliCores int) model.Batch {
 	h.jobs++
 	b := model.Batch{
 		ID: model.BatchID{Job: model.JobID(strconv.Itoa(h.jobs))}, Pool: finderPool, Team: "t",
@@ -22,7 +22,12 @@
 	for i := range tasks {
 		b.Tasks = append(b.Tasks, model.Task{Index: i, Needs: model.Needs{MilliCores: milliCores}})
 	}
-	return h.step(Submitted{b, model.BuiltInProfile()})
+	return b
+}
+
+// submitNeeding submits such a batch.
+func (h *harness) submitNeeding(tasks, milliCores int) Effects {
+	return h.step(Submitted{h.batchNeeding(tasks, milliCores), model.BuiltInProfile()})
 }
 
 // Guards against issue 24: an endpoint with room for a queued task got none, since it had none for a task with average needs.
--- a/plugins/endpoints/poolstate/room_test.go
+++ b/plugins/endpoints/poolstate/room_test.go
@@ -14,14 +14,9 @@
 
 // submitUrgent submits a part of a job whose tasks, each with the same needs, must not wait.
 func (h *harness) submitUrgent(tasks, milliCores int) Effects {
-	h.jobs++
-	b := model.Batch{
-		ID: model.BatchID{Job: model.JobID("u" + strconv.Itoa(h.jobs))}, Pool: finderPool, Team: "t",
-		Deadline: h.now.Add(time.Hour), MaxFailures: 1, MaxWait: time.Millisecond,
-	}
-	for i := range tasks {
-		b.Tasks = append(b.Tasks, model.Task{Index: i, Needs: model.Needs{MilliCores: milliCores}})
-	}
+	b := h.batchNeeding(tasks, milliCores)
+	b.ID.Job = "u" + b.ID.Job
+	b.MaxWait = time.Millisecond
 	return h.step(Submitted{b, model.BuiltInProfile()})
 }
 
