Tests of pools: the fakes in files of their own

Hard to read: ownership_test.go and run_test.go each began with two or three hundred lines of an in-memory cluster or network that other tests use as well, leaving_test.go with a leased endpoint, turns_test.go with an endpoint whose runs take time; ten tests made and stopped a cluster in the same four lines.

--- a/plugins/endpoints/moved_test.go
+++ b/plugins/endpoints/moved_test.go
@@ -14,9 +14,7 @@
 // owner may no longer use after the move. A batch that is queued there must be refused in time for its
 // origin to send it to the next owner, and a running one must finish.
 func TestQueuedBatchIsRefusedAsMovedWhenItsPoolMoves(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c, members := newCluster(is, 1)
+	withCluster(t, 1, func(t *testing.T, is *is.I, c *cluster, members []*testMember) {
 		e := c.endpoint()
 		e.Leased, e.Lease = true, time.Minute
 		members[0].announce(e)
@@ -35,7 +33,6 @@
 		c.finish()
 		synctest.Wait()
 		is.Equal(countDone(<-running), 1)
-		stopAll(is, members)
 	})
 }
 
@@ -43,9 +40,7 @@
 // The former owner has no endpoint left, but must not refuse the batch for that reason: the pool may have
 // endpoints at its next owner.
 func TestBatchInTransitIsRefusedAsMovedWhenItsPoolMoves(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c, members := newCluster(is, 1)
+	withCluster(t, 1, func(t *testing.T, is *is.I, c *cluster, members []*testMember) {
 		e := c.endpoint()
 		e.Leased, e.Lease = true, time.Minute
 		members[0].announce(e)
@@ -54,6 +49,5 @@
 		result := <-members[2].runBatch(members[0], 1, 1)
 		is.True(result.Refused)
 		is.Equal(result.Reason, model.ReasonMoved)
-		stopAll(is, members)
 	})
 }
