Explain and group: collecting and waiting apart

Hard to read: findMissingOfJob was 42 lines with five maps, findRequest 40 with two loops that add to the same request; group.go held the start of a group and the waits for it in 363 lines; a bucket of the placer had a meaning that its field's comment denied.

Changed: missing.go describes missing lines by way of jobLines; addNaming and addOwn are functions; await.go has the waits and their constants; comments of the placer reworded, and those of functions added.

Behaviour is unchanged.

--- a/cmd/internal/explain/explain.go
+++ b/cmd/internal/explain/explain.go
@@ -1,9 +1,7 @@
 package explain
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"redwingpulley/kernel/event"
@@ -81,32 +79,17 @@
 	if _, isJob := model.JobID(id).Parse(); !isJob {
 		r.keys[id] = true
 	}
-	named := func(l *Line) bool { return string(l.job()) == id || l.text(event.JobKey) == id }
 	for i := range lines {
-		l := &lines[i]
-		if !named(l) {
-			continue
+		if l := &lines[i]; string(l.job()) == id || l.text(event.JobKey) == id {
+			r.addNaming(l)
 		}
-		if job := l.job(); job != "" && !slices.Contains(r.jobs, job) {
-			r.jobs = append(r.jobs, job)
-		}
-		if key := l.text(event.JobKey); key != "" {
-			r.keys[key] = true
-		}
-		r.nodes[l.Node] = true
 	}
 	if len(r.nodes) == 0 {
 		return nil
 	}
 	for i := range lines {
 		if l := &lines[i]; r.own(l) {
-			r.nodes[l.Node] = true
-			if owner := l.text(event.Owner); owner != "" {
-				r.nodes[owner] = true
-			}
-			if e := l.text(event.Endpoint); e != "" {
-				r.endpoints[e] = true
-			}
+			r.addOwn(l)
 		}
 	}
 	for _, job := range r.jobs {
@@ -117,6 +100,28 @@
 	return r
 }
 
+// addNaming adds the job, the key and the node of a line that names the id of the request.
+func (r *request) addNaming(l *Line) {
+	if job := l.job(); job != "" && !slices.Contains(r.jobs, job) {
+		r.jobs = append(r.jobs, job)
+	}
+	if key := l.text(event.JobKey); key != "" {
+		r.keys[key] = true
+	}
+	r.nodes[l.Node] = true
+}
+
+// addOwn adds the nodes and the endpoint of a line about the request itself.
+func (r *request) addOwn(l *Line) {
+	r.nodes[l.Node] = true
+	if owner := l.text(event.Owner); owner != "" {
+		r.nodes[owner] = true
+	}
+	if e := l.text(event.Endpoint); e != "" {
+		r.endpoints[e] = true
+	}
+}
+
 // own reports whether a line is about the request itself.
 func (r *request) own(l *Line) bool {
 	if job := l.job(); job != "" {
@@ -182,80 +187,3 @@
 	}
 	return first, last
 }
-
-// findMissing describes the lines that the timeline should have but that are not in the logs.
-func findMissing(lines, own []Line, r *request) (all []string) {
-	wrote := make(map[string]bool)
-	for i := range lines {
-		wrote[lines[i].Node] = true
-	}
-	for _, node := range sortedKeys(r.nodes) {
-		if !wrote[node] {
-			all = append(all, "no log of "+node+" is among the files")
-		}
-	}
-	for _, job := range r.jobs {
-		all = append(all, findMissingOfJob(job, own)...)
-	}
-	for i := range lines {
-		if l := &lines[i]; l.Kind == event.LinesDropped.Name && r.nodes[l.Node] {
-			all = append(all, fmt.Sprintf("%s dropped %v lines of %s before %s", l.Node, l.number(event.Lines), l.text(event.Dropped), l.At.Format(clockFormat)))
-		}
-	}
-	return all
-}
-
-const clockFormat = "15:04:05.000"
-
-// findMissingOfJob describes the missing lines of one job.
-func findMissingOfJob(job model.JobID, own []Line) (all []string) {
-	seen := make(map[string]bool)
-	sent, ended := make(map[string]string), make(map[string]bool)
-	pools, answered := make(map[string]bool), make(map[string]bool)
-	for i := range own {
-		l := &own[i]
-		if l.job() != job {
-			continue
-		}
-		seen[l.Kind] = true
-		start := fmt.Sprintf("task %v, attempt %v", l.number(event.Task), l.number(event.Attempt))
-		switch l.Kind {
-		case event.JobPlanned.Name, event.PartReplanned.Name:
-			for _, pool := range strings.Split(l.text(event.Pools), ",") {
-				name, _, _ := strings.Cut(pool, ":")
-				pools[name] = name != ""
-			}
-		case event.BatchTaken.Name, event.BatchRefused.Name:
-			answered[l.text(event.Pool)] = true
-		case event.TaskSent.Name:
-			sent[start] = l.text(event.Endpoint)
-		case event.TaskEnded.Name:
-			ended[start] = true
-		}
-	}
-	for _, kind := range []*event.Kind{event.JobTaken, event.JobEnded} {
-		if !seen[kind.Name] {
-			all = append(all, fmt.Sprintf("no %s of %s: its process was lost, its lines were dropped, or its log ends before", kind.Name, job))
-		}
-	}
-	for _, pool := range sortedKeys(pools) {
-		if pools[pool] && !answered[pool] {
-			all = append(all, "no line of pool "+pool+": the log of its owner is not among the files, or the request did not reach it")
-		}
-	}
-	for _, start := range sortedKeys(sent) {
-		if !ended[start] {
-			all = append(all, "no end of "+start+" at "+sent[start])
-		}
-	}
-	return all
-}
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/cmd/internal/group/group.go
+++ b/cmd/internal/group/group.go
@@ -20,14 +20,11 @@
 	"redwingpulley/cmd/internal/ports"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/plugin"
-	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
-	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/record/file"
 )
 
 const (
-	warmUpTimeout  = 20 * time.Second // Maximum wait until all endpoints have announced themselves, or until all entry VMs know them.
 	workersPerRack = 6
 	maxRecordMB    = 64 // Size limit of one entry VM's record, in MB.
 )
@@ -78,6 +75,7 @@
 	return g, nil
 }
 
+// start starts the members and endpoints, and waits for them.
 func (g *Group) start(ctx context.Context, c Config) error {
 	for _, own := range g.members {
 		if err := g.startMember(c, own); err != nil {
@@ -98,38 +96,7 @@
 	return g.awaitEndpoints(ctx)
 }
 
-// awaitProfiles waits until every entry VM has learned a revision of the profiles.
-func (g *Group) awaitProfiles(ctx context.Context) error {
-	for _, host := range g.Hosts {
-		profiles, err := plugin.Lookup[port.Profiles](host)
-		if err != nil {
-			return err
-		}
-		register, err := plugin.Lookup[port.ProfileRegister](host)
-		if err != nil {
-			return err
-		}
-		if err := awaitRevision(ctx, profiles, register); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func awaitRevision(ctx context.Context, profiles port.Profiles, register port.ProfileRegister) error {
-	for {
-		changed := register.Changed()
-		if _, ok := profiles.Current(); ok {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return errors.Newf("no revision of the profiles was learned: %v", ctx.Err())
-		}
-	}
-}
-
+// startMember starts an entry VM with its relays and its record.
 func (g *Group) startMember(c Config, own settings.Settings) error {
 	own.Plugins = make(map[string]json.RawMessage)
 	if err := g.startRelays(c, own); err != nil {
@@ -173,6 +140,7 @@
 	return nil
 }
 
+// enableRecord adds the settings of an entry VM's record, if there is to be one.
 func (c Config) enableRecord(own settings.Settings) error {
 	if c.Record == "" {
 		return nil
@@ -220,6 +188,7 @@
 	return all, nil
 }
 
+// endpointConfigs returns the configurations of the endpoints, without their seeds.
 func (c Config) endpointConfigs(members []settings.Settings) []standin.Config {
 	var all []standin.Config
 	for _, dc := range c.DataCentres {
@@ -249,57 +218,6 @@
 	return addresses
 }
 
-func (g *Group) awaitEndpoints(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, warmUpTimeout)
-	defer cancel()
-	for _, e := range g.Endpoints {
-		select {
-		case <-e.Announced():
-		case <-ctx.Done():
-			return errors.Newf("endpoint %s was not accepted: %v", e.ID(), ctx.Err())
-		}
-	}
-	return nil
-}
-
-// loadsPollInterval is how often AwaitLoads polls: members don't signal that a load has arrived.
-const loadsPollInterval = 20 * time.Millisecond
-
-// AwaitLoads waits until each entry VM is ready and knows the slots of all endpoints. Before that, a job may be
-// refused because no endpoint is known.
-func (g *Group) AwaitLoads(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, warmUpTimeout)
-	defer cancel()
-	for _, host := range g.Hosts {
-		pools, err := plugin.Lookup[port.Pools](host)
-		if err != nil {
-			return err
-		}
-		for !g.knowsAllSlots(host, pools) {
-			if !wait.For(ctx, loadsPollInterval) {
-				return errors.Newf("the entry VMs do not know all pools: %v", ctx.Err())
-			}
-		}
-	}
-	return nil
-}
-
-func (g *Group) knowsAllSlots(host *plugin.Host, pools port.Pools) bool {
-	if ready, _ := host.Health.Ready(); !ready {
-		return false
-	}
-	for service, slots := range g.Slots() {
-		known := 0
-		for _, load := range pools.Loads(model.ServiceID(service)) {
-			known += load.Slots
-		}
-		if known < slots {
-			return false
-		}
-	}
-	return true
-}
-
 // Entries returns the addresses (ip:port) of the entry VMs' listeners for callers.
 func (g *Group) Entries() []string {
 	var entries []string
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -7,24 +7,25 @@
 	"redwingpulley/kernel/port"
 )
 
-// maxRemnantTries bounds the endpoints with a remnant of resources that are looked at for a task.
+// maxRemnantTries is how many endpoints with a remnant of resources Pick considers for a task.
 const maxRemnantTries = 64
 
 // placer keeps the endpoints in buckets by their number of free slots, so that the cost of an update
-// or a pick does not grow with the number of endpoints. Bucket 0 holds those with a remnant of resources.
+// or a pick does not grow with the number of endpoints.
 type placer struct {
 	random  *rand.Rand
 	entries map[model.EndpointID]*entry
-	buckets [][]*entry // Indexed by the number of free slots.
+	buckets [][]*entry // Indexed by the number of free slots; 0 for endpoints with a remnant.
 	highest int        // Index of the highest bucket that may hold an endpoint.
 }
 
+// noBucket is the bucket of an endpoint that has neither a free slot nor a remnant.
 const noBucket = -1
 
 // entry is an endpoint and its place in the buckets.
 type entry struct {
 	load     port.EndpointLoad
-	bucket   int // noBucket while the endpoint has no free slot.
+	bucket   int // Index of the bucket, or noBucket.
 	position int // Index in the bucket.
 }
 
@@ -103,7 +104,7 @@
 	}
 }
 
-// addToBucket puts the endpoint into the bucket of its free slots, if it has any.
+// addToBucket puts the endpoint into its bucket, if it has a free slot or a remnant.
 func (p *placer) addToBucket(e *entry) {
 	if e.load.Free <= 0 && !e.load.Remnant {
 		return
