Tests of profiles and of processes: what many begin with made once

Hard to read: nine tests of profiles began with the same four lines, two tests of processes with the same six.

Changed: withBootstrapped and startJob.

--- a/cmd/internal/node/node_test.go
+++ b/cmd/internal/node/node_test.go
@@ -210,16 +210,21 @@
 	})
 }
 
+// startJob submits a job of one task to the first member and returns once the second one reports that it is running.
+func (c *testCluster) startJob(sleepMS int) (id string, done chan reply) {
+	id, done = c.ticket(0), make(chan reply)
+	go func() { done <- c.call(0, "POST", "/v1/jobs", jobBody(id, 1, sleepMS)) }()
+	for c.call(1, "GET", "/v1/jobs/"+id, "").Status != http.StatusAccepted {
+		<-time.After(5 * time.Millisecond)
+	}
+	return id, done
+}
+
 func TestLookupWithoutWaitReportsARunningJob(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t, 2, 8)
 	c.awaitReady()
-	id := c.ticket(0)
-	done := make(chan reply)
-	go func() { done <- c.call(0, "POST", "/v1/jobs", jobBody(id, 1, 300)) }()
-	for c.call(1, "GET", "/v1/jobs/"+id, "").Status != http.StatusAccepted {
-		<-time.After(5 * time.Millisecond)
-	}
+	id, done := c.startJob(300)
 	is.Equal(c.call(1, "GET", "/v1/jobs/"+id+"?wait_ms=20000", "").Outcome, "complete")
 	is.Equal((<-done).Outcome, "complete")
 }
@@ -228,12 +233,7 @@
 	is := is.New(t)
 	c := startCluster(t, 2, 8)
 	c.awaitReady()
-	id := c.ticket(0)
-	done := make(chan reply)
-	go func() { done <- c.call(0, "POST", "/v1/jobs", jobBody(id, 1, 15000)) }()
-	for c.call(1, "GET", "/v1/jobs/"+id, "").Status != http.StatusAccepted {
-		<-time.After(5 * time.Millisecond)
-	}
+	id, done := c.startJob(15000)
 	is.Equal(c.call(1, "DELETE", "/v1/jobs/"+id, "").Reason, "cancelled")
 	is.Equal((<-done).Reason, "cancelled")
 }
--- a/plugins/profiles/bootstrap_test.go
+++ b/plugins/profiles/bootstrap_test.go
@@ -89,11 +89,17 @@
 	return c
 }
 
-func TestBootstrap_SeedsBecomeReplicas(t *testing.T) {
+// withBootstrapped runs a test of the members that startBootstrapped starts, on a virtual clock, and then stops them.
+func withBootstrapped(t *testing.T, test func(t *testing.T, is *is.I, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		c := startBootstrapped(t)
 		defer c.stopAll()
+		test(t, is.New(t), c)
+	})
+}
+
+func TestBootstrap_SeedsBecomeReplicas(t *testing.T) {
+	withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 		is.Equal(c.register("n3").Replica(), port.ReplicaNone)
 		is.Equal(c.declare("n5", 4), port.DeclareDone)
 		for i := range 7 {
@@ -104,10 +110,7 @@
 }
 
 func TestDeclare_HighestVersionWinsInAnyOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := startBootstrapped(t)
-		defer c.stopAll()
+	withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 		is.Equal(c.declare("n0", 9), port.DeclareDone)
 		is.Equal(c.declare("n1", 7), port.DeclareDone) // An older version is reported as done and changes nothing.
 		other := newRouting(9, "other content")
@@ -123,10 +126,7 @@
 }
 
 func TestConfirmed_FailsWithoutMajority(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := startBootstrapped(t)
-		defer c.stopAll()
+	withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 		is.Equal(c.declare("n0", 2), port.DeclareDone)
 		c.awaitVersion("n4", 2)
 		c.net.partition("n0", "n4")
@@ -183,10 +183,7 @@
 func TestDeclare_SurvivesPowerFailureWithOneDiskLost(t *testing.T) {
 	for lost := range 3 {
 		t.Run(string(node(lost)), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				c := startBootstrapped(t)
-				defer c.stopAll()
+			withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 				is.Equal(c.declare("n4", 5), port.DeclareDone)
 				c.losePower(node(lost))
 				for i := range 7 {
--- a/plugins/profiles/places_test.go
+++ b/plugins/profiles/places_test.go
@@ -78,10 +78,7 @@
 func TestTakeover_ReturningReplicaHasNoPlace(t *testing.T) {
 	for _, wiped := range []bool{false, true} {
 		t.Run(fmt.Sprint("wiped ", wiped), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				c := startBootstrapped(t)
-				defer c.stopAll()
+			withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 				is.Equal(c.declare("n5", 1), port.DeclareDone)
 				c.remove("n0")
 				time.Sleep(takeoverTime)
@@ -110,10 +107,7 @@
 // TestTakeover_NoneByPartitionedMember partitions the member n3, which has a disk and no place, from
 // the replicas, so that it considers all of them dead.
 func TestTakeover_NoneByPartitionedMember(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := startBootstrapped(t)
-		defer c.stopAll()
+	withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 		is.Equal(c.declare("n5", 1), port.DeclareDone)
 		c.awaitVersion("n3", 1)
 		c.net.partition("n3", "n4")
@@ -137,10 +131,7 @@
 // Guards against issue 16: a member that had taken over a place and then lost its disk went on without a
 // place, and nobody else could take the place since its holder was alive.
 func TestTakeover_HolderWithLostDiskRejoinsItsPlace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := startBootstrapped(t)
-		defer c.stopAll()
+	withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 		is.Equal(c.declare("n5", 1), port.DeclareDone)
 		c.remove("n0")
 		time.Sleep(takeoverTime)
@@ -193,10 +184,7 @@
 // Guards against the loss of an acknowledged change: taking over a place makes its former member give up
 // its file, so it must not happen while the new one cannot join, as here with another replica's disk lost.
 func TestTakeover_NotWhileTooFewOthersVote(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := startBootstrapped(t)
-		defer c.stopAll()
+	withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 		is.Equal(c.declare("n5", 1), port.DeclareDone)
 		c.remove("n0")
 		c.lossAndReturn("n1") // Cannot vote before n0 is back.
--- a/plugins/profiles/stop_test.go
+++ b/plugins/profiles/stop_test.go
@@ -36,10 +36,7 @@
 // Guards against an edit that waits at a member whose machine is replaced: it got no result before its
 // caller gave up.
 func TestEdit_AnsweredWhenMachineIsReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := startBootstrapped(t)
-		defer c.stopAll()
+	withBootstrapped(t, func(t *testing.T, is *is.I, c *cluster) {
 		c.net.partition("n0")
 		p := c.register("n0").(*Profiles)
 		result := make(chan model.EditResult, 1)
