--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -45,7 +45,7 @@
 		Job, JobKey, Part, Pool, Owner, TookMS)
 	TaskSent = define(Routine, "task_sent", "an endpoint was chosen for a task and is asked to run it",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, QueuedMS, PassedOver, Free, Queued, Why)
-	StartWaits = define(Change, "start_waits", "a start is not sent before the end of an earlier run of its task is known, which another submission of the job or another pool has started",
+	StartWaits = define(Change, "start_waits", "a start waits until the end of an earlier run of its task is known, which another submission of the job or another pool has started",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, Earlier)
 	TaskEnded = define(Routine, "task_ended", "a start of a task has ended, with the task's result or with the state that tells why there is none",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, State, TookMS, Why)
--- a/kernel/port/leases.go
+++ b/kernel/port/leases.go
@@ -58,8 +58,8 @@
 // OrderState is the outcome of an order.
 type OrderState string
 
-// States of orders. Only OrderUnknown leaves open whether the order was executed, or may still be
-// executed later.
+// States of orders. Two of them leave open whether the order was executed: OrderUnknown, after which it may also be
+// executed later, and OrderOtherIncarnation, with which the other incarnation may have executed it.
 const (
 	OrderDone             OrderState = "done"
 	OrderNotSent          OrderState = "not_sent"
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -77,9 +77,9 @@
 	// Revoke asks the endpoint, over a new connection, never to start the task if it has not started
 	// yet. With Stop set, a running task is also ended.
 	Revoke(ctx context.Context, address string, revoke TaskRevoke) RevokeReply
-	// Retire has an endpoint that leaves refuse the starts of all members from now on, also of those that do not know that
-	// it leaves. It reports whether that is certain; tasks that run there continue. It is for endpoints that run tasks
-	// under a lease; others belong to one member, and it reports false for them.
+	// Retire makes an endpoint that leaves refuse the starts of all members, also of those that do not know that it leaves.
+	// It reports whether that is certain; tasks that run there continue. Only endpoints that run tasks under a lease can be
+	// retired; for others it reports false.
 	Retire(ctx context.Context, address string, endpoint model.EndpointID) bool
 }
 
--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -52,8 +52,8 @@
 	Slots int
 	Free  int         // Free slots; negative when the Placer has overcommitted the endpoint.
 	Left  model.Needs // Resources of the endpoint that its tasks do not use.
-	// Remnant says that a slot is free, but not enough resources for a task with typical needs. A task that needs less may
-	// fit.
+	// Remnant says that a slot is free, but too few resources are left for a task with typical needs. A task that needs less
+	// may fit.
 	Remnant bool
 }
 
--- a/plugins/frontend/web/connection.go
+++ b/plugins/frontend/web/connection.go
@@ -18,8 +18,8 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
-// Disconnected reports whether the client of a request has closed or lost its connection. The request's context ends for
-// that too, but only some time after the request has been read: a request can still be read from a broken connection.
+// Disconnected reports whether the client of a request has closed or lost its connection. The request's context ends then,
+// too, but only some time after the request has been read, which is possible from a broken connection.
 func Disconnected(r *http.Request) bool {
 	if r.Context().Err() != nil {
 		return true
@@ -37,7 +37,8 @@
 	return err != nil || broken
 }
 
-// hungUp reports whether the remote side of a socket has closed or reset it, or no longer answers. It does not wait and takes no data.
+// hungUp reports whether the remote side of a socket has closed or reset it, or no longer answers. It neither waits nor
+// consumes data.
 func hungUp(fd int) bool {
 	var next [1]byte
 	n, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
