Pool and job machines: work ahead apart, constants at the top

Hard to read: queue.go held fair queueing and, after it, the estimate of the work that goes before a new batch with the moving averages for it; jobstate.go had two constants between functions.

Behaviour is unchanged.

--- a/plugins/endpoints/poolstate/queue.go
+++ b/plugins/endpoints/poolstate/queue.go
@@ -1,7 +1,6 @@
 package poolstate
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -15,12 +14,6 @@
 	// urgentDivisor sets how long before its latest possible start a batch becomes urgent and goes before
 	// all others: the time from its arrival to its deadline, divided by this.
 	urgentDivisor = 5
-	// rateWindow is the time constant of the moving average of the rate at which a team sends work.
-	rateWindow = 10 * time.Second
-	rateStep   = rateWindow / 100 // Minimum time between updates of a rate.
-	// workAheadRounds is the number of iterations of workAhead: the wait of a batch and the work that
-	// arrives during the wait depend on each other.
-	workAheadRounds = 3
 	// maxTeams is the number of known teams at which those without batches are evicted.
 	maxTeams = 256
 )
@@ -81,6 +74,7 @@
 // resize sets the number of slots among which the teams share.
 func (q *queue) resize(slots int) { q.slots = max(slots, 1) }
 
+// teamOf returns the state of a team, which it adds if there is none.
 func (q *queue) teamOf(id model.TeamID) *team {
 	t, ok := q.teams[id]
 	if !ok {
@@ -128,6 +122,7 @@
 	q.update(b)
 }
 
+// addWork adds queued work to the totals of the batch, its team and the queue.
 func (q *queue) addWork(b *batch, work time.Duration) {
 	b.queuedWork += work
 	b.team.work += work
@@ -150,6 +145,7 @@
 	q.reposition(b.team)
 }
 
+// keyOf returns the sort key of a batch among its team's batches.
 func (q *queue) keyOf(b *batch) time.Time {
 	if b.urgent {
 		return time.Time{}
@@ -196,6 +192,7 @@
 // restore puts a batch that was removed back into the queue.
 func (q *queue) restore(b *batch) { q.pushAll(b, b.queued) }
 
+// subtractQueued subtracts tasks that leave the queue from the totals.
 func (q *queue) subtractQueued(b *batch, work time.Duration, tasks int) {
 	q.addWork(b, -work)
 	q.count -= tasks
@@ -229,6 +226,7 @@
 	q.promoteEligible()
 }
 
+// removeTeam takes a team out of its heap, if it is in one.
 func (q *queue) removeTeam(t *team) {
 	if !t.queued {
 		return
@@ -241,6 +239,7 @@
 	t.queued = false
 }
 
+// insertTeam adds a team with queued batches to a heap.
 func (q *queue) insertTeam(t *team, isAhead bool) {
 	if t.batches.empty() {
 		return
@@ -269,82 +268,3 @@
 		q.eligible.add(t)
 	}
 }
-
-// workAhead estimates the slot time that the pool gives to other tasks before the last task of a new
-// batch would start. It assumes that each team goes on sending at its recent rate and gets no more than
-// the batch's own team gets meanwhile.
-func (q *queue) workAhead(now time.Time, b *batch, work time.Duration) time.Duration {
-	displaced := q.displacement(work)
-	own, rate := work, 0.0
-	if t, ok := q.teams[b.Team]; ok {
-		own += t.workBefore(b.arrived.Add(displaced))
-		rate = t.demand.rate(now)
-	}
-	var ahead time.Duration
-	for range workAheadRounds {
-		wait := (own + ahead) / time.Duration(q.slots)
-		ownWork := own + time.Duration(rate*float64(min(wait, displaced)))
-		ahead = ownWork - work + q.workOfOthers(now, b.Team, ownWork, wait)
-	}
-	return ahead + q.urgentWork(b.Team)
-}
-
-// workOfOthers estimates the slot time that other teams get while the given team gets ownWork within
-// wait.
-func (q *queue) workOfOthers(now time.Time, id model.TeamID, ownWork, wait time.Duration) (ahead time.Duration) {
-	for _, t := range q.teamsInOrder {
-		if t.id != id {
-			ahead += min(t.work+time.Duration(t.demand.rate(now)*float64(wait)), ownWork)
-		}
-	}
-	return ahead
-}
-
-// urgentWork returns the queued work of the first batch if it is urgent and belongs to another team.
-func (q *queue) urgentWork(id model.TeamID) time.Duration {
-	if q.eligible.empty() {
-		return 0
-	}
-	first := q.eligible.first().batches.first()
-	if !first.urgent || first.Team == id {
-		return 0
-	}
-	return first.queuedWork
-}
-
-// workBefore returns the queued work of the team's batches whose keys are not after the given one.
-func (t *team) workBefore(key time.Time) (work time.Duration) {
-	for _, b := range t.batches.items {
-		if !b.key.After(key) {
-			work += b.queuedWork
-		}
-	}
-	return work
-}
-
-// demand is a moving average of the rate at which a team's batches request slot time.
-type demand struct {
-	level float64 // Requested slot time in nanoseconds, with exponential decay.
-	at    time.Time
-}
-
-func (d *demand) add(now time.Time, work time.Duration) {
-	d.decay(now)
-	d.level += float64(work)
-}
-
-// decay applies the decay up to now, unless the last update is more recent than rateStep.
-func (d *demand) decay(now time.Time) {
-	age := now.Sub(d.at)
-	if age < rateStep {
-		return
-	}
-	d.level *= math.Exp(-float64(age) / float64(rateWindow))
-	d.at = now
-}
-
-// rate returns the requested slot time per unit of time.
-func (d *demand) rate(now time.Time) float64 {
-	d.decay(now)
-	return d.level / float64(rateWindow)
-}
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -10,6 +10,18 @@
 	"redwingpulley/kernel/port"
 )
 
+// A batch's deadline lies before its job's deadline by a fraction of the remaining time, at most
+// maxDeadlineMargin, so that the batch's result arrives in time to tell whether any task ran.
+const (
+	deadlineMarginDivisor = 50
+	maxDeadlineMargin     = 15 * time.Millisecond
+)
+
+// maxFreeParts bounds the replans that ReasonMoved makes free: they are free only while the job has
+// sent at most this many parts. While members disagree on who owns a pool, a part must not go back
+// and forth between them for ever.
+const maxFreeParts = 8
+
 // Job is the state of one job. Create one with New.
 type Job struct {
 	digest    uint64
@@ -112,13 +124,6 @@
 	return fx
 }
 
-// A batch's deadline lies before its job's deadline by a fraction of the remaining time, at most
-// maxDeadlineMargin, so that the batch's result arrives in time to tell whether any task ran.
-const (
-	deadlineMarginDivisor = 50
-	maxDeadlineMargin     = 15 * time.Millisecond
-)
-
 // batchDeadline returns the deadline of a batch that is sent now.
 func (j *Job) batchDeadline(now time.Time) time.Time {
 	remaining := max(j.job.Deadline.Sub(now), 0)
@@ -203,11 +208,6 @@
 	return twice
 }
 
-// maxFreeParts bounds the replans that ReasonMoved makes free: they are free only while the job has
-// sent at most this many parts. While members disagree on who owns a pool, a part must not go back
-// and forth between them for ever.
-const maxFreeParts = 8
-
 // isFreeReplan reports whether a part that was refused for the given reason is sent again without a
 // charge to the retry budget. ReasonBusy is free because a part can be refused for it only once,
 // ReasonMoved because it is not the pool that refused the part but a member that no longer owns it.
