Lease machine: a query for claims is one effect

Hard to read: a query for claims was three fields of the effects, and the function that carries it out took all effects; the event that answers it had a field of its own name, Claimed.Claimed.

Changed: ClaimQuery has the runs, the token and the members; the field is Claimed.Claims. No lease type is encoded or recorded: outside of plugins/leases nothing imports the package except a list in cmd/internal/shape, and plugins/leases encodes its own messages.

Tests name the fields by their new names.

--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -62,18 +62,19 @@
 
 // queryClaims queries claims to the runs of other holders that are not to be stopped, of all members or of the claimants.
 func (m *Machine) queryClaims(now time.Time, ofAll bool, fx *Effects) {
+	query := ClaimQuery{Token: m.holdToken}
 	for _, id := range slices.SortedFunc(maps.Keys(m.foreignRuns), compareRuns) {
 		f := m.foreignRuns[id]
 		if !f.stopSentAt.IsZero() {
 			continue
 		}
-		fx.ClaimQuery = append(fx.ClaimQuery, id)
-		if !ofAll && !slices.Contains(fx.Claimants, f.claimant) {
-			fx.Claimants = append(fx.Claimants, f.claimant)
+		query.Runs = append(query.Runs, id)
+		if !ofAll && !slices.Contains(query.Members, f.claimant) {
+			query.Members = append(query.Members, f.claimant)
 		}
 	}
-	if len(fx.ClaimQuery) > 0 {
-		fx.ClaimToken = m.holdToken
+	if len(query.Runs) > 0 {
+		fx.ClaimQuery = query
 		m.claimQueryInFlight, m.claimsQueriedAt = true, now
 	}
 }
@@ -102,11 +103,11 @@
 
 // claimTo returns the claim to a run; claimed is false when there is none.
 func (e Claimed) claimTo(id port.TaskRun) (claim Claim, claimed bool) {
-	i := slices.IndexFunc(e.Claimed, func(c Claim) bool { return c.Run == id })
+	i := slices.IndexFunc(e.Claims, func(c Claim) bool { return c.Run == id })
 	if i < 0 {
 		return Claim{}, false
 	}
-	return e.Claimed[i], true
+	return e.Claims[i], true
 }
 
 // stopForeignRun sends a stop order for a run of another holder.
--- a/plugins/leases/lease/claims_test.go
+++ b/plugins/leases/lease/claims_test.go
@@ -15,7 +15,7 @@
 	running := []port.TaskRun{testRun(5)}
 	h.step(StartRequested{Run: testRun(0)})
 	fx := h.advance(time.Millisecond).replyToHold(running)
-	h.is.Equal(fx.ClaimQuery, running)
+	h.is.Equal(fx.ClaimQuery.Runs, running)
 	h.is.Equal(len(fx.Starts), 0) // A start extends the lease, too.
 	h.is.True(fx.Hold == nil || fx.Hold.Until == 0)
 	fx = h.advance(time.Millisecond).step(Claimed{Queried: running})
@@ -53,15 +53,15 @@
 		h := newHarness(t)
 		h.step(StartRequested{Run: testRun(0)})
 		h.advance(time.Millisecond).replyToHold(running)
-		fx := h.step(Claimed{Queried: running, Claimed: []Claim{{Run: testRun(5), Member: "n2"}}})
+		fx := h.step(Claimed{Queried: running, Claims: []Claim{{Run: testRun(5), Member: "n2"}}})
 		h.is.Equal(len(fx.Starts), 1)
 		h.is.True(fx.Hold.Wait < claimValidity)
 		h.confirm(testRun(0))
 		fx = h.advance(claimRenewal).replyToHold([]port.TaskRun{testRun(0), testRun(5)})
-		h.is.Equal(fx.ClaimQuery, running)
-		h.is.Equal(fx.Claimants, []model.NodeID{"n2"})
+		h.is.Equal(fx.ClaimQuery.Runs, running)
+		h.is.Equal(fx.ClaimQuery.Members, []model.NodeID{"n2"})
 		h.is.Equal(len(h.advance(claimValidity).step(StartRequested{Run: testRun(1)}).Starts), 0) // The claim is out of date.
-		fx = h.step(Claimed{Queried: running, Claimed: second})
+		fx = h.step(Claimed{Queried: running, Claims: second})
 		h.is.Equal(len(fx.Stops), 1)
 		h.is.Equal(fx.Hold.Until, int64(0))
 		end := port.RunEnd{Number: 1, Run: testRun(5), How: port.TaskStopped}
@@ -104,7 +104,7 @@
 	h.is.True(fx.Hold != nil)
 	h.is.True(fx.Hold.Token > higher)
 	fx = h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
-	h.is.Equal(fx.ClaimQuery, nil)
+	h.is.Equal(fx.ClaimQuery.Runs, nil)
 	fx = h.advance(time.Millisecond).step(StopRequested{testRun(0)})
 	h.is.Equal(fx.Stops[0].Run, testRun(0))
 }
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -50,7 +50,7 @@
 // Claimed reports which runs of a ClaimQuery live members wait for.
 type Claimed struct {
 	Queried []port.TaskRun // Runs of the query.
-	Claimed []Claim        // Those of them that a live member waits for.
+	Claims  []Claim        // Claims to those of them that a live member waits for.
 }
 
 // Claim says that a member waits for a run that it started as an earlier holder of the lease.
@@ -104,19 +104,17 @@
 // the reply to a start as StartReplied, to a stop as StopReplied, to a hold as HoldReplied, and the
 // replies to a ClaimQuery as Claimed.
 type Effects struct {
-	Starts   []port.StartOrder
-	Stops    []port.StopOrder
-	Hold     *port.HoldOrder
-	Finished []Finished // Runs that have finished, each reported once.
-	// ClaimQuery lists runs that this holder does not wait for: ask which of them a live member waits for.
-	ClaimQuery []port.TaskRun
-	ClaimToken uint64         // Fencing token under which the runs of ClaimQuery were listed.
-	Claimants  []model.NodeID // The members to ask; all other live members when there are none.
+	Starts     []port.StartOrder
+	Stops      []port.StopOrder
+	Hold       *port.HoldOrder
+	Finished   []Finished // Runs that have finished, each reported once.
+	ClaimQuery ClaimQuery // To be sent when it has runs.
 	// ForwardEnds lists ends of runs that this holder does not wait for: send them to those that do,
 	// before the next hold, which acknowledges them.
 	ForwardEnds []ForwardedEnd
 	Acquired    bool       // The endpoint has accepted a new fencing token.
 	Lost        LossReason // Why the lease was lost; "" when this step has not lost it.
+
 	// Successor is the incarnation that has replaced the endpoint, with LossOtherIncarnation, Settle or SettleStops;
 	// "" when it is not known.
 	Successor   model.EndpointID
@@ -124,6 +122,13 @@
 	SettleStops []port.TaskRun    // Runs of such requests that are to be stopped, by the machine of Successor.
 }
 
+// ClaimQuery asks members which of the given runs they wait for. The holder that sends it has started none of them.
+type ClaimQuery struct {
+	Runs    []port.TaskRun
+	Token   uint64         // Fencing token under which the endpoint has listed the runs.
+	Members []model.NodeID // The members to ask; all other live members when there are none.
+}
+
 // ForwardedEnd is the end of a run that another member waits for.
 type ForwardedEnd struct {
 	End port.RunEnd
--- a/plugins/leases/lease/foreign_test.go
+++ b/plugins/leases/lease/foreign_test.go
@@ -14,7 +14,7 @@
 	foreign = []port.TaskRun{testRun(5)}
 	h.step(StartRequested{Run: testRun(0)})
 	h.advance(time.Millisecond).replyToHold(foreign)
-	h.step(Claimed{Queried: foreign, Claimed: []Claim{{Run: testRun(5), Member: "m2"}}})
+	h.step(Claimed{Queried: foreign, Claims: []Claim{{Run: testRun(5), Member: "m2"}}})
 	h.confirm(testRun(0))
 	h.advance(100*time.Millisecond).replyToHold(foreign, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskDone})
 	h.claim(testRun(5))
@@ -23,8 +23,8 @@
 
 // claim answers the query of the last list: member m2 still waits for the run.
 func (h *harness) claim(run port.TaskRun) {
-	h.is.Equal(h.fx.ClaimQuery, []port.TaskRun{run})
-	h.step(Claimed{Queried: []port.TaskRun{run}, Claimed: []Claim{{Run: run, Member: "m2"}}})
+	h.is.Equal(h.fx.ClaimQuery.Runs, []port.TaskRun{run})
+	h.step(Claimed{Queried: []port.TaskRun{run}, Claims: []Claim{{Run: run, Member: "m2"}}})
 }
 
 // Guards against a run whose end nobody learns, so that its task waits until its deadline: the holder that took over the
@@ -59,7 +59,7 @@
 	retired := newHarness(t)
 	retired.step(RetireRequested{})
 	retired.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(5)})
-	retired.step(Claimed{Queried: []port.TaskRun{testRun(5)}, Claimed: []Claim{{Run: testRun(5), Member: "m2"}}})
+	retired.step(Claimed{Queried: []port.TaskRun{testRun(5)}, Claims: []Claim{{Run: testRun(5), Member: "m2"}}})
 	takenOver, _ := newHolderOfForeignRun(t)
 	for _, h := range []*harness{retired, takenOver} {
 		h.failHolds()
--- a/plugins/leases/lease/members_test.go
+++ b/plugins/leases/lease/members_test.go
@@ -107,8 +107,8 @@
 			}
 		}
 	}
-	if len(fx.ClaimQuery) > 0 {
-		s.queryClaims(id, fx)
+	if len(fx.ClaimQuery.Runs) > 0 {
+		s.queryClaims(id, fx.ClaimQuery)
 	}
 }
 
@@ -121,8 +121,8 @@
 }
 
 // queryClaims carries a query for claims to the members, and their replies back after 150 ms at most.
-func (s *membersSimulation) queryClaims(from model.NodeID, fx Effects) {
-	members, claimed := fx.Claimants, Claimed{Queried: fx.ClaimQuery}
+func (s *membersSimulation) queryClaims(from model.NodeID, query ClaimQuery) {
+	members, claimed := query.Members, Claimed{Queried: query.Runs}
 	if len(members) == 0 {
 		members = s.alive()
 	}
@@ -136,14 +136,14 @@
 			continue
 		}
 		m := s.members[to]
-		queried := slices.DeleteFunc(slices.Clone(fx.ClaimQuery), func(run port.TaskRun) bool { return !m.Pending(run) })
+		queried := slices.DeleteFunc(slices.Clone(query.Runs), func(run port.TaskRun) bool { return !m.Pending(run) })
 		if len(queried) == 0 {
 			continue
 		}
-		s.step(to, TakenOver{fx.ClaimToken, queried})
+		s.step(to, TakenOver{query.Token, queried})
 		for _, run := range queried {
 			if m.Pending(run) && !s.oneIn(6) {
-				claimed.Claimed = append(claimed.Claimed, Claim{Run: run, Member: to, Stop: !m.Wanted(run)})
+				claimed.Claims = append(claimed.Claims, Claim{Run: run, Member: to, Stop: !m.Wanted(run)})
 			}
 		}
 	}
--- a/plugins/leases/lease/retire_test.go
+++ b/plugins/leases/lease/retire_test.go
@@ -102,14 +102,14 @@
 	h.step(RetireRequested{})
 	running := []port.TaskRun{testRun(5)}
 	fx := h.advance(time.Millisecond).replyToHold(running)
-	h.is.Equal(fx.ClaimQuery, running)
+	h.is.Equal(fx.ClaimQuery.Runs, running)
 	h.is.Equal(fx.Hold, nil) // The lease is extended as soon as it is known that somebody waits for the run.
-	fx = h.step(Claimed{Queried: running, Claimed: []Claim{{Run: testRun(5), Member: "m2"}}})
+	fx = h.step(Claimed{Queried: running, Claims: []Claim{{Run: testRun(5), Member: "m2"}}})
 	h.is.Equal(fx.Hold.Until, h.clock()+1000)
 	for range 5 {
 		fx = h.advance(350 * time.Millisecond).replyToHold(running)
-		h.is.Equal(fx.ClaimQuery, running)
-		fx = h.step(Claimed{Queried: running, Claimed: []Claim{{Run: testRun(5), Member: "m2"}}})
+		h.is.Equal(fx.ClaimQuery.Runs, running)
+		fx = h.step(Claimed{Queried: running, Claims: []Claim{{Run: testRun(5), Member: "m2"}}})
 		h.is.Equal(fx.Hold.Until, h.clock()+1000)
 	}
 	end := port.RunEnd{Number: 1, Run: testRun(5), How: port.TaskDone}
--- a/plugins/leases/orders.go
+++ b/plugins/leases/orders.go
@@ -33,8 +33,8 @@
 	if fx.Hold != nil {
 		go l.sendHold(at, *fx.Hold)
 	}
-	if len(fx.ClaimQuery) > 0 {
-		go l.queryClaims(at, fx)
+	if len(fx.ClaimQuery.Runs) > 0 {
+		go l.queryClaims(at, fx.ClaimQuery)
 	}
 }
 
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -118,22 +118,22 @@
 
 // queryClaims asks members which of the runs at the endpoint they wait for, and applies their replies once all have
 // replied or each run is claimed.
-func (l *Leases) queryClaims(at port.EndpointIncarnation, fx lease.Effects) {
+func (l *Leases) queryClaims(at port.EndpointIncarnation, query lease.ClaimQuery) {
 	ctx, cancel := context.WithTimeout(l.baseCtx, claimTimeout)
 	defer cancel()
-	request := claimRequest{Endpoint: at.ID, Token: fx.ClaimToken}
-	for _, run := range fx.ClaimQuery {
+	request := claimRequest{Endpoint: at.ID, Token: query.Token}
+	for _, run := range query.Runs {
 		request.Runs = append(request.Runs, runMessage(run))
 	}
-	members := fx.Claimants
+	members := query.Members
 	if len(members) == 0 {
 		members = l.otherMembers()
 	}
 	claims := l.collectClaims(ctx, members, request)
-	if renewed := len(fx.Claimants) > 0 && len(claims) == len(fx.ClaimQuery); !renewed {
-		event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Int(event.Runs, len(fx.ClaimQuery)), event.Int(event.Claimed, len(claims)))
+	if renewed := len(query.Members) > 0 && len(claims) == len(query.Runs); !renewed {
+		event.RunsAsked.Log(l.log, event.Text(event.Endpoint, at.ID), event.Int(event.Runs, len(query.Runs)), event.Int(event.Claimed, len(claims)))
 	}
-	l.step(at, lease.Claimed{Queried: fx.ClaimQuery, Claimed: claims})
+	l.step(at, lease.Claimed{Queried: query.Runs, Claims: claims})
 }
 
 // collectClaims asks members for claims at the same time, until all have replied or there are as many claims as runs.
