A run that the endpoint has not listed does not end with the lease of its incarnation's clock

What callers would see: two runs of a task at once, at one endpoint that starts again within a second under its id and then does not answer for longer than a lease.

Cause: the time at which a lease ends is a time of one incarnation's clock. A start that reaches the next incarnation, late, is not too late there, and is granted a whole lease on arrival. The machine took the lease for ended 1.07 s after the start was sent, reported the run as lost, and the start was carried out afterwards. The same at the successor, when another member's token is met there: the bound counted from the request to settle the run instead of from the refusal.

Why it works: one function says by when a run has certainly ended. Until the endpoint has listed it, the lease counts from the confirmation of its start or, without an answer, from the time at which no order can arrive any more (5 s), for all phases alike; the special bound for settled runs is gone.

--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -148,28 +148,35 @@
 	}
 }
 
-// goneBy returns the time by which a run that this holder does not follow has certainly ended; bounded is false for others. One
-// that was handed over ends with its lease unless this member claims it again. One that was inherited may still start, and
-// extend the lease, while the order may arrive.
+// goneBy returns the time by which a run has certainly ended, although no list or end says so; bounded is false while its lease
+// may be extended. A run that was handed over ends with its lease unless this member claims it again. The start of one that the
+// endpoint has not listed may be carried out by the next incarnation, which knows nothing of the clock by which the
+// lease was to end, and grants a whole lease on arrival.
 func (m *Machine) goneBy(r *run) (at time.Time, bounded bool) {
-	switch r.phase {
-	case handedOver:
-		extended := r.claimedAt.Add(claimValidity)
-		if m.leaseExtendedAt.After(extended) {
-			extended = m.leaseExtendedAt
-		}
-		return m.expiredBy(extended), true
-	case inherited:
-		return r.lostAt, true
-	default:
+	if r.phase != handedOver && r.phase != inherited && (!r.underLease() || m.failedHolds < maxFailedHolds) {
 		return time.Time{}, false
 	}
+	extended := m.leaseExtendedAt
+	if claimed := r.claimedAt.Add(claimValidity); claimed.After(extended) {
+		extended = claimed
+	}
+	if !r.listed && r.startArrivesBy.After(extended) {
+		extended = r.startArrivesBy
+	}
+	return m.expiredBy(extended), true
 }
 
 // finishGoneRuns finishes the runs that have certainly ended and whose ends nobody has reported.
 func (m *Machine) finishGoneRuns(now time.Time, fx *Effects) {
 	for _, id := range m.sortedRuns() {
-		if at, bounded := m.goneBy(m.runs[id]); bounded && !now.Before(at) {
+		r := m.runs[id]
+		at, bounded := m.goneBy(r)
+		switch {
+		case !bounded || now.Before(at):
+		case r.underLease():
+			fx.Lost = LossExpired
+			m.finish(now, id, port.TaskLost, "the lease has expired", fx)
+		default:
 			m.finish(now, id, port.TaskLost, "no member can have extended the lease for the run", fx)
 		}
 	}
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -130,26 +130,11 @@
 // have been fenced, so that only this one can extend the lease and learn how the runs end.
 func (m *Machine) needsLease() bool { return m.hasActiveRuns() || len(m.foreignRuns) > 0 }
 
-// finishExpiredRuns finishes the runs of an expired lease as lost. A start that was not sent yet waits on
-// for the endpoint to accept the token. Runs of others have ended, too.
-func (m *Machine) finishExpiredRuns(now time.Time, fx *Effects) {
-	clear(m.foreignRuns)
-	for _, id := range m.sortedRuns() {
-		if m.runs[id].underLease() {
-			fx.Lost = LossExpired
-			m.finish(now, id, port.TaskLost, "the lease has expired", fx)
-		}
-	}
-}
-
-// hasRunsUnderLease reports whether a run may be running at the endpoint under this holder's lease.
-func (m *Machine) hasRunsUnderLease() bool {
-	for _, r := range m.runs {
-		if r.underLease() {
-			return true
-		}
+// forgetExpiredRuns forgets the runs of others once the lease has expired.
+func (m *Machine) forgetExpiredRuns(now time.Time) {
+	if m.failedHolds >= maxFailedHolds && !now.Before(m.leaseExpiredBy()) {
+		clear(m.foreignRuns)
 	}
-	return false
 }
 
 // hasActiveRuns reports whether a run is waiting to start or may be running at the endpoint under this
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -92,8 +92,8 @@
 	stopDueAt       time.Time // When to send the next stop order; zero when none is due.
 	stopAckedAt     time.Time // When the endpoint acknowledged the stop order.
 	startToken      uint64    // Fencing token of the start order; 0 before it is sent.
+	startArrivesBy  time.Time // By when the endpoint carries out the start, if ever.
 	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
-	lostAt          time.Time // When an inherited run counts as lost, although the endpoint has never listed its runs.
 }
 
 // underLease reports whether the run may be running at the endpoint under this holder's lease.
@@ -154,9 +154,7 @@
 // advance does what is due at the given time: it finishes the runs of an expired lease and sends stop
 // orders and the next hold.
 func (m *Machine) advance(now time.Time, fx *Effects) {
-	if m.failedHolds >= maxFailedHolds && !now.Before(m.leaseExpiredBy()) {
-		m.finishExpiredRuns(now, fx)
-	}
+	m.forgetExpiredRuns(now)
 	m.finishGoneRuns(now, fx)
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
@@ -189,7 +187,7 @@
 	if due, needed := m.nextHoldAt(now); needed && !m.holdInFlight {
 		earliest(due)
 	}
-	if m.failedHolds >= maxFailedHolds && (m.hasRunsUnderLease() || len(m.foreignRuns) > 0) {
+	if m.failedHolds >= maxFailedHolds && len(m.foreignRuns) > 0 {
 		earliest(m.leaseExpiredBy())
 	}
 	return at, ok
--- a/plugins/leases/lease/members_test.go
+++ b/plugins/leases/lease/members_test.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"maps"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -15,12 +17,12 @@
 const resendAfter = 1300 * time.Millisecond
 
 // membersSimulation connects the machines of several members to one fakeEndpoint. Orders, queries for claims and
-// forwarded ends are lost or late at random; a member can die.
+// forwarded ends are lost or late at random; a member can die or be cut off from the endpoint, which may start again.
 type membersSimulation struct {
 	t        *rapid.T
 	now      time.Time
 	endpoint *fakeEndpoint
-	members  map[model.NodeID]*Machine
+	members  map[model.NodeID]*member
 	diedAt   map[model.NodeID]time.Time
 	pending  []delivery
 	owners   map[port.TaskRun]model.NodeID // The member that has requested the run.
@@ -30,6 +32,40 @@
 	noStops  int // The same for stops.
 }
 
+// member is the state of one member: its machines for the incarnations of the endpoint.
+type member struct {
+	machines map[model.EndpointID]*Machine
+	config   Config
+	known    model.EndpointID                  // The newest incarnation that has announced itself to the member.
+	settles  map[port.TaskRun]model.EndpointID // The incarnation whose machine has requested to settle the run.
+	cutUntil time.Time                         // Until then its orders get no answer.
+}
+
+// machine returns the member's machine for an incarnation.
+func (m *member) machine(id model.EndpointID) *Machine {
+	if m.machines[id] == nil {
+		m.machines[id] = New(m.config)
+	}
+	return m.machines[id]
+}
+
+// sortedIncarnations returns the incarnations that have a machine, oldest first.
+func (m *member) sortedIncarnations() []model.EndpointID {
+	return slices.Sorted(maps.Keys(m.machines))
+}
+
+// pendingRuns returns the runs that the member has requested and not settled, each with its incarnation.
+func (m *member) pendingRuns() (runs []port.TaskRun, at []model.EndpointID) {
+	for _, id := range m.sortedIncarnations() {
+		for _, run := range m.machines[id].sortedRuns() {
+			if requester, settled := m.settles[run]; !settled || requester == id {
+				runs, at = append(runs, run), append(at, id)
+			}
+		}
+	}
+	return runs, at
+}
+
 // delivery is something that happens at a time, unless the member has died.
 type delivery struct {
 	at  time.Time
@@ -39,7 +75,7 @@
 
 func newMembersSimulation(t *rapid.T) *membersSimulation {
 	s := &membersSimulation{
-		t: t, now: startTime, endpoint: newSimulation(t).endpoint, members: make(map[model.NodeID]*Machine),
+		t: t, now: startTime, endpoint: newSimulation(t).endpoint, members: make(map[model.NodeID]*member),
 		diedAt: make(map[model.NodeID]time.Time), owners: make(map[port.TaskRun]model.NodeID), finished: make(map[port.TaskRun]bool),
 		stopped: make(map[port.TaskRun]time.Time), lossy: rapid.IntRange(1, 6).Draw(t, "lossy"),
 		noStops: rapid.IntRange(1, 8).Draw(t, "noStops"),
@@ -47,7 +83,10 @@
 	for i, id := range []model.NodeID{"a", "b", "c"} {
 		config := testConfig
 		config.HolderID = uint64(i + 1)
-		s.members[id] = New(config)
+		s.members[id] = &member{
+			machines: make(map[model.EndpointID]*Machine), config: config, known: incarnationID(0),
+			settles: make(map[port.TaskRun]model.EndpointID),
+		}
 	}
 	return s
 }
@@ -68,60 +107,75 @@
 // faulty reports, one time in n, that a message is lost.
 func (s *membersSimulation) faulty(n int) bool { return rapid.IntRange(1, n).Draw(s.t, "fault") == 1 }
 
-// order sends an order to the endpoint, which may be executed late; its reply, or the lack of one, is an event. It gets no
-// answer in lossy of eight cases.
-func (s *membersSimulation) order(from model.NodeID, lossy int, execute func() Event, noReply Event) {
-	switch lost := rapid.IntRange(1, 8).Draw(s.t, "order") <= lossy; {
+// order sends an order to the endpoint, which may be executed late; its reply, or the lack of one, is an event for the machine
+// of an incarnation. It gets no answer in lossy of eight cases, nor when the endpoint starts again before it is executed.
+func (s *membersSimulation) order(from model.NodeID, at model.EndpointID, lossy int, execute func() Event, noReply Event) {
+	reaches := s.endpoint.incarnation
+	reply := func(after time.Duration, e Event) { s.after(after, from, func() { s.step(from, at, e) }) }
+	executeThere := func() (e Event, executed bool) {
+		if reaches != s.endpoint.incarnation {
+			return noReply, false
+		}
+		return execute(), true
+	}
+	switch lost := s.now.Before(s.members[from].cutUntil) || rapid.IntRange(1, 8).Draw(s.t, "order") <= lossy; {
 	case lost && s.faulty(2):
 		late := time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "late")) * time.Millisecond
-		s.after(late, "", func() { execute() })
-		s.after(200*time.Millisecond, from, func() { s.step(from, noReply) })
+		s.after(late, "", func() { executeThere() })
+		reply(200*time.Millisecond, noReply)
 	case lost:
-		s.after(200*time.Millisecond, from, func() { s.step(from, noReply) })
+		reply(200*time.Millisecond, noReply)
 	default:
 		s.after(time.Millisecond, "", func() {
-			reply := execute()
-			s.after(time.Millisecond, from, func() { s.step(from, reply) })
+			e, _ := executeThere()
+			reply(time.Millisecond, e)
 		})
 	}
 }
 
-func (s *membersSimulation) step(id model.NodeID, e Event) {
-	fx := s.members[id].Step(s.now, e)
+// step applies an event to a member's machine for an incarnation, and carries out the effects.
+func (s *membersSimulation) step(id model.NodeID, at model.EndpointID, e Event) {
+	member := s.members[id]
+	fx := member.machine(at).Step(s.now, e)
 	for _, f := range fx.Finished {
+		if requester, settled := member.settles[f.Run]; settled && requester < at {
+			delete(member.settles, f.Run)
+			s.step(id, requester, Settled{f})
+			continue
+		}
 		s.checkFinished(f)
 	}
 	for _, o := range fx.Starts {
-		s.order(id, s.lossy, func() Event { return StartReplied{o.Run, s.startInTime(o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+		s.order(id, at, s.lossy, func() Event { return StartReplied{o.Run, s.endpoint.start(o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
 	}
 	for _, o := range fx.Stops {
-		s.order(id, s.noStops, func() Event { return StopReplied{o.Run, s.endpoint.stop(o)} }, StopReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+		s.order(id, at, s.noStops, func() Event { return StopReplied{o.Run, s.endpoint.stop(o)} }, StopReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
 	}
 	if o := fx.Hold; o != nil {
-		s.order(id, s.lossy, func() Event { return HoldReplied{s.endpoint.hold(0, *o)} }, HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+		incarnation, _ := strconv.Atoi(string(at))
+		s.order(id, at, s.lossy, func() Event { return HoldReplied{s.endpoint.hold(incarnation, *o)} }, HoldReplied{port.HoldReply{State: port.OrderUnknown}})
+	}
+	for _, request := range fx.Settle {
+		member.settles[request.Run] = at
+		s.step(id, fx.Successor, request)
+	}
+	for _, run := range fx.SettleStops {
+		s.step(id, fx.Successor, StopRequested{run})
 	}
 	for _, end := range fx.ForwardEnds {
 		for _, to := range s.alive() {
-			if to != id && !s.faulty(4) && s.members[to].Pending(end.End.Run) {
-				s.after(time.Millisecond, to, func() { s.step(to, EndForwarded{end.End}) })
+			if to != id && !s.faulty(4) && s.members[to].machine(at).Pending(end.End.Run) {
+				s.after(time.Millisecond, to, func() { s.step(to, at, EndForwarded{end.End}) })
 			}
 		}
 	}
 	if len(fx.ClaimQuery) > 0 {
-		s.queryClaims(id, fx)
+		s.queryClaims(id, at, fx)
 	}
 }
 
-// startInTime executes a start unless the lease that it asks for has ended.
-func (s *membersSimulation) startInTime(o port.StartOrder) port.OrderReply {
-	if o.Until <= s.endpoint.clock() {
-		return port.OrderReply{State: port.OrderRefused, Clock: s.endpoint.clock()}
-	}
-	return s.endpoint.start(o)
-}
-
 // queryClaims carries a query for claims to the members, and their replies back after 150 ms at most.
-func (s *membersSimulation) queryClaims(from model.NodeID, fx Effects) {
+func (s *membersSimulation) queryClaims(from model.NodeID, at model.EndpointID, fx Effects) {
 	members, claimed := fx.Claimants, Claimed{Queried: fx.ClaimQuery}
 	if len(members) == 0 {
 		members = s.alive()
@@ -135,19 +189,19 @@
 			took = 150 * time.Millisecond
 			continue
 		}
-		m := s.members[to]
+		m := s.members[to].machine(at)
 		queried := slices.DeleteFunc(slices.Clone(fx.ClaimQuery), func(run port.TaskRun) bool { return !m.Pending(run) })
 		if len(queried) == 0 {
 			continue
 		}
-		s.step(to, TakenOver{fx.ClaimToken, queried})
+		s.step(to, at, TakenOver{fx.ClaimToken, queried})
 		for _, run := range queried {
 			if m.Pending(run) && !s.faulty(6) {
 				claimed.Claimed = append(claimed.Claimed, Claim{Run: run, Member: to, Stop: !m.Wanted(run)})
 			}
 		}
 	}
-	s.after(took, from, func() { s.step(from, claimed) })
+	s.after(took, from, func() { s.step(from, at, claimed) })
 }
 
 func (s *membersSimulation) checkFinished(f Finished) {
@@ -162,15 +216,17 @@
 // runUntil advances the time to end and checks that runs are over in time.
 func (s *membersSimulation) runUntil(end time.Time) {
 	for {
-		next, index, timerOf := end, -1, model.NodeID("")
+		next, index, timerOf, timerAt := end, -1, model.NodeID(""), model.EndpointID("")
 		for i, d := range s.pending {
 			if d.at.Before(next) {
 				next, index = d.at, i
 			}
 		}
 		for _, id := range s.alive() {
-			if at, armed := s.members[id].NextTimer(s.now); armed && at.Before(next) {
-				next, timerOf = at, id
+			for _, incarnation := range s.members[id].sortedIncarnations() {
+				if at, armed := s.members[id].machines[incarnation].NextTimer(s.now); armed && at.Before(next) {
+					next, timerOf, timerAt = at, id, incarnation
+				}
 			}
 		}
 		s.now = maxTime(s.now, next)
@@ -179,7 +235,7 @@
 		s.checkRunning()
 		switch {
 		case timerOf != "":
-			s.step(timerOf, Elapsed{})
+			s.step(timerOf, timerAt, Elapsed{})
 		case index >= 0:
 			d := s.pending[index]
 			s.pending = slices.Delete(s.pending, index, index+1)
@@ -192,9 +248,13 @@
 	}
 }
 
-// checkRunning fails if a run is at work whose task may have been sent again by now: its member has died, or was told to stop it.
+// checkRunning fails if a run is at work whose task may have started again by now: it was reported, or its member has died or
+// was told to stop it, so that the caller may have sent the job again.
 func (s *membersSimulation) checkRunning() {
 	for run := range s.endpoint.running {
+		if s.finished[run] {
+			s.t.Fatalf("run %v was at work after it was reported", run)
+		}
 		if at, died := s.diedAt[s.owners[run]]; died && s.now.Sub(at) > resendAfter {
 			s.t.Fatalf("run %v was at work %s after its member %s had died", run, s.now.Sub(at), s.owners[run])
 		}
@@ -204,22 +264,22 @@
 	}
 }
 
-// act takes a random step.
-func (s *membersSimulation) act() {
+// act takes a random step, which may be one of at most the given number of restarts.
+func (s *membersSimulation) act(restarts int) {
 	alive := s.alive()
 	id := rapid.SampledFrom(alive).Draw(s.t, "member")
-	switch rapid.IntRange(0, 5).Draw(s.t, "action") {
+	switch rapid.IntRange(0, 6+min(restarts-s.endpoint.incarnation, 1)).Draw(s.t, "action") {
 	case 0, 1:
 		run := testRun(len(s.owners) + 1)
 		s.owners[run] = id
-		s.step(id, StartRequested{Run: run})
+		s.step(id, s.members[id].known, StartRequested{Run: run})
 	case 2:
-		if pending := s.members[id].sortedRuns(); len(pending) > 0 {
-			run := rapid.SampledFrom(pending).Draw(s.t, "stopped")
-			if _, again := s.stopped[run]; !again {
-				s.stopped[run] = s.now
+		if pending, at := s.members[id].pendingRuns(); len(pending) > 0 {
+			i := rapid.IntRange(0, len(pending)-1).Draw(s.t, "stopped")
+			if _, again := s.stopped[pending[i]]; !again {
+				s.stopped[pending[i]] = s.now
 			}
-			s.step(id, StopRequested{run})
+			s.step(id, at[i], StopRequested{pending[i]})
 		}
 	case 3:
 		if running := s.endpoint.sortedRunning(); len(running) > 0 {
@@ -229,29 +289,62 @@
 		if len(alive) > 1 && s.faulty(4) {
 			s.diedAt[id] = s.now
 		}
+	case 5:
+		s.announce(id)
+	case 6:
+		s.members[id].cutUntil = s.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "cutFor")) * time.Millisecond)
+	case 7:
+		s.endpoint.restart()
 	}
 	s.runUntil(s.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(s.t, "ms")) * time.Millisecond))
 }
 
+// announce makes the newest incarnation known to a member.
+func (s *membersSimulation) announce(to model.NodeID) {
+	m, newest := s.members[to], incarnationID(s.endpoint.incarnation)
+	if m.known == newest {
+		return
+	}
+	m.known = newest
+	for _, id := range m.sortedIncarnations() {
+		if id < newest {
+			s.step(to, id, Replaced{newest})
+		}
+	}
+}
+
 // Guards against two runs of a task: a run that is reported while it is at work, and one that is still at work when the caller
 // sends its job again, because its member has died or the orders to stop the run are lost. The lease moves among the members.
 func TestRunsOfSeveralMembersAreOverWhenTheirTasksMayStartAgain(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		s := newMembersSimulation(t)
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			s.act()
-		}
-		s.lossy, s.noStops = 1, 1
-		for range 20 { // Each run of a member that lives has an outcome in the end.
-			for _, run := range s.endpoint.sortedRunning() {
-				s.endpoint.end(run, port.TaskDone)
-			}
-			s.runUntil(s.now.Add(time.Second))
+	rapid.Check(t, func(t *rapid.T) { newMembersSimulation(t).run(0) })
+}
+
+// Guards against the same at an endpoint that also starts again under its id, so that the next incarnation carries out orders for
+// an earlier one while the lease moves among members that know different incarnations.
+func TestRunsOfSeveralMembersAreOverWhenTheEndpointRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { newMembersSimulation(t).run(3) })
+}
+
+// run takes random steps, among them at most the given number of restarts, and checks that each run of a member that lives has
+// an outcome in the end.
+func (s *membersSimulation) run(restarts int) {
+	for range rapid.IntRange(1, 40).Draw(s.t, "steps") {
+		s.act(restarts)
+	}
+	s.lossy, s.noStops = 1, 1
+	for _, id := range s.alive() {
+		s.members[id].cutUntil = time.Time{}
+		s.announce(id)
+	}
+	for range 20 {
+		for _, run := range s.endpoint.sortedRunning() {
+			s.endpoint.end(run, port.TaskDone)
 		}
-		for run, owner := range s.owners {
-			if _, died := s.diedAt[owner]; !died && !s.finished[run] {
-				t.Fatalf("run %v of member %s has no outcome", run, owner)
-			}
+		s.runUntil(s.now.Add(time.Second))
+	}
+	for run, owner := range s.owners {
+		if _, died := s.diedAt[owner]; !died && !s.finished[run] {
+			s.t.Fatalf("run %v of member %s has no outcome", run, owner)
 		}
-	})
+	}
 }
--- a/plugins/leases/lease/random_test.go
+++ b/plugins/leases/lease/random_test.go
@@ -94,6 +94,8 @@
 	switch {
 	case e.rejects(o.Token):
 		return port.OrderReply{State: port.OrderFenced}
+	case o.Until <= e.clock():
+		return port.OrderReply{State: port.OrderRefused, Clock: e.clock()}
 	case e.running[o.Run]:
 		return port.OrderReply{State: port.OrderDone, Clock: e.clock()}
 	case e.finished[o.Run]:
@@ -155,6 +157,7 @@
 	settles  map[port.TaskRun]model.EndpointID // The incarnation whose machine has requested to settle the run.
 	outcomes map[port.TaskRun]port.TaskState
 	lastRun  int
+	cutUntil time.Time // Until then no order gets a reply.
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -216,6 +219,9 @@
 // send schedules an order, which may arrive late or not at all and whose reply may be lost.
 func (s *simulation) send(id model.EndpointID, execute func() Event, noReply Event) {
 	fault := rapid.IntRange(0, 9).Draw(s.t, "fault")
+	if s.now.Before(s.cutUntil) {
+		fault %= 3
+	}
 	c := &call{at: s.now.Add(time.Millisecond), machine: id, reaches: s.endpoint.incarnation, execute: execute}
 	switch fault {
 	case 0: // The order is executed and its reply is lost.
@@ -364,6 +370,9 @@
 		case 5:
 			s.announce()
 		}
+		if cut := rapid.IntRange(0, 7).Draw(s.t, "cut"); cut == 0 {
+			s.cutUntil = s.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "cutFor")) * time.Millisecond)
+		}
 		if retire := rapid.IntRange(0, 19).Draw(s.t, "retire"); retire == 0 {
 			s.step(s.known, RetireRequested{})
 		}
@@ -394,6 +403,7 @@
 
 // finishAllRuns ends all running runs without new ones and checks that each run gets an outcome.
 func (s *simulation) finishAllRuns() {
+	s.cutUntil = time.Time{}
 	s.announce()
 	for range 100 {
 		s.endpoint.now = s.now
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -44,7 +44,7 @@
 }
 
 func (m *Machine) sendStart(now time.Time, id port.TaskRun, r *run, fx *Effects) {
-	r.phase, r.startToken = startSent, m.token
+	r.phase, r.startToken, r.startArrivesBy = startSent, m.token, now.Add(maxOrderDelay)
 	m.leaseExtendedAt = now
 	fx.Starts = append(fx.Starts, port.StartOrder{Run: id, Payload: r.payload, Until: m.leaseEnd(now), Token: m.token})
 	r.payload = nil
@@ -101,7 +101,7 @@
 // confirmStart records that the endpoint has started a run.
 func (m *Machine) confirmStart(now time.Time, r *run) {
 	r.phase = confirmed
-	r.confirmedAt = now
+	r.confirmedAt, r.startArrivesBy = now, now
 	if now.Before(m.fencedUntil) {
 		r.phase = handedOver
 		return
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -80,7 +80,7 @@
 	if m.runs[e.Run] != nil {
 		return
 	}
-	r := &run{phase: inherited, startToken: e.Token}
+	r := &run{phase: inherited, startToken: e.Token, startArrivesBy: now.Add(maxOrderDelay)}
 	switch {
 	case m.replaced && m.successor == "":
 		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLost, "another incarnation has replaced the endpoint"})
@@ -91,8 +91,6 @@
 		r.phase, r.claimedAt = handedOver, now // The holder of the lease finds the run, if it is there, and forwards its end.
 	default:
 		m.outbid(now, e.Token)
-		m.leaseExtendedAt = now // The start may just have extended the lease.
-		r.lostAt = m.leaseExpiredBy().Add(maxOrderDelay)
 	}
 	m.runs[e.Run] = r
 }
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -146,3 +146,45 @@
 	}
 	h.is.True(h.machine.Pending(testRun(5)))
 }
+
+// Guards against two runs of a task: a start without an answer was carried out late by the next incarnation, whose clock says
+// nothing about the lease that the start asks for, after its run had been reported as lost with the lease.
+func TestUnansweredStartThatTheNextIncarnationMayCarryOutDoesNotEndWithTheLease(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.replyToHold([]port.TaskRun{testRun(0)})
+	sentAt := h.now
+	h.is.Equal(len(h.step(StartRequested{Run: testRun(1)}).Starts), 1)
+	h.advance(200 * time.Millisecond).step(StartReplied{testRun(1), port.OrderReply{State: port.OrderUnknown}})
+	h.failHolds()                             // For longer than a lease.
+	h.is.True(!h.machine.Pending(testRun(0))) // The endpoint has listed this one, so that it ends with its incarnation.
+	h.is.True(h.machine.Pending(testRun(1)))
+	for range 4 {
+		h.failHolds()
+	}
+	h.is.True(!h.machine.Pending(testRun(1)))
+	h.is.True(h.now.Sub(sentAt) >= maxOrderDelay+time.Second)
+	_, armed := h.machine.NextTimer(h.now)
+	h.is.True(!armed)
+}
+
+// Guards against the same with a start whose reply came, from the next incarnation, just before its lease would have ended.
+func TestConfirmedRunDoesNotEndBeforeTheLeaseThatItsStartExtendedOnArrival(t *testing.T) {
+	h := newHarness(t)
+	h.step(StartRequested{Run: testRun(0)})
+	h.advance(time.Millisecond).replyToHold(nil)
+	h.advance(200 * time.Millisecond).step(StartReplied{testRun(0), port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
+	confirmed := h.now
+	h.step(HoldReplied{port.HoldReply{State: port.OrderFenced}})
+	gone, _ := h.machine.goneBy(h.machine.runs[testRun(0)])
+	h.is.True(gone.Sub(confirmed) >= 1020*time.Millisecond)
+}
+
+// Guards against the same where another member holds the lease at the next incarnation, so that its refusal of the hold comes
+// after the start was carried out there.
+func TestSettledRunDoesNotEndBeforeItsLeaseWhenTheSuccessorIsFenced(t *testing.T) {
+	h := newSuccessorHarness(t, 1)
+	fx := h.advance(600 * time.Millisecond).step(HoldReplied{port.HoldReply{State: port.OrderFenced}})
+	h.is.Equal(len(fx.Finished), 0)
+	h.advance(time.Second).step(Elapsed{}) // The start may have extended the lease just before the refusal.
+	h.is.True(h.machine.Pending(testRun(0)))
+}
