A run that was to be stopped is settled as one that is to be stopped

What callers would see: two runs of a task at once, when the caller's connection breaks, the endpoint starts again under its id, and the orders to stop the run there get no answer while holds do.

Cause: the request to settle a run at the next incarnation did not say that the run was to be stopped, so that the rule "the lease is not extended for a run that does not stop" did not see it, and other runs there kept its lease going past the caller's pause.

Why it works: the request carries the time at which the run was first to be stopped, and the 0.2 s count from there.

--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -78,6 +78,8 @@
 type SettleRequested struct {
 	Run   port.TaskRun
 	Token uint64 // Fencing token of the start order.
+	// StopRequestedAt is when the run was first requested to be stopped; zero while it is not.
+	StopRequestedAt time.Time
 }
 
 // Settled reports what became of a run at the incarnation that has replaced this one.
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -54,7 +54,7 @@
 func (m *Machine) settleAtSuccessor(id port.TaskRun, r *run, fx *Effects) {
 	r.phase, r.stopDueAt, r.payload = atSuccessor, time.Time{}, nil
 	fx.Successor = m.successor
-	fx.Settle = append(fx.Settle, SettleRequested{Run: id, Token: max(r.startToken, m.token)})
+	fx.Settle = append(fx.Settle, SettleRequested{id, max(r.startToken, m.token), r.stopRequestedAt})
 }
 
 // handleSettled finishes a run with its outcome at the successor. Without a result there, the run may have been
@@ -80,7 +80,10 @@
 	if m.runs[e.Run] != nil {
 		return
 	}
-	r := &run{phase: inherited, startToken: e.Token, startArrivesBy: now.Add(maxOrderDelay)}
+	r := &run{
+		phase: inherited, startToken: e.Token, startArrivesBy: now.Add(maxOrderDelay),
+		stopRequested: !e.StopRequestedAt.IsZero(), stopRequestedAt: e.StopRequestedAt,
+	}
 	switch {
 	case m.replaced && m.successor == "":
 		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLost, "another incarnation has replaced the endpoint"})
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -188,3 +188,16 @@
 	h.advance(time.Second).step(Elapsed{}) // The start may have extended the lease just before the refusal.
 	h.is.True(h.machine.Pending(testRun(0)))
 }
+
+// Guards against a run that keeps its lease although nobody waits for it any more: it was to be stopped before the endpoint's next
+// incarnation was known, and the orders to stop it there are lost.
+func TestRunThatWasToBeStoppedIsSettledAsOneThatIsToBeStopped(t *testing.T) {
+	former := newRunningHarness(t, 1)
+	former.step(StopRequested{testRun(0)})
+	request := former.replace().Settle[0]
+	h := newHarness(t)
+	h.step(request)
+	h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(0)})
+	h.advance(2 * stopPatience).replyToHold([]port.TaskRun{testRun(0)})
+	h.is.Equal(h.fx.Hold.Until, int64(0))
+}
