A late announcement does not bring a replaced incarnation of an endpoint back

What callers would see: tasks that are refused and start late, since half of the pool's slots at an endpoint that has started again are those of an incarnation that has gone.

Cause: an announcement was compared with the next incarnation's only if its endpoint was not known any more. While the end of a run there was not known, the last announcement of the earlier incarnation, which can arrive after the first one of the next incarnation, made it live again for the time of its lease (15 s on the users' platform), and counted its slots.

Evidence: TestLateAnnouncementDoesNotBringAReplacedIncarnationBack failed before ("4 != 2" slots).

Why it works: an endpoint that a later incarnation has replaced takes no further announcement, whatever its sequence.

--- a/plugins/endpoints/poolstate/attempts_test.go
+++ b/plugins/endpoints/poolstate/attempts_test.go
@@ -53,6 +53,25 @@
 	is.Equal(fx.Revokes[0].ReplacedBy, next.ID)
 }
 
+// Guards against starts that are meant for an incarnation that has gone: its last announcement arrived after the first one of the
+// next incarnation, while the end of a run there was not known yet.
+func TestLateAnnouncementDoesNotBringAReplacedIncarnationBack(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	first := model.Endpoint{ID: "e@1", Service: "finder", Address: "10.0.0.1:1", Slots: 2, State: model.EndpointServing, Born: 1, Sequence: 1, Leased: true}
+	h.step(Announced{first})
+	next := first
+	next.ID, next.Born = "e@2", 2
+	s := h.submitRepeatable(2, model.Needs{}).Starts[0]
+	h.step(Announced{next})
+	is.Equal(h.Load().Slots, 2)
+	first.Sequence = 2
+	h.step(Announced{first})
+	is.Equal(h.Load().Slots, 2)
+	h.reply(s, port.TaskDone)
+	is.Equal(len(h.Endpoints()), 1)
+}
+
 func TestLostRunDoesNotCountAsFailure(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1, 1)
--- a/plugins/endpoints/poolstate/outdated.go
+++ b/plugins/endpoints/poolstate/outdated.go
@@ -10,7 +10,7 @@
 // comes from an endpoint whose address a later incarnation has taken over.
 func (m *Machine) isOutdated(a *model.Endpoint, known *endpoint) bool {
 	if known != nil {
-		return a.Sequence > 0 && a.Sequence <= known.Sequence
+		return known.replacedBy != "" || a.Sequence > 0 && a.Sequence <= known.Sequence
 	}
 	return a.Born > 0 && slices.ContainsFunc(m.endpointList, func(e *endpoint) bool {
 		return e.live && e.Address == a.Address && e.Born > a.Born
