Tests: random pools have endpoints that start again, and late announcements of earlier incarnations

The random test of pools announced no incarnations, allowed a task at a leased endpoint to be released after its deadline, and never answered a revoke with "lost" or "not run". Now leased endpoints start again at their addresses, announcements of earlier incarnations arrive late, and a task there is released only when its end is known.

--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -39,6 +39,8 @@
 	twin      *Machine                            // Second machine, which gets the same events and must give the same effects.
 	leases    map[model.EndpointID]time.Time      // Ends of the leases.
 	announced map[model.EndpointID]model.Endpoint // Latest announcements.
+	born      map[model.EndpointID]int64          // Newest incarnations of leased endpoints, by the id without the incarnation.
+	sequence  uint64                              // Number of announcements so far.
 	inFlight  map[model.TaskID]Start              // Tasks that were sent and whose end has not been reported to the machine.
 	attempts  map[model.TaskID]int                // Attempts sent so far.
 	ran       map[model.TaskID]bool               // Tasks with a run that failed or was lost.
@@ -61,7 +63,7 @@
 		t: t, now: start, profile: profile,
 		machine: New(finderPool, "sj1-a", shipped, 1), twin: New(finderPool, "sj1-a", shipped, 1),
 		leases: map[model.EndpointID]time.Time{}, announced: map[model.EndpointID]model.Endpoint{},
-		inFlight: map[model.TaskID]Start{}, attempts: map[model.TaskID]int{},
+		born: map[model.EndpointID]int64{"c": 1, "d": 1}, inFlight: map[model.TaskID]Start{}, attempts: map[model.TaskID]int{},
 		ran: map[model.TaskID]bool{}, cordoned: map[model.EndpointID]bool{}, occupying: map[model.TaskID]int{},
 		open: map[model.BatchID]int{}, started: map[model.BatchID]int{},
 	}
@@ -92,7 +94,7 @@
 		c.t.Fatalf("attempt %d of task %s was released; %d occupies its endpoint", r.Attempt, r.Task, c.occupying[r.Task])
 	}
 	delete(c.occupying, r.Task)
-	if s, unsettled := c.inFlight[r.Task]; unsettled && c.now.Before(s.Deadline) {
+	if s, unsettled := c.inFlight[r.Task]; unsettled && (c.now.Before(s.Deadline) || c.announced[s.Endpoint].Leased) {
 		c.t.Fatalf("attempt %d of task %s was released before its end was confirmed", r.Attempt, r.Task)
 	}
 }
@@ -166,13 +168,16 @@
 func (c *cluster) announce(t *rapid.T) {
 	id := rapid.SampledFrom(randomEndpoints).Draw(t, "endpoint")
 	e := model.Endpoint{ID: id, Slots: rapid.IntRange(1, 3).Draw(t, "slots"), State: model.EndpointServing, Has: model.Needs{MilliCores: 2 + 2*int(id[0]%2)}}
+	if _, leased := c.born[id]; leased {
+		id = c.drawIncarnation(t, &e)
+	}
 	if known, ok := c.announced[id]; ok {
 		e.Slots = known.Slots
 	}
 	if rapid.IntRange(0, 4).Draw(t, "leaving") == 0 {
 		e.State = model.EndpointLeaving
 	}
-	e.Leased = id > "b"
+	e.Leased = e.Born > 0
 	delete(c.cordoned, id)
 	if e.Leased && rapid.IntRange(0, 4).Draw(t, "handed over") == 0 {
 		e.Running, e.Taken = []model.TaskID{"gone.x.1.1.t.0"}, model.Needs{MilliCores: 1}
@@ -180,11 +185,42 @@
 	if !e.Leased && rapid.IntRange(0, 4).Draw(t, "foreign") == 0 {
 		e.Running = append(e.Running, "gone.x.1.1.t.0")
 	}
+	if e.Born > 0 && e.ID != c.newest(e.Address) {
+		c.step(Announced{Endpoint: e}) // It came late, and is to be ignored.
+		return
+	}
 	c.announced[id] = e
 	c.leases[id] = c.now.Add(DefaultEndpointLease)
 	c.step(Announced{Endpoint: e})
 }
 
+// newest returns the id of the newest incarnation at an address.
+func (c *cluster) newest(address string) model.EndpointID {
+	return incarnationID(model.EndpointID(address), c.born[model.EndpointID(address)])
+}
+
+func incarnationID(id model.EndpointID, born int64) model.EndpointID {
+	return model.EndpointID(fmt.Sprintf("%s@%d", id, born))
+}
+
+// drawIncarnation makes an announcement that of an incarnation of its endpoint: of the newest one, of the next one, or, while the
+// newest one gets work, a late one of an earlier incarnation. It returns the incarnation's id.
+func (c *cluster) drawIncarnation(t *rapid.T, e *model.Endpoint) model.EndpointID {
+	id, newest := e.ID, c.newest(string(e.ID))
+	c.sequence++
+	e.Address, e.Born, e.Sequence = string(id), c.born[id], c.sequence
+	switch kind := rapid.IntRange(0, 5).Draw(t, "incarnation"); {
+	case kind == 0:
+		c.leases[newest] = c.now
+		c.born[id]++
+		e.Born++
+	case kind == 1 && e.Born > 1 && c.leases[newest].After(c.now):
+		e.Born -= rapid.Int64Range(1, e.Born-1).Draw(t, "earlier")
+	}
+	e.ID = incarnationID(id, e.Born)
+	return e.ID
+}
+
 func (c *cluster) submit(t *rapid.T) {
 	c.next++
 	b := model.Batch{
@@ -251,11 +287,12 @@
 	r := c.revokes[0]
 	c.revokes = c.revokes[1:]
 	state := rapid.SampledFrom([]port.TaskState{
-		port.TaskRevoked, port.TaskRunning, port.TaskUnknown, port.TaskDone, port.TaskStopped,
+		port.TaskRevoked, port.TaskRunning, port.TaskUnknown, port.TaskDone, port.TaskStopped, port.TaskNotRun, port.TaskLost,
 	}).Draw(t, "state")
 	s, unsettled := c.inFlight[r.Task]
 	if unsettled && s.Attempt == r.Attempt && state != port.TaskRunning && state != port.TaskUnknown {
 		delete(c.inFlight, r.Task)
+		c.ran[r.Task] = c.ran[r.Task] || state == port.TaskLost || state == port.TaskStopped
 	}
 	c.step(RevokeReplied{r.Task, r.Attempt, port.RevokeReply{State: state}})
 }
