A run that the endpoint has not listed outlives the lease for as long as another start may extend it

What callers would see: two runs of a task at once, at one endpoint that starts again within a fraction of a second over a link that loses packets.

Cause: a lease is one for all runs at an endpoint. The next incarnation confirmed one start, carried out another one late, which extended the lease of both on arrival, and answered no hold. The bound for the confirmed run counted from its own start.

Evidence: the random test of several members with an endpoint that starts again, after 29,055 checks: "run {k 3 1} was reported as lost (the lease has expired) while it was running"; TestRunDoesNotEndWithTheLeaseThatALateStartOfAnotherMayExtend failed before.

Why it works: the machine keeps by when a start without an answer arrives at the latest, for all runs that the endpoint has not listed. A claim query says that the next holder has listed a run, which then ends with its claim (1.32 s) as before: without this TestRunThatTheNextHolderHasListedFinishesWithItsClaim fails, a run would wait for 6 s.

--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -136,7 +136,13 @@
 	}
 	for _, id := range e.Running {
 		r, known := m.runs[id]
-		if known && r.phase == startSent {
+		if !known {
+			continue
+		}
+		if !r.listed {
+			r.listed, m.leaseExtendedAt = true, now // The start may have been carried out just before the holder's list.
+		}
+		if r.phase == startSent {
 			m.confirmStart(now, r)
 		}
 		if m.Wanted(id) {
@@ -151,21 +157,26 @@
 // goneBy returns the time by which a run has certainly ended, although no list or end says so; bounded is false while its lease
 // may be extended. A run that was handed over ends with its lease unless this member claims it again. The start of one that the
 // endpoint has not listed may be carried out by the next incarnation, which knows nothing of the clock by which the
-// lease was to end, and grants a whole lease on arrival.
+// lease was to end, and grants a whole lease, to all runs there, when a start arrives.
 func (m *Machine) goneBy(r *run) (at time.Time, bounded bool) {
 	if r.phase != handedOver && r.phase != inherited && (!r.underLease() || m.failedHolds < maxFailedHolds) {
 		return time.Time{}, false
 	}
-	extended := m.leaseExtendedAt
-	if claimed := r.claimedAt.Add(claimValidity); claimed.After(extended) {
-		extended = claimed
-	}
-	if !r.listed && r.startArrivesBy.After(extended) {
-		extended = r.startArrivesBy
+	extended := latest(m.leaseExtendedAt, r.claimedAt.Add(claimValidity))
+	if !r.listed {
+		extended = latest(extended, latest(r.startArrivesBy, m.startsArriveBy))
 	}
 	return m.expiredBy(extended), true
 }
 
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // finishGoneRuns finishes the runs that have certainly ended and whose ends nobody has reported.
 func (m *Machine) finishGoneRuns(now time.Time, fx *Effects) {
 	for _, id := range m.sortedRuns() {
--- a/plugins/leases/lease/claims_test.go
+++ b/plugins/leases/lease/claims_test.go
@@ -88,6 +88,19 @@
 	h.is.True(h.now.Sub(claimed) < 1500*time.Millisecond)
 }
 
+// Guards against a task that does not start again for as long as an order may be under way, although the next holder has listed
+// its run.
+func TestRunThatTheNextHolderHasListedFinishesWithItsClaim(t *testing.T) {
+	h := newHarness(t)
+	h.step(StartRequested{Run: testRun(0)})
+	h.advance(time.Millisecond).replyToHold(nil)
+	h.advance(200 * time.Millisecond).step(StartReplied{testRun(0), port.OrderReply{State: port.OrderUnknown}})
+	h.step(TakenOver{h.machine.token + 1<<holderBits, []port.TaskRun{testRun(0)}})
+	gone, bounded := h.machine.goneBy(h.machine.runs[testRun(0)])
+	h.is.True(bounded)
+	h.is.True(gone.Sub(h.now) < 1500*time.Millisecond)
+}
+
 // Guards against a second fencing under a token that was refused, and against a run that a member waits for in vain although
 // it holds the lease again.
 func TestMemberThatTakesTheLeaseBackKeepsItsRun(t *testing.T) {
--- a/plugins/leases/lease/random_test.go
+++ b/plugins/leases/lease/random_test.go
@@ -119,17 +119,17 @@
 	return port.OrderReply{State: port.OrderDone, Clock: e.clock()}
 }
 
-// hold returns the lists of runs. It has acknowledged ends also when it was meant for another incarnation.
+// hold returns the lists of runs. It extends the lease and forgets ends also when it was meant for another incarnation.
 func (e *fakeEndpoint) hold(incarnation int, o port.HoldOrder) port.HoldReply {
 	e.expire()
 	if e.rejects(o.Token) {
 		return port.HoldReply{State: port.OrderFenced}
 	}
+	e.extend(o.Until)
+	e.unackedEnds = slices.DeleteFunc(e.unackedEnds, func(end port.RunEnd) bool { return end.Number <= o.Seen })
 	if incarnation != e.incarnation {
 		return port.HoldReply{State: port.OrderOtherIncarnation, Incarnation: incarnationID(e.incarnation)}
 	}
-	e.extend(o.Until)
-	e.unackedEnds = slices.DeleteFunc(e.unackedEnds, func(end port.RunEnd) bool { return end.Number <= o.Seen })
 	return port.HoldReply{State: port.OrderDone, Clock: e.clock(), Running: e.sortedRunning(), Ended: slices.Clone(e.unackedEnds)}
 }
 
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -167,6 +167,18 @@
 	h.is.True(!armed)
 }
 
+// Guards against the same with another run, which the next incarnation has confirmed: a lease is one for all runs there.
+func TestRunDoesNotEndWithTheLeaseThatALateStartOfAnotherMayExtend(t *testing.T) {
+	h := newHarness(t)
+	h.step(StartRequested{Run: testRun(0)})
+	h.step(StartRequested{Run: testRun(1)})
+	h.advance(time.Millisecond).replyToHold(nil)
+	h.advance(time.Millisecond).step(StartReplied{testRun(0), port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
+	h.advance(200 * time.Millisecond).step(StartReplied{testRun(1), port.OrderReply{State: port.OrderUnknown}})
+	h.failHolds() // For longer than a lease.
+	h.is.True(h.machine.Pending(testRun(0)))
+}
+
 // Guards against the same with a start whose reply came, from the next incarnation, just before its lease would have ended.
 func TestConfirmedRunDoesNotEndBeforeTheLeaseThatItsStartExtendedOnArrival(t *testing.T) {
 	h := newHarness(t)
