--- a/plugins/leases/lease/handover.go
+++ b/plugins/leases/lease/handover.go
@@ -36,7 +36,13 @@
 	}
 	for _, id := range e.Running {
 		r, known := m.runs[id]
-		if known && r.phase == startSent {
+		if !known {
+			continue
+		}
+		if !r.listed {
+			r.listed, m.leaseExtendedAt = true, now // The start may have been carried out just before the holder's list.
+		}
+		if r.phase == startSent {
 			m.confirmStart(now, r)
 		}
 		if m.Wanted(id) {
@@ -48,28 +54,40 @@
 	}
 }
 
-// goneBy returns the time by which a run that this holder cannot observe has certainly ended; bounded is false for other
-// runs. A run that was handed over ends with its lease unless this member claims it again. One that was inherited may
-// still start, and extend the lease, while its start order may arrive.
+// goneBy returns the time by which a run has certainly ended, although no list or end says so; bounded is false while its lease
+// may be extended. A run that was handed over ends with its lease unless this member claims it again. The start of one that the
+// endpoint has not listed may be carried out by the next incarnation, which knows nothing of the clock by which the
+// lease was to end, and grants a whole lease, to all runs there, when a start arrives.
 func (m *Machine) goneBy(r *run) (at time.Time, bounded bool) {
-	switch r.phase {
-	case handedOver:
-		extended := r.claimedAt.Add(claimValidity)
-		if m.leaseExtendedAt.After(extended) {
-			extended = m.leaseExtendedAt
-		}
-		return m.expiredBy(extended), true
-	case inherited:
-		return r.lostAt, true
-	default:
+	if r.phase != handedOver && r.phase != inherited && (!r.underLease() || m.failedHolds < maxFailedHolds) {
 		return time.Time{}, false
 	}
+	extended := latest(m.leaseExtendedAt, r.claimedAt.Add(claimValidity))
+	if !r.listed {
+		extended = latest(extended, latest(r.startArrivesBy, m.startsArriveBy))
+	}
+	return m.expiredBy(extended), true
+}
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // finishGoneRuns finishes the runs that have certainly ended and whose ends nobody has reported.
 func (m *Machine) finishGoneRuns(now time.Time, fx *Effects) {
 	for _, id := range m.sortedRuns() {
-		if at, bounded := m.goneBy(m.runs[id]); bounded && !now.Before(at) {
+		r := m.runs[id]
+		at, bounded := m.goneBy(r)
+		switch {
+		case !bounded || now.Before(at):
+		case r.underLease():
+			fx.Lost = LossExpired
+			m.finish(now, id, port.TaskLost, "the lease has expired", fx)
+		default:
 			m.finish(now, id, port.TaskLost, "no member can have extended the lease for the run", fx)
 		}
 	}
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -57,6 +57,7 @@
 	failedHolds     int       // Consecutive holds that failed.
 	holdRetryAt     time.Time // When to send the next hold after a failed one; zero after a successful one.
 	leaseExtendedAt time.Time // When the newest hold or start that extends the lease was sent.
+	startsArriveBy  time.Time // By when the endpoint carries out starts that had no answer, if ever.
 
 	lastEnd        uint64    // Number of the newest end that was received.
 	lastEndSent    uint64    // Newest end that the newest hold acknowledges.
@@ -100,8 +101,8 @@
 	stopDueAt       time.Time // When to send the next stop order; zero when none is due.
 	stopAckedAt     time.Time // When the endpoint acknowledged the stop order.
 	startToken      uint64    // Fencing token of the start order; 0 before it is sent.
+	startArrivesBy  time.Time // By when the endpoint carries out the start, if ever.
 	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
-	lostAt          time.Time // When an inherited run counts as lost, although the endpoint has never listed its runs.
 }
 
 // underLease reports whether the run may be running at the endpoint under this holder's lease.
@@ -168,9 +169,7 @@
 // advance does what is due at the given time: it finishes the runs of an expired lease and sends stop
 // orders and the next hold.
 func (m *Machine) advance(now time.Time, fx *Effects) {
-	if m.failedHolds >= maxFailedHolds && !now.Before(m.leaseExpiredBy()) {
-		m.finishExpiredRuns(now, fx)
-	}
+	m.forgetExpiredRuns(now)
 	m.finishGoneRuns(now, fx)
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
@@ -203,7 +202,7 @@
 	if due, needed := m.nextHoldAt(now); needed && !m.holdInFlight {
 		earliest(due)
 	}
-	if m.failedHolds >= maxFailedHolds && (m.hasRunsUnderLease() || len(m.foreignRuns) > 0) {
+	if m.failedHolds >= maxFailedHolds && len(m.foreignRuns) > 0 {
 		earliest(m.leaseExpiredBy())
 	}
 	return at, ok
