redwingctl places: who votes, who holds which place since when, what a replacement waits for

Need: an operator who replaces a control VM could not see whether its place was vacant, who was to take it over, or what a takeover lacked; `status` shows one member only.

Holders are asked what they do (profiles/place); their replies, and those of other live members with disks, name the newest stores, because a member that serves hears of a takeover only with the next change. The time since when a place is held is kept in the holder's file, not in the store, which members of an earlier version compare. GET /v1/places, `redwingctl places`, `--output json`. The wait of 1.5 s now counts from the absence of the present holder of a place, and is not reset by a takeover of this member's own.

--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -30,6 +30,7 @@
 	"redwingpulley/plugins/leases/lease",
 	"redwingpulley/plugins/membership/swim",
 	"redwingpulley/plugins/placement/plan",
+	"redwingpulley/plugins/profiles/occupancy",
 	"redwingpulley/plugins/profiles/register",
 	"redwingpulley/plugins/quota/share",
 }
--- a/kernel/port/profiles.go
+++ b/kernel/port/profiles.go
@@ -17,6 +17,8 @@
 	Changed() <-chan struct{}
 	// Replica returns this member's role in the replication of the register.
 	Replica() ReplicaState
+	// Places returns the places of the replicas. It asks their holders, for a second at most, what each does.
+	Places(ctx context.Context) ReplicaPlaces
 }
 
 // ReplicaState is a member's role in the replication of the profile register.
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -70,6 +70,7 @@
 	web.HandleHealth(mux, f.health)
 	mux.HandleFunc("GET /v1/status", f.getStatus)
 	mux.HandleFunc("GET /v1/members", f.listMembers)
+	mux.HandleFunc("GET /v1/places", f.listPlaces)
 	mux.HandleFunc("GET /v1/endpoints", f.listEndpoints)
 	mux.HandleFunc("GET /v1/decisions", f.listDecisions)
 	mux.HandleFunc("GET /metrics", f.serveMetrics)
--- a/plugins/frontend/operators/profiles_test.go
+++ b/plugins/frontend/operators/profiles_test.go
@@ -22,12 +22,15 @@
 	learned bool
 	answer  model.EditResult
 	edits   []model.ProfileEdit
+	places  port.ReplicaPlaces
 }
 
 func (f *fakeRegister) Current() (model.ProfileSet, bool) { return f.set, f.learned }
 func (f *fakeRegister) Changed() <-chan struct{}          { return nil }
 func (f *fakeRegister) Replica() port.ReplicaState        { return port.ReplicaVoter }
 
+func (f *fakeRegister) Places(context.Context) port.ReplicaPlaces { return f.places }
+
 func (f *fakeRegister) History() []model.ProfileChange {
 	return []model.ProfileChange{
 		{Revision: 1, Operator: "ana", Kind: string(model.PutProfile), Profile: "finder"},
--- a/plugins/profiles/bootstrap.go
+++ b/plugins/profiles/bootstrap.go
@@ -1,7 +1,6 @@
 package profiles
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -10,6 +9,7 @@
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
 	"redwingpulley/plugins/profiles/disk"
+	"redwingpulley/plugins/profiles/occupancy"
 )
 
 // At the first start of a cluster with seeds one member chooses the replicas: the one on the VM of the
@@ -105,18 +105,10 @@
 	rest := slices.Clone(candidates)
 	var replicas []model.NodeID
 	for len(rest) > 0 && len(replicas) < count {
-		next := nextInSpread(rest, chosenIn)
+		next := occupancy.NextInSpread(rest, chosenIn)
 		chosenIn[next.DataCentre]++
 		replicas = append(replicas, next.ID)
 		rest = slices.DeleteFunc(rest, func(n port.Node) bool { return n.ID == next.ID })
 	}
 	return replicas
 }
-
-// nextInSpread returns the candidate in the data centre with the fewest replicas; the lowest id decides
-// between equal ones.
-func nextInSpread(candidates []port.Node, replicasIn map[model.DataCentre]int) port.Node {
-	return slices.MinFunc(candidates, func(a, b port.Node) int {
-		return cmp.Or(cmp.Compare(replicasIn[a.DataCentre], replicasIn[b.DataCentre]), cmp.Compare(a.ID, b.ID))
-	})
-}
--- a/plugins/profiles/disk/disk.go
+++ b/plugins/profiles/disk/disk.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,7 @@
 	// Replicas is the group that the replica belongs to, saved with its durable state.
 	Replicas []model.NodeID
 	Place    model.NodeID // The replica whose place the member has; "" means the place named after the member itself.
+	Since    time.Time    // When the member took the place.
 
 	encoder wire.DurableEncoder
 }
@@ -42,6 +44,7 @@
 
 	Replicas []model.NodeID `json:"replicas,omitempty"`
 	Place    model.NodeID   `json:"place,omitempty"`
+	Since    time.Time      `json:"since,omitzero"`
 	Register R              `json:"register"`
 }
 
@@ -52,6 +55,7 @@
 
 	Replicas []model.NodeID // The group that the replica belongs to.
 	Place    model.NodeID   // The replica whose place the member has; "" means the place named after the member itself.
+	Since    time.Time      // When the member took the place; zero in a file of an earlier version.
 	Fault    error          // Why an existing file is unusable, or nil.
 }
 
@@ -69,7 +73,7 @@
 		return Loaded{Fault: fault}, errors.Wrap(d.Folder.Rename(currentFile, rejectedFile), "put the unusable register file aside")
 	}
 	durable, _ := e.Register.Decode()
-	return Loaded{Durable: &durable, Copied: e.Inode != inode, Replicas: e.Replicas, Place: e.Place}, nil
+	return Loaded{Durable: &durable, Copied: e.Inode != inode, Replicas: e.Replicas, Place: e.Place, Since: e.Since}, nil
 }
 
 func (d *Disk) decode(content []byte) (envelope[wire.Durable], error) {
@@ -131,7 +135,7 @@
 		return err
 	}
 	body, err := json.Marshal(envelope[wire.EncodedDurable]{
-		Format: formatVersion, Cluster: d.Cluster, Node: d.Node, Inode: inode, Replicas: d.Replicas, Place: d.Place,
+		Format: formatVersion, Cluster: d.Cluster, Node: d.Node, Inode: inode, Replicas: d.Replicas, Place: d.Place, Since: d.Since,
 		Register: encoded,
 	})
 	if err != nil {
--- a/plugins/profiles/disk/disk_test.go
+++ b/plugins/profiles/disk/disk_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -50,6 +51,24 @@
 	is.Equal(*loaded.Durable, sampleDurable(5))
 }
 
+// Guards against a file that loses the time at which the member took its place, and against a file of an earlier version,
+// without the time, that is refused.
+func TestLoad_ReturnsWhenThePlaceWasTaken(t *testing.T) {
+	for _, since := range []time.Time{time.Unix(1700000000, 0).UTC(), {}} {
+		is := is.New(t)
+		d, path := openDisk(t)
+		d.Since = since
+		is.NoErr(d.Save(sampleDurable(4)))
+		content, err := os.ReadFile(path)
+		is.NoErr(err)
+		is.Equal(strings.Contains(string(content), `"since"`), !since.IsZero())
+		loaded, err := d.Load()
+		is.NoErr(err)
+		is.Equal(loaded.Since, since)
+		is.Equal(*loaded.Durable, sampleDurable(4))
+	}
+}
+
 func TestLoad_RejectsFileTruncatedAtAnyByte(t *testing.T) {
 	is := is.New(t)
 	d, path := openDisk(t)
--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -10,6 +10,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/profiles/disk"
+	"redwingpulley/plugins/profiles/occupancy"
 	"redwingpulley/plugins/profiles/register"
 	"redwingpulley/plugins/profiles/wire"
 )
@@ -21,9 +22,6 @@
 // comes back finds its store fenced and goes on without a place.
 
 const (
-	// takeoverDelay is how long a place must be vacant, its member not considered alive, before another
-	// member takes it over.
-	takeoverDelay = 1500 * time.Millisecond
 	// supportTimeout is the longest wait for the other replicas' support of a takeover.
 	supportTimeout = time.Second
 	// placelessSuffix is appended to the identity of a member without a place when its own name is that
@@ -90,18 +88,23 @@
 	p.step(register.Woken{})
 }
 
-// watchPlaces takes over vacant places while this member has none, until the plug-in stops.
+// watchPlaces notes since when holders of places are away, until the plug-in stops. Where this member may take over
+// places, it takes vacant ones while it has none.
 func (p *Profiles) watchPlaces() {
-	goneSince := make(map[model.NodeID]time.Time) // By place: since when its member has been gone.
-	timer := time.NewTimer(takeoverDelay)
+	mayTake := p.path != "" && p.takeoverEnabled
+	timer := time.NewTimer(occupancy.TakeoverDelay)
 	defer timer.Stop()
 	for {
 		changed := p.membership.Changed()
-		if place, ok := p.placeToTake(time.Now(), goneSince); ok {
-			p.takePlace(place)
-			clear(goneSince)
+		view := p.viewPlaces(time.Now())
+		if !mayTake {
+			timer.Stop()
+		} else {
+			if place, ok := p.placeToTake(view); ok {
+				p.takePlace(place)
+			}
+			timer.Reset(occupancy.TakeoverDelay)
 		}
-		timer.Reset(takeoverDelay)
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -111,21 +114,29 @@
 	}
 }
 
+// viewPlaces notes which holders are away now, and returns this member's view of the places.
+func (p *Profiles) viewPlaces(now time.Time) occupancy.View {
+	var places []occupancy.Place
+	for _, replica := range p.replicas() {
+		holder, _ := p.holder(replica)
+		places = append(places, occupancy.Place{Replica: replica, Holder: holder})
+	}
+	alive := p.membership.Alive()
+	p.absences.Lock()
+	defer p.absences.Unlock()
+	return p.absences.Note(now, places, alive)
+}
+
 // placeToTake returns the place that this member is to take over now, if any: its own one, when it has
-// lost the disk with which it held it, or a vacant one whose takeover enough others support. It updates
-// goneSince.
-func (p *Profiles) placeToTake(now time.Time, goneSince map[model.NodeID]time.Time) (place model.NodeID, ok bool) {
+// lost the disk with which it held it, or a vacant one whose takeover enough others support.
+func (p *Profiles) placeToTake(view occupancy.View) (place model.NodeID, ok bool) {
 	if p.serving.Load() == nil {
 		return "", false
 	}
 	if place, lost := p.lostPlace(); lost {
 		return place, true
 	}
-	due, vacant := p.vacantPlaces(now, goneSince)
-	if vacant > len(p.replicas())-register.JoinQuorum(len(p.replicas())) {
-		return "", false // Too few others are left; this member is probably the partitioned one.
-	}
-	for place, member := range assignPlaces(due, p.placeless(), p.placesByDataCentre()) {
+	for place, member := range view.Takers() {
 		if member == p.self {
 			return place, p.enoughSupport(place)
 		}
@@ -145,66 +156,6 @@
 	return "", false
 }
 
-// vacantPlaces returns the places that have been vacant for takeoverDelay, and the number of all places
-// that are vacant.
-func (p *Profiles) vacantPlaces(now time.Time, goneSince map[model.NodeID]time.Time) (due []model.NodeID, vacant int) {
-	alive := p.membership.Alive()
-	for _, replica := range p.replicas() {
-		holder, _ := p.holder(replica)
-		if slices.ContainsFunc(alive, func(n port.Node) bool { return n.ID == holder }) {
-			delete(goneSince, replica)
-			continue
-		}
-		vacant++
-		if goneSince[replica].IsZero() {
-			goneSince[replica] = now
-		}
-		if now.Sub(goneSince[replica]) >= takeoverDelay {
-			due = append(due, replica)
-		}
-	}
-	return due, vacant
-}
-
-// placeless returns the live members that have a disk and no place.
-func (p *Profiles) placeless() []port.Node {
-	holders := make(map[model.NodeID]bool)
-	for _, replica := range p.replicas() {
-		holder, _ := p.holder(replica)
-		holders[holder] = true
-	}
-	return slices.DeleteFunc(slices.Clone(p.membership.Alive()), func(n port.Node) bool { return !n.Disk || holders[n.ID] })
-}
-
-// placesByDataCentre returns the number of places that live members have in each data centre.
-func (p *Profiles) placesByDataCentre() map[model.DataCentre]int {
-	places := make(map[model.DataCentre]int)
-	for _, n := range p.membership.Alive() {
-		for _, replica := range p.replicas() {
-			if holder, _ := p.holder(replica); holder == n.ID {
-				places[n.DataCentre]++
-			}
-		}
-	}
-	return places
-}
-
-// assignPlaces returns the members that are to take over vacant places, by place. Members of the data
-// centres with the fewest places come first.
-func assignPlaces(vacant []model.NodeID, placeless []port.Node, placesIn map[model.DataCentre]int) map[model.NodeID]model.NodeID {
-	assigned := make(map[model.NodeID]model.NodeID)
-	for _, place := range vacant {
-		if len(placeless) == 0 {
-			break
-		}
-		next := nextInSpread(placeless, placesIn)
-		placesIn[next.DataCentre]++
-		assigned[place] = next.ID
-		placeless = slices.DeleteFunc(placeless, func(n port.Node) bool { return n.ID == next.ID })
-	}
-	return assigned
-}
-
 // enoughSupport reports whether so many other replicas support taking over a place that its new store can
 // join at once. A place is not taken otherwise: its former member gives up its file as soon as it learns
 // of the new store, and that file may hold the only copy of a change that is left.
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -23,6 +23,7 @@
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
 	"redwingpulley/plugins/profiles/disk"
+	"redwingpulley/plugins/profiles/occupancy"
 	"redwingpulley/plugins/profiles/register"
 )
 
@@ -85,6 +86,11 @@
 		changed chan struct{} // Closed when the next revision is in force.
 	}
 
+	absences struct {
+		sync.Mutex
+		occupancy.Absences
+	}
+
 	core       core
 	disk       disk.Disk
 	release    func() error    // Unlocks the folder on disk; nil without a disk.
@@ -104,6 +110,7 @@
 	steps      uint64         // Steps of the current machine so far.
 	syncedVote register.Store // Store that may vote by the file as it was last synced; zero when none may.
 	nextTimer  time.Time      // When the machine has to be stepped with Woken next.
+	heldSince  time.Time      // When this member took its place; zero without one, or where its file does not tell.
 }
 
 // Provision binds the ports and reads the settings.
@@ -168,9 +175,7 @@
 	p.publishGroup()
 	p.installMachine(cmp.Or(loaded.Place, p.self), loaded, register.Store{})
 	p.goroutines.Go(p.run)
-	if p.path != "" && p.takeoverEnabled {
-		p.goroutines.Go(p.watchPlaces)
-	}
+	p.goroutines.Go(p.watchPlaces)
 	p.step(register.Woken{})
 }
 
@@ -194,7 +199,8 @@
 	abandoned := p.core.waiters
 	p.core.waiters = make(map[uint64]chan model.EditResult)
 	p.place = place
-	p.disk.Replicas, p.disk.Place = replicas, place
+	p.core.heldSince = heldSince(loaded, created)
+	p.disk.Replicas, p.disk.Place, p.disk.Since = replicas, place, p.core.heldSince
 	p.core.Unlock()
 	for _, waiter := range abandoned { // The former machine gives them no result any more.
 		waiter <- model.EditResult{Status: model.EditNoMajority, Run: model.MayHaveRun}
@@ -202,6 +208,18 @@
 	event.ReplicaPlaced.Log(p.log, event.List(event.Replicas, replicas), event.Text(event.Place, place), event.Flag(event.Replica, slices.Contains(replicas, place)))
 }
 
+// heldSince returns when a member took the place that it is about to have: now, unless its file tells. It is zero for a
+// file without the time.
+func heldSince(loaded disk.Loaded, created register.Created) time.Time {
+	if loaded.Durable != nil {
+		return loaded.Since
+	}
+	if !slices.Contains(created.Config.Replicas, created.Config.Self) {
+		return time.Time{}
+	}
+	return time.Now().UTC().Round(time.Millisecond)
+}
+
 // loadDisk opens and locks the folder on disk and reads the register's file. Without a disk it returns
 // nothing.
 func (p *Profiles) loadDisk() (disk.Loaded, error) {
@@ -277,8 +295,15 @@
 	if p.core.machine == nil || !p.core.machine.CanVote() {
 		return port.ReplicaLearner
 	}
-	if _, store := p.core.machine.Holder(p.place); store != p.core.syncedVote {
+	if !p.voteSyncedLocked() {
 		return port.ReplicaLearner
 	}
 	return port.ReplicaVoter
 }
+
+// voteSyncedLocked reports whether the file as it is now on the disk may vote from the newest store of this member's place.
+// The caller holds the lock of core.
+func (p *Profiles) voteSyncedLocked() bool {
+	_, store := p.core.machine.Holder(p.place)
+	return store == p.core.syncedVote
+}
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -115,11 +115,8 @@
 	if m.intact {
 		return len(m.joinReplies) >= m.majority()-1
 	}
-	voting, empty, withFile := 0, 0, 0
-	for node, reply := range m.joinReplies {
-		if reply.Voting && m.fromNewestStore(node, reply) {
-			voting++
-		}
+	empty, withFile := 0, 0
+	for _, reply := range m.joinReplies {
 		if reply.Voting || reply.Copied {
 			withFile++
 		}
@@ -135,7 +132,26 @@
 	case empty == others: // No other replica has accepted a value, so none was chosen.
 		return true
 	}
-	return voting >= JoinQuorum(len(m.config.Replicas))
+	return m.votingReplies() >= JoinQuorum(len(m.config.Replicas))
+}
+
+// votingReplies counts the replies to Join of replicas that vote.
+func (m *Machine) votingReplies() (voting int) {
+	for node, reply := range m.joinReplies {
+		if reply.Voting && m.fromNewestStore(node, reply) {
+			voting++
+		}
+	}
+	return voting
+}
+
+// joinProgress returns how many replies to Join count so far and how many are needed. It leaves out the cases in which all
+// other replicas together are enough: a first start, folders that were all copied, and Config.Reform.
+func (m *Machine) joinProgress() (counted, needed int) {
+	if m.intact {
+		return len(m.joinReplies), m.majority() - 1
+	}
+	return m.votingReplies(), JoinQuorum(len(m.config.Replicas))
 }
 
 // fromNewestStore reports whether a replica's message comes from the newest known store of its place, and
@@ -147,7 +163,7 @@
 
 // JoinQuorum returns how many voting others have to reply to a replica that joins under a new store:
 // each majority of the replicas holds one of them.
-func JoinQuorum(replicas int) int { return replicas - majorityOf(replicas) + 1 }
+func JoinQuorum(replicas int) int { return replicas - MajorityOf(replicas) + 1 }
 
 // adoptHighestBallots takes over the highest promised and accepted ballots, and the newest chosen
 // state, of the replies to Join.
--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -18,6 +18,13 @@
 // ChosenMessage returns the message that announces the newest known chosen state and the newest known stores.
 func (m *Machine) ChosenMessage() Message { return m.chosenMessage(m.served) }
 
+// StoresMessage returns the message that tells the newest known stores, without a state.
+func (m *Machine) StoresMessage() Message {
+	message := m.ChosenMessage()
+	message.Value = nil
+	return message
+}
+
 // chosenProposalMessage returns the message that announces a proposal's value, as a difference where
 // there is one.
 func (m *Machine) chosenProposalMessage(p *proposal) Message {
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -179,14 +179,19 @@
 	Replica bool           // Whether the member has a replica's place.
 	Voting  bool           // Whether it may vote now.
 	Replied []model.NodeID // Replicas whose replies to Join count, sorted; nil once it votes.
+	Intact  bool           // Whether its store is intact, so that the replies have to confirm it; else it joins under a new one.
+	Counted int            // Number of replies so far that count towards Needed; 0 once it votes.
+	Needed  int            // Number of replies after which it votes; 0 once it votes.
 }
 
 // Standing returns this member's part in the votes.
 func (m *Machine) Standing() Standing {
-	standing := Standing{Replica: m.isReplica(), Voting: m.canVote()}
-	if !standing.Voting {
-		standing.Replied = slices.Sorted(maps.Keys(m.joinReplies))
+	standing := Standing{Replica: m.isReplica(), Voting: m.canVote(), Intact: m.intact}
+	if standing.Voting || !standing.Replica {
+		return standing
 	}
+	standing.Replied = slices.Sorted(maps.Keys(m.joinReplies))
+	standing.Counted, standing.Needed = m.joinProgress()
 	return standing
 }
 
@@ -287,9 +292,10 @@
 	return cmp.Or(store.Node, replica), store
 }
 
-func (m *Machine) majority() int { return majorityOf(len(m.config.Replicas)) }
+func (m *Machine) majority() int { return MajorityOf(len(m.config.Replicas)) }
 
-func majorityOf(replicas int) int { return replicas/2 + 1 }
+// MajorityOf returns how many of the replicas are a majority.
+func MajorityOf(replicas int) int { return replicas/2 + 1 }
 
 func (m *Machine) emit(effect Effect) { m.effects = append(m.effects, effect) }
 
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -19,6 +19,7 @@
 	methodMessage  = "profiles/message"
 	methodEdit     = "profiles/edit"
 	methodTakeover = "profiles/takeover"
+	methodPlace    = "profiles/place"
 	revisionTopic  = "profiles"      // Gossip topic for the newest revision in force, encoded as a varint.
 	sendTimeout    = 3 * time.Second // A state may be large and the way to a member narrow.
 )
@@ -36,6 +37,9 @@
 	port.Handle(p.peers, methodTakeover, func(_ context.Context, from model.NodeID, request wire.Takeover) wire.TakeoverReply {
 		return wire.TakeoverReply{Supported: p.supportsTakeover(from, request)}
 	})
+	port.Handle(p.peers, methodPlace, func(_ context.Context, _ model.NodeID, request wire.PlaceRequest) wire.PlaceReport {
+		return p.answerPlace(request)
+	})
 	p.gossip.Subscribe(groupTopic, p.handleGossipedGroup)
 	p.gossip.Subscribe(revisionTopic, func(from model.NodeID, value []byte) {
 		revision, n := binary.Uvarint(value)
