The next query for claims waits for the reply to the former one

What callers would see: two runs of a task at once.

Cause: a member that was fenced while a query for claims was in flight forgot that it was. If it then retires the endpoint, the next list made it send a second query, and the late reply to the first one counted as the reply to the second: its claims seemed up to 150 ms newer than they are, and the lease could be extended as much longer for a run that its member no longer waits for.

Evidence: TestNextQueryForClaimsWaitsForTheReplyToTheFormerOne failed before: a hold was sent while the query was in flight.

Why it works: no hold is sent while a query is in flight, and without a list there is no query. Each query is answered after 150 ms at most.

--- a/plugins/leases/lease/claims_test.go
+++ b/plugins/leases/lease/claims_test.go
@@ -139,3 +139,17 @@
 	h.is.True(fx.Hold.Until > 0)
 	h.is.Equal(len(fx.Starts), 1)
 }
+
+// Guards against a reply to one query for claims that counts as the reply to the next one: its claims would seem newer than they
+// are, and the lease would be extended for a run that its member no longer waits for.
+func TestNextQueryForClaimsWaitsForTheReplyToTheFormerOne(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	both := []port.TaskRun{testRun(0), testRun(5)}
+	h.is.Equal(h.advance(time.Millisecond).replyToHold(both).ClaimQuery.Runs, both[1:])
+	h.step(StopRequested{testRun(0)})
+	h.step(StopReplied{testRun(0), port.OrderReply{State: port.OrderFenced}})
+	h.is.Equal(h.advance(time.Millisecond).step(RetireRequested{}).Hold, nil) // Its list would be the reason for a query.
+	fx := h.advance(time.Millisecond).step(Claimed{Queried: both[1:], Claims: []Claim{{Run: testRun(5), Member: "m2"}}})
+	h.is.True(fx.Hold != nil)
+	h.is.Equal(h.advance(100*time.Millisecond).replyToHold(both).ClaimQuery.Runs, both[1:])
+}
--- a/plugins/leases/lease/handover.go
+++ b/plugins/leases/lease/handover.go
@@ -14,7 +14,6 @@
 	m.tokenAccepted, m.fenced = false, true
 	m.lastEndAcked = m.lastEnd // The new holder acknowledges the ends.
 	clear(m.foreignRuns)
-	m.claimQueryInFlight = false
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
 		switch {
