--- a/bench/leased/endpoint.go
+++ b/bench/leased/endpoint.go
@@ -119,6 +119,13 @@
 	return started
 }
 
+// Calls returns the number of calls to a path so far.
+func (e *Endpoint) Calls(path string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.calls[path]
+}
+
 // Running returns the tasks that are running on this endpoint.
 func (e *Endpoint) Running() []string {
 	e.mu.Lock()
--- a/cmd/internal/node/platform_cost_test.go
+++ b/cmd/internal/node/platform_cost_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/bench/leased"
 )
 
 // processorTime returns the processor time that this process has used.
@@ -49,7 +51,7 @@
 	const window = 10 * time.Second
 	for _, size := range []struct{ entries, endpoints int }{{6, 24}, {24, 24}, {24, 96}, {72, 24}} {
 		b.Run(fmt.Sprintf("entries=%d/endpoints=%d", size.entries, size.endpoints), func(b *testing.B) {
-			s := startPlatformBenchmark(b, size.entries, size.endpoints)
+			s, _ := startPlatformBenchmark(b, size.entries, size.endpoints)
 			before := processorTime(b)
 			s.pause(window)
 			used := processorTime(b) - before
@@ -69,7 +71,7 @@
 		jobInterval        = 4 * time.Millisecond
 		tasks, taskMS, cpu = 2, 60, 2000
 	)
-	s := startPlatformBenchmark(b, entries, endpoints)
+	s, running := startPlatformBenchmark(b, entries, endpoints)
 	idle, idleTraffic := processorTime(b), s.messages()
 	s.pause(window)
 	idle, idleTraffic = processorTime(b)-idle, s.messages().minus(idleTraffic)
@@ -100,6 +102,13 @@
 	b.ReportMetric(perTask(exchanged.job), "job-messages/task")
 	b.ReportMetric(perTask(exchanged.control), "control-messages/task")
 	b.ReportMetric(perTask(idleTraffic.control), "idle-control-messages/task")
+	for name, path := range map[string]string{"starts/task": "/run-start", "holds/task": "/hold"} {
+		calls := 0
+		for _, e := range running {
+			calls += e.Calls(path)
+		}
+		b.ReportMetric(perTask(float64(calls)), name)
+	}
 	b.ReportMetric(perTask(exchanged.bytes), "B/task")
 	b.ReportMetric(perTask(exchanged.objects), "allocs/task")
 	b.ReportMetric(float64(done)/float64(sent), "done")
@@ -107,16 +116,16 @@
 }
 
 // startPlatformBenchmark starts three control VMs, the entry VMs and the endpoints in three data centres.
-func startPlatformBenchmark(b *testing.B, entries, endpoints int) *platformCluster {
-	s := &platformCluster{t: b, dataCentres: 3, heartbeat: 1500 * time.Millisecond}
+func startPlatformBenchmark(b *testing.B, entries, endpoints int) (s *platformCluster, running []*leased.Endpoint) {
+	s = &platformCluster{t: b, dataCentres: 3, heartbeat: 1500 * time.Millisecond}
 	s.start(3, entries)
 	for i := range endpoints {
-		s.startEndpoint(i+1, 16000, nil)
+		running = append(running, s.startEndpoint(i+1, 16000, nil))
 	}
 	s.putConfig(7)
 	s.awaitReady()
 	s.pause(3 * time.Second)
-	return s
+	return s, running
 }
 
 func (s *platformCluster) pause(d time.Duration) {
