--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -6,7 +6,6 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
-	"redwingpulley/kernel/stack"
 	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
@@ -85,7 +84,6 @@
 // startTask starts a task at its endpoint and applies the reply to the pool. It first waits for the known end of an
 // earlier run of the task. The start of an attempt that is revoked before then is never sent; its revoke ends it.
 func (p *Pools) startTask(id model.PoolID, s poolstate.Start) {
-	stack.GrowForRequest()
 	started := attempt{s.Task, s.Attempt}
 	c := p.callOf(id, started)
 	if c == nil {
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -12,7 +12,6 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
-	"redwingpulley/kernel/stack"
 	"redwingpulley/plugins/jobs/fit"
 	"redwingpulley/plugins/jobs/jobstate"
 	"redwingpulley/plugins/jobs/retrybudget"
@@ -120,7 +119,6 @@
 
 // send runs a batch at its pool's owner and applies the result to the job.
 func (j *Jobs) send(s outgoingBatch) {
-	stack.GrowForRequest()
 	j.step(s.Batch.ID.Job, jobstate.BatchEnded{Result: j.pools.Run(s.ctx, s.Owner, s.Batch)})
 }
 
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -17,7 +17,6 @@
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/shard"
-	"redwingpulley/kernel/stack"
 	"redwingpulley/plugins/leases/lease"
 )
 
@@ -243,7 +242,6 @@
 }
 
 func (l *Leases) sendStart(at port.EndpointIncarnation, order port.StartOrder) {
-	stack.GrowForRequest()
 	ctx, cancel := context.WithTimeout(l.baseCtx, l.orderTimeout())
 	defer cancel()
 	sentAt := time.Now()
@@ -264,7 +262,6 @@
 }
 
 func (l *Leases) sendHold(at port.EndpointIncarnation, order port.HoldOrder) {
-	stack.GrowForRequest()
 	ctx, cancel := context.WithTimeout(l.baseCtx, l.orderTimeout()+order.Wait)
 	defer cancel()
 	reply := l.client.Hold(ctx, at, order)
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -23,7 +23,6 @@
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
 	"redwingpulley/kernel/shard"
-	"redwingpulley/kernel/stack"
 )
 
 const (
@@ -156,7 +155,6 @@
 
 // serve decodes a request of another member, calls the handler of its method and encodes the reply.
 func (p *Peers) serve(w http.ResponseWriter, r *http.Request) {
-	stack.GrowForRequest()
 	if len(r.URL.Path) < len(pathPrefix) {
 		http.Error(w, "no such method", statusNoMethod)
 		return
