An announcement that names no incarnation adds no second endpoint at the address of one that does

What callers would see: more tasks at an endpoint than it has room for, when a heartbeat lacks the field that names its incarnation.

Cause: the id of an endpoint contains the incarnation, so that such a heartbeat was one of another endpoint, at the same address, with slots of its own for 15 s.

Evidence: TestAnnouncementWithoutIncarnationAddsNoSecondEndpoint failed before ("4 != 2" slots, in both orders).

Why it works: at one address, an announcement without an incarnation counts as earlier than any that names one, by the rule that holds for incarnations anyway.

--- a/plugins/endpoints/poolstate/attempts_test.go
+++ b/plugins/endpoints/poolstate/attempts_test.go
@@ -72,6 +72,23 @@
 	is.Equal(len(h.Endpoints()), 1)
 }
 
+// Guards against more tasks at an endpoint than it has slots: an announcement that lacks the incarnation counted as one of a second
+// endpoint at the same address.
+func TestAnnouncementWithoutIncarnationAddsNoSecondEndpoint(t *testing.T) {
+	complete := model.Endpoint{ID: "e@5", Service: "finder", Address: "10.0.0.1:1", Slots: 2, State: model.EndpointServing, Born: 5, Sequence: 1, Leased: true}
+	incomplete := complete
+	incomplete.ID, incomplete.Born, incomplete.Sequence = "e@0", 0, 2
+	for _, order := range [][]model.Endpoint{{complete, incomplete}, {incomplete, complete, incomplete}} {
+		is := is.New(t)
+		h := newHarness()
+		for _, e := range order {
+			h.step(Announced{e})
+		}
+		is.Equal(h.Load().Slots, 2)
+		is.Equal(h.Endpoints()[0].Endpoint.ID, complete.ID)
+	}
+}
+
 func TestLostRunDoesNotCountAsFailure(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1, 1)
--- a/plugins/endpoints/poolstate/outdated.go
+++ b/plugins/endpoints/poolstate/outdated.go
@@ -7,12 +7,12 @@
 )
 
 // isOutdated reports whether an announcement was overtaken by a later one of the same endpoint, or
-// comes from an endpoint whose address a later incarnation has taken over.
+// comes from an endpoint whose address a later incarnation has taken over. One that names no incarnation counts as earlier than any.
 func (m *Machine) isOutdated(a *model.Endpoint, known *endpoint) bool {
 	if known != nil {
 		return known.replacedBy != "" || a.Sequence > 0 && a.Sequence <= known.Sequence
 	}
-	return a.Born > 0 && slices.ContainsFunc(m.endpointList, func(e *endpoint) bool {
+	return slices.ContainsFunc(m.endpointList, func(e *endpoint) bool {
 		return e.live && e.Address == a.Address && e.Born > a.Born
 	})
 }
@@ -24,7 +24,7 @@
 		return
 	}
 	for _, e := range slices.Clone(m.endpointList) {
-		if e.Address != a.Address || e.Born == 0 || e.Born >= a.Born {
+		if e.Address != a.Address || e.Born >= a.Born {
 			continue
 		}
 		e.replacedBy = a.ID
