All incarnations of an endpoint belong to one pool

What callers would see, where a group of pools is split (more than 20 endpoints in a data centre): for 15 s after an endpoint has started again under its id, tasks are placed at the incarnation that has gone, refused there and placed again; and runs at the next incarnation are lost, since the owner of the other pool takes its lease to learn that its own incarnation has gone.

Cause: the pool of an endpoint followed from the hash of its id, which contains the incarnation. The next incarnation came to another pool, mostly of another member, so that the former pool was not told that it had been replaced (expirePredecessors looks in the same pool), and two members held leases on one endpoint.

Evidence: TestIncarnationsOfAnEndpointBelongToOnePool failed before: of 12 endpoints that had started twice again, 32 were serving in eight pools.

Why it works: the pool follows from the address, by which incarnations replace one another. Members of different versions may pass an endpoint to and fro while they are replaced, as long as both know the same number of pools.

--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -46,10 +46,10 @@
 	return max(parts, p.settings.PoolsPerDataCentre, 1)
 }
 
-// poolOf returns the pool that the endpoint belongs to, by the hash of its ID.
+// poolOf returns the pool that the endpoint belongs to, by the hash of its address, which all its incarnations share.
 func (p *Pools) poolOf(e model.Endpoint) model.PoolID {
 	parts := p.partsIn(poolGroup{e.Service, e.DataCentre})
-	part := int(xxhash.Sum64String(string(e.ID)) % uint64(parts))
+	part := int(xxhash.Sum64String(e.Address) % uint64(parts))
 	return model.PoolID{Service: e.Service, DataCentre: e.DataCentre, Part: part}
 }
 
--- a/plugins/endpoints/parts_test.go
+++ b/plugins/endpoints/parts_test.go
@@ -67,6 +67,24 @@
 	})
 }
 
+// Guards against work for an incarnation that has gone, and against two owners that take the lease from each other: the incarnations
+// of an endpoint came to different pools, so that the pool of the earlier one did not learn of the next one.
+func TestIncarnationsOfAnEndpointBelongToOnePool(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		_, _, owner, _ := newPair(t)
+		owner.raiseParts(testGroup, 8)
+		for _, e := range leasedEndpoints(12) {
+			for born := range int64(3) {
+				e.ID, e.Born = model.EndpointID(fmt.Sprintf("%s@%d", e.Address, born+1)), born+1
+				is.True(owner.Announce(t.Context(), e).Recorded)
+			}
+		}
+		counts := owner.servingByPart()
+		counts[0]-- // The endpoint without a lease.
+		is.Equal(total(counts), 12)
+	})
+}
+
 func TestSmallPoolIsNotSplit(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		_, _, owner, _ := newPair(t)
