A run that is handed over unlisted outlives the refusal of its member's token by a whole lease

What callers would see: two runs of a task at once, at one endpoint that starts again within a fraction of a second and is then taken over by another member.

Cause: a hold that was meant for the earlier incarnation was carried out late by the next one, where its end of the lease, a time of the earlier clock, is far ahead, so that it extended the lease on arrival. The former holder counted from the time at which it sent the hold.

Evidence: EndpointRestarts, after 2,061 checks: "run {k 3 1} was reported as lost (no member can have extended the lease for the run) while it was running"; TestHandedOverRunDoesNotEndBeforeTheLeaseThatALateHoldExtendedOnArrival failed before.

Why it works: an order under the refused token is not carried out after the refusal, so that the bound counts from there. 60,000 checks of EndpointRestarts, Restarts and Random pass.

--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -93,7 +93,7 @@
 	stopDueAt       time.Time // When to send the next stop order; zero when none is due.
 	stopAckedAt     time.Time // When the endpoint acknowledged the stop order.
 	startToken      uint64    // Fencing token of the start order; 0 before it is sent.
-	startArrivesBy  time.Time // By when the endpoint carries out the start, if ever.
+	startArrivesBy  time.Time // By when the endpoint carries out the start, if ever, and until when it may have extended the lease.
 	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
 }
 
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -86,6 +86,7 @@
 			m.finish(now, id, port.TaskLeasedElsewhere, "another member holds the endpoint's lease", fx)
 		default:
 			r.phase, r.stopDueAt = handedOver, time.Time{}
+			r.startArrivesBy = latest(r.startArrivesBy, now) // Another order of this holder may have extended the lease until now.
 		}
 	}
 }
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -191,6 +191,16 @@
 	h.is.True(gone.Sub(confirmed) >= 1020*time.Millisecond)
 }
 
+// Guards against the same with a hold that the next incarnation has carried out late, just before it refused this member's token.
+func TestHandedOverRunDoesNotEndBeforeTheLeaseThatALateHoldExtendedOnArrival(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.advance(400 * time.Millisecond).step(StopRequested{testRun(0)})
+	refused := h.now
+	h.step(StopReplied{testRun(0), port.OrderReply{State: port.OrderFenced}})
+	gone, _ := h.machine.goneBy(h.machine.runs[testRun(0)])
+	h.is.True(gone.Sub(refused) >= 1020*time.Millisecond)
+}
+
 // Guards against the same where another member holds the lease at the next incarnation, so that its refusal of the hold comes
 // after the start was carried out there.
 func TestSettledRunDoesNotEndBeforeItsLeaseWhenTheSuccessorIsFenced(t *testing.T) {
