A run that the endpoint has not listed outlives the lease for as long as a hold may extend it

What callers would see: two runs of a task at once, at one endpoint that starts again within a fraction of a second over a link that loses packets.

The machine reported the run as lost 1.07 s after the start was confirmed.

Evidence: EndpointRestarts, after 60,360 checks: "run {k 1 1} was reported as lost (the lease has expired) while it was running"; TestUnlistedRunDoesNotEndWithTheLeaseThatALateHoldMayExtend failed before.

Why it works: holds that extend the lease and have no answer count like such starts. A run that has been listed is lost with its lease as before. TestUnreachableEndpointLosesRunsOnceLeaseHasExpired had a run that was not listed, for which its bound does not hold by the trace above; its run is listed now, with the same bounds, and the new test has the one that is not.

--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -157,14 +157,14 @@
 // goneBy returns the time by which a run has certainly ended, although no list or end says so; bounded is false while its lease
 // may be extended. A run that was handed over ends with its lease unless this member claims it again. The start of one that the
 // endpoint has not listed may be carried out by the next incarnation, which knows nothing of the clock by which the
-// lease was to end, and grants a whole lease, to all runs there, when a start arrives.
+// lease was to end, and grants a whole lease, to all runs there, when a start or hold arrives.
 func (m *Machine) goneBy(r *run) (at time.Time, bounded bool) {
 	if r.phase != handedOver && r.phase != inherited && (!r.underLease() || m.failedHolds < maxFailedHolds) {
 		return time.Time{}, false
 	}
 	extended := latest(m.leaseExtendedAt, r.claimedAt.Add(claimValidity))
 	if !r.listed {
-		extended = latest(extended, latest(r.startArrivesBy, m.startsArriveBy))
+		extended = latest(extended, latest(r.startArrivesBy, m.ordersArriveBy))
 	}
 	return m.expiredBy(extended), true
 }
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -30,6 +30,9 @@
 		m.handleOtherIncarnation(now, reply.Incarnation, fx)
 	default:
 		m.failedHolds++
+		if reply.State == port.OrderUnknown && m.holdExtends {
+			m.ordersArriveBy = latest(m.ordersArriveBy, m.holdSentAt.Add(maxOrderDelay))
+		}
 		m.holdRetryAt = now.Add(retryDelay)
 		m.rejectQueuedStarts(now, reply.Detail, fx)
 	}
@@ -93,6 +96,7 @@
 	if m.failedHolds > 0 { // The next incarnation may answer, whose ends have the same numbers.
 		m.lastEndSent = 0
 	}
+	m.holdExtends = false
 	order := port.HoldOrder{Seen: m.lastEndSent, Token: m.token}
 	if (m.tokenAccepted || m.retirement.sent && !m.clockReadAt.IsZero()) && m.needsLease() {
 		order.Wait = m.holdWait()
@@ -101,7 +105,7 @@
 		}
 		if m.failedHolds < maxFailedHolds && m.mayExtend(now) {
 			order.Until = m.leaseEnd(now)
-			m.leaseExtendedAt = now
+			m.leaseExtendedAt, m.holdExtends = now, true
 		}
 	}
 	fx.Hold = &order
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -46,10 +46,11 @@
 	holdInFlight    bool
 	holdSentAt      time.Time // When the newest hold was sent.
 	holdToken       uint64    // Fencing token of the newest hold.
+	holdExtends     bool      // The newest hold extends the lease.
 	failedHolds     int       // Consecutive holds that failed.
 	holdRetryAt     time.Time // When to send the next hold after a failed one; zero after a successful one.
 	leaseExtendedAt time.Time // When the newest hold or start that extends the lease was sent.
-	startsArriveBy  time.Time // By when the endpoint carries out starts that had no answer, if ever.
+	ordersArriveBy  time.Time // By when the endpoint carries out starts and holds that extend the lease and had no answer, if ever.
 
 	lastEnd        uint64    // Number of the newest end that was received.
 	lastEndSent    uint64    // Newest end that the newest hold acknowledges.
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -162,6 +162,7 @@
 
 func TestUnreachableEndpointLosesRunsOnceLeaseHasExpired(t *testing.T) {
 	h := newRunningHarness(t, 1)
+	h.replyToHold([]port.TaskRun{testRun(0)})
 	extended := h.machine.leaseExtendedAt
 	for h.now.Sub(startTime) < 3*time.Second {
 		if h.machine.holdInFlight {
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -82,7 +82,7 @@
 		m.confirmStart(now, r)
 	case port.OrderUnknown:
 		r.phase = startUnanswered
-		m.startsArriveBy = latest(m.startsArriveBy, r.startArrivesBy)
+		m.ordersArriveBy = latest(m.ordersArriveBy, r.startArrivesBy)
 		r.stopDueAt = now // The endpoint never starts a run after its stop, even when the start arrives later.
 	case port.OrderFenced:
 		m.finish(now, e.Run, port.TaskLeasedElsewhere, "another member holds the endpoint's lease", fx)
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -179,6 +179,17 @@
 	h.is.True(h.machine.Pending(testRun(0)))
 }
 
+// Guards against the same with a hold that the next incarnation may carry out late.
+func TestUnlistedRunDoesNotEndWithTheLeaseThatALateHoldMayExtend(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.failHolds() // For longer than a lease.
+	h.is.True(h.machine.Pending(testRun(0)))
+	for range 3 {
+		h.failHolds()
+	}
+	h.is.True(!h.machine.Pending(testRun(0)))
+}
+
 // Guards against the same with a start whose reply came, from the next incarnation, just before its lease would have ended.
 func TestConfirmedRunDoesNotEndBeforeTheLeaseThatItsStartExtendedOnArrival(t *testing.T) {
 	h := newHarness(t)
