Batches that miss their objective go behind those that can still meet it

Cause: a team's batches start in the order of arrival. Once the first ones are late, each batch waits for late ones and becomes late itself, although the pool does as much work as it can.

A batch whose tasks have waited longer than its objective allows is now marked when it comes to the head of the queue, and its key moves by the time for which a late answer is of use. It starts when nothing else is queued, or before its answer is of no use.

--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -18,6 +18,7 @@
 	results []model.TaskResult
 	ended   bool // The batch's result has been returned.
 	started bool // At least one of the tasks has left the queue for an endpoint.
+	late    bool // The batch is behind the others of its team, since its objective cannot be met any more.
 	urgent  bool // The batch goes before all others, since it would miss its deadline otherwise.
 
 	arrived          time.Time
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -25,6 +25,11 @@
 			m.cancel(now, t.batch, model.ReasonDeadline, fx)
 			continue
 		}
+		if t.batch.missesObjective(now) && !t.batch.late {
+			t.batch.late = true
+			m.queue.update(t.batch)
+			continue
+		}
 		choice, ok := m.pickProbe(now, t)
 		if !ok {
 			choice, ok = m.placer.Pick(m.pickRequest(now, t))
--- a/plugins/endpoints/poolstate/queue.go
+++ b/plugins/endpoints/poolstate/queue.go
@@ -31,8 +31,9 @@
 // time to its team, the charge is corrected once the task has ended, and a team that is ahead of its
 // share waits for the others. Among the batches of the teams that are not ahead, the first is the one
 // with the lowest key, which is its arrival time plus a time for its remaining work: small jobs pass
-// large ones, and none waits for ever. A batch that has to start now to end in time goes before all
-// others, since it was admitted because its team's share was enough.
+// large ones, and none waits for ever. A batch that cannot meet its objective any more goes behind those that can, also
+// behind newer ones while its answer will be of use when it starts later. A batch that has to start now to end by its deadline goes before
+// all others, since it was admitted because its team's share was enough.
 type queue struct {
 	teams        map[model.TeamID]*team
 	teamsInOrder []*team            // The same teams in the order of their first batches.
@@ -154,7 +155,11 @@
 	if b.urgent {
 		return time.Time{}
 	}
-	return b.arrived.Add(q.displacement(b.queuedWork))
+	key := b.arrived.Add(q.displacement(b.queuedWork))
+	if b.late {
+		return key.Add(b.lateUsefulTime())
+	}
+	return key
 }
 
 // displacement returns how far a batch with the given work is moved behind newer ones.
