A task goes to the endpoint on which it leaves the least

Cause: a task went to a random endpoint with the most free slots, or to a random remnant, so that endpoints with much left were broken up by tasks that fitted elsewhere.

Among the endpoints that can run a task, the one with the least cores left is now taken. Tasks without needs go to the one with the most free slots, as before.

TestTaskGoesWhereItLeavesTheLeast fails before.

Tried and lost: see ADR 35 (queued tasks chosen for what an endpoint has left; loads that tell what endpoints have left).

--- a/plugins/endpoints/poolstate/remnant_test.go
+++ b/plugins/endpoints/poolstate/remnant_test.go
@@ -73,3 +73,15 @@
 	t.Logf("%.2f of the cores are used", used)
 	is.True(used > leastUse)
 }
+
+// Guards against issue 24: tasks were put on endpoints with nothing else to do, and none was left for tasks that need more than
+// half an endpoint.
+func TestTaskGoesWhereItLeavesTheLeast(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.announceLeased("a", 16000)
+	h.announceLeased("b", 24000)
+	is.Equal(h.submitNeeding(1, 8000).Starts[0].Endpoint, model.EndpointID("a"))
+	is.Equal(h.submitNeeding(1, 7500).Starts[0].Endpoint, model.EndpointID("a")) // Endpoint a has less left.
+	is.Equal(len(h.submitNeeding(1, 20000).Starts), 1)
+}
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -7,8 +7,8 @@
 	"redwingpulley/kernel/port"
 )
 
-// maxRemnantTries bounds the endpoints with a remnant of resources that are looked at for a task.
-const maxRemnantTries = 64
+// maxCompared bounds the endpoints that can run a task and are compared for it.
+const maxCompared = 64
 
 // placer keeps the endpoints in buckets by their number of free slots, so that the cost of an update
 // or a pick does not grow with the number of endpoints. Bucket 0 holds those with a remnant of resources.
@@ -52,37 +52,56 @@
 	}
 }
 
-// Pick returns an endpoint that can run the task, or false when none that can run it has a free slot. A task that fits into
-// a remnant goes there and leaves the free slots to tasks that need more; others go to a random endpoint among those with
-// the most free slots.
+// Pick returns an endpoint that can run the task, or false when none that can run it has a free slot. A task without needs
+// goes to a random endpoint among those with the most free slots, another one to an endpoint of which it leaves the least.
 func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
-	if len(p.buckets) > 0 {
-		if e := p.pickFromBucket(p.buckets[0], &request, maxRemnantTries); e != nil {
-			return port.Choice{Endpoint: e.load.ID, Why: "fits into what others leave"}, true
-		}
+	if request.Needs == (model.Needs{}) {
+		return p.pickMostFree(&request)
 	}
+	return p.pickBestFit(&request)
+}
+
+// pickMostFree picks a random endpoint among those with the most free slots.
+func (p *placer) pickMostFree(request *port.PickRequest) (port.Choice, bool) {
 	for free := p.highest; free > 0; free-- {
-		if e := p.pickFromBucket(p.buckets[free], &request, len(p.buckets[free])); e != nil {
+		if e := p.tightest(p.buckets[free], request, 1); e != nil {
 			return port.Choice{Endpoint: e.load.ID, Why: "most free slots"}, true
 		}
 	}
 	return port.Choice{}, false
 }
 
-// pickFromBucket returns the first endpoint of the bucket that can run the task, starting at a random
-// one, or nil if there is none among the given number.
-func (p *placer) pickFromBucket(bucket []*entry, request *port.PickRequest, tries int) *entry {
+// pickBestFit picks an endpoint on which the task leaves the least, so that what is left on the others suffices for tasks
+// that need more. Endpoints with fewer free slots have less left.
+func (p *placer) pickBestFit(request *port.PickRequest) (port.Choice, bool) {
+	for _, bucket := range p.buckets {
+		if e := p.tightest(bucket, request, maxCompared); e != nil {
+			return port.Choice{Endpoint: e.load.ID, Why: "leaves the least there"}, true
+		}
+	}
+	return port.Choice{}, false
+}
+
+// tightest returns the endpoint with the least cores left among the first of the bucket that can run the task, starting at a
+// random one and comparing the given number, or nil if none can.
+func (p *placer) tightest(bucket []*entry, request *port.PickRequest, compared int) (best *entry) {
 	if len(bucket) == 0 {
 		return nil
 	}
 	offset := p.random.IntN(len(bucket))
-	for i := range min(len(bucket), tries) {
+	for i := range bucket {
 		e := bucket[(offset+i)%len(bucket)]
-		if request.Needs.FitsIn(e.load.Left) && e.load.ID != request.Avoid {
-			return e
+		if !request.Needs.FitsIn(e.load.Left) || e.load.ID == request.Avoid {
+			continue
+		}
+		if best == nil || e.load.Left.MilliCores < best.load.Left.MilliCores {
+			best = e
+		}
+		if compared--; compared == 0 {
+			break
 		}
 	}
-	return nil
+	return best
 }
 
 // removeFromBucket takes the endpoint out of its bucket, if it is in one; the bucket's last endpoint
