--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -1,6 +1,6 @@
 // Package leastwait is a placement policy. It places a job on the pools where it is expected to end
-// first, weighed against the cost of the messages that this takes, and a task on the endpoint with the
-// most free slots. While no endpoint has a free slot, the task stays in the pool's queue.
+// first, weighed against the cost of the messages that this takes, and a task on the endpoint on which it leaves the least. A
+// task without needs goes to the endpoint with the most free slots. While none has a free slot, the task stays in the pool's queue.
 package leastwait
 
 import (
