A group of replicas grows to what the tolerated lost disks need

Change (ADR 24): the edit add_replica is agreed by the register. The state that it makes names the next group and ends the former one; each member goes on with a new machine once it knows that state is chosen. A replica enters with an intact file only with the store that the change names, else it joins as with a lost disk; a replica that has accepted the change replies to no join of a lost disk before it knows what was chosen; the round begins only with the promises of all replicas. At ballot zero, where replicas may enter with different chosen states, values are sent whole and the newest counts. The holder of the first place adds one place at a time while all vote, enough spares are there and all live members follow groups. Messages of ballots stay within a group, also when the group changes while a message is handled; machines are replaced under a lock of their own. A new place without a holder counts as vacant. "No other replica has accepted a value" lets a lost disk vote only while none knows a chosen state either (a first start); that is stricter.

The random takeovers counted a lost place as recovered when the member that it is named after voted with another place, so more disks were lost at once than the script's bound says (growth: all holders but one). The script now asks for the place itself; check and bound stay.

--- a/kernel/model/profile.go
+++ b/kernel/model/profile.go
@@ -107,6 +107,8 @@
 	DeclareRouting EditKind = "declare_routing"
 	// ConfirmRevision changes nothing. Its result holds the newest revision chosen by the replicas.
 	ConfirmRevision EditKind = "confirm_revision"
+	// AddReplica adds a place to the group of the register's replicas, named after a member that has none.
+	AddReplica EditKind = "add_replica"
 )
 
 // ProfileEdit is a compare-and-set on the profile register.
@@ -120,6 +122,7 @@
 	Profile  Profile     // Set for PutProfile.
 	Service  ServiceID   // Set for SetService.
 	Routing  *Routing    `json:",omitempty"` // Set for DeclareRouting.
+	Replica  NodeID      `json:",omitempty"` // Set for AddReplica.
 }
 
 // EditStatus is how an edit ended.
--- a/plugins/profiles/bootstrap.go
+++ b/plugins/profiles/bootstrap.go
@@ -85,7 +85,7 @@
 			return nil
 		}
 	}
-	wanted := max(minReplicas, 2*p.settings.ToleratedDisks+1)
+	wanted := p.wantedReplicas()
 	if len(candidates) < wanted && !waitOver {
 		return nil
 	}
--- a/plugins/profiles/group.go
+++ b/plugins/profiles/group.go
@@ -15,7 +15,7 @@
 // groupTopic is the gossip topic under which members publish the ids of the replicas.
 const groupTopic = "profiles/group"
 
-// replicaGroup holds the replicas of the register. It does not change once it is known.
+// replicaGroup holds the replicas of the register. It does not change; a group that grows goes on as another one.
 type replicaGroup struct {
 	replicas []model.NodeID // Sorted.
 	hash     uint64         // Hash of the replicas' ids; members compare it before they exchange votes.
--- a/plugins/profiles/occupancy/occupancy.go
+++ b/plugins/profiles/occupancy/occupancy.go
@@ -98,6 +98,20 @@
 	})
 }
 
+// PlaceToAdd returns the spare member that a new place is to be named after, where there are fewer places than wanted. ok is
+// false while a holder is away, or without enough spares: an even number of places bears no more absent holders than
+// the odd one below, so the next spare has to be there as well.
+func (v View) PlaceToAdd(wanted int) (member model.NodeID, ok bool) {
+	spares := slices.DeleteFunc(v.Spares(), func(n port.Node) bool {
+		return slices.ContainsFunc(v.places, func(p Place) bool { return p.Replica == n.ID })
+	})
+	needed := 1 + len(v.places)%2
+	if len(v.places) == 0 || len(v.places) >= min(wanted, register.MaxReplicas) || len(v.absences) > 0 || len(spares) < needed {
+		return "", false
+	}
+	return NextInSpread(spares, v.placesByDataCentre()).ID, true
+}
+
 // placesByDataCentre returns the number of places that live members have in each data centre.
 func (v View) placesByDataCentre() map[model.DataCentre]int {
 	places := make(map[model.DataCentre]int)
--- a/plugins/profiles/occupancy/occupancy_test.go
+++ b/plugins/profiles/occupancy/occupancy_test.go
@@ -134,3 +134,36 @@
 	is.Equal(OwnReport(register.Standing{Counted: 1, Needed: 2}, start, true).Wait, port.PlaceWait{Kind: port.WaitJoin, Have: 1, Need: 2})
 	is.Equal(OwnReport(register.Standing{Intact: true, Needed: 1}, start, true), Report{State: port.PlaceLearner, Since: start, Wait: port.PlaceWait{Kind: port.WaitConfirm, Need: 1}})
 }
+
+// Guards against a group that grows beyond what is wanted, while a holder is away, or to an even number without the spare that makes
+// it odd, and against a place with the name of another one.
+func TestPlaceToAdd(t *testing.T) {
+	renamed := held(3)
+	renamed[0].Holder = "y" // The member a has lost its place to y, and is a spare.
+	cases := []struct {
+		name   string
+		places []Place
+		alive  []port.Node
+		wanted int
+		want   model.NodeID
+	}{
+		{"two spares", held(3), live("a", "b", "c", "x", "y"), 5, "x"},
+		{"one spare", held(3), live("a", "b", "c", "x"), 5, ""},
+		{"one spare makes it odd", held(4), live("a", "b", "c", "d", "x"), 5, "x"},
+		{"enough", held(5), live("a", "b", "c", "d", "e", "x", "z"), 5, ""},
+		{"three are enough", held(3), live("a", "b", "c", "x", "y"), 3, ""},
+		{"holder away", held(3), live("a", "b", "x", "y"), 5, ""},
+		{"a name that is taken", renamed, live("a", "b", "c", "x", "y"), 5, ""},
+		{"another spare", renamed, live("a", "b", "c", "w", "x", "y"), 5, "w"},
+		{"no group yet", nil, live("a", "b", "c", "x", "y"), 5, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var absences Absences
+			member, ok := absences.Note(start, c.places, c.alive).PlaceToAdd(c.wanted)
+			is.Equal(member, c.want)
+			is.Equal(ok, c.want != "")
+		})
+	}
+}
--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -103,6 +103,7 @@
 			if place, ok := p.placeToTake(view); ok {
 				p.takePlace(place)
 			}
+			p.growGroup(view)
 			timer.Reset(occupancy.TakeoverDelay)
 		}
 		select {
@@ -116,17 +117,35 @@
 
 // viewPlaces notes which holders are away now, and returns this member's view of the places.
 func (p *Profiles) viewPlaces(now time.Time) occupancy.View {
-	var places []occupancy.Place
-	for _, replica := range p.replicas() {
-		holder, _ := p.holder(replica)
-		places = append(places, occupancy.Place{Replica: replica, Holder: holder})
-	}
+	places := p.heldPlaces()
 	alive := p.membership.Alive()
 	p.absences.Lock()
 	defer p.absences.Unlock()
 	return p.absences.Note(now, places, alive)
 }
 
+// heldPlaces returns the places with their holders.
+func (p *Profiles) heldPlaces() []occupancy.Place {
+	var places []occupancy.Place
+	for _, replica := range p.replicas() {
+		holder, store := p.holder(replica)
+		if p.hasOtherPlace(holder, replica, store) {
+			holder = ""
+		}
+		places = append(places, occupancy.Place{Replica: replica, Holder: holder})
+	}
+	return places
+}
+
+// hasOtherPlace reports whether the member that stands for a place has another one: the place is new and nobody has had it
+// yet, or the member has got the new place that is named after it.
+func (p *Profiles) hasOtherPlace(member, place model.NodeID, store register.Store) bool {
+	return slices.ContainsFunc(p.replicas(), func(other model.NodeID) bool {
+		_, held := p.holder(other)
+		return other != place && held.Node == member && (store == (register.Store{}) || other == member)
+	})
+}
+
 // placeToTake returns the place that this member is to take over now, if any: its own one, when it has
 // lost the disk with which it held it, or a vacant one whose takeover enough others support.
 func (p *Profiles) placeToTake(view occupancy.View) (place model.NodeID, ok bool) {
@@ -149,7 +168,7 @@
 func (p *Profiles) lostPlace() (place model.NodeID, lost bool) {
 	own := p.ownPlace()
 	for _, replica := range p.replicas() {
-		if _, store := p.holder(replica); store.Node == p.self && replica != own {
+		if _, store := p.holder(replica); store.Node == p.self && replica != own && !p.hasOtherPlace(p.self, replica, store) {
 			return replica, true
 		}
 	}
@@ -203,10 +222,20 @@
 	return p.Replica() == port.ReplicaVoter
 }
 
-// takePlace takes over a replica's place with a new machine, which starts a new store.
+// takePlace takes over a replica's place with a new machine, which starts a new store. It does nothing when this member has got
+// another place meanwhile.
 func (p *Profiles) takePlace(place model.NodeID) {
 	former, store := p.holder(place)
+	if store == (register.Store{}) {
+		store.Node = former // The place is new; its namesake must not come back with a newer store either.
+	}
+	own := store.Node == p.self
+	installed := p.installMachineIf(p.group.Load(), place, disk.Loaded{}, store, func() bool {
+		return own || !slices.Contains(p.replicas(), p.place)
+	})
+	if !installed {
+		return
+	}
 	event.ReplicaTakesPlace.Log(p.log, event.Text(event.Place, place), event.Text(event.Member, former))
-	p.installMachine(place, disk.Loaded{}, store)
 	p.step(register.Woken{})
 }
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -61,7 +61,7 @@
 type Profiles struct {
 	settings         Settings
 	self             model.NodeID
-	group            atomic.Pointer[replicaGroup] // Nil until the replicas are known.
+	group            atomic.Pointer[replicaGroup] // Nil until the replicas are known; changed with the machine, under the lock of core.
 	place            model.NodeID                 // Replica whose place this member has, or its identity without a place; guarded by core.
 	takeoverEnabled  bool                         // Whether a member may take the place of a replica whose member is gone.
 	gossipedReplicas chan []model.NodeID          // Replicas that another member published; buffers one value.
@@ -91,6 +91,8 @@
 		occupancy.Absences
 	}
 
+	growAt     time.Time  // Earliest time to try to add a place; used by the goroutine of watchPlaces only.
+	installing sync.Mutex // Held while a machine is replaced by a new one; taken before the lock of core.
 	core       core
 	disk       disk.Disk
 	release    func() error    // Unlocks the folder on disk; nil without a disk.
@@ -183,7 +185,13 @@
 // of a member without a place. takes is the store of the former member when the place is taken over,
 // else zero.
 func (p *Profiles) installMachine(place model.NodeID, loaded disk.Loaded, takes register.Store) {
-	replicas := p.replicas()
+	p.installMachineIf(p.group.Load(), place, loaded, takes, func() bool { return true })
+}
+
+// installMachineIf is installMachine for a group of replicas. It does nothing unless the condition holds, which is called with the
+// lock of core and depends on the present machine and place only, and unless the group is at least as late as the present one.
+func (p *Profiles) installMachineIf(group *replicaGroup, place model.NodeID, loaded disk.Loaded, takes register.Store, condition func() bool) (installed bool) {
+	replicas := group.replicas
 	created := register.Created{Restored: loaded.Durable, Config: register.Config{
 		Self: place, Takes: takes, Replicas: replicas, Seed: rand.Uint64(),
 		Copied: loaded.Copied, Reform: p.settings.Reform,
@@ -192,31 +200,42 @@
 	if p.takeoverEnabled {
 		created.Config.Node = p.self
 	}
+	p.installing.Lock()
+	defer p.installing.Unlock()
+	p.core.Lock()
+	possible := len(replicas) >= len(p.replicas()) && condition()
+	p.core.Unlock()
+	if !possible {
+		return false
+	}
 	p.record(0, p.now(), created, nil)
 	p.core.Lock()
+	p.group.Store(group)
 	p.core.machine = created.Machine()
 	p.core.effects, p.core.steps = nil, 0
 	abandoned := p.core.waiters
 	p.core.waiters = make(map[uint64]chan model.EditResult)
 	p.place = place
-	p.core.heldSince = heldSince(loaded, created)
+	p.core.heldSince = placeTakenAt(loaded, created)
+	p.core.syncedVote = register.Store{}
 	p.disk.Replicas, p.disk.Place, p.disk.Since = replicas, place, p.core.heldSince
 	p.core.Unlock()
 	for _, waiter := range abandoned { // The former machine gives them no result any more.
 		waiter <- model.EditResult{Status: model.EditNoMajority, Run: model.MayHaveRun}
 	}
 	event.ReplicaPlaced.Log(p.log, event.List(event.Replicas, replicas), event.Text(event.Place, place), event.Flag(event.Replica, slices.Contains(replicas, place)))
+	return true
 }
 
-// heldSince returns when a member took the place that it is about to have: now, unless its file tells. It is zero for a
+// placeTakenAt returns when a member took the place that it is about to have: now, unless its file tells. It is zero for a
 // file without the time.
-func heldSince(loaded disk.Loaded, created register.Created) time.Time {
-	if loaded.Durable != nil {
-		return loaded.Since
-	}
+func placeTakenAt(loaded disk.Loaded, created register.Created) time.Time {
 	if !slices.Contains(created.Config.Replicas, created.Config.Self) {
 		return time.Time{}
 	}
+	if loaded.Durable != nil && loaded.Durable.Store != (register.Store{}) {
+		return loaded.Since
+	}
 	return time.Now().UTC().Round(time.Millisecond)
 }
 
--- a/plugins/profiles/register/acceptor.go
+++ b/plugins/profiles/register/acceptor.go
@@ -20,7 +20,8 @@
 	m.durable.Votes++
 	vote := m.vote(Promise, message.Ballot)
 	vote.Accepted = m.durable.Accepted
-	if m.durable.Accepted != message.Accepted {
+	entered := m.durable.Accepted == (Ballot{}) && m.durable.Value.Revision() > 0 // The group's first ballot; see group.go.
+	if m.durable.Accepted != message.Accepted || entered {
 		value := m.durable.Value
 		vote.Value = &value
 	}
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -53,7 +53,7 @@
 
 // handleJoin records the store of a replica that joins, and replies once that is written and synced.
 func (m *Machine) handleJoin(from model.NodeID, message Message) {
-	if !m.isReplica() {
+	if !m.isReplica() || !message.Brief && m.mayBeSuperseded() {
 		return
 	}
 	m.fenceOlderStores(from, message.Store)
@@ -120,7 +120,7 @@
 		if reply.Voting || reply.Copied {
 			withFile++
 		}
-		if reply.Accepted == (Ballot{}) {
+		if reply.Accepted == (Ballot{}) && reply.Chosen != nil && reply.Chosen.Revision() == 0 {
 			empty++
 		}
 	}
@@ -181,4 +181,7 @@
 			m.durable.Accepted, m.durable.Value = reply.Accepted, *reply.Value
 		}
 	}
+	if m.durable.Accepted == (Ballot{}) {
+		m.durable.Value = m.served // The group has accepted nothing yet: it goes on from a chosen state.
+	}
 }
--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -158,7 +158,7 @@
 // older revision than it served before a restart. Where a partition keeps the majority away, it waits
 // for Config.Alone before it trusts the newest revision of the members that serve.
 func (m *Machine) tryStartServing() {
-	if m.serving {
+	if m.serving || m.superseded(m.served) {
 		return
 	}
 	upToDate := 0
@@ -203,7 +203,7 @@
 
 // empty reports whether this member is a replica whose disk holds no trace of a vote.
 func (m *Machine) empty() bool {
-	return m.isReplica() && !m.durable.Voting && !m.durable.Copied && m.durable.Accepted == Ballot{}
+	return m.isReplica() && !m.durable.Voting && !m.durable.Copied && m.durable.Accepted == Ballot{} && m.served.Revision() == 0
 }
 
 // isFirstStart reports whether the group starts for the first time and a replica is still missing: a
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -31,6 +31,7 @@
 	fetchInterval      = 3 * time.Second        // Between Fetch messages to one other member, in case Chosen messages were lost.
 	refetchInterval    = 500 * time.Millisecond // Between two requests for a state, which may be large, while a newer revision is known to exist.
 	rewriteDelay       = 2 * time.Second        // Before a failed write is tried again.
+	regroupedInterval  = time.Hour              // Between timers of a machine of a former group, which does nothing.
 	queueLimit         = 64                     // Most edits that wait for their turn to be proposed.
 )
 
@@ -61,6 +62,7 @@
 	newStoreStarted bool // Whether this machine has started a new store.
 	verified        bool // Whether enough other replicas have replied to Join, so that this one may vote.
 	replaced        bool // Whether another member has taken this replica's place.
+	regrouped       bool // Whether a later group of replicas goes on.
 
 	served       State // The newest state known to be chosen; in force once serving.
 	serving      bool
@@ -130,6 +132,9 @@
 // Step advances the machine by one event and returns the effects that its caller has to execute.
 func (m *Machine) Step(now time.Time, event Event) []Effect {
 	m.now, m.effects = now, nil
+	if m.regrouped {
+		return nil // What this machine does now would be missing in the machine that goes on.
+	}
 	if m.startedAt.IsZero() {
 		m.startedAt = now
 	}
@@ -145,11 +150,15 @@
 	case Woken:
 	}
 	m.runTimers()
+	m.regroup()
 	return m.effects
 }
 
 // NextTimer returns the time at which the machine has to be stepped with Woken next.
 func (m *Machine) NextTimer() time.Time {
+	if m.regrouped {
+		return m.now.Add(regroupedInterval)
+	}
 	at := m.learnAt
 	if m.isReplica() && !m.canVote() && !m.replaced && m.joinAt.Before(at) {
 		at = m.joinAt
@@ -276,7 +285,7 @@
 
 // canVote reports whether this replica has joined and its store is the newest one known for its place.
 func (m *Machine) canVote() bool {
-	return m.verified && m.durable.Voting && m.durable.Fences[m.config.Self] == m.durable.Store
+	return m.verified && m.durable.Voting && !m.superseded(m.served) && m.durable.Fences[m.config.Self] == m.durable.Store
 }
 
 // placeTaken reports whether another member has taken this replica's place under a newer store, and
@@ -286,6 +295,9 @@
 	return !m.replaced && m.isReplica() && known.Node != "" && known.Node != m.config.Node && m.config.Takes.Less(known)
 }
 
+// Seed returns the machine's Config.Seed.
+func (m *Machine) Seed() uint64 { return m.config.Seed }
+
 // Holder returns the member that has a replica's place, and that member's store.
 func (m *Machine) Holder(replica model.NodeID) (model.NodeID, Store) {
 	store := m.durable.Fences[replica]
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -47,6 +47,10 @@
 		m.queueRead(read{Submitted: s})
 		return
 	}
+	if s.Edit.Kind == model.AddReplica && !m.mayAddReplica(s.Edit) {
+		m.emit(Answer{s.Ticket, m.failureResult(model.EditTooMany, s.Edit)})
+		return
+	}
 	if len(m.queue) >= queueLimit {
 		m.emit(Answer{s.Ticket, m.failureResult(model.EditBusy, s.Edit)})
 		return
@@ -128,6 +132,8 @@
 	case m.now.Before(p.phaseEnds):
 	case p.phase == "":
 		m.startRound()
+	case p.Edit.Kind == model.AddReplica && p.phase == Promise:
+		m.abandonProposal() // Not all replicas vote.
 	default:
 		m.backOff()
 	}
@@ -192,7 +198,7 @@
 		return
 	}
 	p.votes[from] = message
-	if m.countValidVotes(p.votes) < m.majority() {
+	if m.countValidVotes(p.votes) < m.votesNeeded() {
 		return
 	}
 	if p.phase == Promise {
@@ -202,6 +208,15 @@
 	m.completeProposal()
 }
 
+// votesNeeded returns how many votes the present phase needs: a majority. The addition of a replica begins only with the promises of
+// all replicas, so that all of them are known to vote with the stores that the change names.
+func (m *Machine) votesNeeded() int {
+	if m.proposal.Edit.Kind == model.AddReplica && m.proposal.phase == Promise {
+		return len(m.config.Replicas)
+	}
+	return m.majority()
+}
+
 // countValidVotes counts the votes that come from the newest known store of their replica.
 func (m *Machine) countValidVotes(votes map[model.NodeID]Message) int {
 	count := 0
@@ -220,8 +235,11 @@
 	p := m.proposal
 	var base State
 	base, p.base, p.sendWhole = m.base(p.votes)
-	p.delta, p.result = base.apply(p.Edit, m.now)
+	p.delta, p.result = m.apply(base, p.Edit)
 	p.value = base
+	if p.base == (Ballot{}) && base.Revision() > 0 {
+		p.sendWhole = true // Replicas may have entered the group with different states, all chosen and all without a ballot.
+	}
 	if p.delta != nil {
 		p.value = base.withDelta(*p.delta)
 	}
@@ -234,6 +252,18 @@
 	}
 }
 
+// apply returns the difference that an edit makes to a state, nil when it makes none, and the edit's result.
+func (m *Machine) apply(base State, edit model.ProfileEdit) (*Delta, model.EditResult) {
+	if m.superseded(base) {
+		return nil, m.supersededResult(base, edit)
+	}
+	delta, result := base.apply(edit, m.now)
+	if delta != nil && edit.Kind == model.AddReplica {
+		delta.Group = m.groupWith(edit.Replica)
+	}
+	return delta, result
+}
+
 // sendAccept asks a replica to accept the value, sent whole or as a difference.
 func (m *Machine) sendAccept(to model.NodeID, whole bool) {
 	p := m.proposal
@@ -261,6 +291,9 @@
 		if vote.Value == nil {
 			vote.Value = m.proposal.ownAccepted.Value // The voter has accepted the same value as this replica.
 		}
+		if vote.Accepted == (Ballot{}) && vote.Value.Revision() < base.Revision() {
+			continue // Replicas enter a group with chosen states, of which the newest counts.
+		}
 		highest, base = vote.Accepted, *vote.Value
 	}
 	if m.served.Revision() > base.Revision() {
@@ -281,11 +314,24 @@
 		m.serve(m.served)
 	}
 	delete(m.outcomeUnknown, p.Edit.ID)
-	m.answerReads(p.reads, p.value.Revision())
-	p.reads = nil
+	m.endReads(p)
 	m.finishProposal(p.result)
 }
 
+// endReads answers the reads of a complete proposal. Where the state belongs to a later group, that one may have gone on already, and
+// they have to be tried again there.
+func (m *Machine) endReads(p *proposal) {
+	if !m.superseded(p.value) {
+		m.answerReads(p.reads, p.value.Revision())
+		p.reads = nil
+		return
+	}
+	for _, r := range p.reads {
+		m.dropRead(r, model.EditNotVoting)
+	}
+	p.reads = nil
+}
+
 // hasUnresolvedValue reports whether this replica accepted a state that it does not know to be
 // chosen, and has no proposal of its own under way, so that it can find out.
 func (m *Machine) hasUnresolvedValue() bool {
--- a/plugins/profiles/register/random_test.go
+++ b/plugins/profiles/register/random_test.go
@@ -41,7 +41,7 @@
 	id := rapid.SampledFrom(sim.memberIDs).Draw(s.t, "node")
 	s.recovering = slices.DeleteFunc(s.recovering, func(replica model.NodeID) bool {
 		n := sim.members[sim.memberWithNewestStore(replica)]
-		return !n.down && n.machine.CanVote() && n.disk != nil && n.disk.Voting && n.disk.Store == n.machine.durable.Store
+		return !n.down && n.machine.config.Self == replica && n.machine.CanVote() && n.disk != nil && n.disk.Voting && n.disk.Store == n.machine.durable.Store
 	})
 	switch rapid.IntRange(0, 13).Draw(s.t, "action") {
 	case 0, 1, 2, 3:
@@ -102,12 +102,12 @@
 // mayLoseDisk reports whether the disk of the replica at a member may be lost within the bounds of script.
 func (s *script) mayLoseDisk(id model.NodeID) bool {
 	place := s.simulation.members[id].machine.config.Self
-	return slices.Contains(s.simulation.replicaIDs, place) && !slices.Contains(s.recovering, place) && s.mayLoseMore()
+	return slices.Contains(s.simulation.members[id].replicas, place) && !slices.Contains(s.recovering, place) && s.mayLoseMore()
 }
 
 // mayLoseMore reports whether one more disk may be lost within the bounds of script.
 func (s *script) mayLoseMore() bool {
-	return len(s.recovering) < (len(s.simulation.replicaIDs)-1)/2
+	return len(s.recovering) < (s.simulation.smallestGroup()-1)/2 && s.simulation.nextGroupMayLoseMore()
 }
 
 func (s *script) loseDisk(id model.NodeID) {
--- a/plugins/profiles/register/sim_test.go
+++ b/plugins/profiles/register/sim_test.go
@@ -19,7 +19,7 @@
 	now           time.Time
 	members       map[model.NodeID]*member
 	memberIDs     []model.NodeID
-	replicaIDs    []model.NodeID
+	replicaIDs    []model.NodeID // The replicas of the newest group.
 	inFlight      []delivery
 	partition     map[model.NodeID]int // Side of the partition that a member is on; 0 for members not named.
 	lossRate      float64
@@ -56,12 +56,15 @@
 	restoredCopy  bool // Whether the disk holds a restored copy.
 	down          bool
 	place         model.NodeID   // Place that the member's disk is for; "" means the one named after the member.
+	replicas      []model.NodeID // Group that the member is in.
+	diskReplicas  []model.NodeID // Group of the member's disk.
 	changedPlace  bool           // Whether the machine was replaced since the member's start.
 	highestServed model.Revision // Highest revision served, over all incarnations.
 }
 
 type delivery struct {
 	at       time.Time
+	group    int          // Number of replicas of the sender's group.
 	from, to model.NodeID // Members.
 	identity model.NodeID // The sender's place, or its identity without one.
 	message  Message
@@ -93,6 +96,9 @@
 		}
 		sim.members[id] = &member{}
 	}
+	for _, id := range sim.memberIDs {
+		sim.members[id].replicas = sim.replicaIDs
+	}
 	for _, id := range sim.memberIDs {
 		sim.startMember(id)
 	}
@@ -102,13 +108,26 @@
 	n := sim.members[id]
 	sim.lastSeed++
 	n.down, n.changedPlace = false, false
+	n.replicas = sim.groupAtStart(n)
 	n.machine = New(sim.config(id, cmp.Or(n.place, id)), n.disk)
 	sim.step(id, Woken{})
 }
 
+// groupAtStart returns the group that a member starts in: that of its disk, or one that another member has published, perhaps a
+// former one.
+func (sim *simulation) groupAtStart(n *member) []model.NodeID {
+	switch {
+	case n.disk != nil:
+		return n.diskReplicas
+	case sim.smallestGroup() == len(sim.replicaIDs):
+		return sim.replicaIDs
+	}
+	return sim.members[sim.memberIDs[sim.random.IntN(len(sim.memberIDs))]].replicas
+}
+
 // config returns the configuration of a member's machine for a place.
 func (sim *simulation) config(id, place model.NodeID) Config {
-	config := Config{Self: place, Replicas: sim.replicaIDs, Seed: sim.lastSeed, Copied: sim.members[id].restoredCopy, Alone: sim.alone, Reform: sim.reform}
+	config := Config{Self: place, Replicas: sim.members[id].replicas, Seed: sim.lastSeed, Copied: sim.members[id].restoredCopy, Alone: sim.alone, Reform: sim.reform}
 	if sim.takeovers {
 		config.Node = id
 	}
@@ -124,7 +143,11 @@
 
 func (sim *simulation) execute(id model.NodeID, effects []Effect) {
 	n, failed := sim.members[id], false
+	machine := n.machine
 	for _, effect := range effects {
+		if n.machine != machine {
+			return // The former machine was replaced; what it still had to do is dropped.
+		}
 		switch e := effect.(type) {
 		case Persist:
 			if n.diskFull {
@@ -132,12 +155,15 @@
 				continue
 			}
 			n.disk, n.restoredCopy = &e.Durable, false
+			n.diskReplicas = machine.config.Replicas
 			n.diskHistory = append(n.diskHistory, n.disk)
 			sim.execute(id, e.Then)
 		case Send:
 			sim.send(id, sim.memberAt(id, e.To), e.Message)
 		case Replaced:
 			sim.leavePlace(id)
+		case Regrouped:
+			sim.regroup(id, e)
 		case Broadcast:
 			for _, to := range sim.memberIDs {
 				if to != id {
@@ -171,7 +197,7 @@
 		if sim.random.Float64() < sim.duplicateRate {
 			delay *= 200 // A straggler arrives after later rounds.
 		}
-		sim.inFlight = append(sim.inFlight, delivery{sim.now.Add(delay), from, to, sim.members[from].machine.config.Self, message})
+		sim.inFlight = append(sim.inFlight, delivery{sim.now.Add(delay), len(sim.members[from].machine.config.Replicas), from, to, sim.members[from].machine.config.Self, message})
 	}
 }
 
@@ -206,7 +232,8 @@
 func (sim *simulation) deliver(index int) {
 	p := sim.inFlight[index]
 	sim.inFlight = slices.Delete(sim.inFlight, index, index+1)
-	if !sim.members[p.to].down && sim.partition[p.from] == sim.partition[p.to] {
+	sameGroup := p.group == len(sim.members[p.to].machine.config.Replicas) || p.message.Kind == Fetch || p.message.Kind == Chosen
+	if !sim.members[p.to].down && sim.partition[p.from] == sim.partition[p.to] && sameGroup {
 		sim.step(p.to, Received{p.identity, p.message})
 		sim.notifyReplaced(p)
 	}
@@ -287,7 +314,7 @@
 		return // The process keeps the newer state that its former machine served.
 	}
 	if s.Revision() < n.highestServed && !n.diskFull {
-		sim.t.Fatalf("%s served revision %d and now serves %d", id, n.highestServed, s.Revision())
+		sim.t.Fatalf("%s served revision %d and now serves %d\n%s", id, n.highestServed, s.Revision(), sim.dump())
 	}
 	n.highestServed = max(n.highestServed, s.Revision())
 	known, ok := sim.states[s.Revision()]
@@ -354,7 +381,7 @@
 	sim.step(to, Submitted{sim.lastTicket, last, sim.now.Add(5 * time.Second)})
 	sim.advance(9 * time.Second)
 	if _, ok := sim.firstResult["last"]; !ok {
-		sim.t.Fatalf("the last edit was not done within 9 s although all faults have ended")
+		sim.t.Fatalf("the last edit was not done within 9 s although all faults have ended\n%s", sim.dump())
 	}
 }
 
--- a/plugins/profiles/register/state.go
+++ b/plugins/profiles/register/state.go
@@ -20,6 +20,7 @@
 type State struct {
 	Set     model.ProfileSet
 	History []model.ProfileChange // The newest KeptChanges changes, newest last.
+	Group   Group                 `json:",omitzero"` // The group of replicas that goes on from here; zero for that of the first start.
 }
 
 // Revision returns the state's revision.
@@ -89,7 +90,7 @@
 		return model.EditTooMany
 	case edit.Kind == model.SetService && !assigned && len(s.Set.Services) >= maxServices:
 		return model.EditTooMany
-	case edit.Kind == model.DeclareRouting:
+	case edit.Kind == model.DeclareRouting, edit.Kind == model.AddReplica:
 		return ""
 	case edit.Kind != model.PutProfile && !exists:
 		return model.EditNotFound
@@ -116,6 +117,7 @@
 	Change  model.ProfileChange
 	Profile model.Profile  // The profile that the change puts, if any.
 	Routing *model.Routing `json:",omitempty"` // The routing that the change declares, if any.
+	Group   *Group         `json:",omitempty"` // The group that goes on after the change, if the change adds a replica.
 }
 
 // delta returns the difference that a valid edit makes to the state.
@@ -137,7 +139,7 @@
 		Profiles: maps.Clone(s.Set.Profiles),
 		Services: maps.Clone(s.Set.Services),
 		Routing:  s.Set.Routing,
-	}}
+	}, Group: s.Group}
 	kept := s.History[max(0, len(s.History)-KeptChanges+1):]
 	next.History = append(slices.Clone(kept), d.Change)
 	switch model.EditKind(d.Change.Kind) {
@@ -149,6 +151,10 @@
 		next.Set.Services[d.Change.Service] = d.Change.Profile
 	case model.DeclareRouting:
 		next.Set.Routing = d.Routing
+	case model.AddReplica:
+		if d.Group != nil {
+			next.Group = *d.Group
+		}
 	}
 	return next
 }
--- a/plugins/profiles/register/takeover_test.go
+++ b/plugins/profiles/register/takeover_test.go
@@ -25,7 +25,7 @@
 	if id, found := strings.CutSuffix(string(identity), placelessMark); found {
 		return model.NodeID(id)
 	}
-	if !slices.Contains(sim.replicaIDs, identity) {
+	if !slices.Contains(m.config.Replicas, identity) {
 		return identity
 	}
 	holder, _ := m.Holder(identity)
@@ -61,7 +61,7 @@
 
 // notifyReplaced sends the newest stores to a sender whose place another member has.
 func (sim *simulation) notifyReplaced(p delivery) {
-	if p.message.Kind == Chosen || !slices.Contains(sim.replicaIDs, p.identity) || sim.memberAt(p.to, p.identity) == p.from {
+	if p.message.Kind == Chosen || !slices.Contains(sim.members[p.to].replicas, p.identity) || sim.memberAt(p.to, p.identity) == p.from {
 		return
 	}
 	sim.send(p.to, p.from, sim.members[p.to].machine.ChosenMessage())
@@ -70,7 +70,7 @@
 // leavePlace has a member go on without a place and without its file.
 func (sim *simulation) leavePlace(id model.NodeID) {
 	identity := id
-	if slices.Contains(sim.replicaIDs, id) {
+	if slices.Contains(sim.members[id].replicas, id) {
 		identity += placelessMark
 	}
 	sim.changePlace(id, identity, Store{})
@@ -84,7 +84,7 @@
 	config := sim.config(id, place)
 	config.Takes = takes
 	n.machine, n.disk, n.place, n.changedPlace = New(config, nil), nil, place, true
-	if !slices.Contains(sim.replicaIDs, place) {
+	if !slices.Contains(n.replicas, place) {
 		n.place = ""
 	}
 	sim.step(id, Woken{})
@@ -93,31 +93,46 @@
 // placeToTake returns a place that the member may take over, and its present store.
 func (sim *simulation) placeToTake(id model.NodeID) (place model.NodeID, store Store, ok bool) {
 	n := sim.members[id]
-	if n.down || !n.machine.serving || slices.Contains(sim.replicaIDs, n.machine.config.Self) {
+	if n.down || !n.machine.serving || slices.Contains(n.replicas, n.machine.config.Self) {
 		return "", Store{}, false
 	}
 	var vacant []model.NodeID
-	for _, replica := range sim.replicaIDs {
+	for _, replica := range n.replicas {
 		holder, store := n.machine.Holder(replica)
 		if store.Node == id {
 			return replica, store, true // Its own, held before it lost its disk.
 		}
-		if sim.members[holder].down {
+		if sim.members[holder].down || sim.heldElsewhere(id, replica) {
 			vacant = append(vacant, replica)
 		}
 	}
-	quorum := JoinQuorum(len(sim.replicaIDs))
-	if len(vacant) == 0 || len(vacant) > len(sim.replicaIDs)-quorum {
+	quorum := JoinQuorum(len(n.replicas))
+	if len(vacant) == 0 || len(vacant) > len(n.replicas)-quorum {
 		return "", Store{}, false
 	}
-	_, store = n.machine.Holder(vacant[0])
-	return vacant[0], store, sim.votersFor(id, vacant[0], store) >= quorum
+	holder, store := n.machine.Holder(vacant[0])
+	supported := sim.votersFor(id, vacant[0], store) >= quorum
+	if store == (Store{}) {
+		store.Node = holder
+	}
+	return vacant[0], store, supported
+}
+
+// heldElsewhere reports whether the member that stands for a place has another one, as far as the viewer knows: the place is new
+// and nobody has had it yet, or the member has got the new place that is named after it.
+func (sim *simulation) heldElsewhere(viewer, place model.NodeID) bool {
+	n := sim.members[viewer]
+	holder, store := n.machine.Holder(place)
+	return slices.ContainsFunc(n.replicas, func(other model.NodeID) bool {
+		_, held := n.machine.Holder(other)
+		return other != place && held.Node == holder && (store == (Store{}) || other == holder)
+	})
 }
 
 // votersFor counts the replicas that a member can reach, that vote, and that know no newer store of the
 // place than the member does. Those that do send it theirs.
 func (sim *simulation) votersFor(id, place model.NodeID, store Store) (voters int) {
-	for _, replica := range sim.replicaIDs {
+	for _, replica := range sim.members[id].replicas {
 		at := sim.memberAt(id, replica)
 		n := sim.members[at]
 		if n.down || sim.partition[at] != sim.partition[id] || n.machine.config.Self != replica || !n.machine.CanVote() {
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -63,7 +63,7 @@
 		return
 	}
 	identity := cmp.Or(m.Sender, from)
-	p.step(register.Received{From: identity, Message: m.Decode()})
+	p.stepIn(known, register.Received{From: identity, Message: m.Decode()})
 	answerable := m.Kind != register.Chosen // An announcement is not answered by another one.
 	if answerable && slices.Contains(p.replicas(), identity) && p.memberAt(identity) != from {
 		p.sendStores(from)
@@ -96,6 +96,18 @@
 	finish()
 }
 
+// stepIn is step for an event of a group. It does nothing once a later group goes on.
+func (p *Profiles) stepIn(group *replicaGroup, event register.Event) {
+	p.core.Lock()
+	if p.core.machine == nil || p.group.Load() != group {
+		p.core.Unlock()
+		return // Senders of messages try again.
+	}
+	finish := p.stepLocked(event)
+	p.core.Unlock()
+	finish()
+}
+
 // stepLocked advances the machine by one event. The caller holds the lock of core, and calls finish
 // after it has released the lock.
 func (p *Profiles) stepLocked(event register.Event) (finish func()) {
@@ -174,6 +186,9 @@
 			}
 			continue
 		}
+		if e, ok := effect.(register.Regrouped); ok && p.regroup(e) {
+			return
+		}
 		p.executeOne(effect)
 	}
 }
--- a/plugins/profiles/snapshot.go
+++ b/plugins/profiles/snapshot.go
@@ -52,12 +52,13 @@
 
 // inquiries returns what live members have to be asked.
 func (p *Profiles) inquiries() []inquiry {
+	places := p.heldPlaces()
 	var all []inquiry
 	for _, n := range p.membership.Alive() {
-		identity := p.identityOf(n.ID)
+		i := slices.IndexFunc(places, func(place occupancy.Place) bool { return place.Holder == n.ID })
 		switch {
-		case slices.Contains(p.replicas(), identity):
-			all = append(all, inquiry{identity, n.ID})
+		case i >= 0:
+			all = append(all, inquiry{places[i].Replica, n.ID})
 		case n.Disk && n.ID != p.self:
 			all = append(all, inquiry{"", n.ID})
 		}
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -89,20 +89,21 @@
 	Change  change   `json:"change"`
 	Profile profile  `json:"profile"`
 	Routing *routing `json:"routing,omitempty"`
+	Group   *group   `json:"group,omitempty"`
 }
 
 func encodeDelta(d *register.Delta) *delta {
 	if d == nil {
 		return nil
 	}
-	return &delta{change(d.Change), profile(d.Profile), encodeRouting(d.Routing)}
+	return &delta{change(d.Change), profile(d.Profile), encodeRouting(d.Routing), encodeGroup(d.Group)}
 }
 
 func (d *delta) decode() *register.Delta {
 	if d == nil {
 		return nil
 	}
-	return &register.Delta{Change: model.ProfileChange(d.Change), Profile: model.Profile(d.Profile), Routing: d.Routing.decode()}
+	return &register.Delta{Change: model.ProfileChange(d.Change), Profile: model.Profile(d.Profile), Routing: d.Routing.decode(), Group: d.Group.decode()}
 }
 
 func encodeStores(stores map[model.NodeID]register.Store) map[model.NodeID]store {
--- a/plugins/profiles/wire/place.go
+++ b/plugins/profiles/wire/place.go
@@ -17,6 +17,7 @@
 // PlaceReport is the reply to PlaceRequest, without a state when the member does not have the place.
 type PlaceReport struct {
 	Stores Message `json:"stores"` // The newest stores that the member knows, in a message of kind Chosen.
+	Groups bool    `json:"groups"` // Whether the member follows a group of replicas that grows; false in an earlier version.
 
 	State port.PlaceState    `json:"state,omitempty"`
 	Since time.Time          `json:"since,omitzero"`
@@ -28,9 +29,9 @@
 // EncodePlaceReport returns the encoded form of a report, which is nil when the member does not have the place.
 func EncodePlaceReport(r *occupancy.Report, stores Message) PlaceReport {
 	if r == nil {
-		return PlaceReport{Stores: stores}
+		return PlaceReport{Stores: stores, Groups: true}
 	}
-	return PlaceReport{stores, r.State, r.Since, r.Wait.Kind, r.Wait.Have, r.Wait.Need}
+	return PlaceReport{stores, true, r.State, r.Since, r.Wait.Kind, r.Wait.Have, r.Wait.Need}
 }
 
 var (
--- a/plugins/profiles/wire/wire.go
+++ b/plugins/profiles/wire/wire.go
@@ -45,6 +45,28 @@
 	Services map[model.ServiceID]model.ProfileName `json:"services,omitempty"`
 	History  []change                              `json:"history,omitempty"`
 	Routing  *routing                              `json:"routing,omitempty"`
+	Group    *group                                `json:"group,omitempty"`
+}
+
+// group is the encoded form of a register.Group.
+type group struct {
+	Replicas []model.NodeID         `json:"replicas"`
+	Stores   map[model.NodeID]store `json:"stores"`
+}
+
+func encodeGroup(g *register.Group) *group {
+	if g == nil || len(g.Replicas) == 0 {
+		return nil
+	}
+	return &group{g.Replicas, encodeStores(g.Stores)}
+}
+
+// decode returns the group; nil without one.
+func (g *group) decode() *register.Group {
+	if g == nil || len(g.Replicas) == 0 {
+		return nil
+	}
+	return &register.Group{Replicas: g.Replicas, Stores: decodeStores(g.Stores)}
 }
 
 // EncodeState returns the encoded form of s; nil when s is nil.
@@ -61,6 +83,7 @@
 		encoded.History = append(encoded.History, change(c))
 	}
 	encoded.Routing = encodeRouting(s.Set.Routing)
+	encoded.Group = encodeGroup(&s.Group)
 	return encoded
 }
 
@@ -84,6 +107,9 @@
 	for _, c := range s.History {
 		decoded.History = append(decoded.History, model.ProfileChange(c))
 	}
+	if group := s.Group.decode(); group != nil {
+		decoded.Group = *group
+	}
 	return decoded
 }
 
@@ -98,6 +124,7 @@
 	Profile  profile           `json:"profile"`
 	Service  model.ServiceID   `json:"service"`
 	Routing  *routing          `json:"routing,omitempty"`
+	Replica  model.NodeID      `json:"replica,omitempty"`
 	WaitMS   int64             `json:"wait_ms"`
 }
 
@@ -105,7 +132,7 @@
 func EncodeEdit(e model.ProfileEdit, wait time.Duration) Edit {
 	return Edit{
 		ID: e.ID, Digest: e.Digest, Expect: e.Expect, Operator: e.Operator, Kind: e.Kind, Name: e.Name,
-		Profile: profile(e.Profile), Service: e.Service, Routing: encodeRouting(e.Routing), WaitMS: wait.Milliseconds(),
+		Profile: profile(e.Profile), Service: e.Service, Routing: encodeRouting(e.Routing), Replica: e.Replica, WaitMS: wait.Milliseconds(),
 	}
 }
 
@@ -113,7 +140,7 @@
 func (e Edit) Decode() (model.ProfileEdit, time.Duration) {
 	return model.ProfileEdit{
 		ID: e.ID, Digest: e.Digest, Expect: e.Expect, Operator: e.Operator, Kind: e.Kind, Name: e.Name,
-		Profile: model.Profile(e.Profile), Service: e.Service, Routing: e.Routing.decode(),
+		Profile: model.Profile(e.Profile), Service: e.Service, Routing: e.Routing.decode(), Replica: e.Replica,
 	}, time.Duration(e.WaitMS) * time.Millisecond
 }
 
--- a/plugins/profiles/wire/wire_test.go
+++ b/plugins/profiles/wire/wire_test.go
@@ -42,6 +42,9 @@
 		}},
 		Services: []model.ServiceID{"finder"},
 	}
+	state.Group = register.Group{
+		Replicas: []model.NodeID{"a", "b", "c", "d"}, Stores: map[model.NodeID]register.Store{"a": {Number: 1, Nonce: 2, Node: "a"}},
+	}
 	return state
 }
 
@@ -53,7 +56,7 @@
 	sent := register.Message{
 		Kind: register.Joined, Ballot: ballot, Run: 3, Store: stores["a"], Votes: 4, Fences: stores,
 		Seen: map[model.NodeID]uint64{"a": 5}, Accepted: ballot, Value: &state,
-		Base: ballot, Delta: &register.Delta{Change: state.History[1], Profile: state.Set.Profiles["profile-1"], Routing: state.Set.Routing}, Copied: true, Voting: true, Empty: true,
+		Base: ballot, Delta: &register.Delta{Change: state.History[1], Profile: state.Set.Profiles["profile-1"], Routing: state.Set.Routing, Group: &state.Group}, Copied: true, Voting: true, Empty: true,
 		Promised: ballot, Chosen: &state, Revision: 6, Pending: 7, Serving: true,
 	}
 	raw, err := json.Marshal(EncodeMessage(sent, "c", 1))
