Simulation of several members: names for misdirected starts and deliveries

Cause: astray, carryOut and executeThere did not say which runs or orders they concern, and a result of executeThere was not used. Change: misdirected, executeStart and deliver; the comment of order says what happens in each case. No draw, bound or check changes.

--- a/plugins/leases/lease/members_test.go
+++ b/plugins/leases/lease/members_test.go
@@ -27,11 +27,11 @@
 	pending  []delivery
 	owners   map[port.TaskRun]model.NodeID // The member that has requested the run.
 	stopped  map[port.TaskRun]time.Time    // When that member was first told to stop it.
-	finished map[port.TaskRun]bool
-	// astray are the runs whose starts were carried out by an incarnation for which they were not meant. With checkAstray they
-	// have to be over, too, when the caller may have sent the job again.
-	astray      map[port.TaskRun]bool
-	checkAstray bool
+	finished map[port.TaskRun]bool         // Runs that were reported to the member that has requested them.
+	// misdirected are the runs whose starts were carried out by an incarnation for which they were not meant. With
+	// checkMisdirected they, too, have to be over when the caller may have sent the job again.
+	misdirected      map[port.TaskRun]bool
+	checkMisdirected bool
 	// unansweredOrders is how many of eight starts and holds get no answer, and unansweredStops the same for stops.
 	unansweredOrders, unansweredStops int
 }
@@ -81,9 +81,8 @@
 	s := &membersSimulation{
 		t: t, now: startTime, endpoint: newFakeEndpoint(), members: make(map[model.NodeID]*member),
 		diedAt: make(map[model.NodeID]time.Time), owners: make(map[port.TaskRun]model.NodeID), finished: make(map[port.TaskRun]bool),
-		astray:  make(map[port.TaskRun]bool),
-		stopped: make(map[port.TaskRun]time.Time), unansweredOrders: rapid.IntRange(1, 6).Draw(t, "lossy"),
-		unansweredStops: rapid.IntRange(1, 8).Draw(t, "noStops"),
+		misdirected: make(map[port.TaskRun]bool), stopped: make(map[port.TaskRun]time.Time),
+		unansweredOrders: rapid.IntRange(1, 6).Draw(t, "lossy"), unansweredStops: rapid.IntRange(1, 8).Draw(t, "noStops"),
 	}
 	for i, id := range []model.NodeID{"a", "b", "c"} {
 		config := testConfig
@@ -112,28 +111,28 @@
 // oneIn reports true one time in n.
 func (s *membersSimulation) oneIn(n int) bool { return rapid.IntRange(1, n).Draw(s.t, "fault") == 1 }
 
-// order sends an order to the endpoint, which may be executed late; its reply, or the lack of one, is an event for the machine
-// of an incarnation. It gets no answer in the given number of eight cases, nor when the endpoint starts again before it is executed.
+// order sends an order to the endpoint. Its reply, or the lack of one, is an event for the machine of an incarnation. In as many of
+// eight cases as unanswered says there is no reply, and the order is executed late or never. An order that was sent before the
+// endpoint started again is not executed.
 func (s *membersSimulation) order(from model.NodeID, at model.EndpointID, unanswered int, execute func() Event, noReply Event) {
 	reaches := s.endpoint.incarnation
 	reply := func(after time.Duration, e Event) { s.after(after, from, func() { s.step(from, at, e) }) }
-	executeThere := func() (e Event, executed bool) {
+	deliver := func() Event {
 		if reaches != s.endpoint.incarnation {
-			return noReply, false
+			return noReply
 		}
-		return execute(), true
+		return execute()
 	}
 	switch lost := s.now.Before(s.members[from].cutUntil) || rapid.IntRange(1, 8).Draw(s.t, "order") <= unanswered; {
 	case lost && s.oneIn(2):
 		late := time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "late")) * time.Millisecond
-		s.after(late, "", func() { executeThere() })
+		s.after(late, "", func() { deliver() })
 		reply(200*time.Millisecond, noReply)
 	case lost:
 		reply(200*time.Millisecond, noReply)
 	default:
 		s.after(time.Millisecond, "", func() {
-			e, _ := executeThere()
-			reply(time.Millisecond, e)
+			reply(time.Millisecond, deliver())
 		})
 	}
 }
@@ -151,7 +150,7 @@
 		s.checkFinished(f)
 	}
 	for _, o := range fx.Starts {
-		s.order(id, at, s.unansweredOrders, func() Event { return StartReplied{o.Run, s.carryOut(at, o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
+		s.order(id, at, s.unansweredOrders, func() Event { return StartReplied{o.Run, s.executeStart(at, o)} }, StartReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
 	}
 	for _, o := range fx.Stops {
 		s.order(id, at, s.unansweredStops, func() Event { return StopReplied{o.Run, s.endpoint.stop(o)} }, StopReplied{o.Run, port.OrderReply{State: port.OrderUnknown}})
@@ -179,9 +178,9 @@
 	}
 }
 
-// carryOut carries out a start that was meant for an incarnation.
-func (s *membersSimulation) carryOut(at model.EndpointID, o port.StartOrder) port.OrderReply {
-	s.astray[o.Run] = at != incarnationID(s.endpoint.incarnation)
+// executeStart lets the endpoint carry out a start that was meant for the given incarnation.
+func (s *membersSimulation) executeStart(at model.EndpointID, o port.StartOrder) port.OrderReply {
+	s.misdirected[o.Run] = at != incarnationID(s.endpoint.incarnation)
 	return s.endpoint.start(o)
 }
 
@@ -240,7 +239,7 @@
 				}
 			}
 		}
-		s.now = maxTime(s.now, next)
+		s.now = latest(s.now, next)
 		s.endpoint.now = s.now
 		s.endpoint.expire()
 		s.checkRunning()
@@ -261,13 +260,13 @@
 
 // checkRunning fails if a run is at work whose task may have started again by now: it was reported, or its member has died or
 // was told to stop it, so that the caller may have sent the job again. For a run whose start the next incarnation has carried out
-// only the first is checked, unless checkAstray is set: the member that sent the start cannot bound when that happens.
+// only the first is checked, unless checkMisdirected is set: the member that sent the start cannot bound when that happens.
 func (s *membersSimulation) checkRunning() {
 	for run := range s.endpoint.running {
 		if s.finished[run] {
 			s.t.Fatalf("run %v was at work after it was reported", run)
 		}
-		if s.astray[run] && !s.checkAstray {
+		if s.misdirected[run] && !s.checkMisdirected {
 			continue
 		}
 		if at, died := s.diedAt[s.owners[run]]; died && s.now.Sub(at) > resendAfter {
@@ -345,7 +344,7 @@
 func TestLateStartAtTheNextIncarnationIsOverWhenItsTaskMayStartAgain(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newMembersSimulation(t)
-		s.checkAstray = true
+		s.checkMisdirected = true
 		s.run(3)
 	})
 }
