Leases: endedBy, mayEndUnreported and finishEndedRuns for the ends that nobody reports

Cause: goneBy read as if the run itself had left, and its comment mixed the reason with the rule. The tests had a second function for the later of two times. No logic changes.

--- a/plugins/leases/lease/claims_test.go
+++ b/plugins/leases/lease/claims_test.go
@@ -96,9 +96,9 @@
 	h.advance(time.Millisecond).replyToHold(nil)
 	h.advance(200 * time.Millisecond).step(StartReplied{testRun(0), port.OrderReply{State: port.OrderUnknown}})
 	h.step(TakenOver{h.machine.token + 1<<holderBits, []port.TaskRun{testRun(0)}})
-	gone, bounded := h.machine.goneBy(h.machine.runs[testRun(0)])
+	end, bounded := h.machine.endedBy(h.machine.runs[testRun(0)])
 	h.is.True(bounded)
-	h.is.True(gone.Sub(h.now) < 1500*time.Millisecond)
+	h.is.True(end.Sub(h.now) < 1500*time.Millisecond)
 }
 
 // Guards against a second fencing under a token that was refused, and against a run that a member waits for in vain although
--- a/plugins/leases/lease/handover.go
+++ b/plugins/leases/lease/handover.go
@@ -54,12 +54,12 @@
 	}
 }
 
-// goneBy returns the time by which a run has certainly ended, although no list or end says so; bounded is false while its lease
-// may be extended. A run that was handed over ends with its lease unless this member claims it again. The start of one that the
-// endpoint has not listed may be carried out by the next incarnation, which knows nothing of the clock by which the
-// lease was to end, and grants a whole lease, to all runs there, when a start or hold arrives.
-func (m *Machine) goneBy(r *run) (at time.Time, bounded bool) {
-	if !m.mayEndUnseen(r) {
+// endedBy returns the time by which a run has certainly ended, although no list and no reported end says so; bounded is false
+// while its lease may be extended. A run that was handed over ends with its lease unless this member claims it again. A run
+// that the endpoint has not listed may have been started by the next incarnation. That one has another clock, so the end of
+// the lease in an order does not bind it: a start or hold extends the lease of all its runs by the full length on arrival.
+func (m *Machine) endedBy(r *run) (at time.Time, bounded bool) {
+	if !m.mayEndUnreported(r) {
 		return time.Time{}, false
 	}
 	extended := latest(m.leaseExtendedAt, r.claimedAt.Add(claimValidity))
@@ -69,9 +69,9 @@
 	return m.expiredBy(extended), true
 }
 
-// mayEndUnseen reports whether a run may end without a list or an end that says so: this member does not hold the lease
-// under which it runs, or the endpoint does not answer any more.
-func (m *Machine) mayEndUnseen(r *run) bool {
+// mayEndUnreported reports whether a run may end without this member learning it from the endpoint: the member does not hold the
+// lease under which it runs, or the endpoint does not answer any more.
+func (m *Machine) mayEndUnreported(r *run) bool {
 	switch r.phase {
 	case handedOver, inherited:
 		return true
@@ -80,19 +80,11 @@
 	}
 }
 
-// latest returns the later one of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// finishGoneRuns finishes the runs that have certainly ended and whose ends nobody has reported.
-func (m *Machine) finishGoneRuns(now time.Time, fx *Effects) {
+// finishEndedRuns finishes the runs that have certainly ended and whose ends nobody has reported.
+func (m *Machine) finishEndedRuns(now time.Time, fx *Effects) {
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
-		at, bounded := m.goneBy(r)
+		at, bounded := m.endedBy(r)
 		switch {
 		case !bounded || now.Before(at):
 		case r.underLease():
@@ -106,3 +98,11 @@
 
 // heldAgain reports whether the newest hold was sent under a token that this holder has taken since it was fenced.
 func (m *Machine) heldAgain() bool { return !m.fenced && m.holdToken == m.token }
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -58,7 +58,7 @@
 	failedHolds     int       // Consecutive holds that failed.
 	holdRetryAt     time.Time // When to send the next hold after a failed one; zero after a successful one.
 	leaseExtendedAt time.Time // When the newest hold or start that extends the lease was sent.
-	ordersArriveBy  time.Time // By when the endpoint carries out starts and holds that extend the lease and had no answer, if ever.
+	ordersArriveBy  time.Time // Latest time at which starts and holds without an answer may arrive and extend the lease.
 
 	lastEnd        uint64    // Number of the newest end that was received.
 	lastEndSent    uint64    // Newest end that the newest hold acknowledges.
@@ -102,7 +102,7 @@
 	stopDueAt       time.Time // When to send the next stop order; zero when none is due.
 	stopAckedAt     time.Time // When the endpoint acknowledged the stop order.
 	startToken      uint64    // Fencing token of the start order; 0 before it is sent.
-	startArrivesBy  time.Time // By when the endpoint carries out the start, if ever, and until when it may have extended the lease.
+	startArrivesBy  time.Time // Latest time at which the start may arrive, or may have arrived, and extend the lease.
 	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
 }
 
@@ -167,11 +167,11 @@
 	return known && !r.stopRequested
 }
 
-// advance does what is due at the given time: it finishes the runs of an expired lease and sends stop
+// advance does what is due at the given time: it finishes runs that have certainly ended, and sends stop
 // orders and the next hold.
 func (m *Machine) advance(now time.Time, fx *Effects) {
 	m.forgetExpiredRuns(now)
-	m.finishGoneRuns(now, fx)
+	m.finishEndedRuns(now, fx)
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
 		if !r.stopDueAt.IsZero() && !now.Before(r.stopDueAt) && !r.stopInFlight {
@@ -196,7 +196,7 @@
 		if !r.stopDueAt.IsZero() && !r.stopInFlight {
 			earliest(r.stopDueAt)
 		}
-		if at, bounded := m.goneBy(r); bounded {
+		if at, bounded := m.endedBy(r); bounded {
 			earliest(at)
 		}
 	}
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -223,8 +223,8 @@
 	h.is.Equal(len(fx.Finished), 0) // The run continues under the next holder.
 	h.is.True(fx.Hold == nil)
 	at, _ := h.machine.NextTimer(h.now)
-	gone, _ := h.machine.goneBy(h.machine.runs[testRun(0)])
-	h.is.Equal(at, gone) // No hold is due during FencedBackoff.
+	end, _ := h.machine.endedBy(h.machine.runs[testRun(0)])
+	h.is.Equal(at, end) // No hold is due during FencedBackoff.
 	h.is.Equal(h.step(StartRequested{Run: testRun(1)}).Finished[0].State, port.TaskLeasedElsewhere)
 	fx = h.step(EndForwarded{port.RunEnd{Run: testRun(0), How: port.TaskDone}})
 	h.is.Equal(fx.Finished[0].State, port.TaskDone)
--- a/plugins/leases/lease/random_test.go
+++ b/plugins/leases/lease/random_test.go
@@ -143,15 +143,15 @@
 			}
 		}
 		if id, timer, armed := s.nextTimer(); armed && timer.Before(next) {
-			s.now = maxTime(s.now, timer)
+			s.now = latest(s.now, timer)
 			s.step(id, Elapsed{})
 			continue
 		}
 		if nextCall < 0 {
-			s.now = maxTime(s.now, end)
+			s.now = latest(s.now, end)
 			return
 		}
-		s.now = maxTime(s.now, next)
+		s.now = latest(s.now, next)
 		c := s.calls[nextCall]
 		s.calls = slices.Delete(s.calls, nextCall, nextCall+1)
 		s.deliver(c)
@@ -197,13 +197,6 @@
 	}
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // TestOutcomesMatchEndpointUnderRandomFaults compares reported outcomes with the state of an endpoint
 // that receives orders late or not at all and whose replies get lost. A longer run:
 // -rapid.checks=100000 -rapid.seed=1.
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -198,8 +198,8 @@
 	h.advance(200 * time.Millisecond).step(StartReplied{testRun(0), port.OrderReply{State: port.OrderDone, Clock: h.clock()}})
 	confirmed := h.now
 	h.step(HoldReplied{port.HoldReply{State: port.OrderFenced}})
-	gone, _ := h.machine.goneBy(h.machine.runs[testRun(0)])
-	h.is.True(gone.Sub(confirmed) >= 1020*time.Millisecond)
+	end, _ := h.machine.endedBy(h.machine.runs[testRun(0)])
+	h.is.True(end.Sub(confirmed) >= 1020*time.Millisecond)
 }
 
 // Guards against the same with a hold that the next incarnation has carried out late, just before it refused this member's token.
@@ -208,8 +208,8 @@
 	h.advance(400 * time.Millisecond).step(StopRequested{testRun(0)})
 	refused := h.now
 	h.step(StopReplied{testRun(0), port.OrderReply{State: port.OrderFenced}})
-	gone, _ := h.machine.goneBy(h.machine.runs[testRun(0)])
-	h.is.True(gone.Sub(refused) >= 1020*time.Millisecond)
+	end, _ := h.machine.endedBy(h.machine.runs[testRun(0)])
+	h.is.True(end.Sub(refused) >= 1020*time.Millisecond)
 }
 
 // Guards against the same where another member holds the lease at the next incarnation, so that its refusal of the hold comes
