Places: comments that say what fields hold and when waits are known

Cause: some comments were no sentences a newcomer can follow, as 'number of what Kind names that there are'. Change: comments only. Measured: go test ./plugins/profiles/... ./plugins/frontend/operators/... ./cmd/redwingctl/... passes.

--- a/cmd/redwingctl/places.go
+++ b/cmd/redwingctl/places.go
@@ -119,5 +119,5 @@
 	case port.WaitTakeover:
 		return fmt.Sprintf("takeover by %s", w.By)
 	}
-	return string(w.Kind) // Of a newer version.
+	return string(w.Kind) // A kind that only newer versions know.
 }
--- a/kernel/port/places.go
+++ b/kernel/port/places.go
@@ -8,8 +8,8 @@
 
 // ReplicaPlaces are the places of the register's replicas as one member knows them.
 type ReplicaPlaces struct {
-	Node      model.NodeID // The member that knows them so.
-	At        time.Time
+	Node      model.NodeID   // The member that has given this view.
+	At        time.Time      // When it gave the view, by its own clock.
 	Takeovers bool           // Whether another member may take over the place of a holder that is away.
 	Majority  int            // Number of voters that a change needs; 0 while the replicas are not known.
 	Voters    int            // Number of places whose holder votes.
@@ -32,9 +32,9 @@
 
 // States of places.
 const (
-	PlaceVoter     PlaceState = "voter"     // The holder votes, and that is synced.
+	PlaceVoter     PlaceState = "voter"     // The holder votes, and its right to vote is synced.
 	PlaceLearner   PlaceState = "learner"   // The holder is alive and does not vote yet.
-	PlaceUnreached PlaceState = "unreached" // The holder is considered alive, and did not say in time what it does with the place.
+	PlaceUnreached PlaceState = "unreached" // The holder is considered alive, and did not report in time.
 	PlaceAway      PlaceState = "away"      // The holder is not considered alive.
 )
 
@@ -42,9 +42,9 @@
 // use are zero.
 type PlaceWait struct {
 	Kind PlaceWaitKind
-	Have int           // Number of what Kind names that there are.
-	Need int           // Number of what Kind names that are needed.
-	Left time.Duration // Rest of the delay of WaitDelay.
+	Have int           // How many there are of what Kind names.
+	Need int           // How many are needed.
+	Left time.Duration // Remaining delay of WaitDelay.
 	By   model.NodeID  // The member that takes the place over, where that is decided.
 }
 
--- a/plugins/frontend/operators/places.go
+++ b/plugins/frontend/operators/places.go
@@ -9,7 +9,7 @@
 	"redwingpulley/plugins/frontend/web"
 )
 
-// placesBody is a port.ReplicaPlaces; that type's comments say what the fields hold.
+// placesBody is the JSON form of a port.ReplicaPlaces, whose comments say what the fields hold.
 type placesBody struct {
 	Node      model.NodeID   `json:"node"`
 	At        time.Time      `json:"at"`
--- a/plugins/profiles/occupancy/occupancy.go
+++ b/plugins/profiles/occupancy/occupancy.go
@@ -1,4 +1,4 @@
-// Package occupancy decides which member takes over the place of a replica whose holder is away, and tells what each
+// Package occupancy decides which member takes over the place of a replica whose holder is away, and reports what each
 // place waits for. It does no I/O: the plug-in profiles supplies what this member knows.
 package occupancy
 
@@ -59,8 +59,8 @@
 	absences map[model.NodeID]absence // By place, of the holders that are not alive.
 }
 
-// EnoughHolders reports whether so many holders are alive that a new store could join. A member that misses more is
-// probably the partitioned one.
+// EnoughHolders reports whether so many holders are alive that a new store could join. A member that sees fewer is
+// probably in the smaller part of a partition.
 func (v View) EnoughHolders() bool { return v.liveHolders() >= register.JoinQuorum(len(v.places)) }
 
 func (v View) liveHolders() int { return len(v.places) - len(v.absences) }
--- a/plugins/profiles/occupancy/occupancy_test.go
+++ b/plugins/profiles/occupancy/occupancy_test.go
@@ -13,7 +13,7 @@
 
 var start = time.Unix(1000, 0)
 
-// held returns the places a, b and c (and d and e of five), each held by the member of its name.
+// held returns the first count of the places a to e, each held by the member of its name.
 func held(count int) []Place {
 	var places []Place
 	for _, id := range []model.NodeID{"a", "b", "c", "d", "e"}[:count] {
@@ -40,14 +40,14 @@
 	return reports
 }
 
-// viewAfter returns the view of places after the members not among alive have been away for a time.
+// viewAfter returns the view of places whose holders have been away for the given time unless they are among alive.
 func viewAfter(away time.Duration, places []Place, alive []port.Node) View {
 	var absences Absences
 	absences.Note(start, places, alive)
 	return absences.Note(start.Add(away), places, alive)
 }
 
-// Guards against a wait that is told wrong: an operator who replaces a VM would look in the wrong place.
+// Guards against a wrong wait, which would mislead an operator who replaces a VM.
 func TestSnapshot_TellsWhatAPlaceOfAnAbsentHolderWaitsFor(t *testing.T) {
 	due := TakeoverDelay
 	cases := []struct {
@@ -77,7 +77,7 @@
 	}
 }
 
-// Guards against two vacant places that are both told to be taken by the one spare member.
+// Guards against two vacant places that are both shown as to be taken over by the one spare member.
 func TestSnapshot_OneSpareForTwoPlaces(t *testing.T) {
 	is := is.New(t)
 	snapshot := viewAfter(TakeoverDelay, held(5), live("c", "d", "e", "x")).Snapshot("x", true, voters("c", "d", "e"))
--- a/plugins/profiles/occupancy/snapshot.go
+++ b/plugins/profiles/occupancy/snapshot.go
@@ -9,7 +9,7 @@
 	"redwingpulley/plugins/profiles/register"
 )
 
-// Report is what the holder of a place says of it.
+// Report is what the holder of a place reports about it.
 type Report struct {
 	State port.PlaceState
 	Since time.Time // When the holder took the place; zero where that is not known.
@@ -50,7 +50,7 @@
 	return shown
 }
 
-// show returns a place without what it waits for where its holder is away.
+// show returns a place. What it waits for is left out while its holder is away; showWaits adds it.
 func (v View) show(place Place, reports map[model.NodeID]Report) port.ReplicaPlace {
 	shown := port.ReplicaPlace{Place: place.Replica, Holder: place.Holder, State: port.PlaceUnreached}
 	if absent, away := v.absences[place.Replica]; away {
@@ -72,7 +72,7 @@
 	return voters
 }
 
-// showWaits completes the places whose holders are away.
+// showWaits adds what the places whose holders are away wait for.
 func (v View) showWaits(shown *port.ReplicaPlaces) {
 	takers := v.Takers()
 	for i := range shown.Places {
--- a/plugins/profiles/snapshot.go
+++ b/plugins/profiles/snapshot.go
@@ -16,7 +16,7 @@
 const (
 	// reportTimeout is the longest wait for what the holders of places say of them.
 	reportTimeout = time.Second
-	// reportRounds is the most often that holders are asked for one snapshot: the replies to a round may name further ones.
+	// reportRounds is the number of rounds of inquiries for a snapshot: the replies to one may name further holders.
 	reportRounds = 3
 )
 
@@ -28,7 +28,7 @@
 	return p.viewPlaces(time.Now()).Snapshot(p.self, p.takeoverEnabled, reports)
 }
 
-// inquiry asks a member for its report of a place, "" if the member only has to say which stores it knows.
+// inquiry asks a member for its report of a place; the place is "" if the member only has to say which stores it knows.
 type inquiry struct{ place, member model.NodeID }
 
 // requestReports asks all live holders, and returns their reports by place. This member may not know yet of a holder that has
@@ -42,7 +42,7 @@
 			if !asked[i] {
 				next = append(next, i)
 				asked[i] = true
-				delete(reports, i.place) // Of a former holder.
+				delete(reports, i.place) // The report of a former holder.
 			}
 		}
 		maps.Copy(reports, p.requestAll(ctx, next))
