Benchmarks of groups and of the platform: comments, names and an unused field

Cause: fields of groupJob and constants had no comments, the field kind was never read, and the method messages also returned allocations. Change: comments; groupPublishing and traffic; the type stands before its use; the field is gone. No draw and no figure changes. Measured: go vet ./cmd/... ./plugins/..., go test ./plugins/jobs/jobstate passes.

--- a/cmd/internal/node/platform_cost_test.go
+++ b/cmd/internal/node/platform_cost_test.go
@@ -23,9 +23,19 @@
 	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
 }
 
-// messages returns how many messages of jobs and of control the members have exchanged, and how many bytes and objects this
-// process has allocated.
-func (s *platformCluster) messages() (sum traffic) {
+// traffic is what the members of a cluster have exchanged and this process has allocated.
+type traffic struct {
+	job, control   float64 // Messages of jobs and of control.
+	bytes, objects float64 // Allocations.
+}
+
+// minus returns the difference of two counts.
+func (t traffic) minus(u traffic) traffic {
+	return traffic{t.job - u.job, t.control - u.control, t.bytes - u.bytes, t.objects - u.objects}
+}
+
+// traffic returns the sums over all members so far.
+func (s *platformCluster) traffic() (sum traffic) {
 	for _, host := range s.hosts {
 		count := func(name string) float64 { return float64(metrics.GetOrRegisterCounter(name, host.Metrics).Count()) }
 		sum.job += count("messages.peer.requests") + count("messages.peer.replies")
@@ -37,14 +47,6 @@
 	return sum
 }
 
-// traffic is what platformCluster.messages counts.
-type traffic struct{ job, control, bytes, objects float64 }
-
-// minus returns the difference of two counts.
-func (t traffic) minus(u traffic) traffic {
-	return traffic{t.job - u.job, t.control - u.control, t.bytes - u.bytes, t.objects - u.objects}
-}
-
 // BenchmarkPlatformIdle measures the processor time of idle VMs and endpoints, for several numbers of entry VMs. The
 // endpoints' own part is included. With -cpuprofile it shows what each part costs.
 func BenchmarkPlatformIdle(b *testing.B) {
@@ -72,10 +74,10 @@
 		tasks, taskMS, cpu = 2, 60, 2000
 	)
 	s, running := startPlatformBenchmark(b, entries, endpoints)
-	idle, idleTraffic := processorTime(b), s.messages()
+	idle, idleTraffic := processorTime(b), s.traffic()
 	s.pause(window)
-	idle, idleTraffic = processorTime(b)-idle, s.messages().minus(idleTraffic)
-	before, trafficBefore := processorTime(b), s.messages()
+	idle, idleTraffic = processorTime(b)-idle, s.traffic().minus(idleTraffic)
+	before, trafficBefore := processorTime(b), s.traffic()
 	var jobs sync.WaitGroup
 	var mu sync.Mutex
 	done := 0
@@ -96,7 +98,7 @@
 	jobs.Wait()
 	used := processorTime(b) - before - idle
 	perTask := func(total float64) float64 { return total / float64(sent*tasks) }
-	exchanged := s.messages().minus(trafficBefore).minus(idleTraffic)
+	exchanged := s.traffic().minus(trafficBefore).minus(idleTraffic)
 	b.ReportMetric(perTask(float64(used.Microseconds())), "µs/task")
 	b.ReportMetric(perTask(float64(idle.Microseconds())), "idle-µs/task")
 	b.ReportMetric(perTask(exchanged.job), "job-messages/task")
--- a/plugins/jobs/jobstate/group_bench_test.go
+++ b/plugins/jobs/jobstate/group_bench_test.go
@@ -22,15 +22,15 @@
 
 const (
 	groupEndpoints   = 350
-	groupParts       = 8     // Pools of each data centre.
-	groupCores       = 16000 // Cores of an endpoint, in thousandths.
-	groupNeeds       = 8000  // Average cores that a task needs, in thousandths.
-	groupSlots       = 8     // Slots of an endpoint, of which its cores allow about two.
-	groupWarmUp      = 3 * time.Second
+	groupParts       = 8               // Pools of each data centre.
+	groupCores       = 16000           // Cores of an endpoint, in thousandths.
+	groupNeeds       = 8000            // Average cores that a task needs, in thousandths.
+	groupSlots       = 8               // Slots of an endpoint, of which its cores allow about two.
+	groupWarmUp      = 3 * time.Second // Jobs that are submitted earlier do not count.
 	groupLength      = 9 * time.Second
-	groupTransit     = 6 * time.Millisecond // Average time of a message between members beyond a millisecond.
-	groupEndpointRTT = 4 * time.Millisecond // Time that a task's start and answer take together.
-	publishPause     = 50 * time.Millisecond
+	groupTransit     = 6 * time.Millisecond  // Average time of a message between members, less the millisecond that each takes at least.
+	groupEndpointRTT = 4 * time.Millisecond  // Time that a task's start and answer take together.
+	groupPublishing  = 50 * time.Millisecond // Time between two publications of a member's loads.
 )
 
 // groupMembers is the number of members in each data centre.
@@ -86,17 +86,16 @@
 	model.Job
 	state   *jobstate.Job
 	member  *groupMember
-	kind    groupKind
-	at      time.Time
-	runs    []time.Duration
-	parts   int
-	replans int
+	at      time.Time       // When it was submitted.
+	runs    []time.Duration // Run times of its tasks, by index.
+	parts   int             // Number of batches sent.
+	replans int             // Number of parts that were planned again.
 }
 
 // groupCounts are sums over the jobs of a team that have ended.
 type groupCounts struct{ jobs, inTime, parts, replans float64 }
 
-// groupEvent is something that takes place at a time. Those of the same time take place in order.
+// groupEvent is an event of the simulation. Events of the same time are carried out by their order.
 type groupEvent struct {
 	at    time.Time
 	order int
@@ -117,7 +116,7 @@
 	return last
 }
 
-// after lets something take place after the given time.
+// after schedules an event.
 func (g *group) after(d time.Duration, do func()) {
 	g.order++
 	heap.Push(&g.events, groupEvent{g.now.Add(d), g.order, do})
@@ -131,7 +130,7 @@
 	return time.Millisecond + time.Duration(g.random.ExpFloat64()*float64(groupTransit))
 }
 
-// newGroup returns a group whose pools are empty and whose loads all members know.
+// newGroup returns a group without jobs, in which all members know the loads of all pools.
 func newGroup(seed uint64, load float64) *group {
 	g := &group{
 		now: epoch, load: load, random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)),
@@ -210,7 +209,7 @@
 			g.after(time.Duration(g.random.Int64N(int64(time.Second))), update)
 		}
 	}
-	g.after(publishPause, func() { g.publish(m) })
+	g.after(groupPublishing, func() { g.publish(m) })
 }
 
 // sendersTo returns the other members, first those whose newest batch is the oldest.
@@ -327,14 +326,14 @@
 	}
 }
 
-// spread returns 1 times or divided by a random factor, of which about two thirds are below 1 plus the deviation.
+// spread draws a factor with a log-normal distribution around 1; deviation is the standard deviation of its logarithm.
 func (g *group) spread(deviation float64) float64 {
 	return math.Exp(deviation * g.arrivals.NormFloat64())
 }
 
 // drawJob draws a job of the kind. All its tasks need the same cores.
 func (g *group) drawJob(k groupKind) *groupJob {
-	j := &groupJob{kind: k, at: g.now, member: g.members[g.arrivals.IntN(len(g.members))]}
+	j := &groupJob{at: g.now, member: g.members[g.arrivals.IntN(len(g.members))]}
 	j.Job = model.Job{
 		ID: model.JobID("j" + strconv.Itoa(len(g.jobs))), Service: "finder", Team: k.team, Deadline: g.now.Add(3 * time.Second),
 		MaxFailures: 2, Objective: groupObjective,
