Benchmark of groups: groupPublishing is the time between decisions on what to publish

Cause: the reporter may decide to publish nothing, so the comment said too much. Change: the comment.

--- a/plugins/jobs/jobstate/group_bench_test.go
+++ b/plugins/jobs/jobstate/group_bench_test.go
@@ -30,7 +30,7 @@
 	groupLength      = 9 * time.Second
 	groupTransit     = 6 * time.Millisecond  // Average time of a message between members, less the millisecond that each takes at least.
 	groupEndpointRTT = 4 * time.Millisecond  // Time that a task's start and answer take together.
-	groupPublishing  = 50 * time.Millisecond // Time between two publications of a member's loads.
+	groupPublishing  = 50 * time.Millisecond // Time between two decisions of a member on what to publish.
 )
 
 // groupMembers is the number of members in each data centre.
