A run that is being settled at the next incarnation does not end when a late hold is refused

What callers would see: two runs of a task at once. Found in a review; not seen in a play.

Cause: an announcement tells a holder that its endpoint has started again while a hold is in flight, and the run is to be settled by the machine of the next incarnation. The hold is then refused, perhaps because of the higher token of that very machine, and the refusal handed all runs over, also the one that is being settled. It was reported as lost a lease later, while the other machine went on extending the lease.

Evidence: TestRunThatIsBeingSettledDoesNotEndWhenALateHoldIsRefused failed before (1 run finished as lost).

Why it works: a run that is being settled is left to the machine that settles it, whatever becomes of orders to the earlier incarnation.

--- a/plugins/leases/lease/handover.go
+++ b/plugins/leases/lease/handover.go
@@ -18,6 +18,7 @@
 		r := m.runs[id]
 		switch {
 		case r.phase == startSent: // The reply to its start is still to come.
+		case r.phase == atSuccessor: // The next incarnation's machine settles it.
 		case r.phase == queued:
 			m.finish(now, id, port.TaskLeasedElsewhere, detailLeasedElsewhere, fx)
 		default:
--- a/plugins/leases/lease/successor_test.go
+++ b/plugins/leases/lease/successor_test.go
@@ -234,3 +234,16 @@
 	h.advance(2 * stopPatience).replyToHold([]port.TaskRun{testRun(0)})
 	h.is.Equal(h.fx.Hold.Until, int64(0))
 }
+
+// Guards against two runs of a task: a run that is being settled at the next incarnation was reported as lost, since a hold for the
+// earlier one was refused. The refusal may be due to the token under which this member's machine of the next incarnation extends
+// the lease.
+func TestRunThatIsBeingSettledDoesNotEndWhenALateHoldIsRefused(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.step(Replaced{successor}) // A hold is in flight.
+	h.advance(time.Millisecond).fence()
+	fx := h.advance(10 * time.Second).step(Elapsed{})
+	h.is.Equal(len(fx.Finished), 0)
+	fx = h.step(Settled{Finished{Run: testRun(0), State: port.TaskDone}})
+	h.is.Equal(fx.Finished[0].State, port.TaskDone)
+}
