A stop is not repeated once the lease has been handed over

What an operator would see: the loss of a lease logged and counted twice, and orders under a refused token to an endpoint that the member is to leave alone for a while. Found in a review.

Cause: the reply to a stop that was in flight when the lease was handed over, or the lack of one, made the next stop due.

Evidence: TestStopIsNotRepeatedOnceTheLeaseIsHandedOver failed before (1 stop).

Why it works: the next holder stops the run, which it learns when it asks for claims.

--- a/plugins/leases/lease/claims_test.go
+++ b/plugins/leases/lease/claims_test.go
@@ -153,3 +153,14 @@
 	h.is.True(fx.Hold != nil)
 	h.is.Equal(h.advance(100*time.Millisecond).replyToHold(both).ClaimQuery.Runs, both[1:])
 }
+
+// Guards against orders that a member sends to an endpoint whose lease another one holds, under a token that is refused: a stop
+// without an answer was repeated after the lease had been handed over.
+func TestStopIsNotRepeatedOnceTheLeaseIsHandedOver(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.is.Equal(len(h.step(StopRequested{testRun(0)}).Stops), 1)
+	h.advance(time.Millisecond).fence()
+	h.advance(100 * time.Millisecond).step(StopReplied{testRun(0), port.OrderReply{State: port.OrderUnknown}})
+	fx := h.advance(2 * retryDelay).step(Elapsed{})
+	h.is.Equal(len(fx.Stops), 0)
+}
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -154,7 +154,9 @@
 	case port.OrderOtherIncarnation:
 		m.handleOtherIncarnation(now, e.Reply.Incarnation, fx)
 	default:
-		r.stopDueAt = now.Add(retryDelay)
+		if r.phase != handedOver {
+			r.stopDueAt = now.Add(retryDelay)
+		}
 	}
 }
 
