Lost runs say why: crashed, not begun, refusing, silent, left or dropped

The holder of the lease now keeps when connections were first refused, and reports the cause with the run; task_ended shows it as cause. No decision uses it yet.

--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -26,6 +26,7 @@
 	Run     Key = "run"    // Whether the job may have run.
 	Reason  Key = "reason" // A code of the product.
 	State   Key = "state"  // Outcome of a start, a revoke or a run.
+	Cause   Key = "cause"  // Why a run was lost; see port.LossCause. Empty for other ends.
 	Status  Key = "status" // Outcome of a configuration change.
 	HTTP    Key = "http_status"
 	Why     Key = "why"   // Explanation for people; programs use the other fields.
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -48,7 +48,7 @@
 	StartWaits = define(Change, "start_waits", "a start waits until the end of an earlier run of its task is known, which another submission of the job or another pool has started",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, Earlier)
 	TaskEnded = define(Routine, "task_ended", "a start of a task has ended, with the task's result or with the state that tells why there is none",
-		Job, JobKey, Task, Attempt, Pool, Endpoint, State, TookMS, Why)
+		Job, JobKey, Task, Attempt, Pool, Endpoint, State, Cause, TookMS, Why)
 	TaskRevoked = define(Trouble, "task_revoked", "an endpoint was asked to prevent a start that it did not answer, or to stop a task",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, State, TookMS, Why)
 	EndpointChanged = define(Change, "endpoint_changed", "the status of an endpoint in its pool has changed",
--- a/kernel/port/leases.go
+++ b/kernel/port/leases.go
@@ -76,6 +76,7 @@
 	State       OrderState
 	Clock       int64            // Clock of the endpoint in milliseconds; 0 when the reply holds none.
 	Incarnation model.EndpointID // With OrderOtherIncarnation, the one that replied; "" when the reply does not tell.
+	Refused     bool             // With OrderNotSent, no process listens at the endpoint's address, or a partition refuses connections.
 	Detail      string
 }
 
@@ -84,6 +85,7 @@
 	State       OrderState
 	Clock       int64            // Clock of the endpoint in milliseconds; 0 when the reply holds none.
 	Incarnation model.EndpointID // With OrderOtherIncarnation, the one that replied; "" when the reply does not tell.
+	Refused     bool             // With OrderNotSent, no process listens at the endpoint's address, or a partition refuses connections.
 	Running     []TaskRun
 	Ended       []RunEnd
 	Detail      string
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -111,8 +111,23 @@
 	State  TaskState
 	Answer []byte
 	Detail string
+	Cause  LossCause // Set with TaskLost, where the sender knows of causes.
 }
 
+// LossCause is what is known about why a run was lost.
+type LossCause string
+
+// Causes of lost runs. Only LossCrashed is certain to be a crash of the endpoint under the run.
+const (
+	LossUnknown  LossCause = ""
+	LossCrashed  LossCause = "crashed"   // The endpoint had started the run, and ended before the run's lease did.
+	LossNotBegun LossCause = "not_begun" // The endpoint has ended; whether it had started the run is not known.
+	LossRefusing LossCause = "refusing"  // The lease expired while the endpoint refused connections.
+	LossSilent   LossCause = "silent"    // The lease expired while the endpoint, or the way to it, gave no answer.
+	LossLeft     LossCause = "left"      // The endpoint was leaving and has ended.
+	LossDropped  LossCause = "dropped"   // The endpoint answers, and has ended the run without a result.
+)
+
 // TaskState is what is known about a task at an endpoint.
 type TaskState string
 
--- a/plugins/endpoints/log.go
+++ b/plugins/endpoints/log.go
@@ -42,8 +42,8 @@
 	}
 	event.TaskEnded.LogAt(level, p.log, event.Text(event.Job, s.Task.Job()), event.Text(event.JobKey, s.Key),
 		event.Int(event.Task, s.Task.Index()), event.Int(event.Attempt, s.Attempt), event.Text(event.Pool, id.String()),
-		event.Text(event.Endpoint, s.Endpoint), event.Text(event.State, reply.State), event.MS(event.TookMS, took),
-		event.Text(event.Why, reply.Detail))
+		event.Text(event.Endpoint, s.Endpoint), event.Text(event.State, reply.State), event.Text(event.Cause, reply.Cause),
+		event.MS(event.TookMS, took), event.Text(event.Why, reply.Detail))
 }
 
 // logTaskRevoked logs the reply of a revoke.
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -152,6 +152,7 @@
 	Run    port.TaskRun
 	State  port.TaskState
 	Detail string
+	Cause  port.LossCause // Set with port.TaskLost.
 }
 
 // Config holds the parameters of a Machine.
--- a/plugins/leases/lease/handover.go
+++ b/plugins/leases/lease/handover.go
@@ -90,9 +90,9 @@
 		case !bounded || now.Before(at):
 		case r.underLease():
 			fx.Lost = LossExpired
-			m.finish(now, id, port.TaskLost, "the lease has expired", fx)
+			m.finishLost(now, id, m.causeOfExpiry(), "the lease has expired", fx)
 		default:
-			m.finish(now, id, port.TaskLost, "no member can have extended the lease for the run", fx)
+			m.finishLost(now, id, port.LossSilent, "no member can have extended the lease for the run", fx)
 		}
 	}
 }
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -60,6 +60,8 @@
 	leaseExtendedAt time.Time // When the newest hold or start that extends the lease was sent.
 	ordersArriveBy  time.Time // Latest time at which starts and holds without an answer may arrive and extend the lease.
 
+	refusingSince time.Time // When the endpoint first refused a connection after its newest reply; zero when it has not.
+
 	lastEnd        uint64    // Number of the newest end that was received.
 	lastEndSent    uint64    // Newest end that the newest hold acknowledges.
 	lastEndAcked   uint64    // Newest end whose acknowledgement the endpoint has received.
@@ -104,6 +106,8 @@
 	startToken      uint64    // Fencing token of the start order; 0 before it is sent.
 	startArrivesBy  time.Time // Latest time at which the start may arrive, or may have arrived, and extend the lease.
 	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
+	// lossCause is why the run is lost, unless the successor that settles it has started it.
+	lossCause port.LossCause
 }
 
 // underLease reports whether the run may be running at the endpoint under this holder's lease.
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -103,7 +103,7 @@
 func TestRunEndFinishesRunAndIsAcknowledgedByNextHold(t *testing.T) {
 	h := newRunningHarness(t, 2)
 	fx := h.advance(60*time.Millisecond).replyToHold([]port.TaskRun{testRun(1)}, port.RunEnd{Number: 1, Run: testRun(0), How: port.TaskDone})
-	h.is.Equal(fx.Finished, []Finished{{testRun(0), port.TaskDone, "ended done"}})
+	h.is.Equal(fx.Finished, []Finished{{Run: testRun(0), State: port.TaskDone, Detail: "ended done"}})
 	h.is.True(fx.Hold != nil)
 	h.is.Equal(fx.Hold.Seen, uint64(1))
 	h.is.True(fx.Hold.Until > h.clock())
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -47,9 +47,9 @@
 	case r.phase == confirmed && stopped:
 		m.finish(now, id, port.TaskStopped, "stopped", fx)
 	case r.phase == handedOver && m.heldAgain():
-		m.finish(now, id, port.TaskLost, "the endpoint no longer lists the run", fx)
+		m.finishLost(now, id, port.LossDropped, "the endpoint no longer lists the run", fx)
 	case r.phase == confirmed && m.holdSentAt.After(r.confirmedAt):
-		m.finish(now, id, port.TaskLost, "the endpoint no longer lists the run", fx)
+		m.finishLost(now, id, port.LossDropped, "the endpoint no longer lists the run", fx)
 	}
 }
 
@@ -63,5 +63,10 @@
 	if state == port.TaskStopped && !r.stopRequested {
 		state = port.TaskLost // Stopped because its start was unanswered, to settle it, or by another holder.
 	}
-	m.finish(now, end.Run, state, "ended "+string(end.How), fx)
+	detail := "ended " + string(end.How)
+	if state == port.TaskLost {
+		m.finishLost(now, end.Run, port.LossDropped, detail, fx)
+		return
+	}
+	m.finish(now, end.Run, state, detail, fx)
 }
--- a/plugins/leases/lease/retire_test.go
+++ b/plugins/leases/lease/retire_test.go
@@ -31,7 +31,7 @@
 	h.is.True(h.machine.Retired())
 	h.is.Equal(fx.Hold, nil)
 	fx = h.step(StartRequested{Run: testRun(0)})
-	h.is.Equal(fx.Finished, []Finished{{testRun(0), port.TaskLeasedElsewhere, detailRetired}})
+	h.is.Equal(fx.Finished, []Finished{{Run: testRun(0), State: port.TaskLeasedElsewhere, Detail: detailRetired}})
 }
 
 // Pattern: the endpoint has started again under its id, and a late message says that the earlier incarnation leaves.
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -9,15 +9,15 @@
 func (m *Machine) handleStartRequest(now time.Time, e StartRequested, fx *Effects) {
 	switch {
 	case m.replaced:
-		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskNotRun, detailReplaced})
+		fx.Finished = append(fx.Finished, Finished{Run: e.Run, State: port.TaskNotRun, Detail: detailReplaced})
 		return
 	case now.Before(m.fencedUntil):
-		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLeasedElsewhere, detailLeasedElsewhere})
+		fx.Finished = append(fx.Finished, Finished{Run: e.Run, State: port.TaskLeasedElsewhere, Detail: detailLeasedElsewhere})
 		return
 	case m.runs[e.Run] != nil:
 		return
 	case m.retirement.phase != retireNotRequested:
-		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLeasedElsewhere, detailRetired})
+		fx.Finished = append(fx.Finished, Finished{Run: e.Run, State: port.TaskLeasedElsewhere, Detail: detailRetired})
 		return
 	}
 	m.renewToken(now)
@@ -78,6 +78,7 @@
 
 func (m *Machine) handleStartReply(now time.Time, e StartReplied, fx *Effects) {
 	m.recordClock(now, e.Reply.Clock)
+	m.recordContact(now, e.Reply.State, e.Reply.Refused)
 	r, known := m.runs[e.Run]
 	if !known || r.phase != startSent {
 		return
@@ -141,6 +142,7 @@
 
 func (m *Machine) handleStopReply(now time.Time, e StopReplied, fx *Effects) {
 	m.recordClock(now, e.Reply.Clock)
+	m.recordContact(now, e.Reply.State, e.Reply.Refused)
 	r, known := m.runs[e.Run]
 	if !known || r.phase == atSuccessor {
 		return
@@ -162,7 +164,16 @@
 
 // finish removes a run and reports its outcome.
 func (m *Machine) finish(now time.Time, id port.TaskRun, state port.TaskState, detail string, fx *Effects) {
-	delete(m.runs, id)
+	m.report(now, Finished{Run: id, State: state, Detail: detail}, fx)
+}
+
+// finishLost removes a run and reports it as lost for the given cause.
+func (m *Machine) finishLost(now time.Time, id port.TaskRun, cause port.LossCause, detail string, fx *Effects) {
+	m.report(now, Finished{Run: id, State: port.TaskLost, Detail: detail, Cause: cause}, fx)
+}
+
+func (m *Machine) report(now time.Time, outcome Finished, fx *Effects) {
+	delete(m.runs, outcome.Run)
 	m.lastFinishedAt = now
-	fx.Finished = append(fx.Finished, Finished{id, state, detail})
+	fx.Finished = append(fx.Finished, outcome)
 }
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -26,11 +26,13 @@
 	m.replaced, m.successor = true, successor
 	fx.Lost = LossOtherIncarnation
 	for _, id := range m.sortedRuns() {
-		switch r := m.runs[id]; {
+		r := m.runs[id]
+		r.lossCause = m.causeOfReplacement(now, r)
+		switch {
 		case r.phase == queued:
 			m.finish(now, id, port.TaskNotRun, detailReplaced, fx)
 		case r.listed || successor == "":
-			m.finish(now, id, port.TaskLost, detailReplaced, fx)
+			m.finishLost(now, id, r.lossCause, detailReplaced, fx)
 		default:
 			m.settleAtSuccessor(id, r, fx)
 		}
@@ -64,17 +66,21 @@
 	if !known || r.phase != atSuccessor {
 		return
 	}
-	state := outcome.State
-	if state != port.TaskDone && state != port.TaskFailed {
-		state = port.TaskLost
+	detail := "settled at the endpoint's next incarnation: " + outcome.Detail
+	switch outcome.State {
+	case port.TaskDone, port.TaskFailed:
+		m.finish(now, outcome.Run, outcome.State, detail, fx)
+	case port.TaskNotRun:
+		m.finishLost(now, outcome.Run, r.lossCause, detail, fx)
+	default:
+		m.finishLost(now, outcome.Run, outcome.Cause, detail, fx)
 	}
-	m.finish(now, outcome.Run, state, "settled at the endpoint's next incarnation: "+outcome.Detail, fx)
 }
 
 // handleSettleRequest takes over a run that an earlier incarnation was asked to start.
 func (m *Machine) handleSettleRequest(now time.Time, e SettleRequested, fx *Effects) {
 	if i := slices.IndexFunc(m.unclaimedEnds, func(end port.RunEnd) bool { return end.Run == e.Run }); i >= 0 {
-		fx.Finished = append(fx.Finished, Finished{e.Run, m.unclaimedEnds[i].How, "ended before it was settled"})
+		fx.Finished = append(fx.Finished, Finished{Run: e.Run, State: m.unclaimedEnds[i].How, Detail: "ended before it was settled"})
 		return
 	}
 	if m.runs[e.Run] != nil {
@@ -86,7 +92,7 @@
 	}
 	switch {
 	case m.replaced && m.successor == "":
-		fx.Finished = append(fx.Finished, Finished{e.Run, port.TaskLost, detailReplaced})
+		fx.Finished = append(fx.Finished, Finished{Run: e.Run, State: port.TaskLost, Detail: detailReplaced, Cause: port.LossNotBegun})
 		return
 	case m.replaced:
 		m.settleAtSuccessor(e.Run, r, fx)
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -19,7 +19,7 @@
 	if !ok {
 		return port.TaskReply{State: port.TaskUnknown, Detail: "the run did not end before the deadline"}
 	}
-	return port.TaskReply{State: outcome.State, Detail: outcome.Detail}
+	return port.TaskReply{State: outcome.State, Detail: outcome.Detail, Cause: outcome.Cause}
 }
 
 // Revoke returns the state of a run. With revoke.Stop it first stops the run and waits up to
