Crashes count for the task under which they happened, at each member

Cause: a lost run was never counted, whatever ended it. Now the holder of a lease tells crashes from lapsed leases, each member keeps the crashes under a task in a table that is keyed like the task, tells the others, and checks each start against it; a task is not started after two certain crashes or four possible ones, and its job ends at once as failed (ADR 46). Why it works: the record is a set of incarnations, so that members, pools and parts of jobs can merge it in any order, and the check is where every start passes.

--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -21,6 +21,7 @@
 	"redwingpulley/kernel/invariant",
 	"redwingpulley/kernel/model",
 	"redwingpulley/kernel/port",
+	"redwingpulley/plugins/endpoints/crashes",
 	"redwingpulley/plugins/endpoints/ledger",
 	"redwingpulley/plugins/endpoints/loadview",
 	"redwingpulley/plugins/endpoints/poolstate",
--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -50,6 +50,7 @@
 	From       Key = "from"        // State before a change.
 	To         Key = "to"          // State after a change.
 	Runs       Key = "runs"        // Number of task runs.
+	Crashes    Key = "crashes"     // Number of endpoints that have crashed, or may have, under runs of a task.
 	Claimed    Key = "claimed"     // Number of those runs that a member waits for.
 	Ends       Key = "ends"        // Number of ends of runs.
 
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -49,6 +49,8 @@
 		Job, JobKey, Task, Attempt, Pool, Endpoint, Earlier)
 	TaskEnded = define(Routine, "task_ended", "a start of a task has ended, with the task's result or with the state that tells why there is none",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, State, Cause, TookMS, Why)
+	TaskExhausted = define(Trouble, "task_exhausted", "endpoints have crashed, or may have, under so many runs of a task that it is not started again",
+		JobKey, Task, Crashes, Endpoint)
 	TaskRevoked = define(Trouble, "task_revoked", "an endpoint was asked to prevent a start that it did not answer, or to stop a task",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, State, TookMS, Why)
 	EndpointChanged = define(Change, "endpoint_changed", "the status of an endpoint in its pool has changed",
--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -79,6 +79,13 @@
 	Payload  []byte        // Opaque to the dispatcher.
 	Declared time.Duration // Run time declared by the caller; 0 when it declared none.
 	Needs    Needs
+	Losses   []Loss `json:",omitempty"` // Endpoints that have crashed, or may have, under earlier runs of the task.
+}
+
+// Loss is an endpoint that has crashed, or may have, under a run of a task.
+type Loss struct {
+	Endpoint EndpointID // The incarnation of the endpoint.
+	Crashed  bool       // It is certain that the endpoint had started the run and has crashed.
 }
 
 // Job is a set of tasks that succeeds or fails as a whole: its outcome holds the answers of all tasks
@@ -158,12 +165,14 @@
 	ReasonEndpointLost   Reason = "endpoint_lost"
 	ReasonRefused        Reason = "endpoint_refused"
 	ReasonUnreachable    Reason = "unreachable"
-	ReasonBusy           Reason = "pool_busy"       // The batch would wait longer in the pool than the job's owner expected.
-	ReasonMoved          Reason = "owner_moved"     // The pool has another owner now.
-	ReasonAnswerExpired  Reason = "answer_expired"  // The job completed; its answers are no longer kept.
-	ReasonUnknownService Reason = "unknown_service" // No endpoint announced the service and no profile names it.
-	ReasonDeadlineLimit  Reason = "deadline_limit"  // The deadline is later than the profile allows.
-	ReasonUnknownTeam    Reason = "unknown_team"    // The profile's quotas do not list the team.
+	ReasonBusy           Reason = "pool_busy"   // The batch would wait longer in the pool than the job's owner expected.
+	ReasonMoved          Reason = "owner_moved" // The pool has another owner now.
+	// ReasonEndpointsCrashed means that endpoints have crashed under runs of a task, and that it is not started again.
+	ReasonEndpointsCrashed Reason = "endpoints_crashed"
+	ReasonAnswerExpired    Reason = "answer_expired"  // The job completed; its answers are no longer kept.
+	ReasonUnknownService   Reason = "unknown_service" // No endpoint announced the service and no profile names it.
+	ReasonDeadlineLimit    Reason = "deadline_limit"  // The deadline is later than the profile allows.
+	ReasonUnknownTeam      Reason = "unknown_team"    // The profile's quotas do not list the team.
 )
 
 // Outcome is a job's state as its caller sees it. Answers are in the order of the tasks and are set
--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -115,6 +115,7 @@
 	Answer []byte
 	Run    RunState // Set when the task is not done.
 	Reason Reason   // Set when the task is not done.
+	Losses []Loss   `json:",omitempty"` // Endpoints that have crashed, or may have, under runs of the task.
 }
 
 // BatchResult is how a batch ended. A refused batch started none of its tasks.
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -81,6 +81,15 @@
 	// It reports whether that is certain; tasks that run there continue. Only endpoints that run tasks under a lease can be
 	// retired; for others it reports false.
 	Retire(ctx context.Context, address string, endpoint model.EndpointID) bool
+	// Observe registers an observer, before the plug-ins start. Endpoints without leases have no losses to observe.
+	Observe(observer EndpointObserver)
+}
+
+// EndpointObserver is told what becomes of endpoints and of the runs there. Its methods must not block.
+type EndpointObserver interface {
+	// RunLost says that a run was lost at an endpoint, also one that another member has requested. It is called before the
+	// reply to the run's start is returned.
+	RunLost(endpoint model.EndpointID, run TaskRun, cause LossCause)
 }
 
 // TaskStart is one attempt at a task.
--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -7,6 +7,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/wait"
+	"redwingpulley/plugins/endpoints/crashes"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -116,16 +117,24 @@
 	}
 	reply, took := p.callStart(c.ctx, s)
 	p.logTaskEnded(id, s, reply, took)
-	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply})
+	ref := refOf(s.Key, s.Task)
+	if reply.State == port.TaskLost {
+		p.recordLoss(ref, s.Endpoint, reply.Cause)
+	}
+	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply, Losses: p.lossesOf(ref)})
 	p.markReplied(id, c)
 }
 
-// callStart sends a start and waits for its reply, unless this member's view of the others is stale.
+// callStart sends a start and waits for its reply, unless this member's view of the others is stale or it has learned that the
+// task must not be started again.
 func (p *Pools) callStart(ctx context.Context, s poolstate.Start) (reply port.TaskReply, took time.Duration) {
 	if !p.liveness.Fresh() {
 		// This process was paused, or has not yet reached another member. Others may own the pool by now.
 		return port.TaskReply{State: port.TaskNoRoom, Detail: "this member's view of the others is stale"}, 0
 	}
+	if crashes.Judge(p.lossesOf(refOf(s.Key, s.Task))) == crashes.Exhausted {
+		return port.TaskReply{State: port.TaskNotRun, Detail: "endpoints have crashed under too many runs of the task"}, 0
+	}
 	p.instruments.starts.Inc(1)
 	startedAt := time.Now()
 	reply = p.tasks.Start(ctx, s.Address, port.TaskStart{
--- a/plugins/endpoints/cluster_test.go
+++ b/plugins/endpoints/cluster_test.go
@@ -147,6 +147,8 @@
 
 func (m *testMember) Retire(context.Context, string, model.EndpointID) bool { return true }
 
+func (m *testMember) Observe(port.EndpointObserver) {}
+
 // finish finishes one running task, no matter which.
 func (c *cluster) finish() {
 	c.mu.Lock()
--- a/plugins/endpoints/crashes_test.go
+++ b/plugins/endpoints/crashes_test.go
@@ -56,7 +56,6 @@
 		w := newWaiter()
 		go second.submit(submissionOf("origin.o1.1.1.t", pool1).Batch, w)
 		<-w.ended
-		t.Logf("%d starts", starts.Load())
 		is.True(starts.Load() < 6) // Three crashes, and fewer than three starts after them.
 		is.True(!w.result.Results[0].Done)
 	})
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -76,11 +76,16 @@
 
 	unreachable *shard.Map[model.NodeID, bool] // Members that did not reply and have not been reached since.
 
-	created  chan struct{}                       // Signals watchOrigins that there is a new pool.
-	effects  sync.Pool                           // Holds *poolstate.Effects, so that later steps use the buffers again.
-	origins  *shard.Map[incarnationKey, *origin] // Members that send batches to this one.
-	turns    *shard.Map[taskRef, turn]           // Attempts that may be running, by their task.
-	draining atomic.Bool                         // New batches are refused; set by Drain.
+	created chan struct{}                       // Signals watchOrigins that there is a new pool.
+	effects sync.Pool                           // Holds *poolstate.Effects, so that later steps use the buffers again.
+	origins *shard.Map[incarnationKey, *origin] // Members that send batches to this one.
+	turns   *shard.Map[taskRef, turn]           // Attempts that may be running, by their task.
+
+	losses        *shard.Map[taskRef, taskLosses]          // Endpoints that have crashed under tasks.
+	pendingLosses *shard.Map[model.NodeID, []wireTaskLoss] // Losses that are to be sent to other members.
+	lossAdded     chan struct{}                            // Signals publishLosses that there are some.
+
+	draining atomic.Bool // New batches are refused; set by Drain.
 
 	instruments instruments
 }
@@ -107,6 +112,7 @@
 		Admissions: plugin.UseAll[port.Admission](c),
 	}
 	p.init(c.Log, c.Metrics)
+	p.tasks.Observe(p)
 	p.gossip.Subscribe(topicLoads, p.handleGossipedLoads)
 	p.gossip.Subscribe(topicParts, p.handleGossipedParts)
 	plugin.Bind[port.Pools](c, p)
@@ -125,6 +131,9 @@
 	p.sessions = shard.New[incarnationKey, *session](shard.DefaultCount)
 	p.origins = newOrigins()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
+	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
+	p.pendingLosses = shard.New[model.NodeID, []wireTaskLoss](shard.DefaultCount)
+	p.lossAdded = make(chan struct{}, 1)
 	p.unreachable = shard.New[model.NodeID, bool](shard.DefaultCount)
 	p.parts = shard.New[poolGroup, int](shard.DefaultCount)
 	p.splitPending = shard.New[poolGroup, bool](shard.DefaultCount)
@@ -139,6 +148,7 @@
 // Start starts the goroutines that publish loads and watch the membership.
 func (p *Pools) Start() error {
 	go p.publishLoads()
+	go p.publishLosses()
 	go p.watchOrigins()
 	go p.watchSessions()
 	go p.watchOwnership()
@@ -194,7 +204,7 @@
 		p.refuse(batch, w, model.ReasonDraining)
 		return
 	}
-	p.step(batch.Pool, poolstate.Submitted{Batch: batch, Profile: profile})
+	p.step(batch.Pool, poolstate.Submitted{Batch: p.withLosses(batch), Profile: profile})
 }
 
 // refuse ends a batch with a refusal before it reaches its pool.
--- /dev/null
+++ b/plugins/endpoints/losses.go
@@ -0,0 +1,222 @@
+package endpoints
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"redwingpulley/kernel/event"
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/wait"
+	"redwingpulley/plugins/endpoints/crashes"
+)
+
+// The losses of a task belong to the task, not to the pool or the member that ran it. Each member keeps a table of those that it
+// knows, by the key that the caller chose, so that they also count for a job that its caller has sent to another member. A
+// member that learns of a loss tells all others at once. Batches and their results carry losses as well, so that a job's
+// owner and the next owner of a pool need not wait for that.
+
+const (
+	lossRetention     = 10 * time.Minute       // How long a task's losses are kept after the newest of them.
+	maxTasksPerShard  = 256                    // Bounds the tasks with losses that are kept in one shard of the table.
+	maxPendingLosses  = 256                    // Bounds the losses that wait to be sent to one member.
+	lossTimeout       = 250 * time.Millisecond // Timeout of a message with losses.
+	lossPause         = 20 * time.Millisecond  // Time in which losses are collected for one message.
+	maxLossTextLength = 256                    // Limit on the key of a job and the id of an endpoint, in bytes.
+)
+
+// taskLosses is an entry of the table.
+type taskLosses struct {
+	record  []model.Loss
+	expires time.Time
+}
+
+// lossMessage tells another member of losses.
+type lossMessage struct {
+	Losses []wireTaskLoss `json:"losses"`
+}
+
+// wireTaskLoss is the encoding of a loss with its task.
+type wireTaskLoss struct {
+	Job      string           `json:"job"` // Key that the caller chose, or the job's id.
+	Index    int              `json:"index"`
+	Endpoint model.EndpointID `json:"endpoint"`
+	Crashed  bool             `json:"crashed,omitempty"`
+}
+
+// valid reports whether a correct member could have sent the loss.
+func (l wireTaskLoss) valid() bool {
+	return l.Job != "" && len(l.Job) <= maxLossTextLength && l.Endpoint != "" && len(l.Endpoint) <= maxLossTextLength &&
+		l.Index >= 0 && l.Index < model.MaxTasksPerJob
+}
+
+// lossesOf returns the known losses of a task.
+func (p *Pools) lossesOf(ref taskRef) []model.Loss {
+	entry, _ := p.losses.Get(ref)
+	return entry.record
+}
+
+// recordLoss records that a run of a task was lost, if its endpoint has crashed or may have, and tells the other members.
+func (p *Pools) recordLoss(ref taskRef, endpoint model.EndpointID, cause port.LossCause) {
+	loss, counts := crashes.LossOf(endpoint, cause)
+	if !counts || ref.job == "" || !p.addLoss(ref, loss) {
+		return
+	}
+	record := p.lossesOf(ref)
+	if crashes.Judge(record) == crashes.Exhausted {
+		event.TaskExhausted.Log(p.log, event.Text(event.JobKey, ref.job), event.Int(event.Task, ref.index),
+			event.Int(event.Crashes, len(record)), event.Text(event.Endpoint, endpoint))
+	}
+	p.enqueueLoss(wireTaskLoss{ref.job, ref.index, loss.Endpoint, loss.Crashed})
+}
+
+// addLoss adds a loss to the table. It reports whether the table has changed.
+func (p *Pools) addLoss(ref taskRef, loss model.Loss) (changed bool) {
+	now := time.Now()
+	p.losses.Do(ref, func(entries map[taskRef]taskLosses) {
+		entry, known := entries[ref]
+		entry.record, changed = crashes.Add(entry.record, loss)
+		if !changed {
+			return
+		}
+		if !known {
+			evictLosses(entries, now)
+		}
+		entry.expires = now.Add(lossRetention)
+		entries[ref] = entry
+	})
+	return changed
+}
+
+// evictLosses makes room for a further task: it removes the expired ones, and the oldest when there are too many.
+func evictLosses(entries map[taskRef]taskLosses, now time.Time) {
+	if len(entries) < maxTasksPerShard {
+		return
+	}
+	var oldest taskRef
+	for ref, entry := range entries {
+		if entry.expires.Before(now) {
+			delete(entries, ref)
+		} else if known, ok := entries[oldest]; !ok || entry.expires.Before(known.expires) {
+			oldest = ref
+		}
+	}
+	if len(entries) >= maxTasksPerShard {
+		delete(entries, oldest)
+	}
+}
+
+// withLosses adds what this member knows of the losses of a batch's tasks to them. The tasks are copied, since the batch shares
+// them with its job.
+func (p *Pools) withLosses(batch model.Batch) model.Batch {
+	cloned := false
+	for i, t := range batch.Tasks {
+		ref := refOf(batch.Key, batch.ID.Job.TaskID(t.Index))
+		for _, loss := range t.Losses {
+			p.addLoss(ref, loss)
+		}
+		known := p.lossesOf(ref)
+		if len(known) == 0 {
+			continue
+		}
+		if !cloned {
+			batch.Tasks, cloned = slices.Clone(batch.Tasks), true
+		}
+		batch.Tasks[i].Losses = known
+	}
+	return batch
+}
+
+// addResultLosses adds the losses in a batch's result to the table.
+func (p *Pools) addResultLosses(batch model.Batch, result model.BatchResult) {
+	for _, r := range result.Results {
+		for _, loss := range r.Losses {
+			p.addLoss(refOf(batch.Key, batch.ID.Job.TaskID(r.Index)), loss)
+		}
+	}
+}
+
+// handleLosses handles a message with losses that another member has learned of.
+func (p *Pools) handleLosses(_ context.Context, _ model.NodeID, m lossMessage) empty {
+	for _, l := range m.Losses[:min(len(m.Losses), maxPendingLosses)] {
+		if l.valid() {
+			p.addLoss(taskRef{l.Job, l.Index}, model.Loss{Endpoint: l.Endpoint, Crashed: l.Crashed})
+		}
+	}
+	return empty{}
+}
+
+// enqueueLoss adds a loss to those that are to be sent to each other member, and signals publishLosses.
+func (p *Pools) enqueueLoss(loss wireTaskLoss) {
+	self := p.membership.Self().ID
+	for _, node := range p.membership.Alive() {
+		if node.ID != self {
+			p.appendPendingLosses(node.ID, loss)
+		}
+	}
+	select {
+	case p.lossAdded <- struct{}{}:
+	default: // An earlier signal is still pending.
+	}
+}
+
+// appendPendingLosses adds losses to those that are to be sent to a member. The oldest are dropped when there are too many.
+func (p *Pools) appendPendingLosses(to model.NodeID, losses ...wireTaskLoss) {
+	p.pendingLosses.Do(to, func(pending map[model.NodeID][]wireTaskLoss) {
+		all := append(pending[to], losses...)
+		pending[to] = all[max(len(all)-maxPendingLosses, 0):]
+	})
+}
+
+// publishLosses sends the losses that this member learns of to the other members.
+func (p *Pools) publishLosses() {
+	for {
+		select {
+		case <-p.lossAdded:
+		case <-p.baseCtx.Done():
+			return
+		}
+		if !wait.For(p.baseCtx, lossPause) {
+			return
+		}
+		for to, losses := range p.takePendingLosses() {
+			go p.sendLosses(to, losses)
+		}
+	}
+}
+
+// takePendingLosses removes and returns the losses that are to be sent, by member.
+func (p *Pools) takePendingLosses() map[model.NodeID][]wireTaskLoss {
+	all := make(map[model.NodeID][]wireTaskLoss)
+	p.pendingLosses.Each(func(pending map[model.NodeID][]wireTaskLoss) {
+		for to, losses := range pending {
+			all[to] = losses
+			delete(pending, to)
+		}
+	})
+	return all
+}
+
+// sendLosses sends losses to a member, and repeats this while it does not reply and is considered alive.
+func (p *Pools) sendLosses(to model.NodeID, losses []wireTaskLoss) {
+	for callCtx := p.baseCtx; ; {
+		sentAt := time.Now()
+		ctx, cancel := context.WithTimeout(callCtx, lossTimeout)
+		var ignored empty
+		delivery := p.peers.Call(ctx, to, methodLosses, lossMessage{losses}, &ignored)
+		cancel()
+		if delivery == port.Delivered {
+			return
+		}
+		if _, alive := p.member(to); !alive || !wait.For(p.baseCtx, lossTimeout) {
+			return
+		}
+		callCtx = port.FreshConnection(p.baseCtx, sentAt)
+	}
+}
+
+// RunLost implements port.EndpointObserver.
+func (p *Pools) RunLost(endpoint model.EndpointID, run port.TaskRun, cause port.LossCause) {
+	p.recordLoss(taskRef{run.Key, run.Index}, endpoint, cause)
+}
--- a/plugins/endpoints/network_test.go
+++ b/plugins/endpoints/network_test.go
@@ -151,6 +151,8 @@
 
 func (m *fakeMember) Retire(context.Context, string, model.EndpointID) bool { return true }
 
+func (m *fakeMember) Observe(port.EndpointObserver) {}
+
 func (m *fakeMember) Revoke(_ context.Context, _ string, revoke port.TaskRevoke) port.RevokeReply {
 	id := revoke.ID
 	return m.revokeReply(id)
@@ -187,6 +189,7 @@
 	}
 	p.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	go p.watchSessions()
+	go p.publishLosses()
 	t.Cleanup(func() { p.Stop() })
 	return p, m
 }
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -57,6 +57,7 @@
 	slot             int              // Index in the endpoint's tasks.
 	avoid            model.EndpointID // Endpoint that last refused the task or ran it without a result.
 	failures         int              // Number of runs that failed.
+	losses           []model.Loss     // Endpoints that have crashed, or may have, under runs of the task.
 	mayHaveRun       bool             // An earlier attempt ran, or may have run.
 	sentAt           time.Time
 	unlistedSince    time.Time // Time since which the endpoint has not listed the task; zero while it lists it.
@@ -69,7 +70,7 @@
 
 // runState reports whether a task that is not at an endpoint may have run in an earlier attempt.
 func (t *task) runState() model.RunState {
-	if t.mayHaveRun {
+	if t.mayHaveRun || len(t.losses) > 0 {
 		return model.MayHaveRun
 	}
 	return model.NotRun
@@ -101,6 +102,7 @@
 		return
 	}
 	m.accept(now, b)
+	m.giveUpExhausted(now, b, fx)
 }
 
 func (m *Machine) newBatch(now time.Time, s *Submitted) *batch {
@@ -110,7 +112,7 @@
 	for i := range b.tasks {
 		declared := b.Tasks[i].Declared
 		c := m.runTimes.classOf(b.Team, declared)
-		b.tasks[i] = task{batch: b, id: ids(i), position: i, class: c, run: m.runTimes.estimateFor(&b.profile, declared, c)}
+		b.tasks[i] = task{batch: b, id: ids(i), position: i, class: c, run: m.runTimes.estimateFor(&b.profile, declared, c), losses: b.Tasks[i].Losses}
 	}
 	b.estimate()
 	return b
@@ -254,7 +256,7 @@
 // abandonTask adds a result without an answer for a task of a cancelled batch, and revokes the task if it
 // is at an endpoint.
 func (m *Machine) abandonTask(now time.Time, t *task, reason model.Reason, fx *Effects) {
-	result := model.TaskResult{Index: t.spec().Index, Run: t.runState(), Reason: reason}
+	result := model.TaskResult{Index: t.spec().Index, Run: t.runState(), Reason: reason, Losses: t.losses}
 	switch t.phase {
 	case atEndpoint:
 		result.Run = model.MayHaveRun
@@ -273,7 +275,7 @@
 // recordResult adds a task's result to its batch and ends the batch when it was the last one.
 func (m *Machine) recordResult(now time.Time, t *task, result model.TaskResult, fx *Effects) {
 	b := t.batch
-	result.Index = t.spec().Index
+	result.Index, result.Losses = t.spec().Index, t.losses
 	t.phase = ended
 	b.results = append(b.results, result)
 	if len(b.results) < len(b.tasks) {
--- a/plugins/endpoints/poolstate/bench_test.go
+++ b/plugins/endpoints/poolstate/bench_test.go
@@ -101,7 +101,7 @@
 		l.sent = l.sent[:copy(l.sent, l.sent[l.head:])]
 		l.head = 0
 	}
-	l.step(Replied{s.Task, s.Attempt, port.TaskReply{State: port.TaskDone}})
+	l.step(Replied{Task: s.Task, Attempt: s.Attempt, Reply: port.TaskReply{State: port.TaskDone}})
 }
 
 // BenchmarkStart measures all decisions of a pool for one task: its share of the batch's admission, the
--- a/plugins/endpoints/poolstate/crashes_test.go
+++ b/plugins/endpoints/poolstate/crashes_test.go
@@ -30,4 +30,48 @@
 	is.True(starts < 6) // Three crashes, and fewer than three starts after them.
 	is.Equal(len(fx.Ended), 1)
 	is.Equal(fx.Ended[0].Results[0].Run, model.MayHaveRun)
+	is.Equal(fx.Ended[0].Results[0].Reason, model.ReasonEndpointsCrashed)
+}
+
+// Guards against a task that is started for ever where no endpoint's crash is certain: each of them refuses connections, and
+// its lease expires before its next incarnation is found.
+func TestTaskWhoseEndpointsRefuseConnectionsIsNotStartedForEver(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, 1, 1, 1, 1, 1, 1, 1)
+	fx := h.submitRepeatable(4, model.Needs{})
+	starts := 0
+	for len(fx.Starts) > 0 && starts < 20 {
+		starts++
+		h.now = h.now.Add(100 * time.Millisecond)
+		fx = h.lose(fx.Starts[0], port.LossRefusing)
+	}
+	is.True(starts < 6) // Three crashes, and fewer than three starts after them.
+	is.Equal(len(fx.Ended), 1)
+}
+
+// Guards against tasks that are given up although their endpoints were only cut off, or have left.
+func TestTaskIsNotGivenUpForLossesThatAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, 1, 1, 1, 1, 1, 1, 1)
+	fx := h.submitRepeatable(4, model.Needs{})
+	for _, cause := range []port.LossCause{port.LossSilent, port.LossLeft, port.LossDropped, port.LossSilent, port.LossCrashed, port.LossSilent, port.LossDropped} {
+		h.now = h.now.Add(100 * time.Millisecond)
+		fx = h.lose(fx.Starts[0], cause)
+		is.Equal(len(fx.Ended), 0)
+	}
+	is.Equal(len(fx.Starts), 1)
+}
+
+// Guards against issue 28, BUDGET: the pool's next owner, or another pool, does not know what the former one has seen.
+func TestTaskWithCrashesElsewhereIsNotStarted(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, 1)
+	b := model.Batch{
+		ID: model.BatchID{Job: "n.i.1.1.t"}, Pool: finderPool, Team: "t", Deadline: h.now.Add(10 * time.Second), Key: "key", MaxFailures: 4,
+		Tasks: []model.Task{{Losses: []model.Loss{{Endpoint: "x", Crashed: true}, {Endpoint: "y", Crashed: true}}}},
+	}
+	fx := h.step(Submitted{b, model.BuiltInProfile()})
+	is.Equal(len(fx.Starts), 0)
+	is.Equal(fx.Ended[0].Results[0].Reason, model.ReasonEndpointsCrashed)
+	is.Equal(fx.Ended[0].Results[0].Run, model.MayHaveRun) // It ran where the endpoints crashed.
 }
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -29,6 +29,8 @@
 	Task    model.TaskID
 	Attempt int
 	Reply   port.TaskReply
+	// Losses are the endpoints that have crashed, or may have, under runs of the task, as far as this member knows.
+	Losses []model.Loss `json:",omitempty"`
 }
 
 // RevokeReplied reports the outcome of a Revoke.
--- a/plugins/endpoints/poolstate/machine_test.go
+++ b/plugins/endpoints/poolstate/machine_test.go
@@ -85,7 +85,7 @@
 }
 
 func (h *harness) reply(s Start, state port.TaskState) Effects {
-	return h.step(Replied{s.Task, s.Attempt, port.TaskReply{State: state, Answer: []byte(s.Task)}})
+	return h.step(Replied{Task: s.Task, Attempt: s.Attempt, Reply: port.TaskReply{State: state, Answer: []byte(s.Task)}})
 }
 
 func TestBatchEndsWhenAllTasksHaveAnswered(t *testing.T) {
@@ -95,7 +95,7 @@
 	is.Equal(len(fx.Starts), 2)
 	is.Equal(len(h.reply(fx.Starts[1], port.TaskDone).Starts), 1)
 	is.Equal(len(h.reply(fx.Starts[0], port.TaskDone).Ended), 0)
-	last := h.step(Replied{"j.2", 1, port.TaskReply{State: port.TaskDone}})
+	last := h.step(Replied{Task: "j.2", Attempt: 1, Reply: port.TaskReply{State: port.TaskDone}})
 	is.Equal(len(last.Ended), 1)
 	is.Equal(len(last.Ended[0].Results), 3)
 	is.Equal(h.Load().Free, 2)
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -269,7 +269,7 @@
 	case port.TaskLeasedElsewhere:
 		c.cordoned[s.Endpoint] = true
 	}
-	c.step(Replied{s.Task, s.Attempt, port.TaskReply{State: state}})
+	c.step(Replied{Task: s.Task, Attempt: s.Attempt, Reply: port.TaskReply{State: state}})
 }
 
 func (c *cluster) lateReply(t *rapid.T) {
@@ -277,7 +277,7 @@
 	if !ok {
 		return
 	}
-	c.step(Replied{s.Task, s.Attempt - 1, port.TaskReply{State: port.TaskDone}})
+	c.step(Replied{Task: s.Task, Attempt: s.Attempt - 1, Reply: port.TaskReply{State: port.TaskDone}})
 }
 
 func (c *cluster) revokeReply(t *rapid.T) {
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -5,6 +5,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/crashes"
 )
 
 const (
@@ -29,6 +30,7 @@
 	if !ok || t.attempt != r.Attempt {
 		return
 	}
+	t.losses = crashes.Merge(t.losses, r.Losses)
 	switch r.Reply.State {
 	case port.TaskDone:
 		m.handleAnswer(now, t, r.Reply.Answer, fx)
@@ -46,6 +48,7 @@
 		}
 		m.revoke(t, 0, fx)
 	case port.TaskLost:
+		t.recordLoss(r.Reply.Cause)
 		m.handleLostRun(now, t, fx)
 	default:
 		m.handleFailure(now, t, fx)
@@ -150,6 +153,8 @@
 	m.release(t)
 	switch {
 	case t.batch.ended:
+	case crashes.Judge(t.losses) == crashes.Exhausted:
+		m.failTask(now, t, t.runState(), model.ReasonEndpointsCrashed, fx)
 	case t.batch.MaxFailures > 0 || m.retries.tryWithdraw():
 		m.enqueue(t)
 		m.timers.set(&t.batch.timer, m.nextTimerAt(t.batch))
@@ -159,7 +164,8 @@
 }
 
 // handleLostRun handles a run that is known to have ended without a result. If the job allows failed
-// runs, the task is queued again; the lost run does not count as a failed one.
+// runs, the task is queued again, unless endpoints have crashed under too many of its runs; the lost run does not count as a
+// failed one.
 func (m *Machine) handleLostRun(now time.Time, t *task, fx *Effects) {
 	m.recordOutcome(now, t.endpoint, t.batch.ID.Job, true)
 	if t.endpoint.live && t.endpoint.Leased {
@@ -169,6 +175,11 @@
 		m.handleFailure(now, t, fx)
 		return
 	}
+	if crashes.Judge(t.losses) == crashes.Exhausted {
+		m.release(t)
+		m.failTask(now, t, model.MayHaveRun, model.ReasonEndpointsCrashed, fx)
+		return
+	}
 	m.requeueAfterRun(t)
 }
 
@@ -205,7 +216,7 @@
 // failTask ends a task without an answer and cancels the rest of its batch.
 func (m *Machine) failTask(now time.Time, t *task, run model.RunState, reason model.Reason, fx *Effects) {
 	t.phase = ended
-	t.batch.results = append(t.batch.results, model.TaskResult{Index: t.spec().Index, Run: run, Reason: reason})
+	t.batch.results = append(t.batch.results, model.TaskResult{Index: t.spec().Index, Run: run, Reason: reason, Losses: t.losses})
 	m.cancel(now, t.batch, reason, fx)
 }
 
--- a/plugins/endpoints/poolstate/sim_test.go
+++ b/plugins/endpoints/poolstate/sim_test.go
@@ -204,7 +204,7 @@
 	for _, st := range s.fx.Starts {
 		j, index := s.taskOf(st.Task)
 		s.running[st.Task] = simRun{s.now, st.Endpoint}
-		s.at(s.now.Add(j.runs[index]), Replied{st.Task, st.Attempt, port.TaskReply{State: port.TaskDone}})
+		s.at(s.now.Add(j.runs[index]), Replied{Task: st.Task, Attempt: st.Attempt, Reply: port.TaskReply{State: port.TaskDone}})
 	}
 	for _, r := range s.fx.Revokes {
 		s.endRun(r.Task)
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -74,7 +74,7 @@
 	p.countSent(batch.Pool, len(batch.Tasks))
 	var reply runReply
 	sentAt := time.Now()
-	delivery := p.peers.Call(callCtx, node.ID, methodRun, encodeBatch(p.envelope(b), batch), &reply)
+	delivery := p.peers.Call(callCtx, node.ID, methodRun, encodeBatch(p.envelope(b), p.withLosses(batch)), &reply)
 	switch delivery {
 	case port.Delivered:
 	case port.NotSent:
@@ -125,7 +125,9 @@
 	if reply.Load.Owner != "" {
 		p.updateLoad(reply.Load)
 	}
-	return decodeResult(batch.ID, reply)
+	result := decodeResult(batch.ID, reply)
+	p.addResultLosses(batch, result)
+	return result
 }
 
 // sendCancel cancels the batch at its owner. While no reply arrives, it repeats the request over new connections: the
--- a/plugins/endpoints/wire.go
+++ b/plugins/endpoints/wire.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/crashes"
 )
 
 // maxRemaining is the longest remaining time that a valid request may give its batch. It is longer than
@@ -53,6 +55,33 @@
 	Payload    json.RawMessage `json:"payload,omitempty"`
 	DeclaredMS int64           `json:"declared_ms,omitempty"`
 	Needs      model.Needs     `json:"needs"`
+	Losses     []wireLoss      `json:"losses,omitempty"`
+}
+
+// wireLoss is the encoding of a model.Loss.
+type wireLoss struct {
+	Endpoint model.EndpointID `json:"endpoint"`
+	Crashed  bool             `json:"crashed,omitempty"`
+}
+
+func validLosses(losses []wireLoss) bool {
+	return len(losses) <= crashes.MaxRecorded && !slices.ContainsFunc(losses, func(l wireLoss) bool {
+		return l.Endpoint == "" || len(l.Endpoint) > maxLossTextLength
+	})
+}
+
+func encodeLosses(losses []model.Loss) (encoded []wireLoss) {
+	for _, l := range losses {
+		encoded = append(encoded, wireLoss(l))
+	}
+	return encoded
+}
+
+func decodeLosses(encoded []wireLoss) (losses []model.Loss) {
+	for _, l := range encoded {
+		losses = append(losses, model.Loss(l))
+	}
+	return losses
 }
 
 // runReply is the reply to the request to run or to resume a batch.
@@ -71,6 +100,7 @@
 	Done   bool            `json:"done,omitempty"`
 	Run    model.RunState  `json:"run,omitempty"`
 	Reason model.Reason    `json:"reason,omitempty"`
+	Losses []wireLoss      `json:"losses,omitempty"`
 }
 
 func encodeBatch(e envelope, batch model.Batch) runRequest {
@@ -83,7 +113,7 @@
 		Tasks: make([]wireTask, 0, len(batch.Tasks)),
 	}
 	for _, t := range batch.Tasks {
-		r.Tasks = append(r.Tasks, wireTask{t.Index, t.Payload, t.Declared.Milliseconds(), t.Needs})
+		r.Tasks = append(r.Tasks, wireTask{t.Index, t.Payload, t.Declared.Milliseconds(), t.Needs, encodeLosses(t.Losses)})
 	}
 	return r
 }
@@ -99,6 +129,9 @@
 		if t.Index < 0 || t.Index >= model.MaxTasksPerJob || seen[t.Index] {
 			return false
 		}
+		if !validLosses(t.Losses) {
+			return false
+		}
 		seen[t.Index] = true
 	}
 	return r.RemainingMS <= maxRemaining.Milliseconds()
@@ -116,7 +149,7 @@
 	for _, t := range r.Tasks {
 		batch.Tasks = append(batch.Tasks, model.Task{
 			Index: t.Index, Payload: t.Payload, Needs: t.Needs,
-			Declared: time.Duration(t.DeclaredMS) * time.Millisecond,
+			Declared: time.Duration(t.DeclaredMS) * time.Millisecond, Losses: decodeLosses(t.Losses),
 		})
 	}
 	return batch
@@ -128,7 +161,7 @@
 		RetryAfterMS: result.RetryAfter.Milliseconds(), Load: result.Load,
 	}
 	for _, r := range result.Results {
-		reply.Results = append(reply.Results, wireResult{r.Index, r.Answer, r.Done, r.Run, r.Reason})
+		reply.Results = append(reply.Results, wireResult{r.Index, r.Answer, r.Done, r.Run, r.Reason, encodeLosses(r.Losses)})
 	}
 	return reply
 }
@@ -139,7 +172,9 @@
 		RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond, Load: reply.Load,
 	}
 	for _, r := range reply.Results {
-		result.Results = append(result.Results, model.TaskResult{Index: r.Index, Done: r.Done, Answer: r.Answer, Run: r.Run, Reason: r.Reason})
+		result.Results = append(result.Results, model.TaskResult{
+			Index: r.Index, Done: r.Done, Answer: r.Answer, Run: r.Run, Reason: r.Reason, Losses: decodeLosses(r.Losses),
+		})
 	}
 	return result
 }
--- a/plugins/frontend/callers/callers.go
+++ b/plugins/frontend/callers/callers.go
@@ -185,7 +185,7 @@
 		return http.StatusNotFound
 	case model.ReasonExpired, model.ReasonAnswerExpired:
 		return http.StatusGone
-	case model.ReasonTaskFailed:
+	case model.ReasonTaskFailed, model.ReasonEndpointsCrashed:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
--- a/plugins/frontend/callers/callers_test.go
+++ b/plugins/frontend/callers/callers_test.go
@@ -147,7 +147,7 @@
 		model.ReasonDeadline: 504, model.ReasonConflict: 409, model.ReasonUnknownJob: 404, model.ReasonExpired: 410,
 		model.ReasonAnswerExpired: 410, model.ReasonUnknownService: 400, model.ReasonUnknownTeam: 400,
 		model.ReasonDeadlineLimit: 400,
-		model.ReasonTaskFailed:    502, model.ReasonOwnerLost: 503,
+		model.ReasonTaskFailed:    502, model.ReasonOwnerLost: 503, model.ReasonEndpointsCrashed: 502,
 	} {
 		t.Run(string(reason), func(t *testing.T) {
 			is := is.New(t)
--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -30,6 +30,7 @@
 // foreignRun is a run of another holder that the endpoint has listed.
 type foreignRun struct {
 	claimant   model.NodeID // The live member that waits for the run; "" when none has claimed it.
+	listedAt   time.Time    // When the endpoint has listed the run last.
 	stopSentAt time.Time    // When the newest stop order was sent; zero while the run is not to be stopped.
 }
 
@@ -45,11 +46,14 @@
 	added := false
 	for _, id := range running {
 		f, known := m.foreignRuns[id]
+		if known {
+			f.listedAt = now
+		}
 		switch {
 		case m.Pending(id):
 			delete(m.foreignRuns, id)
 		case !known:
-			m.foreignRuns[id] = &foreignRun{}
+			m.foreignRuns[id] = &foreignRun{listedAt: now}
 			added = true
 		case !f.stopSentAt.IsZero() && now.Sub(f.stopSentAt) > m.config.StopTimeout:
 			m.stopForeignRun(now, id, f, fx)
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -114,8 +114,10 @@
 	// ForwardEnds lists ends of runs that this holder does not wait for: send them to those that do,
 	// before the next hold, which acknowledges them.
 	ForwardEnds []ForwardedEnd
-	Acquired    bool       // The endpoint has accepted a new fencing token.
-	Lost        LossReason // Why the lease was lost; "" when this step has not lost it.
+	// ForeignLosses are runs of other holders that were lost at the endpoint while this one held the lease.
+	ForeignLosses []ForeignLoss
+	Acquired      bool       // The endpoint has accepted a new fencing token.
+	Lost          LossReason // Why the lease was lost; "" when this step has not lost it.
 
 	// Successor is the incarnation that has replaced the endpoint, with LossOtherIncarnation, Settle or SettleStops;
 	// "" when it is not known.
@@ -137,6 +139,12 @@
 	To  model.NodeID // The member that has claimed the run; "" when it is not known which one waits.
 }
 
+// ForeignLoss is a run of another holder that was lost.
+type ForeignLoss struct {
+	Run   port.TaskRun
+	Cause port.LossCause
+}
+
 // LossReason is why a lease ended before its runs did; "" when it did not.
 type LossReason string
 
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -142,9 +142,9 @@
 func (m *Machine) needsLease() bool { return m.hasActiveRuns() || len(m.foreignRuns) > 0 }
 
 // forgetExpiredRuns forgets the runs of others once the lease has expired.
-func (m *Machine) forgetExpiredRuns(now time.Time) {
+func (m *Machine) forgetExpiredRuns(now time.Time, fx *Effects) {
 	if m.failedHolds >= maxFailedHolds && !now.Before(m.leaseExpiredBy()) {
-		clear(m.foreignRuns)
+		m.loseForeignRuns(func(*foreignRun) port.LossCause { return m.causeOfExpiry() }, fx)
 	}
 }
 
--- a/plugins/leases/lease/loss.go
+++ b/plugins/leases/lease/loss.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"redwingpulley/kernel/port"
@@ -25,16 +27,24 @@
 	return port.LossSilent
 }
 
-// causeOfReplacement returns why a run is lost at an endpoint whose next incarnation has been found. A run that was there when
-// the endpoint ended is one whose lease had not expired by now, or by the time at which the endpoint began to refuse connections.
-func (m *Machine) causeOfReplacement(now time.Time, r *run) port.LossCause {
-	begun := r.listed || !r.confirmedAt.IsZero()
+// loseForeignRuns reports the runs of other holders as lost, and forgets them. Their own holders wait for them and may have died.
+func (m *Machine) loseForeignRuns(causeOf func(*foreignRun) port.LossCause, fx *Effects) {
+	for _, id := range slices.SortedFunc(maps.Keys(m.foreignRuns), compareRuns) {
+		fx.ForeignLosses = append(fx.ForeignLosses, ForeignLoss{id, causeOf(m.foreignRuns[id])})
+	}
+	clear(m.foreignRuns)
+}
+
+// causeOfReplacement returns why a run is lost at an endpoint whose next incarnation has been found; begun says that the endpoint
+// had started the run, and extended when its lease was last known to be in force. A run that was there when the endpoint ended is one whose lease had not expired by now, or by the time at
+// which the endpoint began to refuse connections.
+func (m *Machine) causeOfReplacement(now time.Time, begun bool, extended time.Time) port.LossCause {
 	switch {
 	case m.retirement.phase != retireNotRequested:
 		return port.LossLeft
 	case !begun:
 		return port.LossNotBegun
-	case now.Before(m.leaseExpiredBy()), !m.refusingSince.IsZero() && m.refusingSince.Before(m.leaseExpiredBy()):
+	case now.Before(m.expiredBy(extended)), !m.refusingSince.IsZero() && m.refusingSince.Before(m.expiredBy(extended)):
 		return port.LossCrashed
 	}
 	return port.LossSilent
--- a/plugins/leases/lease/loss_test.go
+++ b/plugins/leases/lease/loss_test.go
@@ -21,6 +21,17 @@
 	return h.fx.Finished[0].Cause
 }
 
+// Guards against crashes that nobody counts: the member that had sent the run has died, and the holder of the lease did not
+// report runs that it had not requested itself.
+func TestCrashUnderARunOfAnotherHolderIsReported(t *testing.T) {
+	h := newRunningHarness(t, 0)
+	h.step(StartRequested{Run: testRun(0)})
+	h.advance(time.Millisecond).replyToHold([]port.TaskRun{testRun(1)}) // A run of another holder.
+	h.step(Claimed{Queried: []port.TaskRun{testRun(1)}})
+	h.advance(time.Millisecond).replace()
+	h.is.Equal(h.fx.ForeignLosses, []ForeignLoss{{testRun(1), port.LossCrashed}})
+}
+
 // Guards against a crash that cannot be told from a lapsed lease in the logs, and against lapsed leases that count as crashes.
 func TestLostRunTellsWhetherItsEndpointCrashed(t *testing.T) {
 	t.Run("replaced within the lease", func(t *testing.T) {
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -174,7 +174,7 @@
 // advance does what is due at the given time: it finishes runs that have certainly ended, and sends stop
 // orders and the next hold.
 func (m *Machine) advance(now time.Time, fx *Effects) {
-	m.forgetExpiredRuns(now)
+	m.forgetExpiredRuns(now, fx)
 	m.finishEndedRuns(now, fx)
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -27,7 +27,7 @@
 	fx.Lost = LossOtherIncarnation
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
-		r.lossCause = m.causeOfReplacement(now, r)
+		r.lossCause = m.causeOfReplacement(now, r.listed || !r.confirmedAt.IsZero(), m.leaseExtendedAt)
 		switch {
 		case r.phase == queued:
 			m.finish(now, id, port.TaskNotRun, detailReplaced, fx)
@@ -37,6 +37,7 @@
 			m.settleAtSuccessor(id, r, fx)
 		}
 	}
+	m.loseForeignRuns(func(f *foreignRun) port.LossCause { return m.causeOfReplacement(now, true, f.listedAt) }, fx)
 	fx.Successor = successor
 }
 
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -56,9 +56,10 @@
 	runsWithoutResult metrics.Counter // Outcomes other than port.TaskDone.
 	leasesTaken       metrics.Counter
 
-	sessions *shard.Map[model.EndpointID, *session]
-	baseCtx  context.Context
-	stop     context.CancelFunc
+	sessions  *shard.Map[model.EndpointID, *session]
+	observers []port.EndpointObserver // Fixed once the plug-ins have started.
+	baseCtx   context.Context
+	stop      context.CancelFunc
 }
 
 // Provision reads the settings and binds the ports.
--- a/plugins/leases/orders.go
+++ b/plugins/leases/orders.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// notifyObservers tells the observers which runs a step has found to be lost.
+func (l *Leases) notifyObservers(endpoint model.EndpointID, fx lease.Effects) {
+	for _, o := range l.observers {
+		for _, outcome := range fx.Finished {
+			if outcome.State == port.TaskLost {
+				o.RunLost(endpoint, outcome.Run, outcome.Cause)
+			}
+		}
+		for _, loss := range fx.ForeignLosses {
+			o.RunLost(endpoint, loss.Run, loss.Cause)
+		}
+	}
+}
+
 // sendStart sends a start order and applies its reply.
 func (l *Leases) sendStart(at port.EndpointIncarnation, order port.StartOrder) {
 	ctx, cancel := context.WithTimeout(l.baseCtx, l.orderTimeout())
--- a/plugins/leases/session.go
+++ b/plugins/leases/session.go
@@ -57,6 +57,7 @@
 		}
 		l.armTimer(s, now)
 	})
+	l.notifyObservers(target.ID, fx)
 	for _, notify := range notifications {
 		notify()
 	}
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -11,6 +11,11 @@
 // tasks implements port.Tasks.
 type tasks struct{ leases *Leases }
 
+// Observe registers an observer of endpoints.
+func (t tasks) Observe(observer port.EndpointObserver) {
+	t.leases.observers = append(t.leases.observers, observer)
+}
+
 // Start requests a run of the task at the endpoint and waits for its outcome.
 func (t tasks) Start(ctx context.Context, address string, start port.TaskStart) port.TaskReply {
 	at := port.EndpointIncarnation{ID: start.Endpoint, Address: address}
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -85,6 +85,9 @@
 	Reason  string          `json:"reason"` // Reason of a refusal or failure.
 }
 
+// Observe implements port.Tasks. Nothing is observed.
+func (c *Client) Observe(port.EndpointObserver) {}
+
 // Start sends the task to the endpoint and waits for its answer.
 func (c *Client) Start(ctx context.Context, address string, start port.TaskStart) port.TaskReply {
 	body, err := json.Marshal(startBody{start.ID, start.Attempt, start.Deadline, start.Payload})
