An endpoint that cannot exist is refused at the edge, and between members

Callers would lose all jobs in flight: one odd heartbeat ended the process that read it (fatal: out of memory, which nothing catches), then the next VM to which its writer turned, and the owners to which it was passed on. Cause: slots had no upper bound, and a pool allocated two ids for each of them at once (512 MB for 2^24 slots before, less than 1 MB now). The class is a number from outside that is used as a size or in sums. Now model.Endpoint.Check bounds slots, resources, names and lists, in one place for the platform's listener, the product's own and what members hand to one another; port 0, addresses at which nothing can listen and a start in the future are refused where they arrive. A refused entry names no endpoint, is logged and counted (announcements.refused). A member creates at most 4,096 pools and a pool keeps at most 16,384 endpoints.

--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -163,6 +163,9 @@
 func (p *Pools) adoptEndpoints(h handover) {
 	elsewhere := make(map[model.PoolID][]model.Endpoint)
 	for _, e := range h.Endpoints {
+		if !p.isPossible(&e) {
+			continue
+		}
 		if id := p.poolOf(e); e.Leased && id != h.Pool {
 			elsewhere[id] = append(elsewhere[id], e)
 			continue
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -15,12 +15,13 @@
 
 // instruments are the plug-in's metric instruments.
 type instruments struct {
-	registry   metrics.Registry
-	starts     metrics.Counter
-	repeated   metrics.Counter   // Starts of tasks that were started before.
-	wasted     metrics.Counter   // Messages whose content was not used.
-	queueTimes metrics.Histogram // Milliseconds that a task was queued in its pool.
-	objective  metrics.Histogram // Response time of a job as a percentage of its latency objective.
+	registry         metrics.Registry
+	starts           metrics.Counter
+	repeated         metrics.Counter   // Starts of tasks that were started before.
+	refusedEndpoints metrics.Counter   // Endpoints that other members named and that cannot exist.
+	wasted           metrics.Counter   // Messages whose content was not used.
+	queueTimes       metrics.Histogram // Milliseconds that a task was queued in its pool.
+	objective        metrics.Histogram // Response time of a job as a percentage of its latency objective.
 }
 
 func newInstruments(registry metrics.Registry) instruments {
@@ -28,11 +29,12 @@
 		return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	return instruments{
-		registry:   registry,
-		starts:     metrics.GetOrRegisterCounter("tasks.starts", registry),
-		repeated:   metrics.GetOrRegisterCounter("tasks.starts_repeated", registry),
-		wasted:     metrics.GetOrRegisterCounter("messages.wasted", registry),
-		queueTimes: histogram("pools.wait_ms"), objective: histogram("pools.response_over_objective_pct"),
+		registry:         registry,
+		starts:           metrics.GetOrRegisterCounter("tasks.starts", registry),
+		repeated:         metrics.GetOrRegisterCounter("tasks.starts_repeated", registry),
+		refusedEndpoints: metrics.GetOrRegisterCounter("announcements.refused", registry),
+		wasted:           metrics.GetOrRegisterCounter("messages.wasted", registry),
+		queueTimes:       histogram("pools.wait_ms"), objective: histogram("pools.response_over_objective_pct"),
 	}
 }
 
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/endpoints/poolstate"
@@ -15,6 +16,9 @@
 // announcement is not acknowledged, and the endpoint repeats it.
 const retireTimeout = announceInterval / 2
 
+// maxPools bounds the pools that a faulty writer can bring into being at a member, by announcing services that do not exist.
+const maxPools = 4096
+
 // announcement is an endpoint's announcement that one member forwards to another. With Former it goes to a
 // former owner of the pool, which needs it to finish its work there.
 type announcement struct {
@@ -67,6 +71,9 @@
 
 // handleAnnounce handles an announcement that another member has forwarded. It is not forwarded again.
 func (p *Pools) handleAnnounce(ctx context.Context, _ model.NodeID, a announcement) announceReply {
+	if !p.isPossible(&a.Endpoint) {
+		return announceReply{}
+	}
 	p.raiseParts(poolGroup{a.Endpoint.Service, a.Endpoint.DataCentre}, a.Parts)
 	id := p.poolOf(a.Endpoint)
 	owner := p.ownerOf(id)
@@ -81,13 +88,23 @@
 	return announceReply{owner.Endpoints, recorded, p.partsIn(groupOf(id))}
 }
 
+// isPossible reports whether an endpoint that another member names can exist, and logs and counts one that cannot.
+func (p *Pools) isPossible(e *model.Endpoint) bool {
+	err := e.Check()
+	if err != nil {
+		p.instruments.refusedEndpoints.Inc(1)
+		event.AnnouncementUnreadable.Log(p.log, event.Text(event.Endpoint, e.ID), event.Err(err))
+	}
+	return err == nil
+}
+
 // recordAnnouncement applies an announcement to the pool, and reports whether it has been recorded: the endpoint repeats
 // it otherwise. A member whose membership view is stale records none, since others may own the pool by now.
 //
 // The announcement of a leased endpoint that leaves is recorded once the endpoint refuses the starts of all members.
 // Others may consider themselves the owner of this pool, or of another one with the endpoint, and learn of it late or never.
 func (p *Pools) recordAnnouncement(ctx context.Context, id model.PoolID, endpoint model.Endpoint) bool {
-	if !p.liveness.Fresh() {
+	if !p.liveness.Fresh() || !p.hasRoomForPool(id) {
 		return false
 	}
 	p.step(id, poolstate.Announced{Endpoint: endpoint})
@@ -101,6 +118,14 @@
 	return true
 }
 
+// hasRoomForPool reports whether the pool exists or may be created.
+func (p *Pools) hasRoomForPool(id model.PoolID) bool {
+	if _, known := p.pools.Get(id); known {
+		return true
+	}
+	return p.pools.Len() < maxPools
+}
+
 // leaves reports whether the endpoint's newest announcement says that it leaves. When that announcement was overtaken by one
 // of a later incarnation at the same address, it does not count: the later one must not be retired.
 func (p *Pools) leaves(id model.PoolID, endpoint model.EndpointID) (leaves bool) {
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -14,7 +14,8 @@
 	// releaseAfter is how long after its deadline a task occupies its slot when the endpoint neither
 	// lists the task nor answers revokes for it.
 	releaseAfter = DefaultEndpointLease
-	minReleased  = 16 // Minimum number of ended tasks that are remembered for an endpoint.
+	maxEndpoints = 16384 // Bounds the endpoints that a faulty writer can bring into being in a pool.
+	minReleased  = 16    // Minimum number of ended tasks that are remembered for an endpoint.
 )
 
 // endpoint is one licensed copy of a service. It stays known after its lease has ended until the end
@@ -32,7 +33,7 @@
 	blockedSlots int              // Slots assumed to be taken by tasks that this owner did not send.
 	blockedNeeds model.Needs      // Resources assumed to be used by others at a leased endpoint.
 	released     []model.TaskID   // Ring buffer of the latest ended tasks, which announcements may still list.
-	releasedNext int              // Next position to overwrite in the ring buffer.
+	releasedNext int              // Next position to overwrite in the ring buffer once it is full.
 	health       health
 	leaseTimer   timer
 	probeTimer   timer
@@ -72,7 +73,7 @@
 
 func (m *Machine) handleAnnouncement(now time.Time, a *model.Endpoint, fx *Effects) {
 	e, known := m.endpoints[a.ID]
-	if m.isOutdated(a, e) {
+	if m.isOutdated(a, e) || !known && len(m.endpointList) >= maxEndpoints {
 		return
 	}
 	if a.State == model.EndpointGone {
@@ -102,8 +103,19 @@
 	m.requeueHeldIfUnavailable(e)
 }
 
+// recordReleased remembers a task that has ended at the endpoint.
+func (e *endpoint) recordReleased(id model.TaskID) {
+	if len(e.released) < max(minReleased, 2*e.Slots) {
+		e.released = append(e.released, id)
+		return
+	}
+	e.releasedNext %= len(e.released)
+	e.released[e.releasedNext] = id
+	e.releasedNext++
+}
+
 func (m *Machine) newEndpoint(a *model.Endpoint) *endpoint {
-	e := &endpoint{position: len(m.endpointList), released: make([]model.TaskID, max(minReleased, 2*a.Slots))}
+	e := &endpoint{position: len(m.endpointList)}
 	e.leaseTimer = newTimer(func(_ time.Time, fx *Effects) { m.handleLeaseEnd(e, fx) })
 	e.probeTimer = newTimer(func(now time.Time, _ *Effects) { m.startProbing(now, e) })
 	e.unblockTimer = newTimer(func(time.Time, *Effects) { m.unblockCapacity(e) })
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -244,8 +244,7 @@
 	e.tasks = e.tasks[:len(e.tasks)-1]
 	e.taken = e.taken.Minus(t.spec().Needs)
 	t.endpoint, t.phase = nil, ended
-	e.released[e.releasedNext] = t.id
-	e.releasedNext = (e.releasedNext + 1) % len(e.released)
+	e.recordReleased(t.id)
 	m.updateTotals(e)
 	m.removeIfSettled(e)
 }
--- a/plugins/frontend/announce/announce.go
+++ b/plugins/frontend/announce/announce.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,9 +15,7 @@
 )
 
 const (
-	maxSlots       = 4096
 	maxConnections = 65535
-	maxName        = 128             // Limit on each name, in bytes.
 	stopTimeout    = 2 * time.Second // Longest wait at shutdown for announcements in flight.
 )
 
@@ -84,35 +81,23 @@
 
 // check returns an error that names the first invalid field.
 func (b announceBody) check() error {
-	_, err := netip.ParseAddrPort(b.Address)
-	switch {
-	case len(b.Endpoint) > maxName || len(b.Service) > maxName || len(b.DataCentre) > maxName ||
-		len(b.Worker) > maxName || len(b.Rack) > maxName:
-		return errors.Newf("endpoint, service, worker, rack, data_centre: must be at most %d bytes", maxName)
-	case len(b.Running) > maxSlots:
-		return errors.Newf("running: must be at most %d tasks", maxSlots)
-	case b.Endpoint == "":
-		return errors.New("endpoint: must be set")
-	case b.Service == "":
-		return errors.New("service: must be set")
-	case b.DataCentre == "":
-		return errors.New("data_centre: must be set")
-	case err != nil:
-		return errors.New("address: must be an IP address and port")
-	case b.Slots < 1 || b.Slots > maxSlots:
-		return errors.Newf("slots: must be 1 to %d", maxSlots)
-	case b.Connections < 0 || b.Connections > maxConnections:
+	if b.Connections < 0 || b.Connections > maxConnections {
 		return errors.Newf("connections: must be 0 to %d", maxConnections)
-	case b.Cores < 0:
-		return errors.New("cores: must not be negative")
-	case b.MemoryMB < 0:
-		return errors.New("memory_mb: must not be negative")
-	case b.Accelerators < 0:
-		return errors.New("accelerators: must not be negative")
-	case b.State != model.EndpointServing && b.State != model.EndpointLeaving:
+	}
+	if b.Cores < 0 || b.Cores > model.MaxMilliCores/model.MilliCoresPerCore {
+		return errors.Newf("cores: must be 0 to %d", model.MaxMilliCores/model.MilliCoresPerCore)
+	}
+	if len(b.Running) > model.MaxSlots {
+		return errors.Newf("running: must be at most %d tasks", model.MaxSlots)
+	}
+	if b.State == model.EndpointGone {
 		return errors.New("state: must be serving or leaving")
 	}
-	return nil
+	e := b.endpoint()
+	if err := e.Check(); err != nil {
+		return err
+	}
+	return model.CheckAddress(b.Address)
 }
 
 func (b announceBody) endpoint() model.Endpoint {
--- a/plugins/frontend/announce/announce_test.go
+++ b/plugins/frontend/announce/announce_test.go
@@ -58,9 +58,12 @@
 		"no slots":         {`"slots":8`, `"slots":0`, "slots"},
 		"too many slots":   {`"slots":8`, `"slots":4097`, "slots"},
 		"negative cores":   {`"cores":16`, `"cores":-1`, "cores"},
+		"too many cores":   {`"cores":16`, `"cores":9223372036854775807`, "cores"},
+		"too much memory":  {`"memory_mb":65536`, `"memory_mb":9223372036854775807`, "memory"},
+		"port 0":           {`127.0.0.1:9000`, `127.0.0.1:0`, "address"},
 		"no such state":    {`serving`, `idle`, "state"},
 		"unknown key":      {`"slots":8`, `"slots":8,"x":1`, "x"},
-		"too much running": {`["a.b.1.1.t.0"]`, `[""` + strings.Repeat(`,""`, maxSlots) + `]`, "running"},
+		"too much running": {`["a.b.1.1.t.0"]`, `[""` + strings.Repeat(`,""`, model.MaxSlots) + `]`, "running"},
 		"duplicate field":  {`"slots":8`, `"slots":8,"slots":9`, "slots: is a duplicate"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -83,7 +86,7 @@
 			return
 		}
 		e := b.endpoint()
-		if e.ID == "" || e.Service == "" || e.Slots < 1 || e.Slots > maxSlots || len(e.Running) > maxSlots {
+		if e.ID == "" || e.Service == "" || e.Slots < 1 || e.Slots > model.MaxSlots || len(e.Running) > model.MaxSlots {
 			t.Fatalf("accepted %q", text)
 		}
 	})
