An endpoint that refuses connections gets no work until it announces itself again

Cause: a refused start said nothing about the next one; an endpoint stayed in the choice until its announcements had expired, 3 to 15 s later, and a task avoids only the endpoint that refused it last. Now the clients of endpoints report a refused connection, from a start or a hold, or that another incarnation has answered, and the pools give that endpoint no work until it announces itself. The runs there have not ended by that: a partition may refuse connections.

--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -81,7 +81,7 @@
 	// It reports whether that is certain; tasks that run there continue. Only endpoints that run tasks under a lease can be
 	// retired; for others it reports false.
 	Retire(ctx context.Context, address string, endpoint model.EndpointID) bool
-	// Observe registers an observer, before the plug-ins start. Endpoints without leases have no losses to observe.
+	// Observe registers an observer, before the plug-ins start. RunLost is called for endpoints with leases only.
 	Observe(observer EndpointObserver)
 }
 
@@ -90,6 +90,8 @@
 	// RunLost says that a run was lost at an endpoint, also one that another member has requested. It is called before the
 	// reply to the run's start is returned.
 	RunLost(endpoint model.EndpointID, run TaskRun, cause LossCause)
+	// EndpointDown says that an endpoint refuses connections, or that another incarnation has replaced it. This ends no run.
+	EndpointDown(endpoint model.EndpointID)
 }
 
 // TaskStart is one attempt at a task.
--- a/plugins/endpoints/poolstate/decisions.go
+++ b/plugins/endpoints/poolstate/decisions.go
@@ -61,14 +61,15 @@
 
 // Statuses of endpoints.
 const (
-	StatusUnknown         Status = "unknown" // The endpoint has not announced itself yet.
-	StatusServing         Status = "serving" // The endpoint gets work.
-	StatusLeaving         Status = "leaving" // The endpoint drains: it finishes its tasks and gets no new ones.
-	StatusQuarantined     Status = "aside"   // The endpoint gets no work because of failures.
-	StatusProbing         Status = "probing" // Single tasks test whether the quarantined endpoint works again.
-	StatusLeasedElsewhere Status = "away"    // Another member may hold the lease; ends with the next announcement.
-	StatusGone            Status = "gone"    // The announcements have ceased, or the endpoint has shut down.
-	statusUnreported      Status = ""        // No change of the endpoint's status has been reported yet.
+	StatusUnknown         Status = "unknown"  // The endpoint has not announced itself yet.
+	StatusServing         Status = "serving"  // The endpoint gets work.
+	StatusLeaving         Status = "leaving"  // The endpoint drains: it finishes its tasks and gets no new ones.
+	StatusQuarantined     Status = "aside"    // The endpoint gets no work because of failures.
+	StatusProbing         Status = "probing"  // Single tasks test whether the quarantined endpoint works again.
+	StatusLeasedElsewhere Status = "away"     // Another member may hold the lease; ends with the next announcement.
+	StatusRefusing        Status = "refusing" // The endpoint refuses connections; ends with the next announcement.
+	StatusGone            Status = "gone"     // The announcements have ceased, or the endpoint has shut down.
+	statusUnreported      Status = ""         // No change of the endpoint's status has been reported yet.
 )
 
 func (e *endpoint) status() Status {
@@ -77,6 +78,8 @@
 		return StatusGone
 	case e.State != model.EndpointServing:
 		return StatusLeaving
+	case e.down:
+		return StatusRefusing
 	case e.cordon:
 		return StatusLeasedElsewhere
 	case e.health.status == quarantined:
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -25,6 +25,7 @@
 	position     int              // Index in the machine's endpointList.
 	live         bool             // Within the lease of its newest announcement.
 	replacedBy   model.EndpointID // Later incarnation at the same address; "" when none has announced itself.
+	down         bool             // Gets no work until its next announcement: it refuses connections.
 	cordon       bool             // Gets no work until its next announcement: another member may hold its lease.
 	tasks        []*task          // Tasks that were sent there and whose end is not confirmed.
 	taken        model.Needs      // Resources that these tasks use together.
@@ -48,7 +49,7 @@
 // capacity returns how many tasks, including probes, the pool may have at the endpoint at once.
 func (e *endpoint) capacity() int {
 	switch {
-	case !e.live, e.cordon, e.State != model.EndpointServing, e.health.status == quarantined:
+	case !e.live, e.down, e.cordon, e.State != model.EndpointServing, e.health.status == quarantined:
 		return 0
 	case e.health.status == probing:
 		return min(1, e.Slots)
@@ -92,7 +93,7 @@
 		m.totals.largestStale = true
 	}
 	e.Endpoint = *a
-	e.cordon = false
+	e.cordon, e.down = false, false
 	if !e.live {
 		e.live = true
 		m.live++
@@ -124,6 +125,17 @@
 	return e
 }
 
+// handleDown stops sending work to an endpoint until it announces itself again. The runs there have not ended by this.
+func (m *Machine) handleDown(id model.EndpointID) {
+	e, known := m.endpoints[id]
+	if !known || !e.live || e.down {
+		return
+	}
+	e.down = true
+	m.updateTotals(e)
+	m.requeueHeldIfUnavailable(e)
+}
+
 // reconcile compares the tasks that the endpoint lists as running with those that were sent there.
 func (m *Machine) reconcile(now time.Time, e *endpoint, fx *Effects) {
 	e.foreign = e.foreign[:0]
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -59,6 +59,9 @@
 // Departed reports that leased endpoints belong to other pools now.
 type Departed struct{ Endpoints []model.EndpointID }
 
+// Down reports that an endpoint refuses connections or has been replaced.
+type Down struct{ Endpoint model.EndpointID }
+
 // Moved reports that another member owns the pool now, and that the senders of batches know it.
 type Moved struct{}
 
@@ -73,6 +76,7 @@
 func (Owners) event()        {}
 func (Disowned) event()      {}
 func (Departed) event()      {}
+func (Down) event()          {}
 func (Moved) event()         {}
 func (Elapsed) event()       {}
 
--- a/plugins/endpoints/poolstate/handover.go
+++ b/plugins/endpoints/poolstate/handover.go
@@ -14,8 +14,8 @@
 func (m *Machine) Handover() []model.Endpoint {
 	var all []model.Endpoint
 	for _, e := range m.endpointList {
-		if !e.live || e.cordon {
-			continue // It may have announced a newer state to another member.
+		if !e.live || e.cordon || e.down {
+			continue // It may have announced a newer state to another member, or has to announce itself again.
 		}
 		announced := e.Endpoint
 		announced.Running = slices.Clone(e.foreign)
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -92,6 +92,8 @@
 		m.handleDisowned()
 	case Departed:
 		m.handleDeparted(e.Endpoints)
+	case Down:
+		m.handleDown(e.Endpoint)
 	case Moved:
 		m.handleMoved(now, fx)
 	}
@@ -102,6 +104,12 @@
 	m.released = m.released[:0]
 }
 
+// Serves reports whether the endpoint is known and not known to be down.
+func (m *Machine) Serves(id model.EndpointID) bool {
+	e, known := m.endpoints[id]
+	return known && e.live && !e.down
+}
+
 // NextTimer returns the time at which Elapsed is due next; ok is false when no timer is set.
 func (m *Machine) NextTimer() (at time.Time, ok bool) { return m.timers.next() }
 
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -114,6 +114,7 @@
 	// ForwardEnds lists ends of runs that this holder does not wait for: send them to those that do,
 	// before the next hold, which acknowledges them.
 	ForwardEnds []ForwardedEnd
+	Down        bool // The endpoint has refused a connection, or another incarnation has replaced it.
 	// ForeignLosses are runs of other holders that were lost at the endpoint while this one held the lease.
 	ForeignLosses []ForeignLoss
 	Acquired      bool       // The endpoint has accepted a new fencing token.
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -21,7 +21,7 @@
 func (m *Machine) handleHoldReply(now time.Time, reply port.HoldReply, fx *Effects) {
 	m.holdInFlight = false
 	m.recordRetireReply(reply.State)
-	m.recordContact(now, reply.State, reply.Refused)
+	m.recordContact(now, reply.State, reply.Refused, fx)
 	switch reply.State {
 	case port.OrderDone:
 		m.applyHoldReply(now, reply, fx)
--- a/plugins/leases/lease/loss.go
+++ b/plugins/leases/lease/loss.go
@@ -9,7 +9,8 @@
 )
 
 // recordContact records, from the outcome of an order, whether the endpoint refuses connections.
-func (m *Machine) recordContact(now time.Time, state port.OrderState, refused bool) {
+func (m *Machine) recordContact(now time.Time, state port.OrderState, refused bool, fx *Effects) {
+	fx.Down = refused || state == port.OrderOtherIncarnation
 	switch {
 	case state == port.OrderUnknown, state == port.OrderOtherIncarnation: // Neither tells that this incarnation lives.
 	case state != port.OrderNotSent:
--- a/plugins/leases/lease/loss_test.go
+++ b/plugins/leases/lease/loss_test.go
@@ -21,6 +21,17 @@
 	return h.fx.Finished[0].Cause
 }
 
+// Guards against work for an endpoint that has ended: that it refuses connections was known only with each start.
+func TestRefusedConnectionsAndSuccessorsMeanThatTheEndpointIsDown(t *testing.T) {
+	h := newRunningHarness(t, 1)
+	h.failHold()
+	h.is.True(!h.fx.Down) // The connection may have broken.
+	h.advance(retryDelay).step(Elapsed{})
+	h.is.True(h.step(HoldReplied{port.HoldReply{State: port.OrderNotSent, Refused: true}}).Down)
+	h.advance(retryDelay).step(Elapsed{})
+	h.is.True(h.replace().Down)
+}
+
 // Guards against crashes that nobody counts: the member that had sent the run has died, and the holder of the lease did not
 // report runs that it had not requested itself.
 func TestCrashUnderARunOfAnotherHolderIsReported(t *testing.T) {
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -78,7 +78,7 @@
 
 func (m *Machine) handleStartReply(now time.Time, e StartReplied, fx *Effects) {
 	m.recordClock(now, e.Reply.Clock)
-	m.recordContact(now, e.Reply.State, e.Reply.Refused)
+	m.recordContact(now, e.Reply.State, e.Reply.Refused, fx)
 	r, known := m.runs[e.Run]
 	if !known || r.phase != startSent {
 		return
@@ -142,7 +142,7 @@
 
 func (m *Machine) handleStopReply(now time.Time, e StopReplied, fx *Effects) {
 	m.recordClock(now, e.Reply.Clock)
-	m.recordContact(now, e.Reply.State, e.Reply.Refused)
+	m.recordContact(now, e.Reply.State, e.Reply.Refused, fx)
 	r, known := m.runs[e.Run]
 	if !known || r.phase == atSuccessor {
 		return
--- a/plugins/leases/orders.go
+++ b/plugins/leases/orders.go
@@ -56,9 +56,12 @@
 	}
 }
 
-// notifyObservers tells the observers which runs a step has found to be lost.
+// notifyObservers tells the observers which runs a step has found to be lost, and whether the endpoint is down.
 func (l *Leases) notifyObservers(endpoint model.EndpointID, fx lease.Effects) {
 	for _, o := range l.observers {
+		if fx.Down {
+			o.EndpointDown(endpoint)
+		}
 		for _, outcome := range fx.Finished {
 			if outcome.State == port.TaskLost {
 				o.RunLost(endpoint, outcome.Run, outcome.Cause)
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -10,8 +10,10 @@
 	"io"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/dial"
@@ -37,6 +39,8 @@
 	tasks   *http.Client
 	revokes *http.Client // Opens a connection for each request.
 
+	observers []port.EndpointObserver // Fixed once the plug-ins have started.
+
 	requests    metrics.Counter
 	replies     metrics.Counter
 	revocations metrics.Counter
@@ -85,8 +89,8 @@
 	Reason  string          `json:"reason"` // Reason of a refusal or failure.
 }
 
-// Observe implements port.Tasks. Nothing is observed.
-func (c *Client) Observe(port.EndpointObserver) {}
+// Observe registers an observer of endpoints that refuse connections.
+func (c *Client) Observe(observer port.EndpointObserver) { c.observers = append(c.observers, observer) }
 
 // Start sends the task to the endpoint and waits for its answer.
 func (c *Client) Start(ctx context.Context, address string, start port.TaskStart) port.TaskReply {
@@ -101,7 +105,7 @@
 	}
 	response, err := c.tasks.Do(request)
 	if err != nil {
-		return c.handleNoReply(connected.Load(), err)
+		return c.handleNoReply(start.Endpoint, connected.Load(), err)
 	}
 	defer response.Body.Close()
 	c.requests.Inc(1)
@@ -115,7 +119,12 @@
 
 // handleNoReply counts a start without a reply and returns its state: the task has not run if the
 // request was never given a connection; otherwise its bytes may have left and the state is unknown.
-func (c *Client) handleNoReply(connected bool, err error) port.TaskReply {
+func (c *Client) handleNoReply(endpoint model.EndpointID, connected bool, err error) port.TaskReply {
+	if !connected && errors.Is(err, syscall.ECONNREFUSED) {
+		for _, o := range c.observers {
+			o.EndpointDown(endpoint)
+		}
+	}
 	if !connected {
 		return port.TaskReply{State: port.TaskNotRun, Detail: err.Error()}
 	}
--- a/plugins/taskclient/taskclient_test.go
+++ b/plugins/taskclient/taskclient_test.go
@@ -196,3 +196,22 @@
 	is.Equal((<-started).State, port.TaskUnknown)
 	is.Equal(c.revocations.Count(), int64(1))
 }
+
+// observer counts the reports that endpoints are down.
+type observer struct{ down []model.EndpointID }
+
+func (o *observer) RunLost(model.EndpointID, port.TaskRun, port.LossCause) {}
+
+func (o *observer) EndpointDown(endpoint model.EndpointID) { o.down = append(o.down, endpoint) }
+
+// Guards against work for an endpoint that refuses connections: each start had to find that out again.
+func TestRefusedConnectionIsReported(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close() // Its port refuses connections from now on.
+	c, o := newClient(t), &observer{}
+	c.Observe(o)
+	reply := c.Start(context.Background(), server.Listener.Addr().String(), port.TaskStart{ID: testTask, Endpoint: "e1", Attempt: 1})
+	is.Equal(reply.State, port.TaskNotRun)
+	is.Equal(o.down, []model.EndpointID{"e1"})
+}
