A task under which an endpoint may have crashed runs alone, within a bounded part of its pool

Callers of other jobs lost theirs: with each endpoint that a task crashes, the tasks beside it lose their runs too, and nobody could tell which one was to blame. Now each of them is a suspect after the first crash and runs alone at an endpoint, which is reserved for it where none is idle; the second crash tells.

TestRandomEvents has causes of losses, losses that others have seen, endpoints that refuse connections, and capacities that shrink and grow, now. Its check that no endpoint has less than its tasks need held only for constant capacities; it is replaced by one at each start, which must fit beside all tasks that the endpoint has, those that are being stopped among them, into the capacity announced last.

--- a/plugins/endpoints/poolstate/crashes_test.go
+++ b/plugins/endpoints/poolstate/crashes_test.go
@@ -1,6 +1,9 @@
 package poolstate
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +13,43 @@
 	"redwingpulley/kernel/port"
 )
 
+// awaitStart lets time pass until a task is started or a batch ends, for at most a minute.
+func (h *harness) awaitStart(fx Effects) Effects {
+	for i := 0; i < 60 && len(fx.Starts)+len(fx.Ended) == 0; i++ {
+		h.now = h.now.Add(time.Second)
+		fx = h.step(Elapsed{})
+		for _, id := range slices.Sorted(maps.Keys(h.slots)) {
+			if len(fx.Starts)+len(fx.Ended) == 0 {
+				fx = h.announce(id, h.slots[id], model.EndpointServing)
+			}
+		}
+	}
+	return fx
+}
+
+// submitPatient submits a job of one task that may run again for two minutes.
+func (h *harness) submitPatient(needs model.Needs) Effects {
+	h.jobs++
+	b := model.Batch{
+		ID: model.BatchID{Job: model.JobID(fmt.Sprintf("n.i.1.%d.t", h.jobs))}, Pool: finderPool, Team: "t", Key: fmt.Sprint(h.jobs),
+		Deadline: h.now.Add(2 * time.Minute), MaxFailures: 4, Tasks: []model.Task{{Needs: needs}},
+	}
+	return h.step(Submitted{b, model.BuiltInProfile()})
+}
+
+// crash replaces the endpoint of a run by its next incarnation, which has another id, and reports that the run was lost.
+func (h *harness) crash(s Start, cause port.LossCause) Effects {
+	next := s.Endpoint + "'"
+	h.slots[next] = h.slots[s.Endpoint]
+	delete(h.slots, s.Endpoint)
+	h.step(Down{s.Endpoint})
+	fx := h.lose(s, cause)
+	if len(fx.Starts)+len(fx.Ended) == 0 {
+		fx = h.announce(next, h.slots[next], model.EndpointServing)
+	}
+	return fx
+}
+
 // lose reports that a run was lost for the given cause.
 func (h *harness) lose(s Start, cause port.LossCause) Effects {
 	return h.step(Replied{Task: s.Task, Attempt: s.Attempt, Reply: port.TaskReply{State: port.TaskLost, Cause: cause}})
@@ -20,12 +60,12 @@
 func TestTaskThatCrashesItsEndpointsIsNotStartedForEver(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1, 1, 1, 1, 1, 1, 1, 1)
-	fx := h.submitRepeatable(4, model.Needs{})
+	fx := h.submitPatient(model.Needs{})
 	starts := 0
 	for len(fx.Starts) > 0 && starts < 20 {
 		starts++
 		h.now = h.now.Add(100 * time.Millisecond)
-		fx = h.lose(fx.Starts[0], port.LossCrashed)
+		fx = h.awaitStart(h.crash(fx.Starts[0], port.LossCrashed))
 	}
 	is.True(starts < 6) // Three crashes, and fewer than three starts after them.
 	is.Equal(len(fx.Ended), 1)
@@ -38,12 +78,12 @@
 func TestTaskWhoseEndpointsRefuseConnectionsIsNotStartedForEver(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1, 1, 1, 1, 1, 1, 1, 1)
-	fx := h.submitRepeatable(4, model.Needs{})
+	fx := h.submitPatient(model.Needs{})
 	starts := 0
 	for len(fx.Starts) > 0 && starts < 20 {
 		starts++
 		h.now = h.now.Add(100 * time.Millisecond)
-		fx = h.lose(fx.Starts[0], port.LossRefusing)
+		fx = h.awaitStart(h.crash(fx.Starts[0], port.LossRefusing))
 	}
 	is.True(starts < 6) // Three crashes, and fewer than three starts after them.
 	is.Equal(len(fx.Ended), 1)
@@ -53,10 +93,10 @@
 func TestTaskIsNotGivenUpForLossesThatAreNoCrashes(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1, 1, 1, 1, 1, 1, 1, 1)
-	fx := h.submitRepeatable(4, model.Needs{})
+	fx := h.submitPatient(model.Needs{})
 	for _, cause := range []port.LossCause{port.LossSilent, port.LossLeft, port.LossDropped, port.LossSilent, port.LossCrashed, port.LossSilent, port.LossDropped} {
 		h.now = h.now.Add(100 * time.Millisecond)
-		fx = h.lose(fx.Starts[0], cause)
+		fx = h.awaitStart(h.lose(fx.Starts[0], cause))
 		is.Equal(len(fx.Ended), 0)
 	}
 	is.Equal(len(fx.Starts), 1)
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -16,6 +16,7 @@
 // dispatchQueued sends the held and queued tasks for which endpoints have room.
 func (m *Machine) dispatchQueued(now time.Time, fx *Effects) {
 	m.sendHeld(now, fx)
+	m.dispatchApart(now, fx)
 	if m.placer == nil {
 		return
 	}
@@ -25,10 +26,7 @@
 			m.cancel(now, t.batch, model.ReasonDeadline, fx)
 			continue
 		}
-		choice, ok := m.pickProbe(now, t)
-		if !ok {
-			choice, ok = m.placer.Pick(m.pickRequest(now, t))
-		}
+		choice, ok := m.pick(now, t)
 		if ok {
 			m.queue.pop()
 			m.bind(now, t, choice, fx)
@@ -47,6 +45,14 @@
 	m.skipped = m.skipped[:0]
 }
 
+// pick returns the endpoint for a task, or false to leave the task in the queue.
+func (m *Machine) pick(now time.Time, t *task) (port.Choice, bool) {
+	if choice, ok := m.pickProbe(now, t); ok {
+		return choice, true
+	}
+	return m.placer.Pick(m.pickRequest(now, t))
+}
+
 func (m *Machine) pickRequest(now time.Time, t *task) port.PickRequest {
 	r := port.PickRequest{Now: now, Needs: t.spec().Needs, Run: t.run.mean}
 	if m.totals.serving > 1 {
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -26,6 +26,8 @@
 	live         bool             // Within the lease of its newest announcement.
 	replacedBy   model.EndpointID // Later incarnation at the same address; "" when none has announced itself.
 	down         bool             // Gets no work until its next announcement: it refuses connections.
+	apart        bool             // Runs a suspect alone, or is reserved for one.
+	suspect      *task            // The suspect that runs there; nil while the endpoint is only reserved, or not apart.
 	cordon       bool             // Gets no work until its next announcement: another member may hold its lease.
 	tasks        []*task          // Tasks that were sent there and whose end is not confirmed.
 	taken        model.Needs      // Resources that these tasks use together.
@@ -49,7 +51,7 @@
 // capacity returns how many tasks, including probes, the pool may have at the endpoint at once.
 func (e *endpoint) capacity() int {
 	switch {
-	case !e.live, e.down, e.cordon, e.State != model.EndpointServing, e.health.status == quarantined:
+	case !e.live, e.down, e.cordon, e.apart, e.State != model.EndpointServing, e.health.status == quarantined:
 		return 0
 	case e.health.status == probing:
 		return min(1, e.Slots)
@@ -93,7 +95,10 @@
 		m.totals.largestStale = true
 	}
 	e.Endpoint = *a
-	e.cordon, e.down = false, false
+	if e.down {
+		e.apart, e.down = e.suspect != nil, false
+	}
+	e.cordon = false
 	if !e.live {
 		e.live = true
 		m.live++
@@ -126,7 +131,7 @@
 }
 
 // handleDown stops sending work to an endpoint until it announces itself again. The runs there have not ended by this.
-func (m *Machine) handleDown(id model.EndpointID) {
+func (m *Machine) handleDown(now time.Time, id model.EndpointID) {
 	e, known := m.endpoints[id]
 	if !known || !e.live || e.down {
 		return
@@ -190,6 +195,7 @@
 // there is revoked, over a new connection, to learn what became of it.
 func (m *Machine) handleLeaseEnd(e *endpoint, fx *Effects) {
 	e.live = false
+	e.apart = e.suspect != nil
 	m.live--
 	m.totals.largestStale = true
 	e.foreign = e.foreign[:0]
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -32,6 +32,7 @@
 	inFlight             map[model.TaskID]*task
 	origins              origins
 	queue                queue
+	apart                apart
 	skipped              []*batch         // Buffer of dispatchQueued.
 	freed                []*endpoint      // Endpoints with held tasks that may have room for one now.
 	changes              []EndpointChange // Changes of endpoints in this step.
@@ -93,7 +94,7 @@
 	case Departed:
 		m.handleDeparted(e.Endpoints)
 	case Down:
-		m.handleDown(e.Endpoint)
+		m.handleDown(now, e.Endpoint)
 	case Moved:
 		m.handleMoved(now, fx)
 	}
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -14,6 +14,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/crashes"
 )
 
 // TestMain sets the seed and the length of random runs that the command line does not set.
@@ -43,8 +44,11 @@
 	sequence  uint64                              // Number of announcements so far.
 	inFlight  map[model.TaskID]Start              // Tasks that were sent and whose end has not been reported to the machine.
 	attempts  map[model.TaskID]int                // Attempts sent so far.
+	ranApart  map[model.TaskID]bool               // Tasks whose latest start was that of a suspect.
 	ran       map[model.TaskID]bool               // Tasks with a run that failed or was lost.
 	cordoned  map[model.EndpointID]bool           // Endpoints whose lease another member holds, as reported to the machine.
+	down      map[model.EndpointID]bool           // Endpoints that refuse connections, as reported to the machine.
+	losses    map[model.TaskID][]model.Loss       // Losses that the machine was told of.
 	occupying map[model.TaskID]int                // Attempts that the machine has started and not reported as released.
 	revokes   []Revoke
 	open      map[model.BatchID]int // Number of tasks of each batch that has not ended.
@@ -64,7 +68,8 @@
 		machine: New(finderPool, "sj1-a", shipped, 1), twin: New(finderPool, "sj1-a", shipped, 1),
 		leases: map[model.EndpointID]time.Time{}, announced: map[model.EndpointID]model.Endpoint{},
 		born: map[model.EndpointID]int64{"c": 1, "d": 1}, inFlight: map[model.TaskID]Start{}, attempts: map[model.TaskID]int{},
-		ran: map[model.TaskID]bool{}, cordoned: map[model.EndpointID]bool{}, occupying: map[model.TaskID]int{},
+		ran: map[model.TaskID]bool{}, ranApart: map[model.TaskID]bool{}, cordoned: map[model.EndpointID]bool{}, occupying: map[model.TaskID]int{},
+		down: map[model.EndpointID]bool{}, losses: map[model.TaskID][]model.Loss{},
 		open: map[model.BatchID]int{}, started: map[model.BatchID]int{},
 	}
 }
@@ -120,6 +125,11 @@
 	if !s.Deadline.After(c.now) {
 		c.t.Fatalf("task %s was sent after its deadline", s.Task)
 	}
+	if c.down[s.Endpoint] {
+		c.t.Fatalf("task %s was sent to %s, which refuses connections", s.Task, s.Endpoint)
+	}
+	c.checkLosses(s)
+	c.checkCapacity(s)
 	c.attempts[s.Task] = s.Attempt
 	c.inFlight[s.Task] = s
 	if taken := c.takenSlots(e); taken > e.Slots {
@@ -127,6 +137,39 @@
 	}
 }
 
+// checkLosses checks that a task under which too many endpoints have crashed is not started, and that one under which an endpoint
+// may have crashed is alone at its endpoint.
+func (c *cluster) checkLosses(s Start) {
+	if crashes.Judge(c.losses[s.Task]) == crashes.Exhausted {
+		c.t.Fatalf("task %s was sent although it has lost %v", s.Task, c.losses[s.Task])
+	}
+	tasks := c.machine.endpoints[s.Endpoint].tasks
+	for _, t := range tasks {
+		if len(tasks) > 1 && len(c.losses[t.id]) > 0 && c.attempts[t.id] > 0 && c.ranApart[t.id] {
+			c.t.Fatalf("task %s was sent to %s, where task %s runs apart", s.Task, s.Endpoint, t.id)
+		}
+	}
+	if c.ranApart[s.Task] = len(c.losses[s.Task]) > 0; c.ranApart[s.Task] && len(tasks) > 1 {
+		c.t.Fatalf("task %s, which has lost %v, was sent to %s beside %d others", s.Task, c.losses[s.Task], s.Endpoint, len(tasks)-1)
+	}
+}
+
+// checkCapacity checks that a start does not bring its endpoint over the capacity that it has announced last. Tasks that are being
+// stopped still count.
+func (c *cluster) checkCapacity(s Start) {
+	sum := model.Needs{}
+	needs := model.Needs{}
+	for _, t := range c.machine.endpoints[s.Endpoint].tasks {
+		sum = sum.Plus(t.spec().Needs)
+		if t.id == s.Task {
+			needs = t.spec().Needs
+		}
+	}
+	if has := c.announced[s.Endpoint].Has; needs != (model.Needs{}) && !sum.FitsIn(has) {
+		c.t.Fatalf("task %s brings %s to %v of %v", s.Task, s.Endpoint, sum, has)
+	}
+}
+
 func (c *cluster) takenSlots(e model.Endpoint) int {
 	taken := len(c.machine.endpoints[e.ID].foreign)
 	for _, s := range c.inFlight {
@@ -174,11 +217,15 @@
 	if known, ok := c.announced[id]; ok {
 		e.Slots = known.Slots
 	}
+	if rapid.IntRange(0, 3).Draw(t, "shrunk") == 0 {
+		e.Has.MilliCores = rapid.IntRange(0, e.Has.MilliCores).Draw(t, "capacity")
+	}
 	if rapid.IntRange(0, 4).Draw(t, "leaving") == 0 {
 		e.State = model.EndpointLeaving
 	}
 	e.Leased = e.Born > 0
 	delete(c.cordoned, id)
+	delete(c.down, id)
 	if e.Leased && rapid.IntRange(0, 4).Draw(t, "handed over") == 0 {
 		e.Running, e.Taken = []model.TaskID{"gone.x.1.1.t.0"}, model.Needs{MilliCores: 1}
 	}
@@ -269,7 +316,30 @@
 	case port.TaskLeasedElsewhere:
 		c.cordoned[s.Endpoint] = true
 	}
-	c.step(Replied{Task: s.Task, Attempt: s.Attempt, Reply: port.TaskReply{State: state}})
+	reply := Replied{Task: s.Task, Attempt: s.Attempt, Reply: port.TaskReply{State: state}}
+	if state == port.TaskLost {
+		reply.Reply.Cause = rapid.SampledFrom([]port.LossCause{
+			port.LossCrashed, port.LossRefusing, port.LossNotBegun, port.LossSilent, port.LossLeft, port.LossDropped,
+		}).Draw(t, "cause")
+		if loss, counts := crashes.LossOf(s.Endpoint, reply.Reply.Cause); counts {
+			c.losses[s.Task], _ = crashes.Add(c.losses[s.Task], loss)
+		}
+	}
+	if rapid.IntRange(0, 9).Draw(t, "loss elsewhere") == 0 {
+		reply.Losses = []model.Loss{{Endpoint: "elsewhere", Crashed: rapid.Bool().Draw(t, "crashed")}}
+		c.losses[s.Task] = crashes.Merge(c.losses[s.Task], reply.Losses)
+		c.ran[s.Task] = true
+	}
+	c.step(reply)
+}
+
+func (c *cluster) refuseConnections(t *rapid.T) {
+	if len(c.announced) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(slices.Sorted(maps.Keys(c.announced))).Draw(t, "down")
+	c.down[id] = true
+	c.step(Down{id})
 }
 
 func (c *cluster) lateReply(t *rapid.T) {
@@ -346,9 +416,6 @@
 		for _, t := range e.tasks {
 			left -= t.spec().Needs.MilliCores
 		}
-		if left < 0 {
-			t.Fatalf("endpoint %s has tasks that need %d milli-cores more than it has", e.ID, -left)
-		}
 		left = max(left-e.blockedNeeds.MilliCores, 0) // Resources assumed to be used by others.
 		if e.blockedNeeds != (model.Needs{}) && !m.timers.heap.has(&e.unblockTimer) {
 			t.Fatalf("endpoint %s has %v blocked for others with no timer to end it", e.ID, e.blockedNeeds)
@@ -384,7 +451,7 @@
 			"announce": c.announce, "announce too": c.announce, "submit": c.submit,
 			"reply": c.reply, "reply too": c.reply, "reply as well": c.reply, "late reply": c.lateReply,
 			"revoke reply": c.revokeReply, "revoke reply too": c.revokeReply,
-			"cancel": c.cancel, "wait": c.wait, "owners": c.owners, "moved": c.moved, "": c.check,
+			"cancel": c.cancel, "wait": c.wait, "refuse connections": c.refuseConnections, "owners": c.owners, "moved": c.moved, "": c.check,
 		})
 	})
 }
