A team whose tasks take endpoints down is confined to a third of its pool

Counting crashes of a task cannot help: first runs alone take the pool down. Now a pool blames the teams whose tasks are at an endpoint that goes down, a divided blame that falls by half in 2 s. A team with much more blame than all others is confined: it runs at a third of the live endpoints at most, those counted that are down since, and its jobs are refused at once, with when to come back, unless all of their tasks can start there. Endpoints that fail together count once; the only team is never confined.

--- a/plugins/endpoints/poolstate/apart.go
+++ b/plugins/endpoints/poolstate/apart.go
@@ -108,7 +108,7 @@
 
 // takesApart reports whether a suspect may run at the endpoint once it is idle.
 func (e *endpoint) takesApart(t *task) bool {
-	return e.live && !e.down && !e.cordon && e.State == model.EndpointServing && e.health.status == healthy &&
+	return e.live && !e.down && !e.cordon && !e.confined && e.State == model.EndpointServing && e.health.status == healthy &&
 		e.ID != t.avoid && t.spec().Needs.FitsIn(e.Has.Minus(e.blockedNeeds))
 }
 
--- /dev/null
+++ b/plugins/endpoints/poolstate/confine.go
@@ -0,0 +1,179 @@
+package poolstate
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// A team many of whose tasks crash their endpoints could take a whole pool down with first runs alone, before any of its tasks is a
+// suspect. While endpoints go down again and again with its tasks there, and seldom without them, the team is confined to a bounded
+// part of the pool, and the others have the rest for themselves.
+
+const (
+	// blameHalfLife is the time in which a team's blame falls by half.
+	blameHalfLife = 2 * time.Second
+	// confineAbove is the blame above which a team is confined: that of several endpoints which went down one after the other.
+	confineAbove = 2.5
+	// releaseBelow is the blame below which a team is no longer confined.
+	releaseBelow = 1.0
+	// blameInterval is the time within which endpoints that go down count once: those of a rack fail together.
+	blameInterval = 100 * time.Millisecond
+	// endpointsPerConfined is the number of live endpoints for each that confined teams may hold; they may always hold one.
+	endpointsPerConfined = 3
+	// confinedRetry is when the caller of a job that is refused to a confined team is advised to try again.
+	confinedRetry = time.Second
+)
+
+// blame measures how often endpoints have gone down while tasks of a team were there.
+type blame struct {
+	amount   float64
+	at       time.Time // When the amount was computed.
+	confined bool
+}
+
+// confinement is the state of a pool's confined teams.
+type confinement struct {
+	blamedAt time.Time // When an endpoint that went down was last counted.
+	active   bool      // A team has blame or is confined.
+}
+
+// current returns the amount of blame that is left.
+func (b *blame) current(now time.Time) float64 {
+	return b.amount * math.Exp2(-float64(now.Sub(b.at))/float64(blameHalfLife))
+}
+
+func (b *blame) add(now time.Time, amount float64) {
+	b.amount, b.at = b.current(now)+amount, now
+}
+
+// blameTeams divides the blame for an endpoint that has gone down among the teams whose tasks are there.
+func (m *Machine) blameTeams(now time.Time, e *endpoint) {
+	if len(e.tasks) == 0 || now.Sub(m.confinement.blamedAt) < blameInterval {
+		return
+	}
+	m.confinement.blamedAt, m.confinement.active = now, true
+	var teams []*team
+	for _, t := range e.tasks {
+		if !slices.Contains(teams, t.batch.team) {
+			teams = append(teams, t.batch.team)
+		}
+	}
+	for _, t := range teams {
+		t.blame.add(now, 1/float64(len(teams)))
+	}
+}
+
+// updateConfinement confines and releases teams by their blame, and adapts the endpoints that are set apart for them.
+func (m *Machine) updateConfinement(now time.Time) {
+	if !m.confinement.active {
+		return
+	}
+	m.confinement.active = false
+	confined := 0
+	for _, t := range m.queue.teamsInOrder {
+		current := t.blame.current(now)
+		switch {
+		case t.blame.confined:
+			t.blame.confined = current >= releaseBelow
+		case current >= confineAbove:
+			t.blame.confined = m.othersAreBlameless(now, t)
+		}
+		if t.blame.confined {
+			confined++
+		}
+		m.confinement.active = m.confinement.active || t.blame.confined || current >= releaseBelow
+	}
+	m.resizeConfined(confined > 0)
+}
+
+// othersAreBlameless reports whether there is another team with work in the pool, and each such team has much less blame than this
+// one. Otherwise it is not the team that makes the difference.
+func (m *Machine) othersAreBlameless(now time.Time, blamed *team) bool {
+	others := 0
+	for _, t := range m.queue.teamsInOrder {
+		if t == blamed || t.blame.confined || t.openBatches == 0 {
+			continue
+		}
+		others++
+		if 2*t.blame.current(now) > blamed.blame.current(now) {
+			return false
+		}
+	}
+	return others > 0
+}
+
+// resizeConfined sets as many endpoints apart for confined teams as they may hold, or none.
+func (m *Machine) resizeConfined(needed bool) {
+	most := 0
+	if needed {
+		most = max(m.live/endpointsPerConfined, 1)
+	}
+	held := 0
+	for _, e := range m.endpointList {
+		if !e.confined || !e.live {
+			continue
+		}
+		if held == most {
+			m.setConfined(e, false)
+			continue
+		}
+		held++
+	}
+	for ; held < most; held++ {
+		candidates := slices.DeleteFunc(slices.Clone(m.endpointList), func(e *endpoint) bool {
+			return e.confined || e.apart || e.schedulableSlots() == 0
+		})
+		if len(candidates) < 2 {
+			return // The last one is for the other teams.
+		}
+		m.setConfined(slices.MinFunc(candidates, func(a, b *endpoint) int {
+			return cmp.Or(cmp.Compare(a.busy(), b.busy()), cmp.Compare(a.ID, b.ID))
+		}), true)
+	}
+}
+
+func (m *Machine) setConfined(e *endpoint, confined bool) {
+	e.confined = confined
+	m.updateTotals(e)
+	m.requeueHeldIfUnavailable(e)
+}
+
+// pickConfined returns the endpoint for a task of a confined team: the one with room that runs the fewest tasks.
+func (m *Machine) pickConfined(t *task) (port.Choice, bool) {
+	var chosen *endpoint
+	for _, e := range m.endpointList {
+		if e.confined && e.hasRoom(t.spec().Needs) && e.ID != t.avoid && (chosen == nil || e.busy() < chosen.busy()) {
+			chosen = e
+		}
+	}
+	if chosen == nil {
+		return port.Choice{}, false
+	}
+	return port.Choice{Endpoint: chosen.ID, Why: "endpoints go down with tasks of this team"}, true
+}
+
+// admitConfined accepts a batch of a confined team only if all of its tasks can start at once.
+func (m *Machine) admitConfined(b *batch) port.Verdict {
+	if !m.fits(b.Tasks) {
+		return port.Verdict{Reason: model.ReasonNeverFits}
+	}
+	largest := model.Needs{}
+	for i := range b.Tasks {
+		largest = largest.Max(b.Tasks[i].Needs)
+	}
+	room := 0
+	for _, e := range m.endpointList {
+		if e.confined {
+			room += min(max(e.capacity()-e.busy(), 0), e.available().CountFitting(largest))
+		}
+	}
+	if room < len(b.Tasks) {
+		return port.Verdict{Reason: model.ReasonOverload, RetryAfter: confinedRetry}
+	}
+	return port.Verdict{Admit: true}
+}
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -27,6 +27,7 @@
 	replacedBy   model.EndpointID // Later incarnation at the same address; "" when none has announced itself.
 	down         bool             // Gets no work until its next announcement: it refuses connections.
 	apart        bool             // Runs a suspect alone, or is reserved for one.
+	confined     bool             // Runs only tasks of confined teams.
 	suspect      *task            // The suspect that runs there; nil while the endpoint is only reserved, or not apart.
 	cordon       bool             // Gets no work until its next announcement: another member may hold its lease.
 	tasks        []*task          // Tasks that were sent there and whose end is not confirmed.
@@ -59,10 +60,10 @@
 	return e.Slots
 }
 
-// schedulableSlots returns how many slots the placement may use: none unless the endpoint is healthy.
+// schedulableSlots returns how many slots the placement may use: none unless the endpoint is healthy and open to all teams.
 // An endpoint that is being probed gets its tasks from pickProbe instead.
 func (e *endpoint) schedulableSlots() int {
-	if e.health.status != healthy {
+	if e.health.status != healthy || e.confined {
 		return 0
 	}
 	return e.capacity()
@@ -137,6 +138,7 @@
 		return
 	}
 	e.down = true
+	m.blameTeams(now, e)
 	m.updateTotals(e)
 	m.requeueHeldIfUnavailable(e)
 }
@@ -194,7 +196,7 @@
 // handleLeaseEnd handles the end of an endpoint's lease. The endpoint gets no new tasks, and each task
 // there is revoked, over a new connection, to learn what became of it.
 func (m *Machine) handleLeaseEnd(e *endpoint, fx *Effects) {
-	e.live = false
+	e.live, e.confined = false, false
 	e.apart = e.suspect != nil
 	m.live--
 	m.totals.largestStale = true
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -33,6 +33,7 @@
 	origins              origins
 	queue                queue
 	apart                apart
+	confinement          confinement
 	skipped              []*batch         // Buffer of dispatchQueued.
 	freed                []*endpoint      // Endpoints with held tasks that may have room for one now.
 	changes              []EndpointChange // Changes of endpoints in this step.
@@ -98,6 +99,7 @@
 	case Moved:
 		m.handleMoved(now, fx)
 	}
+	m.updateConfinement(now)
 	m.dispatchQueued(now, fx)
 	fx.Changes = append(fx.Changes, m.changes...)
 	m.changes = m.changes[:0]
--- a/plugins/endpoints/poolstate/queue.go
+++ b/plugins/endpoints/poolstate/queue.go
@@ -46,6 +46,7 @@
 	batches     indexedHeap[*batch] // Batches with queued tasks.
 	openBatches int                 // Number of batches that have not ended.
 	demand      demand
+	blame       blame
 	index       int
 	queued      bool // The team is in one of the queue's heaps.
 	isAhead     bool // That heap is the one of teams that are ahead of their share.
