A task that fails after too many crashes elsewhere is not started again

Callers would wait for a start that is refused as soon as it is sent: a run that ends as failed, with the news that endpoints have crashed under the task at another member, was queued again, since only lost runs were checked.

--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -164,8 +164,7 @@
 }
 
 // handleLostRun handles a run that is known to have ended without a result. If the job allows failed
-// runs, the task is queued again, unless endpoints have crashed under too many of its runs; the lost run does not count as a
-// failed one.
+// runs, the task is queued again; the lost run does not count as a failed one.
 func (m *Machine) handleLostRun(now time.Time, t *task, fx *Effects) {
 	m.recordOutcome(now, t.endpoint, t.batch.ID.Job, true)
 	if t.endpoint.live && t.endpoint.Leased {
@@ -175,19 +174,19 @@
 		m.handleFailure(now, t, fx)
 		return
 	}
-	if crashes.Judge(t.losses) == crashes.Exhausted {
-		m.release(t)
-		m.failTask(now, t, model.MayHaveRun, model.ReasonEndpointsCrashed, fx)
-		return
-	}
-	m.requeueAfterRun(t)
+	m.requeueAfterRun(now, t, fx)
 }
 
-// requeueAfterRun puts a task back into the queue after a run that is known to have ended.
-func (m *Machine) requeueAfterRun(t *task) {
+// requeueAfterRun puts a task back into the queue after a run that is known to have ended, or fails the task if too many endpoints
+// have crashed under its runs.
+func (m *Machine) requeueAfterRun(now time.Time, t *task, fx *Effects) {
 	t.mayHaveRun = true
 	t.avoid = t.endpoint.ID
 	m.release(t)
+	if crashes.Judge(t.losses) == crashes.Exhausted {
+		m.failTask(now, t, model.MayHaveRun, model.ReasonEndpointsCrashed, fx)
+		return
+	}
 	m.enqueue(t)
 	m.timers.set(&t.batch.timer, m.nextTimerAt(t.batch))
 }
@@ -198,7 +197,7 @@
 	t.failures++
 	if !t.batch.ended && !t.stopping && t.failures < t.batch.MaxFailures {
 		m.recordOutcome(now, t.endpoint, t.batch.ID.Job, true)
-		m.requeueAfterRun(t)
+		m.requeueAfterRun(now, t, fx)
 		return
 	}
 	switch {
