Numbers and names in messages of members and callers are bounded

A faulty member, or a caller with needs of 2^62 cores, could make a pool's sums wrap around: loads with negative or huge slots, deadlines and objectives that overflow (the conversion of a huge float differs between arm64 and x86-64), and the average needs of a task, which also learned from batches that no endpoint can run, after which each endpoint counted as full. Batches, loads, losses and objectives are checked or bounded where they arrive; a batch that fits nowhere teaches nothing.

--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -120,9 +120,21 @@
 
 // For returns the latency objective of a job whose longest task has the given run time.
 func (o Objective) For(run time.Duration) time.Duration {
-	return time.Duration(o.Stretch*float64(run)) + o.Slack
+	return scaled(run, o.Stretch) + min(o.Slack, maxObjective)
 }
 
+// maxObjective bounds each part of an objective, so that their sums do not overflow.
+const maxObjective = 24 * time.Hour
+
+// scaled returns a multiple of a duration, bounded by maxObjective in both directions.
+func scaled(d time.Duration, factor float64) time.Duration {
+	bound := float64(maxObjective)
+	return time.Duration(min(max(factor*float64(d), -bound), bound))
+}
+
+// UsefulFor returns the time in which the answer of a job has to come to be of use, given the run time of its longest task.
+func (o Objective) UsefulFor(run time.Duration) time.Duration { return scaled(o.For(run), o.Useful) }
+
 // State is the state of a job as its caller sees it.
 type State string
 
--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -64,6 +64,29 @@
 	}
 }
 
+const (
+	maxReportedSlots = 1 << 24        // Bounds the slots and queued tasks in a load.
+	maxReportedTime  = 24 * time.Hour // Bounds the times in a load.
+)
+
+// valid reports whether a correct member could have reported the load.
+func (w wireLoad) valid() bool {
+	load := w.decode()
+	return w.Service != "" && len(w.Service) <= model.MaxName && len(w.Centre) <= model.MaxName && len(w.Owner) <= model.MaxName &&
+		w.Part >= 0 && w.Slots >= 0 && w.Slots <= maxReportedSlots && w.Free >= -maxReportedSlots && w.Free <= w.Slots &&
+		w.Queued >= 0 && w.Queued <= maxReportedSlots && w.QueuedMS >= 0 && w.QueuedMS <= maxReportedTime.Milliseconds() &&
+		w.MeanRunMS >= 0 && w.MeanRunMS <= maxReportedTime.Milliseconds() && load.Largest.Check() == nil
+}
+
+// updateReported updates the estimated loads of pools by those that another member reported.
+func (p *Pools) updateReported(r loadReport) {
+	for _, w := range r.Loads {
+		if w.valid() {
+			p.updateLoad(w.decode())
+		}
+	}
+}
+
 // updateLoad updates the estimated load of a pool by one that its owner reported.
 func (p *Pools) updateLoad(load model.PoolLoad) {
 	now := time.Now()
@@ -104,9 +127,7 @@
 
 // handleLoads handles a load report that was sent to this member.
 func (p *Pools) handleLoads(_ context.Context, _ model.NodeID, r loadReport) empty {
-	for _, load := range r.Loads {
-		p.updateLoad(load.decode())
-	}
+	p.updateReported(r)
 	return empty{}
 }
 
@@ -116,9 +137,7 @@
 	if json.Unmarshal(value, &r) != nil {
 		return // The sender may run another version of this program.
 	}
-	for _, load := range r.Loads {
-		p.updateLoad(load.decode())
-	}
+	p.updateReported(r)
 }
 
 // recordSender records that a member has sent a batch to one of the owned pools.
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -92,7 +92,9 @@
 	}
 	m.usePlacement(s.Profile.Placement)
 	b := m.newBatch(now, s)
-	m.learnNeeds(b)
+	if m.fits(b.Tasks) {
+		m.learnNeeds(b) // Needs that no endpoint meets say nothing of how many tasks fit on one.
+	}
 	verdict := m.admit(now, b)
 	m.logAdmission(now, b, verdict, fx)
 	if !verdict.Admit {
--- a/plugins/endpoints/poolstate/objective.go
+++ b/plugins/endpoints/poolstate/objective.go
@@ -16,7 +16,7 @@
 // usefulUntil returns the time after which the answer of a batch is of no use: a multiple of the
 // objective for a whole job, and at most the deadline.
 func (b *batch) usefulUntil() time.Time {
-	useful := b.arrived.Add(time.Duration(b.Objective.Useful * float64(b.Objective.For(b.medianLongestRun))))
+	useful := b.arrived.Add(b.Objective.UsefulFor(b.medianLongestRun))
 	if !b.Whole || useful.After(b.Deadline) {
 		return b.Deadline
 	}
--- a/plugins/endpoints/wire.go
+++ b/plugins/endpoints/wire.go
@@ -129,12 +129,20 @@
 		if t.Index < 0 || t.Index >= model.MaxTasksPerJob || seen[t.Index] {
 			return false
 		}
-		if !validLosses(t.Losses) {
+		if !validLosses(t.Losses) || t.Needs.Check() != nil || t.DeclaredMS < 0 || t.DeclaredMS > maxRemaining.Milliseconds() {
 			return false
 		}
 		seen[t.Index] = true
 	}
-	return r.RemainingMS <= maxRemaining.Milliseconds()
+	return r.validLimits()
+}
+
+// validLimits reports whether the numbers and names that concern the whole batch are within their limits.
+func (r runRequest) validLimits() bool {
+	longest := maxRemaining.Milliseconds()
+	return r.RemainingMS <= longest && r.RemainingMS >= -longest && r.MaxWaitMS >= 0 && r.MaxWaitMS <= longest &&
+		r.MaxFailures >= 0 && r.Objective.Stretch >= 0 && r.Objective.Useful >= 0 && r.Objective.Slack >= 0 &&
+		len(r.Key) <= maxLossTextLength && len(r.Team) <= model.MaxName
 }
 
 func decodeBatch(from model.NodeID, r runRequest) model.Batch {
