--- a/bench/leased/endpoint.go
+++ b/bench/leased/endpoint.go
@@ -4,6 +4,7 @@
 package leased
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -19,11 +20,14 @@
 	Control           []string // Addresses, ip:port, to which the endpoint sends heartbeats.
 	CPU               int      // CPU capacity in thousandths of a core.
 	Slots             int
+	Address           string        // ip:port at which it listens; "" for a free port.
 	HeartbeatInterval time.Duration // Interval between heartbeats.
 	MaxHold           time.Duration // Maximum time from a call to the end of the lease that it asks for.
 	// Fault returns the fault to inject into a call, given the call's path and the number of calls to
 	// this path so far, the present one included; nil for no faults.
 	Fault func(path string, call int) Fault
+	// Crashed is called, in a goroutine of its own, when a task that crashes the endpoint has ended it; nil for none.
+	Crashed func()
 }
 
 // Fault is a fault injected into a call. The zero value is none.
@@ -41,6 +45,7 @@
 	server     *http.Server
 	address    string
 	stopped    chan struct{}
+	stopOnce   sync.Once
 	goroutines sync.WaitGroup
 
 	mu         sync.Mutex
@@ -64,17 +69,20 @@
 	cpu     int
 	stop    chan struct{} // Closed to end the run early.
 	outcome string        // Outcome to report at the run's end.
+	crash   bool          // The endpoint crashes at the end of the run time.
 }
 
 // Spec is the specification of a task that the caller puts into a job for this stand-in.
 type Spec struct {
 	MS  int `json:"ms"`  // Run time in milliseconds.
 	CPU int `json:"cpu"` // CPU that the task reserves, in thousandths of a core.
+	// Crash makes the endpoint crash at the end of the task's run time.
+	Crash bool `json:"crash,omitempty"`
 }
 
 // Start starts an endpoint, which runs until Stop.
 func Start(config Config) (*Endpoint, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", cmp.Or(config.Address, "127.0.0.1:0"))
 	if err != nil {
 		return nil, err
 	}
@@ -94,13 +102,26 @@
 	return e, nil
 }
 
-// Stop stops the endpoint without notifying anyone, as a crash does.
+// Stop stops the endpoint without notifying anyone, as a crash does. Further calls do nothing.
 func (e *Endpoint) Stop() {
-	close(e.stopped)
-	e.server.Close()
-	e.goroutines.Wait()
+	e.stopOnce.Do(func() {
+		close(e.stopped)
+		e.server.Close()
+		e.goroutines.Wait()
+	})
 }
 
+// crash stops the endpoint and reports that.
+func (e *Endpoint) crash() {
+	e.Stop()
+	if e.config.Crashed != nil {
+		e.config.Crashed()
+	}
+}
+
+// Address returns the address at which the endpoint listens.
+func (e *Endpoint) Address() string { return e.address }
+
 // Drain makes the endpoint announce in its further heartbeats that it is draining.
 func (e *Endpoint) Drain() {
 	e.mu.Lock()
@@ -193,7 +214,7 @@
 	}
 	e.freeCPU -= spec.CPU
 	e.started[o.Task]++
-	started := &run{number: o.Run, cpu: spec.CPU, stop: make(chan struct{}), outcome: "done"}
+	started := &run{number: o.Run, cpu: spec.CPU, crash: spec.Crash, stop: make(chan struct{}), outcome: "done"}
 	if o.fails {
 		started.outcome = "failed"
 	}
@@ -209,6 +230,10 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		if r.crash {
+			go e.crash()
+			return
+		}
 	case <-r.stop:
 	case <-e.stopped:
 		return
--- a/cmd/internal/node/platform_test.go
+++ b/cmd/internal/node/platform_test.go
@@ -207,13 +207,18 @@
 }
 
 func (s *platformCluster) postJob(entry, id string, tasks, ms, cpu int) (status int, body string) {
-	spec, err := json.Marshal(leased.Spec{MS: ms, CPU: cpu})
+	return s.postSpec(entry, id, tasks, leased.Spec{MS: ms, CPU: cpu})
+}
+
+// postSpec submits a job of equal tasks with the given specification.
+func (s *platformCluster) postSpec(entry, id string, tasks int, of leased.Spec) (status int, body string) {
+	spec, err := json.Marshal(of)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	job, err := json.Marshal(map[string]any{
 		"spec": string(spec), "best_effort": true,
-		"steps": []map[string]any{{"count": tasks, "cpu": cpu, "mem_mb": 64, "estimated_ms": ms}},
+		"steps": []map[string]any{{"count": tasks, "cpu": of.CPU, "mem_mb": 64, "estimated_ms": of.MS}},
 	})
 	if err != nil {
 		s.t.Fatal(err)
