A member that joins learns which tasks have crashed endpoints

A caller whose job's member had died could have its task start up to four times more: the member to which it turned had just started, with an empty table, and learned nothing before the next crash.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -149,6 +149,7 @@
 func (p *Pools) Start() error {
 	go p.publishLoads()
 	go p.publishLosses()
+	go p.watchJoins()
 	go p.watchOrigins()
 	go p.watchSessions()
 	go p.watchOwnership()
--- a/plugins/endpoints/losses.go
+++ b/plugins/endpoints/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -155,12 +156,61 @@
 			p.appendPendingLosses(node.ID, loss)
 		}
 	}
+	p.signalLosses()
+}
+
+// signalLosses makes publishLosses send the pending losses. It does not block.
+func (p *Pools) signalLosses() {
 	select {
 	case p.lossAdded <- struct{}{}:
 	default: // An earlier signal is still pending.
 	}
 }
 
+// watchJoins tells each incarnation of a member that joins the group what this member knows: a caller may send it a job that has
+// crashed endpoints before.
+func (p *Pools) watchJoins() {
+	known := make(map[incarnationKey]bool)
+	for first := true; ; first = false {
+		changed := p.membership.Changed()
+		alive := make(map[incarnationKey]bool)
+		for _, node := range p.membership.Alive() {
+			key := incarnationKey{node.ID, node.Incarnation}
+			alive[key] = true
+			if !first && !known[key] && node.ID != p.membership.Self().ID {
+				p.appendPendingLosses(node.ID, p.newestLosses()...)
+				p.signalLosses()
+			}
+		}
+		known = alive
+		select {
+		case <-changed:
+		case <-p.baseCtx.Done():
+			return
+		}
+	}
+}
+
+// newestLosses returns the losses in the table, of the tasks that have lost a run last.
+func (p *Pools) newestLosses() (all []wireTaskLoss) {
+	now := time.Now()
+	expires := make(map[taskRef]time.Time)
+	p.losses.Each(func(entries map[taskRef]taskLosses) {
+		for ref, entry := range entries {
+			if entry.expires.After(now) {
+				expires[ref] = entry.expires
+			}
+		}
+	})
+	refs := slices.SortedFunc(maps.Keys(expires), func(a, b taskRef) int { return expires[a].Compare(expires[b]) })
+	for _, ref := range refs {
+		for _, loss := range p.lossesOf(ref) {
+			all = append(all, wireTaskLoss{ref.job, ref.index, loss.Endpoint, loss.Crashed})
+		}
+	}
+	return all[max(len(all)-maxPendingLosses, 0):]
+}
+
 // appendPendingLosses adds losses to those that are to be sent to a member. The oldest are dropped when there are too many.
 func (p *Pools) appendPendingLosses(to model.NodeID, losses ...wireTaskLoss) {
 	p.pendingLosses.Do(to, func(pending map[model.NodeID][]wireTaskLoss) {
--- a/plugins/endpoints/network_test.go
+++ b/plugins/endpoints/network_test.go
@@ -190,6 +190,7 @@
 	p.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
 	go p.watchSessions()
 	go p.publishLosses()
+	go p.watchJoins()
 	t.Cleanup(func() { p.Stop() })
 	return p, m
 }
