A task starts again after a crash only when a second member knows of it

A caller's task could start once more for each member that died: one that died within 20 ms of learning of a crash took two with it, that one and the crash under the run that it had just started. The member now waits for the reply of another one, of at most two, 50 ms each; a task that has crashed an endpoint has lost a second by then.

--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -120,6 +120,7 @@
 	ref := refOf(s.Key, s.Task)
 	if reply.State == port.TaskLost {
 		p.recordLoss(ref, s.Endpoint, reply.Cause)
+		p.confirmLoss(ref, s.Endpoint, reply.Cause)
 	}
 	p.step(id, poolstate.Replied{Task: s.Task, Attempt: s.Attempt, Reply: reply, Losses: p.lossesOf(ref)})
 	p.markReplied(id, c)
--- a/plugins/endpoints/losses.go
+++ b/plugins/endpoints/losses.go
@@ -24,6 +24,8 @@
 	maxPendingLosses  = 256                    // Bounds the losses that wait to be sent to one member.
 	lossTimeout       = 250 * time.Millisecond // Timeout of a message with losses.
 	lossPause         = 20 * time.Millisecond  // Time in which losses are collected for one message.
+	confirmTimeout    = 50 * time.Millisecond  // Longest wait for the reply of one member to a loss that is to be confirmed.
+	maxConfirmCalls   = 2                      // Members that are asked to confirm a loss before the task may start again.
 	maxLossTextLength = 256                    // Limit on the key of a job and the id of an endpoint, in bytes.
 )
 
@@ -266,6 +268,29 @@
 	}
 }
 
+// confirmLoss tells another member of a loss and waits until it has replied, so that the task is not started again before a second
+// member knows: this one may die with the next run. It gives up after maxConfirmCalls members.
+func (p *Pools) confirmLoss(ref taskRef, endpoint model.EndpointID, cause port.LossCause) {
+	loss, counts := crashes.LossOf(endpoint, cause)
+	if !counts {
+		return
+	}
+	message := lossMessage{[]wireTaskLoss{{ref.job, ref.index, loss.Endpoint, loss.Crashed}}}
+	for i, other := range p.otherMembers() {
+		if i == maxConfirmCalls || p.confirmAt(other.Node, message) {
+			return
+		}
+	}
+}
+
+// confirmAt sends losses to a member and reports whether it has replied in time.
+func (p *Pools) confirmAt(to model.NodeID, message lossMessage) bool {
+	ctx, cancel := context.WithTimeout(p.baseCtx, confirmTimeout)
+	defer cancel()
+	var ignored empty
+	return p.peers.Call(ctx, to, methodLosses, message, &ignored) == port.Delivered
+}
+
 // RunLost implements port.EndpointObserver.
 func (p *Pools) RunLost(endpoint model.EndpointID, run port.TaskRun, cause port.LossCause) {
 	p.recordLoss(taskRef{run.Key, run.Index}, endpoint, cause)
