--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -41,6 +41,7 @@
 	AgeMS        Key = "age_ms"         // Age of the oldest load report that a plan is based on, or of a configuration change.
 
 	Slots      Key = "slots"
+	Endpoints  Key = "endpoints"   // Number of endpoints of a pool.
 	Free       Key = "free"        // Free slots.
 	Queued     Key = "queued"      // Number of queued tasks.
 	PassedOver Key = "passed_over" // Number of candidate endpoints that were not chosen.
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -55,6 +55,9 @@
 		Job, JobKey, Task, Attempt, Pool, Endpoint, State, TookMS, Why)
 	EndpointChanged = define(Change, "endpoint_changed", "the status of an endpoint in its pool has changed",
 		Pool, Endpoint, From, To, Slots)
+	TeamConfined = define(Trouble, "team_confined", "endpoints go down with tasks of a team: the team gets a bounded part of the pool, until that ceases",
+		Pool, Team, Endpoints)
+	TeamReleased    = define(Change, "team_released", "a team is no longer confined to a part of the pool", Pool, Team, Endpoints)
 	PoolsSplit      = define(Change, "pools_split", "the endpoints of a service in a data centre are divided among more pools", Service, DataCentre, Parts)
 	PartsUnreadable = define(Trouble, "parts_unreadable", "the numbers of pools that a member published cannot be decoded", Member, Error)
 	OwnershipMoved  = define(Change, "ownership_moved", "this member hands a pool over to its new owner", Pool, Owner)
--- a/plugins/endpoints/log.go
+++ b/plugins/endpoints/log.go
@@ -11,7 +11,7 @@
 
 // logStep logs the decisions of a step and the changes of endpoints in it.
 func (p *Pools) logStep(id model.PoolID, fx *poolstate.Effects) {
-	if len(fx.Decisions)+len(fx.Changes) == 0 {
+	if len(fx.Decisions)+len(fx.Changes)+len(fx.Teams) == 0 {
 		return
 	}
 	now, pool := time.Now(), id.String()
@@ -23,6 +23,13 @@
 		event.EndpointChanged.Log(p.log, event.Text(event.Pool, pool), event.Text(event.Endpoint, c.Endpoint),
 			event.Text(event.From, c.From), event.Text(event.To, c.To), event.Int(event.Slots, c.Slots))
 	}
+	for _, c := range fx.Teams {
+		kind := event.TeamReleased
+		if c.Confined {
+			kind = event.TeamConfined
+		}
+		kind.Log(p.log, event.Text(event.Pool, pool), event.Text(event.Team, c.Team), event.Int(event.Endpoints, c.Endpoints))
+	}
 }
 
 // logStartWaits logs that a start waits for the end of an earlier attempt's run.
--- a/plugins/endpoints/poolstate/confine.go
+++ b/plugins/endpoints/poolstate/confine.go
@@ -69,28 +69,39 @@
 }
 
 // updateConfinement confines and releases teams by their blame, and adapts the endpoints that are set apart for them.
-func (m *Machine) updateConfinement(now time.Time) {
+func (m *Machine) updateConfinement(now time.Time, fx *Effects) {
 	if !m.confinement.active {
 		return
 	}
 	m.confinement.active = false
-	confined := 0
+	most := 0
 	for _, t := range m.queue.teamsInOrder {
-		current := t.blame.current(now)
-		switch {
-		case t.blame.confined:
-			t.blame.confined = current >= releaseBelow
-		case current >= confineAbove:
-			t.blame.confined = m.othersAreBlameless(now, t)
-		}
+		m.judgeTeam(now, t, fx)
 		if t.blame.confined {
-			confined++
+			most = m.maxConfined()
 		}
-		m.confinement.active = m.confinement.active || t.blame.confined || current >= releaseBelow
+		m.confinement.active = m.confinement.active || t.blame.confined || t.blame.current(now) >= releaseBelow
 	}
-	m.resizeConfined(confined > 0)
+	m.resizeConfined(most)
 }
 
+// judgeTeam confines or releases a team by its blame.
+func (m *Machine) judgeTeam(now time.Time, t *team, fx *Effects) {
+	current, before := t.blame.current(now), t.blame.confined
+	switch {
+	case before:
+		t.blame.confined = current >= releaseBelow
+	case current >= confineAbove:
+		t.blame.confined = m.othersAreBlameless(now, t)
+	}
+	if t.blame.confined != before {
+		fx.Teams = append(fx.Teams, TeamChange{t.id, t.blame.confined, m.maxConfined()})
+	}
+}
+
+// maxConfined returns the number of endpoints that confined teams may hold.
+func (m *Machine) maxConfined() int { return max(m.live/endpointsPerConfined, 1) }
+
 // othersAreBlameless reports whether there is another team with work in the pool, and each such team has much less blame than this
 // one. Otherwise it is not the team that makes the difference.
 func (m *Machine) othersAreBlameless(now time.Time, blamed *team) bool {
@@ -107,12 +118,8 @@
 	return others > 0
 }
 
-// resizeConfined sets as many endpoints apart for confined teams as they may hold, or none.
-func (m *Machine) resizeConfined(needed bool) {
-	most := 0
-	if needed {
-		most = max(m.live/endpointsPerConfined, 1)
-	}
+// resizeConfined sets at most the given number of endpoints apart for confined teams.
+func (m *Machine) resizeConfined(most int) {
 	held := 0
 	for _, e := range m.endpointList {
 		if !e.confined || !e.live {
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -87,6 +87,7 @@
 	Ended     []model.BatchResult `json:",omitempty"`
 	Decisions []port.Decision     `json:",omitempty"` // Entries for the decision log, without their time and pool.
 	Changes   []EndpointChange    `json:",omitempty"`
+	Teams     []TeamChange        `json:",omitempty"`
 	Served    []Served            `json:",omitempty"`
 	Released  []Release           `json:"-"` // Not recorded: they follow from the replies.
 }
@@ -101,6 +102,7 @@
 	fx.Ended = fx.Ended[:0]
 	fx.Decisions = fx.Decisions[:0]
 	fx.Changes = fx.Changes[:0]
+	fx.Teams = fx.Teams[:0]
 	fx.Served = fx.Served[:0]
 	fx.Released = fx.Released[:0]
 }
@@ -138,6 +140,13 @@
 	Slots    int // Slots of the endpoint that the pool can use from now on.
 }
 
+// TeamChange reports, for the log, that a team is confined to a part of the pool, or no longer.
+type TeamChange struct {
+	Team      model.TeamID
+	Confined  bool
+	Endpoints int // Endpoints that confined teams may hold in this pool.
+}
+
 // Served reports the response time of a whole job in the pool, next to its latency objective.
 type Served struct {
 	Took      time.Duration
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -99,7 +99,7 @@
 	case Moved:
 		m.handleMoved(now, fx)
 	}
-	m.updateConfinement(now)
+	m.updateConfinement(now, fx)
 	m.dispatchQueued(now, fx)
 	fx.Changes = append(fx.Changes, m.changes...)
 	m.changes = m.changes[:0]
