--- a/plugins/endpoints/crashes_random_test.go
+++ b/plugins/endpoints/crashes_random_test.go
@@ -67,6 +67,13 @@
 	announceEndpoints(p, id)
 }
 
+// intN returns a random number below n.
+func (s *crashSimulation) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
 // run runs the task, which crashes its endpoint. The cause that the member learns is certain or not.
 func (s *crashSimulation) run(p *Pools, start port.TaskStart) port.TaskReply {
 	s.mu.Lock()
@@ -74,10 +81,9 @@
 	if s.crashes >= 3 {
 		s.startsAfter++
 	}
-	took := time.Duration(50+s.random.IntN(300)) * time.Millisecond
-	cause := []port.LossCause{port.LossCrashed, port.LossCrashed, port.LossRefusing, port.LossNotBegun}[s.random.IntN(4)]
 	s.mu.Unlock()
-	time.Sleep(took) // On the virtual clock.
+	cause := []port.LossCause{port.LossCrashed, port.LossCrashed, port.LossRefusing, port.LossNotBegun}[s.intN(4)]
+	time.Sleep(time.Duration(50+s.intN(300)) * time.Millisecond) // On the virtual clock.
 	s.mu.Lock()
 	s.crashes++
 	s.mu.Unlock()
@@ -99,7 +105,7 @@
 
 // submit has the caller send the job to a member, which dies, or gives the caller up, at a random time.
 func (s *crashSimulation) submit(attempt int) {
-	id := simulated[s.random.IntN(len(simulated))]
+	id := simulated[s.intN(len(simulated))]
 	batch := submissionOf(model.JobID(fmt.Sprintf("%s.i.1.%d.t", id, attempt)), pool1).Batch
 	batch.Deadline = time.Now().Add(5 * time.Second)
 	w, p := newWaiter(), s.members[id]
@@ -107,9 +113,9 @@
 	select {
 	case <-w.ended:
 		return
-	case <-time.After(time.Duration(s.random.IntN(1500)) * time.Millisecond):
+	case <-time.After(time.Duration(s.intN(1500)) * time.Millisecond):
 	}
-	if s.deaths < 2 && s.random.IntN(2) == 0 {
+	if s.deaths < 2 && s.intN(2) == 0 {
 		s.die(id)
 		time.Sleep(resendAfter) // On the virtual clock.
 		s.join(id, attempt+1)
@@ -128,12 +134,15 @@
 			for attempt := range 10 {
 				s.submit(attempt)
 			}
-			if s.startsAfter >= 3+s.deaths {
-				t.Errorf("seed %d: %d starts, %d crashes, %d starts after the third, %d deaths", seed, s.starts, s.crashes, s.startsAfter, s.deaths)
-			}
 			for _, p := range s.members {
 				p.Stop()
 			}
+			time.Sleep(time.Second) // On the virtual clock: the last run has ended.
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.startsAfter >= 3+s.deaths {
+				t.Errorf("seed %d: %d starts, %d crashes, %d starts after the third, %d deaths", seed, s.starts, s.crashes, s.startsAfter, s.deaths)
+			}
 		})
 	}
 }
