--- a/plugins/endpoints/losses.go
+++ b/plugins/endpoints/losses.go
@@ -88,7 +88,7 @@
 func (p *Pools) withLosses(batch model.Batch) model.Batch {
 	cloned := false
 	for i, t := range batch.Tasks {
-		ref := refOf(batch.Key, batch.ID.Job.TaskID(t.Index))
+		ref := refIn(&batch, t.Index)
 		for _, loss := range t.Losses {
 			p.addLoss(ref, loss)
 		}
@@ -108,7 +108,7 @@
 func (p *Pools) addResultLosses(batch model.Batch, result model.BatchResult) {
 	for _, r := range result.Results {
 		for _, loss := range r.Losses {
-			p.addLoss(refOf(batch.Key, batch.ID.Job.TaskID(r.Index)), loss)
+			p.addLoss(refIn(&batch, r.Index), loss)
 		}
 	}
 }
--- a/plugins/endpoints/turns.go
+++ b/plugins/endpoints/turns.go
@@ -22,6 +22,14 @@
 	return taskRef{key, task.Index()}
 }
 
+// refIn returns the reference of a batch's task with the given index in its job.
+func refIn(batch *model.Batch, index int) taskRef {
+	if batch.Key == "" {
+		return taskRef{string(batch.ID.Job), index}
+	}
+	return taskRef{batch.Key, index}
+}
+
 // turn is the right to start a task. Among all attempts in the pools of this member one at a time has it: from before its
 // start is sent until its pool has released the attempt, when the end of its run is known.
 type turn struct {
