An owner publishes its load again when others hold one that it has not published

Callers got no_endpoint for ten seconds beside free endpoints: in 4 of 12 starts of an in-process deployment on (one control VM, two entry VMs, six endpoints), one entry VM refused some 940 jobs. Cause: for 40 ms after the start another member considered itself the pool's owner, so that the endpoints were cordoned; the reply to a batch said that the pool has no slots. After that the owner's load was as it had published it before, so that it published nothing until the refresh after 10 s. Replies carry loads, and the reporter did not count them. Now a reply without slots, or a report of an owned pool by another member, makes the owner publish again, within its budget of messages.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -70,9 +70,10 @@
 	stop    context.CancelFunc
 	baseCtx context.Context // Ends when the plug-in stops.
 
-	gossip      port.Gossip
-	senders     *shard.Map[model.NodeID, time.Time] // When each member sent its newest batch.
-	loadChanged chan struct{}                       // Signals publishLoads that a load has changed.
+	gossip       port.Gossip
+	senders      *shard.Map[model.NodeID, time.Time] // When each member sent its newest batch.
+	loadChanged  chan struct{}                       // Signals publishLoads that a load has changed.
+	contradicted atomic.Bool                         // Another member holds a load of an owned pool that was not published; see publishAgain.
 
 	unreachable *shard.Map[model.NodeID, bool] // Members that did not reply and have not been reached since.
 
--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -81,8 +81,13 @@
 // updateReported updates the estimated loads of pools by those that another member reported.
 func (p *Pools) updateReported(r loadReport) {
 	for _, w := range r.Loads {
-		if w.valid() {
-			p.updateLoad(w.decode())
+		if !w.valid() {
+			continue
+		}
+		load := w.decode()
+		p.updateLoad(load)
+		if p.owns(load.Pool) { // Others have taken the report for that of the owner.
+			p.publishAgain()
 		}
 	}
 }
@@ -180,11 +185,21 @@
 	}
 }
 
+// publishAgain makes publishLoads publish the loads although they may be those that it has published last: another member has got
+// one in between that said otherwise.
+func (p *Pools) publishAgain() {
+	p.contradicted.Store(true)
+	p.signalLoadChange()
+}
+
 // publishLoads publishes the loads of the owned pools to the other members when they change.
 func (p *Pools) publishLoads() {
 	reporter := loadview.NewReporter()
 	for {
 		loads := p.ownedLoads()
+		if p.contradicted.Swap(false) {
+			reporter.Forget()
+		}
 		publication := reporter.Plan(time.Now(), loads, p.otherMembers)
 		p.publish(publication, encodeLoads(loads))
 		if !p.waitForLoadChange(publication.Next) {
--- a/plugins/endpoints/loadview/reporter.go
+++ b/plugins/endpoints/loadview/reporter.go
@@ -1,6 +1,7 @@
 package loadview
 
 import (
+	"maps"
 	"time"
 
 	"redwingpulley/kernel/model"
@@ -62,6 +63,11 @@
 	}
 }
 
+// Forget makes the next Plan publish the loads of pools that accept work, also if they have not changed.
+func (r *Reporter) Forget() {
+	maps.DeleteFunc(r.lastSent.loads, func(_ model.PoolID, load model.PoolLoad) bool { return load.Slots > 0 })
+}
+
 // Member is another member, to which an owner may send its loads.
 type Member struct {
 	Node        model.NodeID
--- a/plugins/endpoints/serve.go
+++ b/plugins/endpoints/serve.go
@@ -131,6 +131,9 @@
 		defer p.releaseRequest(id, w)
 		select {
 		case <-w.ended:
+			if load := w.result.Load; load.Owner != "" && load.Slots == 0 {
+				p.publishAgain()
+			}
 			return encodeResult(w.result)
 		case <-ctx.Done():
 			return runReply{Lost: true} // The requester is gone; nobody reads this reply.
