--- a/plugins/endpoints/crashes/crashes.go
+++ b/plugins/endpoints/crashes/crashes.go
@@ -24,7 +24,7 @@
 // Verdicts.
 const (
 	Clear     Verdict = iota // No endpoint is known to have crashed under the task.
-	Suspect                  // The task may have crashed an endpoint, or was there when another one did.
+	Isolate                  // The task may have crashed an endpoint, or was there when another one did.
 	Exhausted                // The task must not be started again.
 )
 
@@ -76,7 +76,7 @@
 	case certain >= maxCrashes || len(record) >= maxLosses:
 		return Exhausted
 	case len(record) > 0:
-		return Suspect
+		return Isolate
 	}
 	return Clear
 }
--- a/plugins/endpoints/crashes/crashes_test.go
+++ b/plugins/endpoints/crashes/crashes_test.go
@@ -31,11 +31,11 @@
 		want   Verdict
 	}{
 		{nil, Clear},
-		{[]model.Loss{possible("a")}, Suspect},
-		{[]model.Loss{crashed("a")}, Suspect},
-		{[]model.Loss{crashed("a"), crashed("a"), possible("a")}, Suspect}, // One endpoint, reported three times.
+		{[]model.Loss{possible("a")}, Isolate},
+		{[]model.Loss{crashed("a")}, Isolate},
+		{[]model.Loss{crashed("a"), crashed("a"), possible("a")}, Isolate}, // One endpoint, reported three times.
 		{[]model.Loss{possible("a"), crashed("a"), crashed("b")}, Exhausted},
-		{[]model.Loss{crashed("a"), possible("b"), possible("c")}, Suspect},
+		{[]model.Loss{crashed("a"), possible("b"), possible("c")}, Isolate},
 		{[]model.Loss{possible("a"), possible("b"), possible("c"), possible("d")}, Exhausted},
 	} {
 		is := is.New(t)
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -38,11 +38,11 @@
 type phase int
 
 const (
-	inQueue      phase = iota
-	waitingApart       // Waits for an endpoint of its own; see apart.
-	held               // Bound to an endpoint, and waiting for a free slot there.
-	atEndpoint         // Sent to an endpoint, and its end there is not confirmed.
-	ended              // Has a result, or its batch has ended without one.
+	inQueue         phase = iota
+	waitingIsolated       // Waits for an endpoint of its own; see isolation.
+	held                  // Bound to an endpoint, and waiting for a free slot there.
+	atEndpoint            // Sent to an endpoint, and its end there is not confirmed.
+	ended                 // Has a result, or its batch has ended without one.
 )
 
 // task is one task of a batch. A task that is at an endpoint outlives a batch that ends first.
@@ -153,28 +153,28 @@
 	b.team.demand.add(now, b.work)
 	b.origin = m.originOf(now, b.ID.Job)
 	m.batches[b.ID] = b
-	clear, suspects := splitSuspects(longestLast(b.tasks))
+	clear, isolated := splitIsolated(longestLast(b.tasks))
 	m.queue.pushAll(b, clear)
 	b.timer = newTimer(func(now time.Time, fx *Effects) { m.handleBatchTimer(now, b, fx) })
 	m.timers.set(&b.timer, m.nextTimerAt(b))
-	for _, t := range suspects {
-		m.enqueueApart(t)
+	for _, t := range isolated {
+		m.enqueueIsolated(t)
 	}
 }
 
-// splitSuspects returns the tasks that may run beside others, and those that have to run apart.
-func splitSuspects(tasks []*task) (clear, suspects []*task) {
-	if !slices.ContainsFunc(tasks, (*task).suspect) {
+// splitIsolated returns the tasks that may run beside others, and those that have to be isolated.
+func splitIsolated(tasks []*task) (clear, isolated []*task) {
+	if !slices.ContainsFunc(tasks, (*task).isolated) {
 		return tasks, nil
 	}
 	for _, t := range tasks {
-		if t.suspect() {
-			suspects = append(suspects, t)
+		if t.isolated() {
+			isolated = append(isolated, t)
 		} else {
 			clear = append(clear, t)
 		}
 	}
-	return clear, suspects
+	return clear, isolated
 }
 
 // longestLast sorts tasks by ascending run time. The task that is pushed last starts first, and the
@@ -191,8 +191,8 @@
 }
 
 func (m *Machine) enqueue(t *task) {
-	if t.suspect() {
-		m.enqueueApart(t)
+	if t.isolated() {
+		m.enqueueIsolated(t)
 		return
 	}
 	t.phase = inQueue
--- a/plugins/endpoints/poolstate/confine.go
+++ b/plugins/endpoints/poolstate/confine.go
@@ -10,8 +10,8 @@
 	"redwingpulley/kernel/port"
 )
 
-// A team many of whose tasks crash their endpoints could take a whole pool down with first runs alone, before any of its tasks is a
-// suspect. While endpoints go down again and again with its tasks there, and seldom without them, the team is confined to a bounded
+// A team many of whose tasks crash their endpoints could take a whole pool down with first runs alone, before any of its tasks is
+// isolated. While endpoints go down again and again with its tasks there, and seldom without them, the team is confined to a bounded
 // part of the pool, and the others have the rest for themselves.
 
 const (
@@ -68,7 +68,7 @@
 	}
 }
 
-// updateConfinement confines and releases teams by their blame, and adapts the endpoints that are set apart for them.
+// updateConfinement confines and releases teams by their blame, and adapts the endpoints that are reserved for them.
 func (m *Machine) updateConfinement(now time.Time, fx *Effects) {
 	if !m.confinement.active {
 		return
@@ -118,7 +118,7 @@
 	return others > 0
 }
 
-// resizeConfined sets at most the given number of endpoints apart for confined teams.
+// resizeConfined sets at most the given number of endpoints aside for confined teams.
 func (m *Machine) resizeConfined(most int) {
 	held := 0
 	for _, e := range m.endpointList {
@@ -133,7 +133,7 @@
 	}
 	for ; held < most; held++ {
 		candidates := slices.DeleteFunc(slices.Clone(m.endpointList), func(e *endpoint) bool {
-			return e.confined || e.apart || e.schedulableSlots() == 0
+			return e.confined || e.isolated || e.schedulableSlots() == 0
 		})
 		if len(candidates) < 2 {
 			return // The last one is for the other teams.
--- a/plugins/endpoints/poolstate/decisions.go
+++ b/plugins/endpoints/poolstate/decisions.go
@@ -67,7 +67,7 @@
 	StatusQuarantined     Status = "aside"    // The endpoint gets no work because of failures.
 	StatusProbing         Status = "probing"  // Single tasks test whether the quarantined endpoint works again.
 	StatusLeasedElsewhere Status = "away"     // Another member may hold the lease; ends with the next announcement.
-	StatusApart           Status = "apart"    // Runs a suspect alone, or is reserved for one.
+	StatusIsolated        Status = "isolated" // Runs an isolated task, or is reserved for one.
 	StatusConfined        Status = "confined" // Gets only tasks of confined teams.
 	StatusRefusing        Status = "refusing" // The endpoint refuses connections; ends with the next announcement.
 	StatusGone            Status = "gone"     // The announcements have ceased, or the endpoint has shut down.
@@ -88,8 +88,8 @@
 		return StatusQuarantined
 	case e.health.status == probing:
 		return StatusProbing
-	case e.apart:
-		return StatusApart
+	case e.isolated:
+		return StatusIsolated
 	case e.confined:
 		return StatusConfined
 	}
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -16,7 +16,7 @@
 // dispatchQueued sends the held and queued tasks for which endpoints have room.
 func (m *Machine) dispatchQueued(now time.Time, fx *Effects) {
 	m.sendHeld(now, fx)
-	m.dispatchApart(now, fx)
+	m.dispatchIsolated(now, fx)
 	if m.placer == nil {
 		return
 	}
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -26,9 +26,9 @@
 	live         bool             // Within the lease of its newest announcement.
 	replacedBy   model.EndpointID // Later incarnation at the same address; "" when none has announced itself.
 	down         bool             // Gets no work until its next announcement: it refuses connections.
-	apart        bool             // Runs a suspect alone, or is reserved for one.
+	isolated     bool             // Runs an isolated task, or is reserved for one.
 	confined     bool             // Runs only tasks of confined teams.
-	suspect      *task            // The suspect that runs there; nil while the endpoint is only reserved, or not apart.
+	occupant     *task            // The isolated task that runs there; nil while the endpoint is only reserved, or not isolated.
 	cordon       bool             // Gets no work until its next announcement: another member may hold its lease.
 	tasks        []*task          // Tasks that were sent there and whose end is not confirmed.
 	taken        model.Needs      // Resources that these tasks use together.
@@ -52,7 +52,7 @@
 // capacity returns how many tasks, including probes, the pool may have at the endpoint at once.
 func (e *endpoint) capacity() int {
 	switch {
-	case !e.live, e.down, e.cordon, e.apart, e.State != model.EndpointServing, e.health.status == quarantined:
+	case !e.live, e.down, e.cordon, e.isolated, e.State != model.EndpointServing, e.health.status == quarantined:
 		return 0
 	case e.health.status == probing:
 		return min(1, e.Slots)
@@ -97,7 +97,7 @@
 	}
 	e.Endpoint = *a
 	if e.down {
-		e.apart, e.down = e.suspect != nil, false
+		e.isolated, e.down = e.occupant != nil, false
 	}
 	e.cordon = false
 	if !e.live {
@@ -197,7 +197,7 @@
 // there is revoked, over a new connection, to learn what became of it.
 func (m *Machine) handleLeaseEnd(e *endpoint, fx *Effects) {
 	e.live, e.confined = false, false
-	e.apart = e.suspect != nil
+	e.isolated = e.occupant != nil
 	m.live--
 	m.totals.largestStale = true
 	e.foreign = e.foreign[:0]
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -32,7 +32,7 @@
 	inFlight             map[model.TaskID]*task
 	origins              origins
 	queue                queue
-	apart                apart
+	isolation            isolation
 	confinement          confinement
 	skipped              []*batch         // Buffer of dispatchQueued.
 	freed                []*endpoint      // Endpoints with held tasks that may have room for one now.
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -33,27 +33,27 @@
 // cluster simulates the endpoints and members around a pool. It tracks which tasks were sent and
 // which of them have ended, and checks each effect of the machine against that.
 type cluster struct {
-	t         *rapid.T
-	now       time.Time
-	profile   model.Profile
-	machine   *Machine
-	twin      *Machine                            // Second machine, which gets the same events and must give the same effects.
-	leases    map[model.EndpointID]time.Time      // Ends of the leases.
-	announced map[model.EndpointID]model.Endpoint // Latest announcements.
-	born      map[model.EndpointID]int64          // Newest incarnations of leased endpoints, by the id without the incarnation.
-	sequence  uint64                              // Number of announcements so far.
-	inFlight  map[model.TaskID]Start              // Tasks that were sent and whose end has not been reported to the machine.
-	attempts  map[model.TaskID]int                // Attempts sent so far.
-	ranApart  map[model.TaskID]bool               // Tasks whose latest start was that of a suspect.
-	ran       map[model.TaskID]bool               // Tasks with a run that failed or was lost.
-	cordoned  map[model.EndpointID]bool           // Endpoints whose lease another member holds, as reported to the machine.
-	down      map[model.EndpointID]bool           // Endpoints that refuse connections, as reported to the machine.
-	losses    map[model.TaskID][]model.Loss       // Losses that the machine was told of.
-	occupying map[model.TaskID]int                // Attempts that the machine has started and not reported as released.
-	revokes   []Revoke
-	open      map[model.BatchID]int // Number of tasks of each batch that has not ended.
-	started   map[model.BatchID]int
-	next      int
+	t           *rapid.T
+	now         time.Time
+	profile     model.Profile
+	machine     *Machine
+	twin        *Machine                            // Second machine, which gets the same events and must give the same effects.
+	leases      map[model.EndpointID]time.Time      // Ends of the leases.
+	announced   map[model.EndpointID]model.Endpoint // Latest announcements.
+	born        map[model.EndpointID]int64          // Newest incarnations of leased endpoints, by the id without the incarnation.
+	sequence    uint64                              // Number of announcements so far.
+	inFlight    map[model.TaskID]Start              // Tasks that were sent and whose end has not been reported to the machine.
+	attempts    map[model.TaskID]int                // Attempts sent so far.
+	ranIsolated map[model.TaskID]bool               // Tasks that were isolated at their latest start.
+	ran         map[model.TaskID]bool               // Tasks with a run that failed or was lost.
+	cordoned    map[model.EndpointID]bool           // Endpoints whose lease another member holds, as reported to the machine.
+	down        map[model.EndpointID]bool           // Endpoints that refuse connections, as reported to the machine.
+	losses      map[model.TaskID][]model.Loss       // Losses that the machine was told of.
+	occupying   map[model.TaskID]int                // Attempts that the machine has started and not reported as released.
+	revokes     []Revoke
+	open        map[model.BatchID]int // Number of tasks of each batch that has not ended.
+	started     map[model.BatchID]int
+	next        int
 }
 
 var randomEndpoints = []model.EndpointID{"a", "b", "c", "d"}
@@ -68,7 +68,7 @@
 		machine: New(finderPool, "sj1-a", shipped, 1), twin: New(finderPool, "sj1-a", shipped, 1),
 		leases: map[model.EndpointID]time.Time{}, announced: map[model.EndpointID]model.Endpoint{},
 		born: map[model.EndpointID]int64{"c": 1, "d": 1}, inFlight: map[model.TaskID]Start{}, attempts: map[model.TaskID]int{},
-		ran: map[model.TaskID]bool{}, ranApart: map[model.TaskID]bool{}, cordoned: map[model.EndpointID]bool{}, occupying: map[model.TaskID]int{},
+		ran: map[model.TaskID]bool{}, ranIsolated: map[model.TaskID]bool{}, cordoned: map[model.EndpointID]bool{}, occupying: map[model.TaskID]int{},
 		down: map[model.EndpointID]bool{}, losses: map[model.TaskID][]model.Loss{},
 		open: map[model.BatchID]int{}, started: map[model.BatchID]int{},
 	}
@@ -145,11 +145,11 @@
 	}
 	tasks := c.machine.endpoints[s.Endpoint].tasks
 	for _, t := range tasks {
-		if len(tasks) > 1 && len(c.losses[t.id]) > 0 && c.attempts[t.id] > 0 && c.ranApart[t.id] {
-			c.t.Fatalf("task %s was sent to %s, where task %s runs apart", s.Task, s.Endpoint, t.id)
+		if len(tasks) > 1 && len(c.losses[t.id]) > 0 && c.attempts[t.id] > 0 && c.ranIsolated[t.id] {
+			c.t.Fatalf("task %s was sent to %s, where task %s is isolated", s.Task, s.Endpoint, t.id)
 		}
 	}
-	if c.ranApart[s.Task] = len(c.losses[s.Task]) > 0; c.ranApart[s.Task] && len(tasks) > 1 {
+	if c.ranIsolated[s.Task] = len(c.losses[s.Task]) > 0; c.ranIsolated[s.Task] && len(tasks) > 1 {
 		c.t.Fatalf("task %s, which has lost %v, was sent to %s beside %d others", s.Task, c.losses[s.Task], s.Endpoint, len(tasks)-1)
 	}
 }
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -236,8 +236,8 @@
 	e := t.endpoint
 	m.released = append(m.released, Release{t.id, t.attempt, t.batch.Key})
 	delete(m.inFlight, t.id)
-	if e.suspect == t {
-		e.apart, e.suspect = e.down, nil // It counts as held while it is down.
+	if e.occupant == t {
+		e.isolated, e.occupant = e.down, nil // It counts as held while it is down.
 	}
 	last := e.tasks[len(e.tasks)-1]
 	e.tasks[t.slot] = last
