--- a/plugins/endpoints/fuzz_test.go
+++ b/plugins/endpoints/fuzz_test.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
-	"redwingpulley/plugins/admission/deadline"
-	"redwingpulley/plugins/endpoints/poolstate"
-	"redwingpulley/plugins/placement/leastwait"
 )
 
 // newLonePools returns the plug-in of a member without others, whose endpoints answer at once.
@@ -25,15 +20,7 @@
 		return port.TaskReply{State: port.TaskDone, Answer: []byte("1")}
 	}
 	m.revokeReply = func(model.TaskID) port.RevokeReply { return port.RevokeReply{State: port.TaskRevoked} }
-	p := &Pools{
-		membership: m, liveness: m, profiles: m, peers: m, tasks: m, decisions: m, recorder: noRecorder{}, gossip: noGossip{},
-		policies: poolstate.Policies{
-			Placements: map[string]port.Placement{"least_wait": leastwait.Policy{}},
-			Admissions: map[string]port.Admission{"deadline": deadline.Policy{}},
-		},
-	}
-	p.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
-	return p
+	return newPoolsOn(m)
 }
 
 // handleAll has a member handle a message of any kind that decodes.
--- a/plugins/endpoints/network_test.go
+++ b/plugins/endpoints/network_test.go
@@ -180,6 +180,16 @@
 		}
 		return port.TaskReply{State: port.TaskDone, Answer: []byte(`"` + string(s.ID) + `"`)}
 	}
+	p := newPoolsOn(m)
+	go p.watchSessions()
+	go p.publishLosses()
+	go p.watchJoins()
+	t.Cleanup(func() { p.Stop() })
+	return p, m
+}
+
+// newPoolsOn returns the plug-in of a member whose goroutines do not run.
+func newPoolsOn(m *fakeMember) *Pools {
 	p := &Pools{
 		membership: m, liveness: m, profiles: m, peers: m, tasks: m, decisions: m, recorder: noRecorder{}, gossip: noGossip{},
 		policies: poolstate.Policies{
@@ -188,11 +198,7 @@
 		},
 	}
 	p.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
-	go p.watchSessions()
-	go p.publishLosses()
-	go p.watchJoins()
-	t.Cleanup(func() { p.Stop() })
-	return p, m
+	return p
 }
 
 // newPair returns two members: origin, which owns a job, and owner, which owns a pool with one endpoint of
--- a/plugins/endpoints/poolstate/crashes_test.go
+++ b/plugins/endpoints/poolstate/crashes_test.go
@@ -55,38 +55,36 @@
 	return h.step(Replied{Task: s.Task, Attempt: s.Attempt, Reply: port.TaskReply{State: port.TaskLost, Cause: cause}})
 }
 
+// crashUntilEnd submits a task each of whose runs is lost for the given cause, and returns how often it was started and the step that
+// ended its batch.
+func (h *harness) crashUntilEnd(cause port.LossCause) (starts int, last Effects) {
+	last = h.submitPatient(model.Needs{})
+	for len(last.Starts) > 0 && starts < 20 {
+		starts++
+		h.now = h.now.Add(100 * time.Millisecond)
+		last = h.awaitStart(h.crash(last.Starts[0], cause))
+	}
+	return starts, last
+}
+
 // Guards against issue 28, BUDGET: lost runs were not counted, so that a task which crashes each endpoint that starts it was sent
 // to one endpoint after another until its deadline.
 func TestTaskThatCrashesItsEndpointsIsNotStartedForEver(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(1, 1, 1, 1, 1, 1, 1, 1)
-	fx := h.submitPatient(model.Needs{})
-	starts := 0
-	for len(fx.Starts) > 0 && starts < 20 {
-		starts++
-		h.now = h.now.Add(100 * time.Millisecond)
-		fx = h.awaitStart(h.crash(fx.Starts[0], port.LossCrashed))
-	}
+	starts, last := newHarness(1, 1, 1, 1, 1, 1, 1, 1).crashUntilEnd(port.LossCrashed)
 	is.True(starts < 6) // Three crashes, and fewer than three starts after them.
-	is.Equal(len(fx.Ended), 1)
-	is.Equal(fx.Ended[0].Results[0].Run, model.MayHaveRun)
-	is.Equal(fx.Ended[0].Results[0].Reason, model.ReasonEndpointsCrashed)
+	is.Equal(len(last.Ended), 1)
+	is.Equal(last.Ended[0].Results[0].Run, model.MayHaveRun)
+	is.Equal(last.Ended[0].Results[0].Reason, model.ReasonEndpointsCrashed)
 }
 
 // Guards against a task that is started for ever where no endpoint's crash is certain: each of them refuses connections, and
 // its lease expires before its next incarnation is found.
 func TestTaskWhoseEndpointsRefuseConnectionsIsNotStartedForEver(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(1, 1, 1, 1, 1, 1, 1, 1)
-	fx := h.submitPatient(model.Needs{})
-	starts := 0
-	for len(fx.Starts) > 0 && starts < 20 {
-		starts++
-		h.now = h.now.Add(100 * time.Millisecond)
-		fx = h.awaitStart(h.crash(fx.Starts[0], port.LossRefusing))
-	}
+	starts, last := newHarness(1, 1, 1, 1, 1, 1, 1, 1).crashUntilEnd(port.LossRefusing)
 	is.True(starts < 6) // Three crashes, and fewer than three starts after them.
-	is.Equal(len(fx.Ended), 1)
+	is.Equal(len(last.Ended), 1)
 }
 
 // Guards against tasks that are given up although their endpoints were only cut off, or have left.
