--- a/plugins/endpoints/poolstate/limits_test.go
+++ b/plugins/endpoints/poolstate/limits_test.go
@@ -1,6 +1,7 @@
 package poolstate
 
 import (
+	"math"
 	"runtime"
 	"testing"
 
@@ -19,3 +20,26 @@
 	runtime.ReadMemStats(&after)
 	is.True(after.TotalAlloc-before.TotalAlloc < 1<<20)
 }
+
+// Guards against an endpoint that is shut out for good: another writer has announced it with the largest number, or a later
+// incarnation at its address.
+func TestOddAnnouncementShutsItsEndpointOutOnlyForItsLease(t *testing.T) {
+	endpoint := model.Endpoint{
+		ID: "e@5", Service: "finder", Address: "10.0.0.1:1", Slots: 2, State: model.EndpointServing, Born: 5, Sequence: 1, Leased: true,
+	}
+	sequence, born := endpoint, endpoint
+	sequence.Sequence = math.MaxUint64
+	born.ID, born.Born = "odd@9", 9
+	for _, odd := range []model.Endpoint{sequence, born} {
+		is := is.New(t)
+		h := newHarness()
+		h.step(Announced{endpoint})
+		h.step(Announced{odd})
+		h.now = h.now.Add(DefaultEndpointLease)
+		h.step(Elapsed{})
+		endpoint.Sequence++
+		h.step(Announced{endpoint})
+		is.Equal(len(h.Endpoints()), 1)
+		is.Equal(h.Endpoints()[0].Endpoint.ID, endpoint.ID)
+	}
+}
--- a/plugins/leases/lease/loss.go
+++ b/plugins/leases/lease/loss.go
@@ -37,8 +37,8 @@
 }
 
 // causeOfReplacement returns why a run is lost at an endpoint whose next incarnation has been found; begun says that the endpoint
-// had started the run, and extended when its lease was last known to be in force. A run that was there when the endpoint ended is one whose lease had not expired by now, or by the time at
-// which the endpoint began to refuse connections.
+// had started the run, and extended when its lease was last known to be in force. The run was there when the endpoint ended if its
+// lease had not expired by now, or by the time at which the endpoint began to refuse connections.
 func (m *Machine) causeOfReplacement(now time.Time, begun bool, extended time.Time) port.LossCause {
 	switch {
 	case m.retirement.phase != retireNotRequested:
