--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -179,6 +179,9 @@
 	ReasonUnreachable    Reason = "unreachable"
 	ReasonBusy           Reason = "pool_busy"   // The batch would wait longer in the pool than the job's owner expected.
 	ReasonMoved          Reason = "owner_moved" // The pool has another owner now.
+	// ReasonPaused means that the member stood still after it had accepted the job or batch. The caller may have sent the job to
+	// another member meanwhile, so nothing of it starts here any more.
+	ReasonPaused Reason = "member_paused"
 	// ReasonEndpointsCrashed means that endpoints have crashed under runs of a task, and that it is not started again.
 	ReasonEndpointsCrashed Reason = "endpoints_crashed"
 	ReasonAnswerExpired    Reason = "answer_expired"  // The job completed; its answers are no longer kept.
--- a/kernel/port/liveness.go
+++ b/kernel/port/liveness.go
@@ -8,6 +8,10 @@
 	// It is false at the start and after the process was paused, until another member has answered
 	// or enough time has passed without an answer from any. It takes no lock.
 	Fresh() bool
+	// Pauses returns how often this process was found to have stood still since it started. While Fresh is true, the number
+	// includes a pause that has just ended. Whatever was decided under another number is void: callers may have sent their jobs
+	// to other members meanwhile. It takes no lock.
+	Pauses() uint64
 	// Gone reports whether the incarnation of the node is known to have ended: it announced that it
 	// stops, was considered dead, or was replaced by a later incarnation.
 	Gone(node model.NodeID, incarnation model.Incarnation) bool
--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -25,6 +25,7 @@
 	ctx    context.Context // Ends at the batch's deadline, or when the attempt is withdrawn or released.
 	cancel context.CancelFunc
 	state  callState
+	pauses uint64 // port.Liveness.Pauses when the pool decided on the start.
 }
 
 // callState is the progress of a call.
@@ -49,7 +50,7 @@
 		}
 	}
 	for _, s := range fx.Starts {
-		c := &call{}
+		c := &call{pauses: o.pauses}
 		c.ctx, c.cancel = context.WithDeadline(p.baseCtx, s.Deadline)
 		o.inFlight[attempt{s.Task, s.Attempt}] = c
 	}
@@ -115,7 +116,7 @@
 		p.endTurn(id, s.Key, started)
 		return
 	}
-	reply, took := p.callStart(c.ctx, s)
+	reply, took := p.callStart(c, s)
 	p.logTaskEnded(id, s, reply, took)
 	ref := refOf(s.Key, s.Task)
 	if reply.State == port.TaskLost {
@@ -128,9 +129,10 @@
 
 // callStart sends a start and waits for its reply, unless this member's view of the others is stale or it has learned that the
 // task must not be started again.
-func (p *Pools) callStart(ctx context.Context, s poolstate.Start) (reply port.TaskReply, took time.Duration) {
-	if !p.liveness.Fresh() {
-		// This process was paused, or has not yet reached another member. Others may own the pool by now.
+func (p *Pools) callStart(c *call, s poolstate.Start) (reply port.TaskReply, took time.Duration) {
+	if !p.liveness.Fresh() || p.liveness.Pauses() != c.pauses {
+		// This process was paused, or has not yet reached another member. Others may own the pool by now, and the caller may
+		// have sent the job to another member.
 		return port.TaskReply{State: port.TaskNoRoom, Detail: "this member's view of the others is stale"}, 0
 	}
 	if crashes.Judge(p.lossesOf(refOf(s.Key, s.Task))) == crashes.Exhausted {
@@ -138,7 +140,7 @@
 	}
 	p.instruments.starts.Inc(1)
 	startedAt := time.Now()
-	reply = p.tasks.Start(ctx, s.Address, port.TaskStart{
+	reply = p.tasks.Start(c.ctx, s.Address, port.TaskStart{
 		ID: s.Task, Endpoint: s.Endpoint, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(),
 		Payload: s.Payload, Key: s.Key, Index: s.Task.Index(),
 	})
--- a/plugins/endpoints/cluster_test.go
+++ b/plugins/endpoints/cluster_test.go
@@ -86,6 +86,8 @@
 	}
 }
 
+func (m *testMember) Pauses() uint64 { return 0 }
+
 func (m *testMember) Gone(model.NodeID, model.Incarnation) bool { return false }
 func (m *testMember) RequestProbe(model.NodeID)                 {}
 
--- a/plugins/endpoints/network_test.go
+++ b/plugins/endpoints/network_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,6 +75,7 @@
 	node        port.Node
 	tasks       func(context.Context, port.TaskStart) port.TaskReply // Runs a task that is started.
 	revokeReply func(model.TaskID) port.RevokeReply                  // Replies to a revoke.
+	pauses      atomic.Uint64                                        // Pauses of the member's process.
 }
 
 func (m *fakeMember) Handle(method string, h port.Handler) {
@@ -133,6 +135,8 @@
 
 func (m *fakeMember) Fresh() bool { return true }
 
+func (m *fakeMember) Pauses() uint64 { return m.pauses.Load() }
+
 func (m *fakeMember) Gone(id model.NodeID, incarnation model.Incarnation) bool {
 	return !slices.ContainsFunc(m.Alive(), func(n port.Node) bool { return n.ID == id && n.Incarnation == incarnation })
 }
--- a/plugins/endpoints/orphan_test.go
+++ b/plugins/endpoints/orphan_test.go
@@ -73,6 +73,44 @@
 
 func (m *pausedMember) Fresh() bool { return m.resumed.Load() }
 
+// Guards against two runs of a task: the pool's owner stood still, its view is recent again before the pool has made a step, and the
+// caller has sent its job to another member meanwhile.
+func TestNoTaskOfABatchFromBeforeAPauseStarts(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		_, _, owner, atOwner := newPair(t)
+		lost := make(chan struct{})
+		atOwner.tasks = func(_ context.Context, s port.TaskStart) port.TaskReply {
+			<-lost
+			if s.Attempt > 1 {
+				return port.TaskReply{State: port.TaskDone}
+			}
+			return port.TaskReply{State: port.TaskLost}
+		}
+		atOwner.revokeReply = func(model.TaskID) port.RevokeReply { return port.RevokeReply{State: port.TaskLost} }
+		results := make(chan model.BatchResult, 1)
+		go func() { results <- owner.Run(t.Context(), "owner", repeatableBatch()) }()
+		synctest.Wait()
+		is.Equal(owner.instruments.starts.Count(), int64(2))
+		atOwner.pauses.Add(1)
+		close(lost)
+		result := <-results
+		is.Equal(result.Results[0].Reason, model.ReasonPaused)
+		is.Equal(owner.instruments.starts.Count(), int64(2))
+	})
+}
+
+// Guards against the same by a start on which the pool decided before the pause.
+func TestStartThatWasDecidedBeforeAPauseIsNotSent(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		_, _, owner, atOwner := newPair(t)
+		c := &call{ctx: t.Context(), pauses: atOwner.Pauses()}
+		atOwner.pauses.Add(1)
+		reply, _ := owner.callStart(c, poolstate.Start{Task: "origin.o1.1.1.t.0", Attempt: 1, Endpoint: "e1", Address: "e1"})
+		is.Equal(reply.State, port.TaskNoRoom)
+		is.Equal(owner.instruments.starts.Count(), int64(0))
+	})
+}
+
 func TestNoTaskStartsWhileTheMembershipViewIsStale(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		_, _, owner, atOwner := newPair(t)
--- a/plugins/endpoints/pool.go
+++ b/plugins/endpoints/pool.go
@@ -21,6 +21,7 @@
 
 	inFlight map[attempt]*call // Attempts whose tasks occupy their endpoints.
 	steps    uint64            // Number of steps so far.
+	pauses   uint64            // port.Liveness.Pauses at the newest step.
 }
 
 // withPool calls f with the pool under its shard's lock. It creates the pool if there is none.
@@ -48,34 +49,59 @@
 		machine:  created.Machine(p.policies),
 		waiters:  make(map[model.BatchID]*waiter),
 		inFlight: make(map[attempt]*call),
+		pauses:   p.liveness.Pauses(),
 	}
 }
 
-// step applies an event to the pool's machine and then, outside the lock, carries out the effects.
+// stepped is what a step of a pool leaves to be done without the lock of its shard.
+type stepped struct {
+	number uint64 // Number of the step.
+	now    time.Time
+	event  poolstate.Event
+	fx     *poolstate.Effects
+	ended  []*waiter // Waiters of the batches that have ended.
+}
+
+// step applies an event to the pool's machine and then, outside the lock, carries out the effects. The first step after a pause
+// of the process begins with the event Resumed, so that none decides on what was true before.
 func (p *Pools) step(id model.PoolID, event poolstate.Event) {
-	fx := p.effects.Get().(*poolstate.Effects)
-	defer p.recycle(fx)
-	var ended []*waiter
-	var now time.Time
 	var created poolstate.Created
-	var number uint64
+	var steps []stepped
 	p.withPool(id, func(o *pool) {
-		now = p.now()
-		o.steps++
-		created, number = o.created, o.steps
-		o.machine.Step(now, event, fx)
-		p.updateCalls(o, fx)
+		created = o.created
+		if pauses := p.liveness.Pauses(); pauses != o.pauses {
+			o.pauses = pauses
+			steps = append(steps, p.stepLocked(o, poolstate.Resumed{}))
+		}
+		steps = append(steps, p.stepLocked(o, event))
 		p.signalIfLoadChanged(o)
-		ended = o.finishWaiters(fx.Ended)
-		p.armTimer(id, o, now)
+		p.armTimer(id, o, p.now())
 	})
+	for _, s := range steps {
+		p.finishStep(id, created, s)
+	}
+}
+
+// stepLocked applies an event to a pool's machine. It is called under the lock of the pool's shard.
+func (p *Pools) stepLocked(o *pool, event poolstate.Event) stepped {
+	o.steps++
+	s := stepped{number: o.steps, now: p.now(), event: event, fx: p.effects.Get().(*poolstate.Effects)}
+	o.machine.Step(s.now, event, s.fx)
+	p.updateCalls(o, s.fx)
+	s.ended = o.finishWaiters(s.fx.Ended)
+	return s
+}
+
+// finishStep records a step and carries out its effects.
+func (p *Pools) finishStep(id model.PoolID, created poolstate.Created, s stepped) {
+	defer p.recycle(s.fx)
 	if p.recorder.Active() {
-		p.recordStep(created, number, now, event, fx)
+		p.recordStep(created, s.number, s.now, s.event, s.fx)
 	}
-	for _, w := range ended {
+	for _, w := range s.ended {
 		p.recordEnd(w)
 	}
-	p.execute(id, fx)
+	p.execute(id, s.fx)
 }
 
 // finishWaiters passes the results of batches to their waiters, which it removes and returns.
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -13,12 +13,13 @@
 // batch is a batch that the pool has accepted, or decides whether to accept.
 type batch struct {
 	model.Batch
-	profile model.Profile
-	tasks   []task
-	results []model.TaskResult
-	ended   bool // The batch's result has been returned.
-	started bool // At least one of the tasks has left the queue for an endpoint.
-	urgent  bool // The batch goes before all others, since it would miss its deadline otherwise.
+	profile  model.Profile
+	tasks    []task
+	results  []model.TaskResult
+	ended    bool // The batch's result has been returned.
+	started  bool // At least one of the tasks has left the queue for an endpoint.
+	urgent   bool // The batch goes before all others, since it would miss its deadline otherwise.
+	outlived bool // The process has stood still since the batch was accepted: no task of it starts any more.
 
 	arrived          time.Time
 	order            uint64 // Number of the batch in the order of acceptance.
--- a/plugins/endpoints/poolstate/decisions.go
+++ b/plugins/endpoints/poolstate/decisions.go
@@ -12,6 +12,7 @@
 	model.ReasonNoEndpoint: "no endpoint takes work",
 	model.ReasonNeverFits:  "no endpoint has the resources",
 	model.ReasonBusy:       "would wait longer than its origin expected",
+	model.ReasonPaused:     "this process stood still after it had accepted the batch",
 	model.ReasonMoved:      "another member owns the pool by now",
 	model.ReasonOverload:   "could not end before its deadline, or the queue is full",
 }
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -62,6 +62,9 @@
 // Down reports that an endpoint refuses connections or has been replaced.
 type Down struct{ Endpoint model.EndpointID }
 
+// Resumed reports that the process had stood still and runs again.
+type Resumed struct{}
+
 // Moved reports that another member owns the pool now, and that the senders of batches know it.
 type Moved struct{}
 
@@ -77,6 +80,7 @@
 func (Disowned) event()      {}
 func (Departed) event()      {}
 func (Down) event()          {}
+func (Resumed) event()       {}
 func (Moved) event()         {}
 func (Elapsed) event()       {}
 
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -96,6 +96,8 @@
 		m.handleDeparted(e.Endpoints)
 	case Down:
 		m.handleDown(now, e.Endpoint)
+	case Resumed:
+		m.handleResumed(now, fx)
 	case Moved:
 		m.handleMoved(now, fx)
 	}
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -53,6 +53,7 @@
 	revokes     []Revoke
 	open        map[model.BatchID]int // Number of tasks of each batch that has not ended.
 	started     map[model.BatchID]int
+	outlived    map[model.JobID]bool // Jobs whose batch was open when the process was paused.
 	next        int
 }
 
@@ -70,7 +71,7 @@
 		born: map[model.EndpointID]int64{"c": 1, "d": 1}, inFlight: map[model.TaskID]Start{}, attempts: map[model.TaskID]int{},
 		ran: map[model.TaskID]bool{}, ranIsolated: map[model.TaskID]bool{}, cordoned: map[model.EndpointID]bool{}, occupying: map[model.TaskID]int{},
 		down: map[model.EndpointID]bool{}, losses: map[model.TaskID][]model.Loss{},
-		open: map[model.BatchID]int{}, started: map[model.BatchID]int{},
+		open: map[model.BatchID]int{}, started: map[model.BatchID]int{}, outlived: map[model.JobID]bool{},
 	}
 }
 
@@ -125,6 +126,9 @@
 	if !s.Deadline.After(c.now) {
 		c.t.Fatalf("task %s was sent after its deadline", s.Task)
 	}
+	if c.outlived[s.Task.Job()] {
+		c.t.Fatalf("task %s was sent although the process has been paused since its batch was accepted", s.Task)
+	}
 	if c.down[s.Endpoint] {
 		c.t.Fatalf("task %s was sent to %s, which refuses connections", s.Task, s.Endpoint)
 	}
@@ -398,6 +402,15 @@
 	c.step(Moved{})
 }
 
+// resumed pauses the process for a while.
+func (c *cluster) resumed(t *rapid.T) {
+	c.now = c.now.Add(time.Duration(rapid.IntRange(700, 5000).Draw(t, "paused")) * time.Millisecond)
+	for id := range c.open {
+		c.outlived[id.Job] = true
+	}
+	c.step(Resumed{})
+}
+
 // check compares the sums that the machine updates incrementally with a fresh count.
 func (c *cluster) check(t *rapid.T) {
 	m := c.machine
@@ -451,7 +464,7 @@
 			"announce": c.announce, "announce too": c.announce, "submit": c.submit,
 			"reply": c.reply, "reply too": c.reply, "reply as well": c.reply, "late reply": c.lateReply,
 			"revoke reply": c.revokeReply, "revoke reply too": c.revokeReply,
-			"cancel": c.cancel, "wait": c.wait, "refuse connections": c.refuseConnections, "owners": c.owners, "moved": c.moved, "": c.check,
+			"cancel": c.cancel, "wait": c.wait, "refuse connections": c.refuseConnections, "owners": c.owners, "moved": c.moved, "resumed": c.resumed, "": c.check,
 		})
 	})
 }
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -155,6 +155,8 @@
 	case t.batch.ended:
 	case crashes.Judge(t.losses) == crashes.Exhausted:
 		m.failTask(now, t, t.runState(), model.ReasonEndpointsCrashed, fx)
+	case t.batch.outlived:
+		m.failTask(now, t, t.runState(), model.ReasonPaused, fx)
 	case t.batch.MaxFailures > 0 || m.retries.tryWithdraw():
 		m.enqueue(t)
 		m.timers.set(&t.batch.timer, m.nextTimerAt(t.batch))
@@ -178,7 +180,7 @@
 }
 
 // requeueAfterRun puts a task back into the queue after a run that is known to have ended, or fails the task if too many endpoints
-// have crashed under its runs.
+// have crashed under its runs, or if the process has stood still since the batch was accepted.
 func (m *Machine) requeueAfterRun(now time.Time, t *task, fx *Effects) {
 	t.mayHaveRun = true
 	t.avoid = t.endpoint.ID
@@ -187,6 +189,10 @@
 		m.failTask(now, t, model.MayHaveRun, model.ReasonEndpointsCrashed, fx)
 		return
 	}
+	if t.batch.outlived {
+		m.failTask(now, t, model.MayHaveRun, model.ReasonPaused, fx)
+		return
+	}
 	m.enqueue(t)
 	m.timers.set(&t.batch.timer, m.nextTimerAt(t.batch))
 }
--- a/plugins/jobs/effects.go
+++ b/plugins/jobs/effects.go
@@ -25,7 +25,8 @@
 // outgoingBatch is a batch that is about to be sent; its context ends when the batch is cancelled.
 type outgoingBatch struct {
 	jobstate.Send
-	ctx context.Context
+	ctx    context.Context
+	pauses uint64 // port.Liveness.Pauses when the job was submitted.
 }
 
 // stepped is what a step of a job leaves to be done without the lock of its shard.
@@ -84,7 +85,7 @@
 		cancel()
 	}
 	if s.fx.Replan != nil {
-		j.step(id, j.replan(*s.fx.Replan))
+		j.step(id, j.replanUnlessOutlived(s.entry, *s.fx.Replan))
 	}
 	if s.fx.Ended {
 		j.end(id, s.entry, s.now)
@@ -110,7 +111,7 @@
 	for _, s := range fx.Sends {
 		ctx, cancel := context.WithCancel(j.baseCtx)
 		e.cancels[s.Batch.ID.Part] = cancel
-		sends = append(sends, outgoingBatch{s, ctx})
+		sends = append(sends, outgoingBatch{s, ctx, e.pauses})
 	}
 	return sends, cancels
 }
@@ -125,8 +126,22 @@
 	return append(removed, cancel)
 }
 
-// send runs a batch at its pool's owner and applies the result to the job.
+// replanUnlessOutlived plans a refused part again, unless this process has stood still since the job was submitted: then the
+// caller may have sent the job to another member.
+func (j *Jobs) replanUnlessOutlived(e *entry, r jobstate.Replan) jobstate.Event {
+	if j.liveness.Pauses() != e.pauses {
+		return jobstate.Replanned{Part: r.Part}
+	}
+	return j.replan(r)
+}
+
+// send runs a batch at its pool's owner and applies the result to the job. A batch is refused when this process has stood still
+// since its job was submitted.
 func (j *Jobs) send(s outgoingBatch) {
+	if j.liveness.Pauses() != s.pauses {
+		j.step(s.Batch.ID.Job, jobstate.BatchEnded{Result: model.RefusedBatch(s.Batch.ID, model.ReasonPaused)})
+		return
+	}
 	j.step(s.Batch.ID.Job, jobstate.BatchEnded{Result: j.pools.Run(s.ctx, s.Owner, s.Batch)})
 }
 
--- a/plugins/jobs/fake_test.go
+++ b/plugins/jobs/fake_test.go
@@ -29,6 +29,7 @@
 	loads       []model.PoolLoad
 	run         func(context.Context, model.Batch) model.BatchResult
 	runs        atomic.Int32
+	pauses      atomic.Uint64 // Pauses of the member's process.
 }
 
 func (f *fake) Self() port.Node { return f.node }
@@ -43,6 +44,14 @@
 
 func (f *fake) Changed() <-chan struct{} { return nil }
 
+func (f *fake) Fresh() bool { return true }
+
+func (f *fake) Pauses() uint64 { return f.pauses.Load() }
+
+func (f *fake) Gone(model.NodeID, model.Incarnation) bool { return false }
+
+func (f *fake) RequestProbe(model.NodeID) {}
+
 func (f *fake) Leave(context.Context) {}
 
 func (f *fake) Current() (model.ProfileSet, bool) {
@@ -135,7 +144,7 @@
 	members[id] = f
 	j := &Jobs{
 		settings:   Settings{TicketMS: defaultTicketMS, AnswersMS: defaultAnswersMS},
-		membership: f, profiles: f, quotas: f, pools: f, peers: f, decisions: f,
+		membership: f, liveness: f, profiles: f, quotas: f, pools: f, peers: f, decisions: f,
 		placements: map[string]port.Placement{"least_wait": f},
 	}
 	j.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -42,6 +42,7 @@
 	settings       Settings
 	self           port.Node
 	membership     port.Membership
+	liveness       port.Liveness
 	profiles       port.Profiles
 	quotas         port.Quotas
 	pools          port.Pools
@@ -69,6 +70,7 @@
 	err = errors.Join(
 		c.Settings(&j.settings),
 		plugin.Need(c, &j.membership),
+		plugin.Need(c, &j.liveness),
 		plugin.Need(c, &j.profiles),
 		plugin.Need(c, &j.quotas),
 		plugin.Need(c, &j.pools),
--- a/plugins/jobs/submit.go
+++ b/plugins/jobs/submit.go
@@ -18,6 +18,7 @@
 	tombstone   bool // The id was cancelled before a job was submitted under it.
 	key         string
 	logFields   logFields
+	pauses      uint64        // port.Liveness.Pauses when the job was submitted.
 	callers     int           // Number of submissions that wait for the job's end.
 	end         chan struct{} // Closed when the job's outcome is final.
 	timer       *time.Timer
@@ -126,6 +127,7 @@
 		logFields:   logFields{job.Service, job.Team, len(job.Tasks), job.Deadline},
 		state:       created.Machine(),
 		submittedAt: now,
+		pauses:      j.liveness.Pauses(),
 		end:         make(chan struct{}),
 		cancels:     make(map[int]context.CancelFunc),
 	}
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -87,6 +87,16 @@
 	h.is.Equal(fx.Starts[0].Token, fx.Hold.Token)
 }
 
+// Guards against two runs of a task: the process stood still while a start waited for the endpoint, and sent it when it resumed,
+// while the job that its caller had sent again ran elsewhere.
+func TestStartThatHasWaitedThroughAPauseIsNotSent(t *testing.T) {
+	h := newHarness(t)
+	h.step(StartRequested{Run: testRun(0)})
+	fx := h.advance(maxStartWait + time.Millisecond).replyToHold(nil)
+	h.is.Equal(len(fx.Starts), 0)
+	h.is.Equal(fx.Finished[0].State, port.TaskNoRoom)
+}
+
 // Guards against issue 24: an endpoint that leaves a hold unanswered may be starting again, and its next incarnation would carry
 // out the start.
 func TestStartWaitsForHoldAfterFailedOne(t *testing.T) {
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -21,7 +21,7 @@
 		return
 	}
 	m.renewToken(now)
-	r := &run{payload: e.Payload}
+	r := &run{payload: e.Payload, requestedAt: now}
 	m.runs[e.Run] = r
 	if m.tokenAccepted && m.failedHolds == 0 && m.mayExtend(now) {
 		m.sendStart(now, e.Run, r, fx)
@@ -61,12 +61,21 @@
 		return
 	}
 	for _, id := range m.sortedRuns() {
-		if r := m.runs[id]; r.phase == queued {
+		switch r := m.runs[id]; {
+		case r.phase != queued:
+		case elapsed(now, r.requestedAt) > maxStartWait:
+			m.finish(now, id, port.TaskNoRoom, "the start has waited too long", fx)
+		default:
 			m.sendStart(now, id, r, fx)
 		}
 	}
 }
 
+// elapsed returns how long ago a time was by the clock that shows more: the monotonic one stands still in a suspended VM.
+func elapsed(now, since time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
 // rejectQueuedStarts finishes the runs that waited for the endpoint to answer a hold, after one has failed.
 func (m *Machine) rejectQueuedStarts(now time.Time, detail string, fx *Effects) {
 	for _, id := range m.sortedRuns() {
--- a/plugins/membership/effects.go
+++ b/plugins/membership/effects.go
@@ -46,6 +46,7 @@
 	old := m.view.Load()
 	next := &view{self: m.machine.Self().Node}
 	next.fresh, next.freshUntil = m.machine.Fresh()
+	next.pauses = m.machine.Pauses()
 	if old != nil && !changed {
 		next.live, next.records, next.changed = old.live, old.records, old.changed
 		m.view.Store(next)
--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -77,6 +77,7 @@
 	records    map[model.NodeID]swim.Record
 	fresh      bool
 	freshUntil time.Time
+	pauses     uint64
 	changed    chan struct{} // Closed when the next change of the view is published.
 }
 
@@ -235,6 +236,9 @@
 	return v.fresh && now.Before(v.freshUntil) && now.Round(0).Before(v.freshUntil.Round(0))
 }
 
+// Pauses returns how often this process was found to have been paused.
+func (m *Membership) Pauses() uint64 { return m.view.Load().pauses }
+
 // Gone reports whether that incarnation of the node is known to have ended.
 func (m *Membership) Gone(node model.NodeID, incarnation model.Incarnation) bool {
 	r, known := m.view.Load().records[node]
--- a/plugins/membership/swim/machine.go
+++ b/plugins/membership/swim/machine.go
@@ -31,7 +31,8 @@
 	nextTick time.Time // Start of the next period.
 	lastTick time.Time // Start of the current period, or the time at which a pause was detected.
 
-	fresh           bool // The view is recent enough to act on it.
+	pauses          uint64 // Pauses of the process that were detected.
+	fresh           bool   // The view is recent enough to act on it.
 	staleSince      time.Time
 	joined          bool   // The view has been fresh at least once.
 	firstFreshProbe uint64 // Lowest id of a probe whose answer makes the view fresh again.
@@ -160,6 +161,9 @@
 	return m.fresh, m.lastTick.Add(maxPausePeriods * m.config.Period)
 }
 
+// Pauses returns how many pauses of the process were detected.
+func (m *Machine) Pauses() uint64 { return m.pauses }
+
 // Live returns the live members, this one among them, sorted by id.
 func (m *Machine) Live() []port.Node {
 	live := []port.Node{m.self.Node}
@@ -191,6 +195,7 @@
 	if now.Sub(m.lastTick) <= limit && now.Round(0).Sub(m.lastTick.Round(0)) <= limit {
 		return
 	}
+	m.pauses++
 	m.lastTick = now
 	m.nextTick = now.Add(m.config.Period)
 	clear(m.probes)
--- a/plugins/membership/swim/swim_test.go
+++ b/plugins/membership/swim/swim_test.go
@@ -108,12 +108,14 @@
 	c.pause(paused)
 	c.run(30 * period)
 	is.True(!c.nodes[1].seesAlive(paused.ID)) // The others have removed it from their views.
+	is.Equal(paused.machine.Pauses(), uint64(0))
 	until := viewFreshUntil(paused)
 	is.True(until.Before(c.now)) // Its view counts as stale even before the next step.
 	c.blocked = func(from, to *node) bool { return from == paused || to == paused }
 	c.resume(paused)
 	fresh, _ := paused.machine.Fresh()
 	is.True(!fresh)
+	is.Equal(paused.machine.Pauses(), uint64(1))
 	c.run(period)
 	fresh, _ = paused.machine.Fresh()
 	is.True(!fresh) // Messages that arrived before it was resumed do not make the view fresh.
--- a/plugins/quota/quota_test.go
+++ b/plugins/quota/quota_test.go
@@ -40,6 +40,7 @@
 func (m *testMember) Changed() <-chan struct{}                  { return nil }
 func (m *testMember) Leave(context.Context)                     {}
 func (m *testMember) Fresh() bool                               { return true }
+func (m *testMember) Pauses() uint64                            { return 0 }
 func (m *testMember) Gone(model.NodeID, model.Incarnation) bool { return false }
 func (m *testMember) RequestProbe(model.NodeID)                 {}
 func (m *testMember) Handle(method string, h port.Handler)      { m.handlers[method] = h }
