--- a/cmd/internal/replay/machines.go
+++ b/cmd/internal/replay/machines.go
@@ -35,6 +35,7 @@
 	"Disowned":      poolEvent[poolstate.Disowned],
 	"Departed":      poolEvent[poolstate.Departed],
 	"Moved":         poolEvent[poolstate.Moved],
+	"Resumed":       poolEvent[poolstate.Resumed],
 	"Elapsed":       poolEvent[poolstate.Elapsed],
 }
 
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -81,6 +81,10 @@
 	// It reports whether that is certain; tasks that run there continue. Only endpoints that run tasks under a lease can be
 	// retired; for others it reports false.
 	Retire(ctx context.Context, address string, endpoint model.EndpointID) bool
+	// Fence makes the endpoint refuse late orders of members that have ordered runs there before, some of which may have died. It
+	// returns at once; runs that live members wait for continue. It has no effect on endpoints without leases, which a revoke
+	// fences for each task.
+	Fence(address string, endpoint model.EndpointID)
 	// Observe registers an observer, before the plug-ins start. RunLost is called for endpoints with leases only.
 	Observe(observer EndpointObserver)
 }
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -75,6 +75,8 @@
 	loadChanged  chan struct{}                       // Signals publishLoads that a load has changed.
 	contradicted atomic.Bool                         // Another member holds a load of an owned pool that was not published; see publishAgain.
 
+	forwarded *shard.Map[string, forwardedAnnouncement] // Newest announcements that others have recorded, by the endpoint's address.
+
 	unreachable *shard.Map[model.NodeID, bool] // Members that did not reply and have not been reached since.
 
 	created chan struct{}                       // Signals watchOrigins that there is a new pool.
@@ -135,6 +137,7 @@
 	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
 	p.pendingLosses = shard.New[model.NodeID, []wireTaskLoss](shard.DefaultCount)
 	p.lossAdded = make(chan struct{}, 1)
+	p.forwarded = shard.New[string, forwardedAnnouncement](shard.DefaultCount)
 	p.unreachable = shard.New[model.NodeID, bool](shard.DefaultCount)
 	p.parts = shard.New[poolGroup, int](shard.DefaultCount)
 	p.splitPending = shard.New[poolGroup, bool](shard.DefaultCount)
--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -29,14 +29,18 @@
 	Endpoints []model.Endpoint `json:"endpoints,omitempty"`
 	Working   bool             `json:"working,omitempty"`
 	Parts     int              `json:"parts,omitempty"` // Number of pools in the group, as far as the sender knows.
+	// OwnerLost says that the sender is not the former owner: that one is gone, and the sender has forwarded the endpoints'
+	// newest announcements to it.
+	OwnerLost bool `json:"owner_lost,omitempty"`
 }
 
-// watchOwnership hands over the pools that have another owner after a change of the membership view. The
-// former owner finishes the batches that it has accepted, and starts nothing else.
+// watchOwnership hands over the pools that have another owner after a change of the membership view, and passes on the endpoints of
+// owners that are gone. The former owner finishes the batches that it has accepted, and starts nothing else.
 func (p *Pools) watchOwnership() {
 	for {
 		changed := p.membership.Changed()
 		p.dropLoadsOfLostOwners()
+		p.passOnEndpointsOfLostOwners()
 		if !p.liveness.Fresh() {
 			p.suspendLeased(p.poolIDs()) // Others may have owned them while this process was paused.
 		}
@@ -170,16 +174,16 @@
 			elsewhere[id] = append(elsewhere[id], e)
 			continue
 		}
-		p.step(h.Pool, poolstate.Announced{Endpoint: e})
+		p.step(h.Pool, poolstate.Announced{Endpoint: e, HandedOver: !h.OwnerLost})
 	}
-	p.passOn(elsewhere)
+	p.passOn(elsewhere, h.OwnerLost)
 }
 
 // passOn hands endpoints over to the owners of their pools. Each receiver knows at least as many pools in the group as this
 // member when it assigns them, so that they come to rest.
-func (p *Pools) passOn(endpoints map[model.PoolID][]model.Endpoint) {
+func (p *Pools) passOn(endpoints map[model.PoolID][]model.Endpoint, ownerLost bool) {
 	for id, all := range endpoints {
-		message := handover{Pool: id, Endpoints: all, Parts: p.partsIn(groupOf(id))}
+		message := handover{Pool: id, Endpoints: all, Parts: p.partsIn(groupOf(id)), OwnerLost: ownerLost}
 		owner := p.ownerOf(id)
 		if owner.ID == p.membership.Self().ID {
 			p.adoptEndpoints(message)
--- a/plugins/endpoints/network_test.go
+++ b/plugins/endpoints/network_test.go
@@ -75,6 +75,7 @@
 	node        port.Node
 	tasks       func(context.Context, port.TaskStart) port.TaskReply // Runs a task that is started.
 	revokeReply func(model.TaskID) port.RevokeReply                  // Replies to a revoke.
+	fences      []model.EndpointID                                   // Endpoints that were to be fenced, in order.
 	pauses      atomic.Uint64                                        // Pauses of the member's process.
 }
 
@@ -153,6 +154,12 @@
 	return m.tasks(ctx, s)
 }
 
+func (m *fakeMember) Fence(_ string, endpoint model.EndpointID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fences = append(m.fences, endpoint)
+}
+
 func (m *fakeMember) Retire(context.Context, string, model.EndpointID) bool { return true }
 
 func (m *fakeMember) Observe(port.EndpointObserver) {}
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -61,6 +61,9 @@
 		p.raiseParts(group, reply.Parts)
 		return p.Announce(ctx, endpoint)
 	}
+	if reply.Recorded && endpoint.Leased {
+		p.rememberForwarded(endpoint, owner)
+	}
 	ownership.Owner = reply.Owner // The replying member may know a newer owner.
 	ownership.Recorded = reply.Recorded
 	return ownership
--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -192,5 +192,5 @@
 		return
 	}
 	p.step(id, poolstate.Departed{Endpoints: moved})
-	p.passOn(leaving)
+	p.passOn(leaving, false)
 }
--- a/plugins/endpoints/pool.go
+++ b/plugins/endpoints/pool.go
@@ -142,6 +142,11 @@
 	for _, r := range fx.Released {
 		p.endTurn(id, r.Key, attempt{r.Task, r.Attempt})
 	}
+	if len(fx.Fences) > 0 && p.ownerOf(id).ID == p.membership.Self().ID {
+		for _, f := range fx.Fences {
+			p.tasks.Fence(f.Address, f.Endpoint)
+		}
+	}
 	for _, s := range fx.Starts {
 		go p.startTask(id, s)
 	}
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -75,7 +75,8 @@
 	return known && e.live && e.State == model.EndpointLeaving
 }
 
-func (m *Machine) handleAnnouncement(now time.Time, a *model.Endpoint, fx *Effects) {
+func (m *Machine) handleAnnouncement(now time.Time, announced *Announced, fx *Effects) {
+	a := &announced.Endpoint
 	e, known := m.endpoints[a.ID]
 	if m.isOutdated(a, e) || !known && len(m.endpointList) >= maxEndpoints {
 		return
@@ -96,6 +97,9 @@
 		m.totals.largestStale = true
 	}
 	e.Endpoint = *a
+	if !announced.HandedOver && (!known || e.cordon) {
+		e.fenceFormerHolders(fx)
+	}
 	if e.down {
 		e.isolated, e.down = e.occupant != nil, false
 	}
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -15,8 +15,12 @@
 // Event is an input of the state machine.
 type Event interface{ event() }
 
-// Announced reports an announcement (heartbeat) of an endpoint.
-type Announced struct{ Endpoint model.Endpoint }
+// Announced reports an announcement (heartbeat) of an endpoint. HandedOver says that it comes from the pool's former owner, which is
+// alive and has ordered nothing there that it does not wait for.
+type Announced struct {
+	Endpoint   model.Endpoint
+	HandedOver bool `json:",omitempty"`
+}
 
 // Submitted requests that a batch is run under the profile in force.
 type Submitted struct {
@@ -93,6 +97,7 @@
 	Changes   []EndpointChange    `json:",omitempty"`
 	Teams     []TeamChange        `json:",omitempty"`
 	Served    []Served            `json:",omitempty"`
+	Fences    []Fence             `json:",omitempty"`
 	Released  []Release           `json:"-"` // Not recorded: they follow from the replies.
 }
 
@@ -108,6 +113,7 @@
 	fx.Changes = fx.Changes[:0]
 	fx.Teams = fx.Teams[:0]
 	fx.Served = fx.Served[:0]
+	fx.Fences = fx.Fences[:0]
 	fx.Released = fx.Released[:0]
 }
 
@@ -136,6 +142,12 @@
 	Key        string           `json:",omitempty"` // Key of the job, as chosen by the caller.
 }
 
+// Fence asks a leased endpoint to carry out no late order of a former holder of its lease, who may have died.
+type Fence struct {
+	Endpoint model.EndpointID
+	Address  string
+}
+
 // EndpointChange reports, for the log, that an endpoint's status changed in this pool.
 type EndpointChange struct {
 	Endpoint model.EndpointID
--- /dev/null
+++ b/plugins/endpoints/poolstate/fence.go
@@ -0,0 +1,36 @@
+package poolstate
+
+import (
+	"redwingpulley/kernel/model"
+)
+
+// A member that has ordered runs at a leased endpoint may be gone while one of its orders is still under way: an endpoint may carry it
+// out seconds later, beside the run of the same job that its caller has sent to another member. So the pool's owner has each endpoint
+// fenced when a member has departed, and when it comes to know an endpoint whose former owner has not handed it over, whether or not
+// it has a task for it.
+
+// hasDeparted reports whether an incarnation of a member that was live is not live any more.
+func hasDeparted(before, now map[model.NodeID]model.Incarnation) bool {
+	for node, incarnation := range before {
+		if live, known := now[node]; !known || live != incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// fenceAll has the former holders of all endpoints fenced that work for this owner.
+func (m *Machine) fenceAll(fx *Effects) {
+	for _, e := range m.endpointList {
+		if e.live && !e.cordon {
+			e.fenceFormerHolders(fx)
+		}
+	}
+}
+
+// fenceFormerHolders has the former holders of the endpoint's lease fenced. An endpoint that leaves is retired, which does the same.
+func (e *endpoint) fenceFormerHolders(fx *Effects) {
+	if e.Leased && e.State == model.EndpointServing {
+		fx.Fences = append(fx.Fences, Fence{e.ID, e.Address})
+	}
+}
--- /dev/null
+++ b/plugins/endpoints/poolstate/fence_test.go
@@ -0,0 +1,45 @@
+package poolstate
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+)
+
+// leasedAt returns the announcement of a leased endpoint.
+func leasedAt(id model.EndpointID, sequence uint64) Announced {
+	return Announced{Endpoint: model.Endpoint{
+		ID: id, Service: "finder", DataCentre: "sj1", Slots: 2, State: model.EndpointServing, Address: string(id), Leased: true, Sequence: sequence,
+	}}
+}
+
+// Guards against late starts of a dead member at endpoints that the pool's next owner does not use: they ran beside the tasks of jobs
+// that their callers had sent again.
+func TestEndpointOfALostOwnerIsFencedBeforeItIsUsed(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	is.Equal(h.step(leasedAt("a", 1)).Fences, []Fence{{"a", "a"}})
+	is.Equal(len(h.step(leasedAt("a", 2)).Fences), 0)
+	handedOver := leasedAt("b", 1)
+	handedOver.HandedOver = true
+	is.Equal(len(h.step(handedOver).Fences), 0) // Its former owner lives, and may still start queued tasks there.
+	is.Equal(len(h.announce("c", 1, model.EndpointServing).Fences), 0)
+}
+
+// Guards against the same where this owner has known the endpoints for long, and where it has owned the pool before.
+func TestEndpointsAreFencedWhenAMemberHasDeparted(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.step(leasedAt("a", 1))
+	h.step(leasedAt("b", 1))
+	live := []Origin{{"m1", "i1"}, {"m2", "i1"}}
+	is.Equal(len(h.step(Owners{live}).Fences), 0)
+	is.Equal(len(h.step(Owners{append(live, Origin{"m3", "i1"})}).Fences), 0)
+	is.Equal(len(h.step(Owners{live}).Fences), 2)
+	is.Equal(len(h.step(Owners{[]Origin{{"m1", "i2"}, {"m2", "i1"}}}).Fences), 2) // It has started again.
+	h.step(Disowned{})
+	is.Equal(len(h.step(Owners{live}).Fences), 0) // Another member owns the pool.
+	is.Equal(len(h.step(leasedAt("a", 2)).Fences), 1)
+}
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -78,7 +78,7 @@
 	}
 	switch e := event.(type) {
 	case Announced:
-		m.handleAnnouncement(now, &e.Endpoint, fx)
+		m.handleAnnouncement(now, &e, fx)
 		m.timers.fireDue(now, fx) // After the announcement, which may renew a lease that has run out.
 	case Submitted:
 		m.handleSubmission(now, &e, fx)
@@ -89,7 +89,7 @@
 	case Cancelled:
 		m.handleCancellation(now, e.Batch, fx)
 	case Owners:
-		m.handleOwners(now, e.Live)
+		m.handleOwners(now, e.Live, fx)
 	case Disowned:
 		m.handleDisowned()
 	case Departed:
--- a/plugins/endpoints/poolstate/origins.go
+++ b/plugins/endpoints/poolstate/origins.go
@@ -80,12 +80,16 @@
 	}
 }
 
-func (m *Machine) handleOwners(now time.Time, live []Origin) {
+func (m *Machine) handleOwners(now time.Time, live []Origin, fx *Effects) {
+	before := m.origins.live
 	m.origins.reported = true
 	m.origins.live = make(map[model.NodeID]model.Incarnation, len(live))
 	for _, o := range live {
 		m.origins.live[o.Node] = o.Incarnation
 	}
+	if hasDeparted(before, m.origins.live) {
+		m.fenceAll(fx)
+	}
 	known := make([]*origin, 0, len(m.origins.known))
 	for _, o := range m.origins.known {
 		known = append(known, o)
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -212,10 +212,7 @@
 // cancelLostSessions ends the waits for replies in sessions with incarnations that are not alive, after
 // ownerLostGrace.
 func (p *Pools) cancelLostSessions() {
-	alive := make(map[incarnationKey]bool)
-	for _, node := range p.membership.Alive() {
-		alive[incarnationKey{node.ID, node.Incarnation}] = true
-	}
+	alive := p.liveIncarnations()
 	var lost []context.CancelFunc
 	p.sessions.Each(func(sessions map[incarnationKey]*session) {
 		for key, s := range sessions {
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -32,6 +32,10 @@
 // any more. Machine.Retired reports when that is certain. Runs in progress continue.
 type RetireRequested struct{}
 
+// FenceRequested asks the machine to take the lease, so that the endpoint carries out no late order of a former holder any more. Runs
+// in progress continue while a live member claims them.
+type FenceRequested struct{}
+
 // StartReplied reports the endpoint's reply to a start order, or that none came.
 type StartReplied struct {
 	Run   port.TaskRun
@@ -91,6 +95,7 @@
 func (StartRequested) event()  {}
 func (StopRequested) event()   {}
 func (RetireRequested) event() {}
+func (FenceRequested) event()  {}
 func (StartReplied) event()    {}
 func (StopReplied) event()     {}
 func (HoldReplied) event()     {}
--- a/plugins/leases/lease/handover.go
+++ b/plugins/leases/lease/handover.go
@@ -12,6 +12,7 @@
 	fx.Lost = LossFenced
 	m.fencedUntil = now.Add(m.config.FencedBackoff)
 	m.tokenAccepted, m.fenced = false, true
+	m.fence = fence{}          // The holder of the higher token is the one to refuse late orders now.
 	m.lastEndAcked = m.lastEnd // The new holder acknowledges the ends.
 	clear(m.foreignRuns)
 	for _, id := range m.sortedRuns() {
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -58,6 +58,7 @@
 		m.handleRunEnd(now, end, fx)
 	}
 	m.reconcile(now, reply.Running, fx)
+	m.recordFence()
 	if !m.tokenAccepted && m.holdToken == m.token {
 		m.tokenAccepted, fx.Acquired = true, true
 	}
@@ -82,6 +83,8 @@
 		return time.Time{}, false
 	case m.needsLease():
 		return m.holdRetryAt, true
+	case m.fenceHoldNeeded(now):
+		return m.fenceHoldAt(), true
 	case m.lastEndAcked < m.lastEnd:
 		at = m.lastFinishedAt.Add(ackDelay)
 		if m.holdRetryAt.After(at) {
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -71,6 +71,7 @@
 	lastFinishedAt time.Time // When the newest outcome of a run was reported.
 	fencedUntil    time.Time // Until then the endpoint is left to the holder that fenced this one.
 	retirement     retirement
+	fence          fence
 
 	runs map[port.TaskRun]*run
 	// foreignRuns are the runs of other holders that the endpoint has listed last.
@@ -136,6 +137,8 @@
 		m.handleStopRequest(now, e.Run, &fx)
 	case RetireRequested:
 		m.handleRetireRequest(now, &fx)
+	case FenceRequested:
+		m.handleFenceRequest(now)
 	case StartReplied:
 		m.handleStartReply(now, e, &fx)
 	case StopReplied:
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -61,6 +61,11 @@
 	}
 }
 
+// Fence makes the endpoint refuse late orders of former holders of its lease.
+func (t tasks) Fence(address string, endpoint model.EndpointID) {
+	t.leases.step(port.EndpointIncarnation{ID: endpoint, Address: address}, lease.FenceRequested{})
+}
+
 // retired returns a channel that is closed once the endpoint is retired; nil when this member does not know it.
 func (l *Leases) retired(endpoint model.EndpointID) (retired <-chan struct{}) {
 	l.withKnownSession(endpoint, func(s *session) { retired = s.retired })
