--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -36,10 +36,11 @@
 // Delivery is what the caller knows of the delivery of a call.
 type Delivery int
 
-// Deliveries. Only NotSent guarantees that the handler was not called.
+// Deliveries. Only NotSent and Refused guarantee that the handler was not called.
 const (
 	Delivered Delivery = iota + 1
 	NotSent
+	Refused // Not sent: no process listens at the member's address, so that the one that did has ended, or a partition refuses connections.
 	Unknown
 )
 
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -77,7 +77,7 @@
 	delivery := p.peers.Call(callCtx, node.ID, methodRun, encodeBatch(p.envelope(b), p.withLosses(batch)), &reply)
 	switch delivery {
 	case port.Delivered:
-	case port.NotSent:
+	case port.NotSent, port.Refused:
 		p.recordNoReply(callCtx, node.ID)
 		return model.RefusedBatch(batch.ID, model.ReasonUnreachable)
 	default:
--- a/plugins/membership/effects.go
+++ b/plugins/membership/effects.go
@@ -122,8 +122,8 @@
 	ctx, cancel := context.WithTimeout(ctx, m.answerTimeout())
 	defer cancel()
 	var reply wireMessage
-	if m.peers.Call(ctx, p.To, methodPing, encode(p.Message), &reply) != port.Delivered {
-		m.step(swim.PingFailed{Probe: p.Probe})
+	if delivery := m.peers.Call(ctx, p.To, methodPing, encode(p.Message), &reply); delivery != port.Delivered {
+		m.step(swim.PingFailed{Probe: p.Probe, Refused: delivery == port.Refused})
 		return
 	}
 	m.step(swim.PingAnswered{Probe: p.Probe, Message: reply.decode()})
@@ -136,5 +136,6 @@
 	var reply relayReply
 	request := relayRequest{Target: r.Target.ID, Address: r.Target.Peers}
 	delivery := m.peers.Call(ctx, r.Through, methodRelay, request, &reply)
-	m.step(swim.RelayEnded{Probe: r.Probe, Reached: delivery == port.Delivered && reply.Reached})
+	answered := delivery == port.Delivered
+	m.step(swim.RelayEnded{Probe: r.Probe, Reached: answered && reply.Reached, Refused: answered && reply.Refused})
 }
--- a/plugins/membership/swim/event.go
+++ b/plugins/membership/swim/event.go
@@ -31,14 +31,19 @@
 	Message Message
 }
 
-// PingFailed reports that a ping of this member could not be delivered or was not answered in time.
-type PingFailed struct{ Probe uint64 }
+// PingFailed reports that a ping of this member could not be delivered or was not answered in time. Refused means that no process
+// listens at the target's address.
+type PingFailed struct {
+	Probe   uint64
+	Refused bool
+}
 
 // RelayEnded reports the result of a relay; Reached means that the target answered the ping of the
-// member that was asked.
+// member that was asked, and Refused that it found no process at the target's address.
 type RelayEnded struct {
 	Probe   uint64
 	Reached bool
+	Refused bool
 }
 
 // RelayedPingAnswered reports the answer to a ping that this member sent on behalf of another one.
--- a/plugins/membership/swim/machine.go
+++ b/plugins/membership/swim/machine.go
@@ -122,7 +122,7 @@
 	case PingAnswered:
 		m.handleAnswer(now, e, &fx)
 	case PingFailed:
-		m.handlePingFailure(now, e.Probe, &fx)
+		m.handlePingFailure(now, e, &fx)
 	case RelayEnded:
 		m.handleRelayEnd(now, e, &fx)
 	case RelayedPingAnswered:
@@ -292,7 +292,7 @@
 // each message begins with it.
 func (m *Machine) bumpVersion() { m.self.Version++ }
 
-// announceSelf sends this member's own record to those that need it at once; gossip brings it to the others.
+// announceSelf sends this member's own record, with the newest updates, to those that need them at once; gossip brings them to the others.
 func (m *Machine) announceSelf(fx *Effects) {
 	for _, other := range m.announceTargets() {
 		m.ping(other, probeAnnounce, false, fx)
--- a/plugins/membership/swim/merge.go
+++ b/plugins/membership/swim/merge.go
@@ -71,6 +71,9 @@
 		m.probeEarly(now, current, probeDead, fx) // The sender considers it alive.
 	case r.State == Suspect && current.State == Alive:
 		m.suspect(now, current, "another member suspects it", fx)
+		if m.isSmall() {
+			m.probeEarly(now, current, probeLive, fx) // Its process may have ended, which shortens the suspicion.
+		}
 	case r.State == Dead && current.State == Alive:
 		m.suspect(now, current, "another member considers it dead", fx)
 		m.probeEarly(now, current, probeLive, fx)
--- a/plugins/membership/swim/probe.go
+++ b/plugins/membership/swim/probe.go
@@ -11,6 +11,7 @@
 	relayFanout          = 3  // Members asked to probe one that did not answer.
 	fullStateFanout      = 3  // Members asked for their full state in each period while the view is stale.
 	rejoinPeriods        = 10 // Periods from one probe of a dead member to the next.
+	restartPeriods       = 20 // Periods after the newest death in which a dead member is probed in each period: its process may start again.
 	minSuspicionPeriods  = 3  // Shortest suspicion timeout, in periods; see suspicionTimeout.
 	maxEarlyProbes       = 4  // Largest number of early probes in one period.
 	earlyProbeGapPeriods = 2  // Shortest time between early probes of one member, in periods.
@@ -33,6 +34,8 @@
 	target        model.NodeID
 	purpose       purpose
 	pendingRelays int       // Relays that have not ended.
+	refused       bool      // No process listened at the target's address when this member sent the ping.
+	relayRefused  bool      // The same for the ping of another member.
 	periodStart   time.Time // Start of the period in which the ping was sent.
 }
 
@@ -101,11 +104,18 @@
 	}
 	m.nextRejoin = now.Add(rejoinPeriods * m.config.Period)
 	var dead []*member
+	latest := time.Time{}
 	for _, id := range m.ids {
 		if other := m.members[id]; !other.State.Live() {
 			dead = append(dead, other)
+			if other.deadSince.After(latest) {
+				latest = other.deadSince
+			}
 		}
 	}
+	if now.Sub(latest) < restartPeriods*m.config.Period {
+		m.nextRejoin = now.Add(m.config.Period)
+	}
 	if len(dead) > 0 {
 		m.ping(dead[m.random.IntN(len(dead))], probeDead, false, fx)
 	}
@@ -178,7 +188,7 @@
 		return
 	}
 	if sender.Node.ID != p.target {
-		m.handlePingFailure(now, a.Probe, fx) // The address belongs to another member now.
+		m.handlePingFailure(now, PingFailed{Probe: a.Probe}, fx) // The address belongs to another member now.
 		return
 	}
 	delete(m.probes, a.Probe)
@@ -190,7 +200,8 @@
 
 // handlePingFailure asks a few other live members to probe one that did not answer. When there are
 // none, or this member has not joined yet, the target becomes suspect at once.
-func (m *Machine) handlePingFailure(now time.Time, id uint64, fx *Effects) {
+func (m *Machine) handlePingFailure(now time.Time, e PingFailed, fx *Effects) {
+	id := e.Probe
 	p, ok := m.probes[id]
 	if !ok {
 		return
@@ -207,24 +218,51 @@
 		m.suspect(now, other, "it does not answer a ping", fx)
 		return
 	}
-	p.purpose = probeRelayed
+	p.purpose, p.refused = probeRelayed, e.Refused
 	p.pendingRelays = len(helpers)
 	for _, helper := range helpers {
 		fx.Relays = append(fx.Relays, Relay{Probe: id, Through: helper.Node.ID, Target: other.Node})
 	}
 }
 
-// handleRelayEnd makes a member suspect when the last of the relays has ended and none reached it.
+// handleRelayEnd makes a member suspect when the last of the relays has ended and none reached it. A process that has ended cannot
+// refute a suspicion. It has, if this member and another one were refused connections; but one that has not been heard of may not
+// listen yet.
 func (m *Machine) handleRelayEnd(now time.Time, r RelayEnded, fx *Effects) {
 	p, ok := m.probes[r.Probe]
 	if !ok {
 		return
 	}
 	p.pendingRelays--
+	p.relayRefused = p.relayRefused || r.Refused
 	if r.Reached || p.pendingRelays == 0 {
 		delete(m.probes, r.Probe)
 	}
-	if other, known := m.members[p.target]; known && !r.Reached && p.pendingRelays == 0 {
+	other, known := m.members[p.target]
+	switch {
+	case !known || r.Reached || p.pendingRelays > 0:
+	case p.refused && p.relayRefused && other.Epoch != 0:
+		m.suspectEnded(now, other, fx)
+	default:
 		m.suspect(now, other, "it answers neither the ping of this member nor relayed pings", fx)
 	}
 }
+
+// suspectEnded makes a member suspect whose process has ended. In a small group it tells all others at once, and the suspicion is
+// short; in a large one a suspicion has to last until gossip has brought it to all.
+func (m *Machine) suspectEnded(now time.Time, other *member, fx *Effects) {
+	first := other.State == Alive
+	m.suspect(now, other, "no process listens at its address, as two members have found", fx)
+	if !m.isSmall() {
+		return
+	}
+	if soon := now.Add(m.config.Period); other.State == Suspect && soon.Before(other.suspectUntil) {
+		other.suspectUntil = soon
+	}
+	if first {
+		m.announceSelf(fx)
+	}
+}
+
+// isSmall reports whether the group is so small that each member may send all others a message about the same event.
+func (m *Machine) isSmall() bool { return m.countLive() < announceToAll }
--- a/plugins/membership/swim/swim_test.go
+++ b/plugins/membership/swim/swim_test.go
@@ -101,6 +101,46 @@
 	}
 }
 
+// Guards against late orders of a member whose process was killed: the owner of its pools has its endpoints refuse them, and has to do
+// so before callers send their jobs again. A suspicion would last for four periods, although nobody can refute it.
+func TestMemberWhoseProcessHasEndedIsSuspectOnlyBriefly(t *testing.T) {
+	is := is.New(t)
+	c := startedCluster(is, 7, 13)
+	killed := c.nodes[3]
+	c.crash(killed)
+	c.step(c.nodes[0], ProbeRequested{killed.ID}) // A request to it has failed.
+	_, ok := c.runUntil(3, func() bool {
+		return !slices.ContainsFunc(c.running(), func(n *node) bool { return n.seesAlive(killed.ID) })
+	})
+	is.True(ok)
+}
+
+// Guards against a member that is given up while it lives: one that answers nobody is suspected first, and can refute.
+func TestMemberThatDoesNotAnswerIsSuspectedFirst(t *testing.T) {
+	is := is.New(t)
+	c := startedCluster(is, 7, 13)
+	c.pause(c.nodes[3])
+	c.step(c.nodes[0], ProbeRequested{c.nodes[3].ID})
+	c.run(3 * period)
+	is.True(c.nodes[0].seesAlive(c.nodes[3].ID))
+}
+
+// Guards against members that do not find each other for long when all of some kind were killed at the same moment: none of those
+// that start again knows the others.
+func TestMembersThatWereKilledTogetherAreFoundAgainSoon(t *testing.T) {
+	is := is.New(t)
+	c := startedCluster(is, 7, 13)
+	for _, n := range c.nodes[:5] {
+		c.crash(n)
+	}
+	c.run(3 * period)
+	for _, n := range c.nodes[:5] {
+		c.start(n)
+	}
+	_, ok := c.runUntil(10, func() bool { return agreed(c.running()) })
+	is.True(ok)
+}
+
 func TestPausedMemberStaysStaleUntilAnswered(t *testing.T) {
 	is := is.New(t)
 	c := startedCluster(is, 7, 9)
@@ -237,6 +277,7 @@
 func TestEarlyProbeSuspectsCrashedMemberSooner(t *testing.T) {
 	is := is.New(t)
 	c := startedCluster(is, 15, 9)
+	c.unpowered = true
 	c.crash(c.nodes[4])
 	c.step(c.nodes[0], ProbeRequested{c.nodes[4].ID})
 	c.run(3 * answerTimeout)
--- a/plugins/membership/wire.go
+++ b/plugins/membership/wire.go
@@ -53,6 +53,7 @@
 
 type relayReply struct {
 	Reached bool `json:"reached"`
+	Refused bool `json:"refused,omitempty"` // No process listens at the target's address.
 }
 
 func encode(message swim.Message) wireMessage {
@@ -105,8 +106,8 @@
 	}
 	message := m.step(swim.MessageRequested{To: r.Target}).Reply
 	var reply wireMessage
-	if m.peers.Call(ctx, r.Target, methodPing, encode(message), &reply) != port.Delivered {
-		return relayReply{}
+	if delivery := m.peers.Call(ctx, r.Target, methodPing, encode(message), &reply); delivery != port.Delivered {
+		return relayReply{Refused: delivery == port.Refused}
 	}
 	answer := reply.decode()
 	m.step(swim.RelayedPingAnswered{Message: answer})
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -11,8 +11,10 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/dial"
@@ -231,7 +233,7 @@
 		if connected.Load() {
 			counters.requests.Inc(1)
 		}
-		return deliveryWithoutReply(connected.Load()), false
+		return deliveryWithoutReply(connected.Load(), err), false
 	}
 	defer response.Body.Close()
 	counters.requests.Inc(1)
@@ -239,11 +241,14 @@
 	return decodeReply(response, reply), response.StatusCode == http.StatusBadRequest
 }
 
-// deliveryWithoutReply returns the delivery of a request without a reply; connected tells whether the
+// deliveryWithoutReply returns the delivery of a request that failed without a reply; connected tells whether the
 // request was given a connection, so that its bytes may have left.
-func deliveryWithoutReply(connected bool) port.Delivery {
-	if connected {
+func deliveryWithoutReply(connected bool, err error) port.Delivery {
+	switch {
+	case connected:
 		return port.Unknown
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return port.Refused
 	}
 	return port.NotSent
 }
--- a/plugins/profiles/edit.go
+++ b/plugins/profiles/edit.go
@@ -119,7 +119,7 @@
 	switch p.peers.Call(ctx, node, methodEdit, wire.EncodeEdit(edit, replicaTimeout), &reply) {
 	case port.Delivered:
 		return model.EditResult(reply)
-	case port.NotSent:
+	case port.NotSent, port.Refused:
 		return model.EditResult{Status: model.EditNotVoting, Run: model.NotRun}
 	}
 	return model.EditResult{Status: model.EditNoMajority, Run: model.MayHaveRun}
