--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -28,6 +28,7 @@
 		Job, JobKey, Part, Tasks, Pools, Slots, Free, Queued, AgeMS, Reason, Why)
 	JobEnded = define(Routine, "job_ended", "a job's outcome is final",
 		Job, JobKey, Service, Team, Tasks, Outcome, Run, Reason, TookMS, LeftMS, RetryAfterMS)
+	JobCancelled   = define(Change, "job_cancelled", "a caller has cancelled the running job with its key", Job, JobKey)
 	CallerGone     = define(Trouble, "caller_gone", "a job was cancelled because no caller waits for it any more", Job, JobKey, TookMS)
 	AnswerSent     = define(Trouble, "answer_sent", "a caller was sent a response that does not report its job as completed", Job, JobKey, Path, HTTP, Outcome, Run, Reason, RetryAfterMS)
 	RequestRefused = define(Trouble, "request_refused", "a request was refused without submitting a job", Method, Host, Path, JobKey, HTTP, Why)
--- a/kernel/port/port.go
+++ b/kernel/port/port.go
@@ -21,8 +21,22 @@
 	Lookup(ctx context.Context, id model.JobID) model.Outcome
 	// Cancel cancels the job and returns its outcome.
 	Cancel(ctx context.Context, id model.JobID) model.Outcome
+	// FindKey reports whether a VM runs a job with the key that its caller chose.
+	FindKey(ctx context.Context, key string) KeyPresence
+	// CancelKey cancels the running jobs with the key, whichever VMs own them, and reports whether there was one.
+	CancelKey(ctx context.Context, key string) KeyPresence
 }
 
+// KeyPresence is what is known of the running jobs with a caller's key.
+type KeyPresence int
+
+// Presences of a key.
+const (
+	KeyUnknown   KeyPresence = iota + 1 // No VM runs such a job.
+	KeyFound                            // A VM runs, or ran, such a job, and all VMs have answered.
+	KeyUncertain                        // A VM that may run such a job has not answered.
+)
+
 // Pools gives access to the pools of endpoints, those that this VM owns and those of other members.
 type Pools interface {
 	// Loads returns the newest known load of each pool of the service.
--- a/plugins/frontend/callers/callers_test.go
+++ b/plugins/frontend/callers/callers_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/plugin"
 	"redwingpulley/kernel/settings"
 	"redwingpulley/plugins/frontend/web"
@@ -39,6 +40,10 @@
 	return ids
 }
 
+func (f *fakeJobs) FindKey(context.Context, string) port.KeyPresence { return port.KeyUnknown }
+
+func (f *fakeJobs) CancelKey(context.Context, string) port.KeyPresence { return port.KeyUnknown }
+
 func (f *fakeJobs) Submit(_ context.Context, job model.Job) model.Outcome {
 	f.submitted = append(f.submitted, job)
 	return f.outcome
--- a/plugins/jobs/peers.go
+++ b/plugins/jobs/peers.go
@@ -64,6 +64,7 @@
 	port.Handle(j.peers, methodSubmit, j.handleSubmit)
 	port.Handle(j.peers, methodLookup, j.handleLookup)
 	port.Handle(j.peers, methodCancel, j.handleCancel)
+	port.Handle(j.peers, methodByKey, j.handleByKey)
 }
 
 func (j *Jobs) handleSubmit(ctx context.Context, _ model.NodeID, s submission) wireOutcome {
