--- a/plugins/frontend/callers/callers_test.go
+++ b/plugins/frontend/callers/callers_test.go
@@ -14,8 +14,8 @@
 	"github.com/matryer/is"
 
 	"redwingpulley/kernel/model"
-	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
 	"redwingpulley/kernel/settings"
 	"redwingpulley/plugins/frontend/web"
 )
