--- a/cmd/internal/replay/machines.go
+++ b/cmd/internal/replay/machines.go
@@ -45,6 +45,7 @@
 	"BatchEnded": jobEvent[jobstate.BatchEnded],
 	"Replanned":  jobEvent[jobstate.Replanned],
 	"Cancelled":  jobEvent[jobstate.Cancelled],
+	"Withdrawn":  jobEvent[jobstate.Withdrawn],
 	"Elapsed":    jobEvent[jobstate.Elapsed],
 }
 
--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -168,6 +168,7 @@
 	ReasonNoEndpoint     Reason = "no_endpoint"
 	ReasonDeadline       Reason = "deadline"
 	ReasonCancelled      Reason = "cancelled"
+	ReasonWithdrawn      Reason = "withdrawn" // The caller has cancelled the job by its key.
 	ReasonTaskFailed     Reason = "task_failed"
 	ReasonOwnerLost      Reason = "owner_lost"
 	ReasonOwnerRestarted Reason = "owner_restarted"
--- a/plugins/jobs/bykey.go
+++ b/plugins/jobs/bykey.go
@@ -85,7 +85,7 @@
 	})
 	if found && r.Cancel {
 		event.JobCancelled.Log(j.log, event.Text(event.Job, id), event.Text(event.JobKey, r.Key))
-		j.step(id, jobstate.Cancelled{})
+		j.step(id, jobstate.Withdrawn{})
 	}
 	return found
 }
--- a/plugins/jobs/jobstate/event.go
+++ b/plugins/jobs/jobstate/event.go
@@ -35,6 +35,9 @@
 // Cancelled requests that the job end without its answers.
 type Cancelled struct{}
 
+// Withdrawn requests the same for a job that its caller has cancelled by its key.
+type Withdrawn struct{}
+
 // Elapsed says that the time returned by NextTimer has come.
 type Elapsed struct{}
 
@@ -43,6 +46,7 @@
 func (BatchEnded) event() {}
 func (Replanned) event()  {}
 func (Cancelled) event()  {}
+func (Withdrawn) event()  {}
 func (Elapsed) event()    {}
 
 // Effects are the actions that the caller has to carry out after a step.
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -118,6 +118,8 @@
 		j.handleReplan(now, e, &fx)
 	case Cancelled:
 		j.fail(now, failure{reason: model.ReasonCancelled}, &fx)
+	case Withdrawn:
+		j.fail(now, failure{reason: model.ReasonWithdrawn}, &fx)
 	case Elapsed:
 		j.handleDeadline(now, &fx)
 	}
