Endpoints whose owner fell silent are passed on, too

Cause: the members that forward announcements remembered only those that the owner had recorded, for 3 s. A silent owner records none until it is given up, which takes up to 2.2 s, and the interval between announcements is 1.5 s.

Change: an announcement that the owner has not answered is remembered as well, and for 6 s. TestNextOwnerLearnsOfEndpointsWhoseAnnouncementsASilentOwnerHasNotAnswered fails without it.

--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -61,7 +61,7 @@
 	TeamReleased      = define(Change, "team_released", "a team is no longer confined to a part of the pool", Pool, Team, Endpoints)
 	PoolsSplit        = define(Change, "pools_split", "the endpoints of a service in a data centre are divided among more pools", Service, DataCentre, Parts)
 	PartsUnreadable   = define(Trouble, "parts_unreadable", "the numbers of pools that a member published cannot be decoded", Member, Error)
-	EndpointsPassedOn = define(Change, "endpoints_passed_on", "the owner of a pool is gone; its next owner is told of the endpoints whose announcements this member has forwarded lately", Pool, Owner, Endpoints)
+	EndpointsPassedOn = define(Change, "endpoints_passed_on", "the owner of a pool is gone; its next owner is told of its endpoints", Pool, Owner, Endpoints)
 	OwnershipMoved    = define(Change, "ownership_moved", "this member hands a pool over to its new owner", Pool, Owner)
 )
 
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -75,7 +75,7 @@
 	loadChanged  chan struct{}                       // Signals publishLoads that a load has changed.
 	contradicted atomic.Bool                         // Another member holds a load of an owned pool that was not published; see publishAgain.
 
-	forwarded *shard.Map[string, forwardedAnnouncement] // Newest announcements that others have recorded, by the endpoint's address.
+	forwarded *shard.Map[string, forwardedAnnouncement] // Newest announcements that this member has forwarded, by the endpoint's address.
 
 	unreachable *shard.Map[model.NodeID, bool] // Members that did not reply and have not been reached since.
 
--- a/plugins/endpoints/forwarded.go
+++ b/plugins/endpoints/forwarded.go
@@ -9,26 +9,30 @@
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
-// forwardedExpiry is the age from which an announcement is not passed on any more.
-const forwardedExpiry = poolstate.DefaultEndpointLease
+// forwardedExpiry is the age from which an announcement is not passed on any more. It exceeds the interval between two announcements
+// and the time until a silent member is given up.
+const forwardedExpiry = 2 * poolstate.DefaultEndpointLease
 
-// forwardedAnnouncement is the newest announcement of a leased endpoint that this member has forwarded and another has recorded. When
-// that one is lost, the next owner learns of the endpoint from here at once instead of by its next announcement: until then
+// forwardedAnnouncement is the newest announcement of a leased endpoint that this member has forwarded. When the owner that has recorded
+// it, or has not replied, is lost, the next owner learns of the endpoint from here at once instead of by its next announcement: until then
 // the endpoint would carry out late orders of the lost owner, and get no work.
 type forwardedAnnouncement struct {
 	endpoint model.Endpoint
-	owner    incarnationKey // The member that has recorded it.
+	owner    incarnationKey // The member to which it was forwarded.
 	at       time.Time
 }
 
-// rememberForwarded remembers an announcement that the owner of its pool has recorded.
+// rememberForwarded remembers an announcement that the owner of its pool has recorded, or has not replied to.
 func (p *Pools) rememberForwarded(endpoint model.Endpoint, owner port.Node) {
+	if !endpoint.Leased {
+		return
+	}
 	p.forwarded.Do(endpoint.Address, func(all map[string]forwardedAnnouncement) {
 		all[endpoint.Address] = forwardedAnnouncement{endpoint, incarnationKey{owner.ID, owner.Incarnation}, time.Now()}
 	})
 }
 
-// passOnEndpointsOfLostOwners passes the endpoints on whose announcements a member has recorded that is not alive any more. It forgets
+// passOnEndpointsOfLostOwners passes the endpoints on whose announcements went to a member that is not alive any more. It forgets
 // these and those whose announcements are too old.
 func (p *Pools) passOnEndpointsOfLostOwners() {
 	now := time.Now()
--- a/plugins/endpoints/forwarded_test.go
+++ b/plugins/endpoints/forwarded_test.go
@@ -40,6 +40,20 @@
 	})
 }
 
+// Guards against the same where the owner is silent for a while before it is given up: the endpoint's newest announcement went to it then.
+func TestNextOwnerLearnsOfEndpointsWhoseAnnouncementsASilentOwnerHasNotAnswered(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n, _, next, atNext, forwarder := forwarders(t, is)
+		time.Sleep(forwardedExpiry - time.Millisecond) // On the virtual clock.
+		n.faults[methodAnnounce] = []fault{dropRequest}
+		is.True(!forwarder.Announce(t.Context(), leasedEvent(2, model.EndpointServing).Endpoint).Recorded)
+		time.Sleep(time.Second) // On the virtual clock.
+		n.setAlive(origin1, next)
+		synctest.Wait()
+		is.Equal(atNext.fences, []model.EndpointID{"l1"})
+	})
+}
+
 // Guards against endpoints that have left long ago and come back with the loss of their owner.
 func TestOldAnnouncementsAreNotPassedOn(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -53,6 +53,7 @@
 	var reply announceReply
 	forwarded := announcement{Endpoint: endpoint, Parts: p.partsIn(group)}
 	if p.peers.Call(ctx, owner.ID, methodAnnounce, forwarded, &reply) != port.Delivered {
+		p.rememberForwarded(endpoint, owner)
 		p.liveness.RequestProbe(owner.ID)
 		ownership.Owner = p.otherMember(id, owner).Endpoints
 		return ownership
@@ -61,7 +62,7 @@
 		p.raiseParts(group, reply.Parts)
 		return p.Announce(ctx, endpoint)
 	}
-	if reply.Recorded && endpoint.Leased {
+	if reply.Recorded {
 		p.rememberForwarded(endpoint, owner)
 	}
 	ownership.Owner = reply.Owner // The replying member may know a newer owner.
