A lost owner's endpoints are fenced for a second at most, and get no work before they announce themselves

Cause, read in the code and fitting the log, not shown by a log line of a fence: owners outside took the endpoints of the cut-off members for their own, tried to fence them for 12 s, and succeeded when the cut healed; the true owners lost their leases and left these endpoints alone for 3 s. Endpoints that had been passed on to owners that cannot reach them counted as free.

Change: a fence is tried for a second, and an endpoint that was passed on is cordoned until it announces itself. TestEndpointOfALostOwnerGetsWorkOnceItHasAnnouncedItself fails without the cordon.

--- a/plugins/endpoints/forwarded.go
+++ b/plugins/endpoints/forwarded.go
@@ -14,8 +14,8 @@
 const forwardedExpiry = 2 * poolstate.DefaultEndpointLease
 
 // forwardedAnnouncement is the newest announcement of a leased endpoint that this member has forwarded. When the owner that has recorded
-// it, or has not replied, is lost, the next owner learns of the endpoint from here at once instead of by its next announcement: until then
-// the endpoint would carry out late orders of the lost owner, and get no work.
+// it, or has not replied, is lost, the next owner learns of the endpoint from here at once instead of by its next announcement: until it
+// knows and fences the endpoint, that one would carry out late orders of the lost owner.
 type forwardedAnnouncement struct {
 	endpoint model.Endpoint
 	owner    incarnationKey // The member to which it was forwarded.
--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -174,7 +174,7 @@
 			elsewhere[id] = append(elsewhere[id], e)
 			continue
 		}
-		p.step(h.Pool, poolstate.Announced{Endpoint: e, HandedOver: !h.OwnerLost})
+		p.step(h.Pool, poolstate.Announced{Endpoint: e, HandedOver: !h.OwnerLost, PassedOn: h.OwnerLost})
 	}
 	p.passOn(elsewhere, h.OwnerLost)
 }
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -103,7 +103,7 @@
 	if e.down {
 		e.isolated, e.down = e.occupant != nil, false
 	}
-	e.cordon = false
+	e.cordon = announced.PassedOn && (!known || e.cordon)
 	if !e.live {
 		e.live = true
 		m.live++
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -16,10 +16,12 @@
 type Event interface{ event() }
 
 // Announced reports an announcement (heartbeat) of an endpoint. HandedOver says that it comes from the pool's former owner, which is
-// alive and has ordered nothing there that it does not wait for.
+// alive and has ordered nothing there that it does not wait for. PassedOn says that it went to a former owner that is lost: the endpoint
+// is fenced, but gets no work before it announces itself to this owner, which may be unable to reach it.
 type Announced struct {
 	Endpoint   model.Endpoint
 	HandedOver bool `json:",omitempty"`
+	PassedOn   bool `json:",omitempty"`
 }
 
 // Submitted requests that a batch is run under the profile in force.
--- a/plugins/endpoints/poolstate/fence_test.go
+++ b/plugins/endpoints/poolstate/fence_test.go
@@ -28,6 +28,18 @@
 	is.Equal(len(h.announce("c", 1, model.EndpointServing).Fences), 0)
 }
 
+// Guards against jobs that are sent to an owner on the wrong side of a partition, which takes the endpoints of lost owners for its own.
+func TestEndpointOfALostOwnerGetsWorkOnceItHasAnnouncedItself(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	passedOn := leasedAt("a", 1)
+	passedOn.PassedOn = true
+	is.Equal(len(h.step(passedOn).Fences), 1)
+	is.Equal(h.Load().Slots, 0)
+	h.step(leasedAt("a", 2))
+	is.Equal(h.Load().Slots, 2)
+}
+
 // Guards against the same where this owner has known the endpoints for long, and where it has owned the pool before.
 func TestEndpointsAreFencedWhenAMemberHasDeparted(t *testing.T) {
 	is := is.New(t)
--- a/plugins/leases/lease/fence.go
+++ b/plugins/leases/lease/fence.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// fencePatience is how long holds are sent to fence former holders after the newest request: as long as an endpoint may
-	// carry out a late order of theirs.
-	fencePatience = maxOrderDelay
+	// fencePatience is how long holds are sent to fence former holders after the newest request. An endpoint that cannot be reached for
+	// longer may be behind a partition, with a former holder that is alive: when that heals, it must not lose its lease to a fence.
+	fencePatience = time.Second
 	// fenceRetryDelay is the delay before such a hold is sent again after one that failed.
 	fenceRetryDelay = 100 * time.Millisecond
 )
