Endpoints are fenced for, and passed on to, members of their data centre only

Cause: each member outside the data centre that was taken for dead had all owners inside fence all their endpoints, and the other way round. Owners outside were told of the endpoints of the cut-off data centre, and published loads of its pools without slots.

Change: a pool's endpoints are fenced when one of those members departs that may have held their leases: members of its data centre, or all if it has none. Endpoints are passed on only within their data centre. TestEndpointsAreNotFencedForMembersThatCannotHoldTheirLeases fails when all live members count.

--- a/plugins/endpoints/forwarded.go
+++ b/plugins/endpoints/forwarded.go
@@ -45,8 +45,8 @@
 				continue
 			}
 			delete(all, address)
-			if !expired {
-				id := p.poolOf(f.endpoint)
+			// A member elsewhere owns the pool only while no member of the data centre is known, which may be cut off as a whole.
+			if id := p.poolOf(f.endpoint); !expired && p.ownerOf(id).DataCentre == id.DataCentre {
 				endpoints[id] = append(endpoints[id], f.endpoint)
 			}
 		}
--- a/plugins/endpoints/origins.go
+++ b/plugins/endpoints/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -10,9 +11,9 @@
 func (p *Pools) watchOrigins() {
 	for {
 		changed := p.membership.Changed()
-		event := poolstate.Owners{Live: p.liveOrigins()}
+		alive := p.membership.Alive()
 		for _, id := range p.poolIDs() {
-			p.step(id, event)
+			p.step(id, poolstate.Owners{Live: originsOf(alive), Holders: originsOf(possibleHolders(alive, id.DataCentre))})
 		}
 		select {
 		case <-changed:
@@ -23,13 +24,13 @@
 	}
 }
 
-// liveOrigins returns the entry VMs that are considered alive.
-func (p *Pools) liveOrigins() []poolstate.Origin {
-	var live []poolstate.Origin
-	for _, node := range p.membership.Alive() {
-		live = append(live, poolstate.Origin{Node: node.ID, Incarnation: node.Incarnation})
+// originsOf returns members as origins of batches.
+func originsOf(nodes []port.Node) []poolstate.Origin {
+	var origins []poolstate.Origin
+	for _, node := range nodes {
+		origins = append(origins, poolstate.Origin{Node: node.ID, Incarnation: node.Incarnation})
 	}
-	return live
+	return origins
 }
 
 // poolIDs returns the IDs of the pools that this member keeps. Some may have another owner by now.
--- a/plugins/endpoints/owners.go
+++ b/plugins/endpoints/owners.go
@@ -88,6 +88,15 @@
 	return alive
 }
 
+// possibleHolders returns the members that may hold leases on endpoints of a data centre: those there, or all when there are none. Members
+// that drain count, too.
+func possibleHolders(alive []port.Node, dataCentre model.DataCentre) []port.Node {
+	if there := filter(alive, func(n port.Node) bool { return n.DataCentre == dataCentre }); len(there) > 0 {
+		return there
+	}
+	return filter(alive, func(port.Node) bool { return true })
+}
+
 func filter(nodes []port.Node, keep func(port.Node) bool) (kept []port.Node) {
 	for _, n := range nodes {
 		if keep(n) {
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -51,7 +51,11 @@
 
 // Owners lists the entry VMs that are alive. Work for a job whose owner is not among them is stopped
 // after a grace period, since nobody waits for its answer.
-type Owners struct{ Live []Origin }
+type Owners struct {
+	Live []Origin
+	// Holders are those of them that may hold leases on endpoints of this pool: its former owners are among them while they live.
+	Holders []Origin `json:",omitempty"`
+}
 
 // Origin identifies one incarnation of an entry VM that owns jobs. An empty incarnation matches any.
 type Origin struct {
--- a/plugins/endpoints/poolstate/fence.go
+++ b/plugins/endpoints/poolstate/fence.go
@@ -1,6 +1,8 @@
 package poolstate
 
 import (
+	"slices"
+
 	"redwingpulley/kernel/model"
 )
 
@@ -9,14 +11,9 @@
 // fenced when a member has departed, and when it comes to know an endpoint whose former owner has not handed it over, whether or not
 // it has a task for it.
 
-// hasDeparted reports whether an incarnation of a member that was live is not live any more.
-func hasDeparted(before, now map[model.NodeID]model.Incarnation) bool {
-	for node, incarnation := range before {
-		if live, known := now[node]; !known || live != incarnation {
-			return true
-		}
-	}
-	return false
+// hasDeparted reports whether an incarnation of a member that may have held leases is not among those that may any more.
+func hasDeparted(before, now []Origin) bool {
+	return slices.ContainsFunc(before, func(o Origin) bool { return !slices.Contains(now, o) })
 }
 
 // fenceAll has the former holders of all endpoints fenced that work for this owner.
--- a/plugins/endpoints/poolstate/fence_test.go
+++ b/plugins/endpoints/poolstate/fence_test.go
@@ -46,12 +46,26 @@
 	h := newHarness()
 	h.step(leasedAt("a", 1))
 	h.step(leasedAt("b", 1))
-	live := []Origin{{"m1", "i1"}, {"m2", "i1"}}
-	is.Equal(len(h.step(Owners{live}).Fences), 0)
-	is.Equal(len(h.step(Owners{append(live, Origin{"m3", "i1"})}).Fences), 0)
-	is.Equal(len(h.step(Owners{live}).Fences), 2)
-	is.Equal(len(h.step(Owners{[]Origin{{"m1", "i2"}, {"m2", "i1"}}}).Fences), 2) // It has started again.
+	fences := func(holders ...Origin) int {
+		live := append(holders, Origin{"elsewhere", "i1"})
+		return len(h.step(Owners{Live: live, Holders: holders}).Fences)
+	}
+	m1, m2, m3 := Origin{"m1", "i1"}, Origin{"m2", "i1"}, Origin{"m3", "i1"}
+	is.Equal(fences(m1, m2), 0)
+	is.Equal(fences(m1, m2, m3), 0)
+	is.Equal(fences(m1, m2), 2)
+	is.Equal(fences(Origin{"m1", "i2"}, m2), 2) // It has started again.
 	h.step(Disowned{})
-	is.Equal(len(h.step(Owners{live}).Fences), 0) // Another member owns the pool.
+	is.Equal(fences(m2), 0) // Another member owns the pool.
 	is.Equal(len(h.step(leasedAt("a", 2)).Fences), 1)
 }
+
+// Guards against holds to all endpoints for each member of other data centres that is cut off: those members have ordered nothing here.
+func TestEndpointsAreNotFencedForMembersThatCannotHoldTheirLeases(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.step(leasedAt("a", 1))
+	holders := []Origin{{"m1", "i1"}}
+	h.step(Owners{Live: append(holders, Origin{"elsewhere", "i1"}), Holders: holders})
+	is.Equal(len(h.step(Owners{Live: holders, Holders: holders}).Fences), 0)
+}
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -89,7 +89,7 @@
 	case Cancelled:
 		m.handleCancellation(now, e.Batch, fx)
 	case Owners:
-		m.handleOwners(now, e.Live, fx)
+		m.handleOwners(now, e, fx)
 	case Disowned:
 		m.handleDisowned()
 	case Departed:
--- a/plugins/endpoints/poolstate/origins.go
+++ b/plugins/endpoints/poolstate/origins.go
@@ -20,6 +20,7 @@
 type origins struct {
 	reported bool // The live members have been reported at least once.
 	live     map[model.NodeID]model.Incarnation
+	holders  []Origin // Those that may hold leases on endpoints of this pool.
 	known    map[Origin]*origin
 }
 
@@ -80,16 +81,16 @@
 	}
 }
 
-func (m *Machine) handleOwners(now time.Time, live []Origin, fx *Effects) {
-	before := m.origins.live
+func (m *Machine) handleOwners(now time.Time, owners Owners, fx *Effects) {
 	m.origins.reported = true
-	m.origins.live = make(map[model.NodeID]model.Incarnation, len(live))
-	for _, o := range live {
+	m.origins.live = make(map[model.NodeID]model.Incarnation, len(owners.Live))
+	for _, o := range owners.Live {
 		m.origins.live[o.Node] = o.Incarnation
 	}
-	if hasDeparted(before, m.origins.live) {
+	if hasDeparted(m.origins.holders, owners.Holders) {
 		m.fenceAll(fx)
 	}
+	m.origins.holders = owners.Holders
 	known := make([]*origin, 0, len(m.origins.known))
 	for _, o := range m.origins.known {
 		known = append(known, o)
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -388,7 +388,7 @@
 	if rapid.IntRange(0, 5).Draw(t, "gone") == 0 {
 		live = nil
 	}
-	c.step(Owners{live})
+	c.step(Owners{Live: live})
 }
 
 // moved makes another member own the pool. This one may own it again later.
