--- a/plugins/endpoints/forwarded.go
+++ b/plugins/endpoints/forwarded.go
@@ -32,12 +32,25 @@
 	})
 }
 
-// passOnEndpointsOfLostOwners passes the endpoints on whose announcements went to a member that is not alive any more. It forgets
-// these and those whose announcements are too old.
+// passOnEndpointsOfLostOwners passes the endpoints on whose announcements went to a member that is not alive any more. Where a member of
+// another data centre owns the pool, none of the endpoint's own data centre is known to be alive; it may be cut off as a whole.
 func (p *Pools) passOnEndpointsOfLostOwners() {
-	now := time.Now()
-	alive := p.liveIncarnations()
 	endpoints := make(map[model.PoolID][]model.Endpoint)
+	for _, e := range p.takeEndpointsOfLostOwners(time.Now()) {
+		if id := p.poolOf(e); p.ownerOf(id).DataCentre == id.DataCentre {
+			endpoints[id] = append(endpoints[id], e)
+		}
+	}
+	for id, lost := range endpoints {
+		event.EndpointsPassedOn.Log(p.log, event.Text(event.Pool, id.String()), event.Text(event.Owner, p.ownerOf(id).ID), event.Int(event.Endpoints, len(lost)))
+	}
+	p.passOn(endpoints, true)
+}
+
+// takeEndpointsOfLostOwners forgets the announcements that went to members which are not alive any more, and those that are too old. It
+// returns the endpoints of the former that are not too old.
+func (p *Pools) takeEndpointsOfLostOwners(now time.Time) (lost []model.Endpoint) {
+	alive := p.liveIncarnations()
 	p.forwarded.Each(func(all map[string]forwardedAnnouncement) {
 		for address, f := range all {
 			expired := now.Sub(f.at) > forwardedExpiry
@@ -45,16 +58,12 @@
 				continue
 			}
 			delete(all, address)
-			// A member elsewhere owns the pool only while no member of the data centre is known, which may be cut off as a whole.
-			if id := p.poolOf(f.endpoint); !expired && p.ownerOf(id).DataCentre == id.DataCentre {
-				endpoints[id] = append(endpoints[id], f.endpoint)
+			if !expired {
+				lost = append(lost, f.endpoint)
 			}
 		}
 	})
-	for id, lost := range endpoints {
-		event.EndpointsPassedOn.Log(p.log, event.Text(event.Pool, id.String()), event.Text(event.Owner, p.ownerOf(id).ID), event.Int(event.Endpoints, len(lost)))
-	}
-	p.passOn(endpoints, true)
+	return lost
 }
 
 // liveIncarnations returns the incarnations of members that are considered alive.
--- a/plugins/endpoints/poolstate/fence.go
+++ b/plugins/endpoints/poolstate/fence.go
@@ -8,8 +8,8 @@
 
 // A member that has ordered runs at a leased endpoint may be gone while one of its orders is still under way: an endpoint may carry it
 // out seconds later, beside the run of the same job that its caller has sent to another member. So the pool's owner has each endpoint
-// fenced when a member has departed, and when it comes to know an endpoint whose former owner has not handed it over, whether or not
-// it has a task for it.
+// fenced when a member has departed that may have held its lease, and when it comes to know an endpoint whose former owner has not
+// handed it over, whether or not it has a task for it.
 
 // hasDeparted reports whether an incarnation of a member that may have held leases is not among those that may any more.
 func hasDeparted(before, now []Origin) bool {
