--- a/plugins/endpoints/forwarded_test.go
+++ b/plugins/endpoints/forwarded_test.go
@@ -44,10 +44,10 @@
 func TestNextOwnerLearnsOfEndpointsWhoseAnnouncementsASilentOwnerHasNotAnswered(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		n, _, next, atNext, forwarder := forwarders(t, is)
-		time.Sleep(forwardedExpiry - time.Millisecond) // On the virtual clock.
+		time.Sleep(forwardedExpiry - time.Millisecond) // On the virtual clock: the recorded announcement is about to expire.
 		n.faults[methodAnnounce] = []fault{dropRequest}
 		is.True(!forwarder.Announce(t.Context(), leasedEvent(2, model.EndpointServing).Endpoint).Recorded)
-		time.Sleep(time.Second) // On the virtual clock.
+		time.Sleep(time.Second) // On the virtual clock: only the one without an answer has not expired.
 		n.setAlive(origin1, next)
 		synctest.Wait()
 		is.Equal(atNext.fences, []model.EndpointID{"l1"})
@@ -58,7 +58,7 @@
 func TestOldAnnouncementsAreNotPassedOn(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		n, _, next, atNext, forwarder := forwarders(t, is)
-		time.Sleep(forwardedExpiry + time.Millisecond) // On the virtual clock.
+		time.Sleep(forwardedExpiry + time.Millisecond) // On the virtual clock: the announcement has expired.
 		n.setAlive(origin1, next)
 		synctest.Wait()
 		is.Equal(len(atNext.fences), 0)
