Ends of runs that their holder has reported as lost are not forwarded to all members

Cause: the holder of a lease reports its runs as lost when the lease has expired behind a partition. When the endpoint answers again, it lists the ends of these runs. Since the holder did not wait for them any more, it forwarded them to all members, one call each: for 275 endpoints and 153 members some 42,000 calls at the same moment. Nobody waits for them: only the member that has started a run does.

Why it works: the machine remembers the runs that it has reported as lost (256 at most, the oldest are dropped), and keeps their ends to itself. An end that another member has claimed is forwarded to that member, as before.

--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -50,9 +50,7 @@
 		}
 		m.lastEnd = end.Number
 		if !m.Pending(end.Run) {
-			m.keepUnclaimedEnd(end)
-			fx.ForwardEnds = append(fx.ForwardEnds, ForwardedEnd{end, m.claimantOf(end.Run)})
-			delete(m.foreignRuns, end.Run)
+			m.handleEndNotAwaited(end, fx)
 			continue
 		}
 		m.handleRunEnd(now, end, fx)
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -81,6 +81,8 @@
 	claimsValidFrom    time.Time // When the newest ClaimQuery that was answered was sent.
 	// unclaimedEnds are the latest ends of runs that were not requested here, oldest first.
 	unclaimedEnds []port.RunEnd
+	// presumedEnded are the latest runs of this member that were reported as lost before the endpoint reported their ends, oldest first.
+	presumedEnded []port.TaskRun
 }
 
 // phase is the progress of a run.
@@ -111,6 +113,7 @@
 	startToken      uint64    // Fencing token of the start order; 0 before it is sent.
 	startArrivesBy  time.Time // Latest time at which the start may arrive, or may have arrived, and extend the lease.
 	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
+	endReported     bool      // The endpoint has reported the run's end.
 	// lossCause is why the run is lost, unless the successor that settles it has started it.
 	lossCause port.LossCause
 }
--- a/plugins/leases/lease/reconcile.go
+++ b/plugins/leases/lease/reconcile.go
@@ -59,6 +59,7 @@
 	if !known {
 		return
 	}
+	r.endReported = true
 	state := end.How
 	if state == port.TaskStopped && !r.stopRequested {
 		state = port.TaskLost // Stopped because its start was unanswered, to settle it, or by another holder.
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -182,6 +182,9 @@
 }
 
 func (m *Machine) report(now time.Time, outcome Finished, fx *Effects) {
+	if r, known := m.runs[outcome.Run]; known && outcome.State == port.TaskLost && !r.endReported {
+		m.rememberPresumedEnd(outcome.Run)
+	}
 	delete(m.runs, outcome.Run)
 	m.lastFinishedAt = now
 	fx.Finished = append(fx.Finished, outcome)
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -14,8 +14,6 @@
 // machine takes a higher token, after which the start is never carried out, and stops the run if it is there.
 
 const (
-	// maxUnclaimedEnds bounds the ends that are kept for runs which are settled later.
-	maxUnclaimedEnds = 256
 	// maxOrderDelay is how long after it was sent an endpoint may carry out an order at the latest.
 	maxOrderDelay = 12 * time.Second
 )
@@ -114,11 +112,3 @@
 		m.tokenAccepted = false
 	}
 }
-
-// keepUnclaimedEnd keeps the end of a run that nobody here waits for yet: the run may be settled later.
-func (m *Machine) keepUnclaimedEnd(end port.RunEnd) {
-	if len(m.unclaimedEnds) == maxUnclaimedEnds {
-		m.unclaimedEnds = slices.Delete(m.unclaimedEnds, 0, 1)
-	}
-	m.unclaimedEnds = append(m.unclaimedEnds, end)
-}
