Claims are queried, and unclaimed ends forwarded, within the endpoint's data centre

Cause: the next holder of a lease asked all members of the group, for each endpoint with runs of the former holder, which of them wait for the runs, and sent them the ends that nobody had claimed: 152 calls for each endpoint of a pool that moves, in a fleet in which each restart of a VM moves pools twice. Only a member that may own the pool can have ordered a run there: those of the endpoint's data centre.

Evidence: TestOnlyMembersThatMayHaveOrderedRunsAreAskedForThem fails without the change: 152 calls where 25 or 26 are enough.

Why it works: starts, fences and retirements name the endpoint's data centre; without a live member there, all are asked as before. A member of another data centre that has owned the pool meanwhile, while none was there, does not get the query: its run is stopped, since the next holder extends no lease for a run that nobody has claimed, and the member finds it lost when the lease has ended. So no task runs twice.

--- a/kernel/port/leases.go
+++ b/kernel/port/leases.go
@@ -22,8 +22,9 @@
 
 // EndpointIncarnation is one incarnation of an endpoint that runs tasks under a lease.
 type EndpointIncarnation struct {
-	ID      model.EndpointID
-	Address string // ip:port.
+	ID         model.EndpointID
+	Address    string           // ip:port.
+	DataCentre model.DataCentre // "" when it is not known.
 }
 
 // TaskRun identifies one run of a task at an endpoint.
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -81,11 +81,11 @@
 	// Retire makes an endpoint that leaves refuse the starts of all members, also of those that do not know that it leaves.
 	// It reports whether that is certain; tasks that run there continue. Only endpoints that run tasks under a lease can be
 	// retired; for others it reports false.
-	Retire(ctx context.Context, address string, endpoint model.EndpointID) bool
+	Retire(ctx context.Context, at EndpointIncarnation) bool
 	// Fence makes the endpoint refuse late orders of members that have ordered runs there before, some of which may have died. It
 	// returns at once; runs that live members wait for continue. It has no effect on endpoints without leases, which a revoke
 	// fences for each task.
-	Fence(address string, endpoint model.EndpointID)
+	Fence(at EndpointIncarnation)
 	// Observe registers an observer, before the plug-ins start. RunLost is called for endpoints with leases only.
 	Observe(observer EndpointObserver)
 }
@@ -101,13 +101,14 @@
 
 // TaskStart is one attempt at a task.
 type TaskStart struct {
-	ID       model.TaskID
-	Endpoint model.EndpointID
-	Attempt  int
-	Deadline int64 // Time until the deadline in milliseconds.
-	Payload  []byte
-	Key      string // The caller's own id of the task's job.
-	Index    int    // Index of the task in its job.
+	ID         model.TaskID
+	Endpoint   model.EndpointID
+	DataCentre model.DataCentre // That of the endpoint.
+	Attempt    int
+	Deadline   int64 // Time until the deadline in milliseconds.
+	Payload    []byte
+	Key        string // The caller's own id of the task's job.
+	Index      int    // Index of the task in its job.
 }
 
 // TaskRevoke is the request to revoke one attempt at a task.
--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -116,7 +116,7 @@
 		p.endTurn(id, s.Key, started)
 		return
 	}
-	reply, took := p.callStart(c, s)
+	reply, took := p.callStart(id, c, s)
 	p.logTaskEnded(id, s, reply, took)
 	ref := refOf(s.Key, s.Task)
 	if reply.State == port.TaskLost {
@@ -129,7 +129,7 @@
 
 // callStart sends a start and waits for its reply, unless this member's view of the others is stale or it has learned that the
 // task must not be started again.
-func (p *Pools) callStart(c *call, s poolstate.Start) (reply port.TaskReply, took time.Duration) {
+func (p *Pools) callStart(id model.PoolID, c *call, s poolstate.Start) (reply port.TaskReply, took time.Duration) {
 	if !p.liveness.Fresh() || p.liveness.Pauses() != c.pauses {
 		// This process was paused, or has not yet reached another member. Others may own the pool by now, and the caller may
 		// have sent the job to another member.
@@ -141,7 +141,7 @@
 	p.instruments.starts.Inc(1)
 	startedAt := time.Now()
 	reply = p.tasks.Start(c.ctx, s.Address, port.TaskStart{
-		ID: s.Task, Endpoint: s.Endpoint, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(),
+		ID: s.Task, Endpoint: s.Endpoint, DataCentre: id.DataCentre, Attempt: s.Attempt, Deadline: time.Until(s.Deadline).Milliseconds(),
 		Payload: s.Payload, Key: s.Key, Index: s.Task.Index(),
 	})
 	return reply, time.Since(startedAt)
--- a/plugins/endpoints/cluster_test.go
+++ b/plugins/endpoints/cluster_test.go
@@ -147,9 +147,9 @@
 	return port.RevokeReply{State: port.TaskRunning}
 }
 
-func (m *testMember) Fence(string, model.EndpointID) {}
+func (m *testMember) Fence(port.EndpointIncarnation) {}
 
-func (m *testMember) Retire(context.Context, string, model.EndpointID) bool { return true }
+func (m *testMember) Retire(context.Context, port.EndpointIncarnation) bool { return true }
 
 func (m *testMember) Observe(port.EndpointObserver) {}
 
--- a/plugins/endpoints/network_test.go
+++ b/plugins/endpoints/network_test.go
@@ -154,13 +154,13 @@
 	return m.tasks(ctx, s)
 }
 
-func (m *fakeMember) Fence(_ string, endpoint model.EndpointID) {
+func (m *fakeMember) Fence(at port.EndpointIncarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.fences = append(m.fences, endpoint)
+	m.fences = append(m.fences, at.ID)
 }
 
-func (m *fakeMember) Retire(context.Context, string, model.EndpointID) bool { return true }
+func (m *fakeMember) Retire(context.Context, port.EndpointIncarnation) bool { return true }
 
 func (m *fakeMember) Observe(port.EndpointObserver) {}
 
--- a/plugins/endpoints/orphan_test.go
+++ b/plugins/endpoints/orphan_test.go
@@ -105,7 +105,7 @@
 		_, _, owner, atOwner := newPair(t)
 		c := &call{ctx: t.Context(), pauses: atOwner.Pauses()}
 		atOwner.pauses.Add(1)
-		reply, _ := owner.callStart(c, poolstate.Start{Task: "origin.o1.1.1.t.0", Attempt: 1, Endpoint: "e1", Address: "e1"})
+		reply, _ := owner.callStart(model.PoolID{}, c, poolstate.Start{Task: "origin.o1.1.1.t.0", Attempt: 1, Endpoint: "e1", Address: "e1"})
 		is.Equal(reply.State, port.TaskNoRoom)
 		is.Equal(owner.instruments.starts.Count(), int64(0))
 	})
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -141,7 +141,7 @@
 func (p *Pools) retire(ctx context.Context, endpoint model.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
 	defer cancel()
-	return p.tasks.Retire(ctx, endpoint.Address, endpoint.ID)
+	return p.tasks.Retire(ctx, port.EndpointIncarnation{ID: endpoint.ID, Address: endpoint.Address, DataCentre: endpoint.DataCentre})
 }
 
 // otherMember returns a random member, other than the owner, to which an endpoint can announce itself
--- a/plugins/endpoints/pool.go
+++ b/plugins/endpoints/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -144,7 +145,7 @@
 	}
 	if len(fx.Fences) > 0 && p.ownerOf(id).ID == p.membership.Self().ID {
 		for _, f := range fx.Fences {
-			p.tasks.Fence(f.Address, f.Endpoint)
+			p.tasks.Fence(port.EndpointIncarnation{ID: f.Endpoint, Address: f.Address, DataCentre: id.DataCentre})
 		}
 	}
 	for _, s := range fx.Starts {
--- /dev/null
+++ b/plugins/leases/holders_test.go
@@ -0,0 +1,85 @@
+package leases
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/leases/lease"
+)
+
+// fleet is the membership and the peers of the first of many members, in six data centres. It counts the calls to each.
+type fleet struct {
+	soleMember
+	members []port.Node
+	mu      sync.Mutex
+	calls   map[model.NodeID]int
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{calls: make(map[model.NodeID]int)}
+	for i := range size {
+		f.members = append(f.members, port.Node{ID: model.NodeID(fmt.Sprint("n", i)), DataCentre: model.DataCentre(fmt.Sprint("sj", i%6))})
+	}
+	return f
+}
+
+func (f *fleet) Self() port.Node    { return f.members[0] }
+func (f *fleet) Alive() []port.Node { return f.members }
+
+func (f *fleet) Call(_ context.Context, to model.NodeID, _ string, _, _ any) port.Delivery {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[to]++
+	return port.Delivered
+}
+
+// called returns the number of calls, and of those to members outside a data centre, since the last time.
+func (f *fleet) called(dataCentre model.DataCentre) (all, outside int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.members {
+		all += f.calls[n.ID]
+		if n.DataCentre != dataCentre {
+			outside += f.calls[n.ID]
+		}
+	}
+	clear(f.calls)
+	return all, outside
+}
+
+// Guards against messages that grow with the number of endpoints times that of all members: after each handover of a pool the next owner
+// asked all members of the group, for each endpoint, which runs they wait for, and sent them the ends that nobody had claimed.
+func TestOnlyMembersThatMayHaveOrderedRunsAreAskedForThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(153)
+		l := &Leases{settings: defaultSettings, client: &unreachableEndpoint{}, peers: f, membership: f}
+		l.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
+		t.Cleanup(func() { l.Stop() })
+		run := port.TaskRun{Key: "k", Attempt: 1}
+		for _, c := range []struct {
+			dataCentre model.DataCentre
+			members    int
+		}{{"sj0", 25}, {"sj1", 26}, {"elsewhere", 152}, {"", 152}} {
+			at := port.EndpointIncarnation{ID: "e", DataCentre: c.dataCentre}
+			l.queryClaims(at, lease.ClaimQuery{Runs: []port.TaskRun{run}})
+			asked, outside := f.called(c.dataCentre)
+			is.Equal(asked, c.members)
+			is.True(outside == 0 || asked == 152)
+			l.forwardEnds(at, []lease.ForwardedEnd{{End: port.RunEnd{Number: 1, Run: run, How: port.TaskDone}}})
+			time.Sleep(time.Millisecond) // On the virtual clock: until all calls were made.
+			told, _ := f.called(c.dataCentre)
+			is.Equal(told, c.members)
+		}
+	})
+}
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -136,7 +136,7 @@
 type ClaimQuery struct {
 	Runs    []port.TaskRun
 	Token   uint64         // Fencing token under which the endpoint has listed the runs.
-	Members []model.NodeID // The members to ask; all other live members when there are none.
+	Members []model.NodeID // The members to ask; all other live ones that may have ordered the runs when there are none.
 }
 
 // ForwardedEnd is the end of a run that another member waits for.
--- a/plugins/leases/orders.go
+++ b/plugins/leases/orders.go
@@ -16,13 +16,13 @@
 func (l *Leases) execute(at port.EndpointIncarnation, fx lease.Effects) {
 	l.report(at.ID, fx)
 	if len(fx.ForwardEnds) > 0 {
-		l.forwardEnds(at.ID, fx.ForwardEnds)
+		l.forwardEnds(at, fx.ForwardEnds)
 	}
 	for _, request := range fx.Settle {
 		go l.settle(at, fx.Successor, request)
 	}
 	for _, run := range fx.SettleStops {
-		go l.step(port.EndpointIncarnation{ID: fx.Successor, Address: at.Address}, lease.StopRequested{Run: run})
+		go l.step(successorOf(at, fx.Successor), lease.StopRequested{Run: run})
 	}
 	for _, order := range fx.Starts {
 		go l.sendStart(at, order)
@@ -105,12 +105,17 @@
 
 // settle waits for the outcome of a run at the incarnation that has replaced its endpoint, and applies it.
 func (l *Leases) settle(at port.EndpointIncarnation, successor model.EndpointID, request lease.SettleRequested) {
-	next := port.EndpointIncarnation{ID: successor, Address: at.Address}
-	if outcome, ok := l.stepAndWait(l.baseCtx, next, request, request.Run); ok {
+	if outcome, ok := l.stepAndWait(l.baseCtx, successorOf(at, successor), request, request.Run); ok {
 		l.step(at, lease.Settled{Outcome: outcome})
 	}
 }
 
+// successorOf returns the incarnation of an endpoint that has replaced another one.
+func successorOf(at port.EndpointIncarnation, successor model.EndpointID) port.EndpointIncarnation {
+	at.ID = successor
+	return at
+}
+
 // orderTimeout returns the timeout of an order, without the time for which an endpoint may delay its reply to a hold.
 func (l *Leases) orderTimeout() time.Duration {
 	return time.Duration(l.settings.OrderMS) * time.Millisecond
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -105,15 +105,24 @@
 	return emptyReply{}
 }
 
-// otherMembers returns the ids of the other live members.
-func (l *Leases) otherMembers() (otherMembers []model.NodeID) {
+// otherHolders returns the ids of the other live members that may have ordered runs at an endpoint: those of its data centre, or all when
+// there are none or the data centre is not known.
+func (l *Leases) otherHolders(dataCentre model.DataCentre) (there []model.NodeID) {
+	var all []model.NodeID
 	self := l.membership.Self().ID
 	for _, n := range l.membership.Alive() {
-		if n.ID != self {
-			otherMembers = append(otherMembers, n.ID)
+		if n.ID == self {
+			continue
+		}
+		all = append(all, n.ID)
+		if n.DataCentre == dataCentre {
+			there = append(there, n.ID)
 		}
 	}
-	return otherMembers
+	if len(there) == 0 {
+		return all
+	}
+	return there
 }
 
 // queryClaims asks members which of the runs at the endpoint they wait for, and applies their replies once all have
@@ -127,7 +136,7 @@
 	}
 	members := query.Members
 	if len(members) == 0 {
-		members = l.otherMembers()
+		members = l.otherHolders(at.DataCentre)
 	}
 	claims := l.collectClaims(ctx, members, request)
 	if renewed := len(query.Members) > 0 && len(claims) == len(query.Runs); !renewed {
@@ -166,31 +175,32 @@
 }
 
 // forwardEnds sends the ends of runs that this member does not wait for to the members that have claimed
-// them. Those that nobody has claimed, and those whose claimant cannot be reached, go to all other members.
-func (l *Leases) forwardEnds(endpoint model.EndpointID, ends []lease.ForwardedEnd) {
+// them. Those that nobody has claimed, and those whose claimant cannot be reached, go to all that may have ordered runs there.
+func (l *Leases) forwardEnds(at port.EndpointIncarnation, ends []lease.ForwardedEnd) {
 	byMember := make(map[model.NodeID]*endsMessage)
 	for _, end := range ends {
 		if byMember[end.To] == nil {
-			byMember[end.To] = &endsMessage{Endpoint: endpoint}
+			byMember[end.To] = &endsMessage{Endpoint: at.ID}
 		}
 		message := byMember[end.To]
 		message.Ends = append(message.Ends, endMessage{runMessage(end.End.Run), end.End.How})
 	}
 	for member, message := range byMember {
 		if member == "" {
-			l.forwardToAll(*message)
+			l.forwardToHolders(at.DataCentre, *message)
 			continue
 		}
 		go func() {
 			if !l.forwardTo(member, *message) {
-				l.forwardToAll(*message)
+				l.forwardToHolders(at.DataCentre, *message)
 			}
 		}()
 	}
 }
 
-func (l *Leases) forwardToAll(message endsMessage) {
-	for _, node := range l.otherMembers() {
+// forwardToHolders sends ends of runs to the other members that may have ordered them.
+func (l *Leases) forwardToHolders(dataCentre model.DataCentre, message endsMessage) {
+	for _, node := range l.otherHolders(dataCentre) {
 		go l.forwardTo(node, message)
 	}
 }
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -18,7 +18,7 @@
 
 // Start requests a run of the task at the endpoint and waits for its outcome.
 func (t tasks) Start(ctx context.Context, address string, start port.TaskStart) port.TaskReply {
-	at := port.EndpointIncarnation{ID: start.Endpoint, Address: address}
+	at := port.EndpointIncarnation{ID: start.Endpoint, Address: address, DataCentre: start.DataCentre}
 	run := port.TaskRun{Key: start.Key, Index: start.Index, Attempt: start.Attempt}
 	outcome, ok := t.leases.stepAndWait(ctx, at, lease.StartRequested{Run: run, Payload: start.Payload}, run)
 	if !ok {
@@ -51,10 +51,10 @@
 }
 
 // Retire retires the endpoint, and reports whether it has been retired by the end of the context.
-func (t tasks) Retire(ctx context.Context, address string, endpoint model.EndpointID) bool {
-	t.leases.step(port.EndpointIncarnation{ID: endpoint, Address: address}, lease.RetireRequested{})
+func (t tasks) Retire(ctx context.Context, at port.EndpointIncarnation) bool {
+	t.leases.step(at, lease.RetireRequested{})
 	select {
-	case <-t.leases.retired(endpoint):
+	case <-t.leases.retired(at.ID):
 		return true
 	case <-ctx.Done():
 		return false
@@ -62,9 +62,7 @@
 }
 
 // Fence makes the endpoint refuse late orders of former holders of its lease.
-func (t tasks) Fence(address string, endpoint model.EndpointID) {
-	t.leases.step(port.EndpointIncarnation{ID: endpoint, Address: address}, lease.FenceRequested{})
-}
+func (t tasks) Fence(at port.EndpointIncarnation) { t.leases.step(at, lease.FenceRequested{}) }
 
 // retired returns a channel that is closed once the endpoint is retired; nil when this member does not know it.
 func (l *Leases) retired(endpoint model.EndpointID) (retired <-chan struct{}) {
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -199,10 +199,10 @@
 }
 
 // Retire reports false: the endpoints of this client run tasks without a lease and without fencing tokens.
-func (c *Client) Retire(context.Context, string, model.EndpointID) bool { return false }
+func (c *Client) Retire(context.Context, port.EndpointIncarnation) bool { return false }
 
 // Fence does nothing: endpoints without leases have no fencing tokens.
-func (c *Client) Fence(string, model.EndpointID) {}
+func (c *Client) Fence(port.EndpointIncarnation) {}
 
 // revokeStates are the states that an endpoint may report in reply to a revoke.
 var revokeStates = []port.TaskState{port.TaskRevoked, port.TaskRunning, port.TaskDone, port.TaskStopped, port.TaskFailed}
