An answer to a ping counts while the relayed pings are under way

Cause: a ping was broken off after half a period (125 ms), and the pings of the relays as well. A VM with a fifth of a core that has used up its share answers after 150 to 300 ms. So a busy member failed each probe, and had to refute each suspicion in time by gossip, which costs it more processor time. A ping that is broken off also closes its connection.

Why it works: the relays are sent after half a period as before, but the ping is kept waiting until they have ended. The state machine has always taken such an answer; only the call had gone. A member that answers nothing is suspected at the same time as before, and one whose address refuses connections, too.

--- a/plugins/membership/effects.go
+++ b/plugins/membership/effects.go
@@ -78,8 +78,10 @@
 }
 
 // stepAndWait applies an event and waits until its pings have ended. It is for events that cause no
-// relays.
+// relays. It waits for each answer no longer than answerTimeout.
 func (m *Membership) stepAndWait(ctx context.Context, event swim.Event) {
+	ctx, cancel := context.WithTimeout(ctx, m.answerTimeout())
+	defer cancel()
 	fx := m.apply(event)
 	m.executeLocalEffects(fx)
 	var calls sync.WaitGroup
@@ -113,25 +115,32 @@
 	}
 }
 
-// answerTimeout returns the time to wait for the answer to a ping; a relay, which contains a ping,
-// may take twice as long.
+// answerTimeout returns the time to wait for the answer to a ping before other members are asked to ping the target.
 func (m *Membership) answerTimeout() time.Duration { return m.period / 2 }
 
-// ping sends a ping and applies its result.
+// relayTimeout returns the time to wait for the outcome of a relay, which contains a ping.
+func (m *Membership) relayTimeout() time.Duration { return 2 * m.answerTimeout() }
+
+// ping sends a ping and applies its result. Without an answer in time the machine has other members ping the target. An answer that
+// comes while they do still counts: the target may merely be short of processor time.
 func (m *Membership) ping(ctx context.Context, p swim.Ping) {
-	ctx, cancel := context.WithTimeout(ctx, m.answerTimeout())
+	ctx, cancel := context.WithTimeout(ctx, m.answerTimeout()+m.relayTimeout())
 	defer cancel()
+	late := time.AfterFunc(m.answerTimeout(), func() { m.step(swim.PingFailed{Probe: p.Probe}) })
 	var reply wireMessage
-	if delivery := m.peers.Call(ctx, p.To, methodPing, encode(p.Message), &reply); delivery != port.Delivered {
+	delivery := m.peers.Call(ctx, p.To, methodPing, encode(p.Message), &reply)
+	inTime := late.Stop()
+	switch {
+	case delivery == port.Delivered:
+		m.step(swim.PingAnswered{Probe: p.Probe, Message: reply.decode()})
+	case inTime:
 		m.step(swim.PingFailed{Probe: p.Probe, Refused: delivery == port.Refused})
-		return
 	}
-	m.step(swim.PingAnswered{Probe: p.Probe, Message: reply.decode()})
 }
 
 // relay asks another member to ping the target and applies the result.
 func (m *Membership) relay(r swim.Relay) {
-	ctx, cancel := context.WithTimeout(m.baseCtx, 2*m.answerTimeout())
+	ctx, cancel := context.WithTimeout(m.baseCtx, m.relayTimeout())
 	defer cancel()
 	var reply relayReply
 	request := relayRequest{Target: r.Target.ID, Address: r.Target.Peers}
