--- a/plugins/peer/http/clients.go
+++ b/plugins/peer/http/clients.go
@@ -91,7 +91,7 @@
 }
 
 // controlMethods are the prefixes of the methods that belong to no job.
-var controlMethods = []string{"membership/", "pools/loads", "pools/announce", "pools/reach", "profiles/", "quota/"}
+var controlMethods = []string{"membership/", "pools/loads", "pools/announce", "pools/reach", "pools/losses", "profiles/", "quota/"}
 
 func isControl(method string) bool {
 	for _, prefix := range controlMethods {
--- a/plugins/peer/http/http_test.go
+++ b/plugins/peer/http/http_test.go
@@ -182,6 +182,18 @@
 	is.Equal(a.jobMessages.requests.Count(), int64(0))
 }
 
+// Guards against issue 39, SHORT: losses went over the connections of jobs. A member tells all others of them, so each loss opened an
+// HTTP/2 connection to each, which both sides pinged for 15 s.
+func TestMessagesToAllMembersKeepNoJobConnections(t *testing.T) {
+	is := is.New(t)
+	receive := func(context.Context, model.NodeID, func(any) error) (any, error) { return note{}, nil }
+	a, b := newPeers(t, "a", nil), newPeers(t, "b", map[string]port.Handler{"pools/losses": receive})
+	a.SetAddress("b", b.address())
+	is.Equal(a.Call(t.Context(), "b", "pools/losses", note{}, &note{}), port.Delivered)
+	is.Equal(a.controlMessages.requests.Count(), int64(2)) // The request and the reply.
+	is.Equal(a.jobMessages.requests.Count(), int64(0))
+}
+
 func TestDrainWaitsForRequestsInFlight(t *testing.T) {
 	is := is.New(t)
 	entered, release := make(chan struct{}), make(chan struct{})
