--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -61,6 +61,7 @@
 	loads    *shard.Map[model.PoolID, *loadview.Estimate] // Estimated loads of pools that others own.
 	sessions *shard.Map[incarnationKey, *session]         // Sessions with the owners to which this member sends batches.
 
+	view         atomic.Pointer[viewIndex] // Index of the newest view that was looked at; see currentView.
 	ownerCache   *shard.Map[poolGroup, groupOwners]
 	formerOwners *shard.Map[model.PoolID, map[model.NodeID]time.Time] // Members that still have work in a pool, and until when.
 
--- a/plugins/endpoints/forwarded.go
+++ b/plugins/endpoints/forwarded.go
@@ -50,11 +50,11 @@
 // takeEndpointsOfLostOwners forgets the announcements that went to members which are not alive any more, and those that are too old. It
 // returns the endpoints of the former that are not too old.
 func (p *Pools) takeEndpointsOfLostOwners(now time.Time) (lost []model.Endpoint) {
-	alive := p.liveIncarnations()
+	view := p.currentView()
 	p.forwarded.Each(func(all map[string]forwardedAnnouncement) {
 		for address, f := range all {
 			expired := now.Sub(f.at) > forwardedExpiry
-			if alive[f.owner] && !expired {
+			if view.has(f.owner) && !expired {
 				continue
 			}
 			delete(all, address)
@@ -65,12 +65,3 @@
 	})
 	return lost
 }
-
-// liveIncarnations returns the incarnations of members that are considered alive.
-func (p *Pools) liveIncarnations() map[incarnationKey]bool {
-	alive := make(map[incarnationKey]bool)
-	for _, node := range p.membership.Alive() {
-		alive[incarnationKey{node.ID, node.Incarnation}] = true
-	}
-	return alive
-}
--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -46,7 +46,7 @@
 		}
 		p.signalLoadChange() // This member may own other pools now.
 		var retry <-chan time.Time
-		if p.handOver(p.baseCtx, p.membership.Alive()) {
+		if p.handOver(p.baseCtx, p.ownerOf) {
 			retry = time.After(announceInterval)
 		}
 		select {
@@ -64,23 +64,18 @@
 	self := p.membership.Self().ID
 	others := slices.DeleteFunc(slices.Clone(p.membership.Alive()), func(n port.Node) bool { return n.ID == self })
 	if len(others) > 0 {
-		p.handOver(ctx, others)
+		p.handOver(ctx, func(id model.PoolID) port.Node { return assignOwners(others, groupOf(id), p.partsFor(id))[id.Part] })
 	}
 	p.membership.Leave(ctx)
 }
 
-// handOver sends a handover for each pool whose owner among the given members is not this one. It
-// reports whether this member still has work in one of them.
-func (p *Pools) handOver(ctx context.Context, alive []port.Node) (working bool) {
+// handOver sends a handover for each pool whose next owner is not this member. It reports whether this member still has work in
+// one of them.
+func (p *Pools) handOver(ctx context.Context, nextOwner func(model.PoolID) port.Node) (working bool) {
 	self := p.membership.Self().ID
 	var sends sync.WaitGroup
-	owners := make(map[poolGroup][]port.Node)
 	for _, id := range p.poolIDs() {
-		group, parts := groupOf(id), p.partsFor(id)
-		if len(owners[group]) < parts {
-			owners[group] = assignOwners(alive, group, parts)
-		}
-		owner := owners[group][id.Part]
+		owner := nextOwner(id)
 		if owner.ID == self {
 			p.withPool(id, func(o *pool) { o.handedOverTo = incarnationKey{} })
 			continue
@@ -218,10 +213,10 @@
 
 // dropLoadsOfLostOwners drops the loads reported by members that are no longer considered alive.
 func (p *Pools) dropLoadsOfLostOwners() {
-	alive := p.membership.Alive()
+	view := p.currentView()
 	p.loads.Each(func(known map[model.PoolID]*loadview.Estimate) {
 		for id, e := range known {
-			if !slices.ContainsFunc(alive, func(n port.Node) bool { return n.ID == e.Owner() }) {
+			if _, alive := view.member(e.Owner()); !alive {
 				delete(known, id)
 			}
 		}
--- a/plugins/endpoints/lossmessages.go
+++ b/plugins/endpoints/lossmessages.go
@@ -71,12 +71,12 @@
 // watchJoins tells each incarnation of a member that joins the group what this member knows: a caller may send it a job that has
 // crashed endpoints before.
 func (p *Pools) watchJoins() {
-	known := p.liveIncarnations()
+	before := p.currentView()
 	for {
 		changed := p.membership.Changed()
-		alive := p.liveIncarnations()
-		p.tellJoined(known, alive)
-		known = alive
+		now := p.currentView()
+		p.tellJoined(before, now)
+		before = now
 		select {
 		case <-changed:
 		case <-p.baseCtx.Done():
@@ -85,15 +85,16 @@
 	}
 }
 
-// tellJoined tells the members that are alive and were not before what this member knows. One that knows of no loss sends nothing.
-func (p *Pools) tellJoined(before, alive map[incarnationKey]bool) {
+// tellJoined tells the members that are in one view and not in an earlier one what this member knows. One that knows of no loss sends
+// nothing.
+func (p *Pools) tellJoined(before, now *viewIndex) {
 	losses := p.newestLosses()
 	if len(losses) == 0 {
 		return
 	}
-	for key := range alive {
-		if !before[key] && key.node != p.membership.Self().ID {
-			p.appendPendingLosses(key.node, losses...)
+	for _, node := range now.alive {
+		if !before.has(incarnationKey{node.ID, node.Incarnation}) && node.ID != p.membership.Self().ID {
+			p.appendPendingLosses(node.ID, losses...)
 		}
 	}
 	p.signalLosses()
--- a/plugins/endpoints/origins.go
+++ b/plugins/endpoints/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"redwingpulley/kernel/model"
-	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -11,10 +10,7 @@
 func (p *Pools) watchOrigins() {
 	for {
 		changed := p.membership.Changed()
-		alive := p.membership.Alive()
-		for _, id := range p.poolIDs() {
-			p.step(id, poolstate.Owners{Live: originsOf(alive), Holders: originsOf(possibleHolders(alive, id.DataCentre))})
-		}
+		p.reportOrigins()
 		select {
 		case <-changed:
 		case <-p.created:
@@ -24,13 +20,12 @@
 	}
 }
 
-// originsOf returns members as origins of batches.
-func originsOf(nodes []port.Node) []poolstate.Origin {
-	var origins []poolstate.Origin
-	for _, node := range nodes {
-		origins = append(origins, poolstate.Origin{Node: node.ID, Incarnation: node.Incarnation})
+// reportOrigins reports the members that are alive to each pool.
+func (p *Pools) reportOrigins() {
+	view := p.currentView()
+	for _, id := range p.poolIDs() {
+		p.step(id, poolstate.Owners{Live: view.origins, Holders: view.possibleHolders(id.DataCentre)})
 	}
-	return origins
 }
 
 // poolIDs returns the IDs of the pools that this member keeps. Some may have another owner by now.
--- a/plugins/endpoints/owners.go
+++ b/plugins/endpoints/owners.go
@@ -12,8 +12,9 @@
 
 // groupOwners holds the owners of a group's pools, by part, by one membership view.
 type groupOwners struct {
-	view   *port.Node // First element of the view's slice, which identifies the view.
-	owners []port.Node
+	view    *port.Node  // First element of the view's slice, which identifies the view.
+	members []port.Node // The members that could own a pool of the group by that view.
+	owners  []port.Node
 }
 
 // ownerOf returns the pool's owner by the current membership view.
@@ -23,7 +24,7 @@
 	p.ownerCache.Do(groupOf(id), func(known map[poolGroup]groupOwners) {
 		cached := known[groupOf(id)]
 		if cached.view != &alive[0] || len(cached.owners) != parts {
-			cached = groupOwners{&alive[0], assignOwners(alive, groupOf(id), parts)}
+			cached = cached.update(alive, groupOf(id), parts)
 			known[groupOf(id)] = cached
 		}
 		owner = cached.owners[id.Part]
@@ -31,6 +32,16 @@
 	return owner
 }
 
+// update returns the owners by another view or number of pools. Most changes of a view concern members of other data centres and leave
+// the owners as they are.
+func (g groupOwners) update(alive []port.Node, group poolGroup, parts int) groupOwners {
+	members := eligibleOwners(alive, group.dataCentre)
+	if len(g.owners) == parts && slices.Equal(g.members, members) {
+		return groupOwners{&alive[0], g.members, g.owners}
+	}
+	return groupOwners{&alive[0], members, ownersAmong(members, group, parts)}
+}
+
 // partsFor returns the number of pools in the pool's group, this one among them.
 func (p *Pools) partsFor(id model.PoolID) int { return max(p.partsIn(groupOf(id)), id.Part+1) }
 
@@ -38,7 +49,11 @@
 // the highest weight by rendezvous hashing that does not have its share of the pools yet: otherwise some members would
 // own several pools of a group while others own none, and a pool is served as fast as its owner.
 func assignOwners(alive []port.Node, group poolGroup, parts int) []port.Node {
-	members := eligibleOwners(alive, group.dataCentre)
+	return ownersAmong(eligibleOwners(alive, group.dataCentre), group, parts)
+}
+
+// ownersAmong returns the same where the members that can own a pool of the group are known.
+func ownersAmong(members []port.Node, group poolGroup, parts int) []port.Node {
 	share := (parts + len(members) - 1) / len(members)
 	owned := make([]int, len(members))
 	owners := make([]port.Node, 0, parts)
@@ -88,15 +103,6 @@
 	return alive
 }
 
-// possibleHolders returns the members that may hold leases on endpoints of a data centre: those there, or all when there are none. Members
-// that drain count, too.
-func possibleHolders(alive []port.Node, dataCentre model.DataCentre) []port.Node {
-	if there := filter(alive, func(n port.Node) bool { return n.DataCentre == dataCentre }); len(there) > 0 {
-		return there
-	}
-	return filter(alive, func(port.Node) bool { return true })
-}
-
 func filter(nodes []port.Node, keep func(port.Node) bool) (kept []port.Node) {
 	for _, n := range nodes {
 		if keep(n) {
--- a/plugins/endpoints/poolstate/origins.go
+++ b/plugins/endpoints/poolstate/origins.go
@@ -18,8 +18,8 @@
 
 // origins holds the entry VMs that own the jobs of this pool's tasks.
 type origins struct {
-	reported bool // The live members have been reported at least once.
-	live     map[model.NodeID]model.Incarnation
+	reported bool     // The live members have been reported at least once.
+	live     []Origin // Sorted by node.
 	holders  []Origin // Those that may hold leases on endpoints of this pool.
 	known    map[Origin]*origin
 }
@@ -38,8 +38,8 @@
 	if !o.reported || id.Node == "" {
 		return true
 	}
-	incarnation, ok := o.live[id.Node]
-	return ok && (incarnation == "" || incarnation == id.Incarnation)
+	at, ok := slices.BinarySearchFunc(o.live, id, compareNodes)
+	return ok && (o.live[at].Incarnation == "" || o.live[at].Incarnation == id.Incarnation)
 }
 
 // originOf returns the origin of a job, which its id names. Jobs with ids of another form share an
@@ -83,26 +83,35 @@
 
 func (m *Machine) handleOwners(now time.Time, owners Owners, fx *Effects) {
 	m.origins.reported = true
-	m.origins.live = make(map[model.NodeID]model.Incarnation, len(owners.Live))
-	for _, o := range owners.Live {
-		m.origins.live[o.Node] = o.Incarnation
-	}
+	m.origins.live = sortedByNode(owners.Live)
 	if hasDeparted(m.origins.holders, owners.Holders) {
 		m.fenceAll(fx)
 	}
 	m.origins.holders = owners.Holders
-	known := make([]*origin, 0, len(m.origins.known))
+	var changed []*origin
 	for _, o := range m.origins.known {
-		known = append(known, o)
+		if m.origins.isLive(o.Origin) == (o.gone || m.timers.heap.has(&o.graceTimer)) {
+			changed = append(changed, o)
+		}
 	}
-	slices.SortFunc(known, func(a, b *origin) int {
+	slices.SortFunc(changed, func(a, b *origin) int {
 		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	for _, o := range known {
+	for _, o := range changed {
 		m.updateGrace(now, o)
 	}
 }
 
+func compareNodes(a, b Origin) int { return cmp.Compare(a.Node, b.Node) }
+
+// sortedByNode returns the origins sorted by node; they mostly are.
+func sortedByNode(origins []Origin) []Origin {
+	if slices.IsSortedFunc(origins, compareNodes) {
+		return origins
+	}
+	return slices.SortedFunc(slices.Values(origins), compareNodes)
+}
+
 // handleOriginGone stops the work of an origin, since nobody waits for its answers any more.
 func (m *Machine) handleOriginGone(now time.Time, o *origin, fx *Effects) {
 	o.gone = true
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -158,12 +158,7 @@
 
 // member returns the member with the given ID, if it is considered alive.
 func (p *Pools) member(id model.NodeID) (port.Node, bool) {
-	for _, node := range p.membership.Alive() {
-		if node.ID == id {
-			return node, true
-		}
-	}
-	return port.Node{}, false
+	return p.currentView().member(id)
 }
 
 // open opens a batch with a new number in the session with the node. The caller has to close it.
@@ -212,11 +207,11 @@
 // cancelLostSessions ends the waits for replies in sessions with incarnations that are not alive, after
 // ownerLostGrace.
 func (p *Pools) cancelLostSessions() {
-	alive := p.liveIncarnations()
+	view := p.currentView()
 	var lost []context.CancelFunc
 	p.sessions.Each(func(sessions map[incarnationKey]*session) {
 		for key, s := range sessions {
-			if !alive[key] {
+			if !view.has(key) {
 				if s.outbox.Empty() {
 					continue
 				}
