An endpoint that belongs to another pool since a split is not fenced by its former owner

Cause: since a pool has all its endpoints fenced when a member has departed, also those that are cordoned. Endpoints that the group's split has moved to another pool stay known, cordoned, until their announcement expires. A fence takes the lease, so both owners held it in turns. Large fleets split each group several times while they start.

Why it works: the pool of an endpoint follows from its address and the number of pools, so a member that is asked to fence an endpoint can tell whether it is still one of the pool. The owner of the pool to which it belongs fences it.

--- /dev/null
+++ b/plugins/endpoints/fence_test.go
@@ -0,0 +1,52 @@
+package endpoints
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+// Guards against owners that take each other's leases: after a split, the former owner of an endpoint still knew it, and had it fenced with
+// each departure of a member, so that its present owner lost the lease, and with it the runs there, for seconds.
+func TestEndpointThatBelongsToAnotherPoolSinceASplitIsNotFenced(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n := newNetwork()
+		others := []port.Node{second1, {ID: "third", Incarnation: "t1", DataCentre: "sj1"}}
+		all := append(others, owner1)
+		former := ownerAmong(all, model.PoolID{Service: testGroup.service, DataCentre: testGroup.dataCentre})
+		others = slices.DeleteFunc(slices.Clone(all), func(m port.Node) bool { return m.ID == former.ID })
+		n.setAlive(all...)
+		first, atFirst := newPools(t, n, former)
+		second, atSecond := newPools(t, n, others[0])
+		third, _ := newPools(t, n, others[1])
+		for _, e := range leasedEndpoints(24) {
+			is.True(first.Announce(t.Context(), e).Recorded)
+		}
+		raiseParts(8, first, second, third)
+		synctest.Wait() // The endpoints have been passed on.
+		first.reportOrigins()
+		second.reportOrigins()
+		atFirst.fences, atSecond.fences = nil, nil
+
+		n.setAlive(former, others[0])
+		first.reportOrigins()
+		second.reportOrigins()
+		fenced := make(map[model.EndpointID]int)
+		for _, m := range []struct {
+			pools  *Pools
+			member *fakeMember
+		}{{first, atFirst}, {second, atSecond}} {
+			is.True(len(m.member.fences) > 0)
+			for _, id := range m.member.fences {
+				fenced[id]++
+				is.Equal(fenced[id], 1)
+				is.Equal(m.pools.ownerOf(m.pools.poolAt(testGroup, string(id))).ID, m.member.node.ID)
+			}
+		}
+	})
+}
--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -46,11 +46,15 @@
 	return max(parts, p.settings.PoolsPerDataCentre, 1)
 }
 
-// poolOf returns the pool that the endpoint belongs to, by the hash of its address, which all its incarnations share.
+// poolOf returns the pool that the endpoint belongs to.
 func (p *Pools) poolOf(e model.Endpoint) model.PoolID {
-	parts := p.partsIn(poolGroup{e.Service, e.DataCentre})
-	part := int(xxhash.Sum64String(e.Address) % uint64(parts))
-	return model.PoolID{Service: e.Service, DataCentre: e.DataCentre, Part: part}
+	return p.poolAt(poolGroup{e.Service, e.DataCentre}, e.Address)
+}
+
+// poolAt returns the pool of a group that an endpoint belongs to, by the hash of its address, which all its incarnations share.
+func (p *Pools) poolAt(group poolGroup, address string) model.PoolID {
+	part := int(xxhash.Sum64String(address) % uint64(p.partsIn(group)))
+	return model.PoolID{Service: group.service, DataCentre: group.dataCentre, Part: part}
 }
 
 // splitIfLarge schedules a split of the pools in the group when this one has too many endpoints for one
--- a/plugins/endpoints/pool.go
+++ b/plugins/endpoints/pool.go
@@ -144,9 +144,7 @@
 		p.endTurn(id, r.Key, attempt{r.Task, r.Attempt})
 	}
 	if len(fx.Fences) > 0 && p.ownerOf(id).ID == p.membership.Self().ID {
-		for _, f := range fx.Fences {
-			p.tasks.Fence(port.EndpointIncarnation{ID: f.Endpoint, Address: f.Address, DataCentre: id.DataCentre})
-		}
+		p.fence(id, fx.Fences)
 	}
 	for _, s := range fx.Starts {
 		go p.startTask(id, s)
@@ -155,3 +153,13 @@
 		go p.revokeTask(id, r)
 	}
 }
+
+// fence has the former holders of endpoints' leases fenced. An endpoint that belongs to another pool since the group was split is left to
+// the owner of that one: a fence takes the lease.
+func (p *Pools) fence(id model.PoolID, fences []poolstate.Fence) {
+	for _, f := range fences {
+		if p.poolAt(groupOf(id), f.Address) == id {
+			p.tasks.Fence(port.EndpointIncarnation{ID: f.Endpoint, Address: f.Address, DataCentre: id.DataCentre})
+		}
+	}
+}
