A member in reserve that is gone has no endpoints fenced

Cause: all members of a data centre counted as possible holders of leases on its endpoints. Control VMs are in reserve: they own pools only while no entry VM there can, so they have ordered nothing that could arrive late.

Evidence: TestEndpointsAreNotFencedForAMemberInReserve fails without the change.

Why it works: a member in reserve counts as a possible holder only while no regular member of the data centre can own a pool. When one can again, the reserve stops counting, which has the endpoints fenced at that moment, as when a holder departs.

--- a/plugins/endpoints/fence_test.go
+++ b/plugins/endpoints/fence_test.go
@@ -50,3 +50,32 @@
 		}
 	})
 }
+
+// Guards against holds to all endpoints of a data centre, and jobs that wait for them, when a member in reserve is gone: it owns no pool
+// while another member can, and has ordered nothing at these endpoints.
+func TestEndpointsAreNotFencedForAMemberInReserve(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n := newNetwork()
+		reserve := port.Node{ID: "reserve", Incarnation: "r1", DataCentre: "sj1", Reserve: true}
+		draining := second1
+		draining.Draining = true
+		n.setAlive(owner1, reserve, second1)
+		owner, atOwner := newPools(t, n, owner1)
+		id := owner.poolOf(leasedEndpoints(1)[0])
+		is.Equal(owner.ownerOf(id).ID, owner1.ID)
+		is.True(owner.Announce(t.Context(), leasedEndpoints(1)[0]).Recorded)
+		owner.reportOrigins()
+		fencesAfter := func(alive ...port.Node) int {
+			atOwner.fences = nil
+			n.setAlive(alive...)
+			owner.reportOrigins()
+			return len(atOwner.fences)
+		}
+		is.Equal(fencesAfter(owner1, second1), 0)
+		is.Equal(fencesAfter(owner1, reserve, draining), 0)
+		is.Equal(fencesAfter(owner1, reserve), 1) // The member that drained may have held leases.
+
+		view := newViewIndex([]port.Node{draining, reserve})
+		is.Equal(len(view.possibleHolders("sj1")), 2) // The one in reserve owns the pools now.
+	})
+}
--- a/plugins/endpoints/viewindex.go
+++ b/plugins/endpoints/viewindex.go
@@ -12,7 +12,14 @@
 	alive   []port.Node                             // The view.
 	at      map[model.NodeID]int                    // Index of each member in alive.
 	origins []poolstate.Origin                      // All members.
-	holders map[model.DataCentre][]poolstate.Origin // Members of each data centre.
+	centres map[model.DataCentre]*centreIndex
+}
+
+// centreIndex holds the members of one data centre.
+type centreIndex struct {
+	members []poolstate.Origin
+	regular []poolstate.Origin // Those that are not in reserve.
+	owned   bool               // One of them, which is neither draining nor in reserve, can own a pool.
 }
 
 func newViewIndex(alive []port.Node) *viewIndex {
@@ -20,17 +27,35 @@
 		alive:   alive,
 		at:      make(map[model.NodeID]int, len(alive)),
 		origins: make([]poolstate.Origin, 0, len(alive)),
-		holders: make(map[model.DataCentre][]poolstate.Origin),
+		centres: make(map[model.DataCentre]*centreIndex),
 	}
 	for i, node := range alive {
 		origin := poolstate.Origin{Node: node.ID, Incarnation: node.Incarnation}
 		v.at[node.ID] = i
 		v.origins = append(v.origins, origin)
-		v.holders[node.DataCentre] = append(v.holders[node.DataCentre], origin)
+		v.centre(node.DataCentre).add(node, origin)
 	}
 	return v
 }
 
+// centre returns the index of a data centre, which it creates if there is none.
+func (v *viewIndex) centre(id model.DataCentre) *centreIndex {
+	c, known := v.centres[id]
+	if !known {
+		c = &centreIndex{}
+		v.centres[id] = c
+	}
+	return c
+}
+
+func (c *centreIndex) add(node port.Node, origin poolstate.Origin) {
+	c.members = append(c.members, origin)
+	if !node.Reserve {
+		c.regular = append(c.regular, origin)
+		c.owned = c.owned || !node.Draining
+	}
+}
+
 // isOf reports whether the index is that of a view. A view's slice is not changed, so that its first element identifies it.
 func (v *viewIndex) isOf(alive []port.Node) bool {
 	return len(v.alive) == len(alive) && (len(alive) == 0 || &v.alive[0] == &alive[0])
@@ -52,12 +77,16 @@
 }
 
 // possibleHolders returns the members that may hold leases on endpoints of a data centre: those there, or all when there are none. Members
-// that drain count, too.
+// that drain count, too; those in reserve count only while no other can own a pool there.
 func (v *viewIndex) possibleHolders(dataCentre model.DataCentre) []poolstate.Origin {
-	if there := v.holders[dataCentre]; len(there) > 0 {
-		return there
+	c, known := v.centres[dataCentre]
+	switch {
+	case !known:
+		return v.origins
+	case c.owned:
+		return c.regular
 	}
-	return v.origins
+	return c.members
 }
 
 // currentView returns the index of the current membership view.
