--- a/plugins/membership/effects.go
+++ b/plugins/membership/effects.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"redwingpulley/kernel/event"
-	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/membership/swim"
 )
@@ -53,10 +52,7 @@
 		return
 	}
 	next.live = m.machine.Live()
-	next.records = make(map[model.NodeID]swim.Record)
-	for _, r := range m.machine.Records() {
-		next.records[r.Node.ID] = r
-	}
+	next.records = m.machine.Records()
 	next.changed = make(chan struct{})
 	m.view.Store(next)
 	if old != nil {
--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -4,11 +4,13 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,13 +76,22 @@
 type view struct {
 	self       port.Node
 	live       []port.Node
-	records    map[model.NodeID]swim.Record
+	records    []swim.Record // Sorted by the members' ids.
 	fresh      bool
 	freshUntil time.Time
 	pauses     uint64
 	changed    chan struct{} // Closed when the next change of the view is published.
 }
 
+// record returns the record of a member, if it is known.
+func (v *view) record(id model.NodeID) (r swim.Record, known bool) {
+	at, known := slices.BinarySearchFunc(v.records, id, func(r swim.Record, id model.NodeID) int { return cmp.Compare(r.Node.ID, id) })
+	if !known {
+		return swim.Record{}, false
+	}
+	return v.records[at], true
+}
+
 type instruments struct {
 	pings, relays, changes metrics.Counter
 	live                   metrics.Gauge
@@ -241,7 +252,7 @@
 
 // Gone reports whether that incarnation of the node is known to have ended.
 func (m *Membership) Gone(node model.NodeID, incarnation model.Incarnation) bool {
-	r, known := m.view.Load().records[node]
+	r, known := m.view.Load().record(node)
 	if !known || r.Epoch == 0 {
 		return false
 	}
--- a/plugins/membership/membership_test.go
+++ b/plugins/membership/membership_test.go
@@ -104,15 +104,22 @@
 // start starts a node whose settings list count members.
 func (n *network) start(is *is.I, id model.NodeID, count int, pluginSettings string) *process {
 	is.Helper()
-	s := settings.Settings{Node: id, Plugins: map[string]json.RawMessage{}}
-	if pluginSettings != "" {
-		s.Plugins["membership"] = json.RawMessage(pluginSettings)
-	}
+	s := settings.Settings{Node: id}
 	for i := range count {
 		s.Members = append(s.Members, settings.Member{
 			Node: nodeID(i), DataCentre: "dc", Peers: fmt.Sprintf("10.0.0.%d:1", i), Endpoints: fmt.Sprintf("10.0.0.%d:2", i),
 		})
 	}
+	return n.startNode(is, s, pluginSettings)
+}
+
+// startNode starts a node with the given settings.
+func (n *network) startNode(is *is.I, s settings.Settings, pluginSettings string) *process {
+	is.Helper()
+	id := s.Node
+	if pluginSettings != "" {
+		s.Plugins = map[string]json.RawMessage{"membership": json.RawMessage(pluginSettings)}
+	}
 	p := &process{id: id, membership: &Membership{}}
 	peers := &fakePeers{network: n, self: id, handlers: make(map[string]port.Handler)}
 	host, err := plugin.NewHost(s, slog.New(slog.DiscardHandler), []plugin.Definition{
--- a/plugins/membership/swim/machine.go
+++ b/plugins/membership/swim/machine.go
@@ -1,9 +1,9 @@
 package swim
 
 import (
+	"iter"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"redwingpulley/kernel/model"
@@ -166,26 +166,43 @@
 
 // Live returns the live members, this one among them, sorted by id.
 func (m *Machine) Live() []port.Node {
-	live := []port.Node{m.self.Node}
-	for _, id := range m.ids {
-		if other := m.members[id]; other.State.Live() {
-			live = append(live, other.Node)
+	live := make([]port.Node, 0, len(m.ids)+1)
+	for r := range m.sorted() {
+		if r.State.Live() || r.Node.ID == m.self.Node.ID {
+			live = append(live, r.Node)
 		}
 	}
-	slices.SortFunc(live, func(a, b port.Node) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return live
 }
 
 // Records returns the records of all known members, this one among them, sorted by id.
 func (m *Machine) Records() []Record {
-	all := []Record{m.self}
-	for _, id := range m.ids {
-		all = append(all, m.members[id].Record)
+	all := make([]Record, 0, len(m.ids)+1)
+	for r := range m.sorted() {
+		all = append(all, *r)
 	}
-	slices.SortFunc(all, func(a, b Record) int { return strings.Compare(string(a.Node.ID), string(b.Node.ID)) })
 	return all
 }
 
+// sorted iterates over the records of all known members, this one among them, in the order of their ids.
+func (m *Machine) sorted() iter.Seq[*Record] {
+	return func(yield func(*Record) bool) {
+		self, _ := slices.BinarySearch(m.ids, m.self.Node.ID)
+		for i := range len(m.ids) + 1 {
+			r := &m.self
+			switch {
+			case i < self:
+				r = &m.members[m.ids[i]].Record
+			case i > self:
+				r = &m.members[m.ids[i-1]].Record
+			}
+			if !yield(r) {
+				return
+			}
+		}
+	}
+}
+
 // detectPause marks the view stale when the process was paused: others may meanwhile have taken
 // over what this member owns, so it must not act on its view before another member has answered.
 // Suspects get their full time to refute again, since no refutation could be handled during the
--- a/plugins/membership/wire.go
+++ b/plugins/membership/wire.go
@@ -101,7 +101,7 @@
 func (m *Membership) handleRelay(ctx context.Context, _ model.NodeID, r relayRequest) relayReply {
 	ctx, cancel := context.WithTimeout(ctx, m.answerTimeout())
 	defer cancel()
-	if _, known := m.view.Load().records[r.Target]; !known {
+	if _, known := m.view.Load().record(r.Target); !known {
 		m.peers.SetAddress(r.Target, r.Address)
 	}
 	message := m.step(swim.MessageRequested{To: r.Target}).Reply
