--- a/plugins/endpoints/viewindex.go
+++ b/plugins/endpoints/viewindex.go
@@ -9,9 +9,9 @@
 // viewIndex finds members in one membership view. It is built once for each view and shared by all that look members up, since building
 // it costs as much as the group is large. It does not change.
 type viewIndex struct {
-	alive   []port.Node                             // The view.
-	at      map[model.NodeID]int                    // Index of each member in alive.
-	origins []poolstate.Origin                      // All members.
+	alive   []port.Node          // The view.
+	at      map[model.NodeID]int // Index of each member in alive.
+	origins []poolstate.Origin   // All members.
 	centres map[model.DataCentre]*centreIndex
 }
 
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -67,8 +67,9 @@
 // TakenOver says that another member holds the lease, under a token of its own, and lets the given runs of this member
 // continue that are not to be stopped.
 type TakenOver struct {
-	Token   uint64
-	Running []port.TaskRun
+	Token         uint64
+	Running       []port.TaskRun
+	LateGrantsFor time.Duration // As in the ClaimQuery.
 }
 
 // EndForwarded is the end of a run as forwarded by the member that now holds the lease.
@@ -125,11 +126,13 @@
 	Acquired      bool       // The endpoint has accepted a new fencing token.
 	Lost          LossReason // Why the lease was lost; "" when this step has not lost it.
 
-	// Successor is the incarnation that has replaced the endpoint, with LossOtherIncarnation, Settle or SettleStops;
+	// Successor is the incarnation that has replaced the endpoint, with LossOtherIncarnation, Settle, SettleStops or FenceSuccessor;
 	// "" when it is not known.
 	Successor   model.EndpointID
 	Settle      []SettleRequested // Requests to the machine of Successor; their outcomes are reported as Settled.
 	SettleStops []port.TaskRun    // Runs of such requests that are to be stopped, by the machine of Successor.
+	// FenceSuccessor says that the machine of Successor is to have former holders fenced there, instead of this one.
+	FenceSuccessor bool
 }
 
 // ClaimQuery asks members which of the given runs they wait for. The holder that sends it has started none of them.
@@ -137,6 +140,9 @@
 	Runs    []port.TaskRun
 	Token   uint64         // Fencing token under which the endpoint has listed the runs.
 	Members []model.NodeID // The members to ask; all other live ones that may have ordered the runs when there are none.
+	// LateGrantsFor is how long orders of the holder to which no answer came may still extend the lease; zero when none can arrive
+	// before the lease that a claim extends has expired.
+	LateGrantsFor time.Duration
 }
 
 // ForwardedEnd is the end of a run that another member waits for.
--- a/plugins/leases/lease/successor.go
+++ b/plugins/leases/lease/successor.go
@@ -13,11 +13,6 @@
 // that the replaced incarnation has not listed is therefore settled at its successor before it is reported: the successor's
 // machine takes a higher token, after which the start is never carried out, and stops the run if it is there.
 
-const (
-	// maxOrderDelay is how long after it was sent an endpoint may carry out an order at the latest.
-	maxOrderDelay = 12 * time.Second
-)
-
 // handleOtherIncarnation handles the news that another incarnation has replaced the endpoint. A run that the
 // endpoint has listed has ended with it; the successor may have started any other, unless it is not known.
 func (m *Machine) handleOtherIncarnation(now time.Time, successor model.EndpointID, fx *Effects) {
@@ -37,6 +32,9 @@
 	}
 	m.loseForeignRuns(func(f *foreignRun) port.LossCause { return m.causeOfReplacement(now, true, f.listedAt) }, fx)
 	fx.Successor = successor
+	if m.fenceHoldNeeded(now) {
+		m.fenceAtSuccessor(fx)
+	}
 }
 
 // handleReplaced handles a Replaced event. An announcement proves less than a reply to a hold, so all runs are settled
@@ -86,7 +84,7 @@
 		return
 	}
 	r := &run{
-		phase: inherited, startToken: e.Token, startArrivesBy: now.Add(maxOrderDelay),
+		phase: inherited, startToken: e.Token, startArrivesBy: now.Add(MaxOrderDelay),
 		stopRequested: !e.StopRequestedAt.IsZero(), stopRequestedAt: e.StopRequestedAt,
 	}
 	switch {
--- a/plugins/leases/orders.go
+++ b/plugins/leases/orders.go
@@ -24,6 +24,9 @@
 	for _, run := range fx.SettleStops {
 		go l.step(successorOf(at, fx.Successor), lease.StopRequested{Run: run})
 	}
+	if fx.FenceSuccessor {
+		go l.step(successorOf(at, fx.Successor), lease.FenceRequested{})
+	}
 	for _, order := range fx.Starts {
 		go l.sendStart(at, order)
 	}
