--- a/plugins/membership/swim/merge.go
+++ b/plugins/membership/swim/merge.go
@@ -71,9 +71,9 @@
 		m.probeEarly(now, current, probeDead, fx) // The sender considers it alive.
 	case r.State == Suspect && current.State == Alive:
 		m.suspect(now, current, "another member suspects it", fx)
-		if m.isSmall() {
-			m.probeEarly(now, current, probeLive, fx) // Its process may have ended, which shortens the suspicion.
-		}
+		m.verifyEnd(now, current, r, fx)
+	case r.State == Suspect && current.State == Suspect:
+		m.verifyEnd(now, current, r, fx)
 	case r.State == Dead && current.State == Alive:
 		m.suspect(now, current, "another member considers it dead", fx)
 		m.probeEarly(now, current, probeLive, fx)
@@ -130,6 +130,16 @@
 	}
 }
 
+// verifyEnd probes a suspect whose process has ended by the report of another member, which shortens the suspicion here too. One that
+// merely does not answer may be overloaded: a probe by each member that hears of it would keep it from answering.
+func (m *Machine) verifyEnd(now time.Time, other *member, report Record, fx *Effects) {
+	if !report.Ended || other.Ended || !m.isSmall() {
+		return
+	}
+	other.Ended = true
+	m.probeEarly(now, other, probeLive, fx)
+}
+
 // setState changes a member's state, starts the suspicion timeout or the retention period that
 // belongs to the new state, and queues the record as an update.
 func (m *Machine) setState(now time.Time, other *member, to State, reason string, fx *Effects) {
@@ -138,6 +148,7 @@
 		return
 	}
 	other.State = to
+	other.Ended = other.Ended && to == Suspect
 	other.transmits = 0
 	switch {
 	case to == Suspect:
--- a/plugins/membership/swim/swim_test.go
+++ b/plugins/membership/swim/swim_test.go
@@ -125,6 +125,19 @@
 	is.True(c.nodes[0].seesAlive(c.nodes[3].ID))
 }
 
+// Guards against an overloaded member that is kept from answering: each member that heard of its suspicion probed it at once.
+func TestSuspectThatMayBeOverloadedIsNotProbedByAllThatHearOfIt(t *testing.T) {
+	is := is.New(t)
+	c := startedCluster(is, 7, 24)
+	suspect, reporter := c.nodes[3], c.nodes[0]
+	report := reporter.machine.members[suspect.ID].Record
+	report.State = Suspect
+	for _, n := range c.nodes[4:] {
+		fx := c.step(n, PingReceived{Message{Records: []Record{reporter.machine.Self(), report}}})
+		is.True(!slices.ContainsFunc(fx.Pings, func(p Ping) bool { return p.To == suspect.ID }))
+	}
+}
+
 // Guards against members that do not find each other for long when all of some kind were killed at the same moment: none of those
 // that start again knows the others.
 func TestMembersThatWereKilledTogetherAreFoundAgainSoon(t *testing.T) {
--- a/plugins/membership/wire.go
+++ b/plugins/membership/wire.go
@@ -34,6 +34,7 @@
 	Epoch       uint64            `json:"t"`
 	Version     uint64            `json:"v,omitempty"`
 	State       swim.State        `json:"s"`
+	Ended       bool              `json:"q,omitempty"`
 }
 
 type wireValue struct {
@@ -61,7 +62,7 @@
 	for _, r := range message.Records {
 		n := r.Node
 		w.Records = append(w.Records, wireRecord{
-			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, n.Reserve, r.Epoch, r.Version, r.State,
+			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, n.Reserve, r.Epoch, r.Version, r.State, r.Ended,
 		})
 	}
 	for _, v := range message.Values {
@@ -78,7 +79,7 @@
 				ID: r.Node, Incarnation: r.Incarnation, DataCentre: r.DataCentre,
 				Peers: r.Peers, Endpoints: r.Endpoints, Disk: r.Disk, Draining: r.Draining, Reserve: r.Reserve,
 			},
-			Epoch: r.Epoch, Version: r.Version, State: r.State,
+			Epoch: r.Epoch, Version: r.Version, State: r.State, Ended: r.Ended,
 		})
 	}
 	for _, v := range w.Values {
