Losses reach a large group through relays of each data centre (SHORT)

Cause: each member that lost a run sent each other member a message, at most 20 ms later. When many endpoints fall silent at once most members lose runs within the same second, so the messages grew with the square of the fleet, and each mostly opened a connection. All members told one that joined what they knew, each the same.

Why it works: with 64 members and more, the limit up to which membership tells all others directly, a member tells one of four members of each data centre, which tells the others there and replies when it has tried each. Where a relay does not reply another one is asked (TestLossesAreRelayedByAnotherMemberWhenOneDoesNotReply). Smaller groups keep their messages.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -85,9 +85,10 @@
 	origins *shard.Map[incarnationKey, *origin] // Members that send batches to this one.
 	turns   *shard.Map[taskRef, turn]           // Attempts that may be running, by their task.
 
-	losses        *shard.Map[taskRef, taskLosses]          // Endpoints that have crashed under tasks.
-	pendingLosses *shard.Map[model.NodeID, []wireTaskLoss] // Losses that are to be sent to other members.
-	lossAdded     chan struct{}                            // Signals publishLosses that there are some.
+	losses        *shard.Map[taskRef, taskLosses]              // Endpoints that have crashed under tasks.
+	pendingLosses *shard.Map[lossTarget, []wireTaskLoss]       // Losses that are to be sent to other members.
+	lossAdded     chan struct{}                                // Signals publishLosses that there are some.
+	relayed       *shard.Map[model.DataCentre, *relayedLosses] // Losses that are to be sent on, by the data centre.
 
 	draining atomic.Bool // New batches are refused; set by Drain.
 
@@ -136,7 +137,8 @@
 	p.origins = newOrigins()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
 	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
-	p.pendingLosses = shard.New[model.NodeID, []wireTaskLoss](shard.DefaultCount)
+	p.pendingLosses = shard.New[lossTarget, []wireTaskLoss](shard.DefaultCount)
+	p.relayed = shard.New[model.DataCentre, *relayedLosses](1)
 	p.lossAdded = make(chan struct{}, 1)
 	p.forwarded = shard.New[string, forwardedAnnouncement](shard.DefaultCount)
 	p.unreachable = shard.New[model.NodeID, bool](shard.DefaultCount)
--- a/plugins/endpoints/joins_test.go
+++ b/plugins/endpoints/joins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 		n.setAlive(nodes...)
 		p, _ := newPools(t, n, node)
 		all = append(all, p)
-		time.Sleep(2 * lossPause) // On the virtual clock.
+		time.Sleep(2 * smallLossPause) // On the virtual clock.
 	}
 	return all, nodes
 }
@@ -41,3 +42,83 @@
 		is.Equal(n.lossCalls(), 0)
 	})
 }
+
+// knowing returns how many of the members know of a loss of the task.
+func knowing(all []*Pools, ref taskRef) (count int) {
+	for _, p := range all {
+		if len(p.lossesOf(ref)) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against issue 39, SHORT: each member that lost a run sent all others a message. When many endpoints fall silent, most members
+// lose runs at once, and the messages grew with the square of their number.
+func TestMessagesOfALossBurstDoNotGrowWithTheSquareOfTheGroup(t *testing.T) {
+	for _, members := range []int{72, 144} {
+		withVirtualClock(t, func(t *testing.T, is *is.I) {
+			n := newNetwork()
+			all, _ := startGroup(t, n, members)
+			time.Sleep(joinedAgain) // On the virtual clock: nothing follows from the joins any more.
+			for i, p := range all {
+				p.recordLoss(taskRef{fmt.Sprint("job", i), 0}, model.EndpointID(fmt.Sprint("e", i)), port.LossCrashed)
+			}
+			time.Sleep(time.Second) // On the virtual clock: less than the time after which a caller sends its job again.
+			for i := range all {
+				is.Equal(knowing(all, taskRef{fmt.Sprint("job", i), 0}), members)
+			}
+			t.Logf("%d members: %d messages", members, n.lossCalls())
+			is.True(n.lossCalls() <= (6+relaysOfCentre)*members) // To each data centre, and from its relays to each member.
+		})
+	}
+}
+
+// Guards against losses that a data centre does not learn of since the member that was to relay them there does not reply, and for some
+// time is still considered alive.
+func TestLossesAreRelayedByAnotherMemberWhenOneDoesNotReply(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n := newNetwork()
+		all, _ := startGroup(t, n, 72)
+		silent := make(map[*Pools]bool)
+		for centre := range 6 {
+			to, _ := all[0].lossReceiver(lossTarget{centre: model.DataCentre(fmt.Sprint("sj", centre)), relay: true}, 0)
+			n.mu.Lock()
+			delete(n.handlers, to)
+			n.mu.Unlock()
+			for _, p := range all {
+				silent[p] = silent[p] || p.membership.Self().ID == to
+			}
+		}
+		ref := taskRef{"job", 0}
+		all[0].recordLoss(ref, "e", port.LossCrashed)
+		time.Sleep(2 * time.Second) // On the virtual clock.
+		for _, p := range all {
+			is.True(silent[p] || len(p.lossesOf(ref)) > 0)
+		}
+	})
+}
+
+// Guards against issue 39, SHORT: all members told one that joined what they knew, each the same.
+func TestAMemberThatJoinsALargeGroupIsToldByAFew(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n := newNetwork()
+		all, nodes := startGroup(t, n, 72)
+		ref := taskRef{"job", 0}
+		all[0].recordLoss(ref, "e", port.LossCrashed)
+		time.Sleep(joinedAgain + time.Second) // On the virtual clock.
+		before := n.lossCalls()
+		node := port.Node{ID: "new", Incarnation: "new1", DataCentre: "sj1"}
+		joined, _ := newPools(t, n, node)
+		n.setAlive(append(slices.Clone(nodes), node)...)
+		time.Sleep(time.Second) // On the virtual clock.
+		is.Equal(len(joined.lossesOf(ref)), 1)
+		is.Equal(n.lossCalls()-before, tellersOfJoined)
+		late := taskRef{"job", 1}
+		for _, p := range all { // The relays did not know of the join yet.
+			p.addLoss(late, model.Loss{Endpoint: "e2", Crashed: true})
+		}
+		time.Sleep(joinedAgain) // On the virtual clock.
+		is.Equal(len(joined.lossesOf(late)), 1)
+	})
+}
--- a/plugins/endpoints/lossmessages.go
+++ b/plugins/endpoints/lossmessages.go
@@ -15,14 +15,23 @@
 const (
 	maxPendingLosses = 256                    // Bounds the losses that wait to be sent to one member.
 	lossTimeout      = 250 * time.Millisecond // Timeout of a message with losses.
-	lossPause        = 20 * time.Millisecond  // Time in which losses are collected for one message.
+	smallLossPause   = 20 * time.Millisecond  // Time in which losses are collected for one message.
 	confirmTimeout   = 50 * time.Millisecond  // Longest wait for the reply of one member to a loss that is to be confirmed.
 	maxConfirmCalls  = 2                      // Members that are asked to confirm a loss before the task may start again.
 )
 
-// lossMessage tells another member of losses.
+// lossMessage tells another member of losses. With Relay, the receiver tells those of its data centre, and replies when it has.
 type lossMessage struct {
 	Losses []wireTaskLoss `json:"losses"`
+	Relay  bool           `json:"relay,omitempty"`
+}
+
+// lossTarget is where losses are to be sent: to a member or, with relay, to one of the members of a data centre, which tells the others
+// there.
+type lossTarget struct {
+	member model.NodeID
+	centre model.DataCentre
+	relay  bool
 }
 
 // wireTaskLoss is the encoding of a loss with its task.
@@ -40,24 +49,41 @@
 }
 
 // handleLosses handles a message with losses that another member has learned of.
-func (p *Pools) handleLosses(_ context.Context, _ model.NodeID, m lossMessage) empty {
-	for _, l := range m.Losses[:min(len(m.Losses), maxPendingLosses)] {
-		if l.valid() {
-			p.addLoss(taskRef{l.Job, l.Index}, model.Loss{Endpoint: l.Endpoint, Crashed: l.Crashed})
-		}
+func (p *Pools) handleLosses(ctx context.Context, _ model.NodeID, m lossMessage) empty {
+	losses := slices.DeleteFunc(m.Losses[:min(len(m.Losses), maxPendingLosses)], func(l wireTaskLoss) bool { return !l.valid() })
+	for _, l := range losses {
+		p.addLoss(taskRef{l.Job, l.Index}, model.Loss{Endpoint: l.Endpoint, Crashed: l.Crashed})
+	}
+	if m.Relay && len(losses) > 0 {
+		p.relayLosses(ctx, losses)
 	}
 	return empty{}
 }
 
-// enqueueLoss adds a loss to those that are to be sent to each other member, and signals publishLosses.
+// enqueueLoss adds a loss to those that are to be sent to the other members, and signals publishLosses.
 func (p *Pools) enqueueLoss(loss wireTaskLoss) {
-	self := p.membership.Self().ID
-	for _, node := range p.membership.Alive() {
+	for _, target := range p.lossTargets() {
+		p.appendPendingLosses(target, loss)
+	}
+	p.signalLosses()
+}
+
+// lossTargets returns where a loss is sent so that all members learn of it: to each of the others in a small group, to each data centre in
+// a large one.
+func (p *Pools) lossTargets() (targets []lossTarget) {
+	view, self := p.currentView(), p.membership.Self().ID
+	if view.isLarge() {
+		for centre := range view.centres {
+			targets = append(targets, lossTarget{centre: centre, relay: true})
+		}
+		return targets
+	}
+	for _, node := range view.alive {
 		if node.ID != self {
-			p.appendPendingLosses(node.ID, loss)
+			targets = append(targets, lossTarget{member: node.ID})
 		}
 	}
-	p.signalLosses()
+	return targets
 }
 
 // signalLosses makes publishLosses send the pending losses. It does not block.
@@ -88,25 +114,40 @@
 // tellJoined tells the members that are in one view and not in an earlier one what this member knows. One that knows of no loss sends
 // nothing.
 func (p *Pools) tellJoined(before, now *viewIndex) {
-	losses := p.newestLosses()
+	var joined []port.Node
+	for _, node := range now.alive {
+		if !before.has(incarnationKey{node.ID, node.Incarnation}) && node.ID != p.membership.Self().ID && p.tellsJoined(now, node) {
+			joined = append(joined, node)
+		}
+	}
+	if len(joined) == 0 {
+		return
+	}
+	joinedAt := time.Now()
+	p.tell(joined, p.newestLosses(time.Time{}))
+	if now.isLarge() {
+		time.AfterFunc(joinedAgain, func() { p.tell(joined, p.newestLosses(joinedAt)) })
+	}
+}
+
+// tell queues losses for members.
+func (p *Pools) tell(members []port.Node, losses []wireTaskLoss) {
 	if len(losses) == 0 {
 		return
 	}
-	for _, node := range now.alive {
-		if !before.has(incarnationKey{node.ID, node.Incarnation}) && node.ID != p.membership.Self().ID {
-			p.appendPendingLosses(node.ID, losses...)
-		}
+	for _, node := range members {
+		p.appendPendingLosses(lossTarget{member: node.ID}, losses...)
 	}
 	p.signalLosses()
 }
 
-// newestLosses returns the losses in the table, of the tasks that have lost a run last.
-func (p *Pools) newestLosses() (all []wireTaskLoss) {
+// newestLosses returns the losses in the table, of the tasks that have lost a run last, and not before the given time.
+func (p *Pools) newestLosses(since time.Time) (all []wireTaskLoss) {
 	now := time.Now()
 	expires := make(map[taskRef]time.Time)
 	p.losses.Each(func(entries map[taskRef]taskLosses) {
 		for ref, entry := range entries {
-			if entry.expires.After(now) {
+			if entry.expires.After(now) && !entry.expires.Before(since.Add(lossRetention)) {
 				expires[ref] = entry.expires
 			}
 		}
@@ -120,9 +161,9 @@
 	return all[max(len(all)-maxPendingLosses, 0):]
 }
 
-// appendPendingLosses adds losses to those that are to be sent to a member. The oldest are dropped when there are too many.
-func (p *Pools) appendPendingLosses(to model.NodeID, losses ...wireTaskLoss) {
-	p.pendingLosses.Do(to, func(pending map[model.NodeID][]wireTaskLoss) {
+// appendPendingLosses adds losses to those that are to be sent to a target. The oldest are dropped when there are too many.
+func (p *Pools) appendPendingLosses(to lossTarget, losses ...wireTaskLoss) {
+	p.pendingLosses.Do(to, func(pending map[lossTarget][]wireTaskLoss) {
 		all := append(pending[to], losses...)
 		pending[to] = all[max(len(all)-maxPendingLosses, 0):]
 	})
@@ -136,7 +177,7 @@
 		case <-p.baseCtx.Done():
 			return
 		}
-		if !wait.For(p.baseCtx, lossPause) {
+		if !wait.For(p.baseCtx, p.lossPause()) {
 			return
 		}
 		for to, losses := range p.takePendingLosses() {
@@ -145,10 +186,10 @@
 	}
 }
 
-// takePendingLosses removes and returns the losses that are to be sent, by member.
-func (p *Pools) takePendingLosses() map[model.NodeID][]wireTaskLoss {
-	all := make(map[model.NodeID][]wireTaskLoss)
-	p.pendingLosses.Each(func(pending map[model.NodeID][]wireTaskLoss) {
+// takePendingLosses removes and returns the losses that are to be sent, by target.
+func (p *Pools) takePendingLosses() map[lossTarget][]wireTaskLoss {
+	all := make(map[lossTarget][]wireTaskLoss)
+	p.pendingLosses.Each(func(pending map[lossTarget][]wireTaskLoss) {
 		for to, losses := range pending {
 			all[to] = losses
 			delete(pending, to)
@@ -157,24 +198,32 @@
 	return all
 }
 
-// sendLosses sends losses to a member, and repeats this while it does not reply and is considered alive.
-func (p *Pools) sendLosses(to model.NodeID, losses []wireTaskLoss) {
-	for callCtx := p.baseCtx; ; {
+// sendLosses sends losses to a target until it is reached or nobody there is considered alive. Each attempt to reach a data centre goes to
+// another member of it.
+func (p *Pools) sendLosses(target lossTarget, losses []wireTaskLoss) {
+	callCtx := p.baseCtx
+	for attempt := 0; ; attempt++ {
 		sentAt := time.Now()
-		ctx, cancel := context.WithTimeout(callCtx, lossTimeout)
-		var ignored empty
-		delivery := p.peers.Call(ctx, to, methodLosses, lossMessage{losses}, &ignored)
-		cancel()
-		if delivery == port.Delivered {
-			return
-		}
-		if _, alive := p.member(to); !alive || !wait.For(p.baseCtx, lossTimeout) {
+		to, alive := p.lossReceiver(target, attempt)
+		if !alive || p.tryLosses(callCtx, to, lossMessage{losses, target.relay}) || !wait.For(p.baseCtx, lossTimeout) {
 			return
 		}
 		callCtx = port.FreshConnection(p.baseCtx, sentAt)
 	}
 }
 
+// tryLosses sends losses to a member once and reports whether it has replied.
+func (p *Pools) tryLosses(ctx context.Context, to model.NodeID, message lossMessage) bool {
+	timeout := lossTimeout
+	if message.Relay {
+		timeout = relayTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var ignored empty
+	return p.peers.Call(ctx, to, methodLosses, message, &ignored) == port.Delivered
+}
+
 // confirmLoss tells another member of a loss and waits until it has replied, so that the task is not started again before a second
 // member knows: this one may die with the next run. It gives up after maxConfirmCalls members.
 func (p *Pools) confirmLoss(ref taskRef, endpoint model.EndpointID, cause port.LossCause) {
@@ -182,7 +231,7 @@
 	if !counts {
 		return
 	}
-	message := lossMessage{[]wireTaskLoss{{ref.job, ref.index, loss.Endpoint, loss.Crashed}}}
+	message := lossMessage{Losses: []wireTaskLoss{{ref.job, ref.index, loss.Endpoint, loss.Crashed}}}
 	for i, other := range p.otherMembers() {
 		if i == maxConfirmCalls || p.confirmAt(other.Node, message) {
 			return
--- a/plugins/endpoints/viewindex.go
+++ b/plugins/endpoints/viewindex.go
@@ -76,6 +76,14 @@
 	return alive && v.alive[at].Incarnation == key.incarnation
 }
 
+// membersOf returns the members of a data centre.
+func (v *viewIndex) membersOf(dataCentre model.DataCentre) []poolstate.Origin {
+	if c, known := v.centres[dataCentre]; known {
+		return c.members
+	}
+	return nil
+}
+
 // possibleHolders returns the members that may hold leases on endpoints of a data centre: those there, or all when there are none. Members
 // that drain count, too; those in reserve count only while no other can own a pool there.
 func (v *viewIndex) possibleHolders(dataCentre model.DataCentre) []poolstate.Origin {
