--- a/plugins/endpoints/view_cost_test.go
+++ b/plugins/endpoints/view_cost_test.go
@@ -56,7 +56,7 @@
 }
 
 // processorTime returns the processor time that this process has used.
-func processorTime(b *testing.B) time.Duration {
+func processorTime(b testing.TB) time.Duration {
 	var used syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
 		b.Fatal(err)
