--- a/plugins/peer/http/call_bench_test.go
+++ b/plugins/peer/http/call_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"syscall"
 	"testing"
@@ -28,7 +29,7 @@
 	for _, c := range []struct {
 		name, method string
 		keepOpen     bool
-	}{{"job", jobMethod, true}, {"control", controlMethod, true}, {"control_opening_a_connection", controlMethod, false}} {
+	}{{"job", jobMethod, true}, {"job_opening_a_connection", jobMethod, false}, {"control", controlMethod, true}, {"control_opening_a_connection", controlMethod, false}} {
 		b.Run(c.name, func(b *testing.B) {
 			var echo port.Handler = func(_ context.Context, _ model.NodeID, decode func(any) error) (any, error) {
 				var n note
@@ -57,3 +58,24 @@
 		})
 	}
 }
+
+// BenchmarkIdleConnections measures what the connections cost, both sides together, over which a member has sent a batch each to many
+// others: for each connection, until it is closed or ten seconds have passed.
+func BenchmarkIdleConnections(b *testing.B) {
+	const (
+		connections = 200
+		window      = 10 * time.Second
+	)
+	from, to := newPeers(b, "a", nil), newPeers(b, "b", nil)
+	for i := range connections {
+		node := model.NodeID(fmt.Sprint("b", i))
+		from.SetAddress(node, to.address())
+		if from.Call(b.Context(), node, "echo", note{}, &note{}) != port.Delivered {
+			b.Fatal("no reply")
+		}
+	}
+	before := processorTime(b)
+	time.Sleep(window)
+	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/connections, "µs/connection")
+	b.ReportMetric(0, "ns/op")
+}
--- a/plugins/peer/http/http.go
+++ b/plugins/peer/http/http.go
@@ -34,13 +34,15 @@
 	pingAfter          = 400 * time.Millisecond // Time without received data after which a connection is pinged.
 	pingTimeout        = 400 * time.Millisecond // Time without an answer to a ping after which the connection is closed.
 	dialTimeout        = 1 * time.Second        // Longest wait for a connection.
-	idleTimeout        = 15 * time.Second       // Time after which an idle connection is closed.
-	controlIdleTimeout = 2 * time.Second        // The same for control requests.
-	stopTimeout        = 2 * time.Second        // Longest wait at shutdown for the last replies.
-	headerTimeout      = 10 * time.Second       // Longest wait for a request's header.
-	maxStreams         = 100_000                // Requests in flight on one connection; each batch that waits for its result is one.
-	contentJSON        = "application/json"
-	statusNoMethod     = http.StatusNotFound
+	controlIdleTimeout = 2 * time.Second        // Time after which an idle connection of control requests is closed.
+	// idleTimeout is the time after which an idle connection of jobs is closed. Idle ones are pinged as well, which costs as much in two
+	// seconds as opening one: in a large group most connections are idle for longer.
+	idleTimeout    = time.Second
+	stopTimeout    = 2 * time.Second  // Longest wait at shutdown for the last replies.
+	headerTimeout  = 10 * time.Second // Longest wait for a request's header.
+	maxStreams     = 100_000          // Requests in flight on one connection; each batch that waits for its result is one.
+	contentJSON    = "application/json"
+	statusNoMethod = http.StatusNotFound
 )
 
 // Settings are the plug-in's settings.
--- a/plugins/peer/http/http_test.go
+++ b/plugins/peer/http/http_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"testing"
@@ -194,6 +195,22 @@
 	is.Equal(a.jobMessages.requests.Count(), int64(0))
 }
 
+// Guards against issue 39, SHORT: connections of jobs were kept for 15 s after their last batch, and pinged all the time. In a group of 153
+// members there are so many pairs that nearly all of them were idle.
+func TestIdleJobConnectionIsNotKept(t *testing.T) {
+	is := is.New(t)
+	a, b := newPeers(t, "a", nil), newPeers(t, "b", nil)
+	a.SetAddress("b", b.address())
+	reused := false
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused }})
+	is.Equal(a.echo(ctx, "b"), port.Delivered)
+	is.Equal(a.echo(ctx, "b"), port.Delivered)
+	is.True(reused)
+	time.Sleep(2 * time.Second) // What pings cost until then opens a connection.
+	is.Equal(a.echo(ctx, "b"), port.Delivered)
+	is.True(!reused)
+}
+
 func TestDrainWaitsForRequestsInFlight(t *testing.T) {
 	is := is.New(t)
 	entered, release := make(chan struct{}), make(chan struct{})
