A former member keeps its file until the one that took its place votes, and gets the place back

In the test: all members come back after a power failure in which one of three replicas lost its disk, and no change, no read and no start succeeds any more.

Cause: a takeover fences the store of the former member at the others before the new one votes. If one of those others loses its disk in between, the new member cannot join (it needs two that vote), the other one cannot either, and the former member puts its intact file aside as soon as it hears of the takeover. docs/PROOFS.md had named this interleaving as not proved.

Fix: the former member keeps its file, without a place, and asks the present one until that one votes. A member that has taken over a place writes its store before it sends Join, so that it knows after a restart whether the store has voted. If it has not, it gives the place back, and the former member goes on with its file under a store with the next number. Why that loses nothing: the former member has all votes that were ever cast for the place, since the present one has cast none and promises to cast none, and no third one can have: a join quorum has replied to each that voted, and so many others say that the present store directly replaced the former one's that each join quorum holds one of them. A store that is not written yet is no longer told to others, and a member takes the place that it held before a lost disk only when enough others can answer its Join.

--- a/plugins/profiles/effects.go
+++ b/plugins/profiles/effects.go
@@ -71,6 +71,8 @@
 	switch e := effect.(type) {
 	case register.Send:
 		p.send(e.To, e.Message)
+	case register.SendMember:
+		p.sendToMember(e.To, e.Message)
 	case register.Broadcast:
 		p.broadcast(e.Message)
 	case register.Ask:
--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -19,7 +19,7 @@
 // it first. When that member is gone, another member with a disk takes over the place under a new
 // store, just as a replica that has lost its disk rejoins: the other replicas fence the former store,
 // and the new one votes once they have reported all that the former may have promised. A member that
-// comes back finds its store fenced and goes on without a place.
+// comes back finds its store fenced and goes on without a place; it keeps its file until the new one votes.
 
 const (
 	// supportTimeout is the longest wait for the other replicas' support of a takeover.
@@ -33,9 +33,20 @@
 func (p *Profiles) ownPlace() model.NodeID {
 	p.core.Lock()
 	defer p.core.Unlock()
+	if p.core.machine != nil && p.core.machine.Reclaiming() {
+		return p.placelessIdentity()
+	}
 	return p.place
 }
 
+// placelessIdentity returns this member's identity without a place.
+func (p *Profiles) placelessIdentity() model.NodeID {
+	if slices.Contains(p.replicas(), p.self) {
+		return p.self + placelessSuffix
+	}
+	return p.self
+}
+
 // memberAt returns the member that an identity stands for: the one that has the place if the identity
 // is that of a replica, else the member without a place.
 func (p *Profiles) memberAt(identity model.NodeID) model.NodeID {
@@ -80,11 +91,7 @@
 	if err := p.disk.Discard(); err != nil {
 		event.RegisterNotPutAside.Log(p.log, event.Err(err))
 	}
-	identity := p.self
-	if slices.Contains(p.replicas(), p.self) {
-		identity += placelessSuffix
-	}
-	p.installMachine(identity, disk.Loaded{}, register.Store{})
+	p.installMachine(p.placelessIdentity(), disk.Loaded{}, register.Store{})
 	p.step(register.Woken{})
 }
 
@@ -127,14 +134,14 @@
 	return p.absences.Note(now, places, alive)
 }
 
-// placeToTake returns the place that this member is to take over now, if any: its own one, when it has
-// lost the disk with which it held it, or a vacant one whose takeover enough others support.
+// placeToTake returns the place that this member is to take over now, if enough others support that: its own
+// one, when it has lost the disk with which it held it, or a vacant one.
 func (p *Profiles) placeToTake(view occupancy.View) (place model.NodeID, ok bool) {
 	if p.serving.Load() == nil {
 		return "", false
 	}
 	if place, lost := p.lostPlace(); lost {
-		return place, true
+		return place, p.settings.Reform || p.enoughSupport(place)
 	}
 	for place, member := range view.Takers() {
 		if member == p.self {
--- a/plugins/profiles/register/former_test.go
+++ b/plugins/profiles/register/former_test.go
@@ -38,9 +38,12 @@
 	}
 }
 
-// sentJoin returns the Join that the effects send.
+// sentJoin returns the Join that the effects send, at once or after a write.
 func sentJoin(effects []Effect) Message {
 	for _, effect := range effects {
+		if persist, ok := effect.(Persist); ok && len(persist.Then) > 0 {
+			return sentJoin(persist.Then)
+		}
 		if send, ok := effect.(Send); ok && send.Message.Kind == Join {
 			return send.Message
 		}
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -22,11 +22,18 @@
 	if !m.intact && !m.newStoreStarted {
 		m.startNewStore()
 	}
+	var joins []Effect
 	for _, node := range m.config.Replicas {
 		if node != m.config.Self {
-			m.send(node, Message{Kind: Join, Run: m.config.Seed, Store: m.durable.Store, Votes: m.durable.Votes, Brief: m.intact})
+			join := Message{Kind: Join, Run: m.config.Seed, Store: m.durable.Store, Votes: m.durable.Votes, Brief: m.intact}
+			joins = append(joins, Send{node, join})
 		}
 	}
+	if m.mayRelease() || m.renewed { // The others fence the former store, so this one must be known after a restart.
+		m.persist(joins...)
+	} else {
+		m.effects = append(m.effects, joins...)
+	}
 	m.tryStartVoting()
 }
 
@@ -53,7 +60,7 @@
 
 // handleJoin records the store of a replica that joins, and replies once that is written and synced.
 func (m *Machine) handleJoin(from model.NodeID, message Message) {
-	if !m.isReplica() {
+	if !m.isReplica() || m.replaced {
 		return
 	}
 	m.fenceOlderStores(from, message.Store)
@@ -61,7 +68,7 @@
 		Kind: Joined, Run: message.Run, Store: message.Store, Votes: m.durable.Seen[from],
 		Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
 		Voting: m.durable.Voting && !m.durable.Copied, Copied: m.durable.Copied, Promised: m.durable.Promised,
-		Accepted: m.durable.Accepted,
+		Accepted: m.durable.Accepted, Former: m.durable.Former[from],
 	}
 	if !message.Brief {
 		value, chosen := m.durable.Value, m.served
@@ -94,13 +101,14 @@
 
 // tryStartVoting begins to vote once enough other replicas have replied to Join.
 func (m *Machine) tryStartVoting() {
-	if !m.enoughJoinReplies() {
+	if m.durable.Released || !m.enoughJoinReplies() {
 		return
 	}
 	if !m.intact {
 		m.adoptHighestBallots()
 	}
-	m.durable.Voting, m.durable.Copied = true, false
+	m.durable.Voting, m.durable.Copied, m.durable.Takes = true, false, Store{}
+	m.renewed = false
 	m.verified, m.intact = true, true
 	m.durable.Fences[m.config.Self] = m.durable.Store
 	m.persist()
--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -8,10 +8,14 @@
 
 // chosenMessage returns the message that announces a chosen state.
 func (m *Machine) chosenMessage(state State) Message {
+	fences := maps.Clone(m.durable.Fences)
+	if m.mayRelease() || m.renewed {
+		delete(fences, m.config.Self) // This store may not be on the disk yet; the Join that follows the write tells of it.
+	}
 	return Message{
 		Kind: Chosen, Value: &state, Revision: state.Revision(), Serving: m.serving,
 		Voting: m.canVote(), Empty: m.empty(), Pending: m.durable.Value.Revision(),
-		Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
+		Fences: fences, Seen: maps.Clone(m.durable.Seen),
 	}
 }
 
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -58,9 +58,12 @@
 	joinReplies     map[model.NodeID]Message // Replies to Join of the current store, by replica.
 	joinAt          time.Time                // When Join is sent next.
 	joinWait        time.Duration
-	newStoreStarted bool // Whether this machine has started a new store.
-	verified        bool // Whether enough other replicas have replied to Join, so that this one may vote.
-	replaced        bool // Whether another member has taken this replica's place.
+	newStoreStarted bool      // Whether this machine has started a new store.
+	verified        bool      // Whether enough other replicas have replied to Join, so that this one may vote.
+	replaced        bool      // Whether another member has taken this replica's place.
+	reclaiming      bool      // Whether this replica keeps its file until that member votes; see release.go.
+	renewed         bool      // Whether this replica has got its place back and does not vote yet.
+	releaseEnds     time.Time // When a member that has given its place back may take it over again.
 
 	served       State // The newest state known to be chosen; in force once serving.
 	serving      bool
@@ -110,20 +113,26 @@
 		m.durable = *restored
 		m.durable.Fences = maps.Clone(restored.Fences)
 		m.durable.Seen = maps.Clone(restored.Seen)
+		m.durable.Former = maps.Clone(restored.Former)
 		m.served = restored.Chosen
 		m.durable.Copied = restored.Copied || config.Copied
 		m.intact = restored.Voting && !m.durable.Copied
 		m.highestRound = restored.Promised.Round
+		m.newStoreStarted = restored.Takes != (Store{}) // The former member may reclaim its place from this very store.
 	}
 	if m.durable.Fences == nil {
 		m.durable.Fences = make(map[model.NodeID]Store)
 	}
 	if config.Takes != (Store{}) {
 		m.durable.Fences[config.Self] = config.Takes
+		m.durable.Takes = config.Takes
 	}
 	if m.durable.Seen == nil {
 		m.durable.Seen = make(map[model.NodeID]uint64)
 	}
+	if m.durable.Former == nil {
+		m.durable.Former = make(map[model.NodeID]Store)
+	}
 	return m
 }
 
@@ -151,9 +160,12 @@
 // NextTimer returns the time at which the machine has to be stepped with Woken next.
 func (m *Machine) NextTimer() time.Time {
 	at := m.learnAt
-	if m.isReplica() && !m.canVote() && !m.replaced && m.joinAt.Before(at) {
+	if (m.joining() || m.reclaiming) && m.joinAt.Before(at) {
 		at = m.joinAt
 	}
+	if m.durable.Released && !m.replaced && m.releaseEnds.Before(at) {
+		at = m.releaseEnds
+	}
 	if !m.rewriteAt.IsZero() && m.rewriteAt.Before(at) {
 		at = m.rewriteAt
 	}
@@ -197,10 +209,13 @@
 
 func (m *Machine) runTimers() {
 	if m.placeTaken() {
-		m.replaced = true
-		m.emit(Replaced{})
+		m.leaveOrReclaim()
 	}
-	if m.isReplica() && !m.canVote() && !m.replaced && !m.now.Before(m.joinAt) {
+	if m.reclaiming && !m.now.Before(m.joinAt) {
+		m.requestRelease()
+	}
+	m.runReleaseTimer()
+	if m.joining() && !m.now.Before(m.joinAt) {
 		m.requestJoin()
 	}
 	if !m.now.Before(m.learnAt) {
@@ -238,6 +253,10 @@
 		m.handleConfirm(from, message)
 	case Confirmed:
 		m.handleConfirmed(from, message)
+	case Reclaim:
+		m.handleReclaim(message)
+	case Release:
+		m.handleRelease(message)
 	}
 }
 
@@ -267,6 +286,7 @@
 	if !known.Less(store) {
 		return store == known
 	}
+	m.recordFormer(node, known, store)
 	m.durable.Fences[node] = store
 	m.durable.Seen[node] = 0
 	return true
@@ -279,6 +299,9 @@
 	return m.verified && m.durable.Voting && m.durable.Fences[m.config.Self] == m.durable.Store
 }
 
+// joining reports whether this replica asks the others to join.
+func (m *Machine) joining() bool { return m.isReplica() && !m.canVote() && !m.replaced }
+
 // placeTaken reports whether another member has taken this replica's place under a newer store, and
 // replaced does not yet record it.
 func (m *Machine) placeTaken() bool {
@@ -308,6 +331,7 @@
 	d := m.durable
 	d.Fences = maps.Clone(d.Fences)
 	d.Seen = maps.Clone(d.Seen)
+	d.Former = maps.Clone(d.Former)
 	m.emit(Persist{d, then})
 }
 
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -56,6 +56,10 @@
 
 	Fences map[model.NodeID]Store  // The newest known store of each replica.
 	Seen   map[model.NodeID]uint64 // Votes known to have been cast from the newest known store of each replica.
+
+	Former   map[model.NodeID]Store `json:",omitempty"` // Store of another member that the newest known one of a replica replaced here; see release.go.
+	Takes    Store                  `json:",omitzero"`  // Store of the former member, until a store of this one has voted in its place; else zero.
+	Released bool                   `json:",omitempty"` // Whether this member has given the place back to the former one.
 }
 
 // MessageKind is the kind of a request or a reply between members.
@@ -77,6 +81,8 @@
 	Chosen    MessageKind = "chosen"
 	Confirm   MessageKind = "confirm"   // Passes reads on to a replica that proposes.
 	Confirmed MessageKind = "confirmed" // Reply to Confirm, once a round that began after it has ended.
+	Reclaim   MessageKind = "reclaim"   // Asks the member that took over the sender's place whether it votes; see release.go.
+	Release   MessageKind = "release"   // Reply to Reclaim: the place's present member votes, or gives the place back.
 )
 
 // Message passes between members. Fields that a kind does not use are zero.
@@ -95,8 +101,9 @@
 	Base     Ballot // In Accept without a value: ballot of the value that Delta applies to.
 	Delta    *Delta // In Accept and Chosen: the value as a difference; nil in an Accept when nothing changes.
 
+	Former   Store          `json:",omitzero"` // In Joined: store of another member that the joining one replaced at the sender, if known.
 	Copied   bool           // In Joined: the sender's file was found to be a copy.
-	Voting   bool           // In Joined and Chosen: the sender is a replica that votes.
+	Voting   bool           // In Joined, Chosen and Release: the sender is a replica that votes.
 	Empty    bool           // In Chosen: the sender is a replica whose disk holds no trace of a vote.
 	Promised Ballot         // In Joined: highest ballot that the sender promised.
 	Chosen   *State         // In Joined: newest state that the sender knows to be chosen.
@@ -157,6 +164,12 @@
 	Message Message
 }
 
+// SendMember sends a message to a member, whichever place it has; it may be lost.
+type SendMember struct {
+	To      model.NodeID
+	Message Message
+}
+
 // Broadcast sends a message to all other members, with and without disks.
 type Broadcast struct{ Message Message }
 
@@ -179,10 +192,11 @@
 // Serve puts a state in force in this process.
 type Serve struct{ State State }
 
-func (Persist) effect()   {}
-func (Send) effect()      {}
-func (Broadcast) effect() {}
-func (Ask) effect()       {}
-func (Answer) effect()    {}
-func (Serve) effect()     {}
-func (Replaced) effect()  {}
+func (Persist) effect()    {}
+func (Send) effect()       {}
+func (SendMember) effect() {}
+func (Broadcast) effect()  {}
+func (Ask) effect()        {}
+func (Answer) effect()     {}
+func (Serve) effect()      {}
+func (Replaced) effect()   {}
--- a/plugins/profiles/register/random_test.go
+++ b/plugins/profiles/register/random_test.go
@@ -34,12 +34,17 @@
 	t          *rapid.T
 	edits      []model.ProfileEdit
 	recovering []model.NodeID // Replicas whose disk was lost or replaced by an older copy, and that do not vote again yet.
+
+	beyondTakeovers bool // Whether a takeover does not count as a lost disk.
 }
 
 func (s *script) performRandomAction() {
 	sim := s.simulation
 	id := rapid.SampledFrom(sim.memberIDs).Draw(s.t, "node")
 	s.recovering = slices.DeleteFunc(s.recovering, func(replica model.NodeID) bool {
+		if s.beyondTakeovers && !sim.newestStoreVotes(replica) {
+			return false
+		}
 		n := sim.members[sim.memberWithNewestStore(replica)]
 		return !n.down && n.machine.CanVote() && n.disk != nil && n.disk.Voting && n.disk.Store == n.machine.durable.Store
 	})
--- a/plugins/profiles/wire/durable.go
+++ b/plugins/profiles/wire/durable.go
@@ -24,6 +24,9 @@
 	Accepted *ballot                 `json:"accepted,omitempty"`
 	Fences   map[model.NodeID]store  `json:"fences"`
 	Seen     map[model.NodeID]uint64 `json:"seen"`
+	Former   map[model.NodeID]store  `json:"former,omitempty"`
+	Takes    store                   `json:"takes,omitzero"`
+	Released bool                    `json:"released,omitempty"`
 }
 
 // EncodedDurable is a register.Durable whose states are encoded already. Its JSON is that of Durable.
@@ -51,7 +54,7 @@
 		durableFields: durableFields{
 			Store: store(d.Store), Voting: d.Voting, Copied: d.Copied, Votes: d.Votes,
 			Promised: encodeBallot(d.Promised), Accepted: encodeBallot(d.Accepted),
-			Fences: encodeStores(d.Fences), Seen: d.Seen,
+			Fences: encodeStores(d.Fences), Seen: d.Seen, Former: encodeStores(d.Former), Takes: store(d.Takes), Released: d.Released,
 		},
 		Value: e.value.raw, Chosen: e.chosen.raw,
 	}, nil
@@ -93,5 +96,6 @@
 		Store: register.Store(d.Store), Voting: d.Voting, Copied: d.Copied, Votes: d.Votes,
 		Promised: d.Promised.decode(), Accepted: d.Accepted.decode(),
 		Value: *d.Value.Decode(), Chosen: *d.Chosen.Decode(), Fences: decodeStores(d.Fences), Seen: d.Seen,
+		Former: decodeStores(d.Former), Takes: register.Store(d.Takes), Released: d.Released,
 	}, true
 }
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -51,6 +51,7 @@
 	Value    *State                  `json:"value,omitempty"`
 	Base     *ballot                 `json:"base,omitempty"`
 	Delta    *delta                  `json:"delta,omitempty"`
+	Former   store                   `json:"former,omitzero"`
 	Copied   bool                    `json:"copied,omitempty"`
 	Voting   bool                    `json:"voting,omitempty"`
 	Empty    bool                    `json:"empty,omitempty"`
@@ -69,7 +70,7 @@
 		Kind: m.Kind, Ballot: encodeBallot(m.Ballot), Run: m.Run, Store: store(m.Store), Votes: m.Votes,
 		Fences: encodeStores(m.Fences), Seen: m.Seen,
 		Accepted: encodeBallot(m.Accepted), Value: EncodeState(m.Value), Base: encodeBallot(m.Base), Delta: encodeDelta(m.Delta),
-		Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
+		Former: store(m.Former), Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
 		Revision: m.Revision, Pending: m.Pending, Brief: m.Brief, Serving: m.Serving,
 	}
 }
@@ -80,7 +81,7 @@
 		Kind: m.Kind, Ballot: m.Ballot.decode(), Run: m.Run, Store: register.Store(m.Store), Votes: m.Votes,
 		Fences: decodeStores(m.Fences), Seen: m.Seen,
 		Accepted: m.Accepted.decode(), Value: m.Value.Decode(), Base: m.Base.decode(), Delta: m.Delta.decode(),
-		Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
+		Former: register.Store(m.Former), Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
 		Revision: m.Revision, Pending: m.Pending, Brief: m.Brief, Serving: m.Serving,
 	}
 }
@@ -114,6 +115,9 @@
 }
 
 func decodeStores(stores map[model.NodeID]store) map[model.NodeID]register.Store {
+	if stores == nil {
+		return nil
+	}
 	decoded := make(map[model.NodeID]register.Store, len(stores))
 	for node, s := range stores {
 		decoded[node] = register.Store(s)
