A member that has taken over a place and has not joined no longer counts as one that has accepted nothing

What callers would see: an acknowledged change is gone, and a member serves an older revision than before (CONFIG).

Cause: a replica with an empty disk votes at once when all others answer that they have accepted no value, as at a first start. A member that has taken over a place and not joined yet answers so too, although the former member of the place may have voted; and it counted the answers of others in the same way for itself. With one lost disk, one takeover under way and the third replica behind (its disk full), both voted with nothing while the change was on the former member's disk.

Fix: such a member names the store that it replaced until it votes. It is not counted as empty, for the first vote or for a first start, and does not use that rule itself. At a first start nobody has taken over a place.

--- a/plugins/profiles/register/former_test.go
+++ b/plugins/profiles/register/former_test.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -126,3 +127,23 @@
 		is.True(again.Store.Less(storeOfNewHolder))
 	}
 }
+
+// Guards against the loss of an acknowledged change: a replica with a lost disk and a member that has taken over a place
+// and not joined yet each voted with nothing, since all others seemed to have accepted no value.
+func TestJoin_MemberThatHasNotJoinedMayFollowOneThatHasVoted(t *testing.T) {
+	stores := map[model.NodeID]Store{"a": storeOfF, "c": storeOfC}
+	withLostDisk := New(Config{Self: "b", Node: "B", Replicas: threePlaces, Seed: 7}, nil)
+	withTakenPlace := New(Config{Self: "b", Node: "B", Replicas: threePlaces, Seed: 7, Takes: Store{Number: 1, Node: "G"}}, nil)
+	for _, m := range []*Machine{withLostDisk, withTakenPlace} {
+		is := is.New(t)
+		join := sentJoin(m.Step(time.Unix(0, 0), Woken{}))
+		unjoined := replyToJoin(join, maps.Clone(stores), Ballot{}, Initial())
+		unjoined.Voting = false
+		if m == withLostDisk {
+			unjoined.Takes = storeOfA
+		}
+		m.Step(time.Unix(1, 0), Received{"a", unjoined})
+		m.Step(time.Unix(1, 0), Received{"c", replyToJoin(join, maps.Clone(stores), Ballot{}, Initial())})
+		is.True(!m.CanVote())
+	}
+}
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -68,7 +68,7 @@
 		Kind: Joined, Run: message.Run, Store: message.Store, Votes: m.durable.Seen[from],
 		Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
 		Voting: m.durable.Voting && !m.durable.Copied, Copied: m.durable.Copied, Promised: m.durable.Promised,
-		Accepted: m.durable.Accepted, Former: m.durable.Former[from],
+		Accepted: m.durable.Accepted, Takes: m.durable.Takes, Former: m.durable.Former[from],
 	}
 	if !message.Brief {
 		value, chosen := m.durable.Value, m.served
@@ -128,7 +128,7 @@
 		if reply.Voting || reply.Copied {
 			withFile++
 		}
-		if reply.Accepted == (Ballot{}) {
+		if reply.Accepted == (Ballot{}) && reply.Takes == (Store{}) { // The former member of a place may have accepted one.
 			empty++
 		}
 	}
@@ -137,7 +137,7 @@
 		return true
 	case m.durable.Copied && withFile == others: // No replica has lost its file: all the folders were copied or moved.
 		return true
-	case empty == others: // No other replica has accepted a value, so none was chosen.
+	case empty == others && m.durable.Takes == (Store{}): // No other replica has accepted a value, so none was chosen.
 		return true
 	}
 	return m.votingReplies() >= JoinQuorum(len(m.config.Replicas))
--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -205,9 +205,10 @@
 	return m.config.Alone != 0 && !m.now.Before(m.startedAt.Add(m.config.Alone))
 }
 
-// empty reports whether this member is a replica whose disk holds no trace of a vote.
+// empty reports whether this member is a replica whose disk holds no trace of a vote, and that has not taken over its
+// place from one that may have voted.
 func (m *Machine) empty() bool {
-	return m.isReplica() && !m.durable.Voting && !m.durable.Copied && m.durable.Accepted == Ballot{}
+	return m.isReplica() && !m.durable.Voting && !m.durable.Copied && m.durable.Accepted == Ballot{} && m.durable.Takes == Store{}
 }
 
 // isFirstStart reports whether the group starts for the first time and a replica is still missing: a
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -101,6 +101,7 @@
 	Base     Ballot // In Accept without a value: ballot of the value that Delta applies to.
 	Delta    *Delta // In Accept and Chosen: the value as a difference; nil in an Accept when nothing changes.
 
+	Takes    Store          `json:",omitzero"` // In Joined: as in Durable.
 	Former   Store          `json:",omitzero"` // In Joined: store of another member that the joining one replaced at the sender, if known.
 	Copied   bool           // In Joined: the sender's file was found to be a copy.
 	Voting   bool           // In Joined, Chosen and Release: the sender is a replica that votes.
--- a/plugins/profiles/wire/message.go
+++ b/plugins/profiles/wire/message.go
@@ -51,6 +51,7 @@
 	Value    *State                  `json:"value,omitempty"`
 	Base     *ballot                 `json:"base,omitempty"`
 	Delta    *delta                  `json:"delta,omitempty"`
+	Takes    store                   `json:"takes,omitzero"`
 	Former   store                   `json:"former,omitzero"`
 	Copied   bool                    `json:"copied,omitempty"`
 	Voting   bool                    `json:"voting,omitempty"`
@@ -70,7 +71,7 @@
 		Kind: m.Kind, Ballot: encodeBallot(m.Ballot), Run: m.Run, Store: store(m.Store), Votes: m.Votes,
 		Fences: encodeStores(m.Fences), Seen: m.Seen,
 		Accepted: encodeBallot(m.Accepted), Value: EncodeState(m.Value), Base: encodeBallot(m.Base), Delta: encodeDelta(m.Delta),
-		Former: store(m.Former), Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
+		Takes: store(m.Takes), Former: store(m.Former), Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: encodeBallot(m.Promised), Chosen: EncodeState(m.Chosen),
 		Revision: m.Revision, Pending: m.Pending, Brief: m.Brief, Serving: m.Serving,
 	}
 }
@@ -81,7 +82,7 @@
 		Kind: m.Kind, Ballot: m.Ballot.decode(), Run: m.Run, Store: register.Store(m.Store), Votes: m.Votes,
 		Fences: decodeStores(m.Fences), Seen: m.Seen,
 		Accepted: m.Accepted.decode(), Value: m.Value.Decode(), Base: m.Base.decode(), Delta: m.Delta.decode(),
-		Former: register.Store(m.Former), Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
+		Takes: register.Store(m.Takes), Former: register.Store(m.Former), Copied: m.Copied, Voting: m.Voting, Empty: m.Empty, Promised: m.Promised.decode(), Chosen: m.Chosen.Decode(),
 		Revision: m.Revision, Pending: m.Pending, Brief: m.Brief, Serving: m.Serving,
 	}
 }
--- a/plugins/profiles/wire/wire_test.go
+++ b/plugins/profiles/wire/wire_test.go
@@ -53,7 +53,7 @@
 	sent := register.Message{
 		Kind: register.Joined, Ballot: ballot, Run: 3, Store: stores["a"], Votes: 4, Fences: stores,
 		Seen: map[model.NodeID]uint64{"a": 5}, Accepted: ballot, Value: &state,
-		Base: ballot, Delta: &register.Delta{Change: state.History[1], Profile: state.Set.Profiles["profile-1"], Routing: state.Set.Routing}, Former: stores["a"], Copied: true, Voting: true, Empty: true,
+		Base: ballot, Delta: &register.Delta{Change: state.History[1], Profile: state.Set.Profiles["profile-1"], Routing: state.Set.Routing}, Takes: stores["a"], Former: stores["a"], Copied: true, Voting: true, Empty: true,
 		Promised: ballot, Chosen: &state, Revision: 6, Pending: 7, Serving: true,
 	}
 	raw, err := json.Marshal(EncodeMessage(sent, "c", 1))
