A first start survives the end of the process that chooses the replicas, also with its disk

Cause: only the member on the lowest seed chooses the replicas, 0.3 s after its start, and only while its own settings say bootstrap. Its process was killed before another member had heard of its choice and started again with bootstrap false; then nobody chooses.

Fix: each member with a disk publishes by gossip whether it takes part in a first start and knows no replicas. The member on the lowest seed also chooses when all other live members with disks publish that. No second group can result: a group is in force only once all its replicas have joined it, and a replica that has knows the group and says so. The settings' addresses are still checked with bootstrap only.

--- a/plugins/profiles/bootstrap.go
+++ b/plugins/profiles/bootstrap.go
@@ -13,7 +13,7 @@
 )
 
 // At the first start of a cluster with seeds one member chooses the replicas: the one on the VM of the
-// lowest seed. The others learn them by gossip. Two lists could both be in use only if each of their
+// lowest seed; founding.go tells when it may do so. The others learn them by gossip. Two lists could both be in use only if each of their
 // replicas had joined the group of its list, and both lists contain the member that chose them.
 
 const (
@@ -61,6 +61,7 @@
 		}
 		select {
 		case <-changed:
+		case <-p.founders.changed:
 		case <-timer.C:
 			timer.Reset(bootstrapWait)
 		case replicas := <-p.gossipedReplicas:
@@ -73,8 +74,8 @@
 }
 
 // chooseReplicas returns the replicas of a first start, nil when this member does not choose them or not
-// yet: there has to be a live member with a disk on each seed's VM, and unless the wait is over, as many
-// as the tolerated number of lost disks needs.
+// yet: there has to be a live member with a disk on each seed's VM, this has to be a first start, and unless the wait
+// is over, there have to be as many as the tolerated number of lost disks needs.
 func (p *Profiles) chooseReplicas(waitOver bool) []model.NodeID {
 	if len(p.bootstrapAddrs) == 0 {
 		return nil
@@ -85,6 +86,9 @@
 			return nil
 		}
 	}
+	if !p.mayFound(candidates) {
+		return nil
+	}
 	wanted := max(minReplicas, 2*p.settings.ToleratedDisks+1)
 	if len(candidates) < wanted && !waitOver {
 		return nil
--- a/plugins/profiles/bootstrap_test.go
+++ b/plugins/profiles/bootstrap_test.go
@@ -248,6 +248,43 @@
 	})
 }
 
+// Guards against issue 36 (review/5): the process that chooses the replicas of a first start ended before any other member
+// knew its choice, and started again without the setting bootstrap; then no member ever served.
+func TestBootstrap_SurvivesTheEndOfAnyMember(t *testing.T) {
+	for _, diskLost := range []bool{false, true} {
+		for i := range 4 {
+			for at := 50 * time.Millisecond; at <= time.Second; at += 150 * time.Millisecond {
+				t.Run(fmt.Sprint(node(i), " disk lost ", diskLost, " at ", at), func(t *testing.T) {
+					checkBootstrapAround(t, node(i), at, diskLost)
+				})
+			}
+		}
+	}
+}
+
+// checkBootstrapAround ends a member some time after a first start, starts it again 0.5 s later without the setting
+// bootstrap, and checks that the members serve.
+func checkBootstrapAround(t *testing.T, ended model.NodeID, at time.Duration, diskLost bool) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startClusterNoWait(t, 4, 3, seededSettings(true))
+		defer c.stopAll()
+		c.customize = seededSettings(false)
+		time.Sleep(at)
+		c.remove(ended)
+		if diskLost {
+			c.loseDisk(ended)
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.rejoin(ended)
+		time.Sleep(2 * takeoverTime)
+		is.Equal(c.declare("n5", 1), port.DeclareDone)
+		for i := range 7 {
+			is.Equal(c.confirmedVersion(node(i)), uint64(1))
+		}
+	})
+}
+
 func TestSpreadReplicas_OverDataCentres(t *testing.T) {
 	is := is.New(t)
 	var candidates []port.Node
--- a/plugins/profiles/group.go
+++ b/plugins/profiles/group.go
@@ -56,10 +56,11 @@
 	if self.Disk {
 		p.path = filepath.Join(c.Node.DataDir, folderName)
 	}
-	if !c.Node.Bootstrap {
-		return nil
+	p.bootstrap = c.Node.Bootstrap
+	if err := p.configureBootstrap(c.Node); err != nil && p.bootstrap {
+		return err // Without bootstrap, a member whose addresses are not numeric chooses no replicas.
 	}
-	return p.configureBootstrap(c.Node)
+	return nil
 }
 
 // configuredReplicas returns the members with disks in the settings' list of members.
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -65,8 +65,10 @@
 	place            model.NodeID                 // Replica whose place this member has, or its identity without a place; guarded by core.
 	takeoverEnabled  bool                         // Whether a member may take the place of a replica whose member is gone.
 	gossipedReplicas chan []model.NodeID          // Replicas that another member published; buffers one value.
+	bootstrap        bool                         // Whether the settings say that this is a first start.
 	bootstrapAddrs   []netip.Addr                 // Addresses of the seeds' VMs; nil unless this member chooses the replicas of a first start.
-	path             string                       // Path of the register's folder on disk; "" without a disk.
+	founders         founders
+	path             string // Path of the register's folder on disk; "" without a disk.
 	peers            port.Peers
 	membership       port.Membership
 	gossip           port.Gossip
@@ -137,6 +139,7 @@
 	p.notify.changed = make(chan struct{})
 	p.wakeup = make(chan struct{}, 1)
 	p.gossipedReplicas = make(chan []model.NodeID, 1)
+	p.founders.known, p.founders.changed = make(map[model.NodeID]bool), make(chan struct{}, 1)
 	p.health.Block(healthCondition, "no revision is learned yet")
 	p.registerHandlers()
 	plugin.Bind[port.Profiles](c, p)
@@ -163,6 +166,7 @@
 	case len(loaded.Replicas) > 0:
 		p.startConsensus(loaded, loaded.Replicas)
 	default:
+		p.publishFounding(p.bootstrap && p.path != "")
 		p.goroutines.Go(func() { p.awaitGroup(loaded) })
 	}
 	return nil
@@ -173,6 +177,7 @@
 func (p *Profiles) startConsensus(loaded disk.Loaded, replicas []model.NodeID) {
 	p.group.Store(newGroup(replicas))
 	p.publishGroup()
+	p.publishFounding(false)
 	p.installMachine(cmp.Or(loaded.Place, p.self), loaded, register.Store{})
 	p.goroutines.Go(p.run)
 	p.goroutines.Go(p.watchPlaces)
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -41,6 +41,7 @@
 		return p.answerPlace(request)
 	})
 	p.gossip.Subscribe(groupTopic, p.handleGossipedGroup)
+	p.gossip.Subscribe(foundingTopic, p.handleGossipedFounding)
 	p.gossip.Subscribe(revisionTopic, func(from model.NodeID, value []byte) {
 		revision, n := binary.Uvarint(value)
 		if n > 0 {
