--- a/plugins/profiles/register/learner.go
+++ b/plugins/profiles/register/learner.go
@@ -8,10 +8,14 @@
 
 // chosenMessage returns the message that announces a chosen state.
 func (m *Machine) chosenMessage(state State) Message {
+	fences := maps.Clone(m.durable.Fences)
+	if m.mayRelease() || m.renewed {
+		delete(fences, m.config.Self) // This store may not be on the disk yet; the Join that follows the write tells of it.
+	}
 	return Message{
 		Kind: Chosen, Value: &state, Revision: state.Revision(), Serving: m.serving,
 		Voting: m.canVote(), Empty: m.empty(), Pending: m.durable.Value.Revision(),
-		Fences: maps.Clone(m.durable.Fences), Seen: maps.Clone(m.durable.Seen),
+		Fences: fences, Seen: maps.Clone(m.durable.Seen),
 	}
 }
 
@@ -201,9 +205,10 @@
 	return m.config.Alone != 0 && !m.now.Before(m.startedAt.Add(m.config.Alone))
 }
 
-// empty reports whether this member is a replica whose disk holds no trace of a vote.
+// empty reports whether this member is a replica whose disk holds no trace of a vote, and that has not taken over its
+// place from one that may have voted.
 func (m *Machine) empty() bool {
-	return m.isReplica() && !m.durable.Voting && !m.durable.Copied && m.durable.Accepted == Ballot{}
+	return m.isReplica() && !m.durable.Voting && !m.durable.Copied && m.durable.Accepted == Ballot{} && m.durable.Takes == Store{}
 }
 
 // isFirstStart reports whether the group starts for the first time and a replica is still missing: a
