The end of a claimed run reaches a claimant that is busy for a while

Callers may have seen a task start again although its run has ended, and that end had been acknowledged to the endpoint: after a pool has moved, to a member short of processor time.

Cause: a busy member was taken for one that is gone. The holder of the lease sent the end to the claimant for 150 ms, then to all of the data centre for 150 ms, and never again. The claimant waits up to 1.32 s from its last claim and then reports the run as lost.

Evidence: TestEndOfAClaimedRunReachesAClaimantThatIsBusyForAWhile fails without the change: a member that answers nothing for a second never learns of the end.

Why it works: the end is repeated to the claimant for as long as that one may wait, while it is alive. It takes an end that it no longer waits for as nothing.

--- a/plugins/leases/holders_test.go
+++ b/plugins/leases/holders_test.go
@@ -83,3 +83,36 @@
 		}
 	})
 }
+
+// busyMember is one of two members of a data centre, which answers no call before a time.
+type busyMember struct {
+	*fleet
+	until time.Time
+}
+
+func (b *busyMember) Call(ctx context.Context, to model.NodeID, method string, request, reply any) port.Delivery {
+	if time.Now().Before(b.until) {
+		<-ctx.Done()
+		return port.Unknown
+	}
+	return b.fleet.Call(ctx, to, method, request, reply)
+}
+
+// Guards against a task that starts again although its run has ended: the end was sent twice within 0.3 s to the member that waits for it,
+// which was busy for longer, and never again. It takes its run for lost 1.3 s after its last claim.
+func TestEndOfAClaimedRunReachesAClaimantThatIsBusyForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &busyMember{newFleet(12), time.Now().Add(time.Second)}
+		l := &Leases{settings: defaultSettings, client: &unreachableEndpoint{}, peers: b, membership: b}
+		l.init(slog.New(slog.DiscardHandler), metrics.NewRegistry())
+		t.Cleanup(func() { l.Stop() })
+		at := port.EndpointIncarnation{ID: "e", DataCentre: "sj0"}
+		end := port.RunEnd{Number: 1, Run: port.TaskRun{Key: "k", Attempt: 1}, How: port.TaskDone}
+		l.forwardEnds(at, []lease.ForwardedEnd{{End: end, To: "n6"}})
+		time.Sleep(1300 * time.Millisecond) // On the virtual clock.
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		is.Equal(b.calls["n6"], 1)
+	})
+}
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/leases/lease"
 )
 
@@ -20,6 +22,13 @@
 // same timeout.
 const claimTimeout = 150 * time.Millisecond
 
+const (
+	// claimantAttempts is how often ends are sent to the member that has claimed their runs. It waits for them for as long as a claim and a
+	// lease last, 1.32 s.
+	claimantAttempts = 8
+	claimantPause    = 25 * time.Millisecond // Pause between two attempts.
+)
+
 // claimRequest asks which of the runs at an endpoint a member waits for.
 type claimRequest struct {
 	Endpoint model.EndpointID `json:"endpoint"`
@@ -199,13 +208,32 @@
 			continue
 		}
 		go func() {
-			if !l.forwardTo(member, *message) {
+			if !l.forwardToClaimant(member, *message) {
 				l.forwardToHolders(at.DataCentre, *message)
 			}
 		}()
 	}
 }
 
+// forwardToClaimant sends ends of runs to the member that has claimed them, and repeats this while that one may still wait for them: a busy
+// member answers late. It reports whether the member has acknowledged them.
+func (l *Leases) forwardToClaimant(member model.NodeID, message endsMessage) bool {
+	for range claimantAttempts {
+		if l.forwardTo(member, message) {
+			return true
+		}
+		if !l.isAlive(member) || !wait.For(l.baseCtx, claimantPause) {
+			return false
+		}
+	}
+	return false
+}
+
+// isAlive reports whether a member is in the current view.
+func (l *Leases) isAlive(member model.NodeID) bool {
+	return slices.ContainsFunc(l.membership.Alive(), func(n port.Node) bool { return n.ID == member })
+}
+
 // forwardToHolders sends ends of runs to the other members that may have ordered them.
 func (l *Leases) forwardToHolders(dataCentre model.DataCentre, message endsMessage) {
 	for _, node := range l.otherHolders(dataCentre) {
