A member that joins is told of losses by a few members

Once one task had lost a run, each member sent each member that joined up to 256 losses for ten minutes, over connections of which most are used for nothing else. A restart of all members sent as many messages as there are pairs of them.

Evidence: TestLossesAreToldToAMemberThatJoinsByAFew fails without the change: 48 messages to one member that joins a group of 48.

Why it works: four members are chosen by rendezvous hashing over those that were there before. Where views differ, the one with the highest weight of all still tells.

--- a/plugins/endpoints/joins_test.go
+++ b/plugins/endpoints/joins_test.go
@@ -41,3 +41,23 @@
 		is.Equal(n.lossCalls(), 0)
 	})
 }
+
+// Guards against issue 39, SHORT: once one task had lost a run, each member told each that joined of it for ten minutes. A restart of all
+// members sent as many messages, of up to 256 losses each, as there are pairs of them.
+func TestLossesAreToldToAMemberThatJoinsByAFew(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		for _, members := range []int{12, 48} {
+			n := newNetwork()
+			all, nodes := startGroup(t, n, members)
+			all[0].recordLoss(taskRef{"k", 0}, "e1", port.LossCrashed)
+			time.Sleep(2 * lossPause) // On the virtual clock.
+			before := n.lossCalls()
+			joined := port.Node{ID: "joined", Incarnation: "j1", DataCentre: "sj0"}
+			p, _ := newPools(t, n, joined)
+			n.setAlive(append(nodes, joined)...)
+			time.Sleep(2 * lossPause)
+			is.Equal(len(p.lossesOf(taskRef{"k", 0})), 1)
+			is.True(n.lossCalls()-before <= 4)
+		}
+	})
+}
--- a/plugins/endpoints/lossmessages.go
+++ b/plugins/endpoints/lossmessages.go
@@ -18,6 +18,7 @@
 	lossPause        = 20 * time.Millisecond  // Time in which losses are collected for one message.
 	confirmTimeout   = 50 * time.Millisecond  // Longest wait for the reply of one member to a loss that is to be confirmed.
 	maxConfirmCalls  = 2                      // Members that are asked to confirm a loss before the task may start again.
+	joinTellers      = 4                      // Members that tell one that joins what they know.
 )
 
 // lossMessage tells another member of losses.
@@ -85,21 +86,34 @@
 	}
 }
 
-// tellJoined tells the members that are in one view and not in an earlier one what this member knows. One that knows of no loss sends
-// nothing.
+// tellJoined tells the members that are in one view and not in an earlier one what this member knows, where it is one of the few to tell
+// them. One that knows of no loss sends nothing.
 func (p *Pools) tellJoined(before, now *viewIndex) {
 	losses := p.newestLosses()
 	if len(losses) == 0 {
 		return
 	}
 	for _, node := range now.alive {
-		if !before.has(incarnationKey{node.ID, node.Incarnation}) && node.ID != p.membership.Self().ID {
+		if !before.has(incarnationKey{node.ID, node.Incarnation}) && node.ID != p.membership.Self().ID && p.tells(node, before, now) {
 			p.appendPendingLosses(node.ID, losses...)
 		}
 	}
 	p.signalLosses()
 }
 
+// tells reports whether this member is one of the few, by rendezvous hashing over those that were there before, that tell a member which
+// joins of losses. Views may differ: the one with the highest weight of all always is.
+func (p *Pools) tells(joined port.Node, before, now *viewIndex) bool {
+	key := []byte(string(joined.ID) + "|" + string(joined.Incarnation) + "|")
+	own, higher := weight(key, p.membership.Self().ID), 0
+	for _, node := range now.alive {
+		if before.has(incarnationKey{node.ID, node.Incarnation}) && weight(key, node.ID) > own {
+			higher++
+		}
+	}
+	return higher < joinTellers
+}
+
 // newestLosses returns the losses in the table, of the tasks that have lost a run last.
 func (p *Pools) newestLosses() (all []wireTaskLoss) {
 	now := time.Now()
