--- a/plugins/endpoints/joins_test.go
+++ b/plugins/endpoints/joins_test.go
@@ -113,7 +113,7 @@
 		n.setAlive(append(slices.Clone(nodes), node)...)
 		time.Sleep(time.Second) // On the virtual clock.
 		is.Equal(len(joined.lossesOf(ref)), 1)
-		is.Equal(n.lossCalls()-before, tellersOfJoined)
+		is.Equal(n.lossCalls()-before, joinTellers)
 		late := taskRef{"job", 1}
 		for _, p := range all { // The relays did not know of the join yet.
 			p.addLoss(late, model.Loss{Endpoint: "e2", Crashed: true})
@@ -122,3 +122,23 @@
 		is.Equal(len(joined.lossesOf(late)), 1)
 	})
 }
+
+// Guards against issue 39, SHORT: once one task had lost a run, each member told each that joined of it for ten minutes. A restart of all
+// members sent as many messages, of up to 256 losses each, as there are pairs of them.
+func TestLossesAreToldToAMemberThatJoinsByAFew(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		for _, members := range []int{12, 48} {
+			n := newNetwork()
+			all, nodes := startGroup(t, n, members)
+			all[0].recordLoss(taskRef{"k", 0}, "e1", port.LossCrashed)
+			time.Sleep(2 * smallLossPause) // On the virtual clock.
+			before := n.lossCalls()
+			joined := port.Node{ID: "joined", Incarnation: "j1", DataCentre: "sj0"}
+			p, _ := newPools(t, n, joined)
+			n.setAlive(append(nodes, joined)...)
+			time.Sleep(2 * smallLossPause)
+			is.Equal(len(p.lossesOf(taskRef{"k", 0})), 1)
+			is.True(n.lossCalls()-before <= 4)
+		}
+	})
+}
