A member that joins is told again of losses that were reported during its join

Cause: since a few members tell one that joins, a crash can pass it by: the member that saw it did not know of the join yet, and the few learned of it after they had told the new one. Before, that member itself told the new one as soon as it learned of the join. The task could then be started once more by the new member than ADR 46 allows.

Evidence: TestAMemberThatJoinsLearnsOfLossesThatWereReportedDuringTheJoin fails before, with 12 members.

Why it works: after 2 s all members know of the join and send it their losses themselves; the few send once more what they have learned since the join. They send nothing where that is nothing.

--- a/plugins/endpoints/joins_test.go
+++ b/plugins/endpoints/joins_test.go
@@ -123,6 +123,25 @@
 	})
 }
 
+// Guards against a crash that a member which has joined does not learn of: the one that saw it did not know of the join yet, and those
+// that tell the new one learned of the crash after they had told it.
+func TestAMemberThatJoinsLearnsOfLossesThatWereReportedDuringTheJoin(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n := newNetwork()
+		all, nodes := startGroup(t, n, 12)
+		node := port.Node{ID: "new", Incarnation: "new1", DataCentre: "sj1"}
+		joined, _ := newPools(t, n, node)
+		n.setAlive(append(slices.Clone(nodes), node)...)
+		time.Sleep(2 * smallLossPause) // On the virtual clock.
+		ref := taskRef{"job", 0}
+		for _, p := range all {
+			p.addLoss(ref, model.Loss{Endpoint: "e", Crashed: true})
+		}
+		time.Sleep(joinedAgain + time.Second) // On the virtual clock.
+		is.Equal(len(joined.lossesOf(ref)), 1)
+	})
+}
+
 // Guards against issue 39, SHORT: once one task had lost a run, each member told each that joined of it for ten minutes. A restart of all
 // members sent as many messages, of up to 256 losses each, as there are pairs of them.
 func TestLossesAreToldToAMemberThatJoinsByAFew(t *testing.T) {
--- a/plugins/endpoints/lossmessages.go
+++ b/plugins/endpoints/lossmessages.go
@@ -19,6 +19,7 @@
 	confirmTimeout   = 50 * time.Millisecond  // Longest wait for the reply of one member to a loss that is to be confirmed.
 	maxConfirmCalls  = 2                      // Members that are asked to confirm a loss before the task may start again.
 	joinTellers      = 4                      // Members that tell one that joins what they know.
+	joinedAgain      = 2 * time.Second        // Time from a join until all members know of it; see tellJoined.
 )
 
 // lossMessage tells another member of losses. With Relay, the receiver tells those of its data centre, and replies when it has.
@@ -113,7 +114,8 @@
 }
 
 // tellJoined tells the members that are in one view and not in an earlier one what this member knows, where it is one of the few to tell
-// them. One that knows of no loss sends nothing.
+// them. After joinedAgain it tells them what it has learned since: those that reported it may not have known of the join. One that knows
+// of no loss sends nothing.
 func (p *Pools) tellJoined(before, now *viewIndex) {
 	var joined []port.Node
 	for _, node := range now.alive {
@@ -126,9 +128,7 @@
 	}
 	joinedAt := time.Now()
 	p.tell(joined, p.newestLosses(time.Time{}))
-	if now.isLarge() {
-		time.AfterFunc(joinedAgain, func() { p.tell(joined, p.newestLosses(joinedAt)) })
-	}
+	time.AfterFunc(joinedAgain, func() { p.tell(joined, p.newestLosses(joinedAt)) })
 }
 
 // tell queues losses for members.
--- a/plugins/endpoints/lossrelay.go
+++ b/plugins/endpoints/lossrelay.go
@@ -22,9 +22,6 @@
 	// time after which a caller sends its job again.
 	relayPause   = 100 * time.Millisecond
 	relayTimeout = relayPause + 2*lossTimeout // Timeout of a message with losses to be relayed.
-	// joinedAgain is the time from a join to a second message with what was learned since: by then all members know of the join, and
-	// relay losses to the one that has joined.
-	joinedAgain = 2 * time.Second
 )
 
 // relayedLosses are the losses that are relayed next, and a channel that is closed when that has been tried.
