--- a/plugins/endpoints/lossrelay.go
+++ b/plugins/endpoints/lossrelay.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"redwingpulley/kernel/model"
-	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -17,16 +16,12 @@
 // that report times that of those that are told.
 
 const (
-	largeGroup      = 64 // Number of members from which losses are relayed.
-	relaysOfCentre  = 4  // Members of a data centre among which the others choose the one that relays.
-	tellersOfJoined = 4  // Members that tell one that joins what all know.
+	largeGroup     = 64 // Number of members from which losses are relayed.
+	relaysOfCentre = 4  // Members of a data centre among which the others choose the one that relays.
 	// relayPause is the time in which a large group's losses are collected for one message: twice that and the calls are well below the
 	// time after which a caller sends its job again.
 	relayPause   = 100 * time.Millisecond
 	relayTimeout = relayPause + 2*lossTimeout // Timeout of a message with losses to be relayed.
-	// joinedAgain is the time from a join to a second message with what was learned since: by then all members know of the join, and
-	// relay losses to the one that has joined.
-	joinedAgain = 2 * time.Second
 )
 
 // relayedLosses are the losses that are relayed next, and a channel that is closed when that has been tried.
@@ -118,19 +113,3 @@
 	}
 	calls.Wait()
 }
-
-// tellsJoined reports whether this member is one of those that tell a member that joins what the others know: all in a small group, a few
-// in a large one, since all of them know the same.
-func (p *Pools) tellsJoined(view *viewIndex, joined port.Node) bool {
-	if !view.isLarge() {
-		return true
-	}
-	key := append([]byte(joined.Incarnation), '|')
-	own, above := weight(key, p.membership.Self().ID), 0
-	for _, other := range view.origins {
-		if other.Node != joined.ID && weight(key, other.Node) > own {
-			above++
-		}
-	}
-	return above < tellersOfJoined
-}
