--- a/plugins/membership/swim/swim_test.go
+++ b/plugins/membership/swim/swim_test.go
@@ -331,3 +331,17 @@
 		is.True(size <= max(minUpdateBytes, 60*updateBytesAMember)+2*recordBytes+200) // The sender's own record, the receiver's record and the updates.
 	}
 }
+
+// Guards against a live member that all give up because one did: the first report of its death makes it suspect, so that it can refute, and
+// the same report by another message ended that at once.
+func TestRepeatedReportOfADeathLeavesTimeToRefute(t *testing.T) {
+	is := is.New(t)
+	c := startedCluster(is, 7, 24)
+	givenUp, observer := c.nodes[3], c.nodes[0]
+	report := observer.machine.members[givenUp.ID].Record
+	report.State = Dead
+	for _, reporter := range c.nodes[1:3] {
+		c.step(observer, PingReceived{Message{Records: []Record{reporter.machine.Self(), report}}})
+		is.Equal(observer.machine.members[givenUp.ID].State, Suspect)
+	}
+}
