--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -32,7 +32,7 @@
 	default:
 		m.failedHolds++
 		if reply.State == port.OrderUnknown && m.holdExtends {
-			m.recordUnanswered(now, m.holdSentAt)
+			m.recordUnanswered(now, m.holdToken, m.holdSentAt)
 		}
 		m.holdRetryAt = now.Add(retryDelay)
 		m.rejectQueuedStarts(now, reply.Detail, fx)
@@ -60,10 +60,8 @@
 	m.recordFence()
 	if !m.tokenAccepted && m.holdToken == m.token {
 		m.tokenAccepted, fx.Acquired = true, true
-		m.holderGrantsUntil = time.Time{}
-		if !m.hasRetiringToken() { // Under that one, holds extend the lease before one is answered.
-			m.lateGrants.refuse(now)
-		}
+		m.lateGrants.refuse(now, m.token)
+		m.refuseHolderGrants(now)
 	}
 	if m.tokenAccepted {
 		m.sendQueuedStarts(now, fx)
