--- a/plugins/endpoints/joins_test.go
+++ b/plugins/endpoints/joins_test.go
@@ -99,6 +99,29 @@
 	})
 }
 
+// Guards against a member that joins with many others and learns of no loss: those that were to tell it had just joined themselves.
+func TestMembersThatJoinALargeGroupTogetherAreToldByThoseThatWereThere(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n := newNetwork()
+		all, nodes := startGroup(t, n, 72)
+		ref := taskRef{"job", 0}
+		all[0].recordLoss(ref, "e", port.LossCrashed)
+		time.Sleep(joinedAgain + time.Second) // On the virtual clock.
+		var joined []*Pools
+		for i := range 72 {
+			id := fmt.Sprintf("j%03d", i)
+			nodes = append(nodes, port.Node{ID: model.NodeID(id), Incarnation: model.Incarnation(id), DataCentre: largeCentre(i)})
+		}
+		n.setAlive(nodes...)
+		for _, node := range nodes[72:] {
+			p, _ := newPools(t, n, node)
+			joined = append(joined, p)
+		}
+		time.Sleep(time.Second) // On the virtual clock.
+		is.Equal(knowing(joined, ref), len(joined))
+	})
+}
+
 // Guards against issue 39, SHORT: all members told one that joined what they knew, each the same.
 func TestAMemberThatJoinsALargeGroupIsToldByAFew(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
