A running job is found although other members do not answer

Callers may get no answer but an uncertain one to a GET for a running job, for as long as any member of the group is busy; and each such GET, also at the member that runs the job, cost a message to each other member and waited for all of them.

Cause: what a cancellation needs, which has to reach all members that may run a job of the key, was asked of a question, too. The messages grow with the number of members times that of questions.

Evidence: TestRunningJobIsFoundAlthoughAnotherMemberDoesNotAnswer and TestRunningJobIsFoundAtAnotherMemberAlthoughAThirdDoesNotAnswer fail without the change.

Why it works: one member that runs the job is enough for the answer. A cancellation still needs all of them.

--- a/plugins/jobs/bykey.go
+++ b/plugins/jobs/bykey.go
@@ -28,9 +28,13 @@
 	Found bool `json:"found,omitempty"`
 }
 
-// FindKey reports whether some member runs a job with the key.
+// FindKey reports whether some member runs a job with the key. It asks no other member when this one does.
 func (j *Jobs) FindKey(ctx context.Context, key string) port.KeyPresence {
-	return j.requestByKey(ctx, byKeyRequest{Key: key})
+	request := byKeyRequest{Key: key}
+	if j.applyByKey(request) {
+		return port.KeyFound
+	}
+	return j.requestByKey(ctx, request)
 }
 
 // CancelKey cancels the jobs with the key at all members. A job of one key may run at several: at each to which its caller has
@@ -61,7 +65,7 @@
 	}
 	calls.Wait()
 	switch {
-	case unanswered:
+	case unanswered && (request.Cancel || !found): // A job of the key may run at a member that has not answered, too.
 		return port.KeyUncertain
 	case found:
 		return port.KeyFound
--- a/plugins/jobs/bykey_test.go
+++ b/plugins/jobs/bykey_test.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"context"
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,3 +38,35 @@
 		is.Equal(other.CancelKey(t.Context(), "k"), port.KeyUnknown)
 	})
 }
+
+// Guards against a running job whose state is given as uncertain since some other member is busy, and against a message to each member for
+// each request for the state of a job that runs at the member asked.
+func TestRunningJobIsFoundAlthoughAnotherMemberDoesNotAnswer(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		owner, _, atOwner, _ := newMemberPair(t)
+		job := newJob("", 2)
+		job.Key = "k"
+		go func() { owner.Submit(t.Context(), job) }()
+		advanceClock(0)
+		atOwner.dropReplies.Store(1)
+		is.Equal(owner.FindKey(t.Context(), "k"), port.KeyFound)
+		is.Equal(atOwner.dropReplies.Load(), int32(1)) // No call was made.
+		is.Equal(owner.CancelKey(t.Context(), "k"), port.KeyUncertain)
+	})
+}
+
+// Guards against the same where another member than the one asked runs the job.
+func TestRunningJobIsFoundAtAnotherMemberAlthoughAThirdDoesNotAnswer(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		owner, other, _, atOther := newMemberPair(t)
+		job := newJob("", 2)
+		job.Key = "k"
+		go func() { owner.Submit(t.Context(), job) }()
+		advanceClock(0)
+		atOther.members["c"] = &fake{node: port.Node{ID: "c"}, handlers: map[string]port.Handler{methodByKey: func(context.Context, model.NodeID, func(any) error) (any, error) {
+			return nil, errors.New("it does not answer")
+		}}}
+		is.Equal(other.FindKey(t.Context(), "k"), port.KeyFound)
+		is.Equal(other.CancelKey(t.Context(), "k"), port.KeyUncertain)
+	})
+}
