--- a/plugins/membership/effects.go
+++ b/plugins/membership/effects.go
@@ -16,6 +16,9 @@
 func (m *Membership) apply(e swim.Event) swim.Effects {
 	m.mu.Lock()
 	now := time.Now()
+	if _, elapsed := e.(swim.Elapsed); elapsed {
+		m.recordLateness(now)
+	}
 	fx := m.machine.Step(now, e)
 	m.undelivered = append(m.undelivered, fx.NewValues...)
 	before := m.view.Load()
@@ -31,6 +34,12 @@
 	return fx
 }
 
+// recordLateness records how late the timer of the state machine was. A process that has more work than processor time is late with
+// its answers by as much, and others suspect it. It is called under the lock.
+func (m *Membership) recordLateness(now time.Time) {
+	m.metrics.late.Update(max(now.Sub(m.machine.NextTimer()), 0).Milliseconds())
+}
+
 // logFreshness logs that the view has become fresh or stale.
 func (m *Membership) logFreshness(fresh bool) {
 	if fresh {
--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -33,6 +33,9 @@
 	// settleTime is how long other members have to hand over pools to this one before it is ready:
 	// the time of two reports of the pools' loads.
 	settleTime = 500 * time.Millisecond
+
+	lateSampleSize  = 256   // Number of times that the histogram of lateness keeps.
+	lateSampleAlpha = 0.015 // Decay rate of the sample: a higher one gives recent times more weight.
 )
 
 // Settings are the settings of the plug-in.
@@ -84,6 +87,7 @@
 type instruments struct {
 	pings, relays, changes metrics.Counter
 	live                   metrics.Gauge
+	late                   metrics.Histogram // Milliseconds by which the state machine's timer was late.
 }
 
 // Provision creates the state machine from the settings, registers the handlers of the methods that
@@ -100,6 +104,7 @@
 		relays:  metrics.GetOrRegisterCounter("membership.relays", c.Metrics),
 		changes: metrics.GetOrRegisterCounter("membership.changes", c.Metrics),
 		live:    metrics.GetOrRegisterGauge("membership.live", c.Metrics),
+		late:    metrics.GetOrRegisterHistogram("membership.late_ms", c.Metrics, metrics.NewExpDecaySample(lateSampleSize, lateSampleAlpha)),
 	}
 	m.receive = make(map[string]func(model.NodeID, []byte))
 	m.valuesReady = make(chan struct{}, 1)
--- a/plugins/membership/membership_test.go
+++ b/plugins/membership/membership_test.go
@@ -294,3 +294,19 @@
 	is.True(cost[60] < 1.5*cost[9]) // The cost does not grow with the number of nodes.
 	is.True(cost[60] < 7*1024/2)    // Half of a node's budget for control traffic, 7 KiB a second.
 }
+
+// Guards against an overloaded process that cannot be told from a slow network: what is late shows whether the process or what it waits
+// for is at fault.
+func TestLatenessOfTheProcessIsMeasured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := newNetwork().startAll(is, 2)
+		m := all[0].membership
+		is.Equal(m.metrics.late.Max(), int64(0)) // The virtual clock is never late.
+		m.mu.Lock()
+		m.recordLateness(m.machine.NextTimer().Add(40 * time.Millisecond))
+		m.mu.Unlock()
+		is.Equal(m.metrics.late.Max(), int64(40))
+		stopAll(is, all)
+	})
+}
