A member that was cut off takes over no place of a live holder when it is back

Each needless takeover is a moment in which one more lost disk hurts.

Cause: an absence counted from the moment at which the member itself had lost sight of the holder. When it sees enough holders again, one after the other, the last ones seem to have been away for seconds.

Fix: while a member sees too few holders for a takeover, no absence counts; TakeoverDelay begins when it sees enough again. How long a holder has been away is shown as before.

Evidence: TestTakers_NoneRightAfterTheMemberWasCutOff fails without the fix.

--- a/plugins/profiles/occupancy/occupancy.go
+++ b/plugins/profiles/occupancy/occupancy.go
@@ -26,6 +26,7 @@
 type absence struct {
 	holder model.NodeID
 	since  time.Time
+	vacant time.Time // Since when the place counts as vacant: not before this member sees enough other holders.
 }
 
 // Absences are the absences of holders, by place. The zero value is ready for use.
@@ -38,13 +39,26 @@
 		if isAlive(alive, place.Holder) {
 			continue
 		}
-		noted[place.Replica] = absence{place.Holder, now}
+		noted[place.Replica] = absence{place.Holder, now, now}
 		if former, ok := a.byPlace[place.Replica]; ok && former.holder == place.Holder {
 			noted[place.Replica] = former
 		}
 	}
+	view := View{at: now, places: places, alive: alive, absences: noted}
+	if !view.EnoughHolders() {
+		restartVacancies(noted, now)
+	}
 	a.byPlace = noted
-	return View{at: now, places: places, alive: alive, absences: noted}
+	return view
+}
+
+// restartVacancies has all absences count from now on. A member that sees too few holders is probably cut off itself;
+// when it is back, it has to see for TakeoverDelay that a holder is away.
+func restartVacancies(noted map[model.NodeID]absence, now time.Time) {
+	for replica, absent := range noted {
+		absent.vacant = now
+		noted[replica] = absent
+	}
 }
 
 func isAlive(alive []port.Node, id model.NodeID) bool {
@@ -87,8 +101,13 @@
 
 // due reports whether a place has been vacant for TakeoverDelay.
 func (v View) due(place Place) bool {
-	absent, ok := v.absences[place.Replica]
-	return ok && v.at.Sub(absent.since) >= TakeoverDelay
+	_, away := v.absences[place.Replica]
+	return away && v.vacantFor(place.Replica) >= TakeoverDelay
+}
+
+// vacantFor returns for how long a place whose holder is away has counted as vacant.
+func (v View) vacantFor(replica model.NodeID) time.Duration {
+	return v.at.Sub(v.absences[replica].vacant)
 }
 
 // Spares returns the live members that have a disk and no place.
--- a/plugins/profiles/occupancy/occupancy_test.go
+++ b/plugins/profiles/occupancy/occupancy_test.go
@@ -134,3 +134,16 @@
 	is.Equal(OwnReport(register.Standing{Counted: 1, Needed: 2}, start, true).Wait, port.PlaceWait{Kind: port.WaitJoin, Have: 1, Need: 2})
 	is.Equal(OwnReport(register.Standing{Intact: true, Needed: 1}, start, true), Report{State: port.PlaceLearner, Since: start, Wait: port.PlaceWait{Kind: port.WaitConfirm, Need: 1}})
 }
+
+// Guards against issue 36: a member that had been cut off from all holders took over the place of a live one as soon as it saw
+// enough of the others again, since its own absence counted as theirs.
+func TestTakers_NoneRightAfterTheMemberWasCutOff(t *testing.T) {
+	is := is.New(t)
+	var absences Absences
+	absences.Note(start, held(3), live("x"))
+	absences.Note(start.Add(5*time.Second), held(3), live("x"))
+	back := start.Add(6 * time.Second)
+	is.Equal(absences.Note(back, held(3), live("b", "c", "x")).Takers(), map[model.NodeID]model.NodeID{})
+	stillAway := absences.Note(back.Add(TakeoverDelay), held(3), live("b", "c", "x"))
+	is.Equal(stillAway.Takers(), map[model.NodeID]model.NodeID{"a": "x"})
+}
--- a/plugins/profiles/occupancy/snapshot.go
+++ b/plugins/profiles/occupancy/snapshot.go
@@ -91,8 +91,8 @@
 		return port.PlaceWait{Kind: port.WaitReturn}
 	case !v.EnoughHolders():
 		return port.PlaceWait{Kind: port.WaitHolders, Have: v.liveHolders(), Need: quorum}
-	case len(shown.Spares) > 0 && place.Away < TakeoverDelay:
-		return port.PlaceWait{Kind: port.WaitDelay, Left: TakeoverDelay - place.Away}
+	case len(shown.Spares) > 0 && v.vacantFor(place.Place) < TakeoverDelay:
+		return port.PlaceWait{Kind: port.WaitDelay, Left: TakeoverDelay - v.vacantFor(place.Place)}
 	case taker == "":
 		return port.PlaceWait{Kind: port.WaitSpare}
 	case shown.Voters < quorum:
