--- a/plugins/endpoints/viewindex.go
+++ b/plugins/endpoints/viewindex.go
@@ -17,9 +17,9 @@
 
 // centreIndex holds the members of one data centre.
 type centreIndex struct {
-	members []poolstate.Origin
-	regular []poolstate.Origin // Those that are not in reserve.
-	owned   bool               // One of them, which is neither draining nor in reserve, can own a pool.
+	members         []poolstate.Origin
+	regular         []poolstate.Origin // Those that are not in reserve.
+	hasRegularOwner bool               // One of them, which is neither draining nor in reserve, can own a pool.
 }
 
 func newViewIndex(alive []port.Node) *viewIndex {
@@ -52,7 +52,7 @@
 	c.members = append(c.members, origin)
 	if !node.Reserve {
 		c.regular = append(c.regular, origin)
-		c.owned = c.owned || !node.Draining
+		c.hasRegularOwner = c.hasRegularOwner || !node.Draining
 	}
 }
 
@@ -91,7 +91,7 @@
 	switch {
 	case !known:
 		return v.origins
-	case c.owned:
+	case c.hasRegularOwner:
 		return c.regular
 	}
 	return c.members
--- a/plugins/leases/lease/claims.go
+++ b/plugins/leases/lease/claims.go
@@ -66,7 +66,7 @@
 
 // queryClaims queries claims to the runs of other holders that are not to be stopped, of all members or of the claimants.
 func (m *Machine) queryClaims(now time.Time, ofAll bool, fx *Effects) {
-	query := ClaimQuery{Token: m.holdToken, LateGrantsFor: m.lateGrantsFor(now)}
+	query := ClaimQuery{Token: m.holdToken, LateExtensionsFor: m.lateExtensionsFor(now)}
 	for _, id := range slices.SortedFunc(maps.Keys(m.foreignRuns), compareRuns) {
 		f := m.foreignRuns[id]
 		if !f.stopSentAt.IsZero() {
--- a/plugins/leases/lease/ends.go
+++ b/plugins/leases/lease/ends.go
@@ -9,8 +9,8 @@
 const (
 	// maxUnclaimedEnds bounds the ends that are kept for runs which are settled later.
 	maxUnclaimedEnds = 256
-	// maxPresumedEnded bounds the runs whose ends are not forwarded when the endpoint reports them late.
-	maxPresumedEnded = 256
+	// maxPresumedLost bounds the runs whose ends are not forwarded when the endpoint reports them late.
+	maxPresumedLost = 256
 )
 
 // handleEndNotAwaited handles the end of a run for which this member does not wait. It is forwarded to the member that does, unless this
@@ -19,7 +19,7 @@
 	m.keepUnclaimedEnd(end)
 	claimant := m.claimantOf(end.Run)
 	delete(m.foreignRuns, end.Run)
-	if m.forgetPresumedEnd(end.Run) && claimant == "" {
+	if m.forgetPresumedLost(end.Run) && claimant == "" {
 		return
 	}
 	fx.ForwardEnds = append(fx.ForwardEnds, ForwardedEnd{end, claimant})
@@ -30,16 +30,16 @@
 	m.unclaimedEnds = appendBounded(m.unclaimedEnds, end, maxUnclaimedEnds)
 }
 
-// rememberPresumedEnd records that a run of this member is reported as lost, although the endpoint has not reported its end.
-func (m *Machine) rememberPresumedEnd(id port.TaskRun) {
-	m.presumedEnded = appendBounded(m.presumedEnded, id, maxPresumedEnded)
+// rememberPresumedLost records that a run of this member is reported as lost, although the endpoint has not reported its end.
+func (m *Machine) rememberPresumedLost(id port.TaskRun) {
+	m.presumedLost = appendBounded(m.presumedLost, id, maxPresumedLost)
 }
 
-// forgetPresumedEnd removes a run from those that were reported as lost without an end, and reports whether it was one of them.
-func (m *Machine) forgetPresumedEnd(id port.TaskRun) (found bool) {
-	at := slices.Index(m.presumedEnded, id)
+// forgetPresumedLost removes a run from those that were reported as lost without an end, and reports whether it was one of them.
+func (m *Machine) forgetPresumedLost(id port.TaskRun) (found bool) {
+	at := slices.Index(m.presumedLost, id)
 	if at >= 0 {
-		m.presumedEnded = slices.Delete(m.presumedEnded, at, at+1)
+		m.presumedLost = slices.Delete(m.presumedLost, at, at+1)
 	}
 	return at >= 0
 }
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -67,9 +67,9 @@
 // TakenOver says that another member holds the lease, under a token of its own, and lets the given runs of this member
 // continue that are not to be stopped.
 type TakenOver struct {
-	Token         uint64
-	Running       []port.TaskRun
-	LateGrantsFor time.Duration // As in the ClaimQuery.
+	Token             uint64
+	Running           []port.TaskRun
+	LateExtensionsFor time.Duration // As in the ClaimQuery.
 }
 
 // EndForwarded is the end of a run as forwarded by the member that now holds the lease.
@@ -140,9 +140,9 @@
 	Runs    []port.TaskRun
 	Token   uint64         // Fencing token under which the endpoint has listed the runs.
 	Members []model.NodeID // The members to ask; all other live ones that may have ordered the runs when there are none.
-	// LateGrantsFor is how long orders of the holder to which no answer came may still extend the lease; zero when none can arrive
+	// LateExtensionsFor is how long orders of the holder to which no answer came may still extend the lease; zero when none can arrive
 	// before the lease that a claim extends has expired.
-	LateGrantsFor time.Duration
+	LateExtensionsFor time.Duration
 }
 
 // ForwardedEnd is the end of a run that another member waits for.
--- a/plugins/leases/lease/handover.go
+++ b/plugins/leases/lease/handover.go
@@ -15,7 +15,7 @@
 	m.tokenAccepted, m.fenced = false, true
 	m.fence = fence{}          // The holder of the higher token is the one to refuse late orders now.
 	m.lastEndAcked = m.lastEnd // The new holder acknowledges the ends.
-	m.lateGrants.refuse(now, token)
+	m.lateExtensions.refuse(now, token)
 	clear(m.foreignRuns)
 	for _, id := range m.sortedRuns() {
 		r := m.runs[id]
@@ -39,7 +39,7 @@
 		return
 	}
 	m.leaseSeenAt = now
-	m.recordHolderGrants(now, e)
+	m.recordHolderExtensions(now, e)
 	for _, id := range e.Running {
 		r, known := m.runs[id]
 		if !known {
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -60,8 +60,8 @@
 	m.recordFence()
 	if !m.tokenAccepted && m.holdToken == m.token {
 		m.tokenAccepted, fx.Acquired = true, true
-		m.lateGrants.refuse(now, m.token)
-		m.refuseHolderGrants(now)
+		m.lateExtensions.refuse(now, m.token)
+		m.refuseHolderExtensions(now)
 	}
 	if m.tokenAccepted {
 		m.sendQueuedStarts(now, fx)
--- a/plugins/leases/lease/lategrants_test.go
+++ b/plugins/leases/lease/lateextensions_test.go
@@ -83,7 +83,7 @@
 	for _, earlier := range []uint64{1, 2} { // That of a former holder, and one of the same holder.
 		h := newRunningHarness(t, 1)
 		token := h.machine.token
-		h.step(TakenOver{Token: token + 2<<holderBits, Running: running, LateGrantsFor: 10 * time.Second})
+		h.step(TakenOver{Token: token + 2<<holderBits, Running: running, LateExtensionsFor: 10 * time.Second})
 		until := h.now.Add(10*time.Second + testConfig.MaxLease)
 		h.advance(10 * time.Millisecond).step(TakenOver{Token: token + earlier<<holderBits, Running: running})
 		h.is.True(!h.latestEnd().Before(until))
@@ -104,7 +104,7 @@
 	h.advance(10 * time.Millisecond).replyToHold(running)
 	h.is.True(h.machine.tokenAccepted)
 	h.advance(180 * time.Millisecond).step(StartReplied{testRun(1), port.OrderReply{State: port.OrderUnknown}})
-	h.is.Equal(h.machine.lateGrantsFor(h.now.Add(3*time.Second)), time.Duration(0))
+	h.is.Equal(h.machine.lateExtensionsFor(h.now.Add(3*time.Second)), time.Duration(0))
 }
 
 // Guards against two runs of a task: a late order of one holder had extended the lease just before the next holder listed the run, which
@@ -113,7 +113,7 @@
 	running := []port.TaskRun{testRun(0)}
 	h := newRunningHarness(t, 1)
 	token := h.machine.token
-	h.step(TakenOver{Token: token + 1<<holderBits, Running: running, LateGrantsFor: 10 * time.Second})
+	h.step(TakenOver{Token: token + 1<<holderBits, Running: running, LateExtensionsFor: 10 * time.Second})
 	h.advance(100 * time.Millisecond).step(StopRequested{testRun(0)})
 	h.advance(3 * time.Second).step(TakenOver{Token: token + 2<<holderBits, Running: running})
 	h.is.Equal(len(h.fx.Finished), 0)
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -64,11 +64,11 @@
 	holdRetryAt     time.Time // When to send the next hold after a failed one; zero after a successful one.
 	leaseExtendedAt time.Time // When the newest hold or start that extends the lease was sent.
 	ordersArriveBy  time.Time // Latest time at which starts and holds without an answer may arrive, at this incarnation or the next one.
-	lateGrants      lateGrants
+	lateExtensions  lateExtensions
 	leaseSeenAt     time.Time // When the endpoint has listed a run last, so that the lease was in force.
-	// holderGrantsUntil is the time until which late orders of the holder that has fenced this one may extend the lease.
-	holderGrantsUntil time.Time
-	holderToken       uint64 // Highest fencing token under which another holder has queried claims.
+	// holderExtensionsUntil is the time until which late orders of the holder that has fenced this one may extend the lease.
+	holderExtensionsUntil time.Time
+	holderToken           uint64 // Highest fencing token under which another holder has queried claims.
 
 	refusingSince time.Time // When the endpoint first refused a connection after its newest reply; zero when it has not.
 
@@ -88,8 +88,8 @@
 	claimsValidFrom    time.Time // When the newest ClaimQuery that was answered was sent.
 	// unclaimedEnds are the latest ends of runs that were not requested here, oldest first.
 	unclaimedEnds []port.RunEnd
-	// presumedEnded are the latest runs of this member that were reported as lost before the endpoint reported their ends, oldest first.
-	presumedEnded []port.TaskRun
+	// presumedLost are the latest runs of this member that were reported as lost before the endpoint reported their ends, oldest first.
+	presumedLost []port.TaskRun
 }
 
 // phase is the progress of a run.
@@ -201,7 +201,7 @@
 		}
 	}
 	m.takeRetiringToken(now)
-	m.outbidLateGrants(now)
+	m.outbidLateExtensions(now)
 	if !m.holdInFlight && m.holdDue(now) {
 		m.sendHold(now, fx)
 	}
--- a/plugins/leases/lease/members_test.go
+++ b/plugins/leases/lease/members_test.go
@@ -257,7 +257,7 @@
 		if len(queried) == 0 {
 			continue
 		}
-		s.step(to, at, TakenOver{query.Token, queried, query.LateGrantsFor})
+		s.step(to, at, TakenOver{query.Token, queried, query.LateExtensionsFor})
 		for _, run := range queried {
 			if m.Pending(run) && !s.oneIn(6) {
 				claimed.Claims = append(claimed.Claims, Claim{Run: run, Member: to, Stop: !m.Wanted(run)})
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -183,7 +183,7 @@
 
 func (m *Machine) report(now time.Time, outcome Finished, fx *Effects) {
 	if r, known := m.runs[outcome.Run]; known && outcome.State == port.TaskLost && !r.endReported {
-		m.rememberPresumedEnd(outcome.Run)
+		m.rememberPresumedLost(outcome.Run)
 	}
 	delete(m.runs, outcome.Run)
 	m.lastFinishedAt = now
--- a/plugins/leases/peers.go
+++ b/plugins/leases/peers.go
@@ -34,8 +34,8 @@
 	Endpoint model.EndpointID `json:"endpoint"`
 	Token    uint64           `json:"token"` // Fencing token under which the sender holds the lease.
 	Runs     []runMessage     `json:"runs"`
-	// LateGrantsMS is how long orders of the sender to which no answer came may still extend the lease, in milliseconds.
-	LateGrantsMS int64 `json:"late_grants_ms,omitempty"`
+	// LateExtensionsMS is how long orders of the sender to which no answer came may still extend the lease, in milliseconds.
+	LateExtensionsMS int64 `json:"late_extensions_ms,omitempty"`
 }
 
 // claimReply lists the runs that the member waits for: those that are to continue, and those that are to be stopped.
@@ -76,13 +76,13 @@
 	if len(claimed) == 0 {
 		return claimReply{}
 	}
-	l.step(port.EndpointIncarnation{ID: c.Endpoint}, lease.TakenOver{Token: c.Token, Running: claimed, LateGrantsFor: c.lateGrantsFor()})
+	l.step(port.EndpointIncarnation{ID: c.Endpoint}, lease.TakenOver{Token: c.Token, Running: claimed, LateExtensionsFor: c.lateExtensionsFor()})
 	return l.claimsTo(c.Endpoint, claimed)
 }
 
-// lateGrantsFor returns how long late orders of the sender may extend the lease: no longer than orders can be late.
-func (c claimRequest) lateGrantsFor() time.Duration {
-	late := min(max(c.LateGrantsMS, 0), lease.MaxOrderDelay.Milliseconds())
+// lateExtensionsFor returns how long late orders of the sender may extend the lease: no longer than orders can be late.
+func (c claimRequest) lateExtensionsFor() time.Duration {
+	late := min(max(c.LateExtensionsMS, 0), lease.MaxOrderDelay.Milliseconds())
 	return time.Duration(late) * time.Millisecond
 }
 
@@ -141,7 +141,7 @@
 // queryClaims asks members which of the runs at the endpoint they wait for, and applies their replies once all have
 // replied or each run is claimed. Members of other data centres are asked for the runs that none of the endpoint's own has claimed.
 func (l *Leases) queryClaims(at port.EndpointIncarnation, query lease.ClaimQuery) {
-	request := claimRequest{Endpoint: at.ID, Token: query.Token, LateGrantsMS: query.LateGrantsFor.Milliseconds()}
+	request := claimRequest{Endpoint: at.ID, Token: query.Token, LateExtensionsMS: query.LateExtensionsFor.Milliseconds()}
 	for _, run := range query.Runs {
 		request.Runs = append(request.Runs, runMessage(run))
 	}
--- a/plugins/leases/takeover_test.go
+++ b/plugins/leases/takeover_test.go
@@ -70,7 +70,7 @@
 			is := is.New(t)
 			l := newLeases(t, &unreachableEndpoint{})
 			run, outcome := startRun(t, l)
-			l.handleClaim(t.Context(), "n2", claimRequest{Endpoint: "e", Token: higherToken, Runs: []runMessage{runMessage(run)}, LateGrantsMS: lateMS})
+			l.handleClaim(t.Context(), "n2", claimRequest{Endpoint: "e", Token: higherToken, Runs: []runMessage{runMessage(run)}, LateExtensionsMS: lateMS})
 			time.Sleep(10 * time.Second)
 			is.Equal(len(outcome), 0)
 			time.Sleep(4 * time.Second)
--- a/plugins/membership/effects.go
+++ b/plugins/membership/effects.go
@@ -131,14 +131,14 @@
 func (m *Membership) ping(ctx context.Context, p swim.Ping) {
 	ctx, cancel := context.WithTimeout(ctx, m.answerTimeout()+m.relayTimeout())
 	defer cancel()
-	late := time.AfterFunc(m.answerTimeout(), func() { m.step(swim.PingFailed{Probe: p.Probe}) })
+	relays := time.AfterFunc(m.answerTimeout(), func() { m.step(swim.PingFailed{Probe: p.Probe}) })
 	var reply wireMessage
 	delivery := m.peers.Call(ctx, p.To, methodPing, encode(p.Message), &reply)
-	inTime := late.Stop()
+	beforeRelays := relays.Stop()
 	switch {
 	case delivery == port.Delivered:
 		m.step(swim.PingAnswered{Probe: p.Probe, Message: reply.decode()})
-	case inTime:
+	case beforeRelays:
 		m.step(swim.PingFailed{Probe: p.Probe, Refused: delivery == port.Refused})
 	}
 }
--- a/plugins/membership/swim/merge.go
+++ b/plugins/membership/swim/merge.go
@@ -133,10 +133,10 @@
 // verifyEnd probes a suspect whose process has ended by the report of another member, which shortens the suspicion here too. One that
 // merely does not answer may be overloaded: a probe by each member that hears of it would keep it from answering.
 func (m *Machine) verifyEnd(now time.Time, other *member, report Record, fx *Effects) {
-	if !report.Ended || other.Ended || !m.isSmall() {
+	if !report.ProcessEnded || other.ProcessEnded || !m.isSmall() {
 		return
 	}
-	other.Ended = true
+	other.ProcessEnded = true
 	m.probeEarly(now, other, probeLive, fx)
 }
 
@@ -148,7 +148,7 @@
 		return
 	}
 	other.State = to
-	other.Ended = other.Ended && to == Suspect
+	other.ProcessEnded = other.ProcessEnded && to == Suspect
 	other.transmits = 0
 	switch {
 	case to == Suspect:
--- a/plugins/membership/swim/probe.go
+++ b/plugins/membership/swim/probe.go
@@ -256,7 +256,7 @@
 	if !m.isSmall() {
 		return
 	}
-	other.Ended = other.State == Suspect
+	other.ProcessEnded = other.State == Suspect
 	if soon := now.Add(m.config.Period); other.State == Suspect && soon.Before(other.suspectUntil) {
 		other.suspectUntil = soon
 	}
--- a/plugins/membership/swim/record.go
+++ b/plugins/membership/swim/record.go
@@ -45,8 +45,8 @@
 	Epoch   uint64
 	Version uint64 // Raised only by the member itself, to refute a suspicion or publish a change.
 	State   State
-	// Ended says of a suspect that two members were refused connections at its address, so that its process has ended.
-	Ended bool
+	// ProcessEnded says of a suspect that two members were refused connections at its address, so that its process has ended.
+	ProcessEnded bool
 }
 
 // compareVersions orders records of one member by epoch, incarnation and version; it ignores the
--- a/plugins/membership/wire.go
+++ b/plugins/membership/wire.go
@@ -62,7 +62,7 @@
 	for _, r := range message.Records {
 		n := r.Node
 		w.Records = append(w.Records, wireRecord{
-			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, n.Reserve, r.Epoch, r.Version, r.State, r.Ended,
+			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, n.Reserve, r.Epoch, r.Version, r.State, r.ProcessEnded,
 		})
 	}
 	for _, v := range message.Values {
@@ -79,7 +79,7 @@
 				ID: r.Node, Incarnation: r.Incarnation, DataCentre: r.DataCentre,
 				Peers: r.Peers, Endpoints: r.Endpoints, Disk: r.Disk, Draining: r.Draining, Reserve: r.Reserve,
 			},
-			Epoch: r.Epoch, Version: r.Version, State: r.State, Ended: r.Ended,
+			Epoch: r.Epoch, Version: r.Version, State: r.State, ProcessEnded: r.Ended,
 		})
 	}
 	for _, v := range w.Values {
