--- a/plugins/endpoints/joins_test.go
+++ b/plugins/endpoints/joins_test.go
@@ -99,14 +99,19 @@
 	})
 }
 
+// largeGroupWithALoss returns the members of a large group, all of which know that a run of one task was lost.
+func largeGroupWithALoss(t *testing.T) (n *network, all []*Pools, nodes []port.Node, lost taskRef) {
+	n, lost = newNetwork(), taskRef{"job", 0}
+	all, nodes = startGroup(t, n, 72)
+	all[0].recordLoss(lost, "e", port.LossCrashed)
+	time.Sleep(joinedAgain + time.Second) // On the virtual clock: until all have been told.
+	return n, all, nodes, lost
+}
+
 // Guards against a member that joins with many others and learns of no loss: those that were to tell it had just joined themselves.
 func TestMembersThatJoinALargeGroupTogetherAreToldByThoseThatWereThere(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
-		n := newNetwork()
-		all, nodes := startGroup(t, n, 72)
-		ref := taskRef{"job", 0}
-		all[0].recordLoss(ref, "e", port.LossCrashed)
-		time.Sleep(joinedAgain + time.Second) // On the virtual clock.
+		n, _, nodes, ref := largeGroupWithALoss(t)
 		var joined []*Pools
 		for i := range 72 {
 			id := fmt.Sprintf("j%03d", i)
@@ -125,11 +130,7 @@
 // Guards against issue 39, SHORT: all members told one that joined what they knew, each the same.
 func TestAMemberThatJoinsALargeGroupIsToldByAFew(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
-		n := newNetwork()
-		all, nodes := startGroup(t, n, 72)
-		ref := taskRef{"job", 0}
-		all[0].recordLoss(ref, "e", port.LossCrashed)
-		time.Sleep(joinedAgain + time.Second) // On the virtual clock.
+		n, all, nodes, ref := largeGroupWithALoss(t)
 		before := n.lossCalls()
 		node := port.Node{ID: "new", Incarnation: "new1", DataCentre: "sj1"}
 		joined, _ := newPools(t, n, node)
--- a/plugins/leases/lease/lateextensions_test.go
+++ b/plugins/leases/lease/lateextensions_test.go
@@ -9,16 +9,22 @@
 	"redwingpulley/kernel/port"
 )
 
-// Guards against two runs of a task at an endpoint that leaves: a hold under the retiring token, which extends the lease before the endpoint is
-// known to have accepted that token, got no answer. Once a later one was answered, it was left out of account, and arrived afterwards.
-func TestLateHoldUnderTheRetiringTokenMayExtendTheLease(t *testing.T) {
-	h := newRunningHarness(t, 1)
-	running := []port.TaskRun{testRun(0)}
+// newRetiringHarness returns a harness with one run whose hold under the retiring token, which extends the lease, is in flight.
+func newRetiringHarness(t *testing.T) (h *harness, running []port.TaskRun) {
+	h = newRunningHarness(t, 1)
+	running = []port.TaskRun{testRun(0)}
 	h.replyToHold(running)
 	h.step(RetireRequested{})
 	h.advance(time.Millisecond).replyToHold(running)
 	h.is.True(h.machine.hasRetiringToken())
 	h.is.True(h.fx.Hold.Until > 0)
+	return h, running
+}
+
+// Guards against two runs of a task at an endpoint that leaves: a hold under the retiring token, which extends the lease before the endpoint is
+// known to have accepted that token, got no answer. Once a later one was answered, it was left out of account, and arrived afterwards.
+func TestLateHoldUnderTheRetiringTokenMayExtendTheLease(t *testing.T) {
+	h, running := newRetiringHarness(t)
 	late := h.now
 	h.advance(200 * time.Millisecond).failHold()
 	for h.now.Before(late.Add(minOrderDelay)) {
@@ -123,13 +129,7 @@
 // Guards against two runs of a task at an endpoint that leaves: another member held the lease under a token below the retiring one, so that a
 // hold under that one, without an answer, still arrived and extended the lease. It had been left out of account with the other's first query.
 func TestLateHoldUnderTheRetiringTokenMayExtendTheLeaseOfAnotherHolder(t *testing.T) {
-	h := newRunningHarness(t, 1)
-	running := []port.TaskRun{testRun(0)}
-	h.replyToHold(running)
-	h.step(RetireRequested{})
-	h.advance(time.Millisecond).replyToHold(running)
-	h.is.True(h.machine.hasRetiringToken())
-	h.is.True(h.fx.Hold.Until > 0)
+	h, running := newRetiringHarness(t)
 	late, other := h.now, h.machine.acceptedToken+1<<holderBits
 	h.is.True(other < h.fx.Hold.Token)
 	h.advance(100 * time.Millisecond).step(TakenOver{Token: other, Running: running})
