Review: links between machines that can be cut, and free ports

chaosrig can lead all traffic between machines over relays, which cut zones, single machines and executors off.

--- a/review/chaosrig/bursts.go
+++ b/review/chaosrig/bursts.go
@@ -38,6 +38,19 @@
 				n.freeze(d)
 			case "term":
 				n.term(true)
+			case "cutnode":
+				w.net.cutMachine(n.name, false, d)
+			case "cutzone":
+				w.net.cutZone(n.zone, d)
+			case "nodeslow":
+				n.slowDown(d + 2*time.Second)
+			case "zoneslow":
+				for _, m := range entries {
+					if m.zone == n.zone && m != n {
+						go m.slowDown(d + 2*time.Second)
+					}
+				}
+				n.slowDown(d + 2*time.Second)
 			case "mute":
 				set(func(e *executor) { e.muteShare = 0.5 })
 				time.Sleep(d)
--- a/review/chaosrig/chaos.go
+++ b/review/chaosrig/chaos.go
@@ -176,7 +176,7 @@
 		return
 	}
 	sort.Strings(kinds)
-	var entryBusy, coreBusy sync.Mutex
+	var entryBusy, coreBusy, linksBusy sync.Mutex
 	ms := func(a, b int) time.Duration { return time.Duration(a+r.IntN(b-a)) * time.Millisecond }
 	for time.Until(end) > 9*time.Second {
 		time.Sleep(time.Duration(r.ExpFloat64() * every * float64(time.Second)))
@@ -268,6 +268,28 @@
 				n.freeze(ms(2500, 3500))
 				time.Sleep(2 * time.Second)
 			})
+		case "cutzone", "cutnode", "cutcounted", "cutexecutors", "reset":
+			for _, m := range w.nodes {
+				m.disturb(d + 7*time.Second)
+			}
+			on(&linksBusy, func() {
+				switch k {
+				case "cutzone":
+					w.net.cutZone(n.zone, d+d/2)
+				case "cutnode":
+					w.net.cutMachine(n.name, false, d+d/2)
+				case "cutcounted":
+					w.net.cutMachine(n.name, true, d+d/2)
+				case "cutexecutors":
+					ids := map[string]bool{}
+					for range 4 {
+						ids[w.execs[r.IntN(len(w.execs))].id] = true
+					}
+					w.net.cutExecutors(ids, d+d/2)
+				default:
+					w.net.reset(0.3)
+				}
+			})
 		case "config":
 			go op.next()
 		case "race":
--- a/review/chaosrig/executor.go
+++ b/review/chaosrig/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -103,7 +104,9 @@
 	mux.HandleFunc("POST /run-stop", e.handle(e.runStop))
 	mux.HandleFunc("POST /hold", e.handle(e.hold))
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) })
-	e.server = &http.Server{Handler: mux}
+	e.server = &http.Server{Handler: mux, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, callerKey{}, &callerOf{})
+	}}
 	go e.server.Serve(l)
 	go e.beats(e.life, e.stopped)
 	go e.lapse(e.stopped)
@@ -151,6 +154,9 @@
 			w.WriteHeader(421)
 			return
 		}
+		if !e.reached(r) {
+			return
+		}
 		e.mu.Lock()
 		life, silent := e.life, e.silent
 		late := e.lateShare > 0 && rand.Float64() < e.lateShare
@@ -184,6 +190,9 @@
 			<-r.Context().Done()
 			return
 		}
+		if !e.reached(r) {
+			return
+		}
 		e.mu.Lock()
 		body["clock_ms"] = e.clock()
 		e.mu.Unlock()
@@ -193,6 +202,40 @@
 	}
 }
 
+// callerOf remembers the machine at a channel's other end.
+type callerOf struct {
+	mu   sync.Mutex
+	name string
+}
+
+type callerKey struct{}
+
+func (c *callerOf) find(w *world, remote string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.name == "" {
+		c.name = w.nodeOf(remote)
+	}
+	return c.name
+}
+
+// reached waits until no cut lies between the caller of a request and the executor. It reports false if the caller has gone meanwhile.
+func (e *executor) reached(r *http.Request) bool {
+	n := e.w.net
+	if n == nil || r == nil || !n.cutting() {
+		return true
+	}
+	name := r.Context().Value(callerKey{}).(*callerOf).find(e.w, r.RemoteAddr)
+	for healed := n.blocked(name, e.id); healed != nil; healed = n.blocked(name, e.id) {
+		select {
+		case <-healed:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	return true
+}
+
 func conflict(reason string) (int, map[string]any) { return 409, map[string]any{"reason": reason} }
 
 // grantLease takes until_ms; the caller holds the lock.
@@ -368,6 +411,10 @@
 			continue
 		}
 		for range len(e.w.control) {
+			if e.w.net != nil && e.w.net.blocked(e.id, e.w.nodes[next%len(e.w.control)].name) != nil {
+				next++
+				continue
+			}
 			req, _ := http.NewRequest("PUT", "http://"+e.w.control[next%len(e.w.control)]+"/instances/"+e.id, bytes.NewReader(raw))
 			req.Header.Set("Content-Type", "application/json")
 			resp, err := client.Do(req)
--- a/review/chaosrig/main.go
+++ b/review/chaosrig/main.go
@@ -51,14 +51,18 @@
 	out := flag.String("out", "record.txt", "")
 	lateGrants := flag.Bool("late-grants", false, "")
 	keep := flag.Bool("keep", false, "")
-	base := flag.Int("base", 0, "second byte of the loopback addresses; 0: one at which the ports are free")
 	rule := flag.String("rule", "", "only this rule decides; empty: all")
 	perZone := flag.Int("executors", 6, "")
-	scenario := flag.String("scenario", "", "frozen, killed or bursts; empty: random disturbances under steady traffic")
+	scenario := flag.String("scenario", "", "frozen, killed, bursts or cut; empty: random disturbances under steady traffic")
 	rounds := flag.Int("rounds", 8, "")
 	jobs := flag.Int("jobs", 16, "")
 	runMS := flag.Int("run-ms", 900, "")
 	freezeMS := flag.Int("freeze-ms", 3000, "")
+	cutMS := flag.Int("cut-ms", 3500, "")
+	gapMS := flag.Int("gap-ms", 8000, "")
+	tasks := flag.Int("tasks", 1, "")
+	deadlineMS := flag.Int("deadline-ms", 0, "how long clients wait; 0: 1.5 s and twice the run time")
+	backoff := flag.Bool("backoff", false, "")
 	restart := flag.Bool("restart", false, "")
 	trouble := flag.Bool("trouble", true, "")
 	oneCore := flag.Bool("one-core", false, "give each process of the system one core")
@@ -73,24 +77,34 @@
 	if *keep {
 		fmt.Println(dir)
 	}
-	if *base == 0 {
-		*base = freeBase()
-	}
+	base := freeBase()
 	p, _ := filepath.Abs(*program)
 	w := &world{dir: dir, program: p, runs: map[string][]*runRecord{}, jobs: map[string]*job{}, zones: []string{"za", "zb", "zc", "zd"}, started: time.Now(), oneCore: *oneCore}
-	ip := func(i int) string { return fmt.Sprintf("127.%d.0.%d", *base, i+1) }
+	ip := func(i int) string { return fmt.Sprintf("127.%d.0.%d", base, i+1) }
+	executorIP := func(i int) string { return fmt.Sprintf("127.%d.1.%d", base, i+1) }
+	w.deadline = *deadlineMS
+	cutting := *scenario == "cut" || strings.Contains(*events, "cut") || strings.Contains(*events, "reset")
+	if cutting {
+		w.net = &network{w: w, backoff: *backoff}
+		ip = func(i int) string { return machineIP(base, i) }
+		executorIP = func(i int) string { return fmt.Sprintf("127.%d.200.%d", base, i+1) }
+	}
 	var seeds []string
 	for i := range 3 {
-		seeds = append(seeds, ip(i)+":8166")
+		seeds = append(seeds, ip(i)+port(8166))
 	}
 	for i := range 4 {
-		n := &node{w: w, name: "core-" + w.zones[i], kind: "control", zone: w.zones[i], ip: ip(i), seeds: seeds, ports: [3]int{7720, 7735, 0}, front: ip(i) + ":8166", bootstrap: true}
+		n := &node{w: w, name: "core-" + w.zones[i], kind: "control", zone: w.zones[i], ip: ip(i), seeds: seeds, ports: [3]int{7720 + shift, 7735 + shift, 0}, front: ip(i) + port(8166), bootstrap: true}
 		w.nodes = append(w.nodes, n)
 		w.control = append(w.control, n.front)
 	}
+	firstEntry := 10
+	if cutting {
+		firstEntry = 4 // The relays count the machines without a gap.
+	}
 	var entries []*node
 	for i := range 8 {
-		n := &node{w: w, name: fmt.Sprintf("entry-%s-%d", w.zones[i%4], i/4), kind: "entry", zone: w.zones[i%4], ip: ip(10 + i), seeds: seeds, ports: [3]int{7720, 7735, 0}, front: ip(10+i) + ":8161", probe: ip(10+i) + ":8167", bootstrap: true}
+		n := &node{w: w, name: fmt.Sprintf("entry-%s-%d", w.zones[i%4], i/4), kind: "entry", zone: w.zones[i%4], ip: ip(firstEntry + i), seeds: seeds, ports: [3]int{7720 + shift, 7735 + shift, 0}, front: ip(firstEntry+i) + port(8161), probe: ip(firstEntry+i) + port(8167), bootstrap: true}
 		w.nodes = append(w.nodes, n)
 		entries = append(entries, n)
 	}
@@ -106,6 +120,12 @@
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	go func() { <-interrupted; leave(2) }()
+	if cutting {
+		if err := w.net.openRelays(base); err != nil {
+			fmt.Println(err)
+			leave(2)
+		}
+	}
 	for _, n := range w.nodes {
 		if err := n.start(); err != nil {
 			fmt.Println(err)
@@ -117,12 +137,15 @@
 		go n.probeReady(stop)
 	}
 	for i := range *perZone * 4 {
-		e := &executor{w: w, id: fmt.Sprintf("i-%08x", i+1), service: "svc", zone: w.zones[i%4], addr: fmt.Sprintf("127.%d.1.%d:9000", *base, i+1), cpu: 64000, mem: 262144, slots: 8, lateGrants: *lateGrants}
+		e := &executor{w: w, id: fmt.Sprintf("i-%08x", i+1), service: "svc", zone: w.zones[i%4], addr: executorIP(i) + port(9000), cpu: 64000, mem: 262144, slots: 8, lateGrants: *lateGrants}
 		if err := e.start(); err != nil {
 			fmt.Println(err)
 			leave(2)
 		}
 		w.execs = append(w.execs, e)
+		if cutting {
+			w.placeOf[e.id] = e.zone
+		}
 	}
 	op := &operator{w: w, version: 1, checkInForce: *scenario == ""}
 	if !op.first() {
@@ -130,7 +153,11 @@
 		w.writeRecord(*out)
 		leave(2)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(time.Second)
+	if cutting {
+		w.net.relaySeeds()
+	}
+	time.Sleep(3 * time.Second)
 	r := rand.New(rand.NewPCG(*seed, 7))
 	var st stats
 	var wg sync.WaitGroup
@@ -149,12 +176,16 @@
 		killed(w, entries, *rounds, *jobs, *runMS, *share, time.Duration(*afterMS)*time.Millisecond, *kill, *trouble, &st)
 		end = time.Now()
 	}
+	if *scenario == "cut" {
+		cutZones(w, w.net, entries, *rounds, *runMS, *tasks, *rate, time.Duration(*cutMS)*time.Millisecond, time.Duration(*gapMS)*time.Millisecond, *trouble, &st)
+		end = time.Now()
+	}
 	if *scenario == "bursts" {
 		bursts(w, entries, *seed, *jobs, strings.Split(*events, ","), &st)
 		end = time.Now()
 	}
 	go chaos(w, op, rand.New(rand.NewPCG(*seed, 9)), enabled, *every, end, entries)
-	if *scenario == "" {
+	if *scenario == "" && !cutting {
 		go op.reader(end)
 	}
 	for time.Now().Before(end) {
@@ -209,13 +240,33 @@
 	leave(0)
 }
 
-// freeBase returns a second byte of loopback addresses at which nothing listens on the ports of this rig.
+var kept []net.Listener
+
+// shift is added to all ports, so that they are free where others listen on the usual ones.
+var shift int
+
+// port returns the end of an address.
+func port(number int) string { return fmt.Sprintf(":%d", number+shift) }
+
+// freeBase returns a second byte of loopback addresses at which nothing listens on the ports of this rig. It keeps a listener there, so that
+// another rig that starts at the same moment takes other addresses.
 func freeBase() int {
-	for range 100 {
+	for try := range 400 {
 		base := 20 + rand.IntN(200)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:7720", base))
-		if err == nil {
-			l.Close()
+		shift = try / 20
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1", base)+port(7719))
+		if err != nil {
+			continue
+		}
+		kept = append(kept, l)
+		free := true
+		for _, number := range []int{7720, 7735, 8161, 8166, 8167, 9000} {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1", base)+port(number))
+			if free = free && err == nil; err == nil {
+				l.Close()
+			}
+		}
+		if free {
 			return base
 		}
 	}
@@ -231,6 +282,9 @@
 	j.created = time.Now()
 	w.mu.Unlock()
 	deadline := 1500 + 2*ms
+	if w.deadline > 0 {
+		deadline = w.deadline
+	}
 	body, _ := json.Marshal(map[string]any{"spec": j.spec, "best_effort": true, "steps": []any{map[string]any{
 		"count": j.count, "cpu": cpuOf(j.spec), "mem_mb": 64, "estimated_ms": ms}}})
 	for attempt := range 3 {
--- a/review/chaosrig/world.go
+++ b/review/chaosrig/world.go
@@ -26,6 +26,9 @@
 	program  string
 	oneCore  bool
 	nextCore atomic.Int32
+	net      *network          // Nil if no link is to be cut.
+	placeOf  map[string]string // Zones of machines and executors by name; only where links are cut.
+	deadline int               // How long clients wait, in ms; 0: by the run time.
 	nodes    []*node
 	control  []string // Addresses that executors and the operator call.
 	execs    []*executor
@@ -105,15 +108,17 @@
 
 // node is a machine of the system with its process.
 type node struct {
-	w     *world
-	name  string
-	kind  string // entry or control
-	zone  string
-	ip    string
-	seeds []string
-	ports [3]int // peers, operators, own
-	probe string
-	front string
+	w            *world
+	name         string
+	kind         string // entry or control
+	zone         string
+	ip           string
+	seeds        []string
+	relayedSeeds []string          // Seeds that lead through relays.
+	peers        map[string]string // Addresses of machines that this one reaches through a relay.
+	ports        [3]int            // peers, operators, own
+	probe        string
+	front        string
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -144,6 +149,9 @@
 		"leases":             map[string]any{"lease_ms": 1000, "stop_ms": 50, "away_ms": 3000},
 		"platform.endpoints": map[string]any{},
 	}
+	if n.peers != nil {
+		plugins["peer.http"] = map[string]any{"addresses": n.peers}
+	}
 	s := map[string]any{
 		"node": n.name, "region": "r", "data_centre": n.zone,
 		"listen": map[string]any{"peers": fmt.Sprintf("%s:%d", n.ip, n.ports[0]), "operators": fmt.Sprintf("%s:%d", n.ip, n.ports[1])},
