--- a/review/chaosrig/bursts.go
+++ b/review/chaosrig/bursts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 )
@@ -63,6 +64,27 @@
 				set(func(e *executor) { e.silent = true })
 				time.Sleep(d)
 				set(func(e *executor) { e.silent = false })
+			case "mutekill", "latekill", "cutkill", "mutefreeze", "latefreeze", "cutfreeze":
+				// Some executors are disturbed first, then an owner of executors.
+				long := 5500 * time.Millisecond
+				switch k[:3] {
+				case "mut":
+					set(func(e *executor) { e.muteShare = 1 })
+					time.AfterFunc(long, func() { set(func(e *executor) { e.muteShare = 0 }) })
+				case "lat":
+					set(func(e *executor) { e.lateShare = 0.5 })
+					time.AfterFunc(long, func() { set(func(e *executor) { e.lateShare = 0 }) })
+				default:
+					ids := map[string]bool{}
+					set(func(e *executor) { ids[e.id] = true })
+					go w.net.cutExecutors(ids, d)
+				}
+				time.Sleep(time.Duration(r.IntN(800)) * time.Millisecond)
+				if strings.HasSuffix(k, "kill") {
+					n.kill(d)
+				} else {
+					n.freeze(d)
+				}
 			case "crash":
 				for i, e := range w.execs {
 					if i%7 == round%7 {
