--- a/review/chaosrig/main.go
+++ b/review/chaosrig/main.go
@@ -61,6 +61,7 @@
 	cutMS := flag.Int("cut-ms", 3500, "")
 	gapMS := flag.Int("gap-ms", 8000, "")
 	tasks := flag.Int("tasks", 1, "")
+	mix := flag.Bool("mix", false, "jobs of the kinds of a small site, in its shares")
 	deadlineMS := flag.Int("deadline-ms", 0, "how long clients wait; 0: 1.5 s and twice the run time")
 	backoff := flag.Bool("backoff", false, "")
 	restart := flag.Bool("restart", false, "")
@@ -169,7 +170,7 @@
 		}
 	}
 	if *scenario == "frozen" {
-		frozen(w, entries, *rounds, *jobs, *runMS, time.Duration(*freezeMS)*time.Millisecond, *restart, *trouble, &st)
+		frozen(w, entries, *rounds, *jobs, *runMS, *mix, time.Duration(*freezeMS)*time.Millisecond, *restart, *trouble, &st)
 		end = time.Now()
 	}
 	if *scenario == "killed" {
--- a/review/chaosrig/world.go
+++ b/review/chaosrig/world.go
@@ -181,6 +181,7 @@
 	cmd := exec.Command(n.w.program, "run")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + n.w.dir, "REDWINGPULLEY_CONFIG=" + n.settingsPath()}
 	cmd.Stdout, cmd.Stderr = n.logFile, n.logFile
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.w.startPinned(cmd); err != nil {
 		return err
 	}
