--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -44,6 +44,8 @@
 		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS, Reason)
 	BatchUnanswered = define(Trouble, "batch_unanswered", "the pool's owner did not reply to a part of a job; the job's owner asks again until it gets a reply, the deadline has passed or the pool's owner is no longer considered alive",
 		Job, JobKey, Part, Pool, Owner, TookMS)
+	BatchOutdated = define(Trouble, "batch_outdated", "a part of a job may have been under way for too long when this member read it, and was refused; a sender that still waits sends it again",
+		Job, JobKey, Part, Pool, Member, AgeMS)
 	TaskSent = define(Routine, "task_sent", "an endpoint was chosen for a task and is asked to run it",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, QueuedMS, PassedOver, Free, Queued, Why)
 	StartWaits = define(Change, "start_waits", "a start waits until the end of an earlier run of its task is known, which another submission of the job or another pool has started",
--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -183,6 +183,9 @@
 	// ReasonPaused means that the member stood still after it had accepted the job or batch. The caller may have sent the job to
 	// another member meanwhile, so nothing of it starts here any more.
 	ReasonPaused Reason = "member_paused"
+	// ReasonOutdated means that the batch may have been under way for too long when the pool's owner read it: its sender may have
+	// given it up, so nothing of it starts.
+	ReasonOutdated Reason = "batch_outdated"
 	// ReasonEndpointsCrashed means that endpoints have crashed under runs of a task, and that it is not started again.
 	ReasonEndpointsCrashed Reason = "endpoints_crashed"
 	ReasonAnswerExpired    Reason = "answer_expired"  // The job completed; its answers are no longer kept.
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -24,6 +24,7 @@
 	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/endpoints/loadview"
 	"redwingpulley/plugins/endpoints/poolstate"
+	"redwingpulley/plugins/endpoints/transit"
 )
 
 // announceInterval is the time between two announcements of an endpoint.
@@ -69,8 +70,9 @@
 	parts        *shard.Map[poolGroup, int]  // Number of pools, where it is above the setting.
 	splitPending *shard.Map[poolGroup, bool] // Groups whose split is scheduled.
 
-	stop    context.CancelFunc
-	baseCtx context.Context // Ends when the plug-in stops.
+	stop      context.CancelFunc
+	baseCtx   context.Context // Ends when the plug-in stops.
+	startedAt time.Time       // Start of the clock that batches to this member are stamped with.
 
 	gossip       port.Gossip
 	senders      *shard.Map[model.NodeID, time.Time] // When each member sent its newest batch.
@@ -84,7 +86,8 @@
 	created chan struct{}                       // Signals watchOrigins that there is a new pool, or a past holder of one.
 	effects sync.Pool                           // Holds *poolstate.Effects, so that later steps use the buffers again.
 	origins *shard.Map[incarnationKey, *origin] // Members that send batches to this one.
-	turns   *shard.Map[taskRef, turn]           // Attempts that may be running, by their task.
+	clocks  *shard.Map[model.NodeID, transit.Reading]
+	turns   *shard.Map[taskRef, turn] // Attempts that may be running, by their task.
 
 	losses        *shard.Map[taskRef, taskLosses]              // Endpoints that have crashed under tasks.
 	pendingLosses *shard.Map[lossTarget, []wireTaskLoss]       // Losses that are to be sent to other members.
@@ -136,6 +139,8 @@
 	p.effects.New = func() any { return &poolstate.Effects{} }
 	p.sessions = shard.New[incarnationKey, *session](shard.DefaultCount)
 	p.origins = newOrigins()
+	p.clocks = shard.New[model.NodeID, transit.Reading](shard.DefaultCount)
+	p.startedAt = time.Now()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
 	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
 	p.pendingLosses = shard.New[lossTarget, []wireTaskLoss](shard.DefaultCount)
--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -11,6 +11,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/wait"
 	"redwingpulley/plugins/endpoints/loadview"
+	"redwingpulley/plugins/endpoints/transit"
 )
 
 const (
@@ -21,7 +22,8 @@
 
 // loadReport is a message with the loads of the pools that the sender owns.
 type loadReport struct {
-	Loads []wireLoad `json:"loads"`
+	Loads []wireLoad    `json:"loads"`
+	Clock *transit.Time `json:"clock,omitempty"` // Of the sender; not set in gossip, which comes too late.
 }
 
 // wireLoad is the encoding of a load. Its names are short, since it travels by gossip too.
@@ -132,7 +134,8 @@
 }
 
 // handleLoads handles a load report that was sent to this member.
-func (p *Pools) handleLoads(_ context.Context, _ model.NodeID, r loadReport) empty {
+func (p *Pools) handleLoads(_ context.Context, from model.NodeID, r loadReport) empty {
+	p.recordClock(from, r.Clock)
 	p.updateReported(r)
 	return empty{}
 }
@@ -230,6 +233,8 @@
 			p.gossip.Publish(topicLoads, value)
 		}
 	}
+	clock := p.clock()
+	report.Clock = &clock
 	for _, node := range publication.To {
 		go p.sendReport(node, report)
 	}
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -66,7 +66,7 @@
 				m.repeated.Inc(1)
 			}
 		case port.DecidedBatchRefusal:
-			metrics.GetOrRegisterCounter("pools.refused."+string(d.Reason), m.registry).Inc(1)
+			m.countRefusal(d.Reason)
 		}
 	}
 	for _, s := range fx.Served {
@@ -76,6 +76,11 @@
 	}
 }
 
+// countRefusal counts a refused batch by its reason.
+func (m *instruments) countRefusal(reason model.Reason) {
+	metrics.GetOrRegisterCounter("pools.refused."+string(reason), m.registry).Inc(1)
+}
+
 // countTaskEnd counts the reply of a start by its state.
 func (m *instruments) countTaskEnd(state port.TaskState) {
 	metrics.GetOrRegisterCounter("tasks.ended."+string(state), m.registry).Inc(1)
--- a/plugins/endpoints/network_test.go
+++ b/plugins/endpoints/network_test.go
@@ -30,8 +30,12 @@
 	dropRequest
 	dropReply
 	hang // The request arrives, but the call blocks without a reply until its context ends.
+	late // The request is read only after lateBy, and answered whether or not its sender still waits.
 )
 
+// lateBy is how long a late request lies unread.
+const lateBy = 700 * time.Millisecond
+
 // network is a fake network that connects the Pools of a few members.
 type network struct {
 	mu       sync.Mutex
@@ -104,6 +108,10 @@
 		return port.Unknown
 	}
 	raw, _ := json.Marshal(request) // The wire types always encode.
+	if f == late {
+		time.Sleep(lateBy) // On the virtual clock.
+		f, ctx = noFault, context.WithoutCancel(ctx)
+	}
 	result, err := handler(ctx, m.node.ID, func(target any) error { return json.Unmarshal(raw, target) })
 	if f == hang {
 		<-ctx.Done()
@@ -220,6 +228,8 @@
 	origin, _ = newPools(t, n, origin1)
 	owner, atOwner = newPools(t, n, owner1)
 	owner.step(pool1, announcedEvent())
+	clock := owner.clock()
+	origin.recordClock(owner1.ID, &clock) // As by the report of the loads by which a job is planned.
 	return n, origin, owner, atOwner
 }
 
--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -15,6 +15,7 @@
 	resumePause    = 50 * time.Millisecond  // Time before each resume request for a batch whose reply did not arrive.
 	lateReplyGrace = 100 * time.Millisecond // Time that a reply may take after its batch's deadline.
 	ownerLostGrace = 200 * time.Millisecond // Time for the last replies of an owner that has just left.
+	maxSends       = 2                      // How often a batch is sent to an owner that refuses it as outdated.
 )
 
 // session is the sender's state of the batches that this member sends to one incarnation of an owner.
@@ -61,9 +62,22 @@
 	}
 }
 
-// runRemote sends the batch to the owner once. When no reply arrives, it sends resume requests over new
+// runRemote sends the batch to the owner, and once more when the owner could not tell that it was sent just now. That it had to be
+// sent again is known to a process that has not stood still meanwhile and whose caller still waits.
+func (p *Pools) runRemote(ctx context.Context, node port.Node, batch model.Batch) (result model.BatchResult) {
+	pauses := p.liveness.Pauses()
+	for range maxSends {
+		result = p.sendBatch(ctx, node, batch)
+		if result.Reason != model.ReasonOutdated || ctx.Err() != nil || !p.liveness.Fresh() || p.liveness.Pauses() != pauses {
+			break
+		}
+	}
+	return result
+}
+
+// sendBatch sends the batch to the owner once. When no reply arrives, it sends resume requests over new
 // connections until one is answered, the deadline has passed or the owner is no longer considered alive.
-func (p *Pools) runRemote(ctx context.Context, node port.Node, batch model.Batch) model.BatchResult {
+func (p *Pools) sendBatch(ctx context.Context, node port.Node, batch model.Batch) model.BatchResult {
 	b := p.open(node)
 	defer p.close(b)
 	callCtx, cancel := context.WithDeadline(b.alive, batch.Deadline.Add(lateReplyGrace))
@@ -74,7 +88,10 @@
 	p.countSent(batch.Pool, len(batch.Tasks))
 	var reply runReply
 	sentAt := time.Now()
-	delivery := p.peers.Call(callCtx, node.ID, methodRun, encodeBatch(p.envelope(b), p.withLosses(batch)), &reply)
+	request := encodeBatch(p.envelope(b), p.withLosses(batch))
+	stamp := p.clockOf(node.ID)
+	request.SentAt = &stamp
+	delivery := p.peers.Call(callCtx, node.ID, methodRun, request, &reply)
 	switch delivery {
 	case port.Delivered:
 	case port.NotSent, port.Refused:
@@ -86,6 +103,7 @@
 			return unknownResult(batch, model.ReasonOwnerLost)
 		}
 	}
+	p.recordClock(node.ID, reply.Clock)
 	return p.handleReply(batch, reply)
 }
 
--- a/plugins/endpoints/serve.go
+++ b/plugins/endpoints/serve.go
@@ -62,12 +62,22 @@
 	if verdict == ledger.Start {
 		p.recordSender(from)
 		w.pool, w.cancelIfOrphaned = r.Pool, r.Key != ""
-		p.submit(decodeBatch(from, r), w)
-		p.cancelIfOrdered(r.ID, w)
+		p.submitReceived(from, r, w)
 	}
 	return p.awaitResult(ctx, r.ID, w, verdict)
 }
 
+// submitReceived submits the batch of a request that has just been read, unless it is outdated.
+func (p *Pools) submitReceived(from model.NodeID, r runRequest, w *waiter) {
+	batch := decodeBatch(from, r)
+	if p.isOutdated(from, &r) {
+		p.refuse(batch, w, model.ReasonOutdated)
+		return
+	}
+	p.submit(batch, w)
+	p.cancelIfOrdered(r.ID, w)
+}
+
 // handleResume returns the result of a batch whose reply did not reach the origin, and fences a batch whose
 // request has not arrived.
 func (p *Pools) handleResume(ctx context.Context, from model.NodeID, r batchRef) runReply {
@@ -134,7 +144,7 @@
 			if load := w.result.Load; load.Owner != "" && load.Slots == 0 {
 				p.publishAgain()
 			}
-			return encodeResult(w.result)
+			return p.encodeReply(w.result)
 		case <-ctx.Done():
 			return runReply{Lost: true} // The requester is gone; nobody reads this reply.
 		}
@@ -145,6 +155,16 @@
 	}
 }
 
+// encodeReply encodes the result of a batch. The sender of one that was outdated is told this member's clock.
+func (p *Pools) encodeReply(result model.BatchResult) runReply {
+	reply := encodeResult(result)
+	if result.Reason == model.ReasonOutdated {
+		clock := p.clock()
+		reply.Clock = &clock
+	}
+	return reply
+}
+
 // releaseRequest is called when a request for a batch's result has ended. The batch of a job that may run
 // again is cancelled when its origin sends no further request: the job's caller may have sent the job to
 // another member.
--- a/plugins/endpoints/wire.go
+++ b/plugins/endpoints/wire.go
@@ -7,6 +7,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/plugins/endpoints/crashes"
+	"redwingpulley/plugins/endpoints/transit"
 )
 
 // maxRemaining is the longest remaining time that a valid request may give its batch. It is longer than
@@ -35,6 +36,7 @@
 	Objective   wireObjective `json:"objective,omitzero"`
 	Whole       bool          `json:"whole,omitempty"`
 	Tasks       []wireTask    `json:"tasks"`
+	SentAt      *transit.Time `json:"sent_at,omitempty"` // Time of the receiver's clock that had certainly passed when this was sent.
 }
 
 // batchRef is the request to resume or to cancel a batch.
@@ -92,6 +94,7 @@
 	RetryAfterMS int64          `json:"retry_after_ms,omitempty"`
 	Results      []wireResult   `json:"results,omitempty"`
 	Load         model.PoolLoad `json:"load"`
+	Clock        *transit.Time  `json:"clock,omitempty"` // Set where the batch was refused since it was outdated.
 }
 
 type wireResult struct {
