Endpoints: losses travel as one kind of task update

No change of behaviour. The method keeps its name, pools/losses, for members of earlier versions.

Why: what a resent job needs to know of an earlier submission travels to the same members, by the same rules, as the losses of its tasks. Evidence: go test ./plugins/endpoints, whose checks are unchanged but for names.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -89,10 +89,10 @@
 	clocks  *shard.Map[model.NodeID, transit.Reading]
 	turns   *shard.Map[taskRef, turn] // Attempts that may be running, by their task.
 
-	losses        *shard.Map[taskRef, taskLosses]              // Endpoints that have crashed under tasks.
-	pendingLosses *shard.Map[lossTarget, []wireTaskLoss]       // Losses that are to be sent to other members.
-	lossAdded     chan struct{}                                // Signals publishLosses that there are some.
-	relayed       *shard.Map[model.DataCentre, *relayedLosses] // Losses that are to be sent on, by the data centre.
+	losses         *shard.Map[taskRef, taskLosses]               // Endpoints that have crashed under tasks.
+	pendingUpdates *shard.Map[updateTarget, taskUpdates]         // Updates that are to be sent to other members.
+	updateAdded    chan struct{}                                 // Signals publishUpdates that there are some.
+	relayed        *shard.Map[model.DataCentre, *relayedUpdates] // Updates that are to be sent on, by the data centre.
 
 	draining atomic.Bool // New batches are refused; set by Drain.
 
@@ -143,9 +143,9 @@
 	p.startedAt = time.Now()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
 	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
-	p.pendingLosses = shard.New[lossTarget, []wireTaskLoss](shard.DefaultCount)
-	p.relayed = shard.New[model.DataCentre, *relayedLosses](1)
-	p.lossAdded = make(chan struct{}, 1)
+	p.pendingUpdates = shard.New[updateTarget, taskUpdates](shard.DefaultCount)
+	p.relayed = shard.New[model.DataCentre, *relayedUpdates](1)
+	p.updateAdded = make(chan struct{}, 1)
 	p.forwarded = shard.New[string, forwardedAnnouncement](shard.DefaultCount)
 	p.unreachable = shard.New[model.NodeID, bool](shard.DefaultCount)
 	p.parts = shard.New[poolGroup, int](shard.DefaultCount)
@@ -162,7 +162,7 @@
 // Start starts the goroutines that publish loads and watch the membership.
 func (p *Pools) Start() error {
 	go p.publishLoads()
-	go p.publishLosses()
+	go p.publishUpdates()
 	go p.watchJoins()
 	go p.watchOrigins()
 	go p.watchSessions()
--- a/plugins/endpoints/fuzz_test.go
+++ b/plugins/endpoints/fuzz_test.go
@@ -30,7 +30,7 @@
 	decode(raw, func(a announcement) { p.handleAnnounce(ctx, "peer", a) })
 	decode(raw, func(h handover) { p.handleHandover(ctx, "peer", h) })
 	decode(raw, func(r loadReport) { p.handleLoads(ctx, "peer", r) })
-	decode(raw, func(m lossMessage) { p.handleLosses(ctx, "peer", m) })
+	decode(raw, func(m updateMessage) { p.handleUpdates(ctx, "peer", m) })
 	decode(raw, func(r runRequest) { p.handleRun(ctx, "peer", r) })
 	decode(raw, func(r batchRef) { p.handleResume(ctx, "peer", r); p.handleCancel(ctx, "peer", r) })
 	p.handleGossipedLoads("peer", raw)
--- a/plugins/endpoints/joins_test.go
+++ b/plugins/endpoints/joins_test.go
@@ -12,11 +12,11 @@
 	"redwingpulley/kernel/port"
 )
 
-// lossCalls returns the number of messages with losses that were sent so far.
-func (n *network) lossCalls() int {
+// updateMessages returns the number of messages with updates that were sent so far.
+func (n *network) updateMessages() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.calls[methodLosses]
+	return n.calls[methodUpdates]
 }
 
 // startGroup starts so many members, one after the other; each learns of those that joined before and after it.
@@ -28,7 +28,7 @@
 		n.setAlive(nodes...)
 		p, _ := newPools(t, n, node)
 		all = append(all, p)
-		time.Sleep(2 * smallLossPause) // On the virtual clock.
+		time.Sleep(2 * smallUpdatePause) // On the virtual clock.
 	}
 	return all, nodes
 }
@@ -39,7 +39,7 @@
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		n := newNetwork()
 		startGroup(t, n, 24)
-		is.Equal(n.lossCalls(), 0)
+		is.Equal(n.updateMessages(), 0)
 	})
 }
 
@@ -68,8 +68,8 @@
 			for i := range all {
 				is.Equal(knowing(all, taskRef{fmt.Sprint("job", i), 0}), members)
 			}
-			t.Logf("%d members: %d messages", members, n.lossCalls())
-			is.True(n.lossCalls() <= (6+relaysOfCentre)*members) // To each data centre, and from its relays to each member.
+			t.Logf("%d members: %d messages", members, n.updateMessages())
+			is.True(n.updateMessages() <= (6+relaysOfCentre)*members) // To each data centre, and from its relays to each member.
 		})
 	}
 }
@@ -82,7 +82,7 @@
 		all, _ := startGroup(t, n, 72)
 		silent := make(map[*Pools]bool)
 		for centre := range 6 {
-			to, _ := all[0].lossReceiver(lossTarget{centre: model.DataCentre(fmt.Sprint("sj", centre)), relay: true}, 0)
+			to, _ := all[0].updateReceiver(updateTarget{centre: model.DataCentre(fmt.Sprint("sj", centre)), relay: true}, 0)
 			n.mu.Lock()
 			delete(n.handlers, to)
 			n.mu.Unlock()
@@ -131,13 +131,13 @@
 func TestAMemberThatJoinsALargeGroupIsToldByAFew(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		n, all, nodes, ref := largeGroupWithALoss(t)
-		before := n.lossCalls()
+		before := n.updateMessages()
 		node := port.Node{ID: "new", Incarnation: "new1", DataCentre: "sj1"}
 		joined, _ := newPools(t, n, node)
 		n.setAlive(append(slices.Clone(nodes), node)...)
 		time.Sleep(time.Second) // On the virtual clock.
 		is.Equal(len(joined.lossesOf(ref)), 1)
-		is.Equal(n.lossCalls()-before, joinTellers)
+		is.Equal(n.updateMessages()-before, joinTellers)
 		late := taskRef{"job", 1}
 		for _, p := range all { // The relays did not know of the join yet.
 			p.addLoss(late, model.Loss{Endpoint: "e2", Crashed: true})
@@ -156,7 +156,7 @@
 		node := port.Node{ID: "new", Incarnation: "new1", DataCentre: "sj1"}
 		joined, _ := newPools(t, n, node)
 		n.setAlive(append(slices.Clone(nodes), node)...)
-		time.Sleep(2 * smallLossPause) // On the virtual clock.
+		time.Sleep(2 * smallUpdatePause) // On the virtual clock.
 		ref := taskRef{"job", 0}
 		for _, p := range all {
 			p.addLoss(ref, model.Loss{Endpoint: "e", Crashed: true})
@@ -174,14 +174,14 @@
 			n := newNetwork()
 			all, nodes := startGroup(t, n, members)
 			all[0].recordLoss(taskRef{"k", 0}, "e1", port.LossCrashed)
-			time.Sleep(2 * smallLossPause) // On the virtual clock.
-			before := n.lossCalls()
+			time.Sleep(2 * smallUpdatePause) // On the virtual clock.
+			before := n.updateMessages()
 			joined := port.Node{ID: "joined", Incarnation: "j1", DataCentre: "sj0"}
 			p, _ := newPools(t, n, joined)
 			n.setAlive(append(nodes, joined)...)
-			time.Sleep(2 * smallLossPause)
+			time.Sleep(2 * smallUpdatePause)
 			is.Equal(len(p.lossesOf(taskRef{"k", 0})), 1)
-			is.True(n.lossCalls()-before <= 4)
+			is.True(n.updateMessages()-before <= 4)
 		}
 	})
 }
--- a/plugins/endpoints/losses.go
+++ b/plugins/endpoints/losses.go
@@ -44,7 +44,7 @@
 		event.TaskExhausted.Log(p.log, event.Text(event.JobKey, ref.job), event.Int(event.Task, ref.index),
 			event.Int(event.Crashes, len(record)), event.Text(event.Endpoint, endpoint))
 	}
-	p.enqueueLoss(wireTaskLoss{ref.job, ref.index, loss.Endpoint, loss.Crashed})
+	p.enqueueUpdates(taskUpdates{Losses: []wireTaskLoss{{ref.job, ref.index, loss.Endpoint, loss.Crashed}}})
 }
 
 // addLoss adds a loss to the table. It reports whether the table has changed.
--- a/plugins/endpoints/network_test.go
+++ b/plugins/endpoints/network_test.go
@@ -201,7 +201,7 @@
 	}
 	p := newPoolsOn(m)
 	go p.watchSessions()
-	go p.publishLosses()
+	go p.publishUpdates()
 	go p.watchJoins()
 	t.Cleanup(func() { p.Stop() })
 	return p, m
--- a/plugins/endpoints/peers.go
+++ b/plugins/endpoints/peers.go
@@ -10,7 +10,7 @@
 	methodAnnounce = "pools/announce"
 	methodLoads    = "pools/loads"
 	methodHandover = "pools/handover"
-	methodLosses   = "pools/losses"
+	methodUpdates  = "pools/losses" // Members of earlier versions send losses alone.
 )
 
 // empty is the body of requests and replies without content.
@@ -25,5 +25,5 @@
 	port.Handle(p.peers, methodAnnounce, p.handleAnnounce)
 	port.Handle(p.peers, methodLoads, p.handleLoads)
 	port.Handle(p.peers, methodHandover, p.handleHandover)
-	port.Handle(p.peers, methodLosses, p.handleLosses)
+	port.Handle(p.peers, methodUpdates, p.handleUpdates)
 }
--- a/plugins/endpoints/lossrelay.go
+++ b/plugins/endpoints/updaterelay.go
@@ -11,38 +11,38 @@
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
-// In a large group a member sends its losses to one member of each data centre, which tells those of its own. Losses that come from
+// In a large group a member sends its updates to one member of each data centre, which tells those of its own. Updates that come from
 // several members at about the same time travel on in one message, so that the messages of a burst do not grow with the number of members
 // that report times that of those that are told.
 
 const (
-	largeGroup     = 64 // Number of members from which losses are relayed.
+	largeGroup     = 64 // Number of members from which updates are relayed.
 	relaysOfCentre = 4  // Members of a data centre among which the others choose the one that relays.
-	// relayPause is the time in which a large group's losses are collected for one message: twice that and the calls are well below the
+	// relayPause is the time in which a large group's updates are collected for one message: twice that and the calls are well below the
 	// time after which a caller sends its job again.
 	relayPause   = 100 * time.Millisecond
-	relayTimeout = relayPause + 2*lossTimeout // Timeout of a message with losses to be relayed.
+	relayTimeout = relayPause + 2*updateTimeout // Timeout of a message with updates to be relayed.
 )
 
-// relayedLosses are the losses that are relayed next, and a channel that is closed when that has been tried.
-type relayedLosses struct {
-	losses []wireTaskLoss
-	tried  chan struct{}
+// relayedUpdates are the updates that are relayed next, and a channel that is closed when that has been tried.
+type relayedUpdates struct {
+	updates taskUpdates
+	tried   chan struct{}
 }
 
-// isLarge reports whether losses are relayed in the group.
+// isLarge reports whether updates are relayed in the group.
 func (v *viewIndex) isLarge() bool { return len(v.alive) >= largeGroup }
 
-// lossPause returns the time in which losses are collected for one message.
-func (p *Pools) lossPause() time.Duration {
+// updatePause returns the time in which updates are collected for one message.
+func (p *Pools) updatePause() time.Duration {
 	if p.currentView().isLarge() {
 		return relayPause
 	}
-	return smallLossPause
+	return smallUpdatePause
 }
 
-// lossReceiver returns the member that is to get the losses for a target at the given attempt, if any is alive.
-func (p *Pools) lossReceiver(target lossTarget, attempt int) (to model.NodeID, alive bool) {
+// updateReceiver returns the member that is to get the updates for a target at the given attempt, if any is alive.
+func (p *Pools) updateReceiver(target updateTarget, attempt int) (to model.NodeID, alive bool) {
 	if !target.relay {
 		_, alive = p.member(target.member)
 		return target.member, alive
@@ -65,19 +65,19 @@
 	})
 }
 
-// relayLosses tells the other members of this one's data centre of losses, together with those that are relayed at about the same time.
-// It returns when each of them has been tried once.
-func (p *Pools) relayLosses(ctx context.Context, losses []wireTaskLoss) {
+// relayUpdates sends updates to the other members of this one's data centre, together with those that are relayed at about the same
+// time. It returns when each of them has been tried once.
+func (p *Pools) relayUpdates(ctx context.Context, updates taskUpdates) {
 	own := p.membership.Self().DataCentre
 	var tried chan struct{}
-	p.relayed.Do(own, func(all map[model.DataCentre]*relayedLosses) {
+	p.relayed.Do(own, func(all map[model.DataCentre]*relayedUpdates) {
 		next := all[own]
 		if next == nil {
-			next = &relayedLosses{tried: make(chan struct{})}
+			next = &relayedUpdates{tried: make(chan struct{})}
 			all[own] = next
 			time.AfterFunc(relayPause, func() { p.flushRelayed(own) })
 		}
-		next.losses = append(next.losses, losses...)
+		next.updates = next.updates.plus(updates)
 		tried = next.tried
 	})
 	select {
@@ -87,11 +87,11 @@
 	}
 }
 
-// flushRelayed sends the losses that were collected to the other members of a data centre. Those that do not reply are tried again
-// without holding up the senders of the losses.
+// flushRelayed sends the updates that were collected to the other members of a data centre. Those that do not reply are tried again
+// without holding up the senders of the updates.
 func (p *Pools) flushRelayed(centre model.DataCentre) {
-	var next *relayedLosses
-	p.relayed.Do(centre, func(all map[model.DataCentre]*relayedLosses) {
+	var next *relayedUpdates
+	p.relayed.Do(centre, func(all map[model.DataCentre]*relayedUpdates) {
 		next = all[centre]
 		delete(all, centre)
 	})
@@ -103,10 +103,10 @@
 		}
 		calls.Go(func() {
 			reached := true
-			for losses := range slices.Chunk(next.losses, maxPendingLosses) {
-				reached = reached && p.tryLosses(p.baseCtx, node.Node, lossMessage{Losses: losses})
+			for _, updates := range next.updates.parts() {
+				reached = reached && p.tryUpdates(p.baseCtx, node.Node, updateMessage{taskUpdates: updates})
 				if !reached {
-					go p.sendLosses(lossTarget{member: node.Node}, losses)
+					go p.sendUpdates(updateTarget{member: node.Node}, updates)
 				}
 			}
 		})
