--- a/bench/leased/call.go
+++ b/bench/leased/call.go
@@ -40,6 +40,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case fault.ExecuteAfter > 0:
+			if fault.FromArrival && o.Until > 0 {
+				o.Until += fault.ExecuteAfter.Milliseconds()
+			}
 			time.AfterFunc(fault.ExecuteAfter, func() { handle(r, o) })
 			<-r.Context().Done()
 			return
--- a/bench/leased/endpoint.go
+++ b/bench/leased/endpoint.go
@@ -34,6 +34,7 @@
 type Fault struct {
 	DropReply    bool          // The call is executed, but gets no reply.
 	ExecuteAfter time.Duration // The call gets no reply and is executed after this delay; 0 for no such fault.
+	FromArrival  bool          // With ExecuteAfter, the lease that the call asks for counts from its execution.
 	Refuse       bool          // The call gets status 503 and is not executed.
 	Fail         bool          // The task that the call starts fails.
 }
--- /dev/null
+++ b/cmd/internal/node/late_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/bench/leased"
+)
+
+const (
+	lateOrder   = 2300 * time.Millisecond // How late a stuck endpoint carries its orders out.
+	callerPause = 1300 * time.Millisecond // Time after which a caller sends its job again.
+)
+
+// stuckEndpoint is the fault of an endpoint that gets stuck with the first start after arm: it answers no order for lateOrder, and carries
+// each of them out so much later.
+type stuckEndpoint struct {
+	mu    sync.Mutex
+	armed bool
+	until time.Time
+}
+
+func (s *stuckEndpoint) arm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = true
+}
+
+func (s *stuckEndpoint) fault(path string, _ int) leased.Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.armed && path == "/run-start" && s.until.IsZero() {
+		s.until = time.Now().Add(lateOrder)
+	}
+	if time.Now().Before(s.until) {
+		return leased.Fault{ExecuteAfter: lateOrder, FromArrival: true}
+	}
+	return leased.Fault{}
+}
+
+// watchOverlaps reports, once the test has ended the watch, whether two endpoints ran a task at the same time.
+func watchOverlaps(task string, a, b *leased.Endpoint) (overlapped func() bool) {
+	stop, result := make(chan struct{}), make(chan bool)
+	go func() {
+		overlap := false
+		for {
+			select {
+			case <-time.After(time.Millisecond):
+				overlap = overlap || slices.Contains(a.Running(), task) && slices.Contains(b.Running(), task)
+			case <-stop:
+				result <- overlap
+				return
+			}
+		}
+	}()
+	return func() bool {
+		close(stop)
+		return <-result
+	}
+}
+
+// Guards against review/7, TWICE: an endpoint leaves a start and its stops unanswered and carries them out seconds later, with a lease
+// from then. The job was answered 504; sent again to an entry VM of another data centre, it ran there beside the late start.
+func TestPlatformJobSentToAnotherVMDoesNotRunBesideALateStart(t *testing.T) {
+	is := is.New(t)
+	s := &platformCluster{t: t, dataCentres: 2}
+	s.start(1, 2)
+	var stuck stuckEndpoint
+	near, far := s.startEndpoint(1, 16000, stuck.fault), s.startEndpoint(2, 16000, nil)
+	s.putConfig(1)
+	s.awaitReady()
+	const id, task, shortDeadline, longDeadline = "00000000000000ee", "00000000000000ee.0.0.0", 700, 10_000
+	spec := leased.Spec{MS: 600, CPU: 100}
+	s.eventually(func() bool { // The fencing token is in use, so that a start needs no hold before it.
+		before := near.Calls("/run-start")
+		status, _ := s.submitJob(s.callers[0], 1, 1, 100)
+		return status == http.StatusOK && near.Calls("/run-start") > before
+	})
+	overlapped := watchOverlaps(task, near, far)
+	stuck.arm()
+	status, _ := s.postWithin(shortDeadline, s.callers[0], id, 1, spec)
+	is.Equal(status, http.StatusGatewayTimeout)
+	time.Sleep(callerPause)
+	status, _ = s.postWithin(longDeadline, s.callers[1], id, 1, spec)
+	is.Equal(status, http.StatusOK)
+	is.True(!overlapped())
+	is.Equal(near.StartCounts()[task], 1) // The late start was carried out.
+}
--- a/cmd/internal/node/platform_test.go
+++ b/cmd/internal/node/platform_test.go
@@ -130,15 +130,23 @@
 	}
 }
 
+// callerDeadlineMS is how long callers wait for an answer, in milliseconds, where a test does not say otherwise.
+const callerDeadlineMS = 8000
+
 // call sends a request and returns the status and the body of the response. The status is 0 if there was no
 // response.
 func (s *platformCluster) call(method, address, host, path, body string) (int, string) {
+	return s.callWithin(callerDeadlineMS, method, address, host, path, body)
+}
+
+// callWithin is call for a caller that waits for the given time.
+func (s *platformCluster) callWithin(deadlineMS int, method, address, host, path, body string) (int, string) {
 	request, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	request.Host = host
-	request.Header.Set("X-Deadline-Ms", "8000")
+	request.Header.Set("X-Deadline-Ms", strconv.Itoa(deadlineMS))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, ""
@@ -212,6 +220,11 @@
 
 // postSpec submits a job of equal tasks with the given specification.
 func (s *platformCluster) postSpec(entry, id string, tasks int, of leased.Spec) (status int, body string) {
+	return s.postWithin(callerDeadlineMS, entry, id, tasks, of)
+}
+
+// postWithin is postSpec for a caller that waits for the given time.
+func (s *platformCluster) postWithin(deadlineMS int, entry, id string, tasks int, of leased.Spec) (status int, body string) {
 	spec, err := json.Marshal(of)
 	if err != nil {
 		s.t.Fatal(err)
@@ -223,7 +236,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	return s.call(http.MethodPost, entry, testHost, testPrefix+id, string(job))
+	return s.callWithin(deadlineMS, http.MethodPost, entry, testHost, testPrefix+id, string(job))
 }
 
 // awaitReady waits until a job has completed at each entry VM.
--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -25,6 +25,7 @@
 	ctx    context.Context // Ends at the batch's deadline, or when the attempt is withdrawn or released.
 	cancel context.CancelFunc
 	state  callState
+	key    string // Key of the job, as chosen by the caller.
 	pauses uint64 // port.Liveness.Pauses when the pool decided on the start.
 }
 
@@ -50,7 +51,7 @@
 		}
 	}
 	for _, s := range fx.Starts {
-		c := &call{pauses: o.pauses}
+		c := &call{pauses: o.pauses, key: s.Key}
 		c.ctx, c.cancel = context.WithDeadline(p.baseCtx, s.Deadline)
 		o.inFlight[attempt{s.Task, s.Attempt}] = c
 	}
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -89,6 +89,9 @@
 	clocks  *shard.Map[model.NodeID, transit.Reading]
 	turns   *shard.Map[taskRef, turn] // Attempts that may be running, by their task.
 
+	keptElsewhere *shard.Map[taskRef, keptTurns] // Turns that other members keep.
+	turnUpdates   atomic.Uint64                  // Number of the newest update on a turn of this member.
+
 	losses         *shard.Map[taskRef, taskLosses]               // Endpoints that have crashed under tasks.
 	pendingUpdates *shard.Map[updateTarget, taskUpdates]         // Updates that are to be sent to other members.
 	updateAdded    chan struct{}                                 // Signals publishUpdates that there are some.
@@ -142,6 +145,7 @@
 	p.clocks = shard.New[model.NodeID, transit.Reading](shard.DefaultCount)
 	p.startedAt = time.Now()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
+	p.keptElsewhere = shard.New[taskRef, keptTurns](shard.DefaultCount)
 	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
 	p.pendingUpdates = shard.New[updateTarget, taskUpdates](shard.DefaultCount)
 	p.relayed = shard.New[model.DataCentre, *relayedUpdates](1)
--- a/plugins/endpoints/fuzz_test.go
+++ b/plugins/endpoints/fuzz_test.go
@@ -52,6 +52,7 @@
 	`{"pool":{"Service":"finder","DataCentre":"sj1","Part":-1},"endpoints":[{"ID":"e1","Slots":-1}],"working":true}`,
 	`{"loads":[{"s":"finder","d":"sj1","o":"x","v":18446744073709551615,"n":-5,"f":9223372036854775807,"w":9223372036854775807,"r":-1}]}`,
 	`{"losses":[{"job":"","index":-1,"endpoint":""},{"job":"k","index":999,"endpoint":"e"}]}`,
+	`{"turns":[{"job":"","index":0,"member":"m","valid_ms":1},{"job":"k","index":-1,"member":"m","valid_ms":1},{"job":"k","member":"m","valid_ms":-9223372036854775808}]}`,
 	`{"origin":"i","sequence":1,"id":{"Job":"peer.i.1.1.t","Part":0},"pool":{"Service":"finder","DataCentre":"sj1"},"remaining_ms":-9223372036854775808,` +
 		`"max_wait_ms":9223372036854775807,"max_failures":-1,"objective":{"stretch":1e308,"useful":1e308,"slack_ns":9223372036854775807},` +
 		`"tasks":[{"index":0,"declared_ms":9223372036854775807,"needs":{"MilliCores":4611686018427387904}}]}`,
@@ -85,6 +86,7 @@
 		is.Equal(len(p.Endpoints()), 0)
 		is.Equal(len(p.reportedLoads("finder")), 0)
 		is.Equal(p.losses.Len(), 0)
+		is.Equal(p.keptElsewhere.Len(), 0)
 		p.Stop()
 	}
 }
--- /dev/null
+++ b/plugins/endpoints/keptturns.go
@@ -0,0 +1,254 @@
+package endpoints
+
+import (
+	"context"
+	"time"
+
+	"redwingpulley/kernel/event"
+	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/poolstate"
+)
+
+// A turn binds one member, but a caller may send its job again to any. Mostly the runs of the first submission have ended by then. Where
+// an endpoint answers neither the start nor the stop of a run, it may carry out the start seconds later. So a member whose attempt keeps its
+// turn although its batch has ended tells all others, and tells them again when the turn is given back. Until then none of them
+// starts the task.
+
+const (
+	// keptAfter is how long after its batch's end an attempt may keep its turn before the others are told. A stop that is answered
+	// takes less.
+	keptAfter = 150 * time.Millisecond
+	// keptValidity is how long the others heed what they were told without hearing of it again. An order of a member that has died
+	// since may arrive 12 s late, and its run lasts for another lease.
+	keptValidity = 20 * time.Second
+	// keptRenewal is the time after which the others are told again. What they know stays valid for all orders that were sent
+	// meanwhile.
+	keptRenewal = 5 * time.Second
+	// maxKeptPerShard bounds the tasks whose turns other members keep that one shard of the table holds.
+	maxKeptPerShard = 256
+)
+
+// keptTurn is a turn that another member keeps, or has given back, as this one was told last.
+type keptTurn struct {
+	number   uint64        // Number of the newest update of the member.
+	returned chan struct{} // Closed when the turn is given back, or is kept no longer than expires.
+	kept     bool
+	expires  time.Time
+}
+
+// keptTurns are the turns of one task that other members keep or have given back.
+type keptTurns map[incarnationKey]keptTurn
+
+// wireTurn tells that a member keeps the turn of a task, or has given it back.
+type wireTurn struct {
+	Job         string            `json:"job"` // Key that the caller chose.
+	Index       int               `json:"index"`
+	Member      model.NodeID      `json:"member"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	Number      uint64            `json:"number"` // Rises with each update of this incarnation of the member.
+	Kept        bool              `json:"kept"`
+	ValidMS     int64             `json:"valid_ms"` // How long this is valid.
+}
+
+// valid reports whether a correct member could have sent the update.
+func (t wireTurn) valid() bool {
+	return t.Job != "" && len(t.Job) <= maxLossTextLength && t.Index >= 0 && t.Index < model.MaxTasksPerJob &&
+		t.Member != "" && len(t.Member) <= model.MaxName && len(t.Incarnation) <= model.MaxName &&
+		t.ValidMS > 0 && t.ValidMS <= keptValidity.Milliseconds()
+}
+
+// abandoned is an attempt that occupies its endpoint although its batch has ended.
+type abandoned struct {
+	ref     taskRef
+	attempt attempt
+}
+
+// abandonedBy returns the attempts in flight of tasks whose batches have ended without their answers, and that callers may submit again
+// under a key. It is called under the lock of the pool's shard.
+func (o *pool) abandonedBy(ended []model.BatchResult) (all []abandoned) {
+	for _, result := range ended {
+		for _, r := range result.Results {
+			if r.Done || r.Run == model.NotRun {
+				continue
+			}
+			task := result.ID.Job.TaskID(r.Index)
+			for a, c := range o.inFlight {
+				if a.task == task && c.key != "" {
+					all = append(all, abandoned{refOf(c.key, a.task), a})
+				}
+			}
+		}
+	}
+	return all
+}
+
+// watchAbandoned tells the other members of the attempts that still have their turns after keptAfter.
+func (p *Pools) watchAbandoned(id model.PoolID, all []abandoned) {
+	if len(all) == 0 {
+		return
+	}
+	time.AfterFunc(keptAfter, func() {
+		for _, a := range all {
+			p.tellIfKept(id, a)
+		}
+	})
+}
+
+// tellIfKept tells the other members that an abandoned attempt has its turn, as long as it has it.
+func (p *Pools) tellIfKept(id model.PoolID, a abandoned) {
+	var update wireTurn
+	kept, first := false, false
+	p.turns.Do(a.ref, func(turns map[taskRef]turn) {
+		t, held := turns[a.ref]
+		if kept = held && t.pool == id && t.attempt == a.attempt; !kept {
+			return
+		}
+		first, t.told = !t.told, true
+		turns[a.ref] = t
+		update = p.turnUpdate(a.ref, true)
+	})
+	if !kept || p.baseCtx.Err() != nil {
+		return
+	}
+	if first {
+		p.instruments.keptTurns.Inc(1)
+		event.TurnKept.Log(p.log, event.Text(event.JobKey, a.ref.job), event.Int(event.Task, a.ref.index),
+			event.Int(event.Attempt, a.attempt.number), event.Text(event.Pool, id.String()))
+	}
+	p.enqueueUpdates(taskUpdates{Turns: []wireTurn{update}})
+	time.AfterFunc(keptRenewal, func() { p.tellIfKept(id, a) })
+}
+
+// tellReturned tells the other members that a turn of which they were told is given back.
+func (p *Pools) tellReturned(update wireTurn) {
+	event.TurnReturned.Log(p.log, event.Text(event.JobKey, update.Job), event.Int(event.Task, update.Index))
+	p.enqueueUpdates(taskUpdates{Turns: []wireTurn{update}})
+}
+
+// turnUpdate returns the next update on a turn of this member. It is called under the lock of the turn's shard, so that the numbers are
+// in the order of what they tell.
+func (p *Pools) turnUpdate(ref taskRef, kept bool) wireTurn {
+	self := p.membership.Self()
+	return wireTurn{
+		Job: ref.job, Index: ref.index, Member: self.ID, Incarnation: self.Incarnation,
+		Number: p.turnUpdates.Add(1), Kept: kept, ValidMS: keptValidity.Milliseconds(),
+	}
+}
+
+// applyTurn records what another member has told of a turn, unless something newer is known.
+func (p *Pools) applyTurn(update wireTurn) {
+	holder, ref := incarnationKey{update.Member, update.Incarnation}, taskRef{update.Job, update.Index}
+	if self := p.membership.Self(); update.Member == self.ID && update.Incarnation == self.Incarnation {
+		return
+	}
+	now := time.Now()
+	p.keptElsewhere.Do(ref, func(tasks map[taskRef]keptTurns) {
+		if tasks[ref] == nil {
+			evictKeptTurns(tasks, now)
+			tasks[ref] = make(keptTurns)
+		}
+		known, ok := tasks[ref][holder]
+		if ok && update.Number <= known.number {
+			return
+		}
+		if !ok || !known.kept {
+			known.returned = make(chan struct{})
+		}
+		if ok && known.kept && !update.Kept {
+			close(known.returned)
+		}
+		known.number, known.kept = update.Number, update.Kept
+		known.expires = now.Add(time.Duration(update.ValidMS) * time.Millisecond)
+		tasks[ref][holder] = known
+	})
+}
+
+// evictKeptTurns makes room for a further task: it removes those of which nothing is valid, and the one that expires first when there are too
+// many.
+func evictKeptTurns(tasks map[taskRef]keptTurns, now time.Time) {
+	if len(tasks) < maxKeptPerShard {
+		return
+	}
+	var first taskRef
+	for ref, turns := range tasks {
+		switch {
+		case turns.expire().Before(now):
+			delete(tasks, ref)
+		case first == taskRef{} || turns.expire().Before(tasks[first].expire()):
+			first = ref
+		}
+	}
+	if len(tasks) >= maxKeptPerShard {
+		delete(tasks, first)
+	}
+}
+
+// expire returns when the last of the turns expires.
+func (k keptTurns) expire() (last time.Time) {
+	for _, t := range k {
+		if t.expires.After(last) {
+			last = t.expires
+		}
+	}
+	return last
+}
+
+// keptBy returns a turn of the task that another member keeps; kept is false when there is none.
+func (p *Pools) keptBy(ref taskRef) (holder model.NodeID, t keptTurn, kept bool) {
+	now := time.Now()
+	p.keptElsewhere.Do(ref, func(tasks map[taskRef]keptTurns) {
+		for key, known := range tasks[ref] {
+			if known.kept && known.expires.After(now) {
+				holder, t, kept = key.node, known, true
+			}
+		}
+	})
+	return holder, t, kept
+}
+
+// awaitOthers waits until no other member keeps a turn of the start's task. It reports false when the context ends first.
+func (p *Pools) awaitOthers(ctx context.Context, id model.PoolID, s poolstate.Start) bool {
+	logged := false
+	for {
+		holder, t, kept := p.keptBy(refOf(s.Key, s.Task))
+		if !kept {
+			return true
+		}
+		if !logged {
+			logged = true
+			p.logStartWaits(id, s, event.Text(event.Member, holder))
+		}
+		expired := time.NewTimer(time.Until(t.expires))
+		select {
+		case <-t.returned:
+		case <-expired.C:
+		case <-ctx.Done():
+		}
+		expired.Stop()
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+// knownTurns returns what is valid of the turns that this member keeps and of those that others have told it of.
+func (p *Pools) knownTurns() (all []wireTurn) {
+	p.turns.Each(func(turns map[taskRef]turn) {
+		for ref, t := range turns {
+			if t.told {
+				all = append(all, p.turnUpdate(ref, true))
+			}
+		}
+	})
+	now := time.Now()
+	p.keptElsewhere.Each(func(tasks map[taskRef]keptTurns) {
+		for ref, turns := range tasks {
+			for holder, t := range turns {
+				if left := t.expires.Sub(now).Milliseconds(); left > 0 {
+					all = append(all, wireTurn{ref.job, ref.index, holder.node, holder.incarnation, t.number, t.kept, left})
+				}
+			}
+		}
+	})
+	return all
+}
--- a/plugins/endpoints/log.go
+++ b/plugins/endpoints/log.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"log/slog"
 	"time"
 
 	"redwingpulley/kernel/event"
@@ -32,11 +33,11 @@
 	}
 }
 
-// logStartWaits logs that a start waits for the end of an earlier attempt's run.
-func (p *Pools) logStartWaits(id model.PoolID, s poolstate.Start, earlier attempt) {
+// logStartWaits logs that a start waits for the end of a run of an earlier attempt, or for that at another member.
+func (p *Pools) logStartWaits(id model.PoolID, s poolstate.Start, earlier slog.Attr) {
 	event.StartWaits.Log(p.log, event.Text(event.Job, s.Task.Job()), event.Text(event.JobKey, s.Key),
 		event.Int(event.Task, s.Task.Index()), event.Int(event.Attempt, s.Attempt), event.Text(event.Pool, id.String()),
-		event.Text(event.Endpoint, s.Endpoint), event.Text(event.Earlier, earlier.task))
+		event.Text(event.Endpoint, s.Endpoint), earlier)
 }
 
 // logTaskEnded counts and logs the reply of a start. A reply other than the task's answer is logged as a
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -20,6 +20,7 @@
 	repeated         metrics.Counter   // Starts of tasks that were started before.
 	refusedEndpoints metrics.Counter   // Endpoints that other members named and that cannot exist.
 	wasted           metrics.Counter   // Messages whose content was not used.
+	keptTurns        metrics.Counter   // Turns of which the other members were told.
 	queueTimes       metrics.Histogram // Milliseconds that a task was queued in its pool.
 	objective        metrics.Histogram // Response time of a job as a percentage of its latency objective.
 }
@@ -34,12 +35,14 @@
 		repeated:         metrics.GetOrRegisterCounter("tasks.starts_repeated", registry),
 		refusedEndpoints: metrics.GetOrRegisterCounter("announcements.refused", registry),
 		wasted:           metrics.GetOrRegisterCounter("messages.wasted", registry),
+		keptTurns:        metrics.GetOrRegisterCounter("turns.kept", registry),
 		queueTimes:       histogram("pools.wait_ms"), objective: histogram("pools.response_over_objective_pct"),
 	}
 }
 
-// registerGauges registers the gauges that are computed from the owned pools on each read.
+// registerGauges registers the gauges that are computed on each read, most of them from the owned pools.
 func (p *Pools) registerGauges(registry metrics.Registry) {
+	registry.GetOrRegister("turns.kept_elsewhere", metrics.NewFunctionalGauge(func() int64 { return int64(p.keptElsewhere.Len()) }))
 	for name, value := range map[string]func(model.PoolLoad) int{
 		"pools.owned":        func(model.PoolLoad) int { return 1 },
 		"pools.slots":        func(l model.PoolLoad) int { return l.Slots },
--- a/plugins/endpoints/pool.go
+++ b/plugins/endpoints/pool.go
@@ -58,6 +58,8 @@
 	event  poolstate.Event
 	fx     *poolstate.Effects
 	ended  []*waiter // Waiters of the batches that have ended.
+
+	abandoned []abandoned // Attempts at tasks of these batches that still occupy their endpoints.
 }
 
 // step applies an event to the pool's machine and then, outside the lock, carries out the effects. The first step after a pause
@@ -87,6 +89,7 @@
 	o.machine.Step(s.now, event, s.fx)
 	p.updateCalls(o, s.fx)
 	s.ended = o.finishWaiters(s.fx.Ended)
+	s.abandoned = o.abandonedBy(s.fx.Ended)
 	return s
 }
 
@@ -100,6 +103,7 @@
 		p.recordEnd(w)
 	}
 	p.execute(id, s.fx)
+	p.watchAbandoned(id, s.abandoned)
 }
 
 // finishWaiters passes the results of batches to their waiters, which it removes and returns.
--- a/plugins/endpoints/turns.go
+++ b/plugins/endpoints/turns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
@@ -36,20 +37,21 @@
 	pool    model.PoolID
 	attempt attempt       // The attempt that has the turn.
 	ended   chan struct{} // Closed when the turn is given back.
+	told    bool          // The other members were told that the attempt keeps the turn; see keptTurn.
 }
 
-// takeTurn waits until no other attempt at the start's task has the turn, and takes it. It reports false when the
-// context ends first.
+// takeTurn waits until no other attempt at the start's task has the turn, here or at a member that has told this one, and takes it. It
+// reports false when the context ends first.
 func (p *Pools) takeTurn(ctx context.Context, id model.PoolID, s poolstate.Start) bool {
 	logged := false
-	for {
+	for p.awaitOthers(ctx, id, s) {
 		earlier, taken := p.tryTurn(id, s)
 		if taken {
 			return true
 		}
 		if !logged {
 			logged = true
-			p.logStartWaits(id, s, earlier.attempt)
+			p.logStartWaits(id, s, event.Text(event.Earlier, earlier.attempt.task))
 		}
 		select {
 		case <-earlier.ended:
@@ -57,6 +59,7 @@
 			return false
 		}
 	}
+	return false
 }
 
 // tryTurn takes the turn of the start's task, unless an earlier attempt has it.
@@ -67,7 +70,7 @@
 			earlier = t
 			return
 		}
-		turns[ref] = turn{id, attempt{s.Task, s.Attempt}, make(chan struct{})}
+		turns[ref] = turn{pool: id, attempt: attempt{s.Task, s.Attempt}, ended: make(chan struct{})}
 		taken = true
 	})
 	return earlier, taken
@@ -76,10 +79,18 @@
 // endTurn gives back the turn of a task in a job with the given key, if the attempt has it.
 func (p *Pools) endTurn(id model.PoolID, key string, a attempt) {
 	ref := refOf(key, a.task)
+	told := false
+	var update wireTurn
 	p.turns.Do(ref, func(turns map[taskRef]turn) {
 		if t, held := turns[ref]; held && t.pool == id && t.attempt == a {
 			close(t.ended)
 			delete(turns, ref)
+			if told = t.told; told {
+				update = p.turnUpdate(ref, false)
+			}
 		}
 	})
+	if told {
+		p.tellReturned(update)
+	}
 }
--- a/plugins/endpoints/updates.go
+++ b/plugins/endpoints/updates.go
@@ -25,18 +25,19 @@
 // taskUpdates are facts about tasks of which all members are told.
 type taskUpdates struct {
 	Losses []wireTaskLoss `json:"losses"`
+	Turns  []wireTurn     `json:"turns,omitempty"`
 }
 
-func (u taskUpdates) isEmpty() bool { return len(u.Losses) == 0 }
+func (u taskUpdates) isEmpty() bool { return len(u.Losses)+len(u.Turns) == 0 }
 
 // plus returns the updates followed by further ones.
 func (u taskUpdates) plus(further taskUpdates) taskUpdates {
-	return taskUpdates{Losses: slices.Concat(u.Losses, further.Losses)}
+	return taskUpdates{slices.Concat(u.Losses, further.Losses), slices.Concat(u.Turns, further.Turns)}
 }
 
 // newest returns the updates without the oldest of each kind, as many as one message may have.
 func (u taskUpdates) newest() taskUpdates {
-	return taskUpdates{Losses: u.Losses[max(len(u.Losses)-maxPendingUpdates, 0):]}
+	return taskUpdates{u.Losses[max(len(u.Losses)-maxPendingUpdates, 0):], u.Turns[max(len(u.Turns)-maxPendingUpdates, 0):]}
 }
 
 // parts returns the updates divided among as many messages as they need.
@@ -44,6 +45,9 @@
 	for losses := range slices.Chunk(u.Losses, maxPendingUpdates) {
 		parts = append(parts, taskUpdates{Losses: losses})
 	}
+	for turns := range slices.Chunk(u.Turns, maxPendingUpdates) {
+		parts = append(parts, taskUpdates{Turns: turns})
+	}
 	return parts
 }
 
@@ -81,6 +85,9 @@
 	for _, l := range updates.Losses {
 		p.addLoss(taskRef{l.Job, l.Index}, model.Loss{Endpoint: l.Endpoint, Crashed: l.Crashed})
 	}
+	for _, t := range updates.Turns {
+		p.applyTurn(t)
+	}
 	if m.Relay && !updates.isEmpty() {
 		p.relayUpdates(ctx, updates)
 	}
@@ -89,7 +96,10 @@
 
 // valid returns the updates that a correct member could have sent.
 func (u taskUpdates) valid() taskUpdates {
-	return taskUpdates{Losses: slices.DeleteFunc(u.Losses, func(l wireTaskLoss) bool { return !l.valid() })}
+	return taskUpdates{
+		slices.DeleteFunc(u.Losses, func(l wireTaskLoss) bool { return !l.valid() }),
+		slices.DeleteFunc(u.Turns, func(t wireTurn) bool { return !t.valid() }),
+	}
 }
 
 // enqueueUpdates adds updates to those that are to be sent to the other members, and signals publishUpdates.
@@ -185,9 +195,9 @@
 	return higher < joinTellers
 }
 
-// newestUpdates returns what this member has learned since the given time.
+// newestUpdates returns the losses that this member has learned of since the given time, and the turns that are kept.
 func (p *Pools) newestUpdates(since time.Time) taskUpdates {
-	return taskUpdates{Losses: p.newestLosses(since)}.newest()
+	return taskUpdates{p.newestLosses(since), p.knownTurns()}.newest()
 }
 
 // newestLosses returns the losses in the table, of the tasks that have lost a run last, and not before the given time.
