Endpoints: endpoints that a dead member has handed over are fenced

Cause: a handover says that its sender lives and has ordered nothing that it does not wait for, so its endpoints are not fenced. One that lay unread, as a batch may, was taken at its word after the sender's death, and the departure that would have fenced the endpoints had been handled before they were known.

Change: a handover names its sender's incarnation. Where that one is known to have ended, its endpoints count as passed on for a lost owner: fenced, and without work until they announce themselves. A sender that is not known yet is believed as before.

Evidence: TestEndpointsThatADeadMemberHasHandedOverAreFenced fails without it.

--- a/plugins/endpoints/fence_test.go
+++ b/plugins/endpoints/fence_test.go
@@ -103,3 +103,24 @@
 		}
 	})
 }
+
+// Guards against orders of a dead member that are never refused: its handover was read only after its death, as one of a member that
+// lives and is fenced when it departs.
+func TestEndpointsThatADeadMemberHasHandedOverAreFenced(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n := newNetwork()
+		n.setAlive(owner1, second1)
+		owner, atOwner := newPools(t, n, owner1)
+		endpoint := leasedEndpoints(1)[0]
+		message := handover{Pool: owner.poolOf(endpoint), Endpoints: []model.Endpoint{endpoint}, Incarnation: second1.Incarnation}
+		owner.handleHandover(t.Context(), second1.ID, message)
+		synctest.Wait()
+		is.Equal(atOwner.fences, nil)
+
+		n.setAlive(owner1)
+		again, atAgain := newPools(t, n, owner1)
+		again.handleHandover(t.Context(), second1.ID, message)
+		synctest.Wait()
+		is.Equal(atAgain.fences, []model.EndpointID{endpoint.ID})
+	})
+}
--- a/plugins/endpoints/handover.go
+++ b/plugins/endpoints/handover.go
@@ -29,6 +29,8 @@
 	Endpoints []model.Endpoint `json:"endpoints,omitempty"`
 	Working   bool             `json:"working,omitempty"`
 	Parts     int              `json:"parts,omitempty"` // Number of pools in the group, as far as the sender knows.
+	// Incarnation is that of the sender; members of an earlier version leave it out.
+	Incarnation model.Incarnation `json:"incarnation,omitempty"`
 	// OwnerLost says that the sender is not the former owner: that one is gone, and the sender has forwarded the endpoints'
 	// newest announcements to it.
 	OwnerLost bool `json:"owner_lost,omitempty"`
@@ -116,7 +118,7 @@
 	to := incarnationKey{owner.ID, owner.Incarnation}
 	var load model.PoolLoad
 	p.withPool(id, func(o *pool) {
-		message = handover{Pool: id, Working: o.machine.OpenBatches() > 0}
+		message = handover{Pool: id, Working: o.machine.OpenBatches() > 0, Incarnation: p.membership.Self().Incarnation}
 		first = o.handedOverTo != to
 		if first {
 			o.handedOverTo, o.movedAt = to, time.Now()
@@ -153,6 +155,9 @@
 		})
 	}
 	p.raiseParts(groupOf(h.Pool), h.Parts)
+	if h.Incarnation != "" && p.liveness.Gone(from, h.Incarnation) {
+		h.OwnerLost = true // The handover was read late; orders of the sender may still be under way.
+	}
 	p.adoptEndpoints(h)
 	if !h.OwnerLost {
 		p.recordPastHolder(h.Pool, from)
@@ -181,7 +186,9 @@
 // member when it assigns them, so that they come to rest.
 func (p *Pools) passOn(endpoints map[model.PoolID][]model.Endpoint, ownerLost bool) {
 	for id, all := range endpoints {
-		message := handover{Pool: id, Endpoints: all, Parts: p.partsIn(groupOf(id)), OwnerLost: ownerLost}
+		message := handover{
+			Pool: id, Endpoints: all, Parts: p.partsIn(groupOf(id)), Incarnation: p.membership.Self().Incarnation, OwnerLost: ownerLost,
+		}
 		owner := p.ownerOf(id)
 		if owner.ID == p.membership.Self().ID {
 			p.adoptEndpoints(message)
