--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -89,7 +89,7 @@
 	clocks  *shard.Map[model.NodeID, transit.Reading]
 	turns   *shard.Map[taskRef, turn] // Attempts that may be running, by their task.
 
-	keptElsewhere *shard.Map[taskRef, keptTurns] // Turns that other members keep.
+	keptElsewhere *shard.Map[taskRef, *keptTask] // Tasks whose turns other members keep, or have given back.
 	turnUpdates   atomic.Uint64                  // Number of the newest update on a turn of this member.
 
 	losses         *shard.Map[taskRef, taskLosses]               // Endpoints that have crashed under tasks.
@@ -145,7 +145,7 @@
 	p.clocks = shard.New[model.NodeID, transit.Reading](shard.DefaultCount)
 	p.startedAt = time.Now()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
-	p.keptElsewhere = shard.New[taskRef, keptTurns](shard.DefaultCount)
+	p.keptElsewhere = shard.New[taskRef, *keptTask](shard.DefaultCount)
 	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
 	p.pendingUpdates = shard.New[updateTarget, taskUpdates](shard.DefaultCount)
 	p.relayed = shard.New[model.DataCentre, *relayedUpdates](1)
--- a/plugins/endpoints/keptturns.go
+++ b/plugins/endpoints/keptturns.go
@@ -6,6 +6,7 @@
 
 	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/keptturns"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
@@ -28,17 +29,12 @@
 	maxKeptPerShard = 256
 )
 
-// keptTurn is a turn that another member keeps, or has given back, as this one was told last.
-type keptTurn struct {
-	number   uint64        // Number of the newest update of the member.
-	returned chan struct{} // Closed when the turn is given back, or is kept no longer than expires.
-	kept     bool
-	expires  time.Time
+// keptTask is an entry of the table: what is known of the turns of one task that other members keep.
+type keptTask struct {
+	turns    keptturns.Task
+	returned chan struct{} // Closed when a turn is given back, and replaced then.
 }
 
-// keptTurns are the turns of one task that other members keep or have given back.
-type keptTurns map[incarnationKey]keptTurn
-
 // wireTurn tells that a member keeps the turn of a task, or has given it back.
 type wireTurn struct {
 	Job         string            `json:"job"` // Key that the caller chose.
@@ -57,6 +53,17 @@
 		t.ValidMS > 0 && t.ValidMS <= keptValidity.Milliseconds()
 }
 
+func encodeTurn(ref taskRef, u keptturns.Update) wireTurn {
+	return wireTurn{ref.job, ref.index, u.Keeper.Node, u.Keeper.Incarnation, u.Number, u.Kept, max(u.Valid.Milliseconds(), 1)}
+}
+
+func (t wireTurn) decode() keptturns.Update {
+	return keptturns.Update{
+		Keeper: keptturns.Keeper{Node: t.Member, Incarnation: t.Incarnation},
+		Number: t.Number, Kept: t.Kept, Valid: time.Duration(t.ValidMS) * time.Millisecond,
+	}
+}
+
 // abandoned is an attempt that occupies its endpoint although its batch has ended.
 type abandoned struct {
 	ref     taskRef
@@ -129,52 +136,40 @@
 // in the order of what they tell.
 func (p *Pools) turnUpdate(ref taskRef, kept bool) wireTurn {
 	self := p.membership.Self()
-	return wireTurn{
-		Job: ref.job, Index: ref.index, Member: self.ID, Incarnation: self.Incarnation,
-		Number: p.turnUpdates.Add(1), Kept: kept, ValidMS: keptValidity.Milliseconds(),
-	}
+	keeper := keptturns.Keeper{Node: self.ID, Incarnation: self.Incarnation}
+	return encodeTurn(ref, keptturns.Update{Keeper: keeper, Number: p.turnUpdates.Add(1), Kept: kept, Valid: keptValidity})
 }
 
-// applyTurn records what another member has told of a turn, unless something newer is known.
-func (p *Pools) applyTurn(update wireTurn) {
-	holder, ref := incarnationKey{update.Member, update.Incarnation}, taskRef{update.Job, update.Index}
-	if self := p.membership.Self(); update.Member == self.ID && update.Incarnation == self.Incarnation {
+// applyTurn records what another member has told of a turn.
+func (p *Pools) applyTurn(t wireTurn) {
+	if self := p.membership.Self(); t.Member == self.ID && t.Incarnation == self.Incarnation {
 		return
 	}
-	now := time.Now()
-	p.keptElsewhere.Do(ref, func(tasks map[taskRef]keptTurns) {
-		if tasks[ref] == nil {
-			evictKeptTurns(tasks, now)
-			tasks[ref] = make(keptTurns)
-		}
-		known, ok := tasks[ref][holder]
-		if ok && update.Number <= known.number {
-			return
-		}
-		if !ok || !known.kept {
-			known.returned = make(chan struct{})
-		}
-		if ok && known.kept && !update.Kept {
-			close(known.returned)
+	now, ref := time.Now(), taskRef{t.Job, t.Index}
+	p.keptElsewhere.Do(ref, func(tasks map[taskRef]*keptTask) {
+		task, known := tasks[ref]
+		if !known {
+			evictKept(tasks, now)
+			task = &keptTask{returned: make(chan struct{})}
+			tasks[ref] = task
+		}
+		if task.turns.Apply(now, t.decode()) {
+			close(task.returned)
+			task.returned = make(chan struct{})
 		}
-		known.number, known.kept = update.Number, update.Kept
-		known.expires = now.Add(time.Duration(update.ValidMS) * time.Millisecond)
-		tasks[ref][holder] = known
 	})
 }
 
-// evictKeptTurns makes room for a further task: it removes those of which nothing is valid, and the one that expires first when there are too
-// many.
-func evictKeptTurns(tasks map[taskRef]keptTurns, now time.Time) {
+// evictKept makes room for a further task: it removes those of which nothing is valid, and the one that expires first when there are too many.
+func evictKept(tasks map[taskRef]*keptTask, now time.Time) {
 	if len(tasks) < maxKeptPerShard {
 		return
 	}
 	var first taskRef
-	for ref, turns := range tasks {
-		switch {
-		case turns.expire().Before(now):
+	for ref, task := range tasks {
+		if expires := task.turns.Expires(); expires.Before(now) {
 			delete(tasks, ref)
-		case first == taskRef{} || turns.expire().Before(tasks[first].expire()):
+		} else if known := tasks[first]; known == nil || expires.Before(known.turns.Expires()) {
 			first = ref
 		}
 	}
@@ -183,44 +178,35 @@
 	}
 }
 
-// expire returns when the last of the turns expires.
-func (k keptTurns) expire() (last time.Time) {
-	for _, t := range k {
-		if t.expires.After(last) {
-			last = t.expires
-		}
-	}
-	return last
-}
-
-// keptBy returns a turn of the task that another member keeps; kept is false when there is none.
-func (p *Pools) keptBy(ref taskRef) (holder model.NodeID, t keptTurn, kept bool) {
+// keptBy returns a member that keeps the turn of a task, until when without a further word, and a channel that is closed when a turn of the
+// task is given back; kept is false when there is none.
+func (p *Pools) keptBy(ref taskRef) (keeper model.NodeID, until time.Time, returned <-chan struct{}, kept bool) {
 	now := time.Now()
-	p.keptElsewhere.Do(ref, func(tasks map[taskRef]keptTurns) {
-		for key, known := range tasks[ref] {
-			if known.kept && known.expires.After(now) {
-				holder, t, kept = key.node, known, true
-			}
+	p.keptElsewhere.Do(ref, func(tasks map[taskRef]*keptTask) {
+		if task, known := tasks[ref]; known {
+			var k keptturns.Keeper
+			k, until, kept = task.turns.KeptBy(now)
+			keeper, returned = k.Node, task.returned
 		}
 	})
-	return holder, t, kept
+	return keeper, until, returned, kept
 }
 
 // awaitOthers waits until no other member keeps a turn of the start's task. It reports false when the context ends first.
 func (p *Pools) awaitOthers(ctx context.Context, id model.PoolID, s poolstate.Start) bool {
 	logged := false
 	for {
-		holder, t, kept := p.keptBy(refOf(s.Key, s.Task))
+		keeper, until, returned, kept := p.keptBy(refOf(s.Key, s.Task))
 		if !kept {
 			return true
 		}
 		if !logged {
 			logged = true
-			p.logStartWaits(id, s, event.Text(event.Member, holder))
+			p.logStartWaits(id, s, event.Text(event.Member, keeper))
 		}
-		expired := time.NewTimer(time.Until(t.expires))
+		expired := time.NewTimer(time.Until(until))
 		select {
-		case <-t.returned:
+		case <-returned:
 		case <-expired.C:
 		case <-ctx.Done():
 		}
@@ -241,12 +227,10 @@
 		}
 	})
 	now := time.Now()
-	p.keptElsewhere.Each(func(tasks map[taskRef]keptTurns) {
-		for ref, turns := range tasks {
-			for holder, t := range turns {
-				if left := t.expires.Sub(now).Milliseconds(); left > 0 {
-					all = append(all, wireTurn{ref.job, ref.index, holder.node, holder.incarnation, t.number, t.kept, left})
-				}
+	p.keptElsewhere.Each(func(tasks map[taskRef]*keptTask) {
+		for ref, task := range tasks {
+			for _, u := range task.turns.Updates(now) {
+				all = append(all, encodeTurn(ref, u))
 			}
 		}
 	})
--- a/plugins/endpoints/turns.go
+++ b/plugins/endpoints/turns.go
@@ -37,7 +37,7 @@
 	pool    model.PoolID
 	attempt attempt       // The attempt that has the turn.
 	ended   chan struct{} // Closed when the turn is given back.
-	told    bool          // The other members were told that the attempt keeps the turn; see keptTurn.
+	told    bool          // The other members were told that the attempt keeps the turn; see keptturns.go.
 }
 
 // takeTurn waits until no other attempt at the start's task has the turn, here or at a member that has told this one, and takes it. It
