--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -50,8 +50,8 @@
 		Job, JobKey, Task, Attempt, Pool, Endpoint, QueuedMS, PassedOver, Free, Queued, Why)
 	StartWaits = define(Change, "start_waits", "a start waits until the end of an earlier run of its task is known, which another submission of the job or another pool has started, here or at the member named",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, Earlier, Member)
-	TurnKept = define(Trouble, "turn_kept", "a run of a task may still be carried out although its part of the job has ended; the other members are told not to start the task",
-		JobKey, Task, Attempt, Pool)
+	TurnKept = define(Trouble, "turn_kept", "a run of a task may still be carried out although its part of the job has ended, or the member named, which has ordered it, is silent; the other members are told not to start the task",
+		JobKey, Task, Attempt, Pool, Member)
 	TurnReturned = define(Change, "turn_returned", "the end of a run is known of which the other members were told by turn_kept; they may start its task again",
 		JobKey, Task)
 	TaskEnded = define(Routine, "task_ended", "a start of a task has ended, with the task's result or with the state that tells why there is none",
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -92,6 +92,10 @@
 
 // EndpointObserver is told what becomes of endpoints and of the runs there. Its methods must not block.
 type EndpointObserver interface {
+	// StartSlow says that an endpoint has not answered the start of a run for some time, and may carry it out late. StartAnswered says
+	// that it has answered after that. They are called for endpoints with leases only.
+	StartSlow(run TaskRun)
+	StartAnswered(run TaskRun)
 	// RunLost says that a run was lost at an endpoint, also one that another member has requested. It is called before the
 	// reply to the run's start is returned.
 	RunLost(endpoint model.EndpointID, run TaskRun, cause LossCause)
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -91,6 +91,7 @@
 
 	keptElsewhere *shard.Map[taskRef, *keptTask] // Tasks whose turns other members keep, or have given back.
 	turnUpdates   atomic.Uint64                  // Number of the newest update on a turn of this member.
+	witnessed     *shard.Map[witnessKey, *witnessedTurn]
 
 	losses         *shard.Map[taskRef, taskLosses]               // Endpoints that have crashed under tasks.
 	pendingUpdates *shard.Map[updateTarget, taskUpdates]         // Updates that are to be sent to other members.
@@ -145,6 +146,7 @@
 	p.clocks = shard.New[model.NodeID, transit.Reading](shard.DefaultCount)
 	p.startedAt = time.Now()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
+	p.witnessed = shard.New[witnessKey, *witnessedTurn](shard.DefaultCount)
 	p.keptElsewhere = shard.New[taskRef, *keptTask](shard.DefaultCount)
 	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
 	p.pendingUpdates = shard.New[updateTarget, taskUpdates](shard.DefaultCount)
--- a/plugins/endpoints/keptturns.go
+++ b/plugins/endpoints/keptturns.go
@@ -43,7 +43,8 @@
 	Incarnation model.Incarnation `json:"incarnation"`
 	Number      uint64            `json:"number"` // Rises with each update of this incarnation of the member.
 	Kept        bool              `json:"kept"`
-	ValidMS     int64             `json:"valid_ms"` // How long this is valid.
+	ValidMS     int64             `json:"valid_ms"`          // How long this is valid.
+	Witness     bool              `json:"witness,omitempty"` // The receiver is a witness: see witnesses.go.
 }
 
 // valid reports whether a correct member could have sent the update.
@@ -54,7 +55,10 @@
 }
 
 func encodeTurn(ref taskRef, u keptturns.Update) wireTurn {
-	return wireTurn{ref.job, ref.index, u.Keeper.Node, u.Keeper.Incarnation, u.Number, u.Kept, max(u.Valid.Milliseconds(), 1)}
+	return wireTurn{
+		Job: ref.job, Index: ref.index, Member: u.Keeper.Node, Incarnation: u.Keeper.Incarnation,
+		Number: u.Number, Kept: u.Kept, ValidMS: max(u.Valid.Milliseconds(), 1),
+	}
 }
 
 func (t wireTurn) decode() keptturns.Update {
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -21,6 +21,7 @@
 	refusedEndpoints metrics.Counter   // Endpoints that other members named and that cannot exist.
 	wasted           metrics.Counter   // Messages whose content was not used.
 	keptTurns        metrics.Counter   // Turns of which the other members were told.
+	slowStarts       metrics.Counter   // Starts of which the witnesses were told.
 	queueTimes       metrics.Histogram // Milliseconds that a task was queued in its pool.
 	objective        metrics.Histogram // Response time of a job as a percentage of its latency objective.
 }
@@ -36,6 +37,7 @@
 		refusedEndpoints: metrics.GetOrRegisterCounter("announcements.refused", registry),
 		wasted:           metrics.GetOrRegisterCounter("messages.wasted", registry),
 		keptTurns:        metrics.GetOrRegisterCounter("turns.kept", registry),
+		slowStarts:       metrics.GetOrRegisterCounter("turns.witnessed", registry),
 		queueTimes:       histogram("pools.wait_ms"), objective: histogram("pools.response_over_objective_pct"),
 	}
 }
--- a/plugins/endpoints/turns.go
+++ b/plugins/endpoints/turns.go
@@ -38,6 +38,8 @@
 	attempt attempt       // The attempt that has the turn.
 	ended   chan struct{} // Closed when the turn is given back.
 	told    bool          // The other members were told that the attempt keeps the turn; see keptturns.go.
+
+	witnesses []model.NodeID // Members that were told that the attempt's start is not answered yet; see witnesses.go.
 }
 
 // takeTurn waits until no other attempt at the start's task has the turn, here or at a member that has told this one, and takes it. It
@@ -79,18 +81,20 @@
 // endTurn gives back the turn of a task in a job with the given key, if the attempt has it.
 func (p *Pools) endTurn(id model.PoolID, key string, a attempt) {
 	ref := refOf(key, a.task)
-	told := false
+	var t turn
 	var update wireTurn
 	p.turns.Do(ref, func(turns map[taskRef]turn) {
-		if t, held := turns[ref]; held && t.pool == id && t.attempt == a {
+		if held, ok := turns[ref]; ok && held.pool == id && held.attempt == a {
+			t = held
 			close(t.ended)
 			delete(turns, ref)
-			if told = t.told; told {
+			if t.told || len(t.witnesses) > 0 {
 				update = p.turnUpdate(ref, false)
 			}
 		}
 	})
-	if told {
+	if t.told {
 		p.tellReturned(update)
 	}
+	p.sendToWitnesses(t.witnesses, update)
 }
--- a/plugins/endpoints/updates.go
+++ b/plugins/endpoints/updates.go
@@ -86,7 +86,11 @@
 		p.addLoss(taskRef{l.Job, l.Index}, model.Loss{Endpoint: l.Endpoint, Crashed: l.Crashed})
 	}
 	for _, t := range updates.Turns {
-		p.applyTurn(t)
+		if t.Witness {
+			p.applyAsWitness(t)
+		} else {
+			p.applyTurn(t)
+		}
 	}
 	if m.Relay && !updates.isEmpty() {
 		p.relayUpdates(ctx, updates)
--- a/plugins/leases/orders.go
+++ b/plugins/leases/orders.go
@@ -81,7 +81,13 @@
 	ctx, cancel := context.WithTimeout(l.baseCtx, l.orderTimeout())
 	defer cancel()
 	sentAt := time.Now()
+	slow := l.watchStart(order.Run)
 	reply := l.client.Start(ctx, at, order)
+	if slow() && reply.State != port.OrderUnknown {
+		for _, o := range l.observers {
+			o.StartAnswered(order.Run)
+		}
+	}
 	if reply.State == port.OrderUnknown {
 		event.StartUnanswered.Log(l.log, event.Text(event.Endpoint, at.ID), event.Text(event.JobKey, order.Run.Key),
 			event.Int(event.Task, order.Run.Index), event.Int(event.Attempt, order.Run.Attempt),
@@ -90,6 +96,25 @@
 	l.step(at, lease.StartReplied{Run: order.Run, Reply: reply})
 }
 
+// watchStart tells the observers when the start of a run has not been answered within slowStart. The function that it returns ends the watch
+// and reports whether they have been told.
+func (l *Leases) watchStart(run port.TaskRun) (end func() (told bool)) {
+	told := make(chan struct{})
+	timer := time.AfterFunc(slowStart, func() {
+		defer close(told)
+		for _, o := range l.observers {
+			o.StartSlow(run)
+		}
+	})
+	return func() bool {
+		if timer.Stop() {
+			return false
+		}
+		<-told
+		return true
+	}
+}
+
 // sendStop sends a stop order and applies its reply.
 func (l *Leases) sendStop(at port.EndpointIncarnation, order port.StopOrder) {
 	ctx, cancel := context.WithTimeout(l.baseCtx, l.orderTimeout())
--- a/plugins/taskclient/taskclient_test.go
+++ b/plugins/taskclient/taskclient_test.go
@@ -202,6 +202,10 @@
 
 func (o *observer) RunLost(model.EndpointID, port.TaskRun, port.LossCause) {}
 
+func (o *observer) StartSlow(port.TaskRun) {}
+
+func (o *observer) StartAnswered(port.TaskRun) {}
+
 func (o *observer) EndpointDown(endpoint model.EndpointID) { o.down = append(o.down, endpoint) }
 
 // Guards against work for an endpoint that refuses connections: each start had to find that out again.
