--- a/kernel/port/port.go
+++ b/kernel/port/port.go
@@ -49,6 +49,11 @@
 	Announce(ctx context.Context, endpoint model.Endpoint) Ownership
 	// Endpoints returns the endpoints that this VM owns.
 	Endpoints() []EndpointStatus
+	// Withdraw records that a caller has cancelled the jobs with its key, so that no batch of them is accepted here any more, for some
+	// time. Members that join are told; the others have to be told by the caller of Withdraw.
+	Withdraw(key string)
+	// Withdrawn reports whether the jobs with the key were cancelled.
+	Withdrawn(key string) bool
 }
 
 // Ownership is the reply to an announcement; it tells an endpoint where and when to announce itself
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,13 +36,17 @@
 	PoolsPerDataCentre int   `json:"pools_per_data_centre"` // Least number of pools per service and data centre; the same on every member.
 	SplitAbove         int   `json:"split_above"`           // Number of serving endpoints above which a pool is split; 0 means never.
 	LeaseMS            int64 `json:"lease_ms"`              // How long an endpoint gets work after an announcement.
+	WithdrawnMS        int64 `json:"withdrawn_ms"`          // How long the key of a job is remembered that its caller has cancelled.
 }
 
+var defaultSettings = Settings{PoolsPerDataCentre: 1, LeaseMS: poolstate.DefaultEndpointLease.Milliseconds(), WithdrawnMS: 120_000}
+
 // Check adds the faults of the settings to faults.
 func (s *Settings) Check(faults *settings.Faults) {
 	faults.Require(s.PoolsPerDataCentre > 0, "pools_per_data_centre", "must be above 0")
 	faults.Require(s.SplitAbove >= 0, "split_above", "must not be negative")
 	faults.Require(s.LeaseMS > 0, "lease_ms", "must be above 0")
+	faults.Require(s.WithdrawnMS > 0 && s.WithdrawnMS <= maxRemaining.Milliseconds(), "withdrawn_ms", "must be 1 to "+strconv.FormatInt(maxRemaining.Milliseconds(), 10))
 }
 
 // Pools is the plug-in and implements port.Pools. Create it through the registry. The methods of port.Pools
@@ -90,6 +95,7 @@
 	turns   *shard.Map[taskRef, turn] // Attempts that may be running, by their task.
 
 	keptElsewhere *shard.Map[taskRef, *keptTask] // Tasks whose turns other members keep, or have given back.
+	withdrawn     *shard.Map[string, time.Time]  // Keys of jobs that their callers have cancelled, and until when they are remembered.
 	turnUpdates   atomic.Uint64                  // Number of the newest update on a turn of this member.
 	witnessed     *shard.Map[witnessKey, *witnessedTurn]
 
@@ -105,7 +111,7 @@
 
 // Provision reads the settings, looks up the ports that the plug-in needs and binds its own.
 func (p *Pools) Provision(c *plugin.Context) error {
-	p.settings = Settings{PoolsPerDataCentre: 1, LeaseMS: poolstate.DefaultEndpointLease.Milliseconds()}
+	p.settings = defaultSettings
 	err := errors.Join(
 		c.Settings(&p.settings),
 		plugin.Need(c, &p.membership),
@@ -147,6 +153,7 @@
 	p.startedAt = time.Now()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
 	p.witnessed = shard.New[witnessKey, *witnessedTurn](shard.DefaultCount)
+	p.withdrawn = shard.New[string, time.Time](shard.DefaultCount)
 	p.keptElsewhere = shard.New[taskRef, *keptTask](shard.DefaultCount)
 	p.losses = shard.New[taskRef, taskLosses](shard.DefaultCount)
 	p.pendingUpdates = shard.New[updateTarget, taskUpdates](shard.DefaultCount)
@@ -205,6 +212,9 @@
 // submit submits a batch to its pool, or refuses it. The waiter w is finished when the batch is refused
 // or has ended.
 func (p *Pools) submit(batch model.Batch, w *waiter) {
+	if p.refuseWithdrawn(batch, w) {
+		return
+	}
 	profiles, _ := p.profiles.Current()
 	profile, ok := profiles.For(batch.Pool.Service)
 	if !ok {
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -44,6 +44,7 @@
 
 // registerGauges registers the gauges that are computed on each read, most of them from the owned pools.
 func (p *Pools) registerGauges(registry metrics.Registry) {
+	registry.GetOrRegister("keys.withdrawn", metrics.NewFunctionalGauge(func() int64 { return int64(p.withdrawn.Len()) }))
 	registry.GetOrRegister("turns.kept_elsewhere", metrics.NewFunctionalGauge(func() int64 { return int64(p.keptElsewhere.Len()) }))
 	for name, value := range map[string]func(model.PoolLoad) int{
 		"pools.owned":        func(model.PoolLoad) int { return 1 },
--- a/plugins/endpoints/updates.go
+++ b/plugins/endpoints/updates.go
@@ -26,20 +26,27 @@
 type taskUpdates struct {
 	Losses []wireTaskLoss `json:"losses"`
 	Turns  []wireTurn     `json:"turns,omitempty"`
+	// Withdrawn are keys of jobs that were cancelled; only members that join are told of them here.
+	Withdrawn []wireKey `json:"withdrawn,omitempty"`
 }
 
-func (u taskUpdates) isEmpty() bool { return len(u.Losses)+len(u.Turns) == 0 }
+func (u taskUpdates) isEmpty() bool { return len(u.Losses)+len(u.Turns)+len(u.Withdrawn) == 0 }
 
 // plus returns the updates followed by further ones.
 func (u taskUpdates) plus(further taskUpdates) taskUpdates {
-	return taskUpdates{slices.Concat(u.Losses, further.Losses), slices.Concat(u.Turns, further.Turns)}
+	return taskUpdates{
+		Losses: slices.Concat(u.Losses, further.Losses), Turns: slices.Concat(u.Turns, further.Turns),
+		Withdrawn: slices.Concat(u.Withdrawn, further.Withdrawn),
+	}
 }
 
 // newest returns the updates without the oldest of each kind, as many as one message may have.
 func (u taskUpdates) newest() taskUpdates {
-	return taskUpdates{u.Losses[max(len(u.Losses)-maxPendingUpdates, 0):], u.Turns[max(len(u.Turns)-maxPendingUpdates, 0):]}
+	return taskUpdates{Losses: newestOf(u.Losses), Turns: newestOf(u.Turns), Withdrawn: newestOf(u.Withdrawn)}
 }
 
+func newestOf[T any](all []T) []T { return all[max(len(all)-maxPendingUpdates, 0):] }
+
 // parts returns the updates divided among as many messages as they need.
 func (u taskUpdates) parts() (parts []taskUpdates) {
 	for losses := range slices.Chunk(u.Losses, maxPendingUpdates) {
@@ -48,6 +55,9 @@
 	for turns := range slices.Chunk(u.Turns, maxPendingUpdates) {
 		parts = append(parts, taskUpdates{Turns: turns})
 	}
+	for keys := range slices.Chunk(u.Withdrawn, maxPendingUpdates) {
+		parts = append(parts, taskUpdates{Withdrawn: keys})
+	}
 	return parts
 }
 
@@ -92,6 +102,9 @@
 			p.applyTurn(t)
 		}
 	}
+	for _, k := range updates.Withdrawn {
+		p.rememberWithdrawn(k.Key, time.Duration(k.ValidMS)*time.Millisecond)
+	}
 	if m.Relay && !updates.isEmpty() {
 		p.relayUpdates(ctx, updates)
 	}
@@ -101,8 +114,9 @@
 // valid returns the updates that a correct member could have sent.
 func (u taskUpdates) valid() taskUpdates {
 	return taskUpdates{
-		slices.DeleteFunc(u.Losses, func(l wireTaskLoss) bool { return !l.valid() }),
-		slices.DeleteFunc(u.Turns, func(t wireTurn) bool { return !t.valid() }),
+		Losses:    slices.DeleteFunc(u.Losses, func(l wireTaskLoss) bool { return !l.valid() }),
+		Turns:     slices.DeleteFunc(u.Turns, func(t wireTurn) bool { return !t.valid() }),
+		Withdrawn: slices.DeleteFunc(u.Withdrawn, func(k wireKey) bool { return !k.valid() }),
 	}
 }
 
@@ -175,15 +189,13 @@
 	time.AfterFunc(joinedAgain, func() { p.tell(joined, p.newestUpdates(joinedAt)) })
 }
 
-// tell queues updates for members.
+// tell sends updates to members, in as many messages as they need.
 func (p *Pools) tell(members []port.Node, updates taskUpdates) {
-	if updates.isEmpty() {
-		return
-	}
-	for _, node := range members {
-		p.appendPending(updateTarget{member: node.ID}, updates)
+	for _, part := range updates.parts() {
+		for _, node := range members {
+			go p.sendUpdates(updateTarget{member: node.ID}, part)
+		}
 	}
-	p.signalUpdates()
 }
 
 // tells reports whether this member is one of the few, by rendezvous hashing over those that were there before, that tell a member which
@@ -199,9 +211,10 @@
 	return higher < joinTellers
 }
 
-// newestUpdates returns the losses that this member has learned of since the given time, and the turns that are kept.
+// newestUpdates returns the newest losses that this member has learned of since the given time, the turns that are kept, and the keys that
+// were withdrawn.
 func (p *Pools) newestUpdates(since time.Time) taskUpdates {
-	return taskUpdates{p.newestLosses(since), p.knownTurns()}.newest()
+	return taskUpdates{Losses: newestOf(p.newestLosses(since)), Turns: p.knownTurns(), Withdrawn: p.withdrawnKeys()}
 }
 
 // newestLosses returns the losses in the table, of the tasks that have lost a run last, and not before the given time.
--- a/plugins/frontend/announce/announce_test.go
+++ b/plugins/frontend/announce/announce_test.go
@@ -17,7 +17,10 @@
 const validBody = `{"endpoint":"e1","service":"finder","worker":"w1","rack":"r1","data_centre":"sj1","address":"127.0.0.1:9000",` +
 	`"slots":8,"connections":60,"cores":16,"memory_mb":65536,"accelerators":0,"state":"serving","running":["a.b.1.1.t.0"]}`
 
-type fakePools struct{ announced []model.Endpoint }
+type fakePools struct {
+	port.Pools
+	announced []model.Endpoint
+}
 
 func (f *fakePools) Loads(model.ServiceID) []model.PoolLoad { return nil }
 
--- a/plugins/jobs/bykey.go
+++ b/plugins/jobs/bykey.go
@@ -77,10 +77,17 @@
 	return byKeyReply{Found: j.applyByKey(r)}
 }
 
-// applyByKey reports whether this member runs a job with the key, and cancels it if the request says so.
+// applyByKey reports whether this member runs a job with the key, and cancels it if the request says so. The key of a cancellation counts as
+// withdrawn from then on, also when there is no job yet: the request that submits it may be late, or arrive again.
 func (j *Jobs) applyByKey(r byKeyRequest) (found bool) {
+	if r.Key == "" {
+		return false
+	}
+	if r.Cancel {
+		j.pools.Withdraw(r.Key) // Before the job is looked up: see withdrawIfCancelled.
+	}
 	id, known := j.keys.Get(r.Key)
-	if !known || r.Key == "" {
+	if !known {
 		return false
 	}
 	j.jobs.Do(id, func(jobs map[model.JobID]*entry) {
@@ -88,8 +95,21 @@
 		found = known && e.state.Outcome().State == model.StateRunning
 	})
 	if found && r.Cancel {
-		event.JobCancelled.Log(j.log, event.Text(event.Job, id), event.Text(event.JobKey, r.Key))
-		j.step(id, jobstate.Withdrawn{})
+		j.withdraw(id, r.Key)
 	}
 	return found
 }
+
+func (j *Jobs) withdraw(id model.JobID, key string) {
+	event.JobCancelled.Log(j.log, event.Text(event.Job, id), event.Text(event.JobKey, key))
+	j.step(id, jobstate.Withdrawn{})
+}
+
+// withdrawIfCancelled cancels a job that has just got its entry, if its caller has cancelled it before. A cancellation records the key before it
+// looks for the job, so that one of the two finds the other.
+func (j *Jobs) withdrawIfCancelled(job *model.Job) (cancelled bool) {
+	if cancelled = j.pools.Withdrawn(job.Key); cancelled {
+		j.withdraw(job.ID, job.Key)
+	}
+	return cancelled
+}
--- a/plugins/jobs/bykey_test.go
+++ b/plugins/jobs/bykey_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -70,3 +71,49 @@
 		is.Equal(other.CancelKey(t.Context(), "k"), port.KeyUncertain)
 	})
 }
+
+// Guards against review/8, UNASKED: the request of a job whose cancelling was acknowledged arrived again, at the member that had the job or at
+// another one, and all its tasks ran.
+func TestRequestOfACancelledJobThatArrivesAgainRunsNothing(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		owner, other, atOwner, atOther := newMemberPair(t)
+		job := newJob("", 2)
+		job.Key = "k"
+		outcomes := make(chan model.Outcome, 1)
+		go func() { outcomes <- owner.Submit(t.Context(), job) }()
+		advanceClock(0)
+		is.Equal(other.CancelKey(t.Context(), "k"), port.KeyFound)
+		is.Equal((<-outcomes).Reason, model.ReasonWithdrawn)
+		before := atOwner.runs.Load() + atOther.runs.Load()
+		advanceClock(4 * time.Second)
+		for _, member := range []*Jobs{owner, other} {
+			is.Equal(member.Submit(t.Context(), job).Reason, model.ReasonWithdrawn)
+		}
+		is.Equal(atOwner.runs.Load()+atOther.runs.Load(), before)
+	})
+}
+
+// Guards against a job that runs although its cancelling was answered: the cancellation had overtaken the request on another connection.
+func TestJobThatIsCancelledBeforeItsRequestArrivesRunsNothing(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		owner, other, atOwner, _ := newMemberPair(t)
+		is.Equal(other.CancelKey(t.Context(), "k"), port.KeyUnknown)
+		job := newJob("", 2)
+		job.Key = "k"
+		is.Equal(owner.Submit(t.Context(), job).Reason, model.ReasonWithdrawn)
+		is.Equal(atOwner.runs.Load(), int32(0))
+	})
+}
+
+// Guards against the same where the member that gets the request does not know of the cancellation, but the pool's owner does.
+func TestJobThatAPoolKnowsToBeCancelledIsNotPlannedAgain(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		owner, _, atOwner, _ := newMemberPair(t)
+		atOwner.run = func(_ context.Context, b model.Batch) model.BatchResult {
+			return model.RefusedBatch(b.ID, model.ReasonWithdrawn)
+		}
+		outcome := owner.Submit(t.Context(), newJob("", 2))
+		is.Equal(outcome.Reason, model.ReasonWithdrawn)
+		is.Equal(atOwner.runs.Load(), int32(1))
+	})
+}
--- a/plugins/jobs/fake_test.go
+++ b/plugins/jobs/fake_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,7 @@
 	run         func(context.Context, model.Batch) model.BatchResult
 	runs        atomic.Int32
 	pauses      atomic.Uint64 // Pauses of the member's process.
+	withdrawn   sync.Map      // Keys of cancelled jobs.
 }
 
 func (f *fake) Self() port.Node { return f.node }
@@ -103,6 +105,13 @@
 
 func (f *fake) Endpoints() []port.EndpointStatus { return nil }
 
+func (f *fake) Withdraw(key string) { f.withdrawn.Store(key, true) }
+
+func (f *fake) Withdrawn(key string) bool {
+	_, known := f.withdrawn.Load(key)
+	return known
+}
+
 func (f *fake) Plan(r port.PlanRequest) port.Plan {
 	if len(r.Pools) == 0 {
 		return port.Plan{Refused: model.ReasonNoEndpoint}
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -178,12 +178,16 @@
 }
 
 // requestReplan requests a new plan for a refused part, none of whose tasks started. A job that has
-// failed already is not planned again.
+// failed already is not planned again, nor one that its caller has cancelled at the pool's owner.
 func (j *Job) requestReplan(now time.Time, result model.BatchResult, part port.PlanPart, fx *Effects) {
 	if j.failure != nil {
 		j.endFailedIfNoneInFlight(now, fx)
 		return
 	}
+	if result.Reason == model.ReasonWithdrawn {
+		j.fail(now, failure{reason: result.Reason}, fx)
+		return
+	}
 	j.awaitingReplan[result.ID.Part] = refusal{part.Tasks, failure{result.Reason, result.RetryAfter}}
 	switch result.Reason {
 	case model.ReasonBusy:
--- a/plugins/jobs/submit.go
+++ b/plugins/jobs/submit.go
@@ -95,7 +95,9 @@
 		return refusal
 	case created:
 		j.logTaken(&job)
-		j.start(job)
+		if !j.withdrawIfCancelled(&job) {
+			j.start(job)
+		}
 	case e.state.Digest() != job.Digest && !e.tombstone:
 		return model.Failed(job.ID, model.NotRun, model.ReasonConflict)
 	default:
