--- a/plugins/endpoints/keptturns.go
+++ b/plugins/endpoints/keptturns.go
@@ -153,7 +153,7 @@
 	p.keptElsewhere.Do(ref, func(tasks map[taskRef]*keptTask) {
 		task, known := tasks[ref]
 		if !known {
-			evictKept(tasks, now)
+			evict(tasks, maxKeptPerShard, now, func(t *keptTask) time.Time { return t.turns.Expires() })
 			task = &keptTask{returned: make(chan struct{})}
 			tasks[ref] = task
 		}
@@ -164,24 +164,6 @@
 	})
 }
 
-// evictKept makes room for a further task: it removes those of which nothing is valid, and the one that expires first when there are too many.
-func evictKept(tasks map[taskRef]*keptTask, now time.Time) {
-	if len(tasks) < maxKeptPerShard {
-		return
-	}
-	var first taskRef
-	for ref, task := range tasks {
-		if expires := task.turns.Expires(); expires.Before(now) {
-			delete(tasks, ref)
-		} else if known := tasks[first]; known == nil || expires.Before(known.turns.Expires()) {
-			first = ref
-		}
-	}
-	if len(tasks) >= maxKeptPerShard {
-		delete(tasks, first)
-	}
-}
-
 // keptBy returns a member that keeps the turn of a task, until when without a further word, and a channel that is closed when a turn of the
 // task is given back; kept is false when there is none.
 func (p *Pools) keptBy(ref taskRef) (keeper model.NodeID, until time.Time, returned <-chan struct{}, kept bool) {
--- a/plugins/endpoints/losses.go
+++ b/plugins/endpoints/losses.go
@@ -57,7 +57,7 @@
 			return
 		}
 		if !known {
-			evictLosses(entries, now)
+			evict(entries, maxTasksPerShard, now, func(e taskLosses) time.Time { return e.expires })
 		}
 		entry.expires = now.Add(lossRetention)
 		entries[ref] = entry
@@ -65,24 +65,6 @@
 	return changed
 }
 
-// evictLosses makes room for a further task: it removes the expired ones, and the oldest when there are too many.
-func evictLosses(entries map[taskRef]taskLosses, now time.Time) {
-	if len(entries) < maxTasksPerShard {
-		return
-	}
-	var oldest taskRef
-	for ref, entry := range entries {
-		if entry.expires.Before(now) {
-			delete(entries, ref)
-		} else if known, ok := entries[oldest]; !ok || entry.expires.Before(known.expires) {
-			oldest = ref
-		}
-	}
-	if len(entries) >= maxTasksPerShard {
-		delete(entries, oldest)
-	}
-}
-
 // withLosses adds what this member knows of the losses of a batch's tasks to them. The tasks are copied, since the batch shares
 // them with its job.
 func (p *Pools) withLosses(batch model.Batch) model.Batch {
--- a/plugins/endpoints/withdrawn.go
+++ b/plugins/endpoints/withdrawn.go
@@ -33,7 +33,7 @@
 	now := time.Now()
 	p.withdrawn.Do(key, func(expires map[string]time.Time) {
 		if _, known := expires[key]; !known {
-			evictWithdrawn(expires, now)
+			evict(expires, maxWithdrawnPerShard, now, func(at time.Time) time.Time { return at })
 		}
 		if until := now.Add(valid); until.After(expires[key]) {
 			expires[key] = until
@@ -41,24 +41,6 @@
 	})
 }
 
-// evictWithdrawn makes room for a further key: it removes the expired ones, and the one that expires first when there are too many.
-func evictWithdrawn(expires map[string]time.Time, now time.Time) {
-	if len(expires) < maxWithdrawnPerShard {
-		return
-	}
-	first := ""
-	for key, at := range expires {
-		if at.Before(now) {
-			delete(expires, key)
-		} else if first == "" || at.Before(expires[first]) {
-			first = key
-		}
-	}
-	if len(expires) >= maxWithdrawnPerShard {
-		delete(expires, first)
-	}
-}
-
 // Withdrawn implements port.Pools.
 func (p *Pools) Withdrawn(key string) bool {
 	if key == "" {
