--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -114,6 +114,7 @@
 	RegisterRefused     = define(Fault, "register_refused", "the register's file is damaged or belongs to another member or cluster; the replica joins the group before it votes", Error)
 	RegisterNotPutAside = define(Fault, "register_not_put_aside", "the register's file could not be renamed after another member took over its place", Error)
 	RegisterWriteFailed = define(Fault, "register_write_failed", "the register could not be written to disk; this replica casts no vote", Error)
+	FoundingNotRecorded = define(Fault, "founding_not_recorded", "the disk could not record that this member takes part in a first start, or no longer does; if it starts again now it may be taken for one that has lost its disk", Error)
 	RegisterWritten     = define(Change, "register_written", "the register was written to disk again after a failure")
 )
 
--- a/plugins/profiles/bootstrap_test.go
+++ b/plugins/profiles/bootstrap_test.go
@@ -262,6 +262,36 @@
 	}
 }
 
+// Guards against review/10: all members with disks were killed during a first start and started again without the setting bootstrap; then nobody
+// could choose the replicas, and no member ever served.
+func TestBootstrap_SurvivesTheEndOfAllMembersWithDisks(t *testing.T) {
+	for at := 50 * time.Millisecond; at <= time.Second; at += 50 * time.Millisecond {
+		t.Run(at.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := startClusterNoWait(t, 4, 3, seededSettings(true))
+				defer c.stopAll()
+				c.customize = seededSettings(false)
+				time.Sleep(at)
+				for i := range 4 {
+					c.remove(node(i))
+				}
+				time.Sleep(500 * time.Millisecond)
+				for i := range 4 {
+					c.rejoin(node(i))
+				}
+				time.Sleep(2 * takeoverTime)
+				is.Equal(c.declare("n5", 1), port.DeclareDone)
+				for i := range 7 {
+					is.Equal(c.confirmedVersion(node(i)), uint64(1))
+				}
+				_, err := os.Stat(filepath.Join(c.dir, "n3", folderName, "founding"))
+				is.True(os.IsNotExist(err)) // It is no replica, and takes part in a first start no longer.
+			})
+		})
+	}
+}
+
 // checkBootstrapAround ends a member some time after a first start, starts it again 0.5 s later without the setting
 // bootstrap, and checks that the members serve.
 func checkBootstrapAround(t *testing.T, ended model.NodeID, at time.Duration, diskLost bool) {
--- a/plugins/profiles/disk/disk.go
+++ b/plugins/profiles/disk/disk.go
@@ -57,13 +57,15 @@
 	Place    model.NodeID   // The replica whose place the member has; "" means the place named after the member itself.
 	Since    time.Time      // When the member took the place; zero in a file of an earlier version.
 	Fault    error          // Why an existing file is unusable, or nil.
+
+	Founding bool // There is no file, and the member takes part in a first start; see BeginFounding.
 }
 
 // Load reads the file. An unusable file is renamed, so that it is kept but not read again.
 func (d *Disk) Load() (Loaded, error) {
 	content, inode, err := d.Folder.Read(currentFile)
 	if errors.Is(err, os.ErrNotExist) {
-		return Loaded{}, nil
+		return Loaded{Founding: d.isFounding()}, nil
 	}
 	if err != nil {
 		return Loaded{}, errors.Wrapf(err, "read %s", currentFile)
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -166,7 +166,7 @@
 	case len(loaded.Replicas) > 0:
 		p.startConsensus(loaded, loaded.Replicas)
 	default:
-		p.publishFounding(p.bootstrap && p.path != "")
+		p.publishFounding(p.beginFounding(loaded))
 		p.goroutines.Go(func() { p.awaitGroup(loaded) })
 	}
 	return nil
@@ -178,6 +178,7 @@
 	p.group.Store(newGroup(replicas))
 	p.publishGroup()
 	p.publishFounding(false)
+	p.endFounding(replicas)
 	p.installMachine(cmp.Or(loaded.Place, p.self), loaded, register.Store{})
 	p.goroutines.Go(p.run)
 	p.goroutines.Go(p.watchPlaces)
