--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -98,6 +98,9 @@
 	withdrawn     *shard.Map[string, time.Time]  // Keys of jobs that their callers have cancelled, and until when they are remembered.
 	turnUpdates   atomic.Uint64                  // Number of the newest update on a turn of this member.
 	witnessed     *shard.Map[witnessKey, *witnessedTurn]
+	// witnessUpdates are updates that are to be sent to witnesses of this member.
+	witnessUpdates *shard.Map[model.NodeID, taskUpdates]
+	witnessBudget  witnessBudget
 
 	losses         *shard.Map[taskRef, taskLosses]               // Endpoints that have crashed under tasks.
 	pendingUpdates *shard.Map[updateTarget, taskUpdates]         // Updates that are to be sent to other members.
@@ -152,6 +155,7 @@
 	p.clocks = shard.New[model.NodeID, transit.Reading](shard.DefaultCount)
 	p.startedAt = time.Now()
 	p.turns = shard.New[taskRef, turn](shard.DefaultCount)
+	p.witnessUpdates = shard.New[model.NodeID, taskUpdates](shard.DefaultCount)
 	p.witnessed = shard.New[witnessKey, *witnessedTurn](shard.DefaultCount)
 	p.withdrawn = shard.New[string, time.Time](shard.DefaultCount)
 	p.keptElsewhere = shard.New[taskRef, *keptTask](shard.DefaultCount)
--- a/plugins/endpoints/keptturns/witness_test.go
+++ b/plugins/endpoints/keptturns/witness_test.go
@@ -55,3 +55,17 @@
 	is.True(!forget)
 	is.True(w.Apply(now.Add(11*time.Second), update(3, false)))
 }
+
+// Guards against a member that spends its time on telling its witnesses, while most endpoints are slow.
+func TestBudgetBoundsTheStartsOfWhichWitnessesAreTold(t *testing.T) {
+	is := is.New(t)
+	var b Budget
+	took := 0
+	for at := now; at.Before(now.Add(10 * time.Second)); at = at.Add(time.Millisecond) {
+		if b.Take(at) {
+			took++
+		}
+	}
+	is.Equal(took, int(budgetBurst+10*budgetRate)-1)
+	is.True(b.Take(now.Add(20 * time.Second)))
+}
--- a/plugins/endpoints/witnesses.go
+++ b/plugins/endpoints/witnesses.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"sync"
 	"time"
 
 	"redwingpulley/kernel/event"
@@ -10,11 +11,13 @@
 )
 
 // A member may die, or stand still, while an endpoint has not answered a start of its. Then nobody could tell the others that the start may
-// still be carried out. So a member tells two others, its witnesses, of each start that is not answered at once, and again until it is
-// answered or settled. A witness that hears nothing more tells all.
+// still be carried out. So a member tells two others, its witnesses, of a start that is not answered at once, and again until it is
+// answered or settled. A witness that hears nothing more tells all. A budget bounds the starts of which witnesses are told.
 
 const (
-	witnessCount         = 2
+	witnessCount = 2
+	// witnessPause is the time in which updates to a witness are collected for one message: as short as it is since the member may die.
+	witnessPause         = 3 * time.Millisecond
 	maxWitnessedPerShard = 256 // Bounds the turns that one shard of the table holds.
 )
 
@@ -30,9 +33,21 @@
 	timer   *time.Timer
 }
 
+// witnessBudget is a keptturns.Budget that is safe for concurrent use.
+type witnessBudget struct {
+	mu     sync.Mutex
+	budget keptturns.Budget
+}
+
+func (b *witnessBudget) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Take(time.Now())
+}
+
 // StartSlow implements port.EndpointObserver.
 func (p *Pools) StartSlow(run port.TaskRun) {
-	if run.Key == "" {
+	if run.Key == "" || !p.witnessBudget.take() {
 		return
 	}
 	ref, slow := taskRef{run.Key, run.Index}, false
@@ -101,9 +116,25 @@
 	}
 	update.Witness = true
 	for _, id := range witnesses {
-		p.appendPending(updateTarget{member: id}, taskUpdates{Turns: []wireTurn{update}})
+		p.witnessUpdates.Do(id, func(pending map[model.NodeID]taskUpdates) {
+			if pending[id].isEmpty() {
+				time.AfterFunc(witnessPause, func() { p.flushToWitness(id) })
+			}
+			pending[id] = pending[id].plus(taskUpdates{Turns: []wireTurn{update}})
+		})
+	}
+}
+
+// flushToWitness sends the updates that were collected for a witness.
+func (p *Pools) flushToWitness(id model.NodeID) {
+	var updates taskUpdates
+	p.witnessUpdates.Do(id, func(pending map[model.NodeID]taskUpdates) {
+		updates = pending[id]
+		delete(pending, id)
+	})
+	for _, part := range updates.parts() {
+		go p.sendUpdates(updateTarget{member: id}, part)
 	}
-	p.signalUpdates()
 }
 
 // applyAsWitness records what a member has told this one as its witness, and tells all if they need to know.
--- a/plugins/leases/leases.go
+++ b/plugins/leases/leases.go
@@ -22,8 +22,8 @@
 const (
 	idleRetention = time.Minute // The state of an idle endpoint is evicted after this long without an event.
 	revokeTimeout = time.Second // Longest wait for the outcome of a run that a revoke stops.
-	// slowStart is the time within which endpoints answer a start that reaches them: some round trips.
-	slowStart = 15 * time.Millisecond
+	// slowStart is the time within which endpoints answer a start that reaches them, also where this VM is busy.
+	slowStart = 30 * time.Millisecond
 )
 
 // Settings are the settings of the plug-in, in milliseconds.
