--- a/plugins/endpoints/run.go
+++ b/plugins/endpoints/run.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// runRemote sends the batch to the owner, and once more when the owner could not tell that it was sent just now. That it had to be
-// sent again is known to a process that has not stood still meanwhile and whose caller still waits.
+// runRemote sends the batch to the owner, and once more when the owner could not tell that it was sent just now. It is not sent again by a
+// process that has stood still meanwhile, nor for a caller that has gone.
 func (p *Pools) runRemote(ctx context.Context, node port.Node, batch model.Batch) (result model.BatchResult) {
 	pauses := p.liveness.Pauses()
 	for range maxSends {
