--- a/cmd/internal/operatorclient/client_test.go
+++ b/cmd/internal/operatorclient/client_test.go
@@ -4,7 +4,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -32,15 +34,23 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// closedAddress returns an address at which nothing listens.
+// closedAddress returns an address that refuses connections until the test has ended: a socket that does not listen has its port, which no
+// listener of the test can get then.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
 }
 
 func TestEditIsRetriedWithTheSameKey(t *testing.T) {
