Endpoints: members are told of a kept turn 0.8 s after its batch, not 0.15 s

Cause: within 0.15 s of the end of its batch a run on a silent endpoint has not been stopped yet; each member told all others of all of these in each 20 ms. Most end by the lease within the second, before a caller sends its job again.

Change: they are told after 0.8 s, which leaves 0.5 s for the telling.

The tests of kept turns, with the caller's pause of 1.3 s, are unchanged.

--- a/plugins/endpoints/keptturns.go
+++ b/plugins/endpoints/keptturns.go
@@ -16,9 +16,9 @@
 // starts the task.
 
 const (
-	// keptAfter is how long after its batch's end an attempt may keep its turn before the others are told. A stop that is answered
-	// takes less.
-	keptAfter = 150 * time.Millisecond
+	// keptAfter is how long after its batch's end an attempt may keep its turn before the others are told: so long that stops that are
+	// answered and most leases have ended, and so short that the others know before a caller sends its job again.
+	keptAfter = 800 * time.Millisecond
 	// keptValidity is how long the others heed what they were told without hearing of it again. An order of a member that has died
 	// since may arrive 12 s late, and its run lasts for another lease.
 	keptValidity = 20 * time.Second
