--- a/cmd/internal/node/late_test.go
+++ b/cmd/internal/node/late_test.go
@@ -85,7 +85,7 @@
 	stuck.arm()
 	status, _ := s.postWithin(shortDeadline, s.callers[0], id, 1, spec)
 	is.Equal(status, http.StatusGatewayTimeout)
-	time.Sleep(callerPause)
+	time.Sleep(callerPause) // As callers do: the resend has to come when the first start is still under way.
 	status, _ = s.postWithin(longDeadline, s.callers[1], id, 1, spec)
 	is.Equal(status, http.StatusOK)
 	is.True(!overlapped())
--- a/plugins/endpoints/outdated_test.go
+++ b/plugins/endpoints/outdated_test.go
@@ -14,14 +14,17 @@
 // caller had sent the job to another member, when it was read and its tasks were started.
 func TestBatchThatWasReadAfterItsSenderHadGivenItUpStartsNothing(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
-		n, origin, owner, _ := newPair(t)
+		n, origin, owner, atOwner := newPair(t)
+		atEndpoints := useRuns(atOwner)
 		n.faults[methodRun] = []fault{late}
 		n.faults[methodCancel] = slices.Repeat([]fault{dropRequest}, 20)
 		ctx, cancel := context.WithTimeout(t.Context(), lateBy/2)
 		defer cancel()
 		origin.Run(ctx, "owner", repeatableBatch())
 		synctest.Wait()
+		time.Sleep(2 * runTime) // On the virtual clock: runs would have ended.
 		is.Equal(owner.instruments.starts.Count(), int64(0))
+		is.Equal(atEndpoints.startCount(), 0)
 	})
 }
 
--- a/plugins/jobs/bykey_test.go
+++ b/plugins/jobs/bykey_test.go
@@ -12,16 +12,21 @@
 	"redwingpulley/kernel/port"
 )
 
+// startKeyed submits a job of two tasks with the key "k" to a member, and returns when it runs. Its outcome is sent on the channel.
+func startKeyed(t *testing.T, member *Jobs) (job model.Job, outcomes chan model.Outcome) {
+	job, outcomes = newJob("", 2), make(chan model.Outcome, 1)
+	job.Key = "k"
+	go func() { outcomes <- member.Submit(t.Context(), job) }()
+	advanceClock(0)
+	return job, outcomes
+}
+
 // Guards against a cancellation that is acknowledged while the job runs on: callers reach any member with it, and know no id but their
 // own key (review/4).
 func TestJobIsCancelledByItsKeyThroughAnyMember(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		owner, other, _, _ := newMemberPair(t)
-		job := newJob("", 2)
-		job.Key = "k"
-		outcomes := make(chan model.Outcome, 1)
-		go func() { outcomes <- owner.Submit(t.Context(), job) }()
-		advanceClock(0)
+		_, outcomes := startKeyed(t, owner)
 		is.Equal(other.FindKey(t.Context(), "k"), port.KeyFound)
 		is.Equal(other.FindKey(t.Context(), "unknown"), port.KeyUnknown)
 		is.Equal(other.CancelKey(t.Context(), "k"), port.KeyFound)
@@ -45,10 +50,7 @@
 func TestRunningJobIsFoundAlthoughAnotherMemberDoesNotAnswer(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		owner, _, atOwner, _ := newMemberPair(t)
-		job := newJob("", 2)
-		job.Key = "k"
-		go func() { owner.Submit(t.Context(), job) }()
-		advanceClock(0)
+		startKeyed(t, owner)
 		atOwner.dropReplies.Store(1)
 		is.Equal(owner.FindKey(t.Context(), "k"), port.KeyFound)
 		is.Equal(atOwner.dropReplies.Load(), int32(1)) // No call was made.
@@ -60,10 +62,7 @@
 func TestRunningJobIsFoundAtAnotherMemberAlthoughAThirdDoesNotAnswer(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		owner, other, _, atOther := newMemberPair(t)
-		job := newJob("", 2)
-		job.Key = "k"
-		go func() { owner.Submit(t.Context(), job) }()
-		advanceClock(0)
+		startKeyed(t, owner)
 		atOther.members["c"] = &fake{node: port.Node{ID: "c"}, handlers: map[string]port.Handler{methodByKey: func(context.Context, model.NodeID, func(any) error) (any, error) {
 			return nil, errors.New("it does not answer")
 		}}}
@@ -77,11 +76,7 @@
 func TestRequestOfACancelledJobThatArrivesAgainRunsNothing(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		owner, other, atOwner, atOther := newMemberPair(t)
-		job := newJob("", 2)
-		job.Key = "k"
-		outcomes := make(chan model.Outcome, 1)
-		go func() { outcomes <- owner.Submit(t.Context(), job) }()
-		advanceClock(0)
+		job, outcomes := startKeyed(t, owner)
 		is.Equal(other.CancelKey(t.Context(), "k"), port.KeyFound)
 		is.Equal((<-outcomes).Reason, model.ReasonWithdrawn)
 		before := atOwner.runs.Load() + atOther.runs.Load()
