Endpoints: a split waits until the endpoints of an earlier one have moved

Cause: a member's pending split ran 0.2 s after another member had split the group. The reported loads were those from before, so that endpoints counted twice, and the number of pools, which only grows, went from 8 to 16.

Change: the members remember when the number of pools was last raised, and a split waits until splitAgainDelay after that.

TestSplitWaitsUntilTheEndpointsOfAnEarlierOneHaveMoved fails before (8 pools instead of 4) and passes after.

--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -72,8 +72,8 @@
 	formerOwners *shard.Map[model.PoolID, map[model.NodeID]time.Time] // Members that still have work in a pool, and until when.
 	pastHolders  *shard.Map[model.PoolID, map[incarnationKey]bool]    // Members that have handed a pool over to this one, while they live.
 
-	parts        *shard.Map[poolGroup, int]  // Number of pools, where it is above the setting.
-	splitPending *shard.Map[poolGroup, bool] // Groups whose split is scheduled.
+	parts        *shard.Map[poolGroup, partCount] // Number of pools, where it is above the setting.
+	splitPending *shard.Map[poolGroup, bool]      // Groups whose split is scheduled.
 
 	stop      context.CancelFunc
 	baseCtx   context.Context // Ends when the plug-in stops.
@@ -165,7 +165,7 @@
 	p.updateAdded = make(chan struct{}, 1)
 	p.forwarded = shard.New[string, forwardedAnnouncement](shard.DefaultCount)
 	p.unreachable = shard.New[model.NodeID, bool](shard.DefaultCount)
-	p.parts = shard.New[poolGroup, int](shard.DefaultCount)
+	p.parts = shard.New[poolGroup, partCount](shard.DefaultCount)
 	p.splitPending = shard.New[poolGroup, bool](shard.DefaultCount)
 	p.ownerCache = shard.New[poolGroup, groupOwners](shard.DefaultCount)
 	p.formerOwners = shard.New[model.PoolID, map[model.NodeID]time.Time](shard.DefaultCount)
--- a/plugins/endpoints/parts.go
+++ b/plugins/endpoints/parts.go
@@ -19,11 +19,17 @@
 	// splitDelay is the time from the first sign of a large pool to its split, so that endpoints that are
 	// announced at about the same time are counted together.
 	splitDelay = 500 * time.Millisecond
-	// splitAgainDelay is the same time where the group has been split before: until the endpoints have left the pools that
-	// they no longer belong to, some count twice.
+	// splitAgainDelay is the same time where the group has been split before, and the least time between two splits,
+	// whichever members order them: until the endpoints have left the pools that they no longer belong to, some count twice.
 	splitAgainDelay = 3 * time.Second
 )
 
+// partCount is the number of pools in a group.
+type partCount struct {
+	count    int
+	raisedAt time.Time // When this member last learned of a higher number.
+}
+
 // groupParts is an entry of the gossiped list: the number of pools in a group. The number only grows while
 // the members run: those that learn of different numbers use the largest, so that no consensus is needed.
 type groupParts struct {
@@ -43,7 +49,7 @@
 // partsIn returns the number of pools in the group.
 func (p *Pools) partsIn(group poolGroup) int {
 	parts, _ := p.parts.Get(group)
-	return max(parts, p.settings.PoolsPerDataCentre, 1)
+	return max(parts.count, p.settings.PoolsPerDataCentre, 1)
 }
 
 // poolOf returns the pool that the endpoint belongs to.
@@ -75,12 +81,22 @@
 	if p.partsIn(groupOf(id)) > 1 {
 		delay = splitAgainDelay
 	}
-	time.AfterFunc(delay, func() {
-		p.splitPending.Delete(groupOf(id))
-		if p.baseCtx.Err() == nil && p.owns(id) && p.tooLarge(id) {
-			p.raiseParts(groupOf(id), p.requiredParts(id))
+	time.AfterFunc(delay, func() { p.splitWhenSettled(id) })
+}
+
+// splitWhenSettled splits the pools in the group if this one is still too large. It waits until splitAgainDelay has passed
+// since the latest split of the group, which may have been ordered by another member after this one was scheduled.
+func (p *Pools) splitWhenSettled(id model.PoolID) {
+	if last, _ := p.parts.Get(groupOf(id)); !last.raisedAt.IsZero() {
+		if wait := splitAgainDelay - time.Since(last.raisedAt); wait > 0 {
+			time.AfterFunc(wait, func() { p.splitWhenSettled(id) })
+			return
 		}
-	})
+	}
+	p.splitPending.Delete(groupOf(id))
+	if p.baseCtx.Err() == nil && p.owns(id) && p.tooLarge(id) {
+		p.raiseParts(groupOf(id), p.requiredParts(id))
+	}
 }
 
 // tooLarge reports whether the pool has more serving endpoints than the settings allow, and the pools of its group have
@@ -124,7 +140,11 @@
 	if parts <= p.partsIn(group) || parts > maxParts {
 		return
 	}
-	p.parts.Do(group, func(all map[poolGroup]int) { all[group] = max(all[group], parts) })
+	p.parts.Do(group, func(all map[poolGroup]partCount) {
+		if parts > all[group].count {
+			all[group] = partCount{parts, time.Now()}
+		}
+	})
 	event.PoolsSplit.Log(p.log, event.Text(event.Service, group.service), event.Text(event.DataCentre, group.dataCentre), event.Int(event.Parts, parts))
 	if p.publishesPartsOf(group) {
 		p.publishParts()
@@ -149,9 +169,9 @@
 // publishParts publishes the raised numbers of pools by gossip.
 func (p *Pools) publishParts() {
 	var all []groupParts
-	p.parts.Each(func(parts map[poolGroup]int) {
+	p.parts.Each(func(parts map[poolGroup]partCount) {
 		for group, n := range parts {
-			all = append(all, groupParts{group.service, group.dataCentre, n})
+			all = append(all, groupParts{group.service, group.dataCentre, n.count})
 		}
 	})
 	all = slices.DeleteFunc(all, func(g groupParts) bool { return !p.publishesPartsOf(poolGroup{g.Service, g.DataCentre}) })
--- a/plugins/endpoints/parts_test.go
+++ b/plugins/endpoints/parts_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"redwingpulley/kernel/model"
@@ -276,3 +277,39 @@
 		is.True(strings.Contains(gossip.published, "sj9"))
 	})
 }
+
+// Pattern: another member splits a group just before this one's own split is due, and the reported loads are those from before
+// it. Guards against a second split for endpoints that count twice: the pools would be half as large as needed for as long as
+// the cluster runs, and jobs of many tasks would fit into none of them.
+func TestSplitWaitsUntilTheEndpointsOfAnEarlierOneHaveMoved(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		_, _, owner, _ := newPair(t)
+		owner.settings.SplitAbove = 12
+		owner.raiseParts(testGroup, 2)
+		poolOfPart := func(part int) model.PoolID {
+			return model.PoolID{Service: testGroup.service, DataCentre: testGroup.dataCentre, Part: part}
+		}
+		report := func(version uint64, endpoints int, parts ...int) {
+			for _, part := range parts {
+				owner.updateLoad(model.PoolLoad{Pool: poolOfPart(part), Owner: "other", Version: version, Endpoints: endpoints})
+			}
+		}
+		report(1, 40, 1)
+		staying := 0
+		for i := 0; staying < 14; i++ { // Endpoints that are in the member's pool before and after the split.
+			e := leasedEndpoints(i + 1)[i]
+			if xxhash.Sum64String(e.Address)%4 == 0 {
+				owner.step(poolOfPart(0), poolstate.Announced{Endpoint: e})
+				staying++
+			}
+		}
+		owner.splitIfLarge(poolOfPart(0))
+		time.Sleep(splitAgainDelay - 10*time.Millisecond) // On the virtual clock: until shortly before the member's own split.
+		owner.raiseParts(testGroup, 4)
+		time.Sleep(splitAgainDelay / 2) // On the virtual clock: while the endpoints may still be moving.
+		report(2, 10, 1, 2, 3)
+		time.Sleep(2 * splitAgainDelay) // On the virtual clock: until the group has settled.
+		synctest.Wait()
+		is.Equal(owner.partsIn(testGroup), 4)
+	})
+}
--- a/plugins/endpoints/view_cost_test.go
+++ b/plugins/endpoints/view_cost_test.go
@@ -24,7 +24,9 @@
 	m = &fakeMember{network: n, node: alive[0]}
 	p = newPoolsOn(m)
 	for centre := range 6 {
-		p.parts.Do(poolGroup{"finder", largeCentre(centre)}, func(all map[poolGroup]int) { all[poolGroup{"finder", largeCentre(centre)}] = 16 })
+		p.parts.Do(poolGroup{"finder", largeCentre(centre)}, func(all map[poolGroup]partCount) {
+			all[poolGroup{"finder", largeCentre(centre)}] = partCount{count: 16}
+		})
 		for part := range 16 {
 			id := model.PoolID{Service: "finder", DataCentre: largeCentre(centre), Part: part}
 			p.updateLoad(model.PoolLoad{Pool: id, Owner: p.ownerOf(id).ID, Version: 1, Slots: 96, Free: 96})
