Endpoints: pools in proportion to the members' processors

Callers at small VMs waited for their processor: rendezvous hashing gave a VM of 0.144 of a core as many pools as one of 0.48.

Change: settings give a weight, membership gossips it, and owners are chosen by weighted rendezvous hashing with shares by weight. With equal weights the owners are the same as before.

--- a/kernel/port/port.go
+++ b/kernel/port/port.go
@@ -82,6 +82,8 @@
 	Disk        bool   // Whether it has a disk for the profile register.
 	Draining    bool   // Whether it takes no new work.
 	Reserve     bool   // Whether it owns pools only while no other member of its data centre can.
+	// Weight is the member's part of the pools of its data centre, relative to the other members; 0 counts as 1.
+	Weight float64
 }
 
 // Membership tracks which entry VMs are alive.
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -35,6 +35,9 @@
 	Bootstrap bool `json:"bootstrap"`
 	// Reserve keeps this VM from owning pools while another VM of its data centre can own them.
 	Reserve bool `json:"reserve"`
+	// Weight is this VM's part of the pools of its data centre, relative to the weights of the other VMs there, such as its
+	// processor share; 0 counts as 1.
+	Weight float64 `json:"weight"`
 	// StopWithinS is the time in seconds after SIGTERM at which the process is killed from outside if
 	// it has not ended; 0 means never.
 	StopWithinS float64 `json:"stop_within_s"`
@@ -44,6 +47,9 @@
 	Log Log `json:"log,omitzero"`
 }
 
+// maxWeight is the highest weight of a VM.
+const maxWeight = 1e6
+
 // Log limits the lines that the process logs.
 type Log struct {
 	LinesPerSecond int  `json:"lines_per_second"` // Lines above this rate are dropped and counted; 0 logs nothing.
@@ -102,6 +108,7 @@
 	f.checkListener("listen.operators", s.Listen.Operators, s.runsPlugin("frontend.operators"))
 	f.checkListener("listen.peers", s.Listen.Peers, s.runsPlugin("peer.http"))
 	f.Require(s.StopWithinS >= 0, "stop_within_s", "must not be negative")
+	f.Require(s.Weight >= 0 && s.Weight <= maxWeight, "weight", "must be 0 to 1000000")
 	f.Require(s.Log.LinesPerSecond >= 0, "log.lines_per_second", "must not be negative")
 	s.checkMembers(&f)
 	return f.Err()
@@ -203,6 +210,7 @@
 	compare(slices.Equal(s.Seeds, other.Seeds), "seeds")
 	compare(s.Bootstrap == other.Bootstrap, "bootstrap")
 	compare(s.Reserve == other.Reserve, "reserve")
+	compare(s.Weight == other.Weight, "weight")
 	compare(s.StopWithinS == other.StopWithinS, "stop_within_s")
 	compare(slices.Equal(s.Without, other.Without), "without")
 	compare(s.Log == other.Log, "log")
--- a/plugins/endpoints/cluster_test.go
+++ b/plugins/endpoints/cluster_test.go
@@ -230,7 +230,7 @@
 		m.startPlugin(is)
 		members = append(members, m)
 	}
-	slices.SortFunc(members, func(a, b *testMember) int { return compareWeight(testPool, b.node.ID, a.node.ID) })
+	slices.SortFunc(members, func(a, b *testMember) int { return compareScore(testPool, b.node.ID, a.node.ID) })
 	return c, members
 }
 
--- a/plugins/endpoints/owners.go
+++ b/plugins/endpoints/owners.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"math"
 	"slices"
 	"strings"
 
@@ -46,28 +47,28 @@
 func (p *Pools) partsFor(id model.PoolID) int { return max(p.partsIn(groupOf(id)), id.Part+1) }
 
 // assignOwners returns the owners of a group's pools among the given members, by part. A pool goes to the member with
-// the highest weight by rendezvous hashing that does not have its share of the pools yet: otherwise some members would
-// own several pools of a group while others own none, and a pool is served as fast as its owner.
+// the highest score by weighted rendezvous hashing that does not have its share of the pools yet: otherwise some members
+// would own several pools of a group while others own none, and a pool is served as fast as its owner.
 func assignOwners(alive []port.Node, group poolGroup, parts int) []port.Node {
 	return ownersAmong(eligibleOwners(alive, group.dataCentre), group, parts)
 }
 
 // ownersAmong returns the same where the members that can own a pool of the group are known.
 func ownersAmong(members []port.Node, group poolGroup, parts int) []port.Node {
-	share := (parts + len(members) - 1) / len(members)
+	shares := poolShares(members, parts)
 	owned := make([]int, len(members))
 	owners := make([]port.Node, 0, parts)
 	var key []byte
 	for part := range parts {
 		id := model.PoolID{Service: group.service, DataCentre: group.dataCentre, Part: part}
 		key = append(append(key[:0], id.String()...), '|')
-		best, highest := -1, uint64(0)
+		best, highest := -1, 0.0
 		for i, member := range members {
-			if owned[i] >= share {
+			if owned[i] >= shares[i] {
 				continue
 			}
-			if w := weight(key, member.ID); best < 0 || w >= highest { // Members are sorted; the last of equal ones wins.
-				best, highest = i, w
+			if s := score(key, member); best < 0 || s >= highest { // Members are sorted; the last of equal ones wins.
+				best, highest = i, s
 			}
 		}
 		owned[best]++
@@ -76,8 +77,39 @@
 	return owners
 }
 
-// weight returns a member's weight for a pool; key ends the pool's name with a separator.
-func weight(key []byte, member model.NodeID) uint64 {
+// poolShares returns the greatest number of pools of each member: its part of them by weight, rounded up.
+func poolShares(members []port.Node, pools int) []int {
+	total := 0.0
+	for _, member := range members {
+		total += weightOf(member)
+	}
+	shares := make([]int, len(members))
+	for i, member := range members {
+		shares[i] = int(math.Ceil(float64(pools)*weightOf(member)/total - shareTolerance))
+	}
+	return shares
+}
+
+// shareTolerance keeps rounding errors of sums of weights from raising a share that is a whole number.
+const shareTolerance = 1e-9
+
+// weightOf returns a member's part of the pools relative to others.
+func weightOf(member port.Node) float64 {
+	if member.Weight > 0 {
+		return member.Weight
+	}
+	return 1
+}
+
+// score returns a member's score for a pool, by weighted rendezvous hashing: a member has the highest one among several with a
+// probability in proportion to its weight. key ends the pool's name with a separator.
+func score(key []byte, member port.Node) float64 {
+	uniform := (float64(rendezvousHash(key, member.ID)>>11) + 0.5) / (1 << 53) // Above 0 and below 1.
+	return -weightOf(member) / math.Log(uniform)
+}
+
+// rendezvousHash returns the hash of a pool and a member.
+func rendezvousHash(key []byte, member model.NodeID) uint64 {
 	var buffer [128]byte
 	return xxhash.Sum64(append(append(buffer[:0], key...), member...))
 }
--- a/plugins/endpoints/owners_test.go
+++ b/plugins/endpoints/owners_test.go
@@ -27,10 +27,10 @@
 	return assignOwners(alive, groupOf(id), id.Part+1)[id.Part]
 }
 
-// compareWeight compares the weights of two members for a pool.
-func compareWeight(pool model.PoolID, a, b model.NodeID) int {
+// compareScore compares the scores of two members of equal weight for a pool.
+func compareScore(pool model.PoolID, a, b model.NodeID) int {
 	key := []byte(pool.String() + "|")
-	return cmp.Compare(weight(key, a), weight(key, b))
+	return cmp.Compare(rendezvousHash(key, a), rendezvousHash(key, b))
 }
 
 // Pattern: sixteen pools of a busy service in a data centre of 25 small VMs. Guards against a VM that owns three or four
@@ -86,3 +86,43 @@
 		}
 	}
 }
+
+// Pattern: a data centre of two VMs with a third of a processor each more than its six others. Guards against pools whose
+// tasks wait for the processor of a small VM while the large ones have time left.
+func TestPoolsFollowTheWeightsOfTheirMembers(t *testing.T) {
+	is := is.New(t)
+	var alive []port.Node
+	for i := range 8 {
+		n := port.Node{ID: model.NodeID(fmt.Sprint("entry-", i)), DataCentre: "sj0", Weight: 0.144}
+		if i < 2 {
+			n.Weight = 0.48
+		}
+		alive = append(alive, n)
+	}
+	large := 0
+	for group := range 40 {
+		owned := make(map[model.NodeID]int)
+		for _, owner := range assignOwners(alive, poolGroup{model.ServiceID(fmt.Sprint("service-", group)), "sj0"}, 8) {
+			owned[owner.ID]++
+		}
+		for _, n := range alive[2:] {
+			is.True(owned[n.ID] <= 1) // Eight pools times 0.144 of 1.824, rounded up.
+		}
+		large += owned["entry-0"] + owned["entry-1"]
+	}
+	mean := float64(large) / 40
+	is.True(mean > 3.5 && mean < 5) // Eight pools times 0.96 of 1.824 are 4.2.
+}
+
+// Guards against shares that rounding makes one too large: the members would not be loaded evenly.
+func TestSharesOfEqualMembersAreExact(t *testing.T) {
+	is := is.New(t)
+	for _, weight := range []float64{0, 0.1, 0.192, 3} {
+		var members []port.Node
+		for range 7 {
+			members = append(members, port.Node{Weight: weight})
+		}
+		is.Equal(poolShares(members, 21), []int{3, 3, 3, 3, 3, 3, 3})
+		is.Equal(poolShares(members, 22)[0], 4)
+	}
+}
--- a/plugins/endpoints/suspend_test.go
+++ b/plugins/endpoints/suspend_test.go
@@ -50,7 +50,7 @@
 func rivalOf(id model.NodeID) model.NodeID {
 	for c := 'a'; ; c++ {
 		rival := model.NodeID("rival-" + string(c))
-		if compareWeight(pool1, rival, id) > 0 {
+		if compareScore(pool1, rival, id) > 0 {
 			return rival
 		}
 	}
--- a/plugins/endpoints/updaterelay.go
+++ b/plugins/endpoints/updaterelay.go
@@ -47,21 +47,21 @@
 		_, alive = p.member(target.member)
 		return target.member, alive
 	}
-	relays := byWeight(p.currentView().membersOf(target.centre), []byte("losses|"))
+	relays := byHash(p.currentView().membersOf(target.centre), []byte("losses|"))
 	relays = relays[:min(len(relays), relaysOfCentre)]
 	self := p.membership.Self().ID
 	relays = slices.DeleteFunc(relays, func(o poolstate.Origin) bool { return o.Node == self })
 	if len(relays) == 0 {
 		return "", false
 	}
-	first := int(weight([]byte("relay|"), self) % relaysOfCentre)
+	first := int(rendezvousHash([]byte("relay|"), self) % relaysOfCentre)
 	return relays[(first+attempt)%len(relays)].Node, true
 }
 
-// byWeight returns members ordered by their weights for a key, the highest first.
-func byWeight(members []poolstate.Origin, key []byte) []poolstate.Origin {
+// byHash returns members ordered by their rendezvous hashes for a key, the highest first.
+func byHash(members []poolstate.Origin, key []byte) []poolstate.Origin {
 	return slices.SortedFunc(slices.Values(members), func(a, b poolstate.Origin) int {
-		return cmp.Or(cmp.Compare(weight(key, b.Node), weight(key, a.Node)), cmp.Compare(a.Node, b.Node))
+		return cmp.Or(cmp.Compare(rendezvousHash(key, b.Node), rendezvousHash(key, a.Node)), cmp.Compare(a.Node, b.Node))
 	})
 }
 
--- a/plugins/endpoints/updates.go
+++ b/plugins/endpoints/updates.go
@@ -199,12 +199,12 @@
 }
 
 // tells reports whether this member is one of the few, by rendezvous hashing over those that were there before, that tell a member which
-// joins. Views may differ: the one with the highest weight of all always is.
+// joins. Views may differ: the one with the highest hash of all always is.
 func (p *Pools) tells(joined port.Node, before, now *viewIndex) bool {
 	key := []byte(string(joined.ID) + "|" + string(joined.Incarnation) + "|")
-	own, higher := weight(key, p.membership.Self().ID), 0
+	own, higher := rendezvousHash(key, p.membership.Self().ID), 0
 	for _, node := range now.alive {
-		if before.has(incarnationKey{node.ID, node.Incarnation}) && weight(key, node.ID) > own {
+		if before.has(incarnationKey{node.ID, node.Incarnation}) && rendezvousHash(key, node.ID) > own {
 			higher++
 		}
 	}
--- a/plugins/endpoints/witnesses.go
+++ b/plugins/endpoints/witnesses.go
@@ -85,7 +85,7 @@
 // the same time travels in one message.
 func (p *Pools) witnesses() (ids []model.NodeID) {
 	self := p.membership.Self().ID
-	for _, o := range byWeight(p.currentView().origins, []byte("witness|"+string(self)+"|")) {
+	for _, o := range byHash(p.currentView().origins, []byte("witness|"+string(self)+"|")) {
 		if o.Node != self && len(ids) < witnessCount {
 			ids = append(ids, o.Node)
 		}
--- a/plugins/membership/seeds.go
+++ b/plugins/membership/seeds.go
@@ -44,7 +44,7 @@
 	self, _ := s.Self()
 	return port.Node{
 		ID: self.Node, Incarnation: newIncarnation(), DataCentre: self.DataCentre,
-		Peers: self.Peers, Endpoints: self.Endpoints, Disk: self.Disk, Reserve: s.Reserve,
+		Peers: self.Peers, Endpoints: self.Endpoints, Disk: self.Disk, Reserve: s.Reserve, Weight: s.Weight,
 		Draining: true, // Until the process is healthy.
 	}
 }
--- a/plugins/membership/wire.go
+++ b/plugins/membership/wire.go
@@ -31,6 +31,7 @@
 	Disk        bool              `json:"k,omitempty"`
 	Draining    bool              `json:"g,omitempty"`
 	Reserve     bool              `json:"x,omitempty"`
+	Weight      float64           `json:"w,omitempty"`
 	Epoch       uint64            `json:"t"`
 	Version     uint64            `json:"v,omitempty"`
 	State       swim.State        `json:"s"`
@@ -62,7 +63,7 @@
 	for _, r := range message.Records {
 		n := r.Node
 		w.Records = append(w.Records, wireRecord{
-			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, n.Reserve, r.Epoch, r.Version, r.State, r.ProcessEnded,
+			n.ID, n.Incarnation, n.DataCentre, n.Peers, n.Endpoints, n.Disk, n.Draining, n.Reserve, n.Weight, r.Epoch, r.Version, r.State, r.ProcessEnded,
 		})
 	}
 	for _, v := range message.Values {
@@ -77,7 +78,7 @@
 		message.Records = append(message.Records, swim.Record{
 			Node: port.Node{
 				ID: r.Node, Incarnation: r.Incarnation, DataCentre: r.DataCentre,
-				Peers: r.Peers, Endpoints: r.Endpoints, Disk: r.Disk, Draining: r.Draining, Reserve: r.Reserve,
+				Peers: r.Peers, Endpoints: r.Endpoints, Disk: r.Disk, Draining: r.Draining, Reserve: r.Reserve, Weight: r.Weight,
 			},
 			Epoch: r.Epoch, Version: r.Version, State: r.State, ProcessEnded: r.Ended,
 		})
