--- a/plugins/membership/membership.go
+++ b/plugins/membership/membership.go
@@ -28,8 +28,8 @@
 )
 
 const (
-	incarnationLength = 12  // Characters of a random incarnation.
-	maxValueBytes     = 512 // Largest size of a published value.
+	incarnationLength = 12   // Characters of a random incarnation.
+	maxValueBytes     = 1024 // Largest size of a published value.
 	minPeriod         = 10 * time.Millisecond
 	healthCondition   = "membership"
 	// settleTime is how long other members have to hand over pools to this one before it is ready:
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -20,6 +20,8 @@
 	defaultRunTime = 300 * time.Millisecond
 	// waitTolerance is how much two estimates of the same wait may differ through inaccuracy alone.
 	waitTolerance = 20 * time.Millisecond
+	// ampleRoom is the number of jobs of the same size for which a pool has free slots when further ones do not matter.
+	ampleRoom = 2
 	// messagesPerPart counts the request and the reply of a batch that another member runs.
 	messagesPerPart = 2
 )
@@ -72,8 +74,9 @@
 }
 
 // rankByCost returns the pools in ascending order of the cost of running the whole job there, and those
-// of equal cost in descending order of free slots. Pools that are equal in both are in random order, so
-// that the many members do not all choose the same pool.
+// of equal cost in descending order of free slots, up to ampleRoom jobs of this size. Pools that are equal in both are
+// in random order, so that the many members do not all choose the same pool: the one that had the most free slots when it
+// last reported.
 func rankByCost(r *port.PlanRequest, pools []model.PoolLoad) []candidate {
 	r.Random.Shuffle(len(pools), func(i, j int) { pools[i], pools[j] = pools[j], pools[i] })
 	declared := meanDeclaredRun(r.Job.Tasks)
@@ -81,8 +84,9 @@
 	for i := range pools {
 		candidates[i] = newCandidate(r, &pools[i], declared)
 	}
+	ample := ampleRoom * len(r.Job.Tasks)
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.wholeJobCost, b.wholeJobCost), cmp.Compare(b.freeSlots, a.freeSlots))
+		return cmp.Or(cmp.Compare(a.wholeJobCost, b.wholeJobCost), cmp.Compare(min(b.freeSlots, ample), min(a.freeSlots, ample)))
 	})
 	return candidates
 }
