Profiles: the register keeps evacuations of data centres

Cause: operators need to take a data centre out of use, and the order has to survive every loss that profiles survive. Change: edit kinds evacuate and end_evacuation. The number of a data centre's newest change is the revision that made it, so an edit expects it by the revision that the member knew. An edit that ignores the register's revision keeps its unknown outcome until the state that it was proposed on is replaced.

--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -191,7 +191,9 @@
 	ReasonAnswerExpired    Reason = "answer_expired"  // The job completed; its answers are no longer kept.
 	ReasonUnknownService   Reason = "unknown_service" // No endpoint announced the service and no profile names it.
 	ReasonDeadlineLimit    Reason = "deadline_limit"  // The deadline is later than the profile allows.
-	ReasonUnknownTeam      Reason = "unknown_team"    // The profile's quotas do not list the team.
+	// ReasonEvacuated means that operators have had the data centre of the pool evacuated, or all data centres with pools of the service.
+	ReasonEvacuated   Reason = "evacuated"
+	ReasonUnknownTeam Reason = "unknown_team" // The profile's quotas do not list the team.
 )
 
 // Outcome is a job's state as its caller sees it. Answers are in the order of the tasks and are set
--- a/kernel/model/profile.go
+++ b/kernel/model/profile.go
@@ -62,6 +62,8 @@
 	// Routing is the routing that operators have declared; nil while none is declared. The value is
 	// never modified, only replaced.
 	Routing *Routing `json:",omitempty"`
+	// Evacuations are the data centres that operators have had evacuated, now or before. The map is never modified, only replaced.
+	Evacuations map[DataCentre]Evacuation `json:",omitempty"`
 }
 
 // For returns the profile that applies to service.
@@ -92,6 +94,8 @@
 	Kind     string
 	Profile  ProfileName
 	Service  ServiceID // Set only when the change assigned a profile to a service.
+	// DataCentre is set only when the change evacuated a data centre or ended that.
+	DataCentre DataCentre `json:",omitempty"`
 }
 
 // EditKind is the kind of an edit of the profile register.
@@ -105,6 +109,11 @@
 	// DeclareRouting replaces the routing when its version is above that of the routing chosen by the
 	// replicas; an older version is accepted and changes nothing. Expect is ignored.
 	DeclareRouting EditKind = "declare_routing"
+	// Evacuate and EndEvacuation order that no task starts in a data centre, and withdraw the order. Instead of the register's
+	// revision, the data centre's number is compared (Evacuation.Changed): the edit is stale if the data centre has changed since
+	// revision Expect. An edit whose desired state is in force is done and changes nothing.
+	Evacuate      EditKind = "evacuate"
+	EndEvacuation EditKind = "end_evacuation"
 	// ConfirmRevision changes nothing. Its result holds the newest revision chosen by the replicas.
 	ConfirmRevision EditKind = "confirm_revision"
 )
@@ -120,6 +129,8 @@
 	Profile  Profile     // Set for PutProfile.
 	Service  ServiceID   // Set for SetService.
 	Routing  *Routing    `json:",omitempty"` // Set for DeclareRouting.
+	// DataCentre is set for Evacuate and EndEvacuation.
+	DataCentre DataCentre `json:",omitempty"`
 }
 
 // EditStatus is how an edit ended.
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -14,10 +14,11 @@
 	ballot      Ballot
 	phase       MessageKind // Kind of the votes that it waits for, Promise or Accepted; "" during the wait before a new ballot.
 	votes       map[model.NodeID]Message
-	phaseEnds   time.Time // End of the wait for votes, or of the wait before a new ballot.
-	lostRounds  int       // Number of ballots lost so far.
-	valueSent   bool      // Whether a value that includes the edit was sent in an Accept.
-	ownAccepted Message   // What this replica had accepted when the round began.
+	phaseEnds   time.Time      // End of the wait for votes, or of the wait before a new ballot.
+	lostRounds  int            // Number of ballots lost so far.
+	expects     model.Revision // Revision of the newest state to which a value that includes the edit was sent as a change; see outcomeUnknown.
+	valueSent   bool           // Whether a value that includes the edit was sent in an Accept.
+	ownAccepted Message        // What this replica had accepted when the round began.
 	value       State
 	delta       *Delta // Difference of value from the value of ballot base; nil when there is none.
 	base        Ballot // Ballot of the accepted value that the edit is applied to.
@@ -64,6 +65,9 @@
 		return m.served.hasDeclaration(edit)
 	}
 	_, found := m.served.findChange(edit.ID)
+	if isEvacuation(edit.Kind) {
+		return found // The order in force here may have been overtaken.
+	}
 	return found || edit.Expect < m.served.Revision()
 }
 
@@ -138,7 +142,7 @@
 func (m *Machine) abandonProposal() {
 	p := m.proposal
 	if p.valueSent {
-		m.outcomeUnknown[p.Edit.ID] = p.Edit.Expect
+		m.outcomeUnknown[p.Edit.ID] = max(p.Edit.Expect, p.expects)
 	}
 	m.finishProposal(m.failureResult(model.EditNoMajority, p.Edit))
 }
@@ -225,6 +229,7 @@
 	if p.delta != nil {
 		p.value = base.withDelta(*p.delta)
 	}
+	p.expects = base.Revision()
 	p.valueSent = p.valueSent || p.result.Status == model.EditDone && p.Edit.Kind != resolveKind && p.Edit.Kind != model.ConfirmRevision
 	p.phase = Accepted
 	p.votes = make(map[model.NodeID]Message)
--- a/plugins/profiles/register/random_test.go
+++ b/plugins/profiles/register/random_test.go
@@ -86,6 +86,11 @@
 		ID: fmt.Sprintf("c%d", len(s.edits)), Digest: uint64(len(s.edits)), Expect: expect, Kind: model.PutProfile,
 		Name: model.ProfileName(fmt.Sprintf("p%d", len(s.edits)%5)),
 	}
+	if rapid.IntRange(0, 2).Draw(s.t, "evacuation") == 0 {
+		edit.Kind = rapid.SampledFrom([]model.EditKind{model.Evacuate, model.EndEvacuation}).Draw(s.t, "order")
+		edit.Name, edit.DataCentre = "", rapid.SampledFrom([]model.DataCentre{"sj1", "sj2"}).Draw(s.t, "data centre")
+		edit.Expect -= min(edit.Expect, model.Revision(rapid.IntRange(0, 3).Draw(s.t, "delayed by"))) // The order was delayed.
+	}
 	s.edits = append(s.edits, edit)
 	return edit
 }
--- a/plugins/profiles/register/sim_test.go
+++ b/plugins/profiles/register/sim_test.go
@@ -39,7 +39,8 @@
 	done           int                      // Number of answers that reported an edit as done.
 	newestDone     model.Revision           // Newest revision that an edit or a read was answered with.
 	readsDone      int
-	sent           map[model.NodeID]int // Messages sent so far, by sender.
+	sent           map[model.NodeID]int      // Messages sent so far, by sender.
+	expects        map[string]model.Revision // Revisions that the submitted edits expect, by their IDs.
 }
 
 type awaitedEdit struct {
@@ -83,7 +84,7 @@
 	sim.t, sim.random, sim.now = t, rand.New(rand.NewPCG(seed, 1)), time.Unix(0, 0)
 	sim.members, sim.partition, sim.delay = map[model.NodeID]*member{}, map[model.NodeID]int{}, 5*time.Millisecond
 	sim.awaited, sim.outcomeUnknown, sim.notRun = map[uint64]awaitedEdit{}, map[string]bool{}, map[string]bool{}
-	sim.sent = map[model.NodeID]int{}
+	sim.sent, sim.expects = map[model.NodeID]int{}, map[string]model.Revision{}
 	sim.firstResult, sim.states = map[string]model.EditResult{}, map[model.Revision]State{0: Initial()}
 	for i := range replicas + others {
 		id := model.NodeID(fmt.Sprintf("n%d", i))
@@ -223,6 +224,7 @@
 	}
 	sim.lastTicket++
 	sim.awaited[sim.lastTicket] = awaitedEdit{edit: edit, to: to}
+	sim.expects[edit.ID] = edit.Expect
 	delete(sim.notRun, edit.ID)                                                             // A not_run covers only the submissions so far.
 	sim.outcomeUnknown[edit.ID] = sim.outcomeUnknown[edit.ID] || sim.random.Float64() < 0.2 // A fifth of the answers count as lost.
 	sim.step(to, Submitted{sim.lastTicket, edit, sim.now.Add(2 * time.Second)})
@@ -250,6 +252,9 @@
 		return
 	}
 	sim.newestDone = max(sim.newestDone, doneRevision(a.Result))
+	if sim.checkUnchanged(submission.edit, a.Result) {
+		return
+	}
 	id := submission.edit.ID
 	switch {
 	case a.Result.Status == model.EditDone:
@@ -273,6 +278,34 @@
 	}
 }
 
+// checkUnchanged reports whether an order about an evacuation was answered as done without a change of its own, and checks that what it
+// orders was in force at the revision in the answer.
+func (sim *simulation) checkUnchanged(edit model.ProfileEdit, result model.EditResult) bool {
+	if !isEvacuation(edit.Kind) || result.Status != model.EditDone {
+		return false
+	}
+	if _, changed := sim.newestServed().findChange(edit.ID); changed {
+		return false
+	}
+	if state, served := sim.states[result.Revision]; served && !state.hasEvacuation(edit) {
+		sim.t.Fatalf("order %s was answered as done at revision %d, where it is not in force", edit.ID, result.Revision)
+	}
+	return true
+}
+
+// checkNotOvertaken checks that the newest change of a state is no order that a later one about the same data centre had overtaken.
+func (sim *simulation) checkNotOvertaken(s State) {
+	if len(s.History) == 0 || !isEvacuation(model.EditKind(s.History[len(s.History)-1].Kind)) {
+		return
+	}
+	newest := s.History[len(s.History)-1]
+	for _, c := range s.History[:len(s.History)-1] {
+		if c.DataCentre == newest.DataCentre && c.Revision > sim.expects[newest.ID] {
+			sim.t.Fatalf("order %s was made at revision %d, and took effect after that of revision %d", newest.ID, sim.expects[newest.ID], c.Revision)
+		}
+	}
+}
+
 // pendingOrDone reports whether the edit has a submission without an answer, or was answered as done.
 func (sim *simulation) pendingOrDone(id string) bool {
 	for _, submission := range sim.awaited {
@@ -300,6 +333,7 @@
 		sim.t.Fatalf("revision %d has two values:\n%v\n%v", s.Revision(), known, s)
 	}
 	sim.states[s.Revision()] = s
+	sim.checkNotOvertaken(s)
 	for _, change := range s.History {
 		if sim.notRun[change.ID] {
 			sim.t.Fatalf("edit %s was answered not_run and took effect", change.ID)
--- a/plugins/profiles/register/state.go
+++ b/plugins/profiles/register/state.go
@@ -34,12 +34,15 @@
 // apply returns the difference that an edit makes, nil when it makes none, and the edit's result.
 func (s State) apply(edit model.ProfileEdit, now time.Time) (*Delta, model.EditResult) {
 	if edit.Kind == resolveKind || edit.Kind == model.ConfirmRevision || s.hasDeclaration(edit) {
-		return nil, model.EditResult{Status: model.EditDone, Revision: s.Revision()}
+		return nil, s.unchangedResult()
 	}
 	if firstChange, found := s.findChange(edit.ID); found {
 		return nil, s.repeatedResult(edit, firstChange)
 	}
-	if edit.Kind != model.DeclareRouting && edit.Expect != s.Revision() {
+	if s.hasEvacuation(edit) {
+		return nil, s.unchangedResult()
+	}
+	if s.isStale(edit) {
 		return nil, refusedResult(model.EditStale, s.staleRunState(edit), s.Revision())
 	}
 	if refusal := s.validate(edit); refusal != "" {
@@ -49,6 +52,22 @@
 	return &delta, model.EditResult{Status: model.EditDone, Revision: delta.Change.Revision}
 }
 
+// isStale reports whether the edit was made for an older state. A routing is ordered by its version instead.
+func (s State) isStale(edit model.ProfileEdit) bool {
+	switch {
+	case edit.Kind == model.DeclareRouting:
+		return false
+	case isEvacuation(edit.Kind):
+		return s.evacuationIsStale(edit)
+	}
+	return edit.Expect != s.Revision()
+}
+
+// unchangedResult returns the result of an edit that is done and changes nothing.
+func (s State) unchangedResult() model.EditResult {
+	return model.EditResult{Status: model.EditDone, Revision: s.Revision()}
+}
+
 // hasDeclaration reports whether the edit declares a routing and the state holds one that is at least
 // as new.
 func (s State) hasDeclaration(edit model.ProfileEdit) bool {
@@ -89,7 +108,9 @@
 		return model.EditTooMany
 	case edit.Kind == model.SetService && !assigned && len(s.Set.Services) >= maxServices:
 		return model.EditTooMany
-	case edit.Kind == model.DeclareRouting:
+	case edit.Kind == model.Evacuate && !s.hasRoomForEvacuation(edit.DataCentre):
+		return model.EditTooMany
+	case edit.Kind == model.DeclareRouting, isEvacuation(edit.Kind):
 		return ""
 	case edit.Kind != model.PutProfile && !exists:
 		return model.EditNotFound
@@ -123,7 +144,7 @@
 	return Delta{
 		Change: model.ProfileChange{
 			Revision: s.Revision() + 1, ID: edit.ID, Digest: edit.Digest, Operator: edit.Operator, At: now,
-			Kind: string(edit.Kind), Profile: edit.Name, Service: edit.Service,
+			Kind: string(edit.Kind), Profile: edit.Name, Service: edit.Service, DataCentre: edit.DataCentre,
 		},
 		Profile: edit.Profile,
 		Routing: edit.Routing,
@@ -137,6 +158,8 @@
 		Profiles: maps.Clone(s.Set.Profiles),
 		Services: maps.Clone(s.Set.Services),
 		Routing:  s.Set.Routing,
+
+		Evacuations: s.Set.Evacuations,
 	}}
 	kept := s.History[max(0, len(s.History)-KeptChanges+1):]
 	next.History = append(slices.Clone(kept), d.Change)
@@ -149,6 +172,8 @@
 		next.Set.Services[d.Change.Service] = d.Change.Profile
 	case model.DeclareRouting:
 		next.Set.Routing = d.Routing
+	case model.Evacuate, model.EndEvacuation:
+		next.Set.Evacuations = s.changedEvacuations(d.Change)
 	}
 	return next
 }
--- a/plugins/profiles/wire/wire.go
+++ b/plugins/profiles/wire/wire.go
@@ -36,6 +36,8 @@
 	Kind     string            `json:"kind"`
 	Profile  model.ProfileName `json:"profile"`
 	Service  model.ServiceID   `json:"service,omitempty"`
+
+	DataCentre model.DataCentre `json:"data_centre,omitempty"`
 }
 
 // State is the encoded form of a register.State.
@@ -45,6 +47,8 @@
 	Services map[model.ServiceID]model.ProfileName `json:"services,omitempty"`
 	History  []change                              `json:"history,omitempty"`
 	Routing  *routing                              `json:"routing,omitempty"`
+
+	Evacuations map[model.DataCentre]evacuation `json:"evacuations,omitempty"`
 }
 
 // EncodeState returns the encoded form of s; nil when s is nil.
@@ -60,7 +64,7 @@
 	for _, c := range s.History {
 		encoded.History = append(encoded.History, change(c))
 	}
-	encoded.Routing = encodeRouting(s.Set.Routing)
+	encoded.Routing, encoded.Evacuations = encodeRouting(s.Set.Routing), encodeEvacuations(s.Set.Evacuations)
 	return encoded
 }
 
@@ -74,6 +78,8 @@
 		Profiles: make(map[model.ProfileName]model.Profile, len(s.Profiles)),
 		Services: s.Services,
 		Routing:  s.Routing.decode(),
+
+		Evacuations: decodeEvacuations(s.Evacuations),
 	}}
 	if decoded.Set.Services == nil {
 		decoded.Set.Services = make(map[model.ServiceID]model.ProfileName)
@@ -99,6 +105,8 @@
 	Service  model.ServiceID   `json:"service"`
 	Routing  *routing          `json:"routing,omitempty"`
 	WaitMS   int64             `json:"wait_ms"`
+
+	DataCentre model.DataCentre `json:"data_centre,omitempty"`
 }
 
 // EncodeEdit returns the encoded form of e, to be answered within wait.
@@ -106,6 +114,7 @@
 	return Edit{
 		ID: e.ID, Digest: e.Digest, Expect: e.Expect, Operator: e.Operator, Kind: e.Kind, Name: e.Name,
 		Profile: profile(e.Profile), Service: e.Service, Routing: encodeRouting(e.Routing), WaitMS: wait.Milliseconds(),
+		DataCentre: e.DataCentre,
 	}
 }
 
@@ -113,7 +122,7 @@
 func (e Edit) Decode() (model.ProfileEdit, time.Duration) {
 	return model.ProfileEdit{
 		ID: e.ID, Digest: e.Digest, Expect: e.Expect, Operator: e.Operator, Kind: e.Kind, Name: e.Name,
-		Profile: model.Profile(e.Profile), Service: e.Service, Routing: e.Routing.decode(),
+		Profile: model.Profile(e.Profile), Service: e.Service, Routing: e.Routing.decode(), DataCentre: e.DataCentre,
 	}, time.Duration(e.WaitMS) * time.Millisecond
 }
 
--- a/plugins/profiles/wire/wire_test.go
+++ b/plugins/profiles/wire/wire_test.go
@@ -42,6 +42,8 @@
 		}},
 		Services: []model.ServiceID{"finder"},
 	}
+	state.Set.Evacuations = map[model.DataCentre]model.Evacuation{"sj1": {Active: true, Changed: 9}, "sj2": {Changed: 8}}
+	state.History[9].Kind, state.History[9].DataCentre = string(model.Evacuate), "sj1"
 	return state
 }
 
