Evacuations: pools start nothing in an evacuated data centre, and jobs are planned elsewhere

Cause: an operator's order to evacuate a data centre has to stop its pools within seconds, whatever paths lead to a start there. Change: each step of a pool first compares the orders in force at the member with what the pool has learned, and a goroutine steps the pools when the profiles change. A pool refuses batches of which no task was sent, starts the other tasks of those that have started for 1.3 s (a leased endpoint may add 0.7 s), and then ends the batches that still wait; dispatchQueued, which all starts pass, starts nothing, and a start that waited for its turn is not sent. Jobs are planned without evacuated data centres whatever the loads say, and replans are free. The test of a cancellation during a submission orders it at the first read of the profiles, since steps read them too.

--- a/cmd/internal/replay/machines.go
+++ b/cmd/internal/replay/machines.go
@@ -36,6 +36,7 @@
 	"Departed":      poolEvent[poolstate.Departed],
 	"Moved":         poolEvent[poolstate.Moved],
 	"Resumed":       poolEvent[poolstate.Resumed],
+	"Evacuated":     poolEvent[poolstate.Evacuated],
 	"Elapsed":       poolEvent[poolstate.Elapsed],
 }
 
--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -27,14 +27,15 @@
 	Submit submitCommand `cmd:"" help:"Submit a job as a caller."`
 	Bench  benchCommands `cmd:"" help:"Run stand-in endpoints, generate load and compare policies."`
 
-	Profile   profileCommands  `cmd:"" help:"Read and publish profiles."`
-	Service   serviceCommands  `cmd:"" help:"Read and choose the profiles of services."`
-	Status    statusCommand    `cmd:"" help:"Print the state of an entry VM."`
-	Places    placesCommand    `cmd:"" help:"Show who votes on profiles, which member holds which replica's place, and what a replacement waits for."`
-	Endpoints endpointsCommand `cmd:"" help:"List the endpoints that an entry VM owns."`
-	Drain     drainCommand     `cmd:"" help:"Drain an entry VM."`
-	Explain   explainCommand   `cmd:"" help:"Show the timeline of a request from the logs of any number of processes."`
-	Settings  settingsCommands `cmd:"" help:"Write settings files."`
+	Profile    profileCommands    `cmd:"" help:"Read and publish profiles."`
+	Service    serviceCommands    `cmd:"" help:"Read and choose the profiles of services."`
+	Evacuation evacuationCommands `cmd:"" help:"Evacuate data centres."`
+	Status     statusCommand      `cmd:"" help:"Print the state of an entry VM."`
+	Places     placesCommand      `cmd:"" help:"Show who votes on profiles, which member holds which replica's place, and what a replacement waits for."`
+	Endpoints  endpointsCommand   `cmd:"" help:"List the endpoints that an entry VM owns."`
+	Drain      drainCommand       `cmd:"" help:"Drain an entry VM."`
+	Explain    explainCommand     `cmd:"" help:"Show the timeline of a request from the logs of any number of processes."`
+	Settings   settingsCommands   `cmd:"" help:"Write settings files."`
 }
 
 type benchCommands struct {
--- a/cmd/redwingctl/status.go
+++ b/cmd/redwingctl/status.go
@@ -22,6 +22,7 @@
 	Why         []string          `json:"why"`
 	Members     int               `json:"members"`
 	Endpoints   int               `json:"endpoints"`
+	Evacuated   []string          `json:"evacuated"`
 }
 
 // Run prints the state of the first entry VM that answers.
@@ -41,6 +42,9 @@
 		fmt.Fprintf(w, "replica\t%s\n", s.Replica)
 		fmt.Fprintf(w, "members alive\t%d\n", s.Members)
 		fmt.Fprintf(w, "endpoints owned\t%d\n", s.Endpoints)
+		if len(s.Evacuated) > 0 {
+			fmt.Fprintf(w, "evacuated\t%s\n", strings.Join(s.Evacuated, ", "))
+		}
 	})
 }
 
--- a/kernel/port/port.go
+++ b/kernel/port/port.go
@@ -100,6 +100,8 @@
 	// Current returns the newest profiles known to this member; ok is false until one revision is
 	// known.
 	Current() (profiles model.ProfileSet, ok bool)
+	// Changed returns a channel that is closed when the result of Current next changes.
+	Changed() <-chan struct{}
 }
 
 // Quotas limits the rate at which each team starts tasks, across all entry VMs.
--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -136,6 +136,9 @@
 		// have sent the job to another member.
 		return port.TaskReply{State: port.TaskNoRoom, Detail: "this member's view of the others is stale"}, 0
 	}
+	if p.startsEnded(id) {
+		return port.TaskReply{State: port.TaskNoRoom, Detail: "the data centre is evacuated"}, 0
+	}
 	if crashes.Judge(p.lossesOf(refOf(s.Key, s.Task))) == crashes.Exhausted {
 		return port.TaskReply{State: port.TaskNotRun, Detail: "endpoints have crashed under too many runs of the task"}, 0
 	}
--- a/plugins/endpoints/cancel_test.go
+++ b/plugins/endpoints/cancel_test.go
@@ -29,7 +29,12 @@
 		r := useRuns(atOwner)
 		batch := repeatableBatch()
 		e := origin.envelope(origin.open(owner1))
+		ordered := false // The steps of the pool read the profiles too.
 		owner.profiles = profilesHook{owner.profiles, func() {
+			if ordered {
+				return
+			}
+			ordered = true
 			owner.handleCancel(t.Context(), "origin", batchRef{e, batch.ID, batch.Pool})
 		}}
 		go owner.handleRun(t.Context(), "origin", encodeBatch(e, batch))
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -184,6 +184,7 @@
 	go p.watchOrigins()
 	go p.watchSessions()
 	go p.watchOwnership()
+	go p.watchEvacuations()
 	return nil
 }
 
--- a/plugins/endpoints/pool.go
+++ b/plugins/endpoints/pool.go
@@ -63,7 +63,8 @@
 }
 
 // step applies an event to the pool's machine and then, outside the lock, carries out the effects. The first step after a pause
-// of the process begins with the event Resumed, so that none decides on what was true before.
+// of the process begins with the event Resumed, and the first after the start or end of an evacuation with Evacuated, so that none
+// decides on what was true before.
 func (p *Pools) step(id model.PoolID, event poolstate.Event) {
 	var created poolstate.Created
 	var steps []stepped
@@ -73,6 +74,9 @@
 			o.pauses = pauses
 			steps = append(steps, p.stepLocked(o, poolstate.Resumed{}))
 		}
+		if evacuated := p.evacuated(id); evacuated != o.machine.Evacuated() {
+			steps = append(steps, p.stepLocked(o, poolstate.Evacuated{Active: evacuated}))
+		}
 		steps = append(steps, p.stepLocked(o, event))
 		p.signalIfLoadChanged(o)
 		p.armTimer(id, o, p.now())
--- a/plugins/endpoints/poolstate/admission.go
+++ b/plugins/endpoints/poolstate/admission.go
@@ -11,6 +11,9 @@
 // admit decides by the profile's admission policy whether the pool accepts a batch, and refuses one that would wait for longer
 // than its job allows.
 func (m *Machine) admit(now time.Time, b *batch) port.Verdict {
+	if m.evacuation.active {
+		return refusalOfEvacuated()
+	}
 	policy, ok := m.policies.Admissions[b.profile.Admission]
 	invariant.Check(ok, "profile-admission", "profile names unknown admission %q", b.profile.Admission)
 	if team, known := m.queue.teams[b.Team]; known && team.blame.confined {
--- a/plugins/endpoints/poolstate/decisions.go
+++ b/plugins/endpoints/poolstate/decisions.go
@@ -14,6 +14,7 @@
 	model.ReasonBusy:       "would wait longer than its origin expected",
 	model.ReasonPaused:     "this process stood still after it had accepted the batch",
 	model.ReasonMoved:      "another member owns the pool by now",
+	model.ReasonEvacuated:  "operators have had the data centre evacuated",
 	model.ReasonOverload:   "could not end before its deadline, or the queue is full",
 }
 
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -15,6 +15,9 @@
 
 // dispatchQueued sends the held and queued tasks for which endpoints have room.
 func (m *Machine) dispatchQueued(now time.Time, fx *Effects) {
+	if m.StartsEnded(now) {
+		return
+	}
 	m.sendHeld(now, fx)
 	m.dispatchIsolated(now, fx)
 	if m.placer == nil {
--- /dev/null
+++ b/plugins/endpoints/poolstate/evacuate.go
@@ -0,0 +1,98 @@
+package poolstate
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
+)
+
+const (
+	// evacuationTime is how long after a pool has learned of its data centre's evacuation tasks may start there at the latest. Only
+	// those of batches that have started in part do: a job with runs in several data centres has a chance to complete.
+	evacuationTime = 2 * time.Second
+	// startDelay is how long after the pool's decision a start may be sent: at a leased endpoint it waits that long for a lease.
+	startDelay = 700 * time.Millisecond
+	// evacuatedRetry is when the caller of a job that is refused for an evacuation is advised to try again.
+	evacuatedRetry = time.Second
+)
+
+// Evacuated reports that operators have had the pool's data centre evacuated or, without Active, that they have ended that.
+type Evacuated struct{ Active bool }
+
+func (Evacuated) event() {}
+
+// evacuation is the state of a pool whose data centre may be evacuated. Announcements are handled as ever meanwhile, so that the
+// endpoints get work again at once when it ends.
+type evacuation struct {
+	active bool
+	until  time.Time // When the last tasks start.
+	timer  timer     // Fires at that time; each step then ends the batches with tasks that wait.
+}
+
+func newEvacuation() evacuation {
+	return evacuation{timer: newTimer(func(time.Time, *Effects) {})}
+}
+
+// Evacuated reports whether the pool's data centre is evacuated, as far as the pool has learned.
+func (m *Machine) Evacuated() bool { return m.evacuation.active }
+
+// StartsEnded reports whether no task may start any more because the data centre is evacuated.
+func (m *Machine) StartsEnded(now time.Time) bool {
+	return m.evacuation.active && !now.Before(m.evacuation.until)
+}
+
+// handleEvacuated begins or ends an evacuation. Batches none of whose tasks was sent to an endpoint are refused at once, so that
+// their origins send them to another data centre.
+func (m *Machine) handleEvacuated(now time.Time, e Evacuated, fx *Effects) {
+	if e.Active == m.evacuation.active {
+		return
+	}
+	m.evacuation.active = e.Active
+	if !e.Active {
+		m.timers.stop(&m.evacuation.timer)
+		return
+	}
+	m.evacuation.until = now.Add(evacuationTime - startDelay)
+	m.timers.set(&m.evacuation.timer, m.evacuation.until)
+	for _, b := range m.batchesInOrder() {
+		if !slices.ContainsFunc(b.tasks, func(t task) bool { return t.attempt > 0 }) {
+			m.refuseAccepted(now, b, model.ReasonEvacuated, fx)
+			fx.Ended[len(fx.Ended)-1].RetryAfter = evacuatedRetry
+		}
+	}
+}
+
+// batchesInOrder returns the batches that have not ended in the order of their acceptance.
+func (m *Machine) batchesInOrder() []*batch {
+	return slices.SortedFunc(maps.Values(m.batches), func(a, b *batch) int { return cmp.Compare(a.order, b.order) })
+}
+
+// endWaiting ends the batches that have tasks to start when none may start any more. These were queued, held for an endpoint or
+// waited for one of their own, or have come back after a run without a result. Batches whose tasks all run go on.
+func (m *Machine) endWaiting(now time.Time, fx *Effects) {
+	if !m.StartsEnded(now) || m.queue.count+m.totals.held == 0 && !slices.ContainsFunc(m.isolation.waiting, (*task).waits) {
+		return
+	}
+	for _, b := range m.batchesInOrder() {
+		if slices.ContainsFunc(b.tasks, func(t task) bool { return t.waits() }) {
+			m.cancel(now, b, model.ReasonEvacuated, fx)
+		}
+	}
+}
+
+// hideSlots removes from a load what an evacuated pool does not offer.
+func (m *Machine) hideSlots(load model.PoolLoad) model.PoolLoad {
+	if m.evacuation.active {
+		load.Slots, load.Free = 0, 0
+	}
+	return load
+}
+
+// refusalOfEvacuated is the verdict on a batch that arrives during an evacuation.
+func refusalOfEvacuated() port.Verdict {
+	return port.Verdict{Reason: model.ReasonEvacuated, RetryAfter: evacuatedRetry}
+}
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -34,6 +34,7 @@
 	queue                queue
 	isolation            isolation
 	confinement          confinement
+	evacuation           evacuation
 	skipped              []*batch         // Buffer of dispatchQueued.
 	freed                []*endpoint      // Endpoints with held tasks that may have room for one now.
 	changes              []EndpointChange // Changes of endpoints in this step.
@@ -65,6 +66,8 @@
 		runTimes:  newRunTimes(),
 		retries:   retryBudget{tokens: maxRetryTokens},
 		timers:    newTimers(),
+
+		evacuation: newEvacuation(),
 	}
 }
 
@@ -100,8 +103,11 @@
 		m.handleResumed(now, fx)
 	case Moved:
 		m.handleMoved(now, fx)
+	case Evacuated:
+		m.handleEvacuated(now, e, fx)
 	}
 	m.updateConfinement(now, fx)
+	m.endWaiting(now, fx)
 	m.dispatchQueued(now, fx)
 	fx.Changes = append(fx.Changes, m.changes...)
 	m.changes = m.changes[:0]
@@ -134,12 +140,12 @@
 
 // Load returns the pool's load as its owner sees it.
 func (m *Machine) Load() model.PoolLoad {
-	return model.PoolLoad{
+	return m.hideSlots(model.PoolLoad{
 		Pool: m.id, Owner: m.owner, Version: m.version,
 		Endpoints: m.totals.serving, Slots: m.totals.slots, Free: m.totals.free, Largest: m.largest(),
 		Queued: m.queue.count + m.totals.held, QueuedRun: m.queue.work,
 		MeanRun: time.Duration(m.runTimes.service.mean),
-	}
+	})
 }
 
 // Endpoints returns the pool's endpoints in no particular order.
--- a/plugins/endpoints/poolstate/resume.go
+++ b/plugins/endpoints/poolstate/resume.go
@@ -1,8 +1,6 @@
 package poolstate
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -14,8 +12,7 @@
 // progress continue: what they have done is reported. A batch that has not started is refused, so that an origin that still
 // waits sends it elsewhere.
 func (m *Machine) handleResumed(now time.Time, fx *Effects) {
-	open := slices.SortedFunc(maps.Values(m.batches), func(a, b *batch) int { return cmp.Compare(a.order, b.order) })
-	for _, b := range open {
+	for _, b := range m.batchesInOrder() {
 		b.outlived = true
 		switch {
 		case !b.started:
--- a/plugins/frontend/operators/edit.go
+++ b/plugins/frontend/operators/edit.go
@@ -92,6 +92,9 @@
 func editFailure(edit model.ProfileEdit, result model.EditResult) (status int, detail string) {
 	switch result.Status {
 	case model.EditStale:
+		if edit.DataCentre != "" {
+			return http.StatusPreconditionFailed, headerIfMatch + ": the data centre's evacuation has changed since that revision"
+		}
 		return http.StatusPreconditionFailed, headerIfMatch + ": the register is at another revision"
 	case model.EditKeyReused:
 		return http.StatusUnprocessableEntity, headerKey + ": belongs to another change"
@@ -103,7 +106,7 @@
 	case model.EditInUse:
 		return http.StatusConflict, "name: the profile is the default one, or a service has chosen it"
 	case model.EditTooMany:
-		return http.StatusConflict, "name: the register already holds its maximum number of profiles or services"
+		return http.StatusConflict, "name: the register already holds its maximum number of profiles, services or evacuated data centres"
 	}
 	return http.StatusServiceUnavailable, "no majority of the replicas has answered"
 }
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -77,6 +77,7 @@
 	mux.HandleFunc("GET /metrics.txt", f.serveMetricsText)
 	mux.HandleFunc("POST /v1/drain", f.startDrain)
 	f.handleProfiles(mux)
+	f.handleEvacuations(mux)
 	return mux
 }
 
@@ -89,6 +90,8 @@
 	Why         []string          `json:"why,omitempty"` // What keeps the process from being ready.
 	Members     int               `json:"members"`       // Number of members considered alive, this one included.
 	Endpoints   int               `json:"endpoints"`     // Number of endpoints that this member owns.
+	// Evacuated are the evacuated data centres.
+	Evacuated []model.DataCentre `json:"evacuated,omitempty"`
 }
 
 func (f *Frontend) getStatus(w http.ResponseWriter, _ *http.Request) {
@@ -97,7 +100,7 @@
 	ready, reasons := f.health.Ready()
 	web.WriteJSON(w, http.StatusOK, statusBody{
 		Node: self.ID, Incarnation: self.Incarnation, Revision: profiles.Revision, Replica: f.register.Replica(), Ready: ready, Why: reasons,
-		Members: len(f.membership.Alive()), Endpoints: len(f.pools.Endpoints()),
+		Members: len(f.membership.Alive()), Endpoints: len(f.pools.Endpoints()), Evacuated: evacuated(profiles),
 	})
 }
 
--- a/plugins/frontend/operators/profiles.go
+++ b/plugins/frontend/operators/profiles.go
@@ -192,7 +192,10 @@
 	Change   string            `json:"change"` // Kind of the edit.
 	Profile  model.ProfileName `json:"profile"`
 	Service  model.ServiceID   `json:"service,omitempty"`
-	Key      string            `json:"idempotency_key"` // Id of the edit, chosen by the operator.
+
+	DataCentre model.DataCentre `json:"data_centre,omitempty"`
+
+	Key string `json:"idempotency_key"` // Id of the edit, chosen by the operator.
 }
 
 type historyBody struct {
@@ -213,7 +216,7 @@
 	body := historyBody{Changes: []changeBody{}}
 	for _, c := range f.register.History() {
 		if name == "" || c.Profile == name {
-			body.Changes = append(body.Changes, changeBody{c.Revision, c.At, c.Operator, c.Kind, c.Profile, c.Service, c.ID})
+			body.Changes = append(body.Changes, changeBody{c.Revision, c.At, c.Operator, c.Kind, c.Profile, c.Service, c.DataCentre, c.ID})
 		}
 	}
 	web.WriteJSON(w, http.StatusOK, body)
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -216,9 +216,10 @@
 
 // isFreeReplan reports whether a part that was refused for the given reason is sent again without a
 // charge to the retry budget. ReasonBusy is free because a part can be refused for it only once,
-// ReasonMoved because it is not the pool that refused the part but a member that no longer owns it.
+// ReasonMoved because it is not the pool that refused the part but a member that no longer owns it, and
+// ReasonEvacuated because operators ordered it; each pool refuses a job for that once, since it is avoided afterwards.
 func (j *Job) isFreeReplan(reason model.Reason) bool {
-	return reason == model.ReasonBusy || reason == model.ReasonMoved && j.nextPart <= maxFreeParts
+	return reason == model.ReasonBusy || reason == model.ReasonEvacuated || reason == model.ReasonMoved && j.nextPart <= maxFreeParts
 }
 
 // handleReplan sends a refused part by its new plan. The job fails when there is none.
--- a/plugins/jobs/plan.go
+++ b/plugins/jobs/plan.go
@@ -91,13 +91,22 @@
 	if len(loads) == 0 && !j.isKnownService(profiles, job.Service) {
 		return port.Plan{}, &refusal{model.ReasonUnknownService, 0, "no endpoint announced the service and no profile names it"}
 	}
-	if why, fits := fit.Check(job, loads, time.Now()); !fits {
+	loads, refused := withoutEvacuated(profiles, loads)
+	if refused != nil && len(loads) == 0 {
+		return port.Plan{}, refused
+	}
+	if why, fits := fit.Check(job, loads, time.Now()); !fits && refused != nil {
+		return port.Plan{}, refused // An evacuated data centre may have what is lacking.
+	} else if !fits {
 		return port.Plan{}, &refusal{model.ReasonNeverFits, 0, why}
 	}
 	if ok, retryAfter := j.quotas.Take(profile, job.Team, len(job.Tasks)); !ok {
 		return port.Plan{}, &refusal{model.ReasonQuota, retryAfter, "the team's quota is used up"}
 	}
 	plan := j.plan(profile, job, loads)
+	if len(plan.Parts) == 0 && plan.Refused == model.ReasonNoEndpoint && refused != nil {
+		return port.Plan{}, refused
+	}
 	if len(plan.Parts) == 0 {
 		return port.Plan{}, &refusal{plan.Refused, 0, plan.Reason}
 	}
@@ -145,7 +154,7 @@
 	if !ok {
 		return noPlan
 	}
-	loads := withoutPools(j.pools.Loads(r.Job.Service), r.Avoid)
+	loads, _ := withoutEvacuated(profiles, withoutPools(j.pools.Loads(r.Job.Service), r.Avoid))
 	d := newDecision(port.DecidedReplan, &r.Job)
 	d.Part, d.Reason, d.Revision = r.Part, r.Reason, profiles.Revision
 	addLoads(&d, loads)
--- a/plugins/profiles/edit.go
+++ b/plugins/profiles/edit.go
@@ -35,6 +35,7 @@
 		event.ConfigAccepted.Log(p.log, fields...)
 		return result
 	}
+	p.logRefusedOrder(edit, result)
 	event.ConfigRefused.Log(p.log, append(fields, event.Text(event.Status, result.Status), event.Text(event.Run, result.Run))...)
 	return result
 }
--- a/plugins/profiles/effects.go
+++ b/plugins/profiles/effects.go
@@ -102,7 +102,8 @@
 // putInForce puts a state in force in this process, publishes its revision by gossip, and wakes those
 // that wait for a change.
 func (p *Profiles) putInForce(state register.State) {
-	if former := p.serving.Load(); former != nil && former.Revision() > state.Revision() {
+	former := p.serving.Load()
+	if former != nil && former.Revision() > state.Revision() {
 		return // The newer state was learned by the machine of the place that this member had before.
 	}
 	p.serving.Store(&state)
@@ -110,6 +111,7 @@
 	p.revision.Update(int64(state.Revision()))
 	p.inForceSince.Store(time.Now().Unix())
 	event.ConfigInForce.Log(p.log, inForceFields(&state)...)
+	p.logEvacuations(former, &state)
 	p.gossip.Publish(revisionTopic, binary.AppendUvarint(nil, uint64(state.Revision())))
 	p.notify.Lock()
 	defer p.notify.Unlock()
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -134,6 +134,7 @@
 	}
 	p.revision = metrics.NewRegisteredGauge("profiles.revision", c.Metrics)
 	metrics.NewRegisteredFunctionalGauge("profiles.in_force_s", c.Metrics, p.secondsInForce)
+	p.registerEvacuationGauge(c.Metrics)
 	p.messagesSent = metrics.NewRegisteredCounter("profiles.messages_sent", c.Metrics)
 	p.writesFailed = metrics.NewRegisteredCounter("profiles.writes_failed", c.Metrics)
 	p.notify.changed = make(chan struct{})
@@ -145,6 +146,7 @@
 	plugin.Bind[port.Profiles](c, p)
 	plugin.Bind[port.ProfileRegister](c, p)
 	plugin.Bind[port.Routing](c, p)
+	plugin.Bind[port.Evacuations](c, p)
 	return nil
 }
 
