--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -55,6 +55,7 @@
 	started     map[model.BatchID]int
 	outlived    map[model.JobID]bool // Jobs whose batch was open when the process was paused.
 	next        int
+	evacuatedAt time.Time // When the machine learned that its data centre is evacuated; zero while it is not.
 }
 
 var randomEndpoints = []model.EndpointID{"a", "b", "c", "d"}
@@ -132,6 +133,7 @@
 	if c.down[s.Endpoint] {
 		c.t.Fatalf("task %s was sent to %s, which refuses connections", s.Task, s.Endpoint)
 	}
+	c.checkEvacuation(s)
 	c.checkLosses(s)
 	c.checkCapacity(s)
 	c.attempts[s.Task] = s.Attempt
@@ -141,6 +143,18 @@
 	}
 }
 
+// checkEvacuation checks that in an evacuated data centre only tasks of jobs that have started in part are started, and none after
+// evacuationTime.
+func (c *cluster) checkEvacuation(s Start) {
+	if c.evacuatedAt.IsZero() {
+		return
+	}
+	begun := slices.ContainsFunc(slices.Collect(maps.Keys(c.attempts)), func(id model.TaskID) bool { return id.Job() == s.Task.Job() })
+	if !begun || c.now.Sub(c.evacuatedAt) >= evacuationTime-startDelay {
+		c.t.Fatalf("task %s was sent %v after the evacuation of the data centre, its job begun before: %t", s.Task, c.now.Sub(c.evacuatedAt), begun)
+	}
+}
+
 // checkLosses checks that a task under which too many endpoints have crashed is not started, and that one under which an endpoint
 // may have crashed is alone at its endpoint.
 func (c *cluster) checkLosses(s Start) {
@@ -402,6 +416,19 @@
 	c.step(Moved{})
 }
 
+// evacuate begins an evacuation, or ends it.
+func (c *cluster) evacuate(t *rapid.T) {
+	active := c.evacuatedAt.IsZero()
+	c.evacuatedAt = time.Time{}
+	if active {
+		c.evacuatedAt = c.now
+	}
+	c.step(Evacuated{Active: active})
+	if load := c.machine.Load(); active && load.Slots+load.Free > 0 {
+		t.Fatalf("an evacuated pool reports %+v", load)
+	}
+}
+
 // resumed pauses the process for a while.
 func (c *cluster) resumed(t *rapid.T) {
 	c.now = c.now.Add(time.Duration(rapid.IntRange(700, 5000).Draw(t, "paused")) * time.Millisecond)
@@ -464,7 +491,7 @@
 			"announce": c.announce, "announce too": c.announce, "submit": c.submit,
 			"reply": c.reply, "reply too": c.reply, "reply as well": c.reply, "late reply": c.lateReply,
 			"revoke reply": c.revokeReply, "revoke reply too": c.revokeReply,
-			"cancel": c.cancel, "wait": c.wait, "refuse connections": c.refuseConnections, "owners": c.owners, "moved": c.moved, "resumed": c.resumed, "": c.check,
+			"cancel": c.cancel, "wait": c.wait, "refuse connections": c.refuseConnections, "owners": c.owners, "moved": c.moved, "resumed": c.resumed, "evacuate": c.evacuate, "": c.check,
 		})
 	})
 }
--- a/plugins/frontend/operators/profiles_test.go
+++ b/plugins/frontend/operators/profiles_test.go
@@ -53,6 +53,7 @@
 	}
 	mux := http.NewServeMux()
 	f.handleProfiles(mux)
+	f.handleEvacuations(mux)
 	return register, mux
 }
 
--- a/plugins/jobs/fake_test.go
+++ b/plugins/jobs/fake_test.go
@@ -32,6 +32,7 @@
 	runs        atomic.Int32
 	pauses      atomic.Uint64 // Pauses of the member's process.
 	withdrawn   sync.Map      // Keys of cancelled jobs.
+	evacuations map[model.DataCentre]model.Evacuation
 }
 
 func (f *fake) Self() port.Node { return f.node }
@@ -59,6 +60,7 @@
 func (f *fake) Current() (model.ProfileSet, bool) {
 	set := model.BuiltInProfiles()
 	set.Profiles[model.DefaultProfile] = f.profile
+	set.Evacuations = f.evacuations
 	return set, true
 }
 
