Endpoints: the test of an evacuation sees pools learn of it at once

Change: the members of the test have a channel of their own for changes of profiles, and the refusal must be there before time passes.

--- a/plugins/endpoints/cluster_test.go
+++ b/plugins/endpoints/cluster_test.go
@@ -29,6 +29,9 @@
 	alive   []port.Node
 	changed chan struct{}
 
+	evacuated bool          // Whether the data centre sj1 is evacuated.
+	ordered   chan struct{} // Closed when that changes.
+
 	slots      int
 	running    map[model.TaskID]chan struct{} // Running tasks of the endpoint; a closed channel finishes its task.
 	started    []model.TaskID
@@ -91,8 +94,6 @@
 func (m *testMember) Gone(model.NodeID, model.Incarnation) bool { return false }
 func (m *testMember) RequestProbe(model.NodeID)                 {}
 
-func (m *testMember) Current() (model.ProfileSet, bool) { return model.BuiltInProfiles(), true }
-
 func (m *testMember) Record(port.Decision)    {}
 func (m *testMember) Recent() []port.Decision { return nil }
 
@@ -214,7 +215,7 @@
 func newCluster(is *is.I, slots int) (*cluster, []*testMember) {
 	is.Helper()
 	c := &cluster{
-		members: make(map[model.NodeID]*testMember), changed: make(chan struct{}),
+		members: make(map[model.NodeID]*testMember), changed: make(chan struct{}), ordered: make(chan struct{}),
 		slots: slots, running: make(map[model.TaskID]chan struct{}),
 	}
 	for i := range 3 {
@@ -259,7 +260,7 @@
 	plugin.Bind[port.Membership](c, m)
 	plugin.Bind[port.Liveness](c, m)
 	plugin.Bind[port.Peers](c, m)
-	plugin.Bind[port.Profiles](c, m)
+	plugin.Bind[port.Profiles](c, testProfiles{m})
 	plugin.Bind[port.Tasks](c, m)
 	plugin.Bind[port.Decisions](c, m)
 	plugin.Bind[port.Recorder](c, noRecorder{})
--- a/plugins/endpoints/leased_test.go
+++ b/plugins/endpoints/leased_test.go
@@ -158,7 +158,7 @@
 	plugin.Bind[port.Membership](c, m)
 	plugin.Bind[port.Liveness](c, m)
 	plugin.Bind[port.Peers](c, m)
-	plugin.Bind[port.Profiles](c, m)
+	plugin.Bind[port.Profiles](c, testProfiles{m.testMember})
 	plugin.Bind[port.LeasedEndpoints](c, m.endpoint)
 	plugin.Bind[port.Decisions](c, m)
 	plugin.Bind[port.Recorder](c, noRecorder{})
