--- /dev/null
+++ b/plugins/endpoints/evacuation_test.go
@@ -0,0 +1,68 @@
+package endpoints
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"redwingpulley/kernel/model"
+)
+
+// testProfiles is the port.Profiles of a member.
+type testProfiles struct{ *testMember }
+
+func (p testProfiles) Current() (model.ProfileSet, bool) {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	set := model.BuiltInProfiles()
+	set.Evacuations = map[model.DataCentre]model.Evacuation{"sj1": {Active: p.cluster.evacuated}}
+	return set, true
+}
+
+func (p testProfiles) Changed() <-chan struct{} {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	return p.cluster.ordered
+}
+
+// evacuate begins or ends the evacuation of the members' data centre.
+func (c *cluster) evacuate(active bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuated = active
+	close(c.ordered)
+	c.ordered = make(chan struct{})
+}
+
+// Guards against a pool that learns of an order only with its next message, and against a next owner that starts tasks since it did
+// not own the pool when the order came.
+func TestPoolsLearnOfEvacuationsAtOnceAndNextOwnersToo(t *testing.T) {
+	withCluster(t, 1, func(t *testing.T, is *is.I, c *cluster, members []*testMember) {
+		members[0].announce(c.endpoint())
+		running, waiting := members[2].runBatch(members[0], 1, 1), members[2].runBatch(members[0], 2, 1)
+		c.evacuate(true)
+		synctest.Wait()
+		select {
+		case result := <-waiting:
+			is.True(result.Refused)
+			is.Equal(result.Reason, model.ReasonEvacuated)
+		default:
+			t.Fatal("the queued batch was not refused at once")
+		}
+		c.finish()
+		synctest.Wait()
+		is.Equal(countDone(<-running), 1)
+
+		c.setDraining(members[0].node.ID)
+		synctest.Wait()
+		members[1].announce(c.endpoint())
+		is.Equal((<-members[2].runBatch(members[1], 3, 1)).Reason, model.ReasonEvacuated)
+		is.Equal(len(c.started), 1)
+		c.evacuate(false)
+		synctest.Wait()
+		again := members[2].runBatch(members[1], 4, 1)
+		c.finish()
+		is.Equal(countDone(<-again), 1)
+	})
+}
