Endpoints: learn how fast endpoints are and place tasks by that

Cause: the placer takes the endpoint with the most free slots. Where machines differ in speed, these are the slow ones if they are the larger ones, and long tasks miss their objective there.

Change: plugins/endpoints/speed estimates each endpoint's run times in relation to the pool's, by address and with the kind's mean as prior. Run times are normalised before they are learned. least_wait groups endpoints by speed: a task goes to one on which it is expected to end within its objective, and waits for one while that still helps. An endpoint's kind is decoded; its factor is handed over. Load reports say how many free slots are fast.

The random test of poolstate counts the new totals afresh and learns speeds in half of its runs.

--- a/kernel/event/event.go
+++ b/kernel/event/event.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -79,6 +80,11 @@
 	return slog.Float64(string(key), float64(value.Round(tenth)/tenth)/10)
 }
 
+// Ratio returns a field with a number, rounded to a hundredth.
+func Ratio(key Key, value float64) slog.Attr {
+	return slog.Float64(string(key), math.Round(100*value)/100)
+}
+
 // Flag returns a boolean field.
 func Flag(key Key, value bool) slog.Attr { return slog.Bool(string(key), value) }
 
--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -45,6 +45,7 @@
 	Free       Key = "free"        // Free slots.
 	Queued     Key = "queued"      // Number of queued tasks.
 	PassedOver Key = "passed_over" // Number of candidate endpoints that were not chosen.
+	Factor     Key = "factor"      // Expected run time at the endpoint over that at a typical one of the pool; 0 when speeds are not learned.
 	Revision   Key = "revision"    // Revision of the configuration.
 	Version    Key = "version"     // Version of a declared routing.
 	Edit       Key = "edit"        // Id of a configuration change.
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -47,7 +47,7 @@
 	BatchOutdated = define(Trouble, "batch_outdated", "a part of a job may have been under way for too long when this member read it, and was refused; a sender that still waits sends it again",
 		Job, JobKey, Part, Pool, Member, AgeMS)
 	TaskSent = define(Routine, "task_sent", "an endpoint was chosen for a task and is asked to run it",
-		Job, JobKey, Task, Attempt, Pool, Endpoint, QueuedMS, PassedOver, Free, Queued, Why)
+		Job, JobKey, Task, Attempt, Pool, Endpoint, QueuedMS, PassedOver, Free, Queued, Factor, Why)
 	StartWaits = define(Change, "start_waits", "a start waits until the end of an earlier run of its task is known, which another submission of the job or another pool has started, here or at the member named",
 		Job, JobKey, Task, Attempt, Pool, Endpoint, Earlier, Member)
 	TurnKept = define(Trouble, "turn_kept", "a run of a task may still be carried out although its part of the job has ended, or the member named, which has ordered it, is silent; the other members are told not to start the task",
--- a/kernel/model/limits.go
+++ b/kernel/model/limits.go
@@ -38,8 +38,8 @@
 		return errors.Newf("service: must have 1 to %d bytes", MaxName)
 	case e.DataCentre == "" || len(e.DataCentre) > MaxName:
 		return errors.Newf("data_centre: must have 1 to %d bytes", MaxName)
-	case len(e.Worker) > MaxName || len(e.Rack) > MaxName || len(e.Address) > MaxName:
-		return errors.Newf("worker, rack, address: must have at most %d bytes", MaxName)
+	case len(e.Worker) > MaxName || len(e.Kind) > MaxName || len(e.Rack) > MaxName || len(e.Address) > MaxName:
+		return errors.Newf("worker, kind, rack, address: must have at most %d bytes", MaxName)
 	case e.Slots < 1 || e.Slots > MaxSlots:
 		return errors.Newf("slots: must be 1 to %d", MaxSlots)
 	case len(e.Running) > 2*MaxSlots:
@@ -48,6 +48,8 @@
 		return errors.New("state: must be serving, leaving or gone")
 	case e.Born < 0 || e.Lease < 0:
 		return errors.New("born, lease: must not be negative")
+	case e.Factor < 0:
+		return errors.New("factor: must not be negative")
 	case e.Taken.MilliCores < 0 || e.Taken.MemoryMB < 0 || e.Taken.Accelerators < 0:
 		return errors.New("taken: must not be negative")
 	}
--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -44,6 +44,7 @@
 	ID          EndpointID
 	Service     ServiceID
 	Worker      string
+	Kind        string `json:",omitempty"` // Kind of the worker; workers of one kind are about equally fast.
 	Rack        string
 	DataCentre  DataCentre
 	Address     string // ip:port.
@@ -65,6 +66,9 @@
 	// Taken is set when a former owner of the pool hands the endpoint over: the resources that its
 	// tasks still use there.
 	Taken Needs `json:",omitzero"`
+	// Factor is set when a former owner of the pool hands the endpoint over: the time that a run takes there over that
+	// at a typical worker of the pool. 0 means that it is not known.
+	Factor float64 `json:",omitempty"`
 	// Lease is how long the endpoint gets work after this announcement; 0 means the pool's default.
 	Lease time.Duration `json:",omitempty"`
 }
@@ -78,6 +82,7 @@
 	Endpoints int           // Endpoints that accept work.
 	Slots     int           // Slots of those endpoints.
 	Free      int           // Slots without a task.
+	FreeFast  int           `json:",omitempty"` // Those of them at endpoints that are clearly faster than the pool's mean.
 	Queued    int           // Tasks waiting in the queue.
 	QueuedRun time.Duration // Sum of the estimated run times of the queued tasks.
 	MeanRun   time.Duration // Estimated run time of one task; 0 until a task has ended.
--- a/kernel/port/decisions.go
+++ b/kernel/port/decisions.go
@@ -49,6 +49,8 @@
 	RetryAfter time.Duration
 	Why        string // Explanation for people.
 	PassedOver int    // Number of candidates that were not chosen.
+
+	Factor float64 `json:",omitempty"` // Estimated run time at the endpoint over that at a typical one of the pool; 0 when speeds are not learned.
 }
 
 // Decisions logs decisions and retains the most recent ones.
--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -55,6 +55,8 @@
 	// Remnant says that a slot is free, but too few resources are left for a task with typical needs. A task that needs less
 	// may fit.
 	Remnant bool
+	// Factor is the time that a run takes at the endpoint over that at a typical endpoint of the pool; 0 means that it is not known.
+	Factor float64
 }
 
 // Placer picks endpoints for the tasks of one pool. It is called with the pool's lock held.
@@ -73,7 +75,9 @@
 type PickRequest struct {
 	Now   time.Time
 	Needs model.Needs
-	Run   time.Duration    // Estimated run time of the task.
+	Run   time.Duration    // Estimated run time of the task at a typical endpoint.
+	Left  time.Duration    // Time until the objective of the task's job ends; 0 means that there is none.
+	Ahead int              // Number of tasks that wait, before this one, although endpoints have room.
 	Avoid model.EndpointID // Endpoint that refused the task before; "" when none did.
 }
 
@@ -81,6 +85,9 @@
 type Choice struct {
 	Endpoint model.EndpointID
 	Why      string
+	// Waits is set when no endpoint was picked although one has room, since the task is to wait for a faster one: how long it
+	// should wait at most.
+	Waits time.Duration
 }
 
 // Admission is a policy that decides which batches a pool accepts. It is pure: its decisions depend
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -36,6 +36,7 @@
 	PoolsPerDataCentre int   `json:"pools_per_data_centre"` // Least number of pools per service and data centre; the same on every member.
 	SplitAbove         int   `json:"split_above"`           // Number of serving endpoints above which a pool is split; 0 means never.
 	LeaseMS            int64 `json:"lease_ms"`              // How long an endpoint gets work after an announcement.
+	LearnSpeeds        bool  `json:"learn_speeds"`          // Whether to place tasks by how fast the endpoints have been.
 	WithdrawnMS        int64 `json:"withdrawn_ms"`          // How long the key of a job is remembered that its caller has cancelled.
 }
 
--- a/plugins/endpoints/loads.go
+++ b/plugins/endpoints/loads.go
@@ -36,6 +36,7 @@
 	Endpoints  int              `json:"e,omitempty"`
 	Slots      int              `json:"n"`
 	Free       int              `json:"f,omitempty"`
+	FreeFast   int              `json:"x,omitempty"`
 	Queued     int              `json:"q,omitempty"`
 	QueuedMS   int64            `json:"w,omitempty"`
 	MeanRunMS  int64            `json:"r,omitempty"`
@@ -49,7 +50,7 @@
 	for _, l := range loads {
 		r.Loads = append(r.Loads, wireLoad{
 			Service: l.Pool.Service, Centre: l.Pool.DataCentre, Part: l.Pool.Part, Owner: l.Owner, Version: l.Version,
-			Endpoints: l.Endpoints, Slots: l.Slots, Free: l.Free, Queued: l.Queued,
+			Endpoints: l.Endpoints, Slots: l.Slots, Free: l.Free, FreeFast: l.FreeFast, Queued: l.Queued,
 			QueuedMS: l.QueuedRun.Milliseconds(), MeanRunMS: l.MeanRun.Milliseconds(),
 			MilliCores: l.Largest.MilliCores, MemoryMB: l.Largest.MemoryMB, Accel: l.Largest.Accelerators,
 		})
@@ -60,7 +61,7 @@
 func (w wireLoad) decode() model.PoolLoad {
 	return model.PoolLoad{
 		Pool:  model.PoolID{Service: w.Service, DataCentre: w.Centre, Part: w.Part},
-		Owner: w.Owner, Version: w.Version, Endpoints: w.Endpoints, Slots: w.Slots, Free: w.Free, Queued: w.Queued,
+		Owner: w.Owner, Version: w.Version, Endpoints: w.Endpoints, Slots: w.Slots, Free: w.Free, FreeFast: w.FreeFast, Queued: w.Queued,
 		QueuedRun: time.Duration(w.QueuedMS) * time.Millisecond,
 		MeanRun:   time.Duration(w.MeanRunMS) * time.Millisecond,
 		Largest:   model.Needs{MilliCores: w.MilliCores, MemoryMB: w.MemoryMB, Accelerators: w.Accel},
@@ -77,6 +78,7 @@
 	load := w.decode()
 	return w.Service != "" && len(w.Service) <= model.MaxName && len(w.Centre) <= model.MaxName && len(w.Owner) <= model.MaxName &&
 		w.Part >= 0 && w.Endpoints >= 0 && w.Endpoints <= maxReportedSlots && w.Slots >= 0 && w.Slots <= maxReportedSlots && w.Free >= -maxReportedSlots && w.Free <= w.Slots &&
+		w.FreeFast >= 0 && w.FreeFast <= w.Slots &&
 		w.Queued >= 0 && w.Queued <= maxReportedSlots && w.QueuedMS >= 0 && w.QueuedMS <= maxReportedTime.Milliseconds() &&
 		w.MeanRunMS >= 0 && w.MeanRunMS <= maxReportedTime.Milliseconds() && load.Largest.Check() == nil
 }
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -46,6 +46,14 @@
 func (p *Pools) registerGauges(registry metrics.Registry) {
 	registry.GetOrRegister("keys.withdrawn", metrics.NewFunctionalGauge(func() int64 { return int64(p.withdrawn.Len()) }))
 	registry.GetOrRegister("turns.kept_elsewhere", metrics.NewFunctionalGauge(func() int64 { return int64(p.keptElsewhere.Len()) }))
+	registry.GetOrRegister("endpoints.slow", metrics.NewFunctionalGauge(func() (sum int64) {
+		p.pools.Each(func(pools map[model.PoolID]*pool) {
+			for _, o := range pools {
+				sum += int64(o.machine.SlowEndpoints())
+			}
+		})
+		return sum
+	}))
 	for name, value := range map[string]func(model.PoolLoad) int{
 		"pools.owned":        func(model.PoolLoad) int { return 1 },
 		"pools.slots":        func(l model.PoolLoad) int { return l.Slots },
--- a/plugins/endpoints/poolstate/decisions.go
+++ b/plugins/endpoints/poolstate/decisions.go
@@ -47,6 +47,7 @@
 	d := m.newDecision(now, port.DecidedSend, t.batch)
 	d.Task, d.Attempt, d.Tasks, d.Endpoint = t.spec().Index, t.attempt, 1, t.endpoint.ID
 	d.Queued, d.Why, d.PassedOver = now.Sub(t.batch.arrived), why, len(m.endpointList)-1
+	d.Factor = m.learnedFactor(t.endpoint)
 	fx.Decisions = append(fx.Decisions, d)
 }
 
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -35,6 +35,7 @@
 		if m.totals.free+m.totals.remnants == 0 {
 			break
 		}
+		m.recordWait(now, t.batch, choice.Waits)
 		m.queue.remove(t.batch)
 		m.skipped = append(m.skipped, t.batch)
 	}
@@ -43,6 +44,7 @@
 	}
 	clear(m.skipped)
 	m.skipped = m.skipped[:0]
+	m.waiting = 0
 }
 
 // pick returns the endpoint for a task, or false to leave the task in the queue.
@@ -57,7 +59,7 @@
 }
 
 func (m *Machine) pickRequest(now time.Time, t *task) port.PickRequest {
-	r := port.PickRequest{Now: now, Needs: t.spec().Needs, Run: t.run.mean}
+	r := port.PickRequest{Now: now, Needs: t.spec().Needs, Run: t.run.mean, Left: m.objectiveLeft(now, t.batch), Ahead: m.waiting}
 	if m.totals.serving > 1 {
 		r.Avoid = t.avoid
 	}
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -22,6 +22,7 @@
 // of every task there is confirmed.
 type endpoint struct {
 	model.Endpoint
+	speed        int              // Run time there over the one that is expected at speed 1, in units of 1/speedUnit.
 	position     int              // Index in the machine's endpointList.
 	live         bool             // Within the lease of its newest announcement.
 	replacedBy   model.EndpointID // Later incarnation at the same address; "" when none has announced itself.
@@ -112,6 +113,7 @@
 	}
 	m.timers.set(&e.leaseTimer, now.Add(cmp.Or(a.Lease, DefaultEndpointLease)))
 	m.reconcile(now, e, fx)
+	m.updateSpeed(now, e, announced.HandedOver)
 	m.updateTotals(e)
 	m.requeueHeldIfUnavailable(e)
 }
@@ -128,7 +130,7 @@
 }
 
 func (m *Machine) newEndpoint(a *model.Endpoint) *endpoint {
-	e := &endpoint{position: len(m.endpointList)}
+	e := &endpoint{speed: speedUnit, position: len(m.endpointList)}
 	e.leaseTimer = newTimer(func(_ time.Time, fx *Effects) { m.handleLeaseEnd(e, fx) })
 	e.probeTimer = newTimer(func(now time.Time, _ *Effects) { m.startProbing(now, e) })
 	e.unblockTimer = newTimer(func(time.Time, *Effects) { m.unblockCapacity(e) })
--- a/plugins/endpoints/poolstate/handover.go
+++ b/plugins/endpoints/poolstate/handover.go
@@ -23,6 +23,7 @@
 			announced.Running = append(announced.Running, t.id)
 		}
 		announced.Taken = e.taken.Plus(e.blockedNeeds)
+		announced.Factor = m.learnedFactor(e)
 		all = append(all, announced)
 	}
 	return all
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -6,6 +6,7 @@
 	"redwingpulley/kernel/invariant"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/speed"
 )
 
 // Policies holds the placement and admission plug-ins by name.
@@ -39,6 +40,9 @@
 	changes              []EndpointChange // Changes of endpoints in this step.
 	released             []Release        // Attempts released in this step.
 	runTimes             runTimes
+	speeds               *speed.Table // nil when speeds are not learned.
+	waiting              int          // Tasks found in this step that wait for a faster endpoint.
+	waitEnd              timer        // When the first of the tasks that wait for a faster endpoint is to wait no longer.
 	retries              retryBudget
 	timers               timers
 	failureRate          float64     // Moving average of the share of tasks that failed; see learnFailureRate.
@@ -65,6 +69,7 @@
 		runTimes:  newRunTimes(),
 		retries:   retryBudget{tokens: maxRetryTokens},
 		timers:    newTimers(),
+		waitEnd:   newTimer(func(time.Time, *Effects) {}), // Each step dispatches queued tasks.
 	}
 }
 
@@ -128,7 +133,7 @@
 	m.placement = name
 	m.placer = policy.NewPlacer(m.seed)
 	for _, e := range m.endpointList {
-		m.placer.Update(e.load(m.needs.typical))
+		m.placer.Update(m.loadOf(e))
 	}
 }
 
@@ -136,7 +141,7 @@
 func (m *Machine) Load() model.PoolLoad {
 	return model.PoolLoad{
 		Pool: m.id, Owner: m.owner, Version: m.version,
-		Endpoints: m.totals.serving, Slots: m.totals.slots, Free: m.totals.free, Largest: m.largest(),
+		Endpoints: m.totals.serving, Slots: m.totals.slots, Free: m.totals.free, FreeFast: m.totals.freeFast, Largest: m.largest(),
 		Queued: m.queue.count + m.totals.held, QueuedRun: m.queue.work,
 		MeanRun: time.Duration(m.runTimes.service.mean),
 	}
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -64,9 +64,10 @@
 	profile.Placement = rapid.SampledFrom([]string{"least_wait", "random", "round_robin", "stale_view"}).Draw(t, "placement")
 	profile.Admission = rapid.SampledFrom([]string{"deadline", "open"}).Draw(t, "admission")
 	profile.RetryBudget = 0.5
+	created := Created{Pool: finderPool, Owner: "sj1-a", Seed: 1, LearnSpeeds: profile.Admission == "deadline"}
 	return &cluster{
 		t: t, now: start, profile: profile,
-		machine: New(finderPool, "sj1-a", shipped, 1), twin: New(finderPool, "sj1-a", shipped, 1),
+		machine: created.Machine(shipped), twin: created.Machine(shipped),
 		leases: map[model.EndpointID]time.Time{}, announced: map[model.EndpointID]model.Endpoint{},
 		born: map[model.EndpointID]int64{"c": 1, "d": 1}, inFlight: map[model.TaskID]Start{}, attempts: map[model.TaskID]int{},
 		ran: map[model.TaskID]bool{}, ranIsolated: map[model.TaskID]bool{}, cordoned: map[model.EndpointID]bool{}, occupying: map[model.TaskID]int{},
@@ -446,6 +447,9 @@
 		sums.free += free
 		sums.held += len(e.held)
 		sums.serving += min(e.schedulableSlots(), 1)
+		sums.work += slots * e.speed
+		sums.freeFast += e.counted.fast
+		sums.slow += e.counted.slow
 	}
 	sums.largest, sums.largestStale = m.totals.largest, m.totals.largestStale
 	if count != m.queue.count || work != m.queue.work || sums != m.totals {
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -94,6 +94,7 @@
 func (m *Machine) handleAnswer(now time.Time, t *task, answer []byte, fx *Effects) {
 	m.recordOutcome(now, t.endpoint, t.batch.ID.Job, false)
 	m.learn(t, now.Sub(t.sentAt))
+	m.learnSpeed(now, t)
 	m.release(t)
 	if !t.batch.ended {
 		m.recordResult(now, t, model.TaskResult{Done: true, Answer: answer}, fx)
@@ -103,7 +104,7 @@
 // learn adds a run time to the estimates and corrects the charge of the task's team, which was made by
 // the estimate.
 func (m *Machine) learn(t *task, run time.Duration) {
-	m.runTimes.learn(t.batch.profile.LearnWeight, t.class, run)
+	m.runTimes.learn(t.batch.profile.LearnWeight, t.class, m.nominalRun(t.endpoint, run))
 	m.queue.charge(t.batch.team, run-t.run.mean)
 }
 
--- /dev/null
+++ b/plugins/endpoints/poolstate/speed.go
@@ -0,0 +1,112 @@
+package poolstate
+
+import (
+	"time"
+
+	"redwingpulley/kernel/port"
+)
+
+const (
+	speedUnit = 1024 // Resolution of endpoints' speeds. They are integers, so that the pool's sum of them is exact.
+
+	fastBelow = 0.9 // Factor below which an endpoint's slots count as fast.
+	slowAbove = 1.5 // Factor above which an endpoint counts as slow.
+)
+
+// learnSpeed adds the run of a task that has answered to the estimate for its endpoint. Until the service's run times are known
+// the declared ones, with which the run would be compared, may be far off.
+func (m *Machine) learnSpeed(now time.Time, t *task) {
+	if m.speeds == nil || !t.class.learned() {
+		return
+	}
+	e := t.endpoint
+	m.speeds.Add(now, e.Address, e.Kind, now.Sub(t.sentAt), t.run.median)
+	m.updateSpeed(now, e, false)
+}
+
+// updateSpeed updates an endpoint's speed, which is kept by address and so survives a restart. One that has been handed over begins
+// with the factor that the former owner has learned. The caller updates the totals.
+func (m *Machine) updateSpeed(now time.Time, e *endpoint, handedOver bool) {
+	if m.speeds == nil {
+		return
+	}
+	if handedOver {
+		m.speeds.Adopt(now, e.Address, e.Endpoint.Factor)
+	}
+	e.speed = max(int(speedUnit*m.speeds.Factor(now, e.Address, e.Kind)), 1)
+}
+
+// factor returns how long a run takes at the endpoint over the mean of the pool's slots.
+func (m *Machine) factor(e *endpoint) float64 {
+	if m.totals.slots == 0 {
+		return 1
+	}
+	return float64(e.speed) * float64(m.totals.slots) / float64(m.totals.work)
+}
+
+// learnedFactor returns the endpoint's factor, or 0 when speeds are not learned.
+func (m *Machine) learnedFactor(e *endpoint) float64 {
+	if m.speeds == nil {
+		return 0
+	}
+	return m.factor(e)
+}
+
+// nominalRun returns how long a run would have taken at a typical endpoint of the pool.
+func (m *Machine) nominalRun(e *endpoint, run time.Duration) time.Duration {
+	if m.speeds == nil {
+		return run
+	}
+	return time.Duration(float64(run) / m.factor(e))
+}
+
+// loadOf returns the endpoint's load.
+func (m *Machine) loadOf(e *endpoint) port.EndpointLoad {
+	load := e.load(m.needs.typical)
+	load.Factor = m.learnedFactor(e)
+	return load
+}
+
+// addSpeed sets the endpoint's share in the totals that depend on its speed.
+func (c *contribution) addSpeed(e *endpoint, load port.EndpointLoad) {
+	c.work = c.slots * e.speed
+	if c.slots > 0 && load.Factor > slowAbove {
+		c.slow = 1
+	}
+	if load.Factor > 0 && load.Factor < fastBelow {
+		c.fast = max(c.free, 0)
+	}
+}
+
+// addSpeed updates the totals that depend on the speeds of endpoints after a change of one endpoint's share.
+func (t *totals) addSpeed(was, now contribution) {
+	t.work += now.work - was.work
+	t.freeFast += now.fast - was.fast
+	t.slow += now.slow - was.slow
+}
+
+// SlowEndpoints returns the number of endpoints that take much longer for a run than the pool's mean.
+func (m *Machine) SlowEndpoints() int { return m.totals.slow }
+
+// objectiveLeft returns the time until the objective of the batch's job ends, at least 1; it is 0 when there is none, or when speeds
+// are not learned.
+func (m *Machine) objectiveLeft(now time.Time, b *batch) time.Duration {
+	objective := b.Objective.For(b.medianLongestRun)
+	if m.speeds == nil || objective <= 0 {
+		return 0
+	}
+	return max(b.arrived.Add(objective).Sub(now), 1)
+}
+
+// recordWait counts the queued tasks of a batch whose first one waits for a faster endpoint, and sets the timer that ends its wait
+// after the given time. 0 means that it does not wait for one. A timer that is due earlier remains: the task is then looked at again.
+func (m *Machine) recordWait(now time.Time, b *batch, waits time.Duration) {
+	if waits <= 0 {
+		return
+	}
+	m.waiting += len(b.queued)
+	at := now.Add(waits)
+	if !m.timers.heap.has(&m.waitEnd) || at.Before(m.waitEnd.at) {
+		m.timers.set(&m.waitEnd, at)
+	}
+}
--- a/plugins/endpoints/poolstate/totals.go
+++ b/plugins/endpoints/poolstate/totals.go
@@ -8,6 +8,9 @@
 	free    int
 	held    int
 	serving int // 1 while the endpoint gets work, otherwise 0.
+	work    int // Slots times the endpoint's speed, in units of 1/speedUnit.
+	fast    int // Free slots of an endpoint that is clearly faster than the pool's mean.
+	slow    int // 1 while the endpoint is much slower than the pool's mean, otherwise 0.
 	remnant int // 1 while the endpoint's load is a remnant, otherwise 0; see port.EndpointLoad.
 }
 
@@ -17,6 +20,9 @@
 	free         int
 	held         int
 	serving      int         // Number of endpoints that get work.
+	work         int         // Sum of the slots times the speeds of their endpoints; over the slots it is the pool's mean speed.
+	freeFast     int         // Free slots of endpoints that are clearly faster than the mean.
+	slow         int         // Number of endpoints that are much slower than the mean.
 	remnants     int         // Number of endpoints whose load is a remnant.
 	largest      model.Needs // Result of Machine.largest, unless largestStale.
 	largestStale bool
@@ -24,7 +30,7 @@
 
 // updateTotals updates the pool's totals and the placer after a change of the endpoint.
 func (m *Machine) updateTotals(e *endpoint) {
-	load := e.load(m.needs.typical)
+	load := m.loadOf(e)
 	now := contribution{slots: load.Slots, held: len(e.held), serving: min(e.schedulableSlots(), 1)}
 	if load.Slots > 0 {
 		now.free = load.Free + now.held
@@ -32,6 +38,7 @@
 	if load.Remnant {
 		now.remnant = 1
 	}
+	now.addSpeed(e, load)
 	was := e.counted
 	e.counted = now
 	m.recordStatusChange(e)
@@ -39,6 +46,7 @@
 	m.totals.held += now.held - was.held
 	m.totals.serving += now.serving - was.serving
 	m.totals.remnants += now.remnant - was.remnant
+	m.totals.addSpeed(was, now)
 	if now.slots != was.slots || now.serving != was.serving {
 		m.applySlotChange(was, now)
 	}
--- a/plugins/frontend/announce/announce.go
+++ b/plugins/frontend/announce/announce.go
@@ -50,6 +50,7 @@
 	Endpoint     model.EndpointID    `json:"endpoint"`
 	Service      model.ServiceID     `json:"service"`
 	Worker       string              `json:"worker"`
+	Kind         string              `json:"kind"` // Optional.
 	Rack         string              `json:"rack"`
 	DataCentre   model.DataCentre    `json:"data_centre"`
 	Address      string              `json:"address"`
@@ -102,7 +103,7 @@
 
 func (b announceBody) endpoint() model.Endpoint {
 	return model.Endpoint{
-		ID: b.Endpoint, Service: b.Service, Worker: b.Worker, Rack: b.Rack, DataCentre: b.DataCentre,
+		ID: b.Endpoint, Service: b.Service, Worker: b.Worker, Kind: b.Kind, Rack: b.Rack, DataCentre: b.DataCentre,
 		Address: b.Address, Slots: b.Slots, Connections: b.Connections,
 		Has:   model.Needs{MilliCores: b.Cores * model.MilliCoresPerCore, MemoryMB: b.MemoryMB, Accelerators: b.Accelerators},
 		State: b.State, Running: b.Running,
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -1,22 +1,53 @@
 package leastwait
 
 import (
+	"math"
 	"math/rand/v2"
+	"time"
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 )
 
-// maxRemnantTries is how many endpoints with a remnant of resources Pick considers for a task.
-const maxRemnantTries = 64
+const (
+	// maxRemnantTries is how many endpoints with a remnant of resources Pick considers for a task.
+	maxRemnantTries = 64
 
-// placer keeps the endpoints in buckets by their number of free slots, so that the cost of an update
+	// Endpoints are grouped by speed. A group's endpoints take levelStep times as long as those of the next faster group; the
+	// group of index typicalLevel has the endpoints of average speed.
+	levelStep    = 1.25
+	speedLevels  = 16
+	typicalLevel = 6
+
+	// fastSlotsReserve is the inverse of the share of fast slots that is reserved for tasks which need them.
+	fastSlotsReserve = 3
+)
+
+// levelFactors holds the run time at the endpoints of each speed level over that at a typical endpoint.
+var levelFactors = func() (factors [speedLevels]float64) {
+	for i := range factors {
+		factors[i] = math.Pow(levelStep, float64(i-typicalLevel))
+	}
+	return factors
+}()
+
+// placer groups the endpoints by their speed, and each group by the number of free slots, so that the cost of an update
 // or a pick does not grow with the number of endpoints.
 type placer struct {
 	random  *rand.Rand
 	entries map[model.EndpointID]*entry
-	buckets [][]*entry // Indexed by the number of free slots; 0 for endpoints with a remnant.
-	highest int        // Index of the highest bucket that may hold an endpoint.
+	levels  [speedLevels]level
+	first   int // Index of the first level with endpoints.
+	end     int // Index after the last level with endpoints.
+}
+
+// level holds the endpoints of about the same speed.
+type level struct {
+	endpoints int
+	buckets   [][]*entry // Indexed by the number of free slots; 0 for endpoints with a remnant.
+	highest   int        // Index of the highest bucket that may hold an endpoint.
+	slots     int        // Slots of all endpoints of the level.
+	free      int        // Those of them that are free.
 }
 
 // noBucket is the bucket of an endpoint that has neither a free slot nor a remnant.
@@ -25,6 +56,7 @@
 // entry is an endpoint and its place in the buckets.
 type entry struct {
 	load     port.EndpointLoad
+	level    int
 	bucket   int // Index of the bucket, or noBucket.
 	position int // Index in the bucket.
 }
@@ -33,37 +65,157 @@
 	return &placer{random: rand.New(rand.NewPCG(seed, 0)), entries: make(map[model.EndpointID]*entry)}
 }
 
-// Update adds an endpoint or moves it to the bucket of its new number of free slots.
+// Update adds an endpoint or moves it to the group of its new speed and the bucket of its new number of free slots.
 func (p *placer) Update(load port.EndpointLoad) {
 	e, ok := p.entries[load.ID]
 	if !ok {
-		e = &entry{bucket: noBucket}
+		e = &entry{bucket: noBucket, level: typicalLevel}
 		p.entries[load.ID] = e
+		p.countEndpoint(e.level, 1)
+	}
+	p.levels[e.level].remove(e)
+	if load.Factor != e.load.Factor {
+		p.changeLevel(e, levelOf(load.Factor))
 	}
-	p.removeFromBucket(e)
 	e.load = load
-	p.addToBucket(e)
+	p.levels[e.level].add(e)
+}
+
+// changeLevel sets the level of an endpoint that has been removed from its former one.
+func (p *placer) changeLevel(e *entry, to int) {
+	if to == e.level {
+		return
+	}
+	p.countEndpoint(e.level, -1)
+	p.countEndpoint(to, 1)
+	e.level = to
+}
+
+// countEndpoint changes the number of endpoints of a level by the given difference.
+func (p *placer) countEndpoint(index, difference int) {
+	p.levels[index].endpoints += difference
+	p.first, p.end = speedLevels, 0
+	for i := range p.levels {
+		if p.levels[i].endpoints > 0 {
+			p.first, p.end = min(p.first, i), i+1
+		}
+	}
+}
+
+// levelOf returns the speed level of an endpoint; one whose speed is not known counts as typical.
+func levelOf(factor float64) int {
+	if factor <= 0 {
+		return typicalLevel
+	}
+	steps := math.Round(math.Log(factor) / math.Log(levelStep))
+	return typicalLevel + int(min(max(steps, -typicalLevel), speedLevels-1-typicalLevel))
 }
 
 // Remove removes the endpoint.
 func (p *placer) Remove(id model.EndpointID) {
 	if e, ok := p.entries[id]; ok {
-		p.removeFromBucket(e)
+		p.levels[e.level].remove(e)
+		p.countEndpoint(e.level, -1)
 		delete(p.entries, id)
 	}
 }
 
-// Pick returns an endpoint that can run the task, or false when none that can run it has a free slot. A task that fits into
-// a remnant goes there and leaves the free slots to tasks that need more; others go to a random endpoint among those with
-// the most free slots.
+// Pick returns an endpoint that can run the task, or false when none that can run it has a free slot, or when the task is to wait
+// for a faster one.
+//
+// A task goes to an endpoint on which it is expected to end within its objective: to one of the fastest while they have many free
+// slots, otherwise to one of the slowest that suit. If none of them has room, it waits for one as long as it is expected
+// to end in time there, and goes to the fastest with room after that.
 func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
-	if len(p.buckets) > 0 {
-		if e := p.pickFromBucket(p.buckets[0], &request, maxRemnantTries); e != nil {
+	suitable := p.suitable(&request)
+	if choice, ok := p.pickSuitable(suitable, &request); ok {
+		return choice, true
+	}
+	if waits := p.waitForFaster(&request, suitable); waits > 0 {
+		return port.Choice{Waits: waits}, false
+	}
+	return p.pickFastest(suitable, p.end, &request)
+}
+
+// pickSuitable picks an endpoint of the levels before the one of index end.
+func (p *placer) pickSuitable(end int, request *port.PickRequest) (port.Choice, bool) {
+	if !p.fastSlotsScarce() {
+		return p.pickFastest(p.first, end, request)
+	}
+	for i := end - 1; i >= p.first; i-- {
+		if choice, ok := p.pickFromLevel(i, request); ok {
+			return choice, true
+		}
+	}
+	return port.Choice{}, false
+}
+
+// pickFastest picks an endpoint of the fastest level with room, among those with indices from first to below end.
+func (p *placer) pickFastest(first, end int, request *port.PickRequest) (port.Choice, bool) {
+	for i := first; i < end; i++ {
+		if choice, ok := p.pickFromLevel(i, request); ok {
+			return choice, true
+		}
+	}
+	return port.Choice{}, false
+}
+
+// suitable returns the index after the slowest level at whose endpoints the task is expected to end within its objective.
+func (p *placer) suitable(request *port.PickRequest) int {
+	if request.Left == 0 {
+		return p.end
+	}
+	for i := p.first; i < p.end; i++ {
+		if levelFactors[i]*float64(request.Run) > float64(request.Left) {
+			return i
+		}
+	}
+	return p.end
+}
+
+// fastSlotsScarce reports whether few of the slots at endpoints that are faster than typical ones are free.
+func (p *placer) fastSlotsScarce() bool {
+	slots, free := 0, 0
+	for i := p.first; i < min(p.end, typicalLevel); i++ {
+		slots += p.levels[i].slots
+		free += p.levels[i].free
+	}
+	return fastSlotsReserve*free < slots
+}
+
+// waitForFaster returns how long the task may wait for a slot at an endpoint of the levels before the one of index end and still be
+// expected to end there in time; 0 when it would have to wait for longer, also because of the tasks that wait before it.
+// Running tasks are taken to be as long as this one.
+func (p *placer) waitForFaster(request *port.PickRequest, end int) time.Duration {
+	if end == p.end {
+		return 0 // It suits all endpoints.
+	}
+	slots, fastest := 0, end
+	for i := end - 1; i >= p.first; i-- {
+		if p.levels[i].slots > 0 {
+			slots += p.levels[i].slots
+			fastest = i
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	run := levelFactors[fastest] * float64(request.Run)
+	expected := run * float64(request.Ahead+1) / float64(slots)
+	return max(request.Left-time.Duration(run+expected), 0)
+}
+
+// pickFromLevel picks an endpoint of a speed level. A task that fits into a remnant goes there and leaves the free slots to tasks
+// that need more; others go to a random endpoint among those with the most free slots.
+func (p *placer) pickFromLevel(index int, request *port.PickRequest) (port.Choice, bool) {
+	l := &p.levels[index]
+	if len(l.buckets) > 0 {
+		if e := p.pickFromBucket(l.buckets[0], request, maxRemnantTries); e != nil {
 			return port.Choice{Endpoint: e.load.ID, Why: "fits into what others leave"}, true
 		}
 	}
-	for free := p.highest; free > 0; free-- {
-		if e := p.pickFromBucket(p.buckets[free], &request, len(p.buckets[free])); e != nil {
+	for free := l.highest; free > 0; free-- {
+		if e := p.pickFromBucket(l.buckets[free], request, len(l.buckets[free])); e != nil {
 			return port.Choice{Endpoint: e.load.ID, Why: "most free slots"}, true
 		}
 	}
@@ -86,34 +238,38 @@
 	return nil
 }
 
-// removeFromBucket takes the endpoint out of its bucket, if it is in one; the bucket's last endpoint
+// remove takes the endpoint out of the level and of its bucket, if it is in one; the bucket's last endpoint
 // takes its position.
-func (p *placer) removeFromBucket(e *entry) {
+func (l *level) remove(e *entry) {
+	l.slots -= e.load.Slots
+	l.free -= max(e.load.Free, 0)
 	if e.bucket == noBucket {
 		return
 	}
-	bucket := p.buckets[e.bucket]
+	bucket := l.buckets[e.bucket]
 	last := bucket[len(bucket)-1]
 	bucket[e.position] = last
 	last.position = e.position
 	bucket[len(bucket)-1] = nil
-	p.buckets[e.bucket] = bucket[:len(bucket)-1]
+	l.buckets[e.bucket] = bucket[:len(bucket)-1]
 	e.bucket = noBucket
-	for p.highest > 0 && len(p.buckets[p.highest]) == 0 {
-		p.highest--
+	for l.highest > 0 && len(l.buckets[l.highest]) == 0 {
+		l.highest--
 	}
 }
 
-// addToBucket puts the endpoint into its bucket, if it has a free slot or a remnant.
-func (p *placer) addToBucket(e *entry) {
+// add adds the endpoint to the level, and to its bucket if it has a free slot or a remnant.
+func (l *level) add(e *entry) {
+	l.slots += e.load.Slots
+	l.free += max(e.load.Free, 0)
 	if e.load.Free <= 0 && !e.load.Remnant {
 		return
 	}
 	e.bucket = max(e.load.Free, 0)
-	for len(p.buckets) <= e.bucket {
-		p.buckets = append(p.buckets, nil)
+	for len(l.buckets) <= e.bucket {
+		l.buckets = append(l.buckets, nil)
 	}
-	e.position = len(p.buckets[e.bucket])
-	p.buckets[e.bucket] = append(p.buckets[e.bucket], e)
-	p.highest = max(p.highest, e.bucket)
+	e.position = len(l.buckets[e.bucket])
+	l.buckets[e.bucket] = append(l.buckets[e.bucket], e)
+	l.highest = max(l.highest, e.bucket)
 }
--- a/plugins/record/decisions/decisions.go
+++ b/plugins/record/decisions/decisions.go
@@ -90,7 +90,7 @@
 		event.Text(event.Job, d.Job), event.Text(event.JobKey, d.Key), event.Int(event.Task, d.Task),
 		event.Int(event.Attempt, d.Attempt), event.Text(event.Pool, d.Pool), event.Text(event.Endpoint, d.Endpoint),
 		event.MS(event.QueuedMS, d.Queued), event.Int(event.PassedOver, d.PassedOver),
-		event.Int(event.Free, d.Free), event.Int(event.Queued, d.Waiting), event.Text(event.Why, d.Why),
+		event.Int(event.Free, d.Free), event.Int(event.Queued, d.Waiting), event.Ratio(event.Factor, d.Factor), event.Text(event.Why, d.Why),
 	}
 }
 
