Endpoints: an endpoint's factor is the pool's mean speed over its own

Cause: normalised by the mean of the factors, estimates of run times grow with each slow endpoint. In a pool with two kinds (0.7 and 1.7 times the nominal run time, 8 and 6 slots) objectives then came out so long that long tasks suited slow endpoints.

Change: speeds are averaged instead of factors, as they are in the average over runs. An endpoint without samples returns to its kind's value somewhat sooner.

--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -22,7 +22,7 @@
 // of every task there is confirmed.
 type endpoint struct {
 	model.Endpoint
-	speed        int              // Run time there over the one that is expected at speed 1, in units of 1/speedUnit.
+	speed        int              // Learned speed, in units of 1/speedUnit.
 	position     int              // Index in the machine's endpointList.
 	live         bool             // Within the lease of its newest announcement.
 	replacedBy   model.EndpointID // Later incarnation at the same address; "" when none has announced itself.
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -447,7 +447,7 @@
 		sums.free += free
 		sums.held += len(e.held)
 		sums.serving += min(e.schedulableSlots(), 1)
-		sums.work += slots * e.speed
+		sums.speed += slots * e.speed
 		sums.freeFast += e.counted.fast
 		sums.slow += e.counted.slow
 	}
--- a/plugins/endpoints/poolstate/speed.go
+++ b/plugins/endpoints/poolstate/speed.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	speedUnit = 1024 // Resolution of endpoints' speeds. They are integers, so that the pool's sum of them is exact.
+	speedUnit = 1 << 16 // Speed of an endpoint with a learned factor of 1. Speeds are integers, so that their sum is exact.
 
 	fastBelow = 0.9 // Factor below which an endpoint's slots count as fast.
 	slowAbove = 1.5 // Factor above which an endpoint counts as slow.
@@ -33,15 +33,17 @@
 	if handedOver {
 		m.speeds.Adopt(now, e.Address, e.Endpoint.Factor)
 	}
-	e.speed = max(int(speedUnit*m.speeds.Factor(now, e.Address, e.Kind)), 1)
+	e.speed = max(int(speedUnit/m.speeds.Factor(now, e.Address, e.Kind)), 1)
 }
 
-// factor returns how long a run takes at the endpoint over the mean of the pool's slots.
+// factor returns the mean speed of the pool's slots over that of the endpoint: how long a run takes there in relation to the pool.
+// Speeds rather than run times are averaged, as in the average over all runs: a few endpoints that have become very slow run few
+// tasks, and do not make all others fast.
 func (m *Machine) factor(e *endpoint) float64 {
 	if m.totals.slots == 0 {
 		return 1
 	}
-	return float64(e.speed) * float64(m.totals.slots) / float64(m.totals.work)
+	return float64(m.totals.speed) / (float64(m.totals.slots) * float64(e.speed))
 }
 
 // learnedFactor returns the endpoint's factor, or 0 when speeds are not learned.
@@ -69,7 +71,7 @@
 
 // addSpeed sets the endpoint's share in the totals that depend on its speed.
 func (c *contribution) addSpeed(e *endpoint, load port.EndpointLoad) {
-	c.work = c.slots * e.speed
+	c.speed = c.slots * e.speed
 	if c.slots > 0 && load.Factor > slowAbove {
 		c.slow = 1
 	}
@@ -80,7 +82,7 @@
 
 // addSpeed updates the totals that depend on the speeds of endpoints after a change of one endpoint's share.
 func (t *totals) addSpeed(was, now contribution) {
-	t.work += now.work - was.work
+	t.speed += now.speed - was.speed
 	t.freeFast += now.fast - was.fast
 	t.slow += now.slow - was.slow
 }
--- a/plugins/endpoints/poolstate/totals.go
+++ b/plugins/endpoints/poolstate/totals.go
@@ -8,7 +8,7 @@
 	free    int
 	held    int
 	serving int // 1 while the endpoint gets work, otherwise 0.
-	work    int // Slots times the endpoint's speed, in units of 1/speedUnit.
+	speed   int // Slots times the endpoint's speed.
 	fast    int // Free slots of an endpoint that is clearly faster than the pool's mean.
 	slow    int // 1 while the endpoint is much slower than the pool's mean, otherwise 0.
 	remnant int // 1 while the endpoint's load is a remnant, otherwise 0; see port.EndpointLoad.
@@ -20,7 +20,7 @@
 	free         int
 	held         int
 	serving      int         // Number of endpoints that get work.
-	work         int         // Sum of the slots times the speeds of their endpoints; over the slots it is the pool's mean speed.
+	speed        int         // Sum of the slots times the speeds of their endpoints; over the slots it is the pool's mean speed.
 	freeFast     int         // Free slots of endpoints that are clearly faster than the mean.
 	slow         int         // Number of endpoints that are much slower than the mean.
 	remnants     int         // Number of endpoints whose load is a remnant.
--- a/plugins/endpoints/speed/speed.go
+++ b/plugins/endpoints/speed/speed.go
@@ -19,9 +19,9 @@
 	priorSamples  = 4   // Number of samples that weigh as much as the prior.
 
 	// idleAfter is the time without a sample after which a worker's average loses weight, and idleDecay the time constant of
-	// that loss: 10 s after the last sample less than a quarter of the estimate is left.
+	// that loss: 10 s after the last sample less than a tenth of the difference from the kind is left.
 	idleAfter = time.Second
-	idleDecay = 3 * time.Second
+	idleDecay = 2 * time.Second
 
 	// Some runs take several times as long as others at the same worker. A sample is therefore moved to within maxSurprise
 	// of the estimate, unless it is the last of surprisesInRow beyond that on the same side: then the worker has changed.
