--- a/plugins/endpoints/poolstate/bench_test.go
+++ b/plugins/endpoints/poolstate/bench_test.go
@@ -9,6 +9,7 @@
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/admission/deadline"
+	"redwingpulley/plugins/endpoints/speed"
 	"redwingpulley/plugins/placement/leastwait"
 )
 
@@ -52,7 +53,7 @@
 func (l *loadGenerator) announceAll(endpoints int) {
 	for i := range endpoints {
 		l.step(Announced{Endpoint: model.Endpoint{
-			ID: model.EndpointID("finder-" + strconv.Itoa(i)), Slots: benchSlots, State: model.EndpointServing,
+			ID: model.EndpointID("finder-" + strconv.Itoa(i)), Address: strconv.Itoa(i), Slots: benchSlots, State: model.EndpointServing,
 		}})
 	}
 }
@@ -119,6 +120,16 @@
 	}
 }
 
+// BenchmarkStartLearningSpeeds is BenchmarkStart with 600 endpoints, whose speeds are learned.
+func BenchmarkStartLearningSpeeds(b *testing.B) {
+	l := newLoadGenerator(600)
+	l.machine.speeds = speed.NewTable()
+	b.ReportAllocs()
+	for b.Loop() {
+		l.start()
+	}
+}
+
 // BenchmarkStartParallel is BenchmarkStart with a pool for each goroutine, as in the dispatcher, where
 // pools are shards.
 func BenchmarkStartParallel(b *testing.B) {
--- a/plugins/frontend/announce/announce_test.go
+++ b/plugins/frontend/announce/announce_test.go
@@ -14,7 +14,7 @@
 	"redwingpulley/kernel/settings"
 )
 
-const validBody = `{"endpoint":"e1","service":"finder","worker":"w1","rack":"r1","data_centre":"sj1","address":"127.0.0.1:9000",` +
+const validBody = `{"endpoint":"e1","service":"finder","worker":"w1","kind":"m5","rack":"r1","data_centre":"sj1","address":"127.0.0.1:9000",` +
 	`"slots":8,"connections":60,"cores":16,"memory_mb":65536,"accelerators":0,"state":"serving","running":["a.b.1.1.t.0"]}`
 
 type fakePools struct {
@@ -48,6 +48,7 @@
 	w, pools := announce(validBody)
 	is.Equal(w.Code, 200)
 	is.Equal(strings.TrimSpace(w.Body.String()), `{"owner":"127.0.0.1:1","every_ms":1000,"lease_ms":3000}`)
+	is.Equal(pools.announced[0].Kind, "m5")
 	is.Equal(pools.announced[0].Has, model.Needs{MilliCores: 16000, MemoryMB: 65536})
 }
 
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -1,6 +1,6 @@
 // Package leastwait is a placement policy. It places a job on the pools where it is expected to end
 // first, weighed against the cost of the messages that this takes, and a task on the endpoint with the
-// most free slots. While no endpoint has a free slot, the task stays in the pool's queue.
+// most free slots among those that are fast enough for its objective. While no endpoint has a free slot, the task stays in the pool's queue.
 package leastwait
 
 import (
@@ -56,6 +56,7 @@
 type candidate struct {
 	pool         *model.PoolLoad
 	freeSlots    int           // Number of tasks that can start at once.
+	freeFast     int           // Those of them that can start at fast endpoints; 0 for tasks that are not longer than the pool's average.
 	baseWait     time.Duration // Wait for a slot that the work already in the pool causes.
 	waitPerTask  time.Duration // Wait that each task beyond the free slots adds.
 	roundTrip    time.Duration // Round trip to the pool's data centre.
@@ -72,8 +73,8 @@
 }
 
 // rankByCost returns the pools in ascending order of the cost of running the whole job there, and those
-// of equal cost in descending order of free slots. Pools that are equal in both are in random order, so
-// that the many members do not all choose the same pool.
+// of equal cost in descending order of free slots, for long tasks of those at fast endpoints first. Pools that
+// are equal in all of these are in random order, so that the many members do not all choose the same pool.
 func rankByCost(r *port.PlanRequest, pools []model.PoolLoad) []candidate {
 	r.Random.Shuffle(len(pools), func(i, j int) { pools[i], pools[j] = pools[j], pools[i] })
 	declared := meanDeclaredRun(r.Job.Tasks)
@@ -82,7 +83,7 @@
 		candidates[i] = newCandidate(r, &pools[i], declared)
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.wholeJobCost, b.wholeJobCost), cmp.Compare(b.freeSlots, a.freeSlots))
+		return cmp.Or(cmp.Compare(a.wholeJobCost, b.wholeJobCost), cmp.Compare(b.freeFast, a.freeFast), cmp.Compare(b.freeSlots, a.freeSlots))
 	})
 	return candidates
 }
@@ -90,6 +91,7 @@
 // newCandidate estimates the waits and costs in a pool. run is the run time of a task, used when the
 // pool has not learned one. Tasks that run there now are taken to be halfway through on average.
 func newCandidate(r *port.PlanRequest, pool *model.PoolLoad, run time.Duration) candidate {
+	long := run > pool.MeanRun
 	if pool.MeanRun > 0 {
 		run = pool.MeanRun
 	}
@@ -99,6 +101,9 @@
 		pool: pool, freeSlots: max(pool.Free-pool.Queued, 0),
 		baseWait: (runningWork + pool.QueuedRun) / slots, waitPerTask: run / slots,
 	}
+	if long {
+		c.freeFast = min(pool.FreeFast, c.freeSlots)
+	}
 	if pool.Pool.DataCentre != r.Near {
 		c.roundTrip = remoteRoundTrip
 	}
--- a/plugins/placement/leastwait/leastwait_test.go
+++ b/plugins/placement/leastwait/leastwait_test.go
@@ -52,6 +52,18 @@
 	is.Equal(countTasks(is, p, 20), map[model.DataCentre]int{"sj1": 20})
 }
 
+// Guards against long tasks in pools whose free slots are at slow endpoints, and against short tasks that take the fast ones.
+func TestPlanSendsLongTasksWhereFastSlotsAreFree(t *testing.T) {
+	is := is.New(t)
+	fast, slow := poolLoad("sj2", 30, 0), poolLoad("sj3", 60, 0)
+	fast.FreeFast = 20
+	for declared, centre := range map[time.Duration]model.DataCentre{2 * meanRun: "sj2", meanRun / 2: "sj3"} {
+		job := model.Job{Tasks: []model.Task{{Declared: declared}}}
+		p := Policy{}.Plan(port.PlanRequest{Job: job, Pools: []model.PoolLoad{slow, fast}, Self: "sj1-a", Near: "sj1", Random: rand.New(rand.NewPCG(1, 1))})
+		is.Equal(countTasks(is, p, 1), map[model.DataCentre]int{centre: 1})
+	}
+}
+
 func TestPlanPrefersFreeRemotePoolToWaiting(t *testing.T) {
 	is := is.New(t)
 	p := planFor(20, time.Millisecond, poolLoad("sj1", 0, 50), poolLoad("sj2", 100, 0))
