--- a/plugins/endpoints/poolstate/evacuate.go
+++ b/plugins/endpoints/poolstate/evacuate.go
@@ -87,7 +87,7 @@
 // hideSlots removes from a load what an evacuated pool does not offer.
 func (m *Machine) hideSlots(load model.PoolLoad) model.PoolLoad {
 	if m.evacuation.active {
-		load.Slots, load.Free = 0, 0
+		load.Slots, load.Free, load.FreeFast = 0, 0, 0
 	}
 	return load
 }
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -1,6 +1,6 @@
 // Package leastwait is a placement policy. It places a job on the pools where it is expected to end
 // first, weighed against the cost of the messages that this takes, and a task on the endpoint with the
-// most free slots. While no endpoint has a free slot, the task stays in the pool's queue.
+// most free slots among those that are fast enough for its objective. While no endpoint has a free slot, the task stays in the pool's queue.
 package leastwait
 
 import (
@@ -58,6 +58,7 @@
 type candidate struct {
 	pool         *model.PoolLoad
 	freeSlots    int           // Number of tasks that can start at once.
+	freeFast     int           // Those of them that can start at fast endpoints; 0 for tasks that are not longer than the pool's average.
 	baseWait     time.Duration // Wait for a slot that the work already in the pool causes.
 	waitPerTask  time.Duration // Wait that each task beyond the free slots adds.
 	roundTrip    time.Duration // Round trip to the pool's data centre.
@@ -74,9 +75,9 @@
 }
 
 // rankByCost returns the pools in ascending order of the cost of running the whole job there, and those
-// of equal cost in descending order of free slots, up to ampleRoom jobs of this size. Pools that are equal in both are
-// in random order, so that the many members do not all choose the same pool: the one that had the most free slots when it
-// last reported.
+// of equal cost in descending order of free slots, for long tasks of those at fast endpoints first, up to ampleRoom jobs of this
+// size. Pools that are equal in all of these are in random order, so that the many members do not all choose the same pool: the
+// one that had the most free slots when it last reported.
 func rankByCost(r *port.PlanRequest, pools []model.PoolLoad) []candidate {
 	r.Random.Shuffle(len(pools), func(i, j int) { pools[i], pools[j] = pools[j], pools[i] })
 	declared := meanDeclaredRun(r.Job.Tasks)
@@ -86,7 +87,11 @@
 	}
 	ample := ampleRoom * len(r.Job.Tasks)
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.wholeJobCost, b.wholeJobCost), cmp.Compare(min(b.freeSlots, ample), min(a.freeSlots, ample)))
+		return cmp.Or(
+			cmp.Compare(a.wholeJobCost, b.wholeJobCost),
+			cmp.Compare(min(b.freeFast, ample), min(a.freeFast, ample)),
+			cmp.Compare(min(b.freeSlots, ample), min(a.freeSlots, ample)),
+		)
 	})
 	return candidates
 }
@@ -94,6 +99,7 @@
 // newCandidate estimates the waits and costs in a pool. run is the run time of a task, used when the
 // pool has not learned one. Tasks that run there now are taken to be halfway through on average.
 func newCandidate(r *port.PlanRequest, pool *model.PoolLoad, run time.Duration) candidate {
+	long := run > pool.MeanRun
 	if pool.MeanRun > 0 {
 		run = pool.MeanRun
 	}
@@ -103,6 +109,9 @@
 		pool: pool, freeSlots: max(pool.Free-pool.Queued, 0),
 		baseWait: (runningWork + pool.QueuedRun) / slots, waitPerTask: run / slots,
 	}
+	if long {
+		c.freeFast = min(pool.FreeFast, c.freeSlots)
+	}
 	if pool.Pool.DataCentre != r.Near {
 		c.roundTrip = remoteRoundTrip
 	}
