Placement: short tasks prefer pools with free slots at slower endpoints

Short tasks went to the pool with the most free slots, which every member took for the best one. Now pools with ample room are equal, and long tasks prefer those with free slots at fast endpoints, short ones those with free slots at others.

--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -58,7 +58,7 @@
 type candidate struct {
 	pool         *model.PoolLoad
 	freeSlots    int           // Number of tasks that can start at once.
-	freeFast     int           // Those of them that can start at fast endpoints; 0 for tasks that are not longer than the pool's average.
+	suited       int           // Those of them at fast endpoints if the tasks are longer than the pool's average, else those at others.
 	baseWait     time.Duration // Wait for a slot that the work already in the pool causes.
 	waitPerTask  time.Duration // Wait that each task beyond the free slots adds.
 	roundTrip    time.Duration // Round trip to the pool's data centre.
@@ -75,8 +75,8 @@
 }
 
 // rankByCost returns the pools in ascending order of the cost of running the whole job there, and those
-// of equal cost in descending order of free slots, for long tasks of those at fast endpoints first, up to ampleRoom jobs of this
-// size. Pools that are equal in all of these are in random order, so that the many members do not all choose the same pool: the
+// of equal cost in descending order of free slots, up to ampleRoom jobs of this size: first by those at fast endpoints for long
+// tasks and by those at other endpoints for short ones. Pools that are equal in all of these are in random order, so that the many members do not all choose the same pool: the
 // one that had the most free slots when it last reported.
 func rankByCost(r *port.PlanRequest, pools []model.PoolLoad) []candidate {
 	r.Random.Shuffle(len(pools), func(i, j int) { pools[i], pools[j] = pools[j], pools[i] })
@@ -89,7 +89,7 @@
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.wholeJobCost, b.wholeJobCost),
-			cmp.Compare(min(b.freeFast, ample), min(a.freeFast, ample)),
+			cmp.Compare(min(b.suited, ample), min(a.suited, ample)),
 			cmp.Compare(min(b.freeSlots, ample), min(a.freeSlots, ample)),
 		)
 	})
@@ -109,8 +109,10 @@
 		pool: pool, freeSlots: max(pool.Free-pool.Queued, 0),
 		baseWait: (runningWork + pool.QueuedRun) / slots, waitPerTask: run / slots,
 	}
+	fast := min(pool.FreeFast, c.freeSlots)
+	c.suited = c.freeSlots - fast
 	if long {
-		c.freeFast = min(pool.FreeFast, c.freeSlots)
+		c.suited = fast
 	}
 	if pool.Pool.DataCentre != r.Near {
 		c.roundTrip = remoteRoundTrip
