Endpoints: the fastest endpoints go first until a twelfth of their slots is free

Cause: with a third of the fast slots reserved for tasks that need them, short tasks run at slow endpoints while fast ones are free, and more of them are late than long ones are saved.

Change: a twelfth is reserved. The wait for a faster endpoint counts on every second slot that becomes free there, since others go to tasks before it in the queue.

--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -19,8 +19,12 @@
 	speedLevels  = 16
 	typicalLevel = 6
 
-	// fastSlotsReserve is the inverse of the share of fast slots that is reserved for tasks which need them.
-	fastSlotsReserve = 3
+	// fastSlotsReserve is the inverse of the share of fast slots that is reserved for tasks which need them. With a third of them
+	// reserved, more short tasks are late at slow endpoints than long ones are saved.
+	fastSlotsReserve = 12
+	// waitShare is the inverse of the share of slots at faster endpoints that become free for tasks which wait for them; the others
+	// go to tasks that come later and go before them in the queue.
+	waitShare = 2
 )
 
 // levelFactors holds the run time at the endpoints of each speed level over that at a typical endpoint.
@@ -201,7 +205,7 @@
 		return 0
 	}
 	run := levelFactors[fastest] * float64(request.Run)
-	expected := run * float64(request.Ahead+1) / float64(slots)
+	expected := waitShare * run * float64(request.Ahead+1) / float64(slots)
 	return max(request.Left-time.Duration(run+expected), 0)
 }
 
