--- a/cmd/redwingctl/profile.go
+++ b/cmd/redwingctl/profile.go
@@ -127,13 +127,15 @@
 		Change   string            `json:"change"`
 		Profile  model.ProfileName `json:"profile"`
 		Service  model.ServiceID   `json:"service"`
+
+		DataCentre model.DataCentre `json:"data_centre"`
 	} `json:"changes"`
 }
 
 func (r historyReply) write(w io.Writer) {
-	fmt.Fprintln(w, "REVISION\tAT\tOPERATOR\tCHANGE\tPROFILE\tSERVICE")
+	fmt.Fprintln(w, "REVISION\tAT\tOPERATOR\tCHANGE\tPROFILE\tSERVICE\tDATA CENTRE")
 	for _, c := range r.Changes {
-		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", c.Revision, c.At.UTC().Format(time.RFC3339), c.Operator, c.Change, c.Profile, c.Service)
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%s\n", c.Revision, c.At.UTC().Format(time.RFC3339), c.Operator, c.Change, c.Profile, c.Service, c.DataCentre)
 	}
 }
 
--- a/plugins/frontend/operators/profiles_test.go
+++ b/plugins/frontend/operators/profiles_test.go
@@ -221,3 +221,19 @@
 		}
 	})
 }
+
+// Guards against an order that is submitted as another edit, and against a list that includes evacuations that have ended.
+func TestEvacuationsAreListedAndOrdered(t *testing.T) {
+	is := is.New(t)
+	register, handler := newFrontend()
+	register.set.Evacuations = map[model.DataCentre]model.Evacuation{"sj2": {Active: true}, "sj1": {Active: true}, "sj3": {}}
+	answer := call(handler, http.MethodGet, "/v1/evacuations", "", nil)
+	is.Equal(strings.TrimSpace(answer.Body.String()), `{"evacuated":["sj1","sj2"],"revision":7}`)
+	is.Equal(call(handler, http.MethodPut, "/v1/evacuations/a%20b", "", validHeaders()).Code, http.StatusBadRequest)
+	for method, kind := range map[string]model.EditKind{http.MethodPut: model.Evacuate, http.MethodDelete: model.EndEvacuation} {
+		register.edits = nil
+		is.Equal(call(handler, method, "/v1/evacuations/sj3", "", validHeaders()).Code, http.StatusOK)
+		is.Equal(register.edits[0].Kind, kind)
+		is.Equal(register.edits[0].DataCentre, model.DataCentre("sj3"))
+	}
+}
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -205,3 +205,30 @@
 	is.Equal(g.age(parts, later), time.Minute)
 	is.Equal(g.monotonicUnixMS(later)-g.monotonicUnixMS(now), time.Minute.Milliseconds())
 }
+
+// Guards against jobs that are planned to an evacuated data centre by a load that is older than the order, against parts refused there
+// that are charged to the retry budget, and against jobs that are refused for good when no data centre is left.
+func TestJobsAreNotPlannedToEvacuatedDataCentres(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		j, _, f, _ := newMemberPair(t)
+		f.loads[0].Pool.DataCentre, f.profile.RetryBudget = "sj1", 0
+		f.run = func(ctx context.Context, b model.Batch) model.BatchResult {
+			if b.Pool.DataCentre == "sj1" {
+				return model.RefusedBatch(b.ID, model.ReasonEvacuated)
+			}
+			return answerAfterOneSecond(ctx, b)
+		}
+		for range 40 { // More than the budget that a service starts with.
+			is.Equal(j.Submit(t.Context(), newJob(j.Mint(1)[0], 1)).State, model.StateComplete)
+		}
+		f.evacuations = map[model.DataCentre]model.Evacuation{"sj1": {Active: true}}
+		f.runs.Store(0)
+		is.Equal(j.Submit(t.Context(), newJob(j.Mint(1)[0], 1)).State, model.StateComplete)
+		is.Equal(f.runs.Load(), int32(1))
+		f.evacuations[""] = model.Evacuation{Active: true} // The data centre of the other pool.
+		refused := j.Submit(t.Context(), newJob(j.Mint(1)[0], 1))
+		is.Equal(refused.Run, model.NotRun)
+		is.Equal(refused.Reason, model.ReasonEvacuated)
+		is.True(refused.RetryAfter > 0)
+	})
+}
--- a/plugins/profiles/profiles_test.go
+++ b/plugins/profiles/profiles_test.go
@@ -12,6 +12,8 @@
 	"github.com/matryer/is"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/plugin"
+	"redwingpulley/kernel/port"
 )
 
 func TestEdit_FromAnyMemberIsInForceEverywhere(t *testing.T) {
@@ -171,3 +173,37 @@
 		is.True(perNode < 700) // A tenth of the 7 KB a second that one member's control traffic may take.
 	})
 }
+
+// Guards against an order that is forgotten when all members restart and a replica loses its disk, one that a member without a majority
+// answers as done, and one that is refused because it is sent twice or to two members.
+func TestOrder_SurvivesRestartsAndNeedsAMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startCluster(t, 3, 1)
+		defer c.stopAll()
+		order := func(id model.NodeID, evacuate bool) model.EditStatus {
+			evacuations, err := plugin.Lookup[port.Evacuations](c.hosts[id])
+			is.NoErr(err)
+			return evacuations.Order(t.Context(), "sj1", evacuate)
+		}
+		is.Equal(order("n3", true), model.EditDone)
+		is.Equal(order("n0", true), model.EditDone)
+		c.stopAll()
+		is.NoErr(os.RemoveAll(filepath.Join(c.dir, "n0")))
+		for i := range 4 {
+			c.start(node(i))
+		}
+		for i := range 4 {
+			c.awaitRevision(node(i), 1)
+			set, _ := c.current(node(i))
+			is.True(set.Evacuated("sj1"))
+		}
+		c.awaitVoter("n0")
+		c.net.partition("n0")
+		is.Equal(order("n1", false), model.EditDone)
+		is.Equal(order("n0", true), model.EditNoMajority) // In force here, but withdrawn by the others.
+		c.net.partition()
+		c.awaitRevision("n0", 2)
+		is.Equal(order("n0", true), model.EditDone)
+	})
+}
--- a/plugins/profiles/register/machine_test.go
+++ b/plugins/profiles/register/machine_test.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -226,3 +227,30 @@
 		}
 	})
 }
+
+// Guards against an order that takes effect after its withdrawal has overtaken it, also where its data centre was evicted meanwhile,
+// against a change when an order is repeated, and against a register that grows without bound.
+func TestEvacuation_OvertakenOrderIsStaleAndRepeatedOneChangesNothing(t *testing.T) {
+	is := is.New(t)
+	state := Initial()
+	order := func(kind model.EditKind, dc model.DataCentre, known model.Revision) string {
+		edit := model.ProfileEdit{ID: fmt.Sprint(kind, dc, known, state.Revision()), Kind: kind, DataCentre: dc, Expect: known}
+		next, result := applyEdit(state, edit, time.Unix(1, 0))
+		state = next
+		return fmt.Sprint(result.Status, result.Run, result.Revision)
+	}
+	is.Equal(order(model.Evacuate, "sj1", 0), "done1")
+	is.Equal(order(model.Evacuate, "sj1", 0), "done1") // Of another member.
+	is.Equal(order(model.Evacuate, "sj2", 0), "done2") // sj2 has not changed.
+	is.Equal(order(model.EndEvacuation, "sj1", 2), "done3")
+	is.Equal(order(model.Evacuate, "sj1", 2), "stalenot_run3")
+	is.Equal(order(model.EndEvacuation, "sj2", 1), "stalenot_run3")
+	for i := range model.MaxEvacuations - 1 { // The last one evicts sj1.
+		is.Equal(order(model.Evacuate, model.DataCentre(fmt.Sprint(i)), state.Revision()), fmt.Sprint("done", 4+i))
+	}
+	is.Equal(order(model.Evacuate, "sj1", state.Revision()), "too_manynot_run66")
+	is.Equal(order(model.EndEvacuation, "0", state.Revision()), "done67")
+	is.Equal(order(model.Evacuate, "sj1", 2), "stalenot_run67")
+	is.Equal(order(model.Evacuate, "sj1", state.Revision()), "done68")
+	is.Equal(len(state.Set.Evacuations), model.MaxEvacuations)
+}
--- a/plugins/profiles/wire/wire_test.go
+++ b/plugins/profiles/wire/wire_test.go
@@ -112,3 +112,11 @@
 	is.NoErr(err)
 	is.Equal(string(third.Value), string(fresh.Value))
 }
+
+// Guards against a register file of an older version that cannot be read, or by which a data centre seems to be evacuated.
+func TestDecode_StateOfVersionWithoutEvacuations(t *testing.T) {
+	is := is.New(t)
+	var older State
+	is.NoErr(json.Unmarshal([]byte(`{"revision":3,"profiles":[{"name":"default"}],"history":[{"revision":3,"id":"x"}]}`), &older))
+	is.Equal(older.Decode().Set.Evacuations, nil)
+}
