Endpoints: a start that has waited is not sent in an evacuated data centre, with its test

Cause: the check before a start is sent had no test. An edit whose later round was refused counted as unknown for longer than needed. Evidence: the test fails without the check; the register's tests fail without the comparison of the data centre's newest change.

--- a/plugins/endpoints/evacuation_test.go
+++ b/plugins/endpoints/evacuation_test.go
@@ -1,12 +1,15 @@
 package endpoints
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/poolstate"
 )
 
 // testProfiles is the port.Profiles of a member.
@@ -53,3 +56,23 @@
 		is.Equal((<-members[2].runBatch(members[1], 3, 1)).Reason, model.ReasonEvacuated)
 	})
 }
+
+// Guards against a start that the pool decided on before an evacuation, and that is sent long after it: it has waited for the ends of
+// earlier runs of its task.
+func TestStartThatHasWaitedIsNotSentInAnEvacuatedDataCentre(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		_, _, owner, atOwner := newPair(t)
+		r := useRuns(atOwner)
+		other := model.PoolID{Service: pool1.Service, DataCentre: pool1.DataCentre, Part: 1}
+		owner.step(other, announcedEvent())
+		for i, pool := range []model.PoolID{pool1, pool1, other} {
+			owner.step(pool, submissionOf(model.JobID(fmt.Sprintf("origin.o1.1.%d.t", i+1)), pool))
+			synctest.Wait()
+		}
+		owner.profiles = testProfiles{&testMember{cluster: &cluster{evacuated: true}}}
+		owner.step(pool1, poolstate.Elapsed{})
+		owner.step(other, poolstate.Elapsed{})
+		time.Sleep(4 * runTime) // On the virtual clock: the second run begins within the time for such batches, the third would not.
+		is.Equal(r.startCount(), 2)
+	})
+}
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -229,7 +229,9 @@
 	if p.delta != nil {
 		p.value = base.withDelta(*p.delta)
 	}
-	p.expects = base.Revision()
+	if p.result.Status == model.EditDone {
+		p.expects = base.Revision()
+	}
 	p.valueSent = p.valueSent || p.result.Status == model.EditDone && p.Edit.Kind != resolveKind && p.Edit.Kind != model.ConfirmRevision
 	p.phase = Accepted
 	p.votes = make(map[model.NodeID]Message)
