Endpoints, leases: only measured runs are learned as run times

Cause: after a disconnection of endpoints, the time from a start to its late outcome was learned as the run's time, and a run that was lost while it was being stopped as a long run. Jobs were refused for seconds while slots were free.

Change: port.TaskReply and RevokeReply have TimeUnknown. The lease machine sets it when the start was not answered within 100 ms, when a hold or stop failed, a hold's reply was late or none was in flight before the end was reported, and when the lease moved or the end was settled at the next incarnation. The task client sets it when the request was written late or a revoke found the answer; plugins/endpoints when the start waited for an earlier run; the pool when announcements ended, no longer listed the task, or the process stood still. A stopped run counts with its time until the stop, not until the stop's reply; a lost or failed one no longer counts. Sums of histograms are renewed after 5% instead of 3% of new weight, for the sake of speed.

TestRunThatIsStoppedAfterAHandoverFinishesWhenItsEndIsKnown compares whole outcomes, which now have TimeUnknown set.

--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -133,8 +133,15 @@
 	Answer []byte
 	Detail string
 	Cause  LossCause // Set with TaskLost, where the sender knows of causes.
+	// TimeUnknown says that the time from the start to this reply may exceed the run's time by more than MaxTimingError.
+	TimeUnknown bool
 }
 
+// MaxTimingError is by how much the time from a start to its reply may exceed the time of the run that counts as measured. A
+// process with a small share of a core may be stopped by the scheduler for nearly its period of 100 ms, while
+// the loss of a packet or of a connection costs 200 ms or more.
+const MaxTimingError = 100 * time.Millisecond
+
 // LossCause is what is known about why a run was lost.
 type LossCause string
 
@@ -175,6 +182,7 @@
 
 // RevokeReply is an endpoint's answer to a revoke; State is TaskUnknown when no answer arrived.
 type RevokeReply struct {
-	State  TaskState
-	Answer []byte
+	State       TaskState
+	Answer      []byte
+	TimeUnknown bool // As in TaskReply.
 }
--- a/plugins/endpoints/attempts.go
+++ b/plugins/endpoints/attempts.go
@@ -110,6 +110,7 @@
 		return
 	}
 	defer c.cancel()
+	decidedAt := time.Now()
 	if !p.takeTurn(c.ctx, id, s) {
 		return
 	}
@@ -117,7 +118,9 @@
 		p.endTurn(id, s.Key, started)
 		return
 	}
+	delayed := time.Since(decidedAt) > port.MaxTimingError
 	reply, took := p.callStart(id, c, s)
+	reply.TimeUnknown = reply.TimeUnknown || delayed
 	p.logTaskEnded(id, s, reply, took)
 	ref := refOf(s.Key, s.Task)
 	if reply.State == port.TaskLost {
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -68,6 +68,8 @@
 	openRevokes      int       // Revokes that have not been replied to.
 	unsettledRevokes int       // Consecutive revokes whose replies did not tell whether the task ended.
 	stopping         bool      // Its batch was cancelled and its endpoint is asked to stop it.
+	stoppedAt        time.Time // When the endpoint was asked to stop it.
+	timeUnknown      bool      // The time since sentAt is not that of the run.
 }
 
 func (t *task) spec() *model.Task { return &t.batch.Tasks[t.position] }
@@ -279,7 +281,7 @@
 	switch t.phase {
 	case atEndpoint:
 		result.Run = model.MayHaveRun
-		t.stopping = true
+		t.stopping, t.stoppedAt = true, now
 		m.recordOverrun(now, t, reason)
 		m.revoke(t, 0, fx)
 	case held:
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -132,6 +132,7 @@
 	t.endpoint, t.slot = e, len(e.tasks)
 	t.sentAt, t.unlistedSince = now, time.Time{}
 	t.openRevokes, t.unsettledRevokes = 0, 0
+	t.timeUnknown = false
 	e.tasks = append(e.tasks, t)
 	e.taken = e.taken.Plus(t.spec().Needs)
 	m.addInFlight(t)
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -212,6 +212,7 @@
 	m.updateTotals(e)
 	m.requeueHeldIfUnavailable(e)
 	for _, t := range e.tasks {
+		t.timeUnknown = true // The endpoint is not in contact.
 		m.revoke(t, 0, fx)
 	}
 	m.removeIfSettled(e)
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -31,6 +31,7 @@
 		return
 	}
 	t.losses = crashes.Merge(t.losses, r.Losses)
+	t.timeUnknown = t.timeUnknown || r.Reply.TimeUnknown
 	switch r.Reply.State {
 	case port.TaskDone:
 		m.handleAnswer(now, t, r.Reply.Answer, fx)
@@ -46,10 +47,14 @@
 		if !t.batch.ended {
 			m.recordOutcome(now, t.endpoint, t.batch.ID.Job, true)
 		}
+		t.timeUnknown = true
 		m.revoke(t, 0, fx)
 	case port.TaskLost:
 		t.recordLoss(r.Reply.Cause)
 		m.handleLostRun(now, t, fx)
+	case port.TaskStopped:
+		m.learnStopped(t)
+		m.handleFailure(now, t, fx)
 	default:
 		m.handleFailure(now, t, fx)
 	}
@@ -63,6 +68,7 @@
 		return
 	}
 	t.openRevokes = max(t.openRevokes-1, 0)
+	t.timeUnknown = t.timeUnknown || r.Reply.TimeUnknown
 	switch r.Reply.State {
 	case port.TaskRevoked, port.TaskNotRun:
 		m.requeueUnstarted(now, t, fx)
@@ -72,6 +78,9 @@
 		m.retryRevoke(now, t, fx)
 	case port.TaskLost:
 		m.handleLostRun(now, t, fx)
+	case port.TaskStopped:
+		m.learnStopped(t)
+		m.handleFailure(now, t, fx)
 	default:
 		m.handleFailure(now, t, fx)
 	}
@@ -93,6 +102,8 @@
 // handleAnswer frees the slot of a task that has answered and records its answer.
 func (m *Machine) handleAnswer(now time.Time, t *task, answer []byte, fx *Effects) {
 	m.recordOutcome(now, t.endpoint, t.batch.ID.Job, false)
+	answerStuck := !t.unlistedSince.IsZero() && now.Sub(t.unlistedSince) > port.MaxTimingError
+	t.timeUnknown = t.timeUnknown || answerStuck
 	m.learn(t, now.Sub(t.sentAt))
 	m.release(t)
 	if !t.batch.ended {
@@ -100,13 +111,22 @@
 	}
 }
 
-// learn adds a run time to the estimates and corrects the charge of the task's team, which was made by
-// the estimate.
+// learn adds a run time to the estimates, if it was measured, and corrects the charge of the task's team, which was made by
+// the estimate. The slot was taken for that time in any case.
 func (m *Machine) learn(t *task, run time.Duration) {
-	t.class.Learn(t.batch.profile.LearnWeight, run)
+	if !t.timeUnknown {
+		t.class.Learn(t.batch.profile.LearnWeight, run)
+	}
 	m.queue.charge(t.batch.team, run-t.run.Mean)
 }
 
+// learnStopped learns from a run that was stopped: without the stop it would have run for longer than until then.
+func (m *Machine) learnStopped(t *task) {
+	if run := t.stoppedAt.Sub(t.sentAt); t.stopping && run > t.run.Mean {
+		m.learn(t, run)
+	}
+}
+
 // handleRefusal handles an endpoint's reply that it did not start the task. The slot may be in use by
 // something else, such as a task of the pool's former owner. It counts as taken until the endpoint
 // announces which tasks it runs. At a leased endpoint, whose announcements list no tasks, the slot and
@@ -206,11 +226,8 @@
 		m.requeueAfterRun(now, t, fx)
 		return
 	}
-	switch {
-	case !t.stopping:
+	if !t.stopping {
 		m.recordOutcome(now, t.endpoint, t.batch.ID.Job, true)
-	case now.Sub(t.sentAt) > t.run.Mean:
-		m.learn(t, now.Sub(t.sentAt)) // Without the stop it would have run for at least as long.
 	}
 	m.release(t)
 	if !t.batch.ended {
--- a/plugins/endpoints/poolstate/resume.go
+++ b/plugins/endpoints/poolstate/resume.go
@@ -14,6 +14,9 @@
 // progress continue: what they have done is reported. A batch that has not started is refused, so that an origin that still
 // waits sends it elsewhere.
 func (m *Machine) handleResumed(now time.Time, fx *Effects) {
+	for _, t := range m.inFlight {
+		t.timeUnknown = true // The run may have ended while the process stood still.
+	}
 	open := slices.SortedFunc(maps.Values(m.batches), func(a, b *batch) int { return cmp.Compare(a.order, b.order) })
 	for _, b := range open {
 		b.outlived = true
--- a/plugins/endpoints/runtimes/histogram.go
+++ b/plugins/endpoints/runtimes/histogram.go
@@ -20,7 +20,7 @@
 	minHalfLife    = 32 // Below, the 95th percentile would rest on 2 samples.
 	maxHalfLife    = 512
 	// lagDivisor bounds how far the values that are read lag behind: by this fraction of the samples' weight.
-	lagDivisor = 32
+	lagDivisor = 20
 
 	// blockSamples is the number of samples in which a change of the run times is looked for. Earlier samples are forgotten when
 	// changedSamples of them are more than changedBuckets away from the median, all on the same side. Without a change this
--- a/plugins/leases/lease/event.go
+++ b/plugins/leases/lease/event.go
@@ -173,6 +173,8 @@
 	State  port.TaskState
 	Detail string
 	Cause  port.LossCause // Set with port.TaskLost.
+	// TimeUnknown says that the time since the StartRequested is not the run's time: the endpoint was not in contact throughout.
+	TimeUnknown bool
 }
 
 // Config holds the parameters of a Machine.
--- a/plugins/leases/lease/hold.go
+++ b/plugins/leases/lease/hold.go
@@ -20,6 +20,7 @@
 
 func (m *Machine) handleHoldReply(now time.Time, reply port.HoldReply, fx *Effects) {
 	m.holdInFlight = false
+	m.recordHoldContact(now, reply.State)
 	m.recordRetireReply(reply.State)
 	m.recordContact(now, reply.State, reply.Refused, fx)
 	switch reply.State {
@@ -113,6 +114,7 @@
 			m.leaseExtendedAt, m.holdExtends = now, true
 		}
 	}
+	m.recordHoldGap(now, order.Wait)
 	fx.Hold = &order
 }
 
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -57,13 +57,15 @@
 	clockReadAt   time.Time // When endpointClock was read.
 
 	holdInFlight    bool
-	holdSentAt      time.Time // When the newest hold was sent.
-	holdToken       uint64    // Fencing token of the newest hold.
-	holdExtends     bool      // The newest hold extends the lease.
-	failedHolds     int       // Consecutive holds that failed.
-	holdRetryAt     time.Time // When to send the next hold after a failed one; zero after a successful one.
-	leaseExtendedAt time.Time // When the newest hold or start that extends the lease was sent.
-	ordersArriveBy  time.Time // Latest time at which starts and holds without an answer may arrive, at this incarnation or the next one.
+	holdSentAt      time.Time     // When the newest hold was sent.
+	holdToken       uint64        // Fencing token of the newest hold.
+	holdExtends     bool          // The newest hold extends the lease.
+	holdWaits       time.Duration // For how long the endpoint may delay its reply to the newest hold.
+	holdRepliedAt   time.Time     // When the newest reply to a hold arrived; zero before the first.
+	failedHolds     int           // Consecutive holds that failed.
+	holdRetryAt     time.Time     // When to send the next hold after a failed one; zero after a successful one.
+	leaseExtendedAt time.Time     // When the newest hold or start that extends the lease was sent.
+	ordersArriveBy  time.Time     // Latest time at which starts and holds without an answer may arrive, at this incarnation or the next one.
 	lateExtensions  lateExtensions
 	leaseSeenAt     time.Time // When the endpoint has listed a run last, so that the lease was in force.
 	// holderExtensionsUntil is the time until which late orders of the holder that has fenced this one may extend the lease.
@@ -121,6 +123,7 @@
 	startArrivesBy  time.Time // Latest time at which the start may arrive, or may have arrived, and extend the lease.
 	claimedAt       time.Time // When this member last claimed the run, which another holder keeps running.
 	endReported     bool      // The endpoint has reported the run's end.
+	timeUnknown     bool      // See contact.go.
 	// lossCause is why the run is lost, unless the successor that settles it has started it.
 	lossCause port.LossCause
 }
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -96,7 +96,7 @@
 	case port.OrderDone:
 		m.confirmStart(now, r)
 	case port.OrderUnknown:
-		r.phase = startUnanswered
+		r.phase, r.timeUnknown = startUnanswered, true
 		m.recordUnanswered(now, r.startToken, r.startArrivesBy.Add(-MaxOrderDelay))
 		r.stopDueAt = now // The endpoint never starts a run after its stop, even when the start arrives later.
 	case port.OrderFenced:
@@ -118,6 +118,7 @@
 func (m *Machine) confirmStart(now time.Time, r *run) {
 	r.phase = confirmed
 	r.confirmedAt, r.startArrivesBy = now, now
+	r.timeUnknown = r.timeUnknown || elapsed(now, r.requestedAt) > port.MaxTimingError
 	if now.Before(m.fencedUntil) {
 		r.phase = handedOver
 		return
@@ -165,6 +166,7 @@
 	case port.OrderOtherIncarnation:
 		m.handleOtherIncarnation(now, e.Reply.Incarnation, fx)
 	default:
+		r.timeUnknown = true
 		if r.phase != handedOver {
 			r.stopDueAt = now.Add(retryDelay)
 		}
@@ -185,6 +187,7 @@
 	if r, known := m.runs[outcome.Run]; known && outcome.State == port.TaskLost && !r.endReported {
 		m.rememberPresumedLost(outcome.Run)
 	}
+	outcome.TimeUnknown = m.timeUnknown(now, outcome.Run)
 	delete(m.runs, outcome.Run)
 	m.lastFinishedAt = now
 	fx.Finished = append(fx.Finished, outcome)
--- a/plugins/leases/tasks.go
+++ b/plugins/leases/tasks.go
@@ -24,7 +24,7 @@
 	if !ok {
 		return port.TaskReply{State: port.TaskUnknown, Detail: "the run did not end before the deadline"}
 	}
-	return port.TaskReply{State: outcome.State, Detail: outcome.Detail, Cause: outcome.Cause}
+	return port.TaskReply{State: outcome.State, Detail: outcome.Detail, Cause: outcome.Cause, TimeUnknown: outcome.TimeUnknown}
 }
 
 // Revoke returns the state of a run. With revoke.Stop it first stops the run and waits up to
@@ -47,7 +47,7 @@
 	if !ok {
 		return port.RevokeReply{State: port.TaskUnknown}
 	}
-	return port.RevokeReply{State: outcome.State}
+	return port.RevokeReply{State: outcome.State, TimeUnknown: outcome.TimeUnknown}
 }
 
 // Retire retires the endpoint, and reports whether it has been retired by the end of the context.
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -9,7 +9,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -98,7 +100,12 @@
 	if err != nil {
 		return port.TaskReply{State: port.TaskNotRun, Detail: err.Error()}
 	}
+	calledAt := time.Now()
+	var late atomic.Bool // The request was late.
 	traced, connected := dial.Trace(ctx)
+	traced = httptrace.WithClientTrace(traced, &httptrace.ClientTrace{
+		WroteRequest: func(httptrace.WroteRequestInfo) { late.Store(time.Since(calledAt) > port.MaxTimingError) },
+	})
 	request, err := newRequest(traced, taskURL(address, start.ID), body)
 	if err != nil {
 		return port.TaskReply{State: port.TaskNotRun, Detail: err.Error()}
@@ -111,6 +118,7 @@
 	c.requests.Inc(1)
 	c.replies.Inc(1)
 	reply := decodeStartReply(start, response)
+	reply.TimeUnknown = late.Load()
 	if reply.State != port.TaskDone && reply.State != port.TaskFailed {
 		c.wasted.Inc(2) // The request and the reply.
 	}
@@ -229,7 +237,8 @@
 	if reply.State == port.TaskDone && len(reply.Answer) == 0 {
 		return port.RevokeReply{State: port.TaskFailed}
 	}
-	return port.RevokeReply{State: reply.State, Answer: reply.Answer}
+	// A run that is done has no reply to its start, so that it is not known when it ended.
+	return port.RevokeReply{State: reply.State, Answer: reply.Answer, TimeUnknown: reply.State == port.TaskDone}
 }
 
 func taskURL(address string, id model.TaskID) string {
