--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -62,7 +62,7 @@
 }
 
 func (m *Machine) pickRequest(now time.Time, t *task) port.PickRequest {
-	r := port.PickRequest{Now: now, Needs: t.spec().Needs, Run: t.run.mean, Left: m.objectiveLeft(now, t.batch), Ahead: m.waiting}
+	r := port.PickRequest{Now: now, Needs: t.spec().Needs, Run: t.run.Mean, Left: m.objectiveLeft(now, t.batch), Ahead: m.waiting}
 	if m.totals.serving > 1 {
 		r.Avoid = t.avoid
 	}
@@ -137,6 +137,7 @@
 	t.endpoint, t.slot = e, len(e.tasks)
 	t.sentAt, t.unlistedSince = now, time.Time{}
 	t.openRevokes, t.unsettledRevokes = 0, 0
+	t.timeUnknown = false
 	e.tasks = append(e.tasks, t)
 	e.taken = e.taken.Plus(t.spec().Needs)
 	m.addInFlight(t)
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -6,6 +6,7 @@
 	"redwingpulley/kernel/invariant"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/runtimes"
 	"redwingpulley/plugins/endpoints/speed"
 )
 
@@ -40,7 +41,7 @@
 	freed                []*endpoint      // Endpoints with held tasks that may have room for one now.
 	changes              []EndpointChange // Changes of endpoints in this step.
 	released             []Release        // Attempts released in this step.
-	runTimes             runTimes
+	runTimes             runtimes.Estimates
 	speeds               *speed.Table // nil when speeds are not learned.
 	waiting              int          // Tasks found in this step that wait for a faster endpoint.
 	waitEnd              timer        // When the first of the tasks that wait for a faster endpoint is to wait no longer.
@@ -67,7 +68,7 @@
 		inFlight:  make(map[model.TaskID]*task),
 		origins:   newOrigins(),
 		queue:     newQueue(),
-		runTimes:  newRunTimes(),
+		runTimes:  runtimes.New(),
 		retries:   retryBudget{tokens: maxRetryTokens},
 		timers:    newTimers(),
 		waitEnd:   newTimer(func(time.Time, *Effects) {}), // Each step dispatches queued tasks.
@@ -149,7 +150,7 @@
 		Pool: m.id, Owner: m.owner, Version: m.version,
 		Endpoints: m.totals.serving, Slots: m.totals.slots, Free: m.totals.free, FreeFast: m.totals.freeFast, Largest: m.largest(),
 		Queued: m.queue.count + m.totals.held, QueuedRun: m.queue.work,
-		MeanRun: time.Duration(m.runTimes.service.mean),
+		MeanRun: m.runTimes.Mean(),
 	})
 }
 
--- a/plugins/endpoints/poolstate/resume.go
+++ b/plugins/endpoints/poolstate/resume.go
@@ -12,6 +12,9 @@
 // progress continue: what they have done is reported. A batch that has not started is refused, so that an origin that still
 // waits sends it elsewhere.
 func (m *Machine) handleResumed(now time.Time, fx *Effects) {
+	for _, t := range m.inFlight {
+		t.timeUnknown = true // The run may have ended while the process stood still.
+	}
 	for _, b := range m.batchesInOrder() {
 		b.outlived = true
 		switch {
--- a/plugins/endpoints/poolstate/speed.go
+++ b/plugins/endpoints/poolstate/speed.go
@@ -16,11 +16,11 @@
 // learnSpeed adds the run of a task that has answered to the estimate for its endpoint. Until the service's run times are known
 // the declared ones, with which the run would be compared, may be far off.
 func (m *Machine) learnSpeed(now time.Time, t *task) {
-	if m.speeds == nil || !t.class.learned() {
+	if m.speeds == nil || t.timeUnknown || !t.class.Learned() {
 		return
 	}
 	e := t.endpoint
-	m.speeds.Add(now, e.Address, e.Kind, now.Sub(t.sentAt), t.run.median)
+	m.speeds.Add(now, e.Address, e.Kind, now.Sub(t.sentAt), t.run.Median)
 	m.updateSpeed(now, e, false)
 }
 
