Routes: priority travels with the job and its batches

The priority that a route declares was not decoded, and a part of a job did not tell its pool when the job was submitted.

Route.Priority goes from 0, the most urgent, to 4. A number out of range is clamped where it is declared, since refusing the whole declaration would leave all routes as they are. The job and its batches carry it, with the time of submission (on the wire as an age, since clocks differ) and, for a part, the number of the job's tasks. Older members ignore the fields.

--- a/kernel/model/job.go
+++ b/kernel/model/job.go
@@ -106,6 +106,11 @@
 	MaxFailures int `json:",omitempty"`
 	// Objective is the latency objective of the job; the zero value means none.
 	Objective Objective `json:",omitzero"`
+	// Priority is that of the job's route, from 0, the most urgent, to MaxPriority.
+	Priority int `json:",omitempty"`
+	// Submitted is when the first member got the job; its objective counts from then. The zero value
+	// means that it is not known.
+	Submitted time.Time `json:",omitzero"`
 	// Attached is set when the job is cancelled once its caller disconnects.
 	Attached bool `json:",omitempty"`
 }
--- a/kernel/model/pool.go
+++ b/kernel/model/pool.go
@@ -107,6 +107,9 @@
 
 	Objective Objective `json:",omitzero"`  // Latency objective of the job.
 	Whole     bool      `json:",omitempty"` // Whether the batch holds all tasks of the job.
+	Priority  int       `json:",omitempty"` // Priority of the job.
+	Submitted time.Time `json:",omitzero"`  // When the job was submitted; zero if that is not known.
+	JobTasks  int       `json:",omitempty"` // Number of tasks of the job; 0 in a batch with all of them, or if it is not known.
 }
 
 // TaskResult is how one task of a batch ended.
--- a/kernel/model/routing.go
+++ b/kernel/model/routing.go
@@ -26,8 +26,15 @@
 	Timeout     time.Duration // Time that a request may take when its caller states none.
 	MaxFailures int           // Number of runs of a task that may fail before its job fails.
 	Objective   Objective     // Latency objective of the route's jobs.
+	Priority    int           // From 0, the most urgent, to MaxPriority.
 }
 
+// MaxPriority is the priority of the least urgent jobs.
+const MaxPriority = 4
+
+// ClampPriority returns the valid priority that is nearest to the given number.
+func ClampPriority(priority int) int { return min(max(priority, 0), MaxPriority) }
+
 // Match returns the route of a request: the one for its host whose prefix is the longest that the
 // path begins with.
 func (r *Routing) Match(host, path string) (route Route, ok bool) {
--- a/plugins/endpoints/wire.go
+++ b/plugins/endpoints/wire.go
@@ -35,6 +35,9 @@
 	MaxFailures int           `json:"max_failures,omitempty"`
 	Objective   wireObjective `json:"objective,omitzero"`
 	Whole       bool          `json:"whole,omitempty"`
+	Priority    int           `json:"priority,omitempty"`
+	AgeMS       int64         `json:"age_ms,omitempty"` // Time since the job was submitted; 0 if that is not known.
+	JobTasks    int           `json:"job_tasks,omitempty"`
 	Tasks       []wireTask    `json:"tasks"`
 	SentAt      *transit.Time `json:"sent_at,omitempty"` // Time of the receiver's clock that had certainly passed when this was sent.
 }
@@ -112,7 +115,7 @@
 		RemainingMS: time.Until(batch.Deadline).Milliseconds(),
 		MaxWaitMS:   batch.MaxWait.Milliseconds(),
 		Key:         batch.Key, MaxFailures: batch.MaxFailures,
-		Objective: wireObjective(batch.Objective), Whole: batch.Whole,
+		Objective: wireObjective(batch.Objective), Whole: batch.Whole, Priority: batch.Priority, AgeMS: ageMS(batch.Submitted), JobTasks: batch.JobTasks,
 		Tasks: make([]wireTask, 0, len(batch.Tasks)),
 	}
 	for _, t := range batch.Tasks {
@@ -121,6 +124,23 @@
 	return r
 }
 
+// ageMS returns the time since a job was submitted, within the limits of a valid request. It is at least 1,
+// since 0 says that the time is not known.
+func ageMS(submitted time.Time) int64 {
+	if submitted.IsZero() {
+		return 0
+	}
+	return min(max(time.Since(submitted).Milliseconds(), 1), maxRemaining.Milliseconds())
+}
+
+// submittedAt returns when a job of the given age was submitted.
+func submittedAt(ageMS int64) time.Time {
+	if ageMS == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(-time.Duration(ageMS) * time.Millisecond)
+}
+
 // valid reports whether a correct member could have sent the request. An invalid one, from a faulty member,
 // must not violate an invariant in this process.
 func (r runRequest) valid() bool {
@@ -145,6 +165,7 @@
 	longest := maxRemaining.Milliseconds()
 	return r.RemainingMS <= longest && r.RemainingMS >= -longest && r.MaxWaitMS >= 0 && r.MaxWaitMS <= longest &&
 		r.MaxFailures >= 0 && r.Objective.Stretch >= 0 && r.Objective.Useful >= 0 && r.Objective.Slack >= 0 &&
+		r.Priority >= 0 && r.AgeMS >= 0 && r.AgeMS <= longest && r.JobTasks >= 0 && r.JobTasks <= model.MaxTasksPerJob &&
 		len(r.Key) <= maxLossTextLength && len(r.Team) <= model.MaxName
 }
 
@@ -154,7 +175,7 @@
 		Deadline: time.Now().Add(time.Duration(r.RemainingMS) * time.Millisecond),
 		MaxWait:  time.Duration(r.MaxWaitMS) * time.Millisecond,
 		Key:      r.Key, MaxFailures: r.MaxFailures,
-		Objective: model.Objective(r.Objective), Whole: r.Whole,
+		Objective: model.Objective(r.Objective), Whole: r.Whole, Priority: model.ClampPriority(r.Priority), Submitted: submittedAt(r.AgeMS), JobTasks: r.JobTasks,
 		Tasks: make([]model.Task, 0, len(r.Tasks)),
 	}
 	for _, t := range r.Tasks {
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -146,6 +146,11 @@
 		MaxFailures: j.job.MaxFailures,
 		Objective:   j.job.Objective,
 		Whole:       j.job.Objective != (model.Objective{}) && len(part.Tasks) == len(j.job.Tasks),
+		Priority:    j.job.Priority,
+		Submitted:   j.job.Submitted,
+	}
+	if !batch.Whole {
+		batch.JobTasks = len(j.job.Tasks)
 	}
 	for _, index := range part.Tasks {
 		batch.Tasks = append(batch.Tasks, j.job.Tasks[index])
--- a/plugins/jobs/submit.go
+++ b/plugins/jobs/submit.go
@@ -31,6 +31,9 @@
 	if job.ID == "" {
 		job.ID = j.idForKey(job.Key)
 	}
+	if job.Submitted.IsZero() {
+		job.Submitted = time.Now()
+	}
 	if job.Deadline.IsZero() {
 		job.Deadline = time.Now().Add(j.defaultDeadline(job.Service))
 	}
--- a/plugins/profiles/wire/routing.go
+++ b/plugins/profiles/wire/routing.go
@@ -23,6 +23,7 @@
 	Timeout     time.Duration   `json:"timeout_ns"`
 	MaxFailures int             `json:"failures,omitempty"`
 	Objective   objective       `json:"objective,omitzero"`
+	Priority    int             `json:"priority,omitempty"`
 }
 
 type objective struct {
@@ -34,14 +35,14 @@
 func encodeRoute(r model.Route) route {
 	return route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Service: r.Service, Timeout: r.Timeout,
-		MaxFailures: r.MaxFailures, Objective: objective(r.Objective),
+		MaxFailures: r.MaxFailures, Objective: objective(r.Objective), Priority: r.Priority,
 	}
 }
 
 func (r route) decode() model.Route {
 	return model.Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Service: r.Service, Timeout: r.Timeout,
-		MaxFailures: r.MaxFailures, Objective: model.Objective(r.Objective),
+		MaxFailures: r.MaxFailures, Objective: model.Objective(r.Objective), Priority: model.ClampPriority(r.Priority),
 	}
 }
 
--- a/plugins/profiles/wire/wire_test.go
+++ b/plugins/profiles/wire/wire_test.go
@@ -38,7 +38,7 @@
 		Version: 7, MaxBody: 1 << 18, Document: []byte("{}"),
 		Routes: []model.Route{{
 			Name: "r", Host: "h", PathPrefix: "/p/", Service: "finder", Timeout: time.Second,
-			MaxFailures: 4, Objective: model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3},
+			MaxFailures: 4, Objective: model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3}, Priority: 2,
 		}},
 		Services: []model.ServiceID{"finder"},
 	}
