Endpoints: queued batches start by priority and by whether they can still be in time

At peaks most answers were late: a batch that had missed its objective held back those that could still meet theirs, and parts of jobs waited without any bound.

The package urgency holds the order. A team is charged for its work by the weight of its priority, so that equal priorities share as before. A batch that can no longer meet its objective goes after all that can, but for a sixteenth of the slot time. Parts have the same times as whole jobs, from the time of submission and the longest of all the job's tasks, and are dropped before their first start once they would end of no use. A part is refused for its wait only while its answer would be of no use, or while the job's owner still plans it elsewhere at no cost, and then only if the wait takes half of what the objective leaves.

--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -27,6 +27,7 @@
 	"redwingpulley/plugins/endpoints/loadview",
 	"redwingpulley/plugins/endpoints/poolstate",
 	"redwingpulley/plugins/endpoints/transit",
+	"redwingpulley/plugins/endpoints/urgency",
 	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
 	"redwingpulley/plugins/jobs/retrybudget",
--- a/plugins/endpoints/poolstate/admission.go
+++ b/plugins/endpoints/poolstate/admission.go
@@ -34,9 +34,9 @@
 	queued := m.queue.workAhead(now, b, request.Work)
 	request.Ahead = residual + queued
 	unclaimed := max(room-m.queue.count-m.totals.held, 0)
-	request.Wait, request.MaxWait = m.waitBehind(b, unclaimed, queued), b.maxWait()
+	request.Wait, request.MaxWait = m.waitBehind(b, unclaimed, queued), b.maxWait(now)
 	verdict := policy.Admit(request)
-	if verdict.Admit && b.MaxWait > 0 && m.expectedWait(b, unclaimed) > b.MaxWait {
+	if planned := b.maxPlannedWait(now); verdict.Admit && planned > 0 && m.expectedWait(b, unclaimed) > planned {
 		return port.Verdict{Reason: model.ReasonBusy}
 	}
 	return verdict
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/urgency"
 )
 
 // batch is a batch that the pool has accepted, or decides whether to accept.
@@ -22,7 +23,6 @@
 	outlived bool // The process has stood still since the batch was accepted: no task of it starts any more.
 
 	arrived          time.Time
-	order            uint64 // Number of the batch in the order of acceptance.
 	team             *team
 	origin           *origin
 	queued           []*task // Queued tasks; the last one starts next.
@@ -30,7 +30,9 @@
 	work             time.Duration // Estimated run time of all tasks together.
 	medianLongestRun time.Duration // Median of the estimated run time of the longest task.
 	p95LongestRun    time.Duration // 95th percentile of the estimated run time of the longest task.
-	key              time.Time     // Sort key among the team's batches.
+	inTimeUntil      time.Time     // When the objective of the batch's job ends; see urgency.Terms.
+	usefulUntil      time.Time     // When the answer is of no use any more, at the latest at the deadline.
+	place            urgency.Place // Place in the queue.
 	index            int           // Position in the team's heap of batches.
 	timer            timer
 }
@@ -119,6 +121,7 @@
 		b.tasks[i] = task{batch: b, id: ids(i), position: i, class: c, run: m.runTimes.estimateFor(&b.profile, declared, c), losses: b.Tasks[i].Losses}
 	}
 	b.estimate()
+	b.setTerms()
 	return b
 }
 
@@ -147,15 +150,19 @@
 
 func (m *Machine) accept(now time.Time, b *batch) {
 	m.acceptedBatches++
-	b.order = m.acceptedBatches
+	b.place.Order = m.acceptedBatches
 	b.results = make([]model.TaskResult, 0, len(b.tasks))
 	b.team = m.queue.teamOf(b.Team)
 	b.team.openBatches++
+	m.queue.setPriority(b.team, b.Priority)
 	b.team.demand.add(now, b.work)
 	b.origin = m.originOf(now, b.ID.Job)
 	m.batches[b.ID] = b
 	clear, isolated := splitIsolated(longestLast(b.tasks))
 	m.queue.pushAll(b, clear)
+	if !m.lateAt(b).After(now) {
+		m.queue.markLate(b)
+	}
 	b.timer = newTimer(func(now time.Time, fx *Effects) { m.handleBatchTimer(now, b, fx) })
 	m.timers.set(&b.timer, m.nextTimerAt(b))
 	for _, t := range isolated {
@@ -226,24 +233,27 @@
 	if len(b.queued) == 0 {
 		return b.Deadline
 	}
-	next := b.queued[len(b.queued)-1]
+	next := b.nextQueued()
 	if b.started || !next.class.learned() {
 		return next.latestStart()
 	}
-	return b.usefulUntil().Add(-m.dispatchTime(b) - b.medianLongestRun)
+	return b.usefulUntil.Add(-m.dispatchTime(b) - b.medianLongestRun)
 }
 
-// nextTimerAt returns when the batch becomes urgent or has to be cancelled, whichever is first.
+// nextTimerAt returns when the batch becomes urgent or late or has to be cancelled, whichever is first.
 func (m *Machine) nextTimerAt(b *batch) time.Time {
-	giveUp := m.giveUpAt(b)
-	if b.urgent || len(b.queued) == 0 {
-		return giveUp
+	next := m.giveUpAt(b)
+	if b.place.Late || len(b.queued) == 0 {
+		return next
+	}
+	if late := m.lateAt(b); late.Before(next) {
+		next = late
 	}
 	urgent := b.dispatchBy().Add(-m.dispatchTime(b) - b.Deadline.Sub(b.arrived)/urgentDivisor)
-	if giveUp.Before(urgent) {
-		return giveUp
+	if !b.urgent && urgent.Before(next) {
+		return urgent
 	}
-	return urgent
+	return next
 }
 
 func (m *Machine) handleBatchTimer(now time.Time, b *batch, fx *Effects) {
@@ -251,13 +261,17 @@
 		m.timers.set(&b.timer, at)
 		return
 	}
-	if b.urgent || len(b.queued) == 0 || !m.giveUpAt(b).After(now) {
+	switch {
+	case len(b.queued) == 0 || !m.giveUpAt(b).After(now):
 		m.cancel(now, b, model.ReasonDeadline, fx)
 		return
+	case !m.lateAt(b).After(now):
+		m.queue.markLate(b)
+	default:
+		b.urgent = true
+		m.queue.update(b)
 	}
-	b.urgent = true
-	m.queue.update(b)
-	m.timers.set(&b.timer, m.giveUpAt(b))
+	m.timers.set(&b.timer, m.nextTimerAt(b))
 }
 
 func (m *Machine) handleCancellation(now time.Time, id model.BatchID, fx *Effects) {
--- a/plugins/endpoints/poolstate/handover.go
+++ b/plugins/endpoints/poolstate/handover.go
@@ -61,7 +61,7 @@
 			waiting = append(waiting, b)
 		}
 	}
-	slices.SortFunc(waiting, func(a, b *batch) int { return cmp.Compare(a.order, b.order) })
+	slices.SortFunc(waiting, func(a, b *batch) int { return cmp.Compare(a.place.Order, b.place.Order) })
 	for _, b := range waiting {
 		m.refuseAccepted(now, b, model.ReasonMoved, fx)
 	}
--- a/plugins/endpoints/poolstate/objective.go
+++ b/plugins/endpoints/poolstate/objective.go
@@ -2,23 +2,66 @@
 
 import (
 	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/urgency"
 )
 
-// maxWait returns how long the batch's last task may wait for its job to meet its objective; 0 means
-// any time. A part of a job has no limit: refusing it would waste the work on the other parts.
-func (b *batch) maxWait() time.Duration {
-	if !b.Whole {
+// busyToleranceDivisor sets how long a part of a job with an objective may wait, although its job's owner
+// expected a shorter wait, before it is sent elsewhere: the time left for its wait divided by this. Waits are
+// estimates, so a part that has to wait for longer may well end late.
+const busyToleranceDivisor = 2
+
+// setTerms sets the times that the objective of the batch's job gives, by the pool's estimate of the job's
+// longest task. Without the time at which the job was submitted they count from the batch's arrival.
+func (b *batch) setTerms() {
+	terms := urgency.Terms{Objective: b.Objective, Submitted: b.Submitted, Longest: b.medianLongestRun, Deadline: b.Deadline}
+	if b.Submitted.IsZero() || b.Submitted.After(b.arrived) {
+		terms.Submitted = b.arrived
+	}
+	if b.hasObjective() && b.JobTasks > len(b.tasks) {
+		for i := range b.tasks {
+			terms.Longest = max(terms.Longest, b.tasks[i].run.medianLongest(b.JobTasks))
+		}
+	}
+	b.inTimeUntil, b.usefulUntil = terms.InTimeUntil(), terms.UsefulUntil()
+}
+
+func (b *batch) hasObjective() bool { return b.Objective != (model.Objective{}) }
+
+// maxWait returns how long the batch's last task may wait; 0 means any time. A whole job has to meet its
+// objective. A part of a job only has to be of use: refusing it would waste the work on the other parts.
+func (b *batch) maxWait(now time.Time) time.Duration {
+	switch {
+	case !b.hasObjective():
 		return 0
+	case b.Whole:
+		return max(b.waitUntil(now, b.inTimeUntil), 1)
+	}
+	return max(b.waitUntil(now, b.usefulUntil), 1)
+}
+
+// maxPlannedWait returns the expected wait above which the pool leaves it to the job's owner to plan the batch
+// again, which it does with the loads that it knows then; 0 means any.
+func (b *batch) maxPlannedWait(now time.Time) time.Duration {
+	if b.MaxWait == 0 || !b.hasObjective() {
+		return b.MaxWait
 	}
-	return max(b.Objective.For(b.medianLongestRun)-b.medianLongestRun, 1)
+	return max(b.MaxWait, b.waitUntil(now, b.inTimeUntil)/busyToleranceDivisor)
 }
 
-// usefulUntil returns the time after which the answer of a batch is of no use: a multiple of the
-// objective for a whole job, and at most the deadline.
-func (b *batch) usefulUntil() time.Time {
-	useful := b.arrived.Add(b.Objective.UsefulFor(b.medianLongestRun))
-	if !b.Whole || useful.After(b.Deadline) {
+// waitUntil returns how long the batch's last task may wait for the batch to end by the given time.
+func (b *batch) waitUntil(now, end time.Time) time.Duration { return end.Sub(now) - b.medianLongestRun }
+
+// lateAt returns the time from which the batch, with the tasks that are queued now, can no longer meet its
+// objective even if the pool starts nothing else.
+func (m *Machine) lateAt(b *batch) time.Time {
+	if len(b.queued) == 0 || !b.hasObjective() || !b.nextQueued().class.learned() {
 		return b.Deadline
 	}
-	return useful
+	run := b.medianLongestRun
+	if b.started {
+		run = b.nextQueued().run.median
+	}
+	return b.inTimeUntil.Add(-m.dispatchTime(b) - run)
 }
--- a/plugins/endpoints/poolstate/origins.go
+++ b/plugins/endpoints/poolstate/origins.go
@@ -130,7 +130,7 @@
 			all = append(all, b)
 		}
 	}
-	slices.SortFunc(all, func(a, b *batch) int { return cmp.Compare(a.order, b.order) })
+	slices.SortFunc(all, func(a, b *batch) int { return cmp.Compare(a.place.Order, b.place.Order) })
 	return all
 }
 
--- a/plugins/endpoints/poolstate/queue.go
+++ b/plugins/endpoints/poolstate/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/urgency"
 )
 
 const (
@@ -18,11 +19,12 @@
 	maxTeams = 256
 )
 
-// queue holds the tasks that wait for a slot.
+// queue holds the tasks that wait for a slot, in the order that package urgency gives.
 //
 // Teams share the slots by work, as in start-time fair queueing: each task charges its estimated run
-// time to its team, the charge is corrected once the task has ended, and a team that is ahead of its
-// share waits for the others. Among the batches of the teams that are not ahead, the first is the one
+// time to its team by the weight of the team's priority, the charge is corrected once the task has ended,
+// and a team that is ahead of its share waits for the others. A team whose batches are all late waits for
+// those that have others, but for a small share. Among the batches of the teams that are not ahead, the first is the one
 // with the lowest key, which is its arrival time plus a time for its remaining work: small jobs pass
 // large ones, and none waits for ever. A batch that has to start now to end in time goes before all
 // others, since it was admitted because its team's share was enough.
@@ -31,8 +33,11 @@
 	teamsInOrder []*team            // The same teams in the order of their first batches.
 	eligible     indexedHeap[*team] // Teams that are not ahead of their share, by their first batch.
 	ahead        indexedHeap[*team] // Teams that are ahead of their share, by their charge.
-	virtualTime  time.Duration      // Charge of a team that has had exactly its share.
-	sizeWeight   int                // Weight of a batch's remaining work in its key.
+	late         indexedHeap[*team] // Teams whose batches are all late, by their charge.
+	lateShare    urgency.LateShare
+	weights      int           // Sum of the weights of the teams in the heaps.
+	virtualTime  time.Duration // Charge of a team that has had exactly its share.
+	sizeWeight   int           // Weight of a batch's remaining work in its key.
 	slots        int
 	count        int
 	work         time.Duration // Estimated run time of the queued tasks.
@@ -42,35 +47,33 @@
 type team struct {
 	id          model.TeamID
 	charged     time.Duration       // Slot time charged to the team, raised to the virtual time when it is behind.
+	weight      int                 // Weight of the priority of the team's newest batch.
 	work        time.Duration       // Estimated run time of the team's queued tasks.
+	lateWork    time.Duration       // The part of it that belongs to late batches.
 	batches     indexedHeap[*batch] // Batches with queued tasks.
 	openBatches int                 // Number of batches that have not ended.
 	demand      demand
 	blame       blame
 	index       int
-	queued      bool // The team is in one of the queue's heaps.
-	isAhead     bool // That heap is the one of teams that are ahead of their share.
+	heap        *indexedHeap[*team] // The heap of the queue that the team is in; nil when it has no queued tasks.
 }
 
 func newQueue() queue {
 	indexOf := func(t *team) *int { return &t.index }
+	byCharge := func(a, b *team) bool { return a.charged < b.charged }
 	return queue{
 		teams:      make(map[model.TeamID]*team),
 		eligible:   indexedHeap[*team]{less: byFirstBatch, indexOf: indexOf},
-		ahead:      indexedHeap[*team]{less: func(a, b *team) bool { return a.charged < b.charged }, indexOf: indexOf},
+		ahead:      indexedHeap[*team]{less: byCharge, indexOf: indexOf},
+		late:       indexedHeap[*team]{less: byCharge, indexOf: indexOf},
 		sizeWeight: defaultSizeWeight,
 		slots:      1,
 	}
 }
 
-func byFirstBatch(a, b *team) bool { return byKey(a.batches.first(), b.batches.first()) }
+func byFirstBatch(a, b *team) bool { return byPlace(a.batches.first(), b.batches.first()) }
 
-func byKey(a, b *batch) bool {
-	if a.key.Equal(b.key) {
-		return a.order < b.order
-	}
-	return a.key.Before(b.key)
-}
+func byPlace(a, b *batch) bool { return a.place.Before(&b.place) }
 
 // resize sets the number of slots among which the teams share.
 func (q *queue) resize(slots int) { q.slots = max(slots, 1) }
@@ -80,8 +83,8 @@
 	t, ok := q.teams[id]
 	if !ok {
 		q.evictIdleTeams()
-		t = &team{id: id, charged: q.virtualTime, index: notInHeap, batches: indexedHeap[*batch]{
-			less: byKey, indexOf: func(b *batch) *int { return &b.index },
+		t = &team{id: id, charged: q.virtualTime, weight: urgency.Weight(0), index: notInHeap, batches: indexedHeap[*batch]{
+			less: byPlace, indexOf: func(b *batch) *int { return &b.index },
 		}}
 		q.teams[id] = t
 		q.teamsInOrder = append(q.teamsInOrder, t)
@@ -89,6 +92,15 @@
 	return t
 }
 
+// setPriority sets the priority by which a team shares the slots.
+func (q *queue) setPriority(t *team, priority int) {
+	weight := urgency.Weight(priority)
+	if t.heap != nil {
+		q.weights += weight - t.weight
+	}
+	t.weight = weight
+}
+
 // evictIdleTeams removes teams without batches to bound the memory. A team that returns later starts
 // with a charge of exactly its share.
 func (q *queue) evictIdleTeams() {
@@ -128,12 +140,22 @@
 	b.queuedWork += work
 	b.team.work += work
 	q.work += work
+	if b.place.Late {
+		b.team.lateWork += work
+	}
+}
+
+// markLate records that a batch can no longer meet its objective.
+func (q *queue) markLate(b *batch) {
+	b.place.Late, b.urgent = true, false
+	b.team.lateWork += b.queuedWork
+	q.update(b)
 }
 
 // update moves the batch and its team to their places in the heaps after a change of the batch's queued
 // tasks or urgency.
 func (q *queue) update(b *batch) {
-	b.key = q.keyOf(b)
+	b.place.Key = q.keyOf(b)
 	hasQueued := len(b.queued) > 0
 	switch {
 	case hasQueued && b.team.batches.has(b):
@@ -160,14 +182,30 @@
 }
 
 // first returns the task that is to start next. The queue must not be empty.
-func (q *queue) first() *task {
-	b := q.eligible.first().batches.first()
-	return b.queued[len(b.queued)-1]
+func (q *queue) first() *task { return q.firstTeam().batches.first().nextQueued() }
+
+// firstTeam returns the team whose task is to start next. The queue must not be empty.
+func (q *queue) firstTeam() *team {
+	if q.late.empty() {
+		return q.eligible.first()
+	}
+	late := q.late.first()
+	if q.eligible.empty() {
+		return late
+	}
+	first := q.eligible.first()
+	if !first.urgent() && q.lateShare.Due(late.batches.first().nextQueued().run.mean) {
+		return late
+	}
+	return first
 }
 
+// nextQueued returns the batch's queued task that is to start next.
+func (b *batch) nextQueued() *task { return b.queued[len(b.queued)-1] }
+
 // pop removes the task that first returned and charges its team.
 func (q *queue) pop() {
-	selected := q.eligible.first()
+	selected := q.firstTeam()
 	b := selected.batches.first()
 	last := len(b.queued) - 1
 	t := b.queued[last]
@@ -175,10 +213,23 @@
 	b.queued[last] = nil
 	b.queued = b.queued[:last]
 	q.subtractQueued(b, t.run.mean, 1)
+	q.shareWithLate(selected, t.run.mean)
 	q.charge(selected, t.run.mean)
 	q.update(b)
 }
 
+// shareWithLate accounts for a task that starts while late teams or others have to wait for it.
+func (q *queue) shareWithLate(selected *team, run time.Duration) {
+	switch {
+	case q.late.empty() || q.eligible.empty():
+		q.lateShare.Reset()
+	case selected.heap == &q.late:
+		q.lateShare.AddLate(run)
+	default:
+		q.lateShare.AddInTime(run)
+	}
+}
+
 // remove takes all tasks of the batch out of the queue. They stay listed in the batch, so that restore
 // can put them back.
 func (q *queue) remove(b *batch) {
@@ -202,55 +253,60 @@
 // charge adds slot time to the team's charge and advances the virtual time by each waiting team's share
 // of it.
 func (q *queue) charge(t *team, run time.Duration) {
-	waiting := q.eligible.Len() + q.ahead.Len()
-	q.virtualTime += run / time.Duration(max(waiting, 1))
-	t.charged += run
-	if t.queued && t.isAhead {
-		q.ahead.fix(t)
+	weights := q.weights
+	if weights == 0 {
+		weights = t.weight
+	}
+	q.virtualTime += urgency.Charge(run, weights)
+	t.charged += urgency.Charge(run, t.weight)
+	if t.heap != nil && t.heap != &q.eligible {
+		t.heap.fix(t)
 	}
 }
 
 // reposition moves the team to its place in the right heap after a change of its batches or charge.
 func (q *queue) reposition(t *team) {
 	t.charged = max(t.charged, q.virtualTime)
-	isAhead := t.charged > q.virtualTime && !t.urgent()
-	stays := t.queued && isAhead == t.isAhead && !t.batches.empty()
-	switch {
-	case stays && isAhead:
-		q.ahead.fix(t)
-	case stays:
-		q.eligible.fix(t)
-	default:
+	if heap := q.heapFor(t); heap != nil && heap == t.heap {
+		heap.fix(t)
+	} else {
 		q.removeTeam(t)
-		q.insertTeam(t, isAhead)
+		q.insertTeam(t, heap)
 	}
 	q.promoteEligible()
 }
 
+// heapFor returns the heap that the team belongs to; nil when it has no queued tasks.
+func (q *queue) heapFor(t *team) *indexedHeap[*team] {
+	switch {
+	case t.batches.empty():
+		return nil
+	case t.batches.first().place.Late:
+		return &q.late
+	case t.charged > q.virtualTime && !t.urgent():
+		return &q.ahead
+	}
+	return &q.eligible
+}
+
 // removeTeam takes a team out of its heap, if it is in one.
 func (q *queue) removeTeam(t *team) {
-	if !t.queued {
+	if t.heap == nil {
 		return
 	}
-	if t.isAhead {
-		q.ahead.remove(t)
-	} else {
-		q.eligible.remove(t)
-	}
-	t.queued = false
+	t.heap.remove(t)
+	t.heap = nil
+	q.weights -= t.weight
 }
 
-// insertTeam adds a team with queued batches to a heap.
-func (q *queue) insertTeam(t *team, isAhead bool) {
-	if t.batches.empty() {
+// insertTeam adds a team to a heap, unless that is nil.
+func (q *queue) insertTeam(t *team, heap *indexedHeap[*team]) {
+	if heap == nil {
 		return
 	}
-	t.queued, t.isAhead = true, isAhead
-	if isAhead {
-		q.ahead.add(t)
-	} else {
-		q.eligible.add(t)
-	}
+	heap.add(t)
+	t.heap = heap
+	q.weights += t.weight
 }
 
 // urgent reports whether the team's first batch has to go before all others.
@@ -265,7 +321,7 @@
 	for !q.ahead.empty() && q.ahead.first().charged <= q.virtualTime {
 		t := q.ahead.first()
 		q.ahead.remove(t)
-		t.isAhead = false
 		q.eligible.add(t)
+		t.heap = &q.eligible
 	}
 }
--- a/plugins/endpoints/poolstate/resume.go
+++ b/plugins/endpoints/poolstate/resume.go
@@ -14,7 +14,7 @@
 // progress continue: what they have done is reported. A batch that has not started is refused, so that an origin that still
 // waits sends it elsewhere.
 func (m *Machine) handleResumed(now time.Time, fx *Effects) {
-	open := slices.SortedFunc(maps.Values(m.batches), func(a, b *batch) int { return cmp.Compare(a.order, b.order) })
+	open := slices.SortedFunc(maps.Values(m.batches), func(a, b *batch) int { return cmp.Compare(a.place.Order, b.place.Order) })
 	for _, b := range open {
 		b.outlived = true
 		switch {
--- a/plugins/endpoints/poolstate/workahead.go
+++ b/plugins/endpoints/poolstate/workahead.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/urgency"
 )
 
 const (
@@ -22,6 +23,7 @@
 func (q *queue) workAhead(now time.Time, b *batch, work time.Duration) time.Duration {
 	displaced := q.displacement(work)
 	own, rate := work, 0.0
+	weight := urgency.Weight(b.Priority)
 	if t, ok := q.teams[b.Team]; ok {
 		own += t.workBefore(b.arrived.Add(displaced))
 		rate = t.demand.rate(now)
@@ -30,17 +32,18 @@
 	for range workAheadRounds {
 		wait := (own + ahead) / time.Duration(q.slots)
 		ownWork := own + time.Duration(rate*float64(min(wait, displaced)))
-		ahead = ownWork - work + q.workOfOthers(now, b.Team, ownWork, wait)
+		ahead = ownWork - work + q.workOfOthers(now, b.Team, urgency.Charge(ownWork, weight), wait)
 	}
 	return ahead + q.urgentWork(b.Team)
 }
 
-// workOfOthers estimates the slot time that other teams get while the given team gets ownWork within
-// wait.
-func (q *queue) workOfOthers(now time.Time, id model.TeamID, ownWork, wait time.Duration) (ahead time.Duration) {
+// workOfOthers estimates the slot time that other teams get for batches that are not late while the given team
+// is charged the given time within wait.
+func (q *queue) workOfOthers(now time.Time, id model.TeamID, charge, wait time.Duration) (ahead time.Duration) {
 	for _, t := range q.teamsInOrder {
 		if t.id != id {
-			ahead += min(t.work+time.Duration(t.demand.rate(now)*float64(wait)), ownWork)
+			sent := time.Duration(t.demand.rate(now) * float64(wait))
+			ahead += min(t.work-t.lateWork+sent, urgency.WorkFor(charge, t.weight))
 		}
 	}
 	return ahead
@@ -58,10 +61,11 @@
 	return first.queuedWork
 }
 
-// workBefore returns the queued work of the team's batches whose keys are not after the given one.
+// workBefore returns the queued work of the team's batches that are not late and whose keys are not after the
+// given one.
 func (t *team) workBefore(key time.Time) (work time.Duration) {
 	for _, b := range t.batches.items {
-		if !b.key.After(key) {
+		if !b.place.Late && !b.place.Key.After(key) {
 			work += b.queuedWork
 		}
 	}
