Jobs: a job that would end of no use is refused at once

A job's owner sent a job to pools whatever its own plan said, and a job that a full pool had refused went from pool to pool until the retry budget was used up.

A plan tells when the job's last task is expected to start, behind all queued work and behind the running tasks and its own only. By the second, which holds whatever the team's share is, the owner refuses a job that would end of no use; queued work of others does not count there, since a team that has queued nothing does not wait for it. A job that a pool refused for lack of time, and of which no part was accepted or is under way, is not sent on when it would be late in the other pools too.

--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -33,6 +33,10 @@
 	Parts   []PlanPart
 	Reason  string
 	Refused model.Reason // Why the job is refused; set in a plan without parts.
+	// Wait is the expected time until the job's last task starts, behind all work that is queued now. LeastWait is the same
+	// if the job waits only for running tasks and its own, as it may by its team's share. A policy that estimates no waits
+	// leaves both at 0.
+	Wait, LeastWait time.Duration
 }
 
 // PlanPart holds the indices of the tasks that go to one pool.
--- a/plugins/jobs/fake_test.go
+++ b/plugins/jobs/fake_test.go
@@ -29,6 +29,7 @@
 	profile     model.Profile
 	loads       []model.PoolLoad
 	run         func(context.Context, model.Batch) model.BatchResult
+	waits       port.Plan // Wait and LeastWait of each plan.
 	runs        atomic.Int32
 	pauses      atomic.Uint64 // Pauses of the member's process.
 	withdrawn   sync.Map      // Keys of cancelled jobs.
@@ -120,7 +121,7 @@
 	for i := range r.Job.Tasks {
 		part.Tasks = append(part.Tasks, i)
 	}
-	return port.Plan{Parts: []port.PlanPart{part}}
+	return port.Plan{Parts: []port.PlanPart{part}, Wait: f.waits.Wait, LeastWait: f.waits.LeastWait}
 }
 
 func (f *fake) NewPlacer(uint64) port.Placer { return nil }
--- a/plugins/jobs/fit/fit_test.go
+++ b/plugins/jobs/fit/fit_test.go
@@ -49,3 +49,20 @@
 		})
 	}
 }
+
+// Guards against a job that is refused although it could be in time, and one that is kept although it can't.
+func TestTimeThatAJobHasLeft(t *testing.T) {
+	is := is.New(t)
+	j := job(2, 100*time.Millisecond, model.Needs{})
+	is.Equal(LateBy(&j, time.Minute, nil, now), time.Duration(0))
+	is.Equal(UselessBy(&j, time.Minute, nil, now), time.Duration(0))
+	j.Objective = model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3} // 220 ms; of use for 660 ms.
+	is.Equal(LateBy(&j, 120*time.Millisecond, nil, now), time.Duration(0))
+	is.Equal(UselessBy(&j, 560*time.Millisecond, nil, now), time.Duration(0))
+	j.Submitted = now.Add(-50 * time.Millisecond)
+	is.Equal(UselessBy(&j, 560*time.Millisecond, nil, now), 50*time.Millisecond)
+	// Where the pools have learned that tasks run for longer, the objective gives more time.
+	is.True(LateBy(&j, 120*time.Millisecond, []model.PoolLoad{{MeanRun: 300 * time.Millisecond}}, now) < 0)
+	j.Deadline = now.Add(500 * time.Millisecond)
+	is.Equal(UselessBy(&j, 560*time.Millisecond, nil, now), 60*time.Millisecond)
+}
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/jobs/retrybudget"
 )
 
@@ -205,3 +206,25 @@
 	is.Equal(g.age(parts, later), time.Minute)
 	is.Equal(g.monotonicUnixMS(later)-g.monotonicUnixMS(now), time.Minute.Milliseconds())
 }
+
+// Load: more demand than slots. Guards against a job that is sent to pools although it can't end while its answer is of use, and
+// against one that is sent from one full pool to the next until the retry budget is used up.
+func TestJobIsRefusedAtOnceWhenNoPoolHasRoomInTime(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		owner, _, atOwner, _ := newMemberPair(t)
+		atOwner.run = refuseBatch
+		submit := func(waits port.Plan) (runs int32) {
+			atOwner.waits = waits
+			before := atOwner.runs.Load()
+			job := newJob("", 1)
+			job.Objective = model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3} // Of use for 180 ms.
+			outcome := owner.Submit(t.Context(), job)
+			is.Equal(outcome.Run, model.NotRun)
+			is.Equal(outcome.Reason, model.ReasonOverload)
+			return atOwner.runs.Load() - before
+		}
+		is.Equal(submit(port.Plan{Wait: 200 * time.Millisecond, LeastWait: 200 * time.Millisecond}), int32(0))
+		is.Equal(submit(port.Plan{Wait: 100 * time.Millisecond}), int32(1))
+		is.Equal(submit(port.Plan{Wait: 50 * time.Millisecond}), int32(2)) // The other pool has room in time.
+	})
+}
--- a/plugins/jobs/jobstate/event.go
+++ b/plugins/jobs/jobstate/event.go
@@ -71,7 +71,9 @@
 	Avoid  []model.PoolID // Pools that refused a part of this job, other than with ReasonBusy or ReasonMoved.
 	Moved  []model.PoolID `json:",omitempty"` // Pools that refused parts of this job with ReasonMoved twice; to be planned for only where no other has room.
 	Reason model.Reason   // Why the pool refused the part.
-	Free   bool           // The new plan is not charged to the retry budget.
+	// Unaccepted says that no pool has accepted any part of the job, so that it can be refused as a whole.
+	Unaccepted bool `json:",omitempty"`
+	Free       bool // The new plan is not charged to the retry budget.
 }
 
 // Retention says how long the outcome of an ended job is kept.
--- a/plugins/jobs/jobstate/group_bench_test.go
+++ b/plugins/jobs/jobstate/group_bench_test.go
@@ -16,6 +16,7 @@
 	"redwingpulley/plugins/admission/deadline"
 	"redwingpulley/plugins/endpoints/loadview"
 	"redwingpulley/plugins/endpoints/poolstate"
+	"redwingpulley/plugins/jobs/fit"
 	"redwingpulley/plugins/jobs/jobstate"
 	"redwingpulley/plugins/placement/leastwait"
 )
@@ -98,7 +99,7 @@
 }
 
 // groupCounts are sums over the jobs of a team that have ended.
-type groupCounts struct{ jobs, inTime, parts, replans float64 }
+type groupCounts struct{ jobs, inTime, late, parts, replans float64 }
 
 // groupEvent is an event of the simulation. Events of the same time are carried out by their order.
 type groupEvent struct {
@@ -289,7 +290,7 @@
 	}
 	if fx.Replan != nil {
 		j.replans++
-		g.stepJob(j, jobstate.Replanned{Part: fx.Replan.Part, Plan: g.plan(j.member, fx.Replan.Job, fx.Replan.Avoid)})
+		g.stepJob(j, jobstate.Replanned{Part: fx.Replan.Part, Plan: g.replan(j.member, fx.Replan)})
 	}
 	if fx.Ended && j.at.Sub(epoch) > groupWarmUp {
 		g.count(j)
@@ -325,6 +326,15 @@
 	})
 }
 
+// replan plans a refused part again. Each part has a retry, unlike in a member with a retry budget.
+func (g *group) replan(m *groupMember, r *jobstate.Replan) port.Plan {
+	plan := g.plan(m, r.Job, r.Avoid)
+	if r.Unaccepted && r.Reason == model.ReasonOverload && fit.LateBy(&r.Job, plan.Wait, nil, g.now) > 0 {
+		return port.Plan{}
+	}
+	return plan
+}
+
 // count adds a job that has ended to the counts of its team.
 func (g *group) count(j *groupJob) {
 	c, ok := g.counts[j.Team]
@@ -335,8 +345,12 @@
 	c.jobs++
 	c.parts += float64(j.parts)
 	c.replans += float64(j.replans)
-	if j.state.Outcome().State == model.StateComplete && g.now.Sub(j.at) <= groupObjective.For(slices.Max(j.runs)) {
+	switch took := g.now.Sub(j.at); {
+	case j.state.Outcome().State != model.StateComplete:
+	case took <= groupObjective.For(slices.Max(j.runs)):
 		c.inTime++
+	case took <= groupObjective.UsefulFor(slices.Max(j.runs)):
+		c.late++
 	}
 }
 
@@ -418,11 +432,12 @@
 		g.run(groupLength)
 		for team, c := range g.counts {
 			s := sums[team]
-			sums[team] = groupCounts{s.jobs + c.jobs, s.inTime + c.inTime, s.parts + c.parts, s.replans + c.replans}
+			sums[team] = groupCounts{s.jobs + c.jobs, s.inTime + c.inTime, s.late + c.late, s.parts + c.parts, s.replans + c.replans}
 		}
 	}
 	for team, s := range sums {
 		b.ReportMetric(s.inTime/s.jobs, string(team)+"-in-time")
+		b.ReportMetric(s.late/s.jobs, string(team)+"-late")
 		b.ReportMetric(s.parts/s.jobs, string(team)+"-parts")
 		b.ReportMetric(s.replans/s.jobs, string(team)+"-replans")
 	}
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -207,6 +207,7 @@
 		sub.Tasks = append(sub.Tasks, j.job.Tasks[index])
 	}
 	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Moved: repeated(j.moved), Reason: result.Reason, Free: j.isFreeReplan(result.Reason)}
+	fx.Replan.Unaccepted = len(j.inFlight) == 0 && !j.mayHaveRun && j.unanswered == len(j.job.Tasks)
 }
 
 // repeated returns the pools that are in the list more than once.
--- a/plugins/jobs/jobstate/jobstate_test.go
+++ b/plugins/jobs/jobstate/jobstate_test.go
@@ -211,3 +211,14 @@
 	j.Step(start, completedBatch(0, 0))
 	t.Fatal("the invariant did not fire")
 }
+
+// Guards against a job that is refused as a whole although another part of it runs, and its answer is still of use.
+func TestJobIsUnacceptedOnlyWithoutOtherParts(t *testing.T) {
+	is := is.New(t)
+	j, _ := newPlannedJob(4)
+	is.True(!j.Step(start, refusedBatch(0)).Replan.Unaccepted)
+	is.True(j.Step(start, refusedBatch(1)).Replan.Unaccepted)
+	j, _ = newPlannedJob(4)
+	j.Step(start, completedBatch(0, 0, 1))
+	is.True(!j.Step(start, refusedBatch(1)).Replan.Unaccepted)
+}
--- a/plugins/jobs/plan.go
+++ b/plugins/jobs/plan.go
@@ -101,6 +101,9 @@
 	if len(plan.Parts) == 0 {
 		return port.Plan{}, &refusal{plan.Refused, 0, plan.Reason}
 	}
+	if over := fit.UselessBy(&job, plan.LeastWait, loads, time.Now()); over > 0 {
+		return port.Plan{}, &refusal{model.ReasonOverload, over, "would end when its answer is of no use any more"}
+	}
 	j.depositRetries(profile, job.Service, len(plan.Parts))
 	return plan, nil
 }
@@ -137,7 +140,8 @@
 }
 
 // replan plans a refused part over the pools that are not in r.Avoid, within the service's retry
-// budget unless r.Free is set, and records the decision.
+// budget unless r.Free is set, and records the decision. A job that a pool refused for lack of time before
+// anything of it was accepted is not sent to pools where it would be late as well.
 func (j *Jobs) replan(r jobstate.Replan) jobstate.Event {
 	noPlan := jobstate.Replanned{Part: r.Part}
 	profiles, _ := j.profiles.Current()
@@ -153,13 +157,16 @@
 	if len(plan.Parts) == 0 && len(r.Moved) > 0 {
 		plan = j.plan(profile, r.Job, loads)
 	}
+	late := r.Unaccepted && r.Reason == model.ReasonOverload && fit.LateBy(&r.Job, plan.Wait, loads, time.Now()) > 0
 	granted := r.Free
-	if len(plan.Parts) > 0 && !granted {
+	if len(plan.Parts) > 0 && !granted && !late {
 		j.withRetryBudget(r.Job.Service, func(b *retrybudget.Budget) { granted = b.Withdraw() })
 	}
 	switch {
 	case len(plan.Parts) == 0:
 		d.Why = "not sent elsewhere: " + plan.Reason
+	case late:
+		d.Why = "not sent elsewhere: no pool has room in time"
 	case !granted:
 		d.Why = "not sent elsewhere: the retry budget is used up"
 	default:
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -56,6 +56,7 @@
 type candidate struct {
 	pool         *model.PoolLoad
 	freeSlots    int           // Number of tasks that can start at once.
+	runningWait  time.Duration // Wait for a slot that the running tasks cause.
 	baseWait     time.Duration // Wait for a slot that the work already in the pool causes.
 	waitPerTask  time.Duration // Wait that each task beyond the free slots adds.
 	roundTrip    time.Duration // Round trip to the pool's data centre.
@@ -97,7 +98,7 @@
 	runningWork := time.Duration(pool.Slots-pool.Free) * run / 2
 	c := candidate{
 		pool: pool, freeSlots: max(pool.Free-pool.Queued, 0),
-		baseWait: (runningWork + pool.QueuedRun) / slots, waitPerTask: run / slots,
+		runningWait: runningWork / slots, baseWait: (runningWork + pool.QueuedRun) / slots, waitPerTask: run / slots,
 	}
 	if pool.Pool.DataCentre != r.Near {
 		c.roundTrip = remoteRoundTrip
@@ -130,6 +131,14 @@
 	return c.baseWait + time.Duration(tasks-c.freeSlots)*c.waitPerTask
 }
 
+// leastWait estimates the same for tasks that do not wait for other queued ones.
+func (c *candidate) leastWait(tasks int) time.Duration {
+	if tasks <= c.pool.Free {
+		return 0
+	}
+	return c.runningWait + time.Duration(tasks-c.pool.Free)*c.waitPerTask
+}
+
 // allocate gives each pool, in their order, as many tasks as it has free slots, and each remaining
 // task to the pool where it waits least.
 func allocate(pools []candidate, tasks int) allocation {
@@ -172,6 +181,12 @@
 		pools[i] = *ranked[i].pool
 	}
 	p := plan.Assemble(reason, pools, best.counts)
+	p.Wait = best.end
+	for i, count := range best.counts {
+		if count > 0 {
+			p.LeastWait = max(p.LeastWait, ranked[i].leastWait(count)+ranked[i].roundTrip)
+		}
+	}
 	setMaxWaits(r, &p, ranked)
 	return p
 }
