Endpoints: late with a margin, and delays of refused callers that spread

Of batches that started at their latest possible time about half ended late, since run times vary. A batch now counts as late an eighth of its objective's time for waiting earlier.

Refused callers were advised of the same delay and returned together. The delay is now spread over the time that the pool needs for all that it refused in the last second, from the time when it has room; for less urgent batches both are longer by the ratio of the weights.

--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -31,6 +31,7 @@
 	medianLongestRun time.Duration // Median of the estimated run time of the longest task.
 	p95LongestRun    time.Duration // 95th percentile of the estimated run time of the longest task.
 	inTimeUntil      time.Time     // When the objective of the batch's job ends; see urgency.Terms.
+	lateMargin       time.Duration // How long before its latest possible start the batch counts as late.
 	usefulUntil      time.Time     // When the answer is of no use any more, at the latest at the deadline.
 	place            urgency.Place // Place in the queue.
 	index            int           // Position in the team's heap of batches.
@@ -99,6 +100,9 @@
 		m.learnNeeds(b) // Needs that no endpoint meets say nothing of how many tasks fit on one.
 	}
 	verdict := m.admit(now, b)
+	if verdict.RetryAfter > 0 {
+		verdict.RetryAfter = m.retryAfter(now, b, verdict.RetryAfter)
+	}
 	m.logAdmission(now, b, verdict, fx)
 	if !verdict.Admit {
 		result := model.RefusedBatch(s.Batch.ID, verdict.Reason)
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -1,11 +1,13 @@
 package poolstate
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"redwingpulley/kernel/invariant"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/urgency"
 )
 
 // Policies holds the placement and admission plug-ins by name.
@@ -40,6 +42,8 @@
 	released             []Release        // Attempts released in this step.
 	runTimes             runTimes
 	retries              retryBudget
+	refusals             urgency.Refusals
+	random               *rand.Rand // Spreads the delays that are advised to refused callers.
 	timers               timers
 	failureRate          float64     // Moving average of the share of tasks that failed; see learnFailureRate.
 	quarantinedEndpoints int         // Number of endpoints in quarantine or being probed.
@@ -64,6 +68,7 @@
 		queue:     newQueue(),
 		runTimes:  newRunTimes(),
 		retries:   retryBudget{tokens: maxRetryTokens},
+		random:    rand.New(rand.NewPCG(seed, seed)),
 		timers:    newTimers(),
 	}
 }
--- a/plugins/endpoints/poolstate/objective.go
+++ b/plugins/endpoints/poolstate/objective.go
@@ -12,6 +12,11 @@
 // estimates, so a part that has to wait for longer may well end late.
 const busyToleranceDivisor = 2
 
+// lateMarginDivisor sets how long before its latest possible start a batch counts as late: the time that its
+// objective leaves for waiting, divided by this. Of batches that start at the last moment half end late, since run times
+// vary.
+const lateMarginDivisor = 8
+
 // setTerms sets the times that the objective of the batch's job gives, by the pool's estimate of the job's
 // longest task. Without the time at which the job was submitted they count from the batch's arrival.
 func (b *batch) setTerms() {
@@ -25,6 +30,7 @@
 		}
 	}
 	b.inTimeUntil, b.usefulUntil = terms.InTimeUntil(), terms.UsefulUntil()
+	b.lateMargin = max(b.Objective.For(terms.Longest)-terms.Longest, 0) / lateMarginDivisor
 }
 
 func (b *batch) hasObjective() bool { return b.Objective != (model.Objective{}) }
@@ -53,8 +59,8 @@
 // waitUntil returns how long the batch's last task may wait for the batch to end by the given time.
 func (b *batch) waitUntil(now, end time.Time) time.Duration { return end.Sub(now) - b.medianLongestRun }
 
-// lateAt returns the time from which the batch, with the tasks that are queued now, can no longer meet its
-// objective even if the pool starts nothing else.
+// lateAt returns the time from which the batch, with the tasks that are queued now, can no longer be
+// expected to meet its objective even if the pool starts nothing else.
 func (m *Machine) lateAt(b *batch) time.Time {
 	if len(b.queued) == 0 || !b.hasObjective() || !b.nextQueued().class.learned() {
 		return b.Deadline
@@ -63,5 +69,12 @@
 	if b.started {
 		run = b.nextQueued().run.median
 	}
-	return b.inTimeUntil.Add(-m.dispatchTime(b) - run)
+	return b.inTimeUntil.Add(-b.lateMargin - m.dispatchTime(b) - run)
+}
+
+// retryAfter returns the delay that is advised to the caller of a batch that the pool refuses until it has room.
+func (m *Machine) retryAfter(now time.Time, b *batch, until time.Duration) time.Duration {
+	return m.refusals.RetryAfter(now, urgency.Refused{
+		Until: until, Each: b.work / time.Duration(max(m.totals.slots, 1)), Left: b.Deadline.Sub(now), Priority: b.Priority,
+	}, m.random.Float64())
 }
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -281,6 +281,8 @@
 
 		MaxFailures: rapid.IntRange(0, 3).Draw(t, "failures"),
 		Whole:       rapid.Bool().Draw(t, "whole"),
+		Priority:    rapid.IntRange(0, model.MaxPriority).Draw(t, "priority"),
+		Submitted:   c.now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "age")) * time.Millisecond),
 	}
 	if rapid.Bool().Draw(t, "objective") {
 		b.Objective = model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3}
@@ -451,11 +453,34 @@
 	if count != m.queue.count || work != m.queue.work || sums != m.totals {
 		t.Fatalf("counted afresh: %d tasks, %v, %+v; in the machine: %d, %v, %+v", count, work, sums, m.queue.count, m.queue.work, m.totals)
 	}
+	c.checkTeams(t)
 	if len(c.open) != len(m.batches) {
 		t.Fatalf("%d batches have not ended, the machine has %d", len(c.open), len(m.batches))
 	}
 }
 
+// checkTeams checks the sums that the shares of teams are computed from, and that late teams wait apart.
+func (c *cluster) checkTeams(t *rapid.T) {
+	weights, late := 0, map[*team]time.Duration{}
+	for _, b := range c.machine.batches {
+		if b.place.Late {
+			late[b.team] += b.queuedWork
+		}
+	}
+	for _, team := range c.machine.queue.teams {
+		if team.heap != nil {
+			weights += team.weight
+		}
+		isLate := !team.batches.empty() && team.batches.first().place.Late
+		if team.lateWork != late[team] || team.batches.empty() != (team.heap == nil) || isLate != (team.heap == &c.machine.queue.late) {
+			t.Fatalf("team %s: %v late work, counted afresh %v; first batch late: %v", team.id, team.lateWork, late[team], isLate)
+		}
+	}
+	if weights != c.machine.queue.weights {
+		t.Fatalf("weights: %d, counted afresh: %d", c.machine.queue.weights, weights)
+	}
+}
+
 // TestRandomEvents feeds a pool random events. For a longer run: -rapid.checks=100000 -rapid.seed=1.
 func TestRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/plugins/endpoints/poolstate/sim_test.go
+++ b/plugins/endpoints/poolstate/sim_test.go
@@ -24,6 +24,8 @@
 	burstAt   time.Duration // Start of a burst of burstLoad; 0 for none.
 	burst     time.Duration
 	burstLoad float64
+	classes   []simClass // Classes of jobs, one a team, instead of those of drawJob.
+	parts     bool       // The batches are parts of jobs, which the pool may not refuse like whole ones.
 }
 
 // simJob is one job of a trace, with the actual and declared run times of its tasks.
@@ -75,6 +77,9 @@
 
 func (s simTrace) jobs() []*simJob {
 	random := rand.New(rand.NewPCG(s.seed, 1))
+	if len(s.classes) > 0 {
+		return s.classJobs(random)
+	}
 	slots := float64(s.endpoints * simSlots)
 	work := meanSlotTime(random)
 	var jobs []*simJob
@@ -168,6 +173,9 @@
 	for k := range j.runs {
 		b.Tasks = append(b.Tasks, model.Task{Index: k, Declared: j.declared[k]})
 	}
+	if len(s.trace.classes) > 0 {
+		b.Objective, b.Priority, b.Whole = simObjective, s.trace.classes[j.team].priority, !s.trace.parts
+	}
 	return Submitted{b, profile}
 }
 
--- a/plugins/jobs/plan.go
+++ b/plugins/jobs/plan.go
@@ -102,7 +102,8 @@
 		return port.Plan{}, &refusal{plan.Refused, 0, plan.Reason}
 	}
 	if over := fit.UselessBy(&job, plan.LeastWait, loads, time.Now()); over > 0 {
-		return port.Plan{}, &refusal{model.ReasonOverload, over, "would end when its answer is of no use any more"}
+		spread := rand.N(over) // So that callers that are refused together do not return together.
+		return port.Plan{}, &refusal{model.ReasonOverload, over + spread, "would end when its answer is of no use any more"}
 	}
 	j.depositRetries(profile, job.Service, len(plan.Parts))
 	return plan, nil
