Endpoints: log lines on batches give the priority and whether they can be in time

batch_taken, batch_refused and batch_cut get the fields priority and in_time, and objective_ms also for parts of jobs. The counters tasks.starts_late.0 to .4 count the starts of tasks that are not expected to end within their jobs' objectives.

--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -36,6 +36,8 @@
 	RetryAfterMS Key = "retry_after_ms" // Time after which the caller was advised to retry.
 	TookMS       Key = "took_ms"        // Duration of what the line reports.
 	ObjectiveMS  Key = "objective_ms"   // Latency objective of a job, based on the pool's estimate of its run time.
+	Priority     Key = "priority"       // Priority of a job's route; 0 is the most urgent.
+	InTime       Key = "in_time"        // Whether a part of a job can still meet the job's latency objective.
 	QueuedMS     Key = "queued_ms"      // Time from when the pool accepted a part until a task of it was sent.
 	AheadMS      Key = "ahead_ms"       // Estimated run time of the queued tasks divided by the pool's slots.
 	AgeMS        Key = "age_ms"         // Age of the oldest load report that a plan is based on, or of a configuration change.
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -37,11 +37,11 @@
 // Kinds of lines about pools, logged by the member that owns the pool.
 var (
 	BatchTaken = define(Routine, "batch_taken", "a pool accepted a part of a job",
-		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS)
+		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS, Priority, InTime)
 	BatchRefused = define(Trouble, "batch_refused", "a pool refused a part of a job and started none of its tasks",
-		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS, Reason, RetryAfterMS, Why)
+		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS, Priority, InTime, Reason, RetryAfterMS, Why)
 	BatchCut = define(Trouble, "batch_cut", "a pool ended a part of a job before all of its tasks had results",
-		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS, Reason)
+		Job, JobKey, Part, Pool, Tasks, Slots, Free, Queued, AheadMS, LeftMS, ObjectiveMS, Priority, InTime, Reason)
 	BatchUnanswered = define(Trouble, "batch_unanswered", "the pool's owner did not reply to a part of a job; the job's owner asks again until it gets a reply, the deadline has passed or the pool's owner is no longer considered alive",
 		Job, JobKey, Part, Pool, Owner, TookMS)
 	BatchOutdated = define(Trouble, "batch_outdated", "a part of a job may have been under way for too long when this member read it, and was refused; a sender that still waits sends it again",
--- a/kernel/port/decisions.go
+++ b/kernel/port/decisions.go
@@ -42,7 +42,9 @@
 	Age       time.Duration  // Age of the oldest load report that a plan is based on.
 	Ahead     time.Duration  // Estimated run time of the pool's queued tasks divided by its slots.
 	Left      time.Duration  // Time until the deadline.
-	Objective time.Duration  // Latency objective of a job whose batch holds all its tasks, as the pool estimates it; 0 for none.
+	Objective time.Duration  // Latency objective of a batch's job, as the pool estimates it; 0 for none.
+	Priority  int            // Priority of a batch's job.
+	InTime    bool           // Whether a batch or task can still meet the objective, or its deadline if there is none.
 	Queued    time.Duration  // Time for which the task has been queued.
 
 	Reason     model.Reason // Reason of a refusal or cancellation.
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -1,6 +1,8 @@
 package endpoints
 
 import (
+	"strconv"
+
 	"github.com/rcrowley/go-metrics"
 
 	"redwingpulley/kernel/model"
@@ -17,20 +19,21 @@
 type instruments struct {
 	registry         metrics.Registry
 	starts           metrics.Counter
-	repeated         metrics.Counter   // Starts of tasks that were started before.
-	refusedEndpoints metrics.Counter   // Endpoints that other members named and that cannot exist.
-	wasted           metrics.Counter   // Messages whose content was not used.
-	keptTurns        metrics.Counter   // Turns of which the other members were told.
-	slowStarts       metrics.Counter   // Starts of which the witnesses were told.
-	queueTimes       metrics.Histogram // Milliseconds that a task was queued in its pool.
-	objective        metrics.Histogram // Response time of a job as a percentage of its latency objective.
+	repeated         metrics.Counter                        // Starts of tasks that were started before.
+	startsLate       [model.MaxPriority + 1]metrics.Counter // Starts of tasks that are not expected to end in time, by priority.
+	refusedEndpoints metrics.Counter                        // Endpoints that other members named and that cannot exist.
+	wasted           metrics.Counter                        // Messages whose content was not used.
+	keptTurns        metrics.Counter                        // Turns of which the other members were told.
+	slowStarts       metrics.Counter                        // Starts of which the witnesses were told.
+	queueTimes       metrics.Histogram                      // Milliseconds that a task was queued in its pool.
+	objective        metrics.Histogram                      // Response time of a job as a percentage of its latency objective.
 }
 
 func newInstruments(registry metrics.Registry) instruments {
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
-	return instruments{
+	m := instruments{
 		registry:         registry,
 		starts:           metrics.GetOrRegisterCounter("tasks.starts", registry),
 		repeated:         metrics.GetOrRegisterCounter("tasks.starts_repeated", registry),
@@ -40,6 +43,10 @@
 		slowStarts:       metrics.GetOrRegisterCounter("turns.witnessed", registry),
 		queueTimes:       histogram("pools.wait_ms"), objective: histogram("pools.response_over_objective_pct"),
 	}
+	for priority := range m.startsLate {
+		m.startsLate[priority] = metrics.GetOrRegisterCounter("tasks.starts_late."+strconv.Itoa(priority), registry)
+	}
+	return m
 }
 
 // registerGauges registers the gauges that are computed on each read, most of them from the owned pools.
@@ -71,6 +78,9 @@
 			if d.Attempt > 1 {
 				m.repeated.Inc(1)
 			}
+			if !d.InTime {
+				m.startsLate[model.ClampPriority(d.Priority)].Inc(1)
+			}
 		case port.DecidedBatchRefusal:
 			m.countRefusal(d.Reason)
 		}
--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -29,6 +29,7 @@
 	queuedWork       time.Duration
 	work             time.Duration // Estimated run time of all tasks together.
 	medianLongestRun time.Duration // Median of the estimated run time of the longest task.
+	longestRun       time.Duration // Median of the estimated run time of the job's longest task.
 	p95LongestRun    time.Duration // 95th percentile of the estimated run time of the longest task.
 	inTimeUntil      time.Time     // When the objective of the batch's job ends; see urgency.Terms.
 	lateMargin       time.Duration // How long before its latest possible start the batch counts as late.
--- a/plugins/endpoints/poolstate/decisions.go
+++ b/plugins/endpoints/poolstate/decisions.go
@@ -22,10 +22,10 @@
 	d := port.Decision{
 		Kind: kind, Job: b.ID.Job, Key: b.Key, Part: b.ID.Part, Task: -1, Tasks: len(b.Tasks),
 		Slots: m.totals.slots, Free: m.totals.free, Waiting: m.queue.count + m.totals.held,
-		Left: b.Deadline.Sub(now),
+		Left: b.Deadline.Sub(now), Priority: b.Priority, InTime: b.inTime(now),
 	}
-	if b.Whole {
-		d.Objective = b.Objective.For(b.medianLongestRun)
+	if b.hasObjective() {
+		d.Objective = b.Objective.For(b.longestRun)
 	}
 	return d
 }
@@ -46,6 +46,7 @@
 func (m *Machine) logStart(now time.Time, t *task, why string, fx *Effects) {
 	d := m.newDecision(now, port.DecidedSend, t.batch)
 	d.Task, d.Attempt, d.Tasks, d.Endpoint = t.spec().Index, t.attempt, 1, t.endpoint.ID
+	d.InTime = !t.batch.inTimeUntil.Before(now.Add(t.run.median))
 	d.Queued, d.Why, d.PassedOver = now.Sub(t.batch.arrived), why, len(m.endpointList)-1
 	fx.Decisions = append(fx.Decisions, d)
 }
--- a/plugins/endpoints/poolstate/objective.go
+++ b/plugins/endpoints/poolstate/objective.go
@@ -29,12 +29,22 @@
 			terms.Longest = max(terms.Longest, b.tasks[i].run.medianLongest(b.JobTasks))
 		}
 	}
+	b.longestRun = terms.Longest
 	b.inTimeUntil, b.usefulUntil = terms.InTimeUntil(), terms.UsefulUntil()
 	b.lateMargin = max(b.Objective.For(terms.Longest)-terms.Longest, 0) / lateMarginDivisor
 }
 
 func (b *batch) hasObjective() bool { return b.Objective != (model.Objective{}) }
 
+// inTime reports whether the batch could still meet its objective if its longest task started now.
+func (b *batch) inTime(now time.Time) bool {
+	run := b.medianLongestRun
+	if b.started {
+		run = 0 // The longest task, which starts first, may have started in time.
+	}
+	return !b.place.Late && !b.inTimeUntil.Before(now.Add(run))
+}
+
 // maxWait returns how long the batch's last task may wait; 0 means any time. A whole job has to meet its
 // objective. A part of a job only has to be of use: refusing it would waste the work on the other parts.
 func (b *batch) maxWait(now time.Time) time.Duration {
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -158,7 +158,9 @@
 	AheadMS      int64             `json:"ahead_ms"`               // Run time of the pool's queue, divided by its slots.
 	LeftMS       int64             `json:"left_ms"`                // Time until the deadline.
 	ObjectiveMS  int64             `json:"objective_ms,omitempty"` // Latency objective of the whole job.
-	QueuedMS     int64             `json:"queued_ms"`              // Time for which the task was queued.
+	Priority     int               `json:"priority,omitempty"`
+	InTime       bool              `json:"in_time,omitempty"` // Whether a batch can still meet the objective.
+	QueuedMS     int64             `json:"queued_ms"`         // Time for which the task was queued.
 	Reason       model.Reason      `json:"reason,omitempty"`
 	RetryAfterMS int64             `json:"retry_after_ms,omitempty"`
 	Why          string            `json:"why"`
@@ -170,7 +172,7 @@
 		At: d.At, Kind: d.Kind, Job: d.Job, Key: d.Key, Part: d.Part, Task: d.Task, Attempt: d.Attempt, Tasks: d.Tasks,
 		Pool: d.Pool, Pools: d.Pools, Endpoint: d.Endpoint, Revision: d.Revision,
 		Slots: d.Slots, Free: d.Free, Queued: d.Waiting, AgeMS: d.Age.Milliseconds(), AheadMS: d.Ahead.Milliseconds(),
-		LeftMS: d.Left.Milliseconds(), ObjectiveMS: d.Objective.Milliseconds(), QueuedMS: d.Queued.Milliseconds(),
+		LeftMS: d.Left.Milliseconds(), ObjectiveMS: d.Objective.Milliseconds(), Priority: d.Priority, InTime: d.InTime, QueuedMS: d.Queued.Milliseconds(),
 		Reason: d.Reason, RetryAfterMS: d.RetryAfter.Milliseconds(), Why: d.Why, PassedOver: d.PassedOver,
 	}
 }
--- a/plugins/jobs/jobstate/event.go
+++ b/plugins/jobs/jobstate/event.go
@@ -71,7 +71,8 @@
 	Avoid  []model.PoolID // Pools that refused a part of this job, other than with ReasonBusy or ReasonMoved.
 	Moved  []model.PoolID `json:",omitempty"` // Pools that refused parts of this job with ReasonMoved twice; to be planned for only where no other has room.
 	Reason model.Reason   // Why the pool refused the part.
-	// Unaccepted says that no pool has accepted any part of the job, so that it can be refused as a whole.
+	// Unaccepted says that the job has an objective and that no part of it has been accepted or is under way, so that it can be
+	// refused as a whole.
 	Unaccepted bool `json:",omitempty"`
 	Free       bool // The new plan is not charged to the retry budget.
 }
--- a/plugins/jobs/jobstate/jobstate.go
+++ b/plugins/jobs/jobstate/jobstate.go
@@ -145,11 +145,11 @@
 		Key:         j.job.Key,
 		MaxFailures: j.job.MaxFailures,
 		Objective:   j.job.Objective,
-		Whole:       j.job.Objective != (model.Objective{}) && len(part.Tasks) == len(j.job.Tasks),
+		Whole:       j.hasObjective() && len(part.Tasks) == len(j.job.Tasks),
 		Priority:    j.job.Priority,
 		Submitted:   j.job.Submitted,
 	}
-	if !batch.Whole {
+	if j.hasObjective() && !batch.Whole {
 		batch.JobTasks = len(j.job.Tasks)
 	}
 	for _, index := range part.Tasks {
@@ -160,6 +160,8 @@
 	fx.Sends = append(fx.Sends, Send{Owner: part.Owner, Batch: batch})
 }
 
+func (j *Job) hasObjective() bool { return j.job.Objective != (model.Objective{}) }
+
 // handleBatchEnd records the result of a batch. Results of batches that are not in flight are ignored.
 func (j *Job) handleBatchEnd(now time.Time, result model.BatchResult, fx *Effects) {
 	part, inFlight := j.inFlight[result.ID.Part]
@@ -207,7 +209,7 @@
 		sub.Tasks = append(sub.Tasks, j.job.Tasks[index])
 	}
 	fx.Replan = &Replan{Part: result.ID.Part, Job: sub, Avoid: slices.Clone(j.avoid), Moved: repeated(j.moved), Reason: result.Reason, Free: j.isFreeReplan(result.Reason)}
-	fx.Replan.Unaccepted = len(j.inFlight) == 0 && !j.mayHaveRun && j.unanswered == len(j.job.Tasks)
+	fx.Replan.Unaccepted = j.hasObjective() && len(j.inFlight) == 0 && !j.mayHaveRun && j.unanswered == len(j.job.Tasks)
 }
 
 // repeated returns the pools that are in the list more than once.
--- a/plugins/record/decisions/decisions.go
+++ b/plugins/record/decisions/decisions.go
@@ -110,6 +110,7 @@
 		event.Text(event.Pool, d.Pool), event.Int(event.Tasks, d.Tasks), event.Int(event.Slots, d.Slots),
 		event.Int(event.Free, d.Free), event.Int(event.Queued, d.Waiting), event.MS(event.AheadMS, d.Ahead),
 		event.MS(event.LeftMS, d.Left), event.MS(event.ObjectiveMS, d.Objective),
+		event.Int(event.Priority, d.Priority), event.Flag(event.InTime, d.InTime),
 	}
 }
 
