--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -29,6 +29,7 @@
 	"redwingpulley/plugins/endpoints/runtimes",
 	"redwingpulley/plugins/endpoints/speed",
 	"redwingpulley/plugins/endpoints/transit",
+	"redwingpulley/plugins/endpoints/urgency",
 	"redwingpulley/plugins/jobs/fit",
 	"redwingpulley/plugins/jobs/jobstate",
 	"redwingpulley/plugins/jobs/retrybudget",
--- a/plugins/endpoints/poolstate/evacuate.go
+++ b/plugins/endpoints/poolstate/evacuate.go
@@ -68,7 +68,7 @@
 
 // batchesInOrder returns the batches that have not ended in the order of their acceptance.
 func (m *Machine) batchesInOrder() []*batch {
-	return slices.SortedFunc(maps.Values(m.batches), func(a, b *batch) int { return cmp.Compare(a.order, b.order) })
+	return slices.SortedFunc(maps.Values(m.batches), func(a, b *batch) int { return cmp.Compare(a.place.Order, b.place.Order) })
 }
 
 // endWaiting ends the batches that have tasks to start when none may start any more. These were queued, held for an endpoint or
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -1,6 +1,7 @@
 package poolstate
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"redwingpulley/kernel/invariant"
@@ -8,6 +9,7 @@
 	"redwingpulley/kernel/port"
 	"redwingpulley/plugins/endpoints/runtimes"
 	"redwingpulley/plugins/endpoints/speed"
+	"redwingpulley/plugins/endpoints/urgency"
 )
 
 // Policies holds the placement and admission plug-ins by name.
@@ -46,6 +48,8 @@
 	waiting              int          // Tasks found in this step that wait for a faster endpoint.
 	waitEnd              timer        // When the first of the tasks that wait for a faster endpoint is to wait no longer.
 	retries              retryBudget
+	refusals             urgency.Refusals
+	random               *rand.Rand // Spreads the delays that are advised to refused callers.
 	timers               timers
 	failureRate          float64     // Moving average of the share of tasks that failed; see learnFailureRate.
 	quarantinedEndpoints int         // Number of endpoints in quarantine or being probed.
@@ -70,6 +74,7 @@
 		queue:     newQueue(),
 		runTimes:  runtimes.New(),
 		retries:   retryBudget{tokens: maxRetryTokens},
+		random:    rand.New(rand.NewPCG(seed, seed)),
 		timers:    newTimers(),
 		waitEnd:   newTimer(func(time.Time, *Effects) {}), // Each step dispatches queued tasks.
 
--- a/plugins/endpoints/runtimes/batch.go
+++ b/plugins/endpoints/runtimes/batch.go
@@ -74,6 +74,17 @@
 	return &b.groups[len(b.groups)-1]
 }
 
+// MedianLongestOf returns the median run time of the longest of the given number of tasks, if all were of the class with the longest
+// among those added. It serves for a job of which the batch is a part.
+func (b *Batch) MedianLongestOf(tasks int) (longest time.Duration) {
+	quantile := math.Pow(medianQuantile, 1/float64(max(tasks, 1)))
+	for i := range b.groups {
+		g := &b.groups[i]
+		longest = max(longest, g.class.quantile(quantile).with(g.declared))
+	}
+	return longest
+}
+
 // EndWithin returns the probability that all tasks added end within a time, when all start at once.
 func (b *Batch) EndWithin(limit time.Duration) float64 {
 	probability := 1.0
