Endpoints: a part that can be in time is not sent on

Half of the replans of jobs with many short tasks came from pools that were busier than the job's owner had expected although the parts could be in time there (pool_busy). A pool now leaves a part to its owner only if the wait is longer than the objective allows.

--- a/plugins/endpoints/poolstate/objective.go
+++ b/plugins/endpoints/poolstate/objective.go
@@ -7,11 +7,6 @@
 	"redwingpulley/plugins/endpoints/urgency"
 )
 
-// busyToleranceDivisor sets how long a part of a job with an objective may wait, although its job's owner
-// expected a shorter wait, before it is sent elsewhere: the time left for its wait divided by this. Waits are
-// estimates, so a part that has to wait for longer may well end late.
-const busyToleranceDivisor = 2
-
 // lateMarginDivisor sets how long before its latest possible start a batch counts as late: the time that its
 // objective leaves for waiting, divided by this. Of batches that start at the last moment half end late, since run times
 // vary.
@@ -58,12 +53,12 @@
 }
 
 // maxPlannedWait returns the expected wait above which the pool leaves it to the job's owner to plan the batch
-// again, which it does with the loads that it knows then; 0 means any.
+// again, which it does with the loads that it knows then; 0 means any. A batch that can be in time here is not sent on.
 func (b *batch) maxPlannedWait(now time.Time) time.Duration {
 	if b.MaxWait == 0 || !b.hasObjective() {
 		return b.MaxWait
 	}
-	return max(b.MaxWait, b.waitUntil(now, b.inTimeUntil)/busyToleranceDivisor)
+	return max(b.MaxWait, b.waitUntil(now, b.inTimeUntil))
 }
 
 // waitUntil returns how long the batch's last task may wait for the batch to end by the given time.
