--- a/plugins/jobs/submit.go
+++ b/plugins/jobs/submit.go
@@ -32,7 +32,7 @@
 		job.ID = j.idForKey(job.Key)
 	}
 	if job.Submitted.IsZero() {
-		job.Submitted = time.Now()
+		job.Submitted = j.now()
 	}
 	if job.Deadline.IsZero() {
 		job.Deadline = time.Now().Add(j.defaultDeadline(job.Service))
