Endpoints: a decision package that finds teams which slow each other down

Cause: tasks of some teams run slower beside those of certain others on one machine, which cores and memory do not describe.

Change: package interference estimates, for each team, the effect of one task of each other team beside a run by a linear regression of the logarithm of run time over expected time, with the number of all tasks beside it as a regressor of its own, and with the offsets of the endpoint and of the whole pool taken off. A pair counts while the lower confidence bound was above 1.2 once and the estimate stays above 1.1. 32 classes, half-life 30 s.

--- a/cmd/internal/shape/shape_test.go
+++ b/cmd/internal/shape/shape_test.go
@@ -22,6 +22,7 @@
 	"redwingpulley/kernel/model",
 	"redwingpulley/kernel/port",
 	"redwingpulley/plugins/endpoints/crashes",
+	"redwingpulley/plugins/endpoints/interference",
 	"redwingpulley/plugins/endpoints/keptturns",
 	"redwingpulley/plugins/endpoints/ledger",
 	"redwingpulley/plugins/endpoints/loadview",
