Placement: least_wait prefers endpoints where no other task disturbs

Cause: a pool that knows teams which slow each other down has to keep their tasks apart without making one wait.

Change: PickRequest.Disturbed is a soft filter. least_wait looks for an endpoint that passes it first, among at most 64 of each number of free slots, then takes any.

--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -75,6 +75,9 @@
 	Needs model.Needs
 	Run   time.Duration    // Estimated run time of the task.
 	Avoid model.EndpointID // Endpoint that refused the task before; "" when none did.
+	// Disturbed reports whether an endpoint runs tasks that slow this one down, or the reverse. Such an endpoint is picked only
+	// while no other has room. Nil means that none does; a placer may ignore it.
+	Disturbed func(model.EndpointID) bool
 }
 
 // Choice is the endpoint that was picked and the reason for it.
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -10,6 +10,10 @@
 // maxRemnantTries is how many endpoints with a remnant of resources Pick considers for a task.
 const maxRemnantTries = 64
 
+// maxSeparateTries is how many endpoints of a bucket Pick considers for a task that others may disturb. Where all of them do,
+// few endpoints are left that don't, and a search through thousands would cost more than it gains.
+const maxSeparateTries = 64
+
 // placer keeps the endpoints in buckets by their number of free slots, so that the cost of an update
 // or a pick does not grow with the number of endpoints.
 type placer struct {
@@ -53,23 +57,43 @@
 	}
 }
 
-// Pick returns an endpoint that can run the task, or false when none that can run it has a free slot. A task that fits into
+// Pick returns an endpoint that can run the task, or false when none that can run it has a free slot. Endpoints where others
+// disturb the task are picked only if there is no other.
+func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
+	if request.Disturbed != nil {
+		if choice, ok := p.pick(&request); ok {
+			return choice, true
+		}
+		request.Disturbed = nil
+	}
+	return p.pick(&request)
+}
+
+// pick returns an endpoint that can run the task and where no other disturbs it, or false. A task that fits into
 // a remnant goes there and leaves the free slots to tasks that need more; others go to a random endpoint among those with
 // the most free slots.
-func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
+func (p *placer) pick(request *port.PickRequest) (port.Choice, bool) {
 	if len(p.buckets) > 0 {
-		if e := p.pickFromBucket(p.buckets[0], &request, maxRemnantTries); e != nil {
+		if e := p.pickFromBucket(p.buckets[0], request, maxRemnantTries); e != nil {
 			return port.Choice{Endpoint: e.load.ID, Why: "fits into what others leave"}, true
 		}
 	}
 	for free := p.highest; free > 0; free-- {
-		if e := p.pickFromBucket(p.buckets[free], &request, len(p.buckets[free])); e != nil {
+		if e := p.pickFromBucket(p.buckets[free], request, tries(request, len(p.buckets[free]))); e != nil {
 			return port.Choice{Endpoint: e.load.ID, Why: "most free slots"}, true
 		}
 	}
 	return port.Choice{}, false
 }
 
+// tries returns how many endpoints of a bucket Pick considers for a task.
+func tries(request *port.PickRequest, bucket int) int {
+	if request.Disturbed != nil {
+		return maxSeparateTries
+	}
+	return bucket
+}
+
 // pickFromBucket returns the first endpoint of the bucket that can run the task, starting at a random
 // one, or nil if there is none among the given number.
 func (p *placer) pickFromBucket(bucket []*entry, request *port.PickRequest, tries int) *entry {
@@ -79,7 +103,7 @@
 	offset := p.random.IntN(len(bucket))
 	for i := range min(len(bucket), tries) {
 		e := bucket[(offset+i)%len(bucket)]
-		if request.Needs.FitsIn(e.load.Left) && e.load.ID != request.Avoid {
+		if request.Needs.FitsIn(e.load.Left) && e.load.ID != request.Avoid && (request.Disturbed == nil || !request.Disturbed(e.load.ID)) {
 			return e
 		}
 	}
