Endpoints: pools separate teams that slow each other down

Change: a pool adds up, for each task at an endpoint, the seconds that tasks of each team ran beside it, learns from runs that ended with an answer, and passes the filter to the placer. Switch plugins.endpoints.separate_interfering, off by default and part of poolstate.Created, so that a replay decides alike.

--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -12,6 +12,7 @@
 	Attempt   Key = "attempt" // Number of the attempt at a task.
 	Service   Key = "service"
 	Team      Key = "team"
+	Beside    Key = "beside"  // Team whose tasks slow down those of the other team.
 	Earlier   Key = "earlier" // Attempt whose end is not known yet: the id of its task.
 	Tasks     Key = "tasks"
 	Pool      Key = "pool"
@@ -40,6 +41,8 @@
 	AheadMS      Key = "ahead_ms"       // Estimated run time of the queued tasks divided by the pool's slots.
 	AgeMS        Key = "age_ms"         // Age of the oldest load report that a plan is based on, or of a configuration change.
 
+	SlowDownPct Key = "slow_down_pct" // By how many percent a run takes longer.
+
 	Slots      Key = "slots"
 	Endpoints  Key = "endpoints"   // Number of endpoints of a pool.
 	Free       Key = "free"        // Free slots.
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -65,6 +65,10 @@
 	TeamConfined = define(Trouble, "team_confined", "endpoints go down with tasks of a team: the team gets a bounded part of the pool, until that ceases",
 		Pool, Team, Endpoints)
 	TeamReleased      = define(Change, "team_released", "a team is no longer confined to a part of the pool", Pool, Team, Endpoints)
+	InterferenceFound = define(Change, "interference_found", "tasks of a team run slower beside tasks of another on one endpoint: they are kept apart where there is room",
+		Pool, Team, Beside, SlowDownPct, Runs)
+	InterferenceGone = define(Change, "interference_gone", "tasks of a team no longer run slower beside those of another, or have not run beside them for minutes",
+		Pool, Team, Beside, SlowDownPct, Runs)
 	PoolsSplit        = define(Change, "pools_split", "the endpoints of a service in a data centre are divided among more pools", Service, DataCentre, Parts)
 	PartsUnreadable   = define(Trouble, "parts_unreadable", "the numbers of pools that a member published cannot be decoded", Member, Error)
 	EndpointsPassedOn = define(Change, "endpoints_passed_on", "the owner of a pool is gone; its next owner is told of its endpoints", Pool, Owner, Endpoints)
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -37,6 +37,8 @@
 	SplitAbove         int   `json:"split_above"`           // Number of serving endpoints above which a pool is split; 0 means never.
 	LeaseMS            int64 `json:"lease_ms"`              // How long an endpoint gets work after an announcement.
 	WithdrawnMS        int64 `json:"withdrawn_ms"`          // How long the key of a job is remembered that its caller has cancelled.
+	// SeparateInterfering keeps tasks of teams that slow each other down on different endpoints, where there is room.
+	SeparateInterfering bool `json:"separate_interfering"`
 }
 
 var defaultSettings = Settings{PoolsPerDataCentre: 1, LeaseMS: poolstate.DefaultEndpointLease.Milliseconds(), WithdrawnMS: 120_000}
--- a/plugins/endpoints/log.go
+++ b/plugins/endpoints/log.go
@@ -7,12 +7,13 @@
 	"redwingpulley/kernel/event"
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/interference"
 	"redwingpulley/plugins/endpoints/poolstate"
 )
 
 // logStep logs the decisions of a step and the changes of endpoints in it.
 func (p *Pools) logStep(id model.PoolID, fx *poolstate.Effects) {
-	if len(fx.Decisions)+len(fx.Changes)+len(fx.Teams) == 0 {
+	if len(fx.Decisions)+len(fx.Changes)+len(fx.Teams)+len(fx.Interference) == 0 {
 		return
 	}
 	now, pool := time.Now(), id.String()
@@ -31,6 +32,19 @@
 		}
 		kind.Log(p.log, event.Text(event.Pool, pool), event.Text(event.Team, c.Team), event.Int(event.Endpoints, c.Endpoints))
 	}
+	for _, c := range fx.Interference {
+		p.logInterference(pool, c)
+	}
+}
+
+// logInterference logs that a pair of teams whose tasks slow each other down was found, or that it no longer is one.
+func (p *Pools) logInterference(pool string, c interference.Change) {
+	kind := event.InterferenceGone
+	if c.Found {
+		kind = event.InterferenceFound
+	}
+	kind.Log(p.log, event.Text(event.Pool, pool), event.Text(event.Team, c.Slowed), event.Text(event.Beside, c.Slowing),
+		event.Int(event.SlowDownPct, int64(100*(c.SlowDown-1))), event.Int(event.Runs, int64(c.Runs)))
 }
 
 // logStartWaits logs that a start waits for the end of a run of an earlier attempt, or for that at another member.
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -46,6 +46,7 @@
 func (p *Pools) registerGauges(registry metrics.Registry) {
 	registry.GetOrRegister("keys.withdrawn", metrics.NewFunctionalGauge(func() int64 { return int64(p.withdrawn.Len()) }))
 	registry.GetOrRegister("turns.kept_elsewhere", metrics.NewFunctionalGauge(func() int64 { return int64(p.keptElsewhere.Len()) }))
+	registry.GetOrRegister("endpoints.interfering_pairs", metrics.NewFunctionalGauge(p.interferingPairs))
 	for name, value := range map[string]func(model.PoolLoad) int{
 		"pools.owned":        func(model.PoolLoad) int { return 1 },
 		"pools.slots":        func(l model.PoolLoad) int { return l.Slots },
@@ -61,6 +62,18 @@
 	}
 }
 
+// interferingPairs returns the number of pairs of teams that are kept apart, over all owned pools.
+func (p *Pools) interferingPairs() (sum int64) {
+	p.pools.Each(func(pools map[model.PoolID]*pool) {
+		for id, o := range pools {
+			if p.owns(id) {
+				sum += int64(o.machine.InterferingPairs())
+			}
+		}
+	})
+	return sum
+}
+
 // countStep updates the metrics by the effects of a step.
 func (m *instruments) countStep(fx *poolstate.Effects) {
 	for i := range fx.Decisions {
--- a/plugins/endpoints/pool.go
+++ b/plugins/endpoints/pool.go
@@ -41,7 +41,7 @@
 func (p *Pools) newPool(id model.PoolID) *pool {
 	seed := maphash.String(maphash.MakeSeed(), id.String())
 	p.signalOrigins()
-	created := poolstate.Created{Pool: id, Owner: p.membership.Self().ID, Seed: seed}
+	created := poolstate.Created{Pool: id, Owner: p.membership.Self().ID, Seed: seed, SeparateInterfering: p.settings.SeparateInterfering}
 	return &pool{
 		created:  created,
 		machine:  created.Machine(p.policies),
--- a/plugins/endpoints/poolstate/bench_test.go
+++ b/plugins/endpoints/poolstate/bench_test.go
@@ -36,7 +36,11 @@
 }
 
 func newLoadGenerator(endpoints int) *loadGenerator {
-	l := &loadGenerator{machine: New(finderPool, "sj1-a", shipped, 1), now: start}
+	return generateLoadFor(Created{Pool: finderPool, Owner: "sj1-a", Seed: 1}, endpoints)
+}
+
+func generateLoadFor(created Created, endpoints int) *loadGenerator {
+	l := &loadGenerator{machine: created.Machine(shipped), now: start}
 	l.announceAll(endpoints)
 	profile := model.BuiltInProfile()
 	slots := endpoints * benchSlots
@@ -119,6 +123,19 @@
 	}
 }
 
+// BenchmarkStartSeparating is BenchmarkStart in a pool that learns which of its 55 teams slow each other down.
+func BenchmarkStartSeparating(b *testing.B) {
+	for _, endpoints := range []int{50, 600, 5000} {
+		b.Run(strconv.Itoa(endpoints), func(b *testing.B) {
+			l := generateLoadFor(Created{Pool: finderPool, Owner: "sj1-a", Seed: 1, SeparateInterfering: true}, endpoints)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.start()
+			}
+		})
+	}
+}
+
 // BenchmarkStartParallel is BenchmarkStart with a pool for each goroutine, as in the dispatcher, where
 // pools are shards.
 func BenchmarkStartParallel(b *testing.B) {
--- a/plugins/endpoints/poolstate/created.go
+++ b/plugins/endpoints/poolstate/created.go
@@ -8,7 +8,15 @@
 	Pool  model.PoolID
 	Owner model.NodeID
 	Seed  uint64
+	// SeparateInterfering says that classes of tasks that slow each other down are kept apart; see separation.
+	SeparateInterfering bool `json:",omitempty"`
 }
 
 // Machine returns a new machine with these parameters, as New does.
-func (c Created) Machine(policies Policies) *Machine { return New(c.Pool, c.Owner, policies, c.Seed) }
+func (c Created) Machine(policies Policies) *Machine {
+	m := New(c.Pool, c.Owner, policies, c.Seed)
+	if c.SeparateInterfering {
+		m.separateInterfering()
+	}
+	return m
+}
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -57,7 +57,7 @@
 }
 
 func (m *Machine) pickRequest(now time.Time, t *task) port.PickRequest {
-	r := port.PickRequest{Now: now, Needs: t.spec().Needs, Run: t.run.mean}
+	r := port.PickRequest{Now: now, Needs: t.spec().Needs, Run: t.run.mean, Disturbed: m.disturbedFor(now, t)}
 	if m.totals.serving > 1 {
 		r.Avoid = t.avoid
 	}
@@ -135,6 +135,7 @@
 	e.tasks = append(e.tasks, t)
 	e.taken = e.taken.Plus(t.spec().Needs)
 	m.addInFlight(t)
+	m.addCompanion(t)
 	m.updateTotals(e)
 	fx.Starts = append(fx.Starts, Start{
 		Task: t.id, Attempt: t.attempt, Endpoint: e.ID, Address: e.Address,
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/endpoints/interference"
 )
 
 const (
@@ -40,6 +41,8 @@
 	released     []model.TaskID   // Ring buffer of the latest ended tasks, which announcements may still list.
 	releasedNext int              // Next position to overwrite in the ring buffer once it is full.
 	health       health
+	worker       interference.Worker
+	companions   []companion // One for each of tasks, in the same order, while the pool separates.
 	leaseTimer   timer
 	probeTimer   timer
 	unblockTimer timer        // Ends the assumption that others use slots and resources of a leased endpoint.
--- a/plugins/endpoints/poolstate/event.go
+++ b/plugins/endpoints/poolstate/event.go
@@ -10,6 +10,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/interference"
 )
 
 // Event is an input of the state machine.
@@ -102,9 +103,11 @@
 	Decisions []port.Decision     `json:",omitempty"` // Entries for the decision log, without their time and pool.
 	Changes   []EndpointChange    `json:",omitempty"`
 	Teams     []TeamChange        `json:",omitempty"`
-	Served    []Served            `json:",omitempty"`
-	Fences    []Fence             `json:",omitempty"`
-	Released  []Release           `json:"-"` // Not recorded: they follow from the replies.
+	// Interference holds, for the log, the pairs of classes that have been found to slow each other down, or no longer do.
+	Interference []interference.Change `json:",omitempty"`
+	Served       []Served              `json:",omitempty"`
+	Fences       []Fence               `json:",omitempty"`
+	Released     []Release             `json:"-"` // Not recorded: they follow from the replies.
 }
 
 // Reset empties the effects and keeps their buffers for reuse.
@@ -118,6 +121,7 @@
 	fx.Decisions = fx.Decisions[:0]
 	fx.Changes = fx.Changes[:0]
 	fx.Teams = fx.Teams[:0]
+	fx.Interference = fx.Interference[:0]
 	fx.Served = fx.Served[:0]
 	fx.Fences = fx.Fences[:0]
 	fx.Released = fx.Released[:0]
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -39,6 +39,7 @@
 	changes              []EndpointChange // Changes of endpoints in this step.
 	released             []Release        // Attempts released in this step.
 	runTimes             runTimes
+	separation           separation
 	retries              retryBudget
 	timers               timers
 	failureRate          float64     // Moving average of the share of tasks that failed; see learnFailureRate.
@@ -73,6 +74,7 @@
 func (m *Machine) Step(now time.Time, event Event, fx *Effects) {
 	fx.Reset()
 	m.version++
+	m.separation.now = now
 	if _, renews := event.(Announced); !renews {
 		m.timers.fireDue(now, fx) // Elapsed may be late, especially after a pause of the process.
 	}
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -94,6 +94,7 @@
 func (m *Machine) handleAnswer(now time.Time, t *task, answer []byte, fx *Effects) {
 	m.recordOutcome(now, t.endpoint, t.batch.ID.Job, false)
 	m.learn(t, now.Sub(t.sentAt))
+	m.learnInterference(t, now.Sub(t.sentAt), t.run.mean, fx)
 	m.release(t)
 	if !t.batch.ended {
 		m.recordResult(now, t, model.TaskResult{Done: true, Answer: answer}, fx)
@@ -242,6 +243,7 @@
 	e := t.endpoint
 	m.released = append(m.released, Release{t.id, t.attempt, t.batch.Key})
 	delete(m.inFlight, t.id)
+	m.removeCompanion(t)
 	if e.occupant == t {
 		e.isolated, e.occupant = e.down, nil // It counts as held while it is down.
 	}
