Endpoints: random events also run in pools that separate teams

Cause: the bookkeeping of tasks that run beside each other was not covered by the random test of the pool's machine.

Change: runs whose profile has admission open separate; this changes no draw.

--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -64,9 +64,10 @@
 	profile.Placement = rapid.SampledFrom([]string{"least_wait", "random", "round_robin", "stale_view"}).Draw(t, "placement")
 	profile.Admission = rapid.SampledFrom([]string{"deadline", "open"}).Draw(t, "admission")
 	profile.RetryBudget = 0.5
+	created := Created{Pool: finderPool, Owner: "sj1-a", Seed: 1, SeparateInterfering: profile.Admission == "open"}
 	return &cluster{
 		t: t, now: start, profile: profile,
-		machine: New(finderPool, "sj1-a", shipped, 1), twin: New(finderPool, "sj1-a", shipped, 1),
+		machine: created.Machine(shipped), twin: created.Machine(shipped),
 		leases: map[model.EndpointID]time.Time{}, announced: map[model.EndpointID]model.Endpoint{},
 		born: map[model.EndpointID]int64{"c": 1, "d": 1}, inFlight: map[model.TaskID]Start{}, attempts: map[model.TaskID]int{},
 		ran: map[model.TaskID]bool{}, ranIsolated: map[model.TaskID]bool{}, cordoned: map[model.EndpointID]bool{}, occupying: map[model.TaskID]int{},
