Operators: explain where a job would go, without running it

Cause: an operator could see where jobs went, in the log, but not where one would go now.

Change: POST /v1/explain at the operators' listener and redwingctl where. Jobs.Explain plans with the code of planJob, with the quota looked at rather than taken and nothing put into the retry budget; Machine.Judge gives the verdict of an own pool on a part without accepting it, and restores what a verdict changes.

Evidence: the random test judges each batch in the machine and not in its twin, and both decide alike; tests of the verdict, the quota, the plan, the JSON, and of two processes, one of which owns the pool.

--- a/cmd/internal/operatorclient/client.go
+++ b/cmd/internal/operatorclient/client.go
@@ -81,6 +81,17 @@
 	return Reply{}, ErrNoAnswer
 }
 
+// Ask posts a question, which changes nothing, and returns the answer of the first listener that answers, even if it is a refusal.
+func (c *Client) Ask(ctx context.Context, path string, body []byte) (Reply, error) {
+	for _, address := range c.Addresses {
+		reply, _, err := c.send(ctx, http.MethodPost, address, path, nil, body)
+		if err == nil {
+			return reply, nil
+		}
+	}
+	return Reply{}, ErrNoAnswer
+}
+
 // Post sends a request to the first listener that can be reached. It isn't sent again once any of it may have
 // arrived.
 func (c *Client) Post(ctx context.Context, path string) (Reply, error) {
--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -32,6 +32,7 @@
 	Status    statusCommand    `cmd:"" help:"Print the state of an entry VM."`
 	Places    placesCommand    `cmd:"" help:"Show who votes on profiles, which member holds which replica's place, and what a replacement waits for."`
 	Endpoints endpointsCommand `cmd:"" help:"List the endpoints that an entry VM owns."`
+	Where     whereCommand     `cmd:"" help:"Show where a job would go now, and why, without running it."`
 	Drain     drainCommand     `cmd:"" help:"Drain an entry VM."`
 	Explain   explainCommand   `cmd:"" help:"Show the timeline of a request from the logs of any number of processes."`
 	Settings  settingsCommands `cmd:"" help:"Write settings files."`
--- a/kernel/port/port.go
+++ b/kernel/port/port.go
@@ -107,4 +107,6 @@
 	// Take takes the given number of tasks from this VM's share of the team's quota. When too little
 	// is left, it takes none and returns after how long to try again.
 	Take(profile model.Profile, team model.TeamID, tasks int) (ok bool, retryAfter time.Duration)
+	// Look returns what Take would return now, and takes nothing.
+	Look(profile model.Profile, team model.TeamID, tasks int) (ok bool, retryAfter time.Duration)
 }
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -140,6 +140,7 @@
 	p.gossip.Subscribe(topicLoads, p.handleGossipedLoads)
 	p.gossip.Subscribe(topicParts, p.handleGossipedParts)
 	plugin.Bind[port.Pools](c, p)
+	plugin.Bind[port.PoolJudge](c, p)
 	return nil
 }
 
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -291,7 +291,9 @@
 		b.Tasks = append(b.Tasks, model.Task{Index: i, Needs: model.Needs{MilliCores: most * (i % 2)}})
 	}
 	c.open[b.ID] = len(b.Tasks)
-	c.step(Submitted{Batch: b, Profile: c.profile})
+	s := Submitted{Batch: b, Profile: c.profile}
+	c.machine.Judge(c.now, s) // The twin, which does not judge it, has to decide like the machine from here on.
+	c.step(s)
 }
 
 // drawInFlight draws a task that is in flight; ok is false when there is none.
--- a/plugins/endpoints/setup.go
+++ b/plugins/endpoints/setup.go
@@ -9,7 +9,7 @@
 	plugin.Register(plugin.Definition{
 		ID:       "endpoints",
 		Summary:  "owns pools of endpoints and runs batches of tasks on them",
-		Provides: []plugin.Port{plugin.PortOf[port.Pools]()},
+		Provides: []plugin.Port{plugin.PortOf[port.Pools](), plugin.PortOf[port.PoolJudge]()},
 		Needs: []plugin.Port{
 			plugin.PortOf[port.Peers](),
 			plugin.PortOf[port.Membership](),
--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -25,6 +25,7 @@
 	register   port.ProfileRegister
 	policies   policies
 	decisions  port.Decisions
+	planner    port.Planner
 	health     *plugin.Health
 	metrics    metrics.Registry
 	server     *web.Server
@@ -41,6 +42,7 @@
 		plugin.Need(c, &f.profiles),
 		plugin.Need(c, &f.register),
 		plugin.Need(c, &f.decisions),
+		plugin.Need(c, &f.planner),
 	)
 	if err != nil {
 		return err
@@ -73,6 +75,7 @@
 	mux.HandleFunc("GET /v1/places", f.listPlaces)
 	mux.HandleFunc("GET /v1/endpoints", f.listEndpoints)
 	mux.HandleFunc("GET /v1/decisions", f.listDecisions)
+	mux.HandleFunc("POST /v1/explain", f.explainJob)
 	mux.HandleFunc("GET /metrics", f.serveMetrics)
 	mux.HandleFunc("GET /metrics.txt", f.serveMetricsText)
 	mux.HandleFunc("POST /v1/drain", f.startDrain)
--- a/plugins/frontend/operators/setup.go
+++ b/plugins/frontend/operators/setup.go
@@ -17,6 +17,7 @@
 			plugin.PortOf[port.Placement](),
 			plugin.PortOf[port.Admission](),
 			plugin.PortOf[port.Decisions](),
+			plugin.PortOf[port.Planner](),
 		},
 		New: func() plugin.Plugin { return &Frontend{} },
 	})
--- a/plugins/jobs/fake_test.go
+++ b/plugins/jobs/fake_test.go
@@ -64,6 +64,8 @@
 
 func (f *fake) Take(model.Profile, model.TeamID, int) (bool, time.Duration) { return true, 0 }
 
+func (f *fake) Look(model.Profile, model.TeamID, int) (bool, time.Duration) { return true, 0 }
+
 func (f *fake) Record(port.Decision) {}
 
 func (f *fake) Recent() []port.Decision { return nil }
--- a/plugins/jobs/jobs.go
+++ b/plugins/jobs/jobs.go
@@ -46,6 +46,7 @@
 	profiles       port.Profiles
 	quotas         port.Quotas
 	pools          port.Pools
+	judge          port.PoolJudge
 	peers          port.Peers
 	decisions      port.Decisions
 	recorder       port.Recorder
@@ -74,6 +75,7 @@
 		plugin.Need(c, &j.profiles),
 		plugin.Need(c, &j.quotas),
 		plugin.Need(c, &j.pools),
+		plugin.Need(c, &j.judge),
 		plugin.Need(c, &j.peers),
 		plugin.Need(c, &j.decisions),
 		plugin.Need(c, &j.recorder),
@@ -84,6 +86,7 @@
 	j.placements = plugin.UseAll[port.Placement](c)
 	j.init(c.Log, c.Metrics)
 	plugin.Bind[port.Jobs](c, j)
+	plugin.Bind[port.Planner](c, j)
 	return nil
 }
 
--- a/plugins/jobs/plan.go
+++ b/plugins/jobs/plan.go
@@ -56,7 +56,7 @@
 // record.
 func (j *Jobs) planOrRefuse(job model.Job) (jobstate.Event, port.Decision) {
 	d := newDecision(port.DecidedJobRefusal, &job)
-	plan, refused := j.planJob(job, &d)
+	plan, refused := j.planJob(job, &d, true)
 	if refused != nil {
 		d.Reason, d.RetryAfter, d.Why = refused.reason, refused.retryAfter, refused.why
 		return jobstate.Refused{Reason: refused.reason, RetryAfter: refused.retryAfter}, d
@@ -72,8 +72,9 @@
 	why        string // For the decision.
 }
 
-// planJob returns a plan for the job, or why the job is refused. It adds to the decision what that is based on.
-func (j *Jobs) planJob(job model.Job, d *port.Decision) (port.Plan, *refusal) {
+// planJob returns a plan for the job, or why the job is refused. It adds to the decision what that is based on. Unless charged
+// is set, the quota is looked at rather than taken, and the retry budget gets nothing.
+func (j *Jobs) planJob(job model.Job, d *port.Decision, charged bool) (port.Plan, *refusal) {
 	profiles, known := j.profiles.Current()
 	d.Revision = profiles.Revision
 	if !known {
@@ -94,14 +95,20 @@
 	if why, fits := fit.Check(job, loads, time.Now()); !fits {
 		return port.Plan{}, &refusal{model.ReasonNeverFits, 0, why}
 	}
-	if ok, retryAfter := j.quotas.Take(profile, job.Team, len(job.Tasks)); !ok {
+	quota := j.quotas.Look
+	if charged {
+		quota = j.quotas.Take
+	}
+	if ok, retryAfter := quota(profile, job.Team, len(job.Tasks)); !ok {
 		return port.Plan{}, &refusal{model.ReasonQuota, retryAfter, "the team's quota is used up"}
 	}
 	plan := j.plan(profile, job, loads)
 	if len(plan.Parts) == 0 {
 		return port.Plan{}, &refusal{plan.Refused, 0, plan.Reason}
 	}
-	j.depositRetries(profile, job.Service, len(plan.Parts))
+	if charged {
+		j.depositRetries(profile, job.Service, len(plan.Parts))
+	}
 	return plan, nil
 }
 
--- a/plugins/quota/quota.go
+++ b/plugins/quota/quota.go
@@ -129,6 +129,24 @@
 	return fx.Taken, fx.RetryAfter
 }
 
+// Look returns what Take would return now, and takes nothing.
+func (q *Quotas) Look(profile model.Profile, team model.TeamID, tasks int) (ok bool, retryAfter time.Duration) {
+	quota, bounded := profile.Quotas[team]
+	if !bounded {
+		return true, 0
+	}
+	k := quotaKey{profile.Name, team}
+	var fx share.MemberEffects
+	q.members.Do(k, func(members map[quotaKey]*share.Member) {
+		m, known := members[k]
+		if !known {
+			m = share.NewMember(q.startedAt, q.config)
+		}
+		fx = m.Look(time.Now(), share.Take{Quota: quota, Tasks: tasks})
+	})
+	return fx.Taken, fx.RetryAfter
+}
+
 // withMember calls f with the Member of a quota, which it creates if needed, under the shard's lock.
 func (q *Quotas) withMember(k quotaKey, f func(*share.Member)) {
 	q.members.Do(k, func(members map[quotaKey]*share.Member) {
--- a/plugins/quota/share/member.go
+++ b/plugins/quota/share/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"redwingpulley/kernel/invariant"
@@ -91,6 +92,13 @@
 	return fx
 }
 
+// Look returns the effects that a Take would have now, and changes nothing.
+func (m *Member) Look(now time.Time, e Take) MemberEffects {
+	member := *m
+	member.loans, member.grants = slices.Clone(m.loans), slices.Clone(m.grants)
+	return member.Step(now, e)
+}
+
 // NextTimer returns when BorrowDue is due next; ok is false while the member does not borrow.
 func (m *Member) NextTimer() (at time.Time, ok bool) { return m.nextRequestAt, m.borrowing }
 
--- a/plugins/quota/share/share_test.go
+++ b/plugins/quota/share/share_test.go
@@ -47,6 +47,17 @@
 	is.True(m.Step(afterOldLoans.Add(fx.RetryAfter), Take{Quota: 4, Tasks: 2}).Taken)
 }
 
+// Guards against an explanation of a job that uses up quota.
+func TestLookTakesNothing(t *testing.T) {
+	is := is.New(t)
+	m := NewMember(startTime, testConfig)
+	for range 3 {
+		is.True(m.Look(afterOldLoans, Take{Quota: 4, Tasks: 10}).Taken)
+	}
+	is.True(m.Step(afterOldLoans, Take{Quota: 4, Tasks: 10}).Taken)
+	is.True(!m.Look(afterOldLoans, Take{Quota: 4, Tasks: 2}).Taken)
+}
+
 func TestLoanIsGrantedToBorrowerAndExpires(t *testing.T) {
 	is := is.New(t)
 	lender, borrower, c := NewMember(startTime, testConfig), NewMember(startTime, testConfig), &Coordinator{}
