--- a/kernel/port/placement.go
+++ b/kernel/port/placement.go
@@ -83,6 +83,9 @@
 	Left  time.Duration    // Time until the objective of the task's job ends; 0 means that there is none.
 	Ahead int              // Number of tasks that wait, before this one, although endpoints have room.
 	Avoid model.EndpointID // Endpoint that refused the task before; "" when none did.
+	// Disturbed reports whether an endpoint runs tasks that slow this one down, or the reverse. Such an endpoint is picked only
+	// while no other has room. Nil means that none does; a placer may ignore it.
+	Disturbed func(model.EndpointID) bool
 }
 
 // Choice is the endpoint that was picked and the reason for it.
--- a/plugins/endpoints/endpoints.go
+++ b/plugins/endpoints/endpoints.go
@@ -38,6 +38,8 @@
 	LeaseMS            int64 `json:"lease_ms"`              // How long an endpoint gets work after an announcement.
 	LearnSpeeds        bool  `json:"learn_speeds"`          // Whether to place tasks by how fast the endpoints have been.
 	WithdrawnMS        int64 `json:"withdrawn_ms"`          // How long the key of a job is remembered that its caller has cancelled.
+	// SeparateInterfering keeps tasks of teams that slow each other down on different endpoints, where there is room.
+	SeparateInterfering bool `json:"separate_interfering"`
 }
 
 var defaultSettings = Settings{PoolsPerDataCentre: 1, LeaseMS: poolstate.DefaultEndpointLease.Milliseconds(), WithdrawnMS: 120_000}
@@ -139,6 +141,7 @@
 	p.gossip.Subscribe(topicLoads, p.handleGossipedLoads)
 	p.gossip.Subscribe(topicParts, p.handleGossipedParts)
 	plugin.Bind[port.Pools](c, p)
+	plugin.Bind[port.PoolJudge](c, p)
 	return nil
 }
 
--- a/plugins/endpoints/metrics.go
+++ b/plugins/endpoints/metrics.go
@@ -61,6 +61,7 @@
 		})
 		return sum
 	}))
+	registry.GetOrRegister("endpoints.interfering_pairs", metrics.NewFunctionalGauge(p.interferingPairs))
 	for name, value := range map[string]func(model.PoolLoad) int{
 		"pools.owned":        func(model.PoolLoad) int { return 1 },
 		"pools.slots":        func(l model.PoolLoad) int { return l.Slots },
@@ -76,6 +77,18 @@
 	}
 }
 
+// interferingPairs returns the number of pairs of teams that are kept apart, over all owned pools.
+func (p *Pools) interferingPairs() (sum int64) {
+	p.pools.Each(func(pools map[model.PoolID]*pool) {
+		for id, o := range pools {
+			if p.owns(id) {
+				sum += int64(o.machine.InterferingPairs())
+			}
+		}
+	})
+	return sum
+}
+
 // countStep updates the metrics by the effects of a step.
 func (m *instruments) countStep(fx *poolstate.Effects) {
 	for i := range fx.Decisions {
--- a/plugins/endpoints/pool.go
+++ b/plugins/endpoints/pool.go
@@ -41,7 +41,10 @@
 func (p *Pools) newPool(id model.PoolID) *pool {
 	seed := maphash.String(maphash.MakeSeed(), id.String())
 	p.signalOrigins()
-	created := poolstate.Created{Pool: id, Owner: p.membership.Self().ID, Seed: seed, LearnSpeeds: p.settings.LearnSpeeds}
+	created := poolstate.Created{
+		Pool: id, Owner: p.membership.Self().ID, Seed: seed,
+		LearnSpeeds: p.settings.LearnSpeeds, SeparateInterfering: p.settings.SeparateInterfering,
+	}
 	return &pool{
 		created:  created,
 		machine:  created.Machine(p.policies),
--- a/plugins/endpoints/poolstate/created.go
+++ b/plugins/endpoints/poolstate/created.go
@@ -13,6 +13,8 @@
 	Seed  uint64
 	// LearnSpeeds says that the machine learns how fast its endpoints are, and places tasks by that.
 	LearnSpeeds bool `json:",omitempty"`
+	// SeparateInterfering says that classes of tasks that slow each other down are kept apart; see separation.
+	SeparateInterfering bool `json:",omitempty"`
 }
 
 // Machine returns a new machine with these parameters, as New does.
@@ -21,5 +23,8 @@
 	if c.LearnSpeeds {
 		m.speeds = speed.NewTable()
 	}
+	if c.SeparateInterfering {
+		m.separateInterfering()
+	}
 	return m
 }
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -47,6 +47,7 @@
 	speeds               *speed.Table // nil when speeds are not learned.
 	waiting              int          // Tasks found in this step that wait for a faster endpoint.
 	waitEnd              timer        // When the first of the tasks that wait for a faster endpoint is to wait no longer.
+	separation           separation
 	retries              retryBudget
 	refusals             urgency.Refusals
 	random               *rand.Rand // Spreads the delays that are advised to refused callers.
@@ -87,6 +88,7 @@
 func (m *Machine) Step(now time.Time, event Event, fx *Effects) {
 	fx.Reset()
 	m.version++
+	m.separation.now = now
 	if _, renews := event.(Announced); !renews {
 		m.timers.fireDue(now, fx) // Elapsed may be late, especially after a pause of the process.
 	}
--- a/plugins/endpoints/poolstate/machine_test.go
+++ b/plugins/endpoints/poolstate/machine_test.go
@@ -55,8 +55,10 @@
 	return fx
 }
 
-func (h *harness) announce(id model.EndpointID, slots int, state model.EndpointState) Effects {
-	return h.step(Announced{Endpoint: model.Endpoint{ID: id, Service: "finder", DataCentre: "sj1", Slots: slots, State: state, Address: string(id)}})
+func (h *harness) announce(id model.EndpointID, slots int, state model.EndpointState, running ...model.TaskID) Effects {
+	return h.step(Announced{Endpoint: model.Endpoint{
+		ID: id, Service: "finder", DataCentre: "sj1", Slots: slots, State: state, Address: string(id), Running: running,
+	}})
 }
 
 // advance moves the time on and returns all revokes and ended batches. The endpoints announce themselves
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -65,7 +65,10 @@
 	profile.Placement = rapid.SampledFrom([]string{"least_wait", "random", "round_robin", "stale_view"}).Draw(t, "placement")
 	profile.Admission = rapid.SampledFrom([]string{"deadline", "open"}).Draw(t, "admission")
 	profile.RetryBudget = 0.5
-	created := Created{Pool: finderPool, Owner: "sj1-a", Seed: 1, LearnSpeeds: profile.Admission == "deadline"}
+	created := Created{
+		Pool: finderPool, Owner: "sj1-a", Seed: 1,
+		LearnSpeeds: profile.Admission == "deadline", SeparateInterfering: profile.Admission == "open",
+	}
 	return &cluster{
 		t: t, now: start, profile: profile,
 		machine: created.Machine(shipped), twin: created.Machine(shipped),
@@ -307,7 +310,9 @@
 		b.Tasks = append(b.Tasks, model.Task{Index: i, Needs: model.Needs{MilliCores: most * (i % 2)}})
 	}
 	c.open[b.ID] = len(b.Tasks)
-	c.step(Submitted{Batch: b, Profile: c.profile})
+	s := Submitted{Batch: b, Profile: c.profile}
+	c.machine.Judge(c.now, s) // The twin, which does not judge it, has to decide like the machine from here on.
+	c.step(s)
 }
 
 // drawInFlight draws a task that is in flight; ok is false when there is none.
--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -106,6 +106,7 @@
 	t.timeUnknown = t.timeUnknown || answerStuck
 	m.learn(t, now.Sub(t.sentAt))
 	m.learnSpeed(now, t)
+	m.learnInterference(t, now.Sub(t.sentAt), fx)
 	m.release(t)
 	if !t.batch.ended {
 		m.recordResult(now, t, model.TaskResult{Done: true, Answer: answer}, fx)
@@ -260,6 +261,7 @@
 	e := t.endpoint
 	m.released = append(m.released, Release{t.id, t.attempt, t.batch.Key})
 	delete(m.inFlight, t.id)
+	m.removeCompanion(t)
 	if e.occupant == t {
 		e.isolated, e.occupant = e.down, nil // It counts as held while it is down.
 	}
--- a/plugins/endpoints/poolstate/speed.go
+++ b/plugins/endpoints/poolstate/speed.go
@@ -93,11 +93,10 @@
 // objectiveLeft returns the time until the objective of the batch's job ends, at least 1; it is 0 when there is none, or when speeds
 // are not learned.
 func (m *Machine) objectiveLeft(now time.Time, b *batch) time.Duration {
-	objective := b.Objective.For(b.medianLongestRun)
-	if m.speeds == nil || objective <= 0 {
+	if m.speeds == nil || !b.hasObjective() {
 		return 0
 	}
-	return max(b.arrived.Add(objective).Sub(now), 1)
+	return max(b.inTimeUntil.Sub(now), 1)
 }
 
 // recordWait counts the queued tasks of a batch whose first one waits for a faster endpoint, and sets the timer that ends its wait
--- a/plugins/endpoints/runtimes/runtimes.go
+++ b/plugins/endpoints/runtimes/runtimes.go
@@ -6,6 +6,7 @@
 package runtimes
 
 import (
+	"maps"
 	"math"
 	"math/bits"
 	"time"
@@ -76,6 +77,12 @@
 	return c
 }
 
+// Peek returns a function that removes the classes of teams that have been added since, for estimates that are to leave no trace.
+func (e *Estimates) Peek() (removeAdded func()) {
+	before := maps.Clone(e.teams)
+	return func() { e.teams = before }
+}
+
 // sizeOf returns the size class of a declared run time; 0 is the class of tasks that declare none.
 func sizeOf(declared time.Duration) int {
 	return min(bits.Len64(uint64(max(declared.Milliseconds(), 0))), sizeClasses-1)
--- a/plugins/endpoints/runtimes/runtimes_test.go
+++ b/plugins/endpoints/runtimes/runtimes_test.go
@@ -113,3 +113,14 @@
 	_, other := b.Add(0, byDefault)
 	is.True(other.Median > ordinary && other.Median < 3*ordinary)
 }
+
+// Guards against a table of teams that grows with each explanation of a placement.
+func TestPeekLeavesNoClass(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	e.ClassOf("known", time.Second)
+	removeAdded := e.Peek()
+	e.ClassOf("other", time.Second)
+	removeAdded()
+	is.Equal(len(e.teams), 1)
+}
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -13,6 +13,10 @@
 	// maxRemnantTries is how many endpoints with a remnant of resources Pick considers for a task.
 	maxRemnantTries = 64
 
+	// maxSeparateTries is how many endpoints of a bucket Pick considers for a task that others may disturb. Where all of them do,
+	// few endpoints are left that don't, and a search through thousands would cost more than it gains.
+	maxSeparateTries = 64
+
 	// Endpoints are grouped by speed. A group's endpoints take levelStep times as long as those of the next faster group; the
 	// group of index typicalLevel has the endpoints of average speed.
 	levelStep    = 1.25
@@ -129,9 +133,16 @@
 //
 // A task goes to an endpoint on which it is expected to end within its objective: to one of the fastest while they have many free
 // slots, otherwise to one of the slowest that suit. If none of them has room, it waits for one as long as it is expected
-// to end in time there, and goes to the fastest with room after that.
+// to end in time there, and goes to the fastest with room after that. Endpoints where others disturb the task are picked only if no
+// other suits.
 func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
 	suitable := p.suitable(&request)
+	if request.Disturbed != nil {
+		if choice, ok := p.pickSuitable(suitable, &request); ok {
+			return choice, true
+		}
+		request.Disturbed = nil
+	}
 	if choice, ok := p.pickSuitable(suitable, &request); ok {
 		return choice, true
 	}
@@ -219,13 +230,21 @@
 		}
 	}
 	for free := l.highest; free > 0; free-- {
-		if e := p.pickFromBucket(l.buckets[free], request, len(l.buckets[free])); e != nil {
+		if e := p.pickFromBucket(l.buckets[free], request, tries(request, len(l.buckets[free]))); e != nil {
 			return port.Choice{Endpoint: e.load.ID, Why: "most free slots"}, true
 		}
 	}
 	return port.Choice{}, false
 }
 
+// tries returns how many endpoints of a bucket Pick considers for a task.
+func tries(request *port.PickRequest, bucket int) int {
+	if request.Disturbed != nil {
+		return maxSeparateTries
+	}
+	return bucket
+}
+
 // pickFromBucket returns the first endpoint of the bucket that can run the task, starting at a random
 // one, or nil if there is none among the given number.
 func (p *placer) pickFromBucket(bucket []*entry, request *port.PickRequest, tries int) *entry {
@@ -235,7 +254,7 @@
 	offset := p.random.IntN(len(bucket))
 	for i := range min(len(bucket), tries) {
 		e := bucket[(offset+i)%len(bucket)]
-		if request.Needs.FitsIn(e.load.Left) && e.load.ID != request.Avoid {
+		if request.Needs.FitsIn(e.load.Left) && e.load.ID != request.Avoid && (request.Disturbed == nil || !request.Disturbed(e.load.ID)) {
 			return e
 		}
 	}
