Placement: the wait for a slot no longer counts half a run time

Cause: the work of the running tasks was divided by the slots, as if all of them had to end before the next task starts. In a full pool of 60 slots one is freed each sixtieth of a run time.

--- a/plugins/endpoints/poolstate/admission.go
+++ b/plugins/endpoints/poolstate/admission.go
@@ -55,14 +55,14 @@
 	return (queued + own) / time.Duration(max(m.totals.slots, 1))
 }
 
-// expectedWait returns how long the batch's last task is expected to wait for a slot behind all work in
-// the pool: 0 if all tasks find one at once. Until a run time has been learned, only queued work counts.
+// expectedWait returns how long the batch's last task is expected to wait for a slot behind all queued work in
+// the pool: 0 if all tasks find one at once. While all slots are taken, the running tasks free one each mean run time over
+// the number of slots. Until a run time has been learned, only queued work counts.
 func (m *Machine) expectedWait(b *batch, room int) time.Duration {
 	if len(b.Tasks) <= room {
 		return 0
 	}
 	mean := m.runTimes.Mean()
-	running := time.Duration(len(m.inFlight)) * mean / 2
 	beyond := time.Duration(len(b.Tasks)-room) * mean
-	return (running + m.queue.work + beyond) / time.Duration(max(m.totals.slots, 1))
+	return (m.queue.work + beyond) / time.Duration(max(m.totals.slots, 1))
 }
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -30,8 +30,8 @@
 type Policy struct{}
 
 // Plan ranks the pools by the cost of running the whole job in each, and compares the best one alone
-// with the best two, three and so on together, until a further pool does not lower the cost: with more
-// pools the job ends sooner but takes more messages.
+// with the best two, three and so on together, until a further pool does not lower the cost by more than the
+// estimates are inaccurate: with more pools the job takes more messages, and it ends with its last part.
 func (Policy) Plan(r port.PlanRequest) port.Plan {
 	eligible, refusal := plan.EligiblePools(r.Job, r.Pools)
 	if len(eligible) == 0 {
@@ -42,7 +42,7 @@
 	best := allocate(ranked[:1], tasks)
 	for k := 2; k <= len(ranked) && best.end > 0; k++ {
 		a := allocate(ranked[:k], tasks)
-		if a.cost >= best.cost {
+		if a.cost >= best.cost-waitTolerance {
 			break
 		}
 		best = a
@@ -59,8 +59,7 @@
 	pool         *model.PoolLoad
 	freeSlots    int           // Number of tasks that can start at once.
 	suited       int           // Those of them at fast endpoints if the tasks are longer than the pool's average, else those at others.
-	runningWait  time.Duration // Wait for a slot that the running tasks cause.
-	baseWait     time.Duration // Wait for a slot that the work already in the pool causes.
+	baseWait     time.Duration // Wait for a slot that the tasks in the pool's queue cause.
 	waitPerTask  time.Duration // Wait that each task beyond the free slots adds.
 	roundTrip    time.Duration // Round trip to the pool's data centre.
 	messageCost  time.Duration // Cost of the messages of one batch.
@@ -98,17 +97,16 @@
 }
 
 // newCandidate estimates the waits and costs in a pool. run is the run time of a task, used when the
-// pool has not learned one. Tasks that run there now are taken to be halfway through on average.
+// pool has not learned one. In a pool whose slots are all taken, one is freed each waitPerTask on average.
 func newCandidate(r *port.PlanRequest, pool *model.PoolLoad, run time.Duration) candidate {
 	long := run > pool.MeanRun
 	if pool.MeanRun > 0 {
 		run = pool.MeanRun
 	}
 	slots := time.Duration(pool.Slots)
-	runningWork := time.Duration(pool.Slots-pool.Free) * run / 2
 	c := candidate{
 		pool: pool, freeSlots: max(pool.Free-pool.Queued, 0),
-		runningWait: runningWork / slots, baseWait: (runningWork + pool.QueuedRun) / slots, waitPerTask: run / slots,
+		baseWait: pool.QueuedRun / slots, waitPerTask: run / slots,
 	}
 	fast := min(pool.FreeFast, c.freeSlots)
 	c.suited = c.freeSlots - fast
@@ -151,7 +149,7 @@
 	if tasks <= c.pool.Free {
 		return 0
 	}
-	return c.runningWait + time.Duration(tasks-c.pool.Free)*c.waitPerTask
+	return time.Duration(tasks-c.pool.Free) * c.waitPerTask
 }
 
 // allocate gives each pool, in their order, as many tasks as it has free slots, and each remaining
