Endpoints: a handed-over factor replaces samples that have lost their weight

A member that got a pool back within a minute ignored the factors that the former owner had learned meanwhile: any entry for the address counted as samples, also one whose weight had decayed, so that the endpoint counted as typical for its kind. Long tasks then went to endpoints known to be slow. Adopt now compares the remaining weight with one sample.

TestHandedOverFactorHoldsUntilThereAreSamples failed before.

--- a/plugins/endpoints/speed/speed.go
+++ b/plugins/endpoints/speed/speed.go
@@ -78,13 +78,16 @@
 	k.add(clipped, kindSamples)
 }
 
-// Adopt sets the estimate for a worker to the one that another member has learned, unless there are samples of the worker.
+// Adopt sets the estimate for a worker to the one that another member has learned, unless samples of the worker still have weight.
 func (t *Table) Adopt(now time.Time, address string, factor float64) {
-	if _, known := t.workers[address]; known || !(factor > 0) {
+	if !(factor > 0) {
 		return
 	}
 	w := t.worker(now, address)
-	w.mean, w.weight, w.newest = bounded(math.Log(factor), maxSample), windowSamples, now
+	if w.decayIdle(now); w.weight >= 1 {
+		return
+	}
+	w.mean, w.weight, w.newest, w.surprises = bounded(math.Log(factor), maxSample), windowSamples, now, 0
 }
 
 // Factor returns the estimated run time of a task at the worker over that at a worker of speed 1.
--- a/plugins/endpoints/speed/speed_test.go
+++ b/plugins/endpoints/speed/speed_test.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// Guards against a next owner that learns anew which endpoints are slow, or that prefers what it was told to its own samples.
+// Guards against a next owner that learns anew which endpoints are slow, also where it owned the pool before, or that prefers what
+// it was told to its own samples.
 func TestHandedOverFactorHoldsUntilThereAreSamples(t *testing.T) {
 	is := is.New(t)
 	table := NewTable()
@@ -79,6 +80,9 @@
 	table.Adopt(now, "new", 3)
 	is.True(near(table.Factor(now, "known", ""), 1))
 	is.True(table.Factor(now, "new", "") > 2.2)
+	now = now.Add(retention / 2) // The samples have lost their weight.
+	table.Adopt(now, "known", 3)
+	is.True(table.Factor(now, "known", "") > 2.2)
 }
 
 // Guards against memory that grows with all addresses and kinds that were ever seen.
