Endpoints: factors are known while no endpoint of the pool gets work

Without slots, all endpoints of a pool had a factor of 1. When all of them were leaving or blocked, runs that ended at slow endpoints were learned with their whole time as those at typical ones, and the first endpoint to return counted as typical. The mean speed is now taken as speed 1 then.

TestSpeedsAreKnownWhileNoEndpointGetsWork failed before.

--- a/plugins/endpoints/poolstate/speed.go
+++ b/plugins/endpoints/poolstate/speed.go
@@ -38,10 +38,10 @@
 
 // factor returns the mean speed of the pool's slots over that of the endpoint: how long a run takes there in relation to the pool.
 // Speeds rather than run times are averaged, as in the average over all runs: a few endpoints that have become very slow run few
-// tasks, and do not make all others fast.
+// tasks, and do not make all others fast. Without any slots the mean is that of speed 1: runs may still end, and endpoints be handed over.
 func (m *Machine) factor(e *endpoint) float64 {
 	if m.totals.slots == 0 {
-		return 1
+		return speedUnit / float64(e.speed)
 	}
 	return float64(m.totals.speed) / (float64(m.totals.slots) * float64(e.speed))
 }
--- a/plugins/endpoints/poolstate/speed_test.go
+++ b/plugins/endpoints/poolstate/speed_test.go
@@ -133,3 +133,16 @@
 	}
 	is.True(next.factor(next.endpoints["e4"])/next.factor(next.endpoints["e0"]) > 1.6)
 }
+
+// Guards against run times at slow endpoints that count as those at typical ones once no endpoint of the pool gets work.
+func TestSpeedsAreKnownWhileNoEndpointGetsWork(t *testing.T) {
+	is := is.New(t)
+	s := newWarmSpeedSim()
+	for _, e := range s.endpointList {
+		left := e.Endpoint
+		left.State, left.Sequence = model.EndpointLeaving, left.Sequence+1
+		s.step(Announced{Endpoint: left})
+	}
+	is.Equal(s.Load().Slots, 0)
+	is.True(s.factor(s.endpoints["e4"])/s.factor(s.endpoints["e0"]) > 2)
+}
