Endpoints: a team pays for a slot until its stopped run has ended

Since only measured runs are learned, the charge of a stopped run went up to the order to stop it. A team whose runs end long after that, or whose endpoints don't answer, had their slots for nothing meanwhile, and got more than its share of the others. Learning and the correction of the charge are separate now; the charge is for as long as the slot was taken, as docs/design/run-times.md says, also when that is shorter than the estimate.

TestRunsThatWereStoppedInContactAreKnownToBeLonger failed before.

--- a/plugins/endpoints/poolstate/replies.go
+++ b/plugins/endpoints/poolstate/replies.go
@@ -53,8 +53,7 @@
 		t.recordLoss(r.Reply.Cause)
 		m.handleLostRun(now, t, fx)
 	case port.TaskStopped:
-		m.learnStopped(t)
-		m.handleFailure(now, t, fx)
+		m.handleStopped(now, t, fx)
 	default:
 		m.handleFailure(now, t, fx)
 	}
@@ -79,8 +78,7 @@
 	case port.TaskLost:
 		m.handleLostRun(now, t, fx)
 	case port.TaskStopped:
-		m.learnStopped(t)
-		m.handleFailure(now, t, fx)
+		m.handleStopped(now, t, fx)
 	default:
 		m.handleFailure(now, t, fx)
 	}
@@ -104,29 +102,38 @@
 	m.recordOutcome(now, t.endpoint, t.batch.ID.Job, false)
 	answerStuck := !t.unlistedSince.IsZero() && now.Sub(t.unlistedSince) > port.MaxTimingError
 	t.timeUnknown = t.timeUnknown || answerStuck
-	m.learn(t, now.Sub(t.sentAt))
-	m.learnSpeed(now, t)
-	m.learnInterference(t, now.Sub(t.sentAt), fx)
+	run := now.Sub(t.sentAt)
+	m.learn(t, run)
+	m.correctCharge(t, run)
+	m.learnSpeed(now, t, run)
+	m.learnInterference(t, run, fx)
 	m.release(t)
 	if !t.batch.ended {
 		m.recordResult(now, t, model.TaskResult{Done: true, Answer: answer}, fx)
 	}
 }
 
-// learn adds a run time to the estimates, if it was measured, and corrects the charge of the task's team, which was made by
-// the estimate. The slot was taken for that time in any case.
+// learn adds a run time to the estimates, if it was measured.
 func (m *Machine) learn(t *task, run time.Duration) {
 	if !t.timeUnknown {
 		t.class.Learn(t.batch.profile.LearnWeight, m.nominalRun(t.endpoint, run))
 	}
-	m.queue.charge(t.batch.team, run-t.run.Mean)
 }
 
-// learnStopped learns from a run that was stopped: without the stop it would have run for longer than until then.
-func (m *Machine) learnStopped(t *task) {
-	if run := t.stoppedAt.Sub(t.sentAt); t.stopping && run > t.run.Mean {
-		m.learn(t, run)
+// correctCharge corrects the charge of the task's team, which was made by the estimate, to the time for which the slot was taken.
+func (m *Machine) correctCharge(t *task, taken time.Duration) {
+	m.queue.charge(t.batch.team, taken-t.run.Mean)
+}
+
+// handleStopped handles the end of a run that was stopped: without the stop it would have run for longer than until then.
+func (m *Machine) handleStopped(now time.Time, t *task, fx *Effects) {
+	if t.stopping {
+		if run := t.stoppedAt.Sub(t.sentAt); run > t.run.Mean {
+			m.learn(t, run)
+		}
+		m.correctCharge(t, now.Sub(t.sentAt))
 	}
+	m.handleFailure(now, t, fx)
 }
 
 // handleRefusal handles an endpoint's reply that it did not start the task. The slot may be in use by
--- a/plugins/endpoints/poolstate/runtimes_test.go
+++ b/plugins/endpoints/poolstate/runtimes_test.go
@@ -10,6 +10,7 @@
 
 	"redwingpulley/kernel/model"
 	"redwingpulley/kernel/port"
+	"redwingpulley/plugins/endpoints/urgency"
 )
 
 const usualRun = 100 * time.Millisecond
@@ -84,7 +85,8 @@
 	}
 }
 
-// Guards against stopped runs of which nothing is learned, so that a class whose runs never end in time keeps its estimate.
+// Guards against stopped runs of which nothing is learned, so that a class whose runs never end in time keeps its estimate, and against
+// a team that has slots for nothing until the end of its stopped runs is known.
 func TestRunsThatWereStoppedInContactAreKnownToBeLonger(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(4)
@@ -94,11 +96,13 @@
 	h.advance(8 * usualRun)
 	h.step(Cancelled{model.BatchID{Job: starts[0].Task.Job()}})
 	h.advance(time.Second) // Not a part of the runs.
+	charged := h.queue.teams["t"].charged
 	for _, s := range starts {
 		h.revoked(s, port.RevokeReply{State: port.TaskStopped})
 	}
 	is.True(h.Load().MeanRun > before)
 	is.True(h.Load().MeanRun < before+usualRun)
+	is.True(h.queue.teams["t"].charged-charged > urgency.Charge(4*(time.Second+6*usualRun), urgency.Weight(0)))
 }
 
 // Guards against refusals because of a class's long tail: 3% of the runs take 7 times as long as the others, longer than the jobs may.
--- a/plugins/endpoints/poolstate/speed.go
+++ b/plugins/endpoints/poolstate/speed.go
@@ -15,12 +15,12 @@
 
 // learnSpeed adds the run of a task that has answered to the estimate for its endpoint. Until the service's run times are known
 // the declared ones, with which the run would be compared, may be far off.
-func (m *Machine) learnSpeed(now time.Time, t *task) {
+func (m *Machine) learnSpeed(now time.Time, t *task, run time.Duration) {
 	if m.speeds == nil || t.timeUnknown || !t.class.Learned() {
 		return
 	}
 	e := t.endpoint
-	m.speeds.Add(now, e.Address, e.Kind, now.Sub(t.sentAt), t.run.Median)
+	m.speeds.Add(now, e.Address, e.Kind, run, t.run.Median)
 	m.updateSpeed(now, e, false)
 }
 
