Endpoints: light members still receive announcements when the owner does not reply

An endpoint whose announcement the owner does not answer is told another member that may reach the owner, chosen among those that can own the pool. Since much lighter members own none, a data centre with one large VM had no other: the endpoint was told the owner that does not reply, and got no work until the members considered that one dead. Members are now chosen without regard to weight. The fallback of eligibleOwners is copied, too: removing the owner from it would have changed the shared membership view.

TestEndpointIsSentToALightMemberWhileTheOwnerDoesNotReply failed before.

--- a/plugins/endpoints/owners.go
+++ b/plugins/endpoints/owners.go
@@ -118,11 +118,15 @@
 	return xxhash.Sum64(append(append(buffer[:0], key...), member...))
 }
 
-// eligibleOwners returns the members that can own a pool of the data centre: those there that do not drain, or
-// those of all data centres when there are none. When all members drain, they count as if they did
-// not. Members in reserve are returned only when there are no others. Of these, much lighter members than the heaviest one are
-// left out. They are sorted by id.
+// eligibleOwners returns the members that can own a pool of the data centre, sorted by id: the preferred ones but for those
+// that are much lighter than the heaviest.
 func eligibleOwners(alive []port.Node, dataCentre model.DataCentre) []port.Node {
+	return withoutLight(preferredMembers(alive, dataCentre))
+}
+
+// preferredMembers returns the members of a data centre that do not drain, or those of all data centres when there are none. When all
+// members drain, they count as if they did not. Members in reserve are returned only when there are no others. They are sorted by id.
+func preferredMembers(alive []port.Node, dataCentre model.DataCentre) []port.Node {
 	preferences := []func(port.Node) bool{
 		func(n port.Node) bool { return !n.Draining && n.DataCentre == dataCentre && !n.Reserve },
 		func(n port.Node) bool { return !n.Draining && n.DataCentre == dataCentre },
@@ -134,7 +138,7 @@
 	}
 	for _, preferred := range preferences {
 		if eligible := filter(alive, preferred); len(eligible) > 0 {
-			return withoutLight(eligible)
+			return eligible
 		}
 	}
 	return alive
@@ -150,7 +154,7 @@
 	for _, member := range members {
 		heaviest = max(heaviest, weightOf(member))
 	}
-	return slices.DeleteFunc(members, func(n port.Node) bool { return weightOf(n) < lightFraction*heaviest })
+	return filter(members, func(n port.Node) bool { return weightOf(n) >= lightFraction*heaviest })
 }
 
 func filter(nodes []port.Node, keep func(port.Node) bool) (kept []port.Node) {
--- a/plugins/endpoints/owners_test.go
+++ b/plugins/endpoints/owners_test.go
@@ -140,3 +140,14 @@
 		is.Equal(poolShares(members, 22)[0], 4)
 	}
 }
+
+// Pattern: one large VM, which owns all pools and does not reply, beside small ones. Guards against an endpoint that is told to
+// announce itself to the owner only: it would get no work until other members consider the owner dead.
+func TestEndpointIsSentToALightMemberWhileTheOwnerDoesNotReply(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		n, _, owner, _ := newPair(t)
+		members := membersOfWeights(0.48, 0.144)
+		n.setAlive(members...)
+		is.Equal(owner.otherMember(model.PoolID{Service: "finder", DataCentre: "sj0"}, members[0]).ID, members[1].ID)
+	})
+}
--- a/plugins/endpoints/ownership.go
+++ b/plugins/endpoints/ownership.go
@@ -148,7 +148,7 @@
 // while the owner does not reply to this member. The other one may reach the owner, and learns soon of a
 // new owner.
 func (p *Pools) otherMember(id model.PoolID, owner port.Node) port.Node {
-	others := slices.DeleteFunc(eligibleOwners(p.membership.Alive(), id.DataCentre), func(n port.Node) bool { return n.ID == owner.ID })
+	others := slices.DeleteFunc(slices.Clone(preferredMembers(p.membership.Alive(), id.DataCentre)), func(n port.Node) bool { return n.ID == owner.ID })
 	if len(others) == 0 {
 		return owner
 	}
