Admission: tasks that wait for faster endpoints make no batch wait that finds free slots

A batch with free slots was taken to wait whenever any task was queued. Since tasks wait for faster endpoints while slower ones have room, jobs that would start at once were refused with overload when they were less than certain to end in time: a batch with a probability of 0.55 needed up to 0.5 + 0.5*w/r by a wait w that did not happen. It waits now only if the queued tasks and its own need more than the free slots, as the design says.

The new case of TestAdmitVerdicts failed before; the tests of poolstate, with TestOverloadWastesNoSlotTime, pass as before.

--- a/plugins/admission/deadline/deadline.go
+++ b/plugins/admission/deadline/deadline.go
@@ -37,7 +37,7 @@
 		return refuse(r.Wait - r.MaxWait)
 	}
 	var wait time.Duration
-	if r.QueuedTasks > 0 || r.Tasks > r.Free {
+	if r.QueuedTasks+r.Tasks > r.Free { // Otherwise queued tasks wait for particular endpoints, and leave room for the batch.
 		wait = estimateWait(r)
 	}
 	if r.EndWithin(r.Remaining-wait) < minInTime(wait, r.Remaining) {
--- a/plugins/admission/deadline/deadline_test.go
+++ b/plugins/admission/deadline/deadline_test.go
@@ -42,7 +42,11 @@
 		"runs too long":       {func(r *port.AdmissionRequest) { r.Expected, r.EndWithin = 3*time.Second, certain(3*time.Second) }, refuse(time.Second)},
 		"long run not likely": {func(r *port.AdmissionRequest) { r.EndWithin = likely(0.51) }, port.Verdict{Admit: true}},
 		"long run likely":     {func(r *port.AdmissionRequest) { r.EndWithin = likely(0.49) }, refuse(0)},
-		"short wait":          {func(r *port.AdmissionRequest) { r.QueuedTasks, r.Ahead = 5, 5*time.Second }, port.Verdict{Admit: true}},
+		"free slots beside tasks that wait for other endpoints": {func(r *port.AdmissionRequest) {
+			waitOneSecond(r)
+			r.Slots, r.Free, r.EndWithin = 15, 15, likely(0.51)
+		}, port.Verdict{Admit: true}},
+		"short wait": {func(r *port.AdmissionRequest) { r.QueuedTasks, r.Ahead = 5, 5*time.Second }, port.Verdict{Admit: true}},
 		// 7.3 s of work ahead and 2.7 s of the batch's own, over 10 slots, are a wait of 1 s. With a margin
 		// of an eighth and 1 s to run, the batch ends 125 ms after its deadline.
 		"long wait": {func(r *port.AdmissionRequest) {
