Endpoints: a member's weight out of range counts as 1

Weights of other members were used as received. With one of 1e308 or more, the sum of the weights is infinite, no member has a share of the pools, and each member that looks for an owner ends with an index out of range. The limit that settings are checked against is now model.MaxWeight, and holds for both.

TestWeightOutOfRangeLeavesEachPoolAnOwner ended in that panic before.

--- a/kernel/model/limits.go
+++ b/kernel/model/limits.go
@@ -13,6 +13,7 @@
 	MaxMemoryMB     = 1 << 30    // Of one worker or task.
 	MaxAccelerators = 1 << 16    // Of one worker or task.
 	MaxName         = 128        // Length of a name, in bytes.
+	MaxWeight       = 1e6        // Weight of a member among the owners of pools.
 	MaxEndpointID   = 2 * MaxName
 )
 
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -47,9 +47,6 @@
 	Log Log `json:"log,omitzero"`
 }
 
-// maxWeight is the highest weight of a VM.
-const maxWeight = 1e6
-
 // Log limits the lines that the process logs.
 type Log struct {
 	LinesPerSecond int  `json:"lines_per_second"` // Lines above this rate are dropped and counted; 0 logs nothing.
@@ -108,7 +105,7 @@
 	f.checkListener("listen.operators", s.Listen.Operators, s.runsPlugin("frontend.operators"))
 	f.checkListener("listen.peers", s.Listen.Peers, s.runsPlugin("peer.http"))
 	f.Require(s.StopWithinS >= 0, "stop_within_s", "must not be negative")
-	f.Require(s.Weight >= 0 && s.Weight <= maxWeight, "weight", "must be 0 to 1000000")
+	f.Require(s.Weight >= 0 && s.Weight <= model.MaxWeight, "weight", "must be 0 to 1000000")
 	f.Require(s.Log.LinesPerSecond >= 0, "log.lines_per_second", "must not be negative")
 	s.checkMembers(&f)
 	return f.Err()
--- a/plugins/endpoints/owners.go
+++ b/plugins/endpoints/owners.go
@@ -97,9 +97,9 @@
 	return total
 }
 
-// weightOf returns a member's part of the pools relative to others.
+// weightOf returns a member's part of the pools relative to others. One that gives none, or one out of range, counts as 1.
 func weightOf(member port.Node) float64 {
-	if member.Weight > 0 {
+	if member.Weight > 0 && member.Weight <= model.MaxWeight {
 		return member.Weight
 	}
 	return 1
--- a/plugins/endpoints/owners_test.go
+++ b/plugins/endpoints/owners_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -148,3 +149,11 @@
 		is.Equal(owner.otherMember(model.PoolID{Service: "finder", DataCentre: "sj0"}, members[0]).ID, members[1].ID)
 	})
 }
+
+// Guards against a member whose weight is out of range, by a fault of its own, and ends all others that look for an owner.
+func TestWeightOutOfRangeLeavesEachPoolAnOwner(t *testing.T) {
+	is := is.New(t)
+	for _, odd := range []float64{math.MaxFloat64, math.Inf(1), math.NaN(), -1, math.SmallestNonzeroFloat64} {
+		is.Equal(len(assignOwners(membersOfWeights(odd, odd, 1), poolGroup{"finder", "sj0"}, 8)), 8)
+	}
+}
