--- a/plugins/endpoints/runtimes/runtimes_test.go
+++ b/plugins/endpoints/runtimes/runtimes_test.go
@@ -101,7 +101,7 @@
 }
 
 // Guards against a class that is judged by few samples of its own, or by the declared run time when many are known.
-func TestLevelWithFewSamplesLeansOnTheWiderOne(t *testing.T) {
+func TestLevelWithFewSamplesReliesOnTheWiderOne(t *testing.T) {
 	is := is.New(t)
 	e := New()
 	none, estimate := batchOf(&e, 4)
--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -76,8 +76,8 @@
 
 // rankByCost returns the pools in ascending order of the cost of running the whole job there, and those
 // of equal cost in descending order of free slots, up to ampleRoom jobs of this size: first by those at fast endpoints for long
-// tasks and by those at other endpoints for short ones. Pools that are equal in all of these are in random order, so that the many members do not all choose the same pool: the
-// one that had the most free slots when it last reported.
+// tasks and by those at other endpoints for short ones. Pools that are equal in all of these are in random order: the many members
+// would otherwise all choose the pool that had the most free slots when it last reported.
 func rankByCost(r *port.PlanRequest, pools []model.PoolLoad) []candidate {
 	r.Random.Shuffle(len(pools), func(i, j int) { pools[i], pools[j] = pools[j], pools[i] })
 	declared := meanDeclaredRun(r.Job.Tasks)
