Replay: the loss of contact with an endpoint is decoded

Pools record the event Down since endpoints that refuse connections get no work. cmd/internal/replay had no decoder for it, so the replay of a file ended at the first such event with "unknown event". Operators who checked a record of a member got an error instead of the outcome.

--- a/cmd/internal/replay/machines.go
+++ b/cmd/internal/replay/machines.go
@@ -34,6 +34,7 @@
 	"Owners":        poolEvent[poolstate.Owners],
 	"Disowned":      poolEvent[poolstate.Disowned],
 	"Departed":      poolEvent[poolstate.Departed],
+	"Down":          poolEvent[poolstate.Down],
 	"Moved":         poolEvent[poolstate.Moved],
 	"Resumed":       poolEvent[poolstate.Resumed],
 	"Evacuated":     poolEvent[poolstate.Evacuated],
