Endpoints: an explanation follows the newest order to evacuate

POST /v1/explain asks the machine of an own pool for its verdict. The machine learns of an order with its next step, so that between an order and that step the answer could be "admitted" for a pool that refuses each batch, and "refused" after the withdrawal. Operators who compare the answer with an order that they have just given could see either.

Judge now steps the pool first if it has not learned of the order, as watchEvacuations does. The check for that no longer creates a pool that this member does not have.

TestVerdictFollowsTheNewestOrder failed before: the verdict was an admission.

--- a/plugins/endpoints/evacuation.go
+++ b/plugins/endpoints/evacuation.go
@@ -10,9 +10,7 @@
 	for {
 		changed := p.profiles.Changed()
 		for _, id := range p.poolIDs() {
-			if p.evacuationIsNew(id) {
-				p.step(id, poolstate.Elapsed{})
-			}
+			p.learnEvacuation(id)
 		}
 		select {
 		case <-changed:
@@ -22,6 +20,13 @@
 	}
 }
 
+// learnEvacuation steps a pool if it has not learned yet that its data centre is evacuated, or no longer.
+func (p *Pools) learnEvacuation(id model.PoolID) {
+	if p.evacuationIsNew(id) {
+		p.step(id, poolstate.Elapsed{})
+	}
+}
+
 // evacuated reports whether a pool's data centre is evacuated by the newest orders that this member knows. Until it knows a
 // revision it takes no batches.
 func (p *Pools) evacuated(id model.PoolID) bool {
@@ -32,7 +37,11 @@
 // evacuationIsNew reports whether a pool has not learned yet that its data centre is evacuated, or no longer.
 func (p *Pools) evacuationIsNew(id model.PoolID) (isNew bool) {
 	evacuated := p.evacuated(id)
-	p.withPool(id, func(o *pool) { isNew = o.machine.Evacuated() != evacuated })
+	p.pools.Do(id, func(pools map[model.PoolID]*pool) {
+		if o, found := pools[id]; found {
+			isNew = o.machine.Evacuated() != evacuated
+		}
+	})
 	return isNew
 }
 
--- a/plugins/endpoints/evacuation_test.go
+++ b/plugins/endpoints/evacuation_test.go
@@ -76,3 +76,19 @@
 		is.Equal(r.startCount(), 2)
 	})
 }
+
+// Guards against an explanation by which an evacuated pool admits a job, since the pool has not been stepped after the order.
+func TestVerdictFollowsTheNewestOrder(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T, is *is.I) {
+		_, _, owner, _ := newPair(t)
+		for _, evacuated := range []bool{false, true, false} {
+			owner.profiles = testProfiles{&testMember{cluster: &cluster{evacuated: evacuated}}}
+			verdict, owned := owner.Judge(testBatch(time.Second))
+			is.True(owned)
+			is.Equal(verdict.Admit, !evacuated)
+		}
+		_, owned := owner.Judge(model.Batch{Pool: model.PoolID{Service: "unknown"}})
+		is.True(!owned)
+		is.Equal(len(owner.poolIDs()), 1) // A question creates no pool.
+	})
+}
--- a/plugins/endpoints/judge.go
+++ b/plugins/endpoints/judge.go
@@ -16,6 +16,7 @@
 	if reason := p.refusalReason(batch.Pool); reason != "" {
 		return port.Verdict{Reason: reason}, true
 	}
+	p.learnEvacuation(batch.Pool)
 	p.pools.Do(batch.Pool, func(pools map[model.PoolID]*pool) {
 		if o, found := pools[batch.Pool]; found {
 			verdict, owned = o.machine.Judge(p.now(), poolstate.Submitted{Batch: p.withLosses(batch), Profile: profile}), true
