Jobs: the delay after a refused plan is bounded

A job that by its plan would end of no use was refused with a delay of once to twice the time by which it is late. That was below a millisecond for a job that is hardly late, so that own callers came back at once to the same load, and up to minutes behind a long queue, after the deadline of the caller.

The bounds of the pools, 50 ms to 5 s and before the deadline, are now in model.RetryAfter and apply to both. Below 100 ms of remaining time the delay of a pool could also be under its lower bound (25 ms).

TestJobIsRefusedAtOnceWhenNoPoolHasRoomInTime failed before with waits of 1 min and of 181 ms where 180 ms are allowed.

--- a/plugins/endpoints/urgency/retry.go
+++ b/plugins/endpoints/urgency/retry.go
@@ -3,16 +3,13 @@
 import (
 	"math"
 	"time"
-)
 
-const (
-	// refusalWindow is the time constant with which refusals cease to count as recent.
-	refusalWindow = time.Second
-	// minRetryAfter and maxRetryAfter bound the advised delay. A caller that waits for longer than that has mostly given up.
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
+	"redwingpulley/kernel/model"
 )
 
+// refusalWindow is the time constant with which refusals cease to count as recent.
+const refusalWindow = time.Second
+
 // Refusals decides when callers that a pool refuses are advised to try again. The load that it addresses is a
 // burst, after which all refused callers would come back together and be refused again. The zero value is ready to
 // use.
@@ -39,11 +36,14 @@
 	weight := Weight(b.Priority)
 	r.weight = max(r.weight, weight)
 	factor := float64(r.weight) / float64(weight)
-	bound := float64(min(max(b.Left, minRetryAfter), maxRetryAfter))
-	from := min(factor*float64(max(b.Until, minRetryAfter)), bound/2)
-	spread := factor * (float64(max(b.Until, minRetryAfter)) + (r.recent-1)*float64(b.Each))
-	to := min(from+spread, bound)
-	return time.Duration(from + random*(to-from))
+	until := max(b.Until, model.MinRetryAfter)
+	spread := float64(until) + (r.recent-1)*float64(b.Each)
+	return model.RetryAfter(scaled(float64(until), factor), scaled(spread, factor), b.Left, random)
+}
+
+// scaled returns a multiple of a duration, up to model.MaxRetryAfter, so that it does not overflow.
+func scaled(d, factor float64) time.Duration {
+	return time.Duration(min(d*factor, float64(model.MaxRetryAfter)))
 }
 
 func (r *Refusals) add(now time.Time) {
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -235,7 +235,8 @@
 }
 
 // Load: more demand than slots. Guards against a job that is sent to pools although it can't end while its answer is of use, and
-// against one that is sent from one full pool to the next until the retry budget is used up.
+// against one that is sent from one full pool to the next until the retry budget is used up, and against advice to return at once, or
+// after the caller has given up.
 func TestJobIsRefusedAtOnceWhenNoPoolHasRoomInTime(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		owner, _, atOwner, _ := newMemberPair(t)
@@ -248,9 +249,14 @@
 			outcome := owner.Submit(t.Context(), job)
 			is.Equal(outcome.Run, model.NotRun)
 			is.Equal(outcome.Reason, model.ReasonOverload)
+			if waits.LeastWait > 0 {
+				is.True(outcome.RetryAfter >= model.MinRetryAfter && outcome.RetryAfter <= model.MaxRetryAfter)
+			}
 			return atOwner.runs.Load() - before
 		}
 		is.Equal(submit(port.Plan{Wait: 200 * time.Millisecond, LeastWait: 200 * time.Millisecond}), int32(0))
+		is.Equal(submit(port.Plan{Wait: time.Minute, LeastWait: time.Minute}), int32(0))
+		is.Equal(submit(port.Plan{Wait: 181 * time.Millisecond, LeastWait: 181 * time.Millisecond}), int32(0))
 		is.Equal(submit(port.Plan{Wait: 100 * time.Millisecond}), int32(1))
 		is.Equal(submit(port.Plan{Wait: 50 * time.Millisecond}), int32(2)) // The other pool has room in time.
 	})
--- a/plugins/jobs/plan.go
+++ b/plugins/jobs/plan.go
@@ -116,8 +116,8 @@
 		return port.Plan{}, &refusal{plan.Refused, 0, plan.Reason}
 	}
 	if over := fit.UselessBy(&job, plan.LeastWait, loads, time.Now()); over > 0 {
-		spread := rand.N(over) // So that callers that are refused together do not return together.
-		return port.Plan{}, &refusal{model.ReasonOverload, over + spread, "would end when its answer is of no use any more"}
+		retryAfter := model.RetryAfter(over, over, time.Until(job.Deadline), rand.Float64())
+		return port.Plan{}, &refusal{model.ReasonOverload, retryAfter, "would end when its answer is of no use any more"}
 	}
 	if charged {
 		j.depositRetries(profile, job.Service, len(plan.Parts))
