Operators: an explained job can have the priority and the use of answers of a route

POST /v1/explain took the objective of a route without the multiple up to which an answer is of use, and no priority. Jobs of the users' platform have both. So the answer said "planned" for a job that its owner refuses at once since it would end of no use, and "admitted" for a less urgent one that its pool refuses for its share of the slots.

The body may have "priority" and "objective":{"useful"}. TestExplanationAsJSON failed before (unknown fields).

--- a/plugins/frontend/operators/explain.go
+++ b/plugins/frontend/operators/explain.go
@@ -15,19 +15,22 @@
 // maxJobName is the limit on the name of a job's service or team, in bytes, as at the callers' listener.
 const maxJobName = 128
 
-// explainedJob is a job as callers submit it. Its id and payloads are ignored. Objective is that of a route of the users' platform.
+// explainedJob is a job as callers submit it. Its id and payloads are ignored. Objective and Priority are those of a route of the users'
+// platform.
 type explainedJob struct {
 	JobID      model.JobID       `json:"job_id,omitempty"`
 	Service    model.ServiceID   `json:"service"`
 	Team       model.TeamID      `json:"team"`
 	DeadlineMS int64             `json:"deadline_ms"` // Time from now; 0 for the default of the service's profile.
 	Objective  explainedGoal     `json:"objective"`
+	Priority   int               `json:"priority"`
 	Tasks      []explainableTask `json:"tasks"`
 }
 
 type explainedGoal struct {
 	Stretch float64 `json:"stretch"`  // Multiple of the longest task's run time.
 	SlackMS int64   `json:"slack_ms"` // Added to it.
+	Useful  float64 `json:"useful"`   // Multiple of both together up to which the answer is of use; 0 if it always is.
 }
 
 type explainableTask struct {
@@ -49,8 +52,10 @@
 		return errors.Newf("team: must be 1 to %d bytes", maxJobName)
 	case b.DeadlineMS < 0 || b.DeadlineMS > maxDeadline.Milliseconds():
 		return errors.Newf("deadline_ms: must be 0 to %d", maxDeadline.Milliseconds())
-	case b.Objective.Stretch < 0 || b.Objective.SlackMS < 0 || b.Objective.SlackMS > maxDeadline.Milliseconds():
+	case b.Objective.Stretch < 0 || b.Objective.Useful < 0 || b.Objective.SlackMS < 0 || b.Objective.SlackMS > maxDeadline.Milliseconds():
 		return errors.Newf("objective: must not be negative, and slack_ms at most %d", maxDeadline.Milliseconds())
+	case b.Priority != model.ClampPriority(b.Priority):
+		return errors.Newf("priority: must be 0 to %d", model.MaxPriority)
 	case len(b.Tasks) < 1 || len(b.Tasks) > model.MaxTasksPerJob:
 		return errors.Newf("tasks: must be 1 to %d", model.MaxTasksPerJob)
 	}
@@ -67,8 +72,8 @@
 
 // job converts a body that has passed check.
 func (b *explainedJob) job(now time.Time) model.Job {
-	job := model.Job{Service: b.Service, Team: b.Team, Objective: model.Objective{
-		Stretch: b.Objective.Stretch, Slack: time.Duration(b.Objective.SlackMS) * time.Millisecond,
+	job := model.Job{Service: b.Service, Team: b.Team, Priority: b.Priority, Objective: model.Objective{
+		Stretch: b.Objective.Stretch, Slack: time.Duration(b.Objective.SlackMS) * time.Millisecond, Useful: b.Objective.Useful,
 	}}
 	if b.DeadlineMS > 0 {
 		job.Deadline = now.Add(time.Duration(b.DeadlineMS) * time.Millisecond)
--- a/plugins/frontend/operators/explain_test.go
+++ b/plugins/frontend/operators/explain_test.go
@@ -34,14 +34,18 @@
 	is := is.New(t)
 	planner := &fakePlanner{}
 	handler := http.HandlerFunc((&Frontend{planner: planner, membership: planner}).explainJob)
-	body := `{"service":"finder","team":"t","deadline_ms":2000,"objective":{"stretch":1.6,"slack_ms":60},"tasks":[{"payload":{"a":1},"run_ms":50,"needs":{"cores":2}}]}`
+	body := `{"service":"finder","team":"t","deadline_ms":2000,"priority":2,"objective":{"stretch":1.6,"slack_ms":60,"useful":3},"tasks":[{"payload":{"a":1},"run_ms":50,"needs":{"cores":2}}]}`
 	is.Equal(strings.TrimSpace(call(handler, http.MethodPost, "/v1/explain", body, nil).Body.String()),
 		`{"node":"n1","revision":3,"why":"near","parts":[{"pool":"`+model.PoolID{Service: "finder", DataCentre: "sj1"}.String()+
 			`","owner":"n1","tasks":1,"verdict":"refused","reason":"overload"}],"pools":[{"pool":"`+model.PoolID{Service: "finder", DataCentre: "sj1"}.String()+
 			`","owner":"n1","slots":8,"free":2,"queued":0,"queued_run_ms":0,"mean_run_ms":0,"age_ms":5}]}`)
 	is.Equal(planner.job.Tasks[0].Needs.MilliCores, 2*model.MilliCoresPerCore)
-	is.Equal(planner.job.Objective.For(time.Second), 1660*time.Millisecond)
-	for _, invalid := range []string{`{}`, `{"service":"s","team":"t","tasks":[]}`, `{"service":"s","team":"t","tasks":[{"run_ms":-1}]}`, `{"unknown":1}`} {
+	is.Equal(planner.job.Objective, model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3})
+	is.Equal(planner.job.Priority, 2)
+	for _, invalid := range []string{
+		`{}`, `{"service":"s","team":"t","tasks":[]}`, `{"service":"s","team":"t","tasks":[{"run_ms":-1}]}`, `{"unknown":1}`,
+		`{"service":"s","team":"t","tasks":[{}],"priority":5}`, `{"service":"s","team":"t","tasks":[{}],"objective":{"useful":-1}}`,
+	} {
 		is.Equal(call(handler, http.MethodPost, "/v1/explain", invalid, nil).Code, http.StatusBadRequest)
 	}
 }
