Operators: an explanation says which pools are in evacuated data centres

The plan leaves out the pools of evacuated data centres, but the answer of POST /v1/explain and redwingctl where listed them with their loads and nothing else: with free slots where the load is older than the order, and with none otherwise. Operators could not see why such a pool got no task.

The pools have "evacuated" now, from the orders that the planner used. The tests of the planner, the listener and the command cover it.

--- a/cmd/redwingctl/where.go
+++ b/cmd/redwingctl/where.go
@@ -43,6 +43,8 @@
 		Free   int          `json:"free"`
 		Queued int          `json:"queued"`
 		AgeMS  int64        `json:"age_ms"`
+
+		Evacuated bool `json:"evacuated"`
 	} `json:"pools"`
 }
 
@@ -96,8 +98,8 @@
 		}
 		fmt.Fprintln(w)
 	}
-	fmt.Fprintln(w, "POOL\tOWNER\tSLOTS\tFREE\tQUEUED\tAGE MS")
+	fmt.Fprintln(w, "POOL\tOWNER\tSLOTS\tFREE\tQUEUED\tAGE MS\tEVACUATED")
 	for _, p := range r.Pools {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", p.Pool, p.Owner, p.Slots, p.Free, p.Queued, p.AgeMS)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%t\n", p.Pool, p.Owner, p.Slots, p.Free, p.Queued, p.AgeMS, p.Evacuated)
 	}
 }
--- a/cmd/redwingctl/where_test.go
+++ b/cmd/redwingctl/where_test.go
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	var requests []string
 	answer := `{"node":"n1","revision":3,"why":"near","parts":[{"pool":"finder/sj1/0","owner":"n1","tasks":2,"verdict":"refused","reason":"overload"}],` +
-		`"pools":[{"pool":"finder/sj1/0","owner":"n1","slots":8,"free":2,"queued":1,"age_ms":5}]}` + "\n"
+		`"pools":[{"pool":"finder/sj1/0","owner":"n1","slots":8,"free":2,"queued":1,"age_ms":5,"evacuated":true}]}` + "\n"
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		requests = append(requests, r.Method+" "+r.URL.Path+" "+string(body))
@@ -34,8 +34,8 @@
 GOES TO       OWNER  TASKS  VERDICT  REASON
 finder/sj1/0  n1     2      refused  overload
 
-POOL          OWNER  SLOTS  FREE  QUEUED  AGE MS
-finder/sj1/0  n1     8      2     1       5
+POOL          OWNER  SLOTS  FREE  QUEUED  AGE MS  EVACUATED
+finder/sj1/0  n1     8      2     1       5       true
 `)
 	job := filepath.Join(t.TempDir(), "job.json")
 	is.NoErr(os.WriteFile(job, []byte(`{"service":"s"}`), 0o600))
--- a/kernel/port/explain.go
+++ b/kernel/port/explain.go
@@ -16,6 +16,7 @@
 type Explanation struct {
 	Revision   model.Revision // Revision of the profiles.
 	Pools      []model.PoolLoad
+	Evacuated  []model.DataCentre // Evacuated data centres: their pools are in no plan, whatever their loads say.
 	Parts      []ExplainedPart
 	Refused    model.Reason
 	RetryAfter time.Duration
--- a/plugins/frontend/operators/explain.go
+++ b/plugins/frontend/operators/explain.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -117,6 +118,7 @@
 	QueuedRunMS int64        `json:"queued_run_ms"`
 	MeanRunMS   int64        `json:"mean_run_ms"`
 	AgeMS       int64        `json:"age_ms"`
+	Evacuated   bool         `json:"evacuated,omitempty"` // The pool is in an evacuated data centre.
 }
 
 func encodeExplanation(node model.NodeID, e port.Explanation) explanationBody {
@@ -134,6 +136,7 @@
 		body.Pools = append(body.Pools, consideredPool{
 			Pool: l.Pool.String(), Owner: l.Owner, Slots: l.Slots, Free: l.Free, Queued: l.Queued,
 			QueuedRunMS: l.QueuedRun.Milliseconds(), MeanRunMS: l.MeanRun.Milliseconds(), AgeMS: l.Age.Milliseconds(),
+			Evacuated: slices.Contains(e.Evacuated, l.Pool.DataCentre),
 		})
 	}
 	return body
--- a/plugins/frontend/operators/explain_test.go
+++ b/plugins/frontend/operators/explain_test.go
@@ -24,7 +24,7 @@
 	f.job = job
 	pool := model.PoolID{Service: "finder", DataCentre: "sj1"}
 	return port.Explanation{
-		Revision: 3, Why: "near", Pools: []model.PoolLoad{{Pool: pool, Owner: "n1", Slots: 8, Free: 2, Age: 5 * time.Millisecond}},
+		Revision: 3, Why: "near", Evacuated: []model.DataCentre{"sj1"}, Pools: []model.PoolLoad{{Pool: pool, Owner: "n1", Slots: 8, Free: 2, Age: 5 * time.Millisecond}},
 		Parts: []port.ExplainedPart{{PlanPart: port.PlanPart{Pool: pool, Owner: "n1", Tasks: []int{0}}, Owned: true, Verdict: port.Verdict{Reason: model.ReasonOverload}}},
 	}
 }
@@ -38,7 +38,7 @@
 	is.Equal(strings.TrimSpace(call(handler, http.MethodPost, "/v1/explain", body, nil).Body.String()),
 		`{"node":"n1","revision":3,"why":"near","parts":[{"pool":"`+model.PoolID{Service: "finder", DataCentre: "sj1"}.String()+
 			`","owner":"n1","tasks":1,"verdict":"refused","reason":"overload"}],"pools":[{"pool":"`+model.PoolID{Service: "finder", DataCentre: "sj1"}.String()+
-			`","owner":"n1","slots":8,"free":2,"queued":0,"queued_run_ms":0,"mean_run_ms":0,"age_ms":5}]}`)
+			`","owner":"n1","slots":8,"free":2,"queued":0,"queued_run_ms":0,"mean_run_ms":0,"age_ms":5,"evacuated":true}]}`)
 	is.Equal(planner.job.Tasks[0].Needs.MilliCores, 2*model.MilliCoresPerCore)
 	is.Equal(planner.job.Objective, model.Objective{Stretch: 1.6, Slack: 60 * time.Millisecond, Useful: 3})
 	is.Equal(planner.job.Priority, 2)
--- a/plugins/jobs/explain.go
+++ b/plugins/jobs/explain.go
@@ -17,9 +17,10 @@
 		return port.Explanation{Refused: model.ReasonDraining, Why: "this VM takes no new jobs"}
 	}
 	d := newDecision(port.DecidedPlan, &job)
+	profiles, _ := j.profiles.Current()
 	loads := j.pools.Loads(job.Service)
 	plan, refused := j.planJob(job, &d, false)
-	explanation := port.Explanation{Revision: d.Revision, Pools: loads, Why: plan.Reason}
+	explanation := port.Explanation{Revision: d.Revision, Pools: loads, Evacuated: profiles.ActiveEvacuations(), Why: plan.Reason}
 	if refused != nil {
 		explanation.Refused, explanation.RetryAfter, explanation.Why = refused.reason, refused.retryAfter, refused.why
 		return explanation
--- a/plugins/jobs/explain_test.go
+++ b/plugins/jobs/explain_test.go
@@ -43,7 +43,11 @@
 	_, known := j.retryBudgets.Get("finder")
 	is.True(!known)
 
-	f.loads = nil
+	f.evacuations = map[model.DataCentre]model.Evacuation{"": {Active: true}} // The data centre of both pools.
+	e = j.Explain(job)
+	is.Equal(e.Refused, model.ReasonEvacuated)
+	is.Equal(e.Evacuated, []model.DataCentre{""})
+	f.loads, f.evacuations = nil, nil
 	is.Equal(j.Explain(job).Refused, model.ReasonNoEndpoint)
 	j.draining.Store(true)
 	is.Equal(j.Explain(job).Refused, model.ReasonDraining)
