Endpoints: bounds that two plug-ins share are defined once

The time for which a start may wait for a lease stood in plugins/leases and again, as startDelay, in the rule of evacuated pools. A change of the first alone would have let starts be sent later than 2 s after an order. It is port.MaxStartWait now. The delay that is advised to callers during an evacuation, which jobs and pools had each, is model.EvacuatedRetryAfter. No change in behaviour.

--- a/kernel/model/evacuation.go
+++ b/kernel/model/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -11,6 +12,9 @@
 	MaxEvacuations = 64
 	// maxDataCentreName is the length of a data centre's name in an order to evacuate it, in bytes.
 	maxDataCentreName = 64
+	// EvacuatedRetryAfter is when the caller of a job that is refused for an evacuation is advised to try again. Operators end an
+	// evacuation at any time, and the pools then take work at once.
+	EvacuatedRetryAfter = time.Second
 )
 
 // Evacuation says whether operators have a data centre evacuated: no task starts there.
--- a/kernel/port/peers.go
+++ b/kernel/port/peers.go
@@ -137,6 +137,10 @@
 	TimeUnknown bool
 }
 
+// MaxStartWait is how long a start may wait for a leased endpoint before it is sent. After a longer time the process may have
+// stood still, and the caller may have sent the job to another member.
+const MaxStartWait = 700 * time.Millisecond
+
 // MaxTimingError is by how much the time from a start to its reply may exceed the time of the run that counts as measured. A
 // process with a small share of a core may be stopped by the scheduler for nearly its period of 100 ms, while
 // the loss of a packet or of a connection costs 200 ms or more.
--- a/plugins/endpoints/poolstate/evacuate.go
+++ b/plugins/endpoints/poolstate/evacuate.go
@@ -10,15 +10,9 @@
 	"redwingpulley/kernel/port"
 )
 
-const (
-	// evacuationTime is how long after a pool has learned of its data centre's evacuation tasks may start there at the latest. Only
-	// those of batches that have started in part do: a job with runs in several data centres has a chance to complete.
-	evacuationTime = 2 * time.Second
-	// startDelay is how long after the pool's decision a start may be sent: at a leased endpoint it waits that long for a lease.
-	startDelay = 700 * time.Millisecond
-	// evacuatedRetry is when the caller of a job that is refused for an evacuation is advised to try again.
-	evacuatedRetry = time.Second
-)
+// evacuationTime is how long after a pool has learned of its data centre's evacuation tasks may start there at the latest. Only
+// those of batches that have started in part do: a job with runs in several data centres has a chance to complete.
+const evacuationTime = 2 * time.Second
 
 // Evacuated reports that operators have had the pool's data centre evacuated or, without Active, that they have ended that.
 type Evacuated struct{ Active bool }
@@ -56,12 +50,13 @@
 		m.timers.stop(&m.evacuation.timer)
 		return
 	}
-	m.evacuation.until = now.Add(evacuationTime - startDelay)
+	// A start that the pool has decided on may wait for a lease before it is sent.
+	m.evacuation.until = now.Add(evacuationTime - port.MaxStartWait)
 	m.timers.set(&m.evacuation.timer, m.evacuation.until)
 	for _, b := range m.batchesInOrder() {
 		if !slices.ContainsFunc(b.tasks, func(t task) bool { return t.attempt > 0 }) {
 			m.refuseAccepted(now, b, model.ReasonEvacuated, fx)
-			fx.Ended[len(fx.Ended)-1].RetryAfter = evacuatedRetry
+			fx.Ended[len(fx.Ended)-1].RetryAfter = model.EvacuatedRetryAfter
 		}
 	}
 }
@@ -94,5 +89,5 @@
 
 // refusalOfEvacuated is the verdict on a batch that arrives during an evacuation.
 func refusalOfEvacuated() port.Verdict {
-	return port.Verdict{Reason: model.ReasonEvacuated, RetryAfter: evacuatedRetry}
+	return port.Verdict{Reason: model.ReasonEvacuated, RetryAfter: model.EvacuatedRetryAfter}
 }
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -154,7 +154,7 @@
 		return
 	}
 	begun := slices.ContainsFunc(slices.Collect(maps.Keys(c.attempts)), func(id model.TaskID) bool { return id.Job() == s.Task.Job() })
-	if !begun || c.now.Sub(c.evacuatedAt) >= evacuationTime-startDelay {
+	if !begun || c.now.Sub(c.evacuatedAt) >= evacuationTime-port.MaxStartWait {
 		c.t.Fatalf("task %s was sent %v after the evacuation of the data centre, its job begun before: %t", s.Task, c.now.Sub(c.evacuatedAt), begun)
 	}
 }
--- a/plugins/leases/lease/machine.go
+++ b/plugins/leases/lease/machine.go
@@ -26,9 +26,6 @@
 	tokenIdleTimeout = time.Second
 	// retryDelay is the delay before a hold or stop that failed is sent again.
 	retryDelay = 30 * time.Millisecond
-	// maxStartWait is how long a start may wait for the endpoint before it is sent. After a longer time the process may have
-	// stood still, and the caller may have sent the job to another member.
-	maxStartWait = 700 * time.Millisecond
 	// maxFailedHolds is the number of consecutive failed holds after which holds no longer
 	// extend the lease, so that the time of its expiry is known.
 	maxFailedHolds = 2
--- a/plugins/leases/lease/machine_test.go
+++ b/plugins/leases/lease/machine_test.go
@@ -92,7 +92,7 @@
 func TestStartThatHasWaitedThroughAPauseIsNotSent(t *testing.T) {
 	h := newHarness(t)
 	h.step(StartRequested{Run: testRun(0)})
-	fx := h.advance(maxStartWait + time.Millisecond).replyToHold(nil)
+	fx := h.advance(port.MaxStartWait + time.Millisecond).replyToHold(nil)
 	h.is.Equal(len(fx.Starts), 0)
 	h.is.Equal(fx.Finished[0].State, port.TaskNoRoom)
 }
--- a/plugins/leases/lease/runs.go
+++ b/plugins/leases/lease/runs.go
@@ -63,7 +63,7 @@
 	for _, id := range m.sortedRuns() {
 		switch r := m.runs[id]; {
 		case r.phase != queued:
-		case elapsed(now, r.requestedAt) > maxStartWait:
+		case elapsed(now, r.requestedAt) > port.MaxStartWait:
 			m.finish(now, id, port.TaskNoRoom, "the start has waited too long", fx)
 		default:
 			m.sendStart(now, id, r, fx)
