Profiles: an edit does not take effect after its answer

An order that was answered 503 during a partition could be proposed again afterwards. When the operator withdrew it in between, the withdrawal changed nothing, since the order was not in force, and was answered 200; then the order took effect: the data centre was evacuated although the operator had been told otherwise.

A replica now gets only the time that the sender has left, less the margin for the reply where it is remote.

--- a/plugins/profiles/edit.go
+++ b/plugins/profiles/edit.go
@@ -116,8 +116,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, replicaTimeout+replyMargin)
 	defer cancel()
+	left := timeLeft(ctx)
+	// The replica has to answer before this call ends, as in submitLocally.
+	wait := max(left-replyMargin, left/2)
 	var reply wire.Result
-	switch p.peers.Call(ctx, node, methodEdit, wire.EncodeEdit(edit, replicaTimeout), &reply) {
+	switch p.peers.Call(ctx, node, methodEdit, wire.EncodeEdit(edit, wait), &reply) {
 	case port.Delivered:
 		return model.EditResult(reply)
 	case port.NotSent, port.Refused:
@@ -126,8 +129,9 @@
 	return model.EditResult{Status: model.EditNoMajority, Run: model.MayHaveRun}
 }
 
-// submitLocally submits an edit to this member's machine and waits for its result, which
-// the machine has to give within wait or editTimeout, whichever is shorter.
+// submitLocally submits an edit to this member's machine and waits for its result, which the machine has to give within wait and
+// within the time that ctx leaves. An edit that went on for longer could take effect after a later one that its sender, having been
+// told that it is not in force, has sent meanwhile.
 func (p *Profiles) submitLocally(ctx context.Context, edit model.ProfileEdit, wait time.Duration) model.EditResult {
 	answer := make(chan model.EditResult, 1)
 	p.core.Lock()
@@ -138,7 +142,7 @@
 	p.core.lastTicket++
 	ticket := p.core.lastTicket
 	p.core.waiters[ticket] = answer
-	deadline := p.now().Add(min(wait, editTimeout))
+	deadline := p.now().Add(min(wait, timeLeft(ctx)))
 	finish := p.stepLocked(register.Submitted{Ticket: ticket, Edit: edit, Deadline: deadline})
 	p.core.Unlock()
 	finish()
@@ -151,6 +155,14 @@
 	return model.EditResult{Status: model.EditNoMajority, Run: model.MayHaveRun}
 }
 
+// timeLeft returns the time until ctx ends, at most editTimeout.
+func timeLeft(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(time.Until(deadline), editTimeout)
+	}
+	return editTimeout
+}
+
 // awaitInForce waits until the revision is in force at this member, at most inForceTimeout, so that a
 // caller who reads here after an edit sees that edit.
 func (p *Profiles) awaitInForce(ctx context.Context, revision model.Revision) {
--- a/plugins/profiles/profiles_test.go
+++ b/plugins/profiles/profiles_test.go
@@ -1,6 +1,7 @@
 package profiles
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -207,3 +208,28 @@
 		is.Equal(order("n0", true), model.EditDone)
 	})
 }
+
+// Guards against an order that takes effect after it was answered as not in force: its withdrawal may have been answered meanwhile.
+func TestOrder_DoesNotOutliveItsAnswer(t *testing.T) {
+	for _, at := range []model.NodeID{"n0", "n3"} { // A replica, and a member that is none.
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := startCluster(t, 3, 1)
+			defer c.stopAll()
+			order := func(id model.NodeID, evacuate bool) model.EditStatus {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				evacuations, err := plugin.Lookup[port.Evacuations](c.hosts[id])
+				is.NoErr(err)
+				return evacuations.Order(ctx, "sj1", evacuate)
+			}
+			c.net.partition("n0", "n3") // With one of three replicas.
+			is.Equal(order(at, true), model.EditNoMajority)
+			c.net.partition()
+			is.Equal(order("n1", false), model.EditDone)
+			time.Sleep(3 * time.Second)
+			set, _ := c.current("n1")
+			is.True(!set.Evacuated("sj1"))
+		})
+	}
+}
