--- a/plugins/endpoints/poolstate/urgency_test.go
+++ b/plugins/endpoints/poolstate/urgency_test.go
@@ -126,18 +126,24 @@
 	}
 }
 
+// newLateHarness returns a harness with a slot, the running task of team late there, and the team's late task that waits for it.
+func newLateHarness() (h *harness, running Start, late model.TaskID) {
+	h = newHarness(1)
+	h.learnRunTime()
+	running = h.submitFor("late", false, 30).Starts[0]
+	h.submitFor("late", false, 30)
+	h.now = h.now.Add(400 * time.Millisecond)
+	h.step(Elapsed{})
+	return h, running, model.JobID(fmt.Sprintf("n.i.1.%d.t", h.jobs)).TaskID(0)
+}
+
 // Load: a queue that has become late. Guards against late batches that hold back one that can still be in time, of their own team
 // or of another one, and against late ones that never start although they are still of use.
 func TestLateBatchDoesNotDelayOneInTime(t *testing.T) {
 	for _, team := range []model.TeamID{"late", "other"} {
 		t.Run(string(team), func(t *testing.T) {
 			is := is.New(t)
-			h := newHarness(1)
-			h.learnRunTime()
-			running := h.submitFor("late", false, 30).Starts[0]
-			h.submitFor("late", false, 30)
-			h.now = h.now.Add(400 * time.Millisecond)
-			h.step(Elapsed{})
+			h, running, _ := newLateHarness()
 			is.Equal(len(h.submitFor(team, false, 30).Starts), 0)
 			inTime := model.JobID(fmt.Sprintf("n.i.1.%d.t", h.jobs)).TaskID(0)
 			fx := h.reply(running, port.TaskDone)
@@ -150,12 +156,7 @@
 // Load: a team whose batches are all late beside one that always has others. Guards against late batches that never get a slot.
 func TestLateTeamGetsAShare(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(1)
-	h.learnRunTime()
-	running := h.submitFor("late", false, 30).Starts[0]
-	h.submitFor("late", false, 30)
-	late := model.JobID(fmt.Sprintf("n.i.1.%d.t", h.jobs)).TaskID(0)
-	h.now = h.now.Add(400 * time.Millisecond)
+	h, running, late := newLateHarness()
 	started := 0
 	for ; running.Task != late; started++ {
 		h.submitFor("other", false, 30)
--- a/plugins/profiles/profiles_test.go
+++ b/plugins/profiles/profiles_test.go
@@ -175,6 +175,17 @@
 	})
 }
 
+// order has a member order the evacuation of sj1 or its end, within a second.
+func (c *cluster) order(id model.NodeID, evacuate bool) model.EditStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	evacuations, err := plugin.Lookup[port.Evacuations](c.hosts[id])
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return evacuations.Order(ctx, "sj1", evacuate)
+}
+
 // Guards against an order that is forgotten when all members restart and a replica loses its disk, one that a member without a majority
 // answers as done, and one that is refused because it is sent twice or to two members.
 func TestOrder_SurvivesRestartsAndNeedsAMajority(t *testing.T) {
@@ -182,13 +193,8 @@
 		is := is.New(t)
 		c := startCluster(t, 3, 1)
 		defer c.stopAll()
-		order := func(id model.NodeID, evacuate bool) model.EditStatus {
-			evacuations, err := plugin.Lookup[port.Evacuations](c.hosts[id])
-			is.NoErr(err)
-			return evacuations.Order(t.Context(), "sj1", evacuate)
-		}
-		is.Equal(order("n3", true), model.EditDone)
-		is.Equal(order("n0", true), model.EditDone)
+		is.Equal(c.order("n3", true), model.EditDone)
+		is.Equal(c.order("n0", true), model.EditDone)
 		c.stopAll()
 		is.NoErr(os.RemoveAll(filepath.Join(c.dir, "n0")))
 		for i := range 4 {
@@ -201,11 +207,11 @@
 		}
 		c.awaitVoter("n0")
 		c.net.partition("n0")
-		is.Equal(order("n1", false), model.EditDone)
-		is.Equal(order("n0", true), model.EditNoMajority) // In force here, but withdrawn by the others.
+		is.Equal(c.order("n1", false), model.EditDone)
+		is.Equal(c.order("n0", true), model.EditNoMajority) // In force here, but withdrawn by the others.
 		c.net.partition()
 		c.awaitRevision("n0", 2)
-		is.Equal(order("n0", true), model.EditDone)
+		is.Equal(c.order("n0", true), model.EditDone)
 	})
 }
 
@@ -216,17 +222,10 @@
 			is := is.New(t)
 			c := startCluster(t, 3, 1)
 			defer c.stopAll()
-			order := func(id model.NodeID, evacuate bool) model.EditStatus {
-				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-				defer cancel()
-				evacuations, err := plugin.Lookup[port.Evacuations](c.hosts[id])
-				is.NoErr(err)
-				return evacuations.Order(ctx, "sj1", evacuate)
-			}
 			c.net.partition("n0", "n3") // With one of three replicas.
-			is.Equal(order(at, true), model.EditNoMajority)
+			is.Equal(c.order(at, true), model.EditNoMajority)
 			c.net.partition()
-			is.Equal(order("n1", false), model.EditDone)
+			is.Equal(c.order("n1", false), model.EditDone)
 			time.Sleep(3 * time.Second)
 			set, _ := c.current("n1")
 			is.True(!set.Evacuated("sj1"))
