Jobs: a job that fits nowhere is not refused as evacuated

While any data centre was evacuated, each job that the others cannot run was refused with "evacuated" and a Retry-After of 1 s: also one whose task runs for longer than its deadline allows, or needs more than any worker has. Its callers came back for as long as the evacuation went on, for a job that is refused for good ("never_fits") otherwise.

The check is now repeated with the evacuated pools, whose owners go on reporting their largest endpoints. "evacuated" remains where a new owner of such a pool does not know the endpoints yet.

TestJobsAreNotPlannedToEvacuatedDataCentres failed before with a task of an hour.

--- a/plugins/jobs/evacuation.go
+++ b/plugins/jobs/evacuation.go
@@ -1,6 +1,12 @@
 package jobs
 
-import "redwingpulley/kernel/model"
+import (
+	"slices"
+	"time"
+
+	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/jobs/fit"
+)
 
 // withoutEvacuated returns the loads of the pools that are in no evacuated data centre, by the orders that this member knows: a load
 // may be older. If it leaves any out, it also returns the refusal of a job that cannot be planned for that reason.
@@ -14,3 +20,20 @@
 	}
 	return rest, refused
 }
+
+// fitsWithEvacuated reports whether the job could run, as far as is known, if no data centre were evacuated. The pools there report
+// no slots, so that they count as having enough of them.
+func fitsWithEvacuated(profiles model.ProfileSet, job model.Job, loads []model.PoolLoad) bool {
+	loads = slices.Clone(loads)
+	for i := range loads {
+		if !profiles.Evacuated(loads[i].Pool.DataCentre) {
+			continue
+		}
+		if loads[i].Endpoints == 0 {
+			return true // A new owner does not know the endpoints yet.
+		}
+		loads[i].Slots = model.MaxTasksPerJob
+	}
+	_, fits := fit.Check(job, loads, time.Now())
+	return fits
+}
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -208,7 +208,8 @@
 }
 
 // Guards against jobs that are planned to an evacuated data centre by a load that is older than the order, against parts refused there
-// that are charged to the retry budget, and against jobs that are refused for good when no data centre is left.
+// that are charged to the retry budget, against jobs that are refused for good when no data centre is left, and against advice to
+// return for jobs that would not fit without the evacuation either.
 func TestJobsAreNotPlannedToEvacuatedDataCentres(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		j, _, f, _ := newMemberPair(t)
@@ -226,6 +227,13 @@
 		f.runs.Store(0)
 		is.Equal(j.Submit(t.Context(), newJob(j.Mint(1)[0], 1)).State, model.StateComplete)
 		is.Equal(f.runs.Load(), int32(1))
+		tooLong, large := newJob(j.Mint(1)[0], 1), newJob(j.Mint(1)[0], 1)
+		tooLong.Tasks[0].Declared, large.Tasks[0].Needs.MilliCores = time.Hour, 1000
+		f.loads[0].Endpoints = 1
+		is.Equal(j.Submit(t.Context(), tooLong).Reason, model.ReasonNeverFits)
+		is.Equal(j.Submit(t.Context(), large).Reason, model.ReasonNeverFits)
+		f.loads[0].Largest.MilliCores, large.ID = 1000, j.Mint(1)[0]
+		is.Equal(j.Submit(t.Context(), large).Reason, model.ReasonEvacuated)
 		f.evacuations[""] = model.Evacuation{Active: true} // The data centre of the other pool.
 		refused := j.Submit(t.Context(), newJob(j.Mint(1)[0], 1))
 		is.Equal(refused.Run, model.NotRun)
--- a/plugins/jobs/plan.go
+++ b/plugins/jobs/plan.go
@@ -92,12 +92,13 @@
 	if len(loads) == 0 && !j.isKnownService(profiles, job.Service) {
 		return port.Plan{}, &refusal{model.ReasonUnknownService, 0, "no endpoint announced the service and no profile names it"}
 	}
-	loads, refused := withoutEvacuated(profiles, loads)
+	all := loads
+	loads, refused := withoutEvacuated(profiles, all)
 	if refused != nil && len(loads) == 0 {
 		return port.Plan{}, refused
 	}
-	if why, fits := fit.Check(job, loads, time.Now()); !fits && refused != nil {
-		return port.Plan{}, refused // An evacuated data centre may have what is lacking.
+	if why, fits := fit.Check(job, loads, time.Now()); !fits && refused != nil && fitsWithEvacuated(profiles, job, all) {
+		return port.Plan{}, refused
 	} else if !fits {
 		return port.Plan{}, &refusal{model.ReasonNeverFits, 0, why}
 	}
