--- a/plugins/jobs/evacuation.go
+++ b/plugins/jobs/evacuation.go
@@ -1,24 +1,39 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"redwingpulley/kernel/model"
+	"redwingpulley/plugins/jobs/fit"
 )
 
-// evacuatedRetry is when the caller of a job that is refused for an evacuation is advised to try again. Operators end an
-// evacuation at any time, and the pools then take work at once.
-const evacuatedRetry = time.Second
-
 // withoutEvacuated returns the loads of the pools that are in no evacuated data centre, by the orders that this member knows: a load
 // may be older. If it leaves any out, it also returns the refusal of a job that cannot be planned for that reason.
 func withoutEvacuated(profiles model.ProfileSet, loads []model.PoolLoad) (rest []model.PoolLoad, refused *refusal) {
 	for _, l := range loads {
 		if profiles.Evacuated(l.Pool.DataCentre) {
-			refused = &refusal{model.ReasonEvacuated, evacuatedRetry, "operators have had the data centres evacuated that could run the job"}
+			refused = &refusal{model.ReasonEvacuated, model.EvacuatedRetryAfter, "all data centres that could run the job are evacuated"}
 			continue
 		}
 		rest = append(rest, l)
 	}
 	return rest, refused
 }
+
+// fitsWithEvacuated reports whether the job could run, as far as is known, if no data centre were evacuated. The pools there report
+// no slots, so that they count as having enough of them.
+func fitsWithEvacuated(profiles model.ProfileSet, job model.Job, loads []model.PoolLoad) bool {
+	loads = slices.Clone(loads)
+	for i := range loads {
+		if !profiles.Evacuated(loads[i].Pool.DataCentre) {
+			continue
+		}
+		if loads[i].Endpoints == 0 {
+			return true // A new owner does not know the endpoints yet.
+		}
+		loads[i].Slots = model.MaxTasksPerJob
+	}
+	_, fits := fit.Check(job, loads, time.Now())
+	return fits
+}
--- a/plugins/jobs/jobs_test.go
+++ b/plugins/jobs/jobs_test.go
@@ -208,7 +208,8 @@
 }
 
 // Guards against jobs that are planned to an evacuated data centre by a load that is older than the order, against parts refused there
-// that are charged to the retry budget, and against jobs that are refused for good when no data centre is left.
+// that are charged to the retry budget, against jobs that are refused for good when no data centre is left, and against advice to
+// return for jobs that would not fit without the evacuation either.
 func TestJobsAreNotPlannedToEvacuatedDataCentres(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		j, _, f, _ := newMemberPair(t)
@@ -226,6 +227,13 @@
 		f.runs.Store(0)
 		is.Equal(j.Submit(t.Context(), newJob(j.Mint(1)[0], 1)).State, model.StateComplete)
 		is.Equal(f.runs.Load(), int32(1))
+		tooLong, large := newJob(j.Mint(1)[0], 1), newJob(j.Mint(1)[0], 1)
+		tooLong.Tasks[0].Declared, large.Tasks[0].Needs.MilliCores = time.Hour, 1000
+		f.loads[0].Endpoints = 1
+		is.Equal(j.Submit(t.Context(), tooLong).Reason, model.ReasonNeverFits)
+		is.Equal(j.Submit(t.Context(), large).Reason, model.ReasonNeverFits)
+		f.loads[0].Largest.MilliCores, large.ID = 1000, j.Mint(1)[0]
+		is.Equal(j.Submit(t.Context(), large).Reason, model.ReasonEvacuated)
 		f.evacuations[""] = model.Evacuation{Active: true} // The data centre of the other pool.
 		refused := j.Submit(t.Context(), newJob(j.Mint(1)[0], 1))
 		is.Equal(refused.Run, model.NotRun)
@@ -235,7 +243,8 @@
 }
 
 // Load: more demand than slots. Guards against a job that is sent to pools although it can't end while its answer is of use, and
-// against one that is sent from one full pool to the next until the retry budget is used up.
+// against one that is sent from one full pool to the next until the retry budget is used up, and against advice to return at once, or
+// after the caller has given up.
 func TestJobIsRefusedAtOnceWhenNoPoolHasRoomInTime(t *testing.T) {
 	withVirtualClock(t, func(t *testing.T, is *is.I) {
 		owner, _, atOwner, _ := newMemberPair(t)
@@ -248,9 +257,14 @@
 			outcome := owner.Submit(t.Context(), job)
 			is.Equal(outcome.Run, model.NotRun)
 			is.Equal(outcome.Reason, model.ReasonOverload)
+			if waits.LeastWait > 0 {
+				is.True(outcome.RetryAfter >= model.MinRetryAfter && outcome.RetryAfter <= model.MaxRetryAfter)
+			}
 			return atOwner.runs.Load() - before
 		}
 		is.Equal(submit(port.Plan{Wait: 200 * time.Millisecond, LeastWait: 200 * time.Millisecond}), int32(0))
+		is.Equal(submit(port.Plan{Wait: time.Minute, LeastWait: time.Minute}), int32(0))
+		is.Equal(submit(port.Plan{Wait: 181 * time.Millisecond, LeastWait: 181 * time.Millisecond}), int32(0))
 		is.Equal(submit(port.Plan{Wait: 100 * time.Millisecond}), int32(1))
 		is.Equal(submit(port.Plan{Wait: 50 * time.Millisecond}), int32(2)) // The other pool has room in time.
 	})
--- a/plugins/jobs/plan.go
+++ b/plugins/jobs/plan.go
@@ -92,12 +92,13 @@
 	if len(loads) == 0 && !j.isKnownService(profiles, job.Service) {
 		return port.Plan{}, &refusal{model.ReasonUnknownService, 0, "no endpoint announced the service and no profile names it"}
 	}
-	loads, refused := withoutEvacuated(profiles, loads)
+	all := loads
+	loads, refused := withoutEvacuated(profiles, all)
 	if refused != nil && len(loads) == 0 {
 		return port.Plan{}, refused
 	}
-	if why, fits := fit.Check(job, loads, time.Now()); !fits && refused != nil {
-		return port.Plan{}, refused // An evacuated data centre may have what is lacking.
+	if why, fits := fit.Check(job, loads, time.Now()); !fits && refused != nil && fitsWithEvacuated(profiles, job, all) {
+		return port.Plan{}, refused
 	} else if !fits {
 		return port.Plan{}, &refusal{model.ReasonNeverFits, 0, why}
 	}
@@ -116,8 +117,8 @@
 		return port.Plan{}, &refusal{plan.Refused, 0, plan.Reason}
 	}
 	if over := fit.UselessBy(&job, plan.LeastWait, loads, time.Now()); over > 0 {
-		spread := rand.N(over) // So that callers that are refused together do not return together.
-		return port.Plan{}, &refusal{model.ReasonOverload, over + spread, "would end when its answer is of no use any more"}
+		retryAfter := model.RetryAfter(over, over, time.Until(job.Deadline), rand.Float64())
+		return port.Plan{}, &refusal{model.ReasonOverload, retryAfter, "would end when its answer is of no use any more"}
 	}
 	if charged {
 		j.depositRetries(profile, job.Service, len(plan.Parts))
