Tests: the test of a kept turn uses the platform's membership period

Cause: beside a load the resent job was sometimes answered 503 instead of 200. Traced: the view of the member that had accepted it became stale, since it had stood still for more than three periods, 300 ms with the period of 100 ms that these tests use. The member gave up the job, which had not started, with member_paused, as ADR 48 says. That is allowed, and not the case that the test is about. Change: the test uses the period of 250 ms of the users' platform, with which 750 ms count as a pause.

--- a/cmd/internal/node/late_test.go
+++ b/cmd/internal/node/late_test.go
@@ -16,6 +16,9 @@
 const (
 	lateOrder   = 2300 * time.Millisecond // How late a stuck endpoint carries its orders out.
 	callerPause = 1300 * time.Millisecond // Time after which a caller sends its job again.
+	// membershipPeriodMS is the period that the product has on the users' platform. With one of 100 ms a delay of 300 ms counts as a pause, after
+	// which a member refuses the jobs that it has accepted and not started.
+	membershipPeriodMS = 250
 )
 
 // stuckEndpoint is the fault of an endpoint that gets stuck with the first start after arm: it answers no order until it has carried that
@@ -83,7 +86,7 @@
 // from then. The job was answered 504; sent again to an entry VM of another data centre, it ran there beside the late start.
 func TestPlatformJobSentToAnotherVMDoesNotRunBesideALateStart(t *testing.T) {
 	is := is.New(t)
-	s := &platformCluster{t: t, dataCentres: 2}
+	s := &platformCluster{t: t, dataCentres: 2, period: membershipPeriodMS}
 	s.start(1, 2)
 	var stuck stuckEndpoint
 	near, far := s.startEndpoint(1, 16000, stuck.fault), s.startEndpoint(2, 16000, nil)
--- a/cmd/internal/node/platform_test.go
+++ b/cmd/internal/node/platform_test.go
@@ -30,6 +30,7 @@
 type platformCluster struct {
 	t           testing.TB
 	heartbeat   time.Duration // Interval of the endpoints' heartbeats; 0 stands for a short one.
+	period      int           // Period of membership in milliseconds; 0 stands for a short one.
 	dataCentres int           // Number of data centres among which VMs and endpoints are spread; 0 counts as one.
 	port        int           // Port of the listeners for peers; the ports of the other listeners follow it.
 	seeds       []string
@@ -93,7 +94,7 @@
 		Listen:  settings.Listen{Peers: vmAddress(vm, s.port), Operators: vmAddress(vm, s.port+1)},
 		Without: []string{"taskclient", "frontend.callers", "frontend.announce"},
 		Plugins: map[string]json.RawMessage{
-			"membership": rawJSON(`{"period_ms": 100}`), "endpoints": rawJSON(`{"lease_ms": 15000}`),
+			"membership": rawJSON(fmt.Sprintf(`{"period_ms": %d}`, cmp.Or(s.period, 100))), "endpoints": rawJSON(`{"lease_ms": 15000}`),
 			"leases": rawJSON(`{"lease_ms": 1000, "stop_ms": 50, "away_ms": 1000}`), "platform.endpoints": rawJSON(`{}`),
 		},
 	}
