Endpoints: what members that join are sent is named by the terms of the field

tells, tell, tellJoined and joinTellers become notifiesJoined, sendTo, notifyJoined and joinNotifiers. No behaviour, wire name, log kind or metric is changed; tests change by the names alone.

--- a/plugins/endpoints/joins_test.go
+++ b/plugins/endpoints/joins_test.go
@@ -137,7 +137,7 @@
 		n.setAlive(append(slices.Clone(nodes), node)...)
 		time.Sleep(time.Second) // On the virtual clock.
 		is.Equal(len(joined.lossesOf(ref)), 1)
-		is.Equal(n.updateMessages()-before, joinTellers)
+		is.Equal(n.updateMessages()-before, joinNotifiers)
 		late := taskRef{"job", 1}
 		for _, p := range all { // The relays did not know of the join yet.
 			p.addLoss(late, model.Loss{Endpoint: "e2", Crashed: true})
--- a/plugins/endpoints/updates.go
+++ b/plugins/endpoints/updates.go
@@ -18,8 +18,8 @@
 	smallUpdatePause  = 20 * time.Millisecond  // Time in which updates are collected for one message.
 	confirmTimeout    = 50 * time.Millisecond  // Longest wait for the reply of one member to a loss that is to be confirmed.
 	maxConfirmCalls   = 2                      // Members that are asked to confirm a loss before the task may start again.
-	joinTellers       = 4                      // Members that tell one that joins what they know.
-	joinedAgain       = 2 * time.Second        // Time from a join until all members know of it; see tellJoined.
+	joinNotifiers     = 4                      // Members that send one that joins what they know.
+	joinedAgain       = 2 * time.Second        // Time from a join until all members know of it; see notifyJoined.
 )
 
 // taskUpdates are facts about tasks of which all members are told.
@@ -161,7 +161,7 @@
 	for {
 		changed := p.membership.Changed()
 		now := p.currentView()
-		p.tellJoined(before, now)
+		p.notifyJoined(before, now)
 		before = now
 		select {
 		case <-changed:
@@ -171,13 +171,13 @@
 	}
 }
 
-// tellJoined tells the members that are in one view and not in an earlier one what this member knows, where it is one of the few to tell
-// them. After joinedAgain it tells them what it has learned since: those that reported it may not have known of the join. One that knows
+// notifyJoined sends what this member knows to the members that are in one view and not in an earlier one, where it is one of the few that
+// notify them. After joinedAgain it sends what it has learned since: those that reported it may not have known of the join. One that knows
 // nothing sends nothing.
-func (p *Pools) tellJoined(before, now *viewIndex) {
+func (p *Pools) notifyJoined(before, now *viewIndex) {
 	var joined []port.Node
 	for _, node := range now.alive {
-		if !before.has(incarnationKey{node.ID, node.Incarnation}) && node.ID != p.membership.Self().ID && p.tells(node, before, now) {
+		if !before.has(incarnationKey{node.ID, node.Incarnation}) && node.ID != p.membership.Self().ID && p.notifiesJoined(node, before, now) {
 			joined = append(joined, node)
 		}
 	}
@@ -185,12 +185,12 @@
 		return
 	}
 	joinedAt := time.Now()
-	p.tell(joined, p.newestUpdates(time.Time{}))
-	time.AfterFunc(joinedAgain, func() { p.tell(joined, p.newestUpdates(joinedAt)) })
+	p.sendTo(joined, p.newestUpdates(time.Time{}))
+	time.AfterFunc(joinedAgain, func() { p.sendTo(joined, p.newestUpdates(joinedAt)) })
 }
 
-// tell sends updates to members, in as many messages as they need.
-func (p *Pools) tell(members []port.Node, updates taskUpdates) {
+// sendTo sends updates to members, in as many messages as they need.
+func (p *Pools) sendTo(members []port.Node, updates taskUpdates) {
 	for _, part := range updates.parts() {
 		for _, node := range members {
 			go p.sendUpdates(updateTarget{member: node.ID}, part)
@@ -198,9 +198,9 @@
 	}
 }
 
-// tells reports whether this member is one of the few, by rendezvous hashing over those that were there before, that tell a member which
-// joins. Views may differ: the one with the highest hash of all always is.
-func (p *Pools) tells(joined port.Node, before, now *viewIndex) bool {
+// notifiesJoined reports whether this member is one of the few, by rendezvous hashing over those that were there before, that notify a
+// member which joins. Views may differ: the one with the highest hash of all always is.
+func (p *Pools) notifiesJoined(joined port.Node, before, now *viewIndex) bool {
 	key := []byte(string(joined.ID) + "|" + string(joined.Incarnation) + "|")
 	own, higher := rendezvousHash(key, p.membership.Self().ID), 0
 	for _, node := range now.alive {
@@ -208,7 +208,7 @@
 			higher++
 		}
 	}
-	return higher < joinTellers
+	return higher < joinNotifiers
 }
 
 // newestUpdates returns the newest losses that this member has learned of since the given time, the turns that are kept, and the keys that
--- a/plugins/endpoints/view_cost_test.go
+++ b/plugins/endpoints/view_cost_test.go
@@ -77,7 +77,7 @@
 		{"handovers", func(p *Pools) { p.handOver(p.baseCtx, p.ownerOf) }},
 		{"origins", (*Pools).reportOrigins},
 		{"sessions", (*Pools).cancelLostSessions},
-		{"joins", func(p *Pools) { p.tellJoined(p.currentView(), p.currentView()) }},
+		{"joins", func(p *Pools) { p.notifyJoined(p.currentView(), p.currentView()) }},
 		{"owners of all pools", func(p *Pools) {
 			for centre := range 6 {
 				p.ownerOf(model.PoolID{Service: "finder", DataCentre: largeCentre(centre)})
@@ -89,7 +89,7 @@
 			p.handOver(p.baseCtx, p.ownerOf)
 			p.reportOrigins()
 			p.cancelLostSessions()
-			p.tellJoined(p.currentView(), p.currentView())
+			p.notifyJoined(p.currentView(), p.currentView())
 			p.Loads("finder")
 		}},
 	}
