Endpoints: what a team's crashes add up to is its failure record

The type and field blame become failureRecord and failures, and the constants and functions about them follow. No behaviour, wire name, log kind or metric is changed; tests change by the names alone.

--- a/plugins/endpoints/poolstate/admission.go
+++ b/plugins/endpoints/poolstate/admission.go
@@ -16,7 +16,7 @@
 	}
 	policy, ok := m.policies.Admissions[b.profile.Admission]
 	invariant.Check(ok, "profile-admission", "profile names unknown admission %q", b.profile.Admission)
-	if team, known := m.queue.teams[b.Team]; known && team.blame.confined {
+	if team, known := m.queue.teams[b.Team]; known && team.failures.confined {
 		return m.admitConfined(b)
 	}
 	room := m.roomFor(b)
--- a/plugins/endpoints/poolstate/confine.go
+++ b/plugins/endpoints/poolstate/confine.go
@@ -15,22 +15,22 @@
 // part of the pool, and the others have the rest for themselves.
 
 const (
-	// blameHalfLife is the time in which a team's blame falls by half.
-	blameHalfLife = 2 * time.Second
-	// confineAbove is the blame above which a team is confined: that of several endpoints which went down one after the other.
+	// failureHalfLife is the time in which the amount in a team's failure record falls by half.
+	failureHalfLife = 2 * time.Second
+	// confineAbove is the amount above which a team is confined: that of several endpoints which went down one after the other.
 	confineAbove = 2.5
-	// releaseBelow is the blame below which a team is no longer confined.
+	// releaseBelow is the amount below which a team is no longer confined.
 	releaseBelow = 1.0
-	// blameInterval is the time within which endpoints that go down count once: those of a rack fail together.
-	blameInterval = 100 * time.Millisecond
+	// failureInterval is the time within which endpoints that go down count once: those of a rack fail together.
+	failureInterval = 100 * time.Millisecond
 	// endpointsPerConfined is the number of live endpoints for each that confined teams may hold; they may always hold one.
 	endpointsPerConfined = 3
 	// confinedRetry is when the caller of a job that is refused to a confined team is advised to try again.
 	confinedRetry = time.Second
 )
 
-// blame measures how often endpoints have gone down while tasks of a team were there.
-type blame struct {
+// failureRecord measures how often endpoints have gone down while tasks of a team were there.
+type failureRecord struct {
 	amount   float64
 	at       time.Time // When the amount was computed.
 	confined bool
@@ -38,25 +38,25 @@
 
 // confinement is the state of a pool's confined teams.
 type confinement struct {
-	blamedAt time.Time // When an endpoint that went down was last counted.
-	active   bool      // A team has blame or is confined.
+	countedAt time.Time // When an endpoint that went down was last counted.
+	active    bool      // A team has failures on its record or is confined.
 }
 
-// current returns the amount of blame that is left.
-func (b *blame) current(now time.Time) float64 {
-	return b.amount * math.Exp2(-float64(now.Sub(b.at))/float64(blameHalfLife))
+// current returns the amount that is left.
+func (r *failureRecord) current(now time.Time) float64 {
+	return r.amount * math.Exp2(-float64(now.Sub(r.at))/float64(failureHalfLife))
 }
 
-func (b *blame) add(now time.Time, amount float64) {
-	b.amount, b.at = b.current(now)+amount, now
+func (r *failureRecord) add(now time.Time, amount float64) {
+	r.amount, r.at = r.current(now)+amount, now
 }
 
-// blameTeams divides the blame for an endpoint that has gone down among the teams whose tasks are there.
-func (m *Machine) blameTeams(now time.Time, e *endpoint) {
-	if len(e.tasks) == 0 || now.Sub(m.confinement.blamedAt) < blameInterval {
+// recordFailure divides the failure of an endpoint that has gone down among the teams whose tasks are there.
+func (m *Machine) recordFailure(now time.Time, e *endpoint) {
+	if len(e.tasks) == 0 || now.Sub(m.confinement.countedAt) < failureInterval {
 		return
 	}
-	m.confinement.blamedAt, m.confinement.active = now, true
+	m.confinement.countedAt, m.confinement.active = now, true
 	var teams []*team
 	for _, t := range e.tasks {
 		if !slices.Contains(teams, t.batch.team) {
@@ -64,11 +64,11 @@
 		}
 	}
 	for _, t := range teams {
-		t.blame.add(now, 1/float64(len(teams)))
+		t.failures.add(now, 1/float64(len(teams)))
 	}
 }
 
-// updateConfinement confines and releases teams by their blame, and adapts the endpoints that are reserved for them.
+// updateConfinement confines and releases teams by their failure records, and adapts the endpoints that are reserved for them.
 func (m *Machine) updateConfinement(now time.Time, fx *Effects) {
 	if !m.confinement.active {
 		return
@@ -77,41 +77,41 @@
 	most := 0
 	for _, t := range m.queue.teamsInOrder {
 		m.judgeTeam(now, t, fx)
-		if t.blame.confined {
+		if t.failures.confined {
 			most = m.maxConfined()
 		}
-		m.confinement.active = m.confinement.active || t.blame.confined || t.blame.current(now) >= releaseBelow
+		m.confinement.active = m.confinement.active || t.failures.confined || t.failures.current(now) >= releaseBelow
 	}
 	m.resizeConfined(most)
 }
 
-// judgeTeam confines or releases a team by its blame.
+// judgeTeam confines or releases a team by its failure record.
 func (m *Machine) judgeTeam(now time.Time, t *team, fx *Effects) {
-	current, before := t.blame.current(now), t.blame.confined
+	current, before := t.failures.current(now), t.failures.confined
 	switch {
 	case before:
-		t.blame.confined = current >= releaseBelow
+		t.failures.confined = current >= releaseBelow
 	case current >= confineAbove:
-		t.blame.confined = m.othersAreBlameless(now, t)
+		t.failures.confined = m.othersFailSeldom(now, t)
 	}
-	if t.blame.confined != before {
-		fx.Teams = append(fx.Teams, TeamChange{t.id, t.blame.confined, m.maxConfined()})
+	if t.failures.confined != before {
+		fx.Teams = append(fx.Teams, TeamChange{t.id, t.failures.confined, m.maxConfined()})
 	}
 }
 
 // maxConfined returns the number of endpoints that confined teams may hold.
 func (m *Machine) maxConfined() int { return max(m.live/endpointsPerConfined, 1) }
 
-// othersAreBlameless reports whether there is another team with work in the pool, and each such team has much less blame than this
+// othersFailSeldom reports whether there is another team with work in the pool, and each such team has much fewer failures than this
 // one. Otherwise it is not the team that makes the difference.
-func (m *Machine) othersAreBlameless(now time.Time, blamed *team) bool {
+func (m *Machine) othersFailSeldom(now time.Time, candidate *team) bool {
 	others := 0
 	for _, t := range m.queue.teamsInOrder {
-		if t == blamed || t.blame.confined || t.openBatches == 0 {
+		if t == candidate || t.failures.confined || t.openBatches == 0 {
 			continue
 		}
 		others++
-		if 2*t.blame.current(now) > blamed.blame.current(now) {
+		if 2*t.failures.current(now) > candidate.failures.current(now) {
 			return false
 		}
 	}
--- a/plugins/endpoints/poolstate/confine_test.go
+++ b/plugins/endpoints/poolstate/confine_test.go
@@ -28,7 +28,7 @@
 		if len(fx.Starts) == 0 {
 			return crashed
 		}
-		h.now = h.now.Add(2 * blameInterval)
+		h.now = h.now.Add(2 * failureInterval)
 		h.step(Down{fx.Starts[0].Endpoint})
 		crashed++
 	}
@@ -73,7 +73,7 @@
 			h.step(Down{s.Endpoint})
 		}
 		is.Equal(len(h.submitOf("team").Starts), 1)
-		is.True(!h.queue.teams["team"].blame.confined)
+		is.True(!h.queue.teams["team"].failures.confined)
 	})
 	t.Run("with others", func(t *testing.T) {
 		is := is.New(t)
@@ -81,15 +81,15 @@
 		for range 8 {
 			for _, team := range []model.TeamID{"team", "other"} {
 				s := h.submitOf(team).Starts[0]
-				h.now = h.now.Add(2 * blameInterval)
+				h.now = h.now.Add(2 * failureInterval)
 				h.step(Down{s.Endpoint})
 			}
 			if h.live == 0 || h.Load().Slots < 4 {
 				break
 			}
 		}
-		is.True(!h.queue.teams["team"].blame.confined)
-		is.True(!h.queue.teams["other"].blame.confined)
+		is.True(!h.queue.teams["team"].failures.confined)
+		is.True(!h.queue.teams["other"].failures.confined)
 	})
 }
 
@@ -106,7 +106,7 @@
 	h := newUniformHarness(12, 2)
 	h.submitOf("other")
 	h.crashOneByOne("blamed")
-	is.True(h.queue.teams["blamed"].blame.confined)
+	is.True(h.queue.teams["blamed"].failures.confined)
 	h.now = h.now.Add(2 * time.Second)
 	for id, slots := range h.slots {
 		h.announce(id, slots, model.EndpointServing) // All are back.
@@ -116,7 +116,7 @@
 		h.step(Elapsed{})
 		h.now = h.now.Add(200 * time.Millisecond)
 	}
-	is.True(!h.queue.teams["blamed"].blame.confined)
+	is.True(!h.queue.teams["blamed"].failures.confined)
 	for _, e := range h.endpointList {
 		is.True(!e.confined)
 	}
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -52,7 +52,7 @@
 
 // pick returns the endpoint for a task, or false to leave the task in the queue.
 func (m *Machine) pick(now time.Time, t *task) (port.Choice, bool) {
-	if t.batch.team.blame.confined {
+	if t.batch.team.failures.confined {
 		return m.pickConfined(t)
 	}
 	if choice, ok := m.pickProbe(now, t); ok {
--- a/plugins/endpoints/poolstate/endpoint.go
+++ b/plugins/endpoints/poolstate/endpoint.go
@@ -149,7 +149,7 @@
 		return
 	}
 	e.down = true
-	m.blameTeams(now, e)
+	m.recordFailure(now, e)
 	m.updateTotals(e)
 	m.requeueHeldIfUnavailable(e)
 }
--- a/plugins/endpoints/poolstate/evacuate_test.go
+++ b/plugins/endpoints/poolstate/evacuate_test.go
@@ -66,7 +66,7 @@
 		},
 		"confined team": func(h *harness) {
 			h.submitRepeatable(9, model.Needs{}, model.Needs{})
-			h.queue.teams["t"].blame.confined = true
+			h.queue.teams["t"].failures.confined = true
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/plugins/endpoints/poolstate/queue.go
+++ b/plugins/endpoints/poolstate/queue.go
@@ -53,7 +53,7 @@
 	batches     indexedHeap[*batch] // Batches with queued tasks.
 	openBatches int                 // Number of batches that have not ended.
 	demand      demand
-	blame       blame
+	failures    failureRecord
 	index       int
 	heap        *indexedHeap[*team] // The heap of the queue that the team is in; nil when it has no queued tasks.
 }
