Pools: name the grace period of an evacuation

A reader of evacuate.go had to find out that evacuationTime is not the length of an evacuation, and that "until" is the end of the starts. The time is now evacuationGrace, the fields are startsEnd and startsTimer. evacuatedVerdict replaces refusalOfEvacuated, and comments say plainly what happens before and after that time.

--- a/plugins/endpoints/poolstate/admission.go
+++ b/plugins/endpoints/poolstate/admission.go
@@ -12,7 +12,7 @@
 // than its job allows.
 func (m *Machine) admit(now time.Time, b *batch) port.Verdict {
 	if m.evacuation.active {
-		return refusalOfEvacuated()
+		return evacuatedVerdict()
 	}
 	policy, ok := m.policies.Admissions[b.profile.Admission]
 	invariant.Check(ok, "profile-admission", "profile names unknown admission %q", b.profile.Admission)
--- a/plugins/endpoints/poolstate/evacuate.go
+++ b/plugins/endpoints/poolstate/evacuate.go
@@ -10,25 +10,26 @@
 	"redwingpulley/kernel/port"
 )
 
-// evacuationTime is how long after a pool has learned of its data centre's evacuation tasks may start there at the latest. Only
-// those of batches that have started in part do: a job with runs in several data centres has a chance to complete.
-const evacuationTime = 2 * time.Second
+// evacuationGrace is the time after which no task starts any more in a pool that has learned of its data centre's evacuation. Until
+// then only batches that have started in part start their remaining tasks, so that a job with runs in several data centres can
+// complete.
+const evacuationGrace = 2 * time.Second
 
-// Evacuated reports that operators have had the pool's data centre evacuated or, without Active, that they have ended that.
+// Evacuated reports that the evacuation of the pool's data centre has begun or, without Active, that it has ended.
 type Evacuated struct{ Active bool }
 
 func (Evacuated) event() {}
 
-// evacuation is the state of a pool whose data centre may be evacuated. Announcements are handled as ever meanwhile, so that the
-// endpoints get work again at once when it ends.
+// evacuation says whether the pool's data centre is evacuated. Announcements are handled as usual during an evacuation, so that the
+// endpoints get work at once when it ends.
 type evacuation struct {
-	active bool
-	until  time.Time // When the last tasks start.
-	timer  timer     // Fires at that time; each step then ends the batches with tasks that wait.
+	active      bool
+	startsEnd   time.Time // When the pool stops starting tasks.
+	startsTimer timer     // Fires at startsEnd; each step from then on ends the batches that still have tasks to start.
 }
 
 func newEvacuation() evacuation {
-	return evacuation{timer: newTimer(func(time.Time, *Effects) {})}
+	return evacuation{startsTimer: newTimer(func(time.Time, *Effects) {})}
 }
 
 // Evacuated reports whether the pool's data centre is evacuated, as far as the pool has learned.
@@ -36,7 +37,7 @@
 
 // StartsEnded reports whether no task may start any more because the data centre is evacuated.
 func (m *Machine) StartsEnded(now time.Time) bool {
-	return m.evacuation.active && !now.Before(m.evacuation.until)
+	return m.evacuation.active && !now.Before(m.evacuation.startsEnd)
 }
 
 // handleEvacuated begins or ends an evacuation. Batches none of whose tasks was sent to an endpoint are refused at once, so that
@@ -47,12 +48,12 @@
 	}
 	m.evacuation.active = e.Active
 	if !e.Active {
-		m.timers.stop(&m.evacuation.timer)
+		m.timers.stop(&m.evacuation.startsTimer)
 		return
 	}
 	// A start that the pool has decided on may wait for a lease before it is sent.
-	m.evacuation.until = now.Add(evacuationTime - port.MaxStartWait)
-	m.timers.set(&m.evacuation.timer, m.evacuation.until)
+	m.evacuation.startsEnd = now.Add(evacuationGrace - port.MaxStartWait)
+	m.timers.set(&m.evacuation.startsTimer, m.evacuation.startsEnd)
 	for _, b := range m.batchesInOrder() {
 		if !slices.ContainsFunc(b.tasks, func(t task) bool { return t.attempt > 0 }) {
 			m.refuseAccepted(now, b, model.ReasonEvacuated, fx)
@@ -87,7 +88,7 @@
 	return load
 }
 
-// refusalOfEvacuated is the verdict on a batch that arrives during an evacuation.
-func refusalOfEvacuated() port.Verdict {
+// evacuatedVerdict returns the verdict on a batch that arrives during an evacuation.
+func evacuatedVerdict() port.Verdict {
 	return port.Verdict{Reason: model.ReasonEvacuated, RetryAfter: model.EvacuatedRetryAfter}
 }
--- a/plugins/endpoints/poolstate/evacuate_test.go
+++ b/plugins/endpoints/poolstate/evacuate_test.go
@@ -22,7 +22,7 @@
 	is.Equal(fx.Ended[0].Reason, model.ReasonEvacuated)
 	is.Equal(h.Load().Slots+h.Load().Free, 0)
 	is.Equal(h.submit("l", "t", 1).Ended[0].Reason, model.ReasonEvacuated)
-	is.Equal(len(h.advance(evacuationTime).Revokes), 0)
+	is.Equal(len(h.advance(evacuationGrace).Revokes), 0)
 	is.True(h.reply(running, port.TaskDone).Ended[0].Results[0].Done)
 }
 
@@ -33,7 +33,7 @@
 	h := newHarness(1)
 	first := h.submit("j", "t", 3).Starts[0]
 	is.Equal(len(h.step(Evacuated{Active: true}).Ended), 0)
-	h.now = h.now.Add(evacuationTime - port.MaxStartWait - time.Millisecond)
+	h.now = h.now.Add(evacuationGrace - port.MaxStartWait - time.Millisecond)
 	is.Equal(len(h.reply(first, port.TaskDone).Starts), 1)
 	fx := h.advance(time.Millisecond)
 	is.Equal(fx.Ended[0].Results[2].Reason, model.ReasonEvacuated)
@@ -74,7 +74,7 @@
 			h := newHarness(1)
 			prepare(h)
 			is.Equal(len(h.step(Evacuated{Active: true}).Starts), 0)
-			h.now = h.now.Add(evacuationTime - port.MaxStartWait)
+			h.now = h.now.Add(evacuationGrace - port.MaxStartWait)
 			is.Equal(len(h.step(Elapsed{}).Starts), 0)
 			is.Equal(len(h.announce("a", 9, model.EndpointServing).Starts), 0)
 			for _, task := range h.inFlight {
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -64,21 +64,20 @@
 // New returns the machine of an empty pool. Machines with equal seeds and events decide equally.
 func New(id model.PoolID, owner model.NodeID, policies Policies, seed uint64) *Machine {
 	return &Machine{
-		id:        id,
-		owner:     owner,
-		policies:  policies,
-		seed:      seed,
-		endpoints: make(map[model.EndpointID]*endpoint),
-		batches:   make(map[model.BatchID]*batch),
-		inFlight:  make(map[model.TaskID]*task),
-		origins:   newOrigins(),
-		queue:     newQueue(),
-		runTimes:  runtimes.New(),
-		retries:   retryBudget{tokens: maxRetryTokens},
-		random:    rand.New(rand.NewPCG(seed, seed)),
-		timers:    newTimers(),
-		waitEnd:   newTimer(func(time.Time, *Effects) {}), // Each step dispatches queued tasks.
-
+		id:         id,
+		owner:      owner,
+		policies:   policies,
+		seed:       seed,
+		endpoints:  make(map[model.EndpointID]*endpoint),
+		batches:    make(map[model.BatchID]*batch),
+		inFlight:   make(map[model.TaskID]*task),
+		origins:    newOrigins(),
+		queue:      newQueue(),
+		runTimes:   runtimes.New(),
+		retries:    retryBudget{tokens: maxRetryTokens},
+		random:     rand.New(rand.NewPCG(seed, seed)),
+		timers:     newTimers(),
+		waitEnd:    newTimer(func(time.Time, *Effects) {}), // Each step dispatches queued tasks.
 		evacuation: newEvacuation(),
 	}
 }
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -148,13 +148,13 @@
 }
 
 // checkEvacuation checks that in an evacuated data centre only tasks of jobs that have started in part are started, and none after
-// evacuationTime.
+// evacuationGrace.
 func (c *cluster) checkEvacuation(s Start) {
 	if c.evacuatedAt.IsZero() {
 		return
 	}
 	begun := slices.ContainsFunc(slices.Collect(maps.Keys(c.attempts)), func(id model.TaskID) bool { return id.Job() == s.Task.Job() })
-	if !begun || c.now.Sub(c.evacuatedAt) >= evacuationTime-port.MaxStartWait {
+	if !begun || c.now.Sub(c.evacuatedAt) >= evacuationGrace-port.MaxStartWait {
 		c.t.Fatalf("task %s was sent %v after the evacuation of the data centre, its job begun before: %t", s.Task, c.now.Sub(c.evacuatedAt), begun)
 	}
 }
