Interference: statistical terms for the regression's results

A reader met "deviation" as the logarithm of a run's slow-down and as the standard error of a coefficient, and a method named "against". The standard error and the contrast of coefficients now have these names.

--- a/plugins/endpoints/interference/interference.go
+++ b/plugins/endpoints/interference/interference.go
@@ -59,7 +59,7 @@
 // Contains reports whether the set contains the class; it never contains Others.
 func (s ClassSet) Contains(c Class) bool { return s>>c&1 == 1 }
 
-// Beside holds, by class, the seconds that tasks of the class ran beside a run, added up over these tasks. Divided by the time
+// Beside holds, by class, for how many seconds tasks of the class ran beside a run, added up over these tasks. Divided by the time
 // of the run this is the mean number of tasks beside it. That mean does not depend on how long the run took, while a long
 // run is more likely to have been beside a class at all.
 type Beside [maxClasses + 1]float32
@@ -104,11 +104,11 @@
 	fit     fit                      // Buffer of assess.
 }
 
-// class is a class as the slowed one of its pairs.
+// class holds the statistics of a class's runs, from which the pairs are estimated in which it is slowed down.
 type class struct {
 	id         model.TeamID
-	runs       int // Number of runs, up to warmUpRuns.
-	typical    float64
+	runs       int     // Number of runs, up to warmUpRuns.
+	typical    float64 // Logarithm of a typical run time of the class over the expected one.
 	ranAt      time.Time
 	assessedAt time.Time
 	sums       sums
@@ -246,13 +246,13 @@
 	variable := firstClass + int(other)
 	pair := Pair{Slowed: c.id, Slowing: id, SlowDown: 1, Runs: c.sums.weight(variable)}
 	pair.raise(t.fit.estimate(variable))
-	pair.raise(t.fit.against(&c.sums, variable, c.slowedBy&^(1<<other)))
+	pair.raise(t.fit.contrast(&c.sums, variable, c.slowedBy&^(1<<other)))
 	return pair
 }
 
 // raise sets the slow-down to an estimate, in logarithms, if its lower bound is higher.
-func (p *Pair) raise(estimate, deviation float64, known bool) {
-	if bound := math.Exp(estimate - boundErrors*deviation); known && bound > p.LowerBound {
+func (p *Pair) raise(estimate, standardError float64, known bool) {
+	if bound := math.Exp(estimate - boundErrors*standardError); known && bound > p.LowerBound {
 		p.SlowDown, p.LowerBound = math.Exp(estimate), bound
 	}
 }
--- a/plugins/endpoints/interference/regression.go
+++ b/plugins/endpoints/interference/regression.go
@@ -75,7 +75,7 @@
 	position [variables]int                             // Index of each regressor in used, or -1.
 	matrix   [(variables + 1) * (variables + 1)]float64 // Inverse of the products, coefficients and sum of squared residuals.
 	variance float64                                    // Variance of the residuals.
-	weights  [variables]float64                         // Buffer of against.
+	weights  [variables]float64                         // Buffer of contrast.
 }
 
 // solve computes the regression by sweeping each regressor in use out of the matrix of products.
@@ -139,7 +139,7 @@
 }
 
 // estimate returns the coefficient of a regressor and its standard error; ok is false for one that is not in use.
-func (f *fit) estimate(variable int) (coefficient, deviation float64, ok bool) {
+func (f *fit) estimate(variable int) (coefficient, standardError float64, ok bool) {
 	i := f.position[variable]
 	if i < 0 {
 		return 0, 0, false
@@ -148,9 +148,9 @@
 	return f.matrix[i*width+width-1], math.Sqrt(f.variance * f.matrix[i*width+i]), true
 }
 
-// against returns the difference between the coefficient of a class and the mean of those of the others, which are weighted by
+// contrast returns the difference between the coefficient of a class and the mean of those of the others, which are weighted by
 // their sums, with its standard error. The excluded classes are left out of the mean. ok is false if too little is left.
-func (f *fit) against(s *sums, variable int, excluded ClassSet) (difference, deviation float64, ok bool) {
+func (f *fit) contrast(s *sums, variable int, excluded ClassSet) (difference, standardError float64, ok bool) {
 	if f.position[variable] < 0 {
 		return 0, 0, false
 	}
