Least wait: names of constants say how they are used

fastSlotsReserve and waitShare were inverses of what their names say; they end in Divisor, as in the other packages. ampleJobs counts jobs, and suitableEnd returns the end of a range of levels.

--- a/plugins/placement/leastwait/leastwait.go
+++ b/plugins/placement/leastwait/leastwait.go
@@ -20,8 +20,8 @@
 	defaultRunTime = 300 * time.Millisecond
 	// waitTolerance is how much two estimates of the same wait may differ through inaccuracy alone.
 	waitTolerance = 20 * time.Millisecond
-	// ampleRoom is the number of jobs of the same size for which a pool has free slots when further ones do not matter.
-	ampleRoom = 2
+	// ampleJobs is the number of jobs of the same size for which a pool has to have free slots so that further ones do not matter.
+	ampleJobs = 2
 	// messagesPerPart counts the request and the reply of a batch that another member runs.
 	messagesPerPart = 2
 )
@@ -75,7 +75,7 @@
 }
 
 // rankByCost returns the pools in ascending order of the cost of running the whole job there, and those
-// of equal cost in descending order of free slots, up to ampleRoom jobs of this size: first by those at fast endpoints for long
+// of equal cost in descending order of free slots, up to ampleJobs jobs of this size: first by those at fast endpoints for long
 // tasks and by those at other endpoints for short ones. Pools that are equal in all of these are in random order: the many members
 // would otherwise all choose the pool that had the most free slots when it last reported.
 func rankByCost(r *port.PlanRequest, pools []model.PoolLoad) []candidate {
@@ -85,7 +85,7 @@
 	for i := range pools {
 		candidates[i] = newCandidate(r, &pools[i], declared)
 	}
-	ample := ampleRoom * len(r.Job.Tasks)
+	ample := ampleJobs * len(r.Job.Tasks)
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.wholeJobCost, b.wholeJobCost),
--- a/plugins/placement/leastwait/placer.go
+++ b/plugins/placement/leastwait/placer.go
@@ -13,9 +13,9 @@
 	// maxRemnantTries is how many endpoints with a remnant of resources Pick considers for a task.
 	maxRemnantTries = 64
 
-	// maxSeparateTries is how many endpoints of a bucket Pick considers for a task that others may disturb. Where all of them do,
+	// maxUndisturbedTries is how many endpoints of a bucket Pick considers for a task that others may disturb. Where all of them do,
 	// few endpoints are left that don't, and a search through thousands would cost more than it gains.
-	maxSeparateTries = 64
+	maxUndisturbedTries = 64
 
 	// Endpoints are grouped by speed. A group's endpoints take levelStep times as long as those of the next faster group; the
 	// group of index typicalLevel has the endpoints of average speed.
@@ -23,12 +23,12 @@
 	speedLevels  = 16
 	typicalLevel = 6
 
-	// fastSlotsReserve is the inverse of the share of fast slots that is reserved for tasks which need them. With a third of them
-	// reserved, more short tasks are late at slow endpoints than long ones are saved.
-	fastSlotsReserve = 12
-	// waitShare is the inverse of the share of slots at faster endpoints that become free for tasks which wait for them; the others
-	// go to tasks that come later and go before them in the queue.
-	waitShare = 2
+	// fastReserveDivisor gives the share of the fast slots that is reserved for tasks which need them: one part in this many. With a
+	// third of them reserved, more short tasks are late at slow endpoints than long tasks end in time.
+	fastReserveDivisor = 12
+	// waitShareDivisor gives the share of the slots freed at faster endpoints that goes to the tasks which wait for them: one part in
+	// this many. The others go to tasks that come later and go before them in the queue.
+	waitShareDivisor = 2
 )
 
 // levelFactors holds the run time at the endpoints of each speed level over that at a typical endpoint.
@@ -136,20 +136,20 @@
 // to end in time there, and goes to the fastest with room after that. Endpoints where others disturb the task are picked only if no
 // other suits.
 func (p *placer) Pick(request port.PickRequest) (port.Choice, bool) {
-	suitable := p.suitable(&request)
+	suitableEnd := p.suitableEnd(&request)
 	if request.Disturbed != nil {
-		if choice, ok := p.pickSuitable(suitable, &request); ok {
+		if choice, ok := p.pickSuitable(suitableEnd, &request); ok {
 			return choice, true
 		}
 		request.Disturbed = nil
 	}
-	if choice, ok := p.pickSuitable(suitable, &request); ok {
+	if choice, ok := p.pickSuitable(suitableEnd, &request); ok {
 		return choice, true
 	}
-	if waits := p.waitForFaster(&request, suitable); waits > 0 {
+	if waits := p.waitForFaster(&request, suitableEnd); waits > 0 {
 		return port.Choice{Waits: waits}, false
 	}
-	return p.pickFastest(suitable, p.end, &request)
+	return p.pickFastest(suitableEnd, p.end, &request)
 }
 
 // pickSuitable picks an endpoint of the levels before the one of index end.
@@ -175,8 +175,8 @@
 	return port.Choice{}, false
 }
 
-// suitable returns the index after the slowest level at whose endpoints the task is expected to end within its objective.
-func (p *placer) suitable(request *port.PickRequest) int {
+// suitableEnd returns the index after the slowest level at whose endpoints the task is expected to end within its objective.
+func (p *placer) suitableEnd(request *port.PickRequest) int {
 	if request.Left == 0 {
 		return p.end
 	}
@@ -195,7 +195,7 @@
 		slots += p.levels[i].slots
 		free += p.levels[i].free
 	}
-	return fastSlotsReserve*free < slots
+	return fastReserveDivisor*free < slots
 }
 
 // waitForFaster returns how long the task may wait for a slot at an endpoint of the levels before the one of index end and still be
@@ -216,7 +216,7 @@
 		return 0
 	}
 	run := levelFactors[fastest] * float64(request.Run)
-	expected := waitShare * run * float64(request.Ahead+1) / float64(slots)
+	expected := waitShareDivisor * run * float64(request.Ahead+1) / float64(slots)
 	return max(request.Left-time.Duration(run+expected), 0)
 }
 
@@ -240,7 +240,7 @@
 // tries returns how many endpoints of a bucket Pick considers for a task.
 func tries(request *port.PickRequest, bucket int) int {
 	if request.Disturbed != nil {
-		return maxSeparateTries
+		return maxUndisturbedTries
 	}
 	return bucket
 }
