--- a/plugins/endpoints/speed/speed.go
+++ b/plugins/endpoints/speed/speed.go
@@ -23,17 +23,18 @@
 	idleAfter = time.Second
 	idleDecay = 2 * time.Second
 
-	// Some runs take several times as long as others at the same worker. A sample is therefore moved to within maxSurprise
-	// of the estimate, unless it is the last of surprisesInRow beyond that on the same side: then the worker has changed.
-	surprisesInRow = 3
-	retention      = time.Minute // After this time without a sample an entry says nothing that its kind does not.
-	minTable       = 64          // Number of workers from which on entries are evicted.
-	maxKinds       = 256         // Number of kinds that are told apart; the others count as one.
+	// outliersInRow is how many samples in a row, all on the same side, have to be outliers for the worker to count as changed. Fewer
+	// outliers are moved to within outlierBound of the estimate, since some runs take several times as long as others at the same worker.
+	outliersInRow = 3
+
+	retention = time.Minute // After this time without a sample an entry says nothing that its kind does not.
+	minTable  = 64          // Number of workers from which on entries are evicted.
+	maxKinds  = 256         // Number of kinds that are told apart; the others count as one.
 )
 
 var (
-	maxSurprise = math.Log(3)
-	maxSample   = math.Log(16) // Bounds a sample in both directions.
+	outlierBound = math.Log(3)  // Distance from the estimate, in logarithms, beyond which a sample is an outlier.
+	maxSample    = math.Log(16) // Bounds a sample in both directions.
 )
 
 // Table holds the estimates of a pool, by the addresses of the workers' endpoints, which survive a restart. Create one with NewTable.
@@ -46,11 +47,11 @@
 
 // average is a moving average of samples.
 type average struct {
-	mean      float64
-	weight    float64   // Number of samples that it stands for.
-	newest    time.Time // Time of the newest sample.
-	decayed   time.Time // Time up to which the weight has been lowered for lack of samples.
-	surprises int       // Consecutive samples beyond maxSurprise; negative when they were below the estimate.
+	mean     float64
+	weight   float64   // Number of samples that it stands for.
+	newest   time.Time // Time of the newest sample.
+	decayed  time.Time // Time up to which the weight has been lowered for lack of samples.
+	outliers int       // Number of consecutive outliers; negative when they were below the estimate.
 }
 
 // NewTable returns a table without samples.
@@ -67,10 +68,10 @@
 	k, w := t.kindOf(kind), t.worker(now, address)
 	w.decayIdle(now)
 	estimate := blend(w, k.estimate())
-	clipped := estimate + bounded(sample-estimate, maxSurprise)
-	w.countSurprise(sample - clipped)
-	if w.surprises >= surprisesInRow || w.surprises <= -surprisesInRow {
-		w.surprises, w.mean, w.weight = 0, sample, surprisesInRow
+	clipped := estimate + bounded(sample-estimate, outlierBound)
+	w.countOutlier(sample - clipped)
+	if w.outliers >= outliersInRow || w.outliers <= -outliersInRow {
+		w.outliers, w.mean, w.weight = 0, sample, outliersInRow
 	} else {
 		w.add(clipped, windowSamples)
 	}
@@ -87,7 +88,7 @@
 	if w.decayIdle(now); w.weight >= 1 {
 		return
 	}
-	w.mean, w.weight, w.newest, w.surprises = bounded(math.Log(factor), maxSample), windowSamples, now, 0
+	w.mean, w.weight, w.newest, w.outliers = bounded(math.Log(factor), maxSample), windowSamples, now, 0
 }
 
 // Factor returns the estimated run time of a task at the worker over that at a worker of speed 1.
@@ -157,15 +158,15 @@
 	a.decayed = now
 }
 
-// countSurprise counts a sample that was moved by the given excess; one that was not ends the row.
-func (a *average) countSurprise(excess float64) {
+// countOutlier counts a sample that lies beyond outlierBound by the given excess; one without excess ends the row.
+func (a *average) countOutlier(excess float64) {
 	switch {
 	case excess > 0:
-		a.surprises = max(a.surprises, 0) + 1
+		a.outliers = max(a.outliers, 0) + 1
 	case excess < 0:
-		a.surprises = min(a.surprises, 0) - 1
+		a.outliers = min(a.outliers, 0) - 1
 	default:
-		a.surprises = 0
+		a.outliers = 0
 	}
 }
 
