Urgency, pools: names that need no explanation

urgency.Terms could be taken for the terms of a sum; it gives time limits. The queue's "weights" is a total, and a machine's "waiting" counts only tasks that wait for a faster endpoint.

--- a/plugins/endpoints/poolstate/batch.go
+++ b/plugins/endpoints/poolstate/batch.go
@@ -33,7 +33,7 @@
 	medianLongestRun time.Duration // Median of the estimated run time of the longest task.
 	longestRun       time.Duration // Median of the estimated run time of the job's longest task.
 	p95LongestRun    time.Duration // 95th percentile of the estimated run time of the longest task.
-	inTimeUntil      time.Time     // When the objective of the batch's job ends; see urgency.Terms.
+	inTimeUntil      time.Time     // When the objective of the batch's job ends; see urgency.TimeLimits.
 	lateMargin       time.Duration // How long before its latest possible start the batch counts as late.
 	usefulUntil      time.Time     // When the answer is of no use any more, at the latest at the deadline.
 	place            urgency.Place // Place in the queue.
@@ -130,7 +130,7 @@
 		b.tasks[i] = task{batch: b, id: ids(i), position: i, class: class, run: run, losses: b.Tasks[i].Losses}
 	}
 	b.work, b.medianLongestRun, b.p95LongestRun = b.runs.Work, b.runs.MedianLongest, b.runs.P95Longest
-	b.setTerms()
+	b.setTimeLimits()
 	return b
 }
 
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -49,7 +49,7 @@
 	}
 	clear(m.skipped)
 	m.skipped = m.skipped[:0]
-	m.waiting = 0
+	m.waitingForFaster = 0
 }
 
 // pick returns the endpoint for a task, or false to leave the task in the queue.
@@ -65,7 +65,7 @@
 
 func (m *Machine) pickRequest(now time.Time, t *task) port.PickRequest {
 	r := port.PickRequest{
-		Now: now, Needs: t.spec().Needs, Run: t.run.Mean, Left: m.objectiveLeft(now, t.batch), Ahead: m.waiting, Disturbed: m.disturbedFor(now, t),
+		Now: now, Needs: t.spec().Needs, Run: t.run.Mean, Left: m.objectiveLeft(now, t.batch), Ahead: m.waitingForFaster, Disturbed: m.disturbedFor(now, t),
 	}
 	if m.totals.serving > 1 {
 		r.Avoid = t.avoid
--- a/plugins/endpoints/poolstate/machine.go
+++ b/plugins/endpoints/poolstate/machine.go
@@ -45,8 +45,8 @@
 	released             []Release        // Attempts released in this step.
 	runTimes             runtimes.Estimates
 	speeds               *speed.Table // nil when speeds are not learned.
-	waiting              int          // Tasks found in this step that wait for a faster endpoint.
-	waitEnd              timer        // When the first of the tasks that wait for a faster endpoint is to wait no longer.
+	waitingForFaster     int          // Number of tasks, found in this step, that wait for a faster endpoint.
+	fasterWaitEnd        timer        // When the first of these tasks stops waiting.
 	separation           separation
 	retries              retryBudget
 	refusals             urgency.Refusals
@@ -64,21 +64,21 @@
 // New returns the machine of an empty pool. Machines with equal seeds and events decide equally.
 func New(id model.PoolID, owner model.NodeID, policies Policies, seed uint64) *Machine {
 	return &Machine{
-		id:         id,
-		owner:      owner,
-		policies:   policies,
-		seed:       seed,
-		endpoints:  make(map[model.EndpointID]*endpoint),
-		batches:    make(map[model.BatchID]*batch),
-		inFlight:   make(map[model.TaskID]*task),
-		origins:    newOrigins(),
-		queue:      newQueue(),
-		runTimes:   runtimes.New(),
-		retries:    retryBudget{tokens: maxRetryTokens},
-		random:     rand.New(rand.NewPCG(seed, seed)),
-		timers:     newTimers(),
-		waitEnd:    newTimer(func(time.Time, *Effects) {}), // Each step dispatches queued tasks.
-		evacuation: newEvacuation(),
+		id:            id,
+		owner:         owner,
+		policies:      policies,
+		seed:          seed,
+		endpoints:     make(map[model.EndpointID]*endpoint),
+		batches:       make(map[model.BatchID]*batch),
+		inFlight:      make(map[model.TaskID]*task),
+		origins:       newOrigins(),
+		queue:         newQueue(),
+		runTimes:      runtimes.New(),
+		retries:       retryBudget{tokens: maxRetryTokens},
+		random:        rand.New(rand.NewPCG(seed, seed)),
+		timers:        newTimers(),
+		fasterWaitEnd: newTimer(func(time.Time, *Effects) {}), // Each step dispatches queued tasks.
+		evacuation:    newEvacuation(),
 	}
 }
 
--- a/plugins/endpoints/poolstate/objective.go
+++ b/plugins/endpoints/poolstate/objective.go
@@ -12,19 +12,19 @@
 // vary.
 const lateMarginDivisor = 8
 
-// setTerms sets the times that the objective of the batch's job gives, by the pool's estimate of the job's
+// setTimeLimits sets the times that the objective of the batch's job gives, by the pool's estimate of the job's
 // longest task. Without the time at which the job was submitted they count from the batch's arrival.
-func (b *batch) setTerms() {
-	terms := urgency.Terms{Objective: b.Objective, Submitted: b.Submitted, Longest: b.medianLongestRun, Deadline: b.Deadline}
+func (b *batch) setTimeLimits() {
+	limits := urgency.TimeLimits{Objective: b.Objective, Submitted: b.Submitted, Longest: b.medianLongestRun, Deadline: b.Deadline}
 	if b.Submitted.IsZero() || b.Submitted.After(b.arrived) {
-		terms.Submitted = b.arrived
+		limits.Submitted = b.arrived
 	}
 	if b.hasObjective() && b.JobTasks > len(b.tasks) {
-		terms.Longest = max(terms.Longest, b.runs.MedianLongestOf(b.JobTasks))
+		limits.Longest = max(limits.Longest, b.runs.MedianLongestOf(b.JobTasks))
 	}
-	b.longestRun = terms.Longest
-	b.inTimeUntil, b.usefulUntil = terms.InTimeUntil(), terms.UsefulUntil()
-	b.lateMargin = max(b.Objective.For(terms.Longest)-terms.Longest, 0) / lateMarginDivisor
+	b.longestRun = limits.Longest
+	b.inTimeUntil, b.usefulUntil = limits.InTimeUntil(), limits.UsefulUntil()
+	b.lateMargin = max(b.Objective.For(limits.Longest)-limits.Longest, 0) / lateMarginDivisor
 }
 
 func (b *batch) hasObjective() bool { return b.Objective != (model.Objective{}) }
--- a/plugins/endpoints/poolstate/queue.go
+++ b/plugins/endpoints/poolstate/queue.go
@@ -23,8 +23,8 @@
 //
 // Teams share the slots by work, as in start-time fair queueing: each task charges its estimated run
 // time to its team by the weight of the team's priority, the charge is corrected once the task has ended,
-// and a team that is ahead of its share waits for the others. A team whose batches are all late waits for
-// those that have others, but for a small share. Among the batches of the teams that are not ahead, the first is the one
+// and a team that is ahead of its share waits for the others. A team whose batches are all late gets
+// only a small share while other teams wait. Among the batches of the teams that are not ahead, the first is the one
 // with the lowest key, which is its arrival time plus a time for its remaining work: small jobs pass
 // large ones, and none waits for ever. A batch that has to start now to end in time goes before all
 // others, since it was admitted because its team's share was enough.
@@ -35,7 +35,7 @@
 	ahead        indexedHeap[*team] // Teams that are ahead of their share, by their charge.
 	late         indexedHeap[*team] // Teams whose batches are all late, by their charge.
 	lateShare    urgency.LateShare
-	weights      int           // Sum of the weights of the teams in the heaps.
+	totalWeight  int           // Sum of the weights of the teams in the heaps.
 	virtualTime  time.Duration // Charge of a team that has had exactly its share.
 	sizeWeight   int           // Weight of a batch's remaining work in its key.
 	slots        int
@@ -96,7 +96,7 @@
 func (q *queue) setPriority(t *team, priority int) {
 	weight := urgency.Weight(priority)
 	if t.heap != nil {
-		q.weights += weight - t.weight
+		q.totalWeight += weight - t.weight
 	}
 	t.weight = weight
 }
@@ -213,13 +213,13 @@
 	b.queued[last] = nil
 	b.queued = b.queued[:last]
 	q.subtractQueued(b, t.run.Mean, 1)
-	q.shareWithLate(selected, t.run.Mean)
+	q.updateLateShare(selected, t.run.Mean)
 	q.charge(selected, t.run.Mean)
 	q.update(b)
 }
 
-// shareWithLate accounts for a task that starts while late teams or others have to wait for it.
-func (q *queue) shareWithLate(selected *team, run time.Duration) {
+// updateLateShare accounts for a task that starts from the selected team in the share of the late teams.
+func (q *queue) updateLateShare(selected *team, run time.Duration) {
 	switch {
 	case q.late.empty() || q.eligible.empty():
 		q.lateShare.Reset()
@@ -253,11 +253,11 @@
 // charge adds slot time to the team's charge and advances the virtual time by each waiting team's share
 // of it.
 func (q *queue) charge(t *team, run time.Duration) {
-	weights := q.weights
-	if weights == 0 {
-		weights = t.weight
+	weight := q.totalWeight
+	if weight == 0 {
+		weight = t.weight
 	}
-	q.virtualTime += urgency.Charge(run, weights)
+	q.virtualTime += urgency.Charge(run, weight)
 	t.charged += urgency.Charge(run, t.weight)
 	if t.heap != nil && t.heap != &q.eligible {
 		t.heap.fix(t)
@@ -296,7 +296,7 @@
 	}
 	t.heap.remove(t)
 	t.heap = nil
-	q.weights -= t.weight
+	q.totalWeight -= t.weight
 }
 
 // insertTeam adds a team to a heap, unless that is nil.
@@ -306,7 +306,7 @@
 	}
 	heap.add(t)
 	t.heap = heap
-	q.weights += t.weight
+	q.totalWeight += t.weight
 }
 
 // urgent reports whether the team's first batch has to go before all others.
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -515,8 +515,8 @@
 			t.Fatalf("team %s: %v late work, counted afresh %v; first batch late: %v", team.id, team.lateWork, late[team], isLate)
 		}
 	}
-	if weights != c.machine.queue.weights {
-		t.Fatalf("weights: %d, counted afresh: %d", c.machine.queue.weights, weights)
+	if weights != c.machine.queue.totalWeight {
+		t.Fatalf("weights: %d, counted afresh: %d", c.machine.queue.totalWeight, weights)
 	}
 }
 
--- a/plugins/endpoints/poolstate/speed.go
+++ b/plugins/endpoints/poolstate/speed.go
@@ -105,9 +105,9 @@
 	if waits <= 0 {
 		return
 	}
-	m.waiting += len(b.queued)
+	m.waitingForFaster += len(b.queued)
 	at := now.Add(waits)
-	if !m.timers.heap.has(&m.waitEnd) || at.Before(m.waitEnd.at) {
-		m.timers.set(&m.waitEnd, at)
+	if !m.timers.heap.has(&m.fasterWaitEnd) || at.Before(m.fasterWaitEnd.at) {
+		m.timers.set(&m.fasterWaitEnd, at)
 	}
 }
--- a/plugins/endpoints/urgency/urgency.go
+++ b/plugins/endpoints/urgency/urgency.go
@@ -4,7 +4,7 @@
 // The order, from the first rule to the last:
 //  1. A batch that has to start now to end by its deadline, unless it is late.
 //  2. A team with a batch that is not late. A batch is late once it can no longer meet its latency objective.
-//     Teams whose batches are all late get what the others leave, and at least 1/LateShareDivisor of the
+//     Teams whose batches are all late get what the others leave, and at least a sixteenth (lateShareDivisor) of the
 //     slot time while others wait.
 //  3. The team's share: each team is charged for its work, divided by the weight of its priority, and a team
 //     that is ahead of its share waits for the others.
@@ -20,10 +20,10 @@
 	"redwingpulley/kernel/model"
 )
 
-// LateShareDivisor gives the least share of the slot time that goes to teams whose batches are all late, as
+// lateShareDivisor gives the least share of the slot time that goes to teams whose batches are all late, as
 // long as there are any: one part in this many. A late answer is worth a fraction of one in time, but not
 // nothing.
-const LateShareDivisor = 16
+const lateShareDivisor = 16
 
 // maxWeight is the weight of the priority 0.
 const maxWeight = 1 << model.MaxPriority
@@ -42,7 +42,7 @@
 	return charge * time.Duration(weight) / maxWeight
 }
 
-// Place is what decides a batch's place among others.
+// Place is the sort key of a batch among other queued ones.
 type Place struct {
 	Late  bool      // The batch can no longer meet its objective.
 	Key   time.Time // Its arrival plus a time for its remaining work; zero if it has to start now.
@@ -71,7 +71,7 @@
 func (s *LateShare) Due(work time.Duration) bool { return s.credit >= work }
 
 // AddInTime adds work of a batch that was started while late teams wait.
-func (s *LateShare) AddInTime(work time.Duration) { s.credit += work / LateShareDivisor }
+func (s *LateShare) AddInTime(work time.Duration) { s.credit += work / lateShareDivisor }
 
 // AddLate subtracts work of a late team that was started while others wait.
 func (s *LateShare) AddLate(work time.Duration) { s.credit -= work }
@@ -79,8 +79,8 @@
 // Reset drops the share that late teams did not use. It is called when no team is late, or none waits that is not.
 func (s *LateShare) Reset() { s.credit = 0 }
 
-// Terms are the times that bound a batch of a job.
-type Terms struct {
+// TimeLimits gives the times until which the answer of a job is in time, and of use.
+type TimeLimits struct {
 	Objective model.Objective
 	Submitted time.Time     // When the job was submitted.
 	Longest   time.Duration // Estimated run time of the job's longest task.
@@ -88,19 +88,19 @@
 }
 
 // InTimeUntil returns when the job's objective ends; the deadline if that is sooner, or if there is no objective.
-func (t *Terms) InTimeUntil() time.Time {
-	if t.Objective == (model.Objective{}) {
-		return t.Deadline
+func (l *TimeLimits) InTimeUntil() time.Time {
+	if l.Objective == (model.Objective{}) {
+		return l.Deadline
 	}
-	return earlier(t.Submitted.Add(t.Objective.For(t.Longest)), t.Deadline)
+	return earlier(l.Submitted.Add(l.Objective.For(l.Longest)), l.Deadline)
 }
 
 // UsefulUntil returns when the job's answer is of no use any more, which is at the latest at its deadline.
-func (t *Terms) UsefulUntil() time.Time {
-	if t.Objective.Useful <= 0 {
-		return t.Deadline
+func (l *TimeLimits) UsefulUntil() time.Time {
+	if l.Objective.Useful <= 0 {
+		return l.Deadline
 	}
-	return earlier(t.Submitted.Add(t.Objective.UsefulFor(t.Longest)), t.Deadline)
+	return earlier(l.Submitted.Add(l.Objective.UsefulFor(l.Longest)), l.Deadline)
 }
 
 func earlier(a, b time.Time) time.Time {
