--- a/plugins/endpoints/poolstate/judge.go
+++ b/plugins/endpoints/poolstate/judge.go
@@ -9,27 +9,28 @@
 // Judge returns the verdict that a batch would get if it were submitted now. The batch is not accepted, and the machine's later
 // decisions do not depend on whether it was judged.
 func (m *Machine) Judge(now time.Time, s Submitted) port.Verdict {
-	defer m.restore(m.remember())
+	defer m.restore(m.save())
 	return m.admit(now, m.newBatch(now, &s))
 }
 
-// remembered is the state that a verdict changes: teams' demands decay, and a class of run times is added for a new team.
-type remembered struct {
-	demands     []demand
-	removeAdded func() // Removes the classes of run times that were added.
+// savedState is the part of the machine's state that a verdict changes: teams' demands decay, and a class of run times is added for
+// a new team.
+type savedState struct {
+	demands         []demand // In the order of queue.teamsInOrder.
+	restoreRunTimes func()
 }
 
-func (m *Machine) remember() remembered {
-	r := remembered{removeAdded: m.runTimes.Peek()}
+func (m *Machine) save() savedState {
+	s := savedState{restoreRunTimes: m.runTimes.Snapshot()}
 	for _, t := range m.queue.teamsInOrder {
-		r.demands = append(r.demands, t.demand)
+		s.demands = append(s.demands, t.demand)
 	}
-	return r
+	return s
 }
 
-func (m *Machine) restore(r remembered) {
-	r.removeAdded()
+func (m *Machine) restore(s savedState) {
+	s.restoreRunTimes()
 	for i, t := range m.queue.teamsInOrder {
-		t.demand = r.demands[i]
+		t.demand = s.demands[i]
 	}
 }
--- a/plugins/endpoints/runtimes/batch.go
+++ b/plugins/endpoints/runtimes/batch.go
@@ -27,12 +27,12 @@
 	P95Longest    time.Duration // 95th percentile of that.
 }
 
-// group is the tasks of a batch that are of the same class.
+// group holds the tasks of a batch that are of the same class, and the estimates for the class.
 type group struct {
 	size                      int
 	class                     Class
 	tasks                     int
-	declared                  time.Duration // The longest.
+	declared                  time.Duration // The longest declared run time among the tasks.
 	mean, median, p95         blend
 	medianLongest, p95Longest blend
 }
@@ -43,10 +43,10 @@
 }
 
 // Add adds a task with its declared run time, or the default one if it declares none, and returns its class and estimate.
-func (b *Batch) Add(declared, byDefault time.Duration) (Class, Estimate) {
+func (b *Batch) Add(declared, defaultRun time.Duration) (Class, Estimate) {
 	g := b.groupOf(declared)
 	if declared <= 0 {
-		declared = byDefault
+		declared = defaultRun
 	}
 	g.tasks++
 	g.declared = max(g.declared, declared)
--- a/plugins/endpoints/runtimes/histogram.go
+++ b/plugins/endpoints/runtimes/histogram.go
@@ -144,8 +144,8 @@
 	return min(sort.Search(buckets, func(i int) bool { return h.cumulative[i] >= wanted }), buckets-1)
 }
 
-// countBelow returns the count of all buckets before the given one.
-func (h *histogram) countBelow(bucket int) float64 {
+// countBefore returns the count of all buckets before the given one.
+func (h *histogram) countBefore(bucket int) float64 {
 	if bucket == 0 {
 		return 0
 	}
@@ -155,7 +155,7 @@
 // quantile returns a quantile in milliseconds, interpolated within its bucket.
 func (h *histogram) quantile(quantile float64) float64 {
 	bucket := h.bucketAt(quantile)
-	before := h.countBelow(bucket)
+	before := h.countBefore(bucket)
 	count := max(float64(h.cumulative[bucket])-before, math.SmallestNonzeroFloat32)
 	low := lowerBound(bucket)
 	share := min(max((quantile*float64(h.total())-before)/count, 0), 1)
@@ -165,7 +165,7 @@
 // shareWithin returns the share of the samples that are at most the given time in milliseconds.
 func (h *histogram) shareWithin(ms float64) float64 {
 	bucket := bucketOf(ms)
-	before, low := h.countBelow(bucket), lowerBound(bucket)
+	before, low := h.countBefore(bucket), lowerBound(bucket)
 	within := min(max((ms-low)/(lowerBound(bucket+1)-low), 0), 1)
 	return (before + within*(float64(h.cumulative[bucket])-before)) / float64(h.total())
 }
--- a/plugins/endpoints/runtimes/runtimes.go
+++ b/plugins/endpoints/runtimes/runtimes.go
@@ -49,7 +49,7 @@
 
 // Class is the class of a team's tasks with similar declared run times.
 type Class struct {
-	levels *[3]*histogram // The narrowest level last.
+	levels *[3]*histogram // Of the service, of the size class and of the team's tasks of that size class.
 }
 
 // Learned reports whether enough tasks of the service have ended to rely on the estimates.
@@ -63,7 +63,7 @@
 	}
 }
 
-// ClassOf returns the class of a team's tasks with the declared run time; 0 is that of tasks which declare none.
+// ClassOf returns the class of a team's tasks with the declared run time, which is 0 for tasks that declare none.
 func (e *Estimates) ClassOf(id model.TeamID, declared time.Duration) Class {
 	size := sizeOf(declared)
 	key := teamSize{id, size}
@@ -77,8 +77,8 @@
 	return c
 }
 
-// Peek returns a function that removes the classes of teams that have been added since, for estimates that are to leave no trace.
-func (e *Estimates) Peek() (removeAdded func()) {
+// Snapshot returns a function that removes the classes of teams that have been added since. It does not undo what was learned.
+func (e *Estimates) Snapshot() (restore func()) {
 	before := maps.Clone(e.teams)
 	return func() { e.teams = before }
 }
--- a/plugins/endpoints/runtimes/runtimes_test.go
+++ b/plugins/endpoints/runtimes/runtimes_test.go
@@ -115,12 +115,12 @@
 }
 
 // Guards against a table of teams that grows with each explanation of a placement.
-func TestPeekLeavesNoClass(t *testing.T) {
+func TestRestoredSnapshotHasNoAddedClass(t *testing.T) {
 	is := is.New(t)
 	e := New()
 	e.ClassOf("known", time.Second)
-	removeAdded := e.Peek()
+	restore := e.Snapshot()
 	e.ClassOf("other", time.Second)
-	removeAdded()
+	restore()
 	is.Equal(len(e.teams), 1)
 }
