--- a/plugins/jobs/fit/intime.go
+++ b/plugins/jobs/fit/intime.go
@@ -6,8 +6,8 @@
 	"redwingpulley/kernel/model"
 )
 
-// UselessBy returns by how much a job would end too late for its answer to be of use, or after its deadline, if its last task
-// starts after the given wait. The result is not above 0 when the job would end in time or has no objective.
+// UselessBy returns by how much a job would end too late for its answer to be of use, or by how much its last task, which starts after the
+// given wait, would start after the deadline. The result is not above 0 when neither is so, or when the answer is always of use.
 func UselessBy(job *model.Job, wait time.Duration, pools []model.PoolLoad, now time.Time) time.Duration {
 	if job.Objective.Useful <= 0 {
 		return 0
--- a/plugins/jobs/plan.go
+++ b/plugins/jobs/plan.go
@@ -87,21 +87,10 @@
 	if reason, why := checkProfileLimits(profile, job); reason != "" {
 		return port.Plan{}, &refusal{reason, 0, why}
 	}
-	loads := j.pools.Loads(job.Service)
-	addLoads(d, loads)
-	if len(loads) == 0 && !j.isKnownService(profiles, job.Service) {
-		return port.Plan{}, &refusal{model.ReasonUnknownService, 0, "no endpoint announced the service and no profile names it"}
-	}
-	all := loads
-	loads, refused := withoutEvacuated(profiles, all)
-	if refused != nil && len(loads) == 0 {
+	loads, evacuated, refused := j.usableLoads(profiles, job, d)
+	if refused != nil {
 		return port.Plan{}, refused
 	}
-	if why, fits := fit.Check(job, loads, time.Now()); !fits && refused != nil && fitsWithEvacuated(profiles, job, all) {
-		return port.Plan{}, refused
-	} else if !fits {
-		return port.Plan{}, &refusal{model.ReasonNeverFits, 0, why}
-	}
 	quota := j.quotas.Look
 	if charged {
 		quota = j.quotas.Take
@@ -109,9 +98,39 @@
 	if ok, retryAfter := quota(profile, job.Team, len(job.Tasks)); !ok {
 		return port.Plan{}, &refusal{model.ReasonQuota, retryAfter, "the team's quota is used up"}
 	}
+	plan, refused := j.planInTime(profile, job, loads, evacuated)
+	if refused == nil && charged {
+		j.depositRetries(profile, job.Service, len(plan.Parts))
+	}
+	return plan, refused
+}
+
+// usableLoads returns the loads of the pools in data centres that are not evacuated, or why no such pool can ever run the job. If
+// it leaves any out, it also returns the refusal of a job that cannot be planned for that reason.
+func (j *Jobs) usableLoads(profiles model.ProfileSet, job model.Job, d *port.Decision) (loads []model.PoolLoad, evacuated, refused *refusal) {
+	all := j.pools.Loads(job.Service)
+	addLoads(d, all)
+	if len(all) == 0 && !j.isKnownService(profiles, job.Service) {
+		return nil, nil, &refusal{model.ReasonUnknownService, 0, "no endpoint announced the service and no profile names it"}
+	}
+	loads, evacuated = withoutEvacuated(profiles, all)
+	if evacuated != nil && len(loads) == 0 {
+		return nil, nil, evacuated
+	}
+	if why, fits := fit.Check(job, loads, time.Now()); !fits && evacuated != nil && fitsWithEvacuated(profiles, job, all) {
+		return nil, nil, evacuated
+	} else if !fits {
+		return nil, nil, &refusal{model.ReasonNeverFits, 0, why}
+	}
+	return loads, evacuated, nil
+}
+
+// planInTime returns a plan by which the job's answer is of use, or why the job is refused. evacuated is the refusal where no other
+// pool than those left out for an evacuation has endpoints; nil if none was left out.
+func (j *Jobs) planInTime(profile model.Profile, job model.Job, loads []model.PoolLoad, evacuated *refusal) (port.Plan, *refusal) {
 	plan := j.plan(profile, job, loads)
-	if len(plan.Parts) == 0 && plan.Refused == model.ReasonNoEndpoint && refused != nil {
-		return port.Plan{}, refused
+	if len(plan.Parts) == 0 && plan.Refused == model.ReasonNoEndpoint && evacuated != nil {
+		return port.Plan{}, evacuated
 	}
 	if len(plan.Parts) == 0 {
 		return port.Plan{}, &refusal{plan.Refused, 0, plan.Reason}
@@ -120,9 +139,6 @@
 		retryAfter := model.RetryAfter(over, over, time.Until(job.Deadline), rand.Float64())
 		return port.Plan{}, &refusal{model.ReasonOverload, retryAfter, "would end when its answer is of no use any more"}
 	}
-	if charged {
-		j.depositRetries(profile, job.Service, len(plan.Parts))
-	}
 	return plan, nil
 }
 
