Register, operators: plain names for the newest revision of an edit and for parts of an explained job

proposal.expects was not what an edit expects but the revision to which it was applied; it is appliedTo. The objective and the tasks of an explained job have these words in their names.

--- a/plugins/frontend/operators/explain.go
+++ b/plugins/frontend/operators/explain.go
@@ -19,22 +19,22 @@
 // explainedJob is a job as callers submit it. Its id and payloads are ignored. Objective and Priority are those of a route of the users'
 // platform.
 type explainedJob struct {
-	JobID      model.JobID       `json:"job_id,omitempty"`
-	Service    model.ServiceID   `json:"service"`
-	Team       model.TeamID      `json:"team"`
-	DeadlineMS int64             `json:"deadline_ms"` // Time from now; 0 for the default of the service's profile.
-	Objective  explainedGoal     `json:"objective"`
-	Priority   int               `json:"priority"`
-	Tasks      []explainableTask `json:"tasks"`
+	JobID      model.JobID        `json:"job_id,omitempty"`
+	Service    model.ServiceID    `json:"service"`
+	Team       model.TeamID       `json:"team"`
+	DeadlineMS int64              `json:"deadline_ms"` // Time from now; 0 for the default of the service's profile.
+	Objective  explainedObjective `json:"objective"`
+	Priority   int                `json:"priority"`
+	Tasks      []explainedTask    `json:"tasks"`
 }
 
-type explainedGoal struct {
+type explainedObjective struct {
 	Stretch float64 `json:"stretch"`  // Multiple of the longest task's run time.
 	SlackMS int64   `json:"slack_ms"` // Added to it.
 	Useful  float64 `json:"useful"`   // Multiple of both together up to which the answer is of use; 0 if it always is.
 }
 
-type explainableTask struct {
+type explainedTask struct {
 	Payload json.RawMessage `json:"payload,omitempty"`
 	RunMS   int64           `json:"run_ms,omitempty"` // Declared run time.
 	Needs   struct {
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -82,7 +82,7 @@
 	promisedAt     time.Time     // When this machine last promised a ballot or accepted a value.
 	proposal       *proposal
 	highestRound   uint64                    // Highest round of any ballot seen.
-	outcomeUnknown map[string]model.Revision // Expected revisions, by ID, of edits proposed here whose outcome is unknown.
+	outcomeUnknown map[string]model.Revision // Edits proposed here whose outcome is unknown, by ID, with the newest revision that they can follow.
 
 	effects []Effect
 }
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -16,7 +16,7 @@
 	votes       map[model.NodeID]Message
 	phaseEnds   time.Time      // End of the wait for votes, or of the wait before a new ballot.
 	lostRounds  int            // Number of ballots lost so far.
-	expects     model.Revision // Revision of the newest state to which a value that includes the edit was sent as a change; see outcomeUnknown.
+	appliedTo   model.Revision // Newest revision to which the edit was applied in a value that was sent; 0 if none was.
 	valueSent   bool           // Whether a value that includes the edit was sent in an Accept.
 	ownAccepted Message        // What this replica had accepted when the round began.
 	value       State
@@ -142,7 +142,7 @@
 func (m *Machine) abandonProposal() {
 	p := m.proposal
 	if p.valueSent {
-		m.outcomeUnknown[p.Edit.ID] = max(p.Edit.Expect, p.expects)
+		m.outcomeUnknown[p.Edit.ID] = max(p.Edit.Expect, p.appliedTo)
 	}
 	m.finishProposal(m.failureResult(model.EditNoMajority, p.Edit))
 }
@@ -230,7 +230,7 @@
 		p.value = base.withDelta(*p.delta)
 	}
 	if p.result.Status == model.EditDone {
-		p.expects = base.Revision()
+		p.appliedTo = base.Revision()
 	}
 	p.valueSent = p.valueSent || p.result.Status == model.EditDone && p.Edit.Kind != resolveKind && p.Edit.Kind != model.ConfirmRevision
 	p.phase = Accepted
