--- a/plugins/admission/deadline/deadline.go
+++ b/plugins/admission/deadline/deadline.go
@@ -48,8 +48,8 @@
 
 // minInTime returns the probability of ending in time with which a batch is admitted. It is a half without a wait: the slots would
 // otherwise be idle. The more of its time a batch would wait, the more others want the same slots, and a batch
-// that misses its deadline has taken them for nothing. With a half for all batches, a pool with half as much work again as it
-// can do wasted 1.8% of its slot time on one of three simulated traces, and none with this rule; on 20 others 15 and 9 batches were late.
+// that misses its deadline has taken them for nothing. With a half for all batches, a simulated pool with 1.5
+// times the work that it can do wasted 1.8% of its slot time on batches that ended late; see docs/design/run-times.md.
 func minInTime(wait, remaining time.Duration) float64 {
 	return 0.5 + 0.5*float64(wait)/float64(max(remaining, 1))
 }
--- a/plugins/endpoints/poolstate/dispatch.go
+++ b/plugins/endpoints/poolstate/dispatch.go
@@ -10,9 +10,8 @@
 )
 
 // maxSkipped bounds the search for a task to send: a step ends it once it has skipped more batches than
-// this because their next task fits on no endpoint with a free slot, or waits for a faster one. In a simulated pool of 22 fast and
-// 11 slow endpoints at loads of 0.7 to 1, a bound of 64 made 0.03 to 0.07 more of the
-// long jobs late and 0.01 to 0.02 more of the short ones, and up to 0.01 fewer of the others.
+// this because their next task fits on no endpoint with a free slot, or waits for a faster one. With a bound of 64, more long and
+// short jobs of a simulated pool were late, the long ones by 3 to 7 in a hundred; see docs/design/endpoint-speed.md.
 const maxSkipped = 8
 
 // dispatchQueued sends the held and queued tasks for which endpoints have room.
