--- a/plugins/endpoints/poolstate/objective.go
+++ b/plugins/endpoints/poolstate/objective.go
@@ -75,9 +75,10 @@
 	return b.inTimeUntil.Add(-b.lateMargin - m.dispatchTime(b) - run)
 }
 
-// retryAfter returns the delay that is advised to the caller of a batch that the pool refuses until it has room.
-func (m *Machine) retryAfter(now time.Time, b *batch, until time.Duration) time.Duration {
+// retryAfter returns the delay that is advised to the caller of a batch that the pool refuses, and for which it expects to have room
+// after the given time.
+func (m *Machine) retryAfter(now time.Time, b *batch, roomIn time.Duration) time.Duration {
 	return m.refusals.RetryAfter(now, urgency.Refused{
-		Until: until, Each: b.work / time.Duration(max(m.totals.slots, 1)), Left: b.Deadline.Sub(now), Priority: b.Priority,
+		RoomIn: roomIn, PoolTime: b.work / time.Duration(max(m.totals.slots, 1)), Left: b.Deadline.Sub(now), Priority: b.Priority,
 	}, m.random.Float64())
 }
--- a/plugins/endpoints/urgency/retry.go
+++ b/plugins/endpoints/urgency/retry.go
@@ -14,15 +14,15 @@
 // burst, after which all refused callers would come back together and be refused again. The zero value is ready to
 // use.
 type Refusals struct {
-	recent float64 // Number of refusals, with exponential decay.
-	at     time.Time
-	weight int // Largest weight among the priorities of refused batches.
+	recent float64   // Number of refusals, with exponential decay.
+	at     time.Time // Time of the newest refusal, to which recent applies.
+	weight int       // Largest weight among the priorities of refused batches.
 }
 
 // Refused is a batch that a pool refuses now.
 type Refused struct {
-	Until    time.Duration // Expected time until the pool has room for it.
-	Each     time.Duration // Time that the whole pool needs for it.
+	RoomIn   time.Duration // Expected time until the pool has room for it.
+	PoolTime time.Duration // Time that the whole pool needs for it.
 	Left     time.Duration // Time until its deadline.
 	Priority int
 }
@@ -36,9 +36,9 @@
 	weight := Weight(b.Priority)
 	r.weight = max(r.weight, weight)
 	factor := float64(r.weight) / float64(weight)
-	until := max(b.Until, model.MinRetryAfter)
-	spread := float64(until) + (r.recent-1)*float64(b.Each)
-	return model.RetryAfter(scaled(float64(until), factor), scaled(spread, factor), b.Left, random)
+	roomIn := max(b.RoomIn, model.MinRetryAfter)
+	spread := float64(roomIn) + (r.recent-1)*float64(b.PoolTime)
+	return model.RetryAfter(scaled(float64(roomIn), factor), scaled(spread, factor), b.Left, random)
 }
 
 // scaled returns a multiple of a duration, up to model.MaxRetryAfter, so that it does not overflow.
--- a/plugins/endpoints/urgency/urgency_test.go
+++ b/plugins/endpoints/urgency/urgency_test.go
@@ -45,7 +45,7 @@
 	var r Refusals
 	mean := func(at time.Duration, priority int) (sum time.Duration) {
 		for range 20 {
-			b := Refused{Until: 200 * time.Millisecond, Each: 10 * time.Millisecond, Left: 4 * time.Second, Priority: priority}
+			b := Refused{RoomIn: 200 * time.Millisecond, PoolTime: 10 * time.Millisecond, Left: 4 * time.Second, Priority: priority}
 			sum += r.RetryAfter(now.Add(at), b, random.Float64()) / 20
 		}
 		return sum
@@ -54,5 +54,5 @@
 	is.True(first > 200*time.Millisecond && first < 500*time.Millisecond)
 	is.True(mean(0, 0) > first)
 	is.True(mean(time.Minute, 2) > 2*first) // The earlier refusals are forgotten.
-	is.True(r.RetryAfter(now, Refused{Until: time.Minute, Left: time.Second}, 0.9) < time.Second)
+	is.True(r.RetryAfter(now, Refused{RoomIn: time.Minute, Left: time.Second}, 0.9) < time.Second)
 }
