Endpoints: names in owners, totals and tests

The constants of owners.go stand at its top, as in other files. Two methods addSpeed differed in what they did: the share is set, the totals are updated. Tests: outcome shares instead of worth, a channel named by what closes it.

--- a/plugins/endpoints/cluster_test.go
+++ b/plugins/endpoints/cluster_test.go
@@ -29,8 +29,8 @@
 	alive   []port.Node
 	changed chan struct{}
 
-	evacuated bool          // Whether the data centre sj1 is evacuated.
-	ordered   chan struct{} // Closed when that changes.
+	evacuated         bool          // Whether the data centre sj1 is evacuated.
+	evacuationChanged chan struct{} // Closed when evacuated changes.
 
 	slots      int
 	running    map[model.TaskID]chan struct{} // Running tasks of the endpoint; a closed channel finishes its task.
@@ -210,12 +210,12 @@
 	})
 }
 
-// newCluster returns a cluster of three members in one data centre. The members are sorted by their weights
+// newCluster returns a cluster of three members in one data centre. The members are sorted by their scores
 // for testPool: the first one owns it, the second one does without the first.
 func newCluster(is *is.I, slots int) (*cluster, []*testMember) {
 	is.Helper()
 	c := &cluster{
-		members: make(map[model.NodeID]*testMember), changed: make(chan struct{}), ordered: make(chan struct{}),
+		members: make(map[model.NodeID]*testMember), changed: make(chan struct{}), evacuationChanged: make(chan struct{}),
 		slots: slots, running: make(map[model.TaskID]chan struct{}),
 	}
 	for i := range 3 {
--- a/plugins/endpoints/evacuation_test.go
+++ b/plugins/endpoints/evacuation_test.go
@@ -26,7 +26,7 @@
 func (p testProfiles) Changed() <-chan struct{} {
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
-	return p.cluster.ordered
+	return p.cluster.evacuationChanged
 }
 
 // evacuate begins or ends the evacuation of the members' data centre.
@@ -34,8 +34,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.evacuated = active
-	close(c.ordered)
-	c.ordered = make(chan struct{})
+	close(c.evacuationChanged)
+	c.evacuationChanged = make(chan struct{})
 }
 
 // Guards against a pool that learns of an order only with its next message, and against a next owner that starts tasks since it did
--- a/plugins/endpoints/owners.go
+++ b/plugins/endpoints/owners.go
@@ -11,6 +11,15 @@
 	"redwingpulley/kernel/port"
 )
 
+const (
+	// shareTolerance keeps rounding errors of sums of weights from raising a share that is a whole number.
+	shareTolerance = 1e-9
+
+	// lightFraction is the part of the greatest weight below which a member owns no pools. Callers are spread evenly over members of
+	// all sizes, so that a small one has little time left for tasks of other members' callers.
+	lightFraction = 0.5
+)
+
 // groupOwners holds the owners of a group's pools, by part, by one membership view.
 type groupOwners struct {
 	view    *port.Node  // First element of the view's slice, which identifies the view.
@@ -87,9 +96,6 @@
 	return shares
 }
 
-// shareTolerance keeps rounding errors of sums of weights from raising a share that is a whole number.
-const shareTolerance = 1e-9
-
 func totalWeight(members []port.Node) (total float64) {
 	for _, member := range members {
 		total += weightOf(member)
@@ -144,10 +150,6 @@
 	return alive
 }
 
-// lightFraction is the part of the greatest weight below which a member owns no pools. Callers are spread evenly over members of
-// all sizes, so that a small one has little time left for tasks of other members' callers.
-const lightFraction = 0.5
-
 // withoutLight returns the members that are not much lighter than the heaviest one.
 func withoutLight(members []port.Node) []port.Node {
 	heaviest := 0.0
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -485,7 +485,7 @@
 		sums.held += len(e.held)
 		sums.serving += min(e.schedulableSlots(), 1)
 		sums.speed += slots * e.speed
-		sums.freeFast += e.counted.fast
+		sums.freeFast += e.counted.freeFast
 		sums.slow += e.counted.slow
 	}
 	sums.largest, sums.largestStale = m.totals.largest, m.totals.largestStale
--- a/plugins/endpoints/poolstate/speed.go
+++ b/plugins/endpoints/poolstate/speed.go
@@ -69,21 +69,21 @@
 	return load
 }
 
-// addSpeed sets the endpoint's share in the totals that depend on its speed.
-func (c *contribution) addSpeed(e *endpoint, load port.EndpointLoad) {
+// setSpeed sets the endpoint's share in the totals that depend on its speed.
+func (c *contribution) setSpeed(e *endpoint, load port.EndpointLoad) {
 	c.speed = c.slots * e.speed
 	if c.slots > 0 && load.Factor > slowAbove {
 		c.slow = 1
 	}
 	if load.Factor > 0 && load.Factor < fastBelow {
-		c.fast = max(c.free, 0)
+		c.freeFast = max(c.free, 0)
 	}
 }
 
 // addSpeed updates the totals that depend on the speeds of endpoints after a change of one endpoint's share.
 func (t *totals) addSpeed(was, now contribution) {
 	t.speed += now.speed - was.speed
-	t.freeFast += now.fast - was.fast
+	t.freeFast += now.freeFast - was.freeFast
 	t.slow += now.slow - was.slow
 }
 
--- a/plugins/endpoints/poolstate/totals.go
+++ b/plugins/endpoints/poolstate/totals.go
@@ -4,14 +4,14 @@
 
 // contribution is the share of one endpoint in the pool's totals.
 type contribution struct {
-	slots   int
-	free    int
-	held    int
-	serving int // 1 while the endpoint gets work, otherwise 0.
-	speed   int // Slots times the endpoint's speed.
-	fast    int // Free slots of an endpoint that is clearly faster than the pool's mean.
-	slow    int // 1 while the endpoint is much slower than the pool's mean, otherwise 0.
-	remnant int // 1 while the endpoint's load is a remnant, otherwise 0; see port.EndpointLoad.
+	slots    int
+	free     int
+	held     int
+	serving  int // 1 while the endpoint gets work, otherwise 0.
+	speed    int // Slots times the endpoint's speed.
+	freeFast int // Free slots of an endpoint that is clearly faster than the pool's mean.
+	slow     int // 1 while the endpoint is much slower than the pool's mean, otherwise 0.
+	remnant  int // 1 while the endpoint's load is a remnant, otherwise 0; see port.EndpointLoad.
 }
 
 // totals are sums over the endpoints that get work.
@@ -38,7 +38,7 @@
 	if load.Remnant {
 		now.remnant = 1
 	}
-	now.addSpeed(e, load)
+	now.setSpeed(e, load)
 	was := e.counted
 	e.counted = now
 	m.recordStatusChange(e)
--- a/plugins/endpoints/poolstate/urgency_test.go
+++ b/plugins/endpoints/poolstate/urgency_test.go
@@ -48,11 +48,11 @@
 	return jobs
 }
 
-// simWorth is what became of the jobs of a team: the shares of those that were in time, and that were late but of use.
-type simWorth struct{ inTime, late float64 }
+// outcomeShares holds the shares of a team's jobs that ended in time, and late but of use.
+type outcomeShares struct{ inTime, late float64 }
 
-// worthOf returns what became of the team's jobs that came between two times.
-func worthOf(jobs []*simJob, team int, from, to time.Duration) (w simWorth) {
+// sharesOf returns the shares among the team's jobs that came between two times.
+func sharesOf(jobs []*simJob, team int, from, to time.Duration) (w outcomeShares) {
 	count := 0.0
 	for _, j := range jobs {
 		if j.team != team || j.at < from || j.at >= to {
@@ -67,7 +67,7 @@
 			w.late++
 		}
 	}
-	return simWorth{w.inTime / count, w.late / count}
+	return outcomeShares{w.inTime / count, w.late / count}
 }
 
 // newClassTrace returns a trace in which three classes use 0.6 of the slots, and the second one sends enough for twice the
@@ -93,8 +93,8 @@
 			for _, seed := range simSeeds {
 				trace := newClassTrace(seed, parts)
 				jobs := simulateDefaults(trace)
-				during := func(team int) simWorth { return worthOf(jobs, team, trace.burstAt, trace.burstAt+trace.burst) }
-				after := worthOf(jobs, 1, trace.burstAt+trace.burst+time.Second, trace.length)
+				during := func(team int) outcomeShares { return sharesOf(jobs, team, trace.burstAt, trace.burstAt+trace.burst) }
+				after := sharesOf(jobs, 1, trace.burstAt+trace.burst+time.Second, trace.length)
 				t.Logf("%+v %+v %+v, a second after the burst %+v", during(0), during(1), during(2), after)
 				is.True(during(0).inTime > 0.9)
 				is.True(during(2).inTime > 0.9)
@@ -117,7 +117,7 @@
 				{tasks: 4, run: 100 * time.Millisecond, load: 1, priority: 2},
 			}
 			jobs := simulateDefaults(trace)
-			urgent, other := worthOf(jobs, 0, trace.burstAt, trace.length), worthOf(jobs, 1, trace.burstAt, trace.length)
+			urgent, other := sharesOf(jobs, 0, trace.burstAt, trace.length), sharesOf(jobs, 1, trace.burstAt, trace.length)
 			t.Logf("%+v %+v", urgent, other)
 			is.True(urgent.inTime > 0.65)
 			is.True(other.inTime > 0.1)
--- a/plugins/endpoints/runtimes/runtimes_test.go
+++ b/plugins/endpoints/runtimes/runtimes_test.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	learnWeight   = 0.1 // Of the built-in profile.
-	bucketWidth   = 1.0 / bucketsPerDouble
-	twoSeconds    = 200 // Samples in two seconds at 100 runs a second.
-	byDefault     = 300 * time.Millisecond
-	ordinary      = 100 * time.Millisecond
-	tailed        = 7 * ordinary
-	manyTaskBatch = 16
+	learnWeight         = 0.1 // Of the built-in profile.
+	bucketWidth         = 1.0 / bucketsPerDouble
+	samplesInTwoSeconds = 200 // At 100 runs a second.
+	defaultRun          = 300 * time.Millisecond
+	ordinary            = 100 * time.Millisecond
+	tailed              = 7 * ordinary
+	manyTaskBatch       = 16
 )
 
 // learnTailed adds run times of which 3% are 7 times as long as the others.
@@ -35,7 +35,7 @@
 	b := e.Batch("t", tasks)
 	var estimate Estimate
 	for range tasks {
-		_, estimate = b.Add(0, byDefault)
+		_, estimate = b.Add(0, defaultRun)
 	}
 	return b, estimate
 }
@@ -75,8 +75,8 @@
 			is := is.New(t)
 			changed, fresh := New(), New()
 			learnTailed(&changed, 5000, ordinary)
-			learnTailed(&changed, twoSeconds, run)
-			learnTailed(&fresh, twoSeconds, run)
+			learnTailed(&changed, samplesInTwoSeconds, run)
+			learnTailed(&fresh, samplesInTwoSeconds, run)
 			batch, estimate := batchOf(&changed, manyTaskBatch)
 			want, wanted := batchOf(&fresh, manyTaskBatch)
 			is.True(near(estimate.Median, wanted.Median) && near(estimate.P95, wanted.P95) && near(batch.MedianLongest, want.MedianLongest))
@@ -105,12 +105,12 @@
 	is := is.New(t)
 	e := New()
 	none, estimate := batchOf(&e, 4)
-	is.Equal(estimate, Estimate{byDefault, byDefault, byDefault})
-	is.Equal([]float64{none.EndWithin(byDefault), none.EndWithin(byDefault - 1)}, []float64{1, 0})
+	is.Equal(estimate, Estimate{defaultRun, defaultRun, defaultRun})
+	is.Equal([]float64{none.EndWithin(defaultRun), none.EndWithin(defaultRun - 1)}, []float64{1, 0})
 	learnTailed(&e, 500, ordinary)
 	e.ClassOf("other", 0).Learn(learnWeight, 10*ordinary)
 	b := e.Batch("other", 1)
-	_, other := b.Add(0, byDefault)
+	_, other := b.Add(0, defaultRun)
 	is.True(other.Median > ordinary && other.Median < 3*ordinary)
 }
 
