--- a/plugins/frontend/operators/operators.go
+++ b/plugins/frontend/operators/operators.go
@@ -85,16 +85,15 @@
 }
 
 type statusBody struct {
-	Node        model.NodeID      `json:"node"`
-	Incarnation model.Incarnation `json:"incarnation"`
-	Revision    model.Revision    `json:"revision"`
-	Replica     port.ReplicaState `json:"replica"`
-	Ready       bool              `json:"ready"`
-	Why         []string          `json:"why,omitempty"` // What keeps the process from being ready.
-	Members     int               `json:"members"`       // Number of members considered alive, this one included.
-	Endpoints   int               `json:"endpoints"`     // Number of endpoints that this member owns.
-	// Evacuated are the evacuated data centres.
-	Evacuated []model.DataCentre `json:"evacuated,omitempty"`
+	Node        model.NodeID       `json:"node"`
+	Incarnation model.Incarnation  `json:"incarnation"`
+	Revision    model.Revision     `json:"revision"`
+	Replica     port.ReplicaState  `json:"replica"`
+	Ready       bool               `json:"ready"`
+	Why         []string           `json:"why,omitempty"` // What keeps the process from being ready.
+	Members     int                `json:"members"`       // Number of members considered alive, this one included.
+	Endpoints   int                `json:"endpoints"`     // Number of endpoints that this member owns.
+	Evacuated   []model.DataCentre `json:"evacuated,omitempty"`
 }
 
 func (f *Frontend) getStatus(w http.ResponseWriter, _ *http.Request) {
--- a/plugins/taskclient/taskclient.go
+++ b/plugins/taskclient/taskclient.go
@@ -101,7 +101,7 @@
 		return port.TaskReply{State: port.TaskNotRun, Detail: err.Error()}
 	}
 	calledAt := time.Now()
-	var late atomic.Bool // The request was late.
+	var late atomic.Bool // The request was written late.
 	traced, connected := dial.Trace(ctx)
 	traced = httptrace.WithClientTrace(traced, &httptrace.ClientTrace{
 		WroteRequest: func(httptrace.WroteRequestInfo) { late.Store(time.Since(calledAt) > port.MaxTimingError) },
