--- a/plugins/endpoints/poolstate/objective.go
+++ b/plugins/endpoints/poolstate/objective.go
@@ -12,19 +12,19 @@
 // vary.
 const lateMarginDivisor = 8
 
-// setTerms sets the times that the objective of the batch's job gives, by the pool's estimate of the job's
+// setTimeLimits sets the times that the objective of the batch's job gives, by the pool's estimate of the job's
 // longest task. Without the time at which the job was submitted they count from the batch's arrival.
-func (b *batch) setTerms() {
-	terms := urgency.Terms{Objective: b.Objective, Submitted: b.Submitted, Longest: b.medianLongestRun, Deadline: b.Deadline}
+func (b *batch) setTimeLimits() {
+	limits := urgency.TimeLimits{Objective: b.Objective, Submitted: b.Submitted, Longest: b.medianLongestRun, Deadline: b.Deadline}
 	if b.Submitted.IsZero() || b.Submitted.After(b.arrived) {
-		terms.Submitted = b.arrived
+		limits.Submitted = b.arrived
 	}
 	if b.hasObjective() && b.JobTasks > len(b.tasks) {
-		terms.Longest = max(terms.Longest, b.runs.MedianLongestOf(b.JobTasks))
+		limits.Longest = max(limits.Longest, b.runs.MedianLongestOf(b.JobTasks))
 	}
-	b.longestRun = terms.Longest
-	b.inTimeUntil, b.usefulUntil = terms.InTimeUntil(), terms.UsefulUntil()
-	b.lateMargin = max(b.Objective.For(terms.Longest)-terms.Longest, 0) / lateMarginDivisor
+	b.longestRun = limits.Longest
+	b.inTimeUntil, b.usefulUntil = limits.InTimeUntil(), limits.UsefulUntil()
+	b.lateMargin = max(b.Objective.For(limits.Longest)-limits.Longest, 0) / lateMarginDivisor
 }
 
 func (b *batch) hasObjective() bool { return b.Objective != (model.Objective{}) }
@@ -75,9 +75,10 @@
 	return b.inTimeUntil.Add(-b.lateMargin - m.dispatchTime(b) - run)
 }
 
-// retryAfter returns the delay that is advised to the caller of a batch that the pool refuses until it has room.
-func (m *Machine) retryAfter(now time.Time, b *batch, until time.Duration) time.Duration {
+// retryAfter returns the delay that is advised to the caller of a batch that the pool refuses, and for which it expects to have room
+// after the given time.
+func (m *Machine) retryAfter(now time.Time, b *batch, roomIn time.Duration) time.Duration {
 	return m.refusals.RetryAfter(now, urgency.Refused{
-		Until: until, Each: b.work / time.Duration(max(m.totals.slots, 1)), Left: b.Deadline.Sub(now), Priority: b.Priority,
+		RoomIn: roomIn, PoolTime: b.work / time.Duration(max(m.totals.slots, 1)), Left: b.Deadline.Sub(now), Priority: b.Priority,
 	}, m.random.Float64())
 }
--- a/plugins/endpoints/poolstate/random_test.go
+++ b/plugins/endpoints/poolstate/random_test.go
@@ -148,13 +148,13 @@
 }
 
 // checkEvacuation checks that in an evacuated data centre only tasks of jobs that have started in part are started, and none after
-// evacuationTime.
+// evacuationGrace.
 func (c *cluster) checkEvacuation(s Start) {
 	if c.evacuatedAt.IsZero() {
 		return
 	}
 	begun := slices.ContainsFunc(slices.Collect(maps.Keys(c.attempts)), func(id model.TaskID) bool { return id.Job() == s.Task.Job() })
-	if !begun || c.now.Sub(c.evacuatedAt) >= evacuationTime-port.MaxStartWait {
+	if !begun || c.now.Sub(c.evacuatedAt) >= evacuationGrace-port.MaxStartWait {
 		c.t.Fatalf("task %s was sent %v after the evacuation of the data centre, its job begun before: %t", s.Task, c.now.Sub(c.evacuatedAt), begun)
 	}
 }
@@ -485,7 +485,7 @@
 		sums.held += len(e.held)
 		sums.serving += min(e.schedulableSlots(), 1)
 		sums.speed += slots * e.speed
-		sums.freeFast += e.counted.fast
+		sums.freeFast += e.counted.freeFast
 		sums.slow += e.counted.slow
 	}
 	sums.largest, sums.largestStale = m.totals.largest, m.totals.largestStale
@@ -515,8 +515,8 @@
 			t.Fatalf("team %s: %v late work, counted afresh %v; first batch late: %v", team.id, team.lateWork, late[team], isLate)
 		}
 	}
-	if weights != c.machine.queue.weights {
-		t.Fatalf("weights: %d, counted afresh: %d", c.machine.queue.weights, weights)
+	if weights != c.machine.queue.totalWeight {
+		t.Fatalf("weights: %d, counted afresh: %d", c.machine.queue.totalWeight, weights)
 	}
 }
 
