Endpoints: all members learn at once that a pool accepts work

Cause: an owner publishes that a pool begins to accept work to all members, but its budget of 8 messages at once and 4 a second was used up by the first eight. The others waited for gossip.

Change: the budget allows 64 messages at once; its rate stays 4 a second.

Evidence: TestAllMembersAreNotifiedAtOnceThatAPoolAcceptsWork fails before (8 of 60).

--- a/plugins/endpoints/loadview/loadview_test.go
+++ b/plugins/endpoints/loadview/loadview_test.go
@@ -113,3 +113,12 @@
 	}
 	is.True(lists <= messageBurst+messageRate)
 }
+
+// Pattern: all processes of a group have been restarted, and its few owners begin to serve. Guards against members that know of
+// no pool until gossip has reached them, and refuse their callers' jobs meanwhile.
+func TestAllMembersAreNotifiedAtOnceThatAPoolAcceptsWork(t *testing.T) {
+	is := is.New(t)
+	members := make([]Member, 60)
+	r := NewReporter()
+	is.Equal(len(r.Plan(start, []model.PoolLoad{load(1, 50, 0)}, listed(members)).To), len(members))
+}
--- a/plugins/endpoints/loadview/reporter.go
+++ b/plugins/endpoints/loadview/reporter.go
@@ -17,11 +17,12 @@
 	gossipInterval = time.Second
 	// refreshInterval is how often loads are published by gossip when nothing has changed.
 	refreshInterval = 10 * time.Second
-	// messageRate limits the messages per second that carry nothing but loads, and messageBurst those
-	// sent at once. At about 400 bytes each they stay well within a node's budget of 7 KB a second for
-	// control messages.
-	messageRate  = 4.0
-	messageBurst = 8.0
+	// messageRate limits the messages per second that carry nothing but loads. At about 400 bytes each they stay well
+	// within a node's budget of 7 KB a second for control messages.
+	messageRate = 4.0
+	// messageBurst limits those sent at once. It lets an owner tell all members of a group of this size that a pool has begun
+	// to accept work; by gossip alone, members refuse jobs for seconds after a restart of all processes.
+	messageBurst = 64.0
 )
 
 // SignificantChange reports whether the difference between two loads is worth publishing: another
