Register: logs say on what ground a replica votes, metrics count lost rounds

Standing moved to a file of its own, and the condition to vote returns its ground. No decision is changed; the tests of plugins/profiles, kernel and cmd/internal/node pass.

--- a/kernel/event/keys.go
+++ b/kernel/event/keys.go
@@ -70,6 +70,7 @@
 	Place      Key = "place"   // Identity of a member among the replicas.
 	Replica    Key = "replica" // Whether the member is a replica.
 	Voting     Key = "voting"  // Whether the replica votes.
+	Phase      Key = "phase"   // What a replica does about its vote, or on what ground it votes; see register.Phase.
 	Replied    Key = "replied" // Replicas whose replies count for a replica that joins the group.
 	Seeds      Key = "seeds"   // Addresses from which the process learns the other members.
 	Changed    Key = "changed" // Paths of changed settings that take effect at once.
--- a/kernel/event/kinds.go
+++ b/kernel/event/kinds.go
@@ -112,7 +112,7 @@
 	EvacuationRefused   = define(Trouble, "evacuation_refused", "an order to evacuate a data centre, or to end that, is malformed or is not known to be in force; in the latter case it may be sent again", DataCentre, Edit, Status, Error)
 	MessageOfOtherGroup = define(Trouble, "message_of_other_group", "a message was dropped because its sender belongs to another cluster or knows other replicas", Member, Cluster)
 	ReplicaPlaced       = define(Change, "replica_placed", "this member takes part in the register, in a replica's place or without one", Replicas, Place, Replica)
-	ReplicaState        = define(Change, "replica_state", "this replica has begun or ceased to vote, or another reply counts for its joining the group", Place, Voting, Replied)
+	ReplicaState        = define(Change, "replica_state", "this replica has begun or ceased to vote, or another reply counts for its joining the group", Place, Voting, Phase, Replied)
 	ReplicaReplaced     = define(Trouble, "replica_replaced", "another member has taken over this member's place among the replicas", Place)
 	ReplicaTakesPlace   = define(Trouble, "replica_takes_place", "this member takes over the place of a replica whose member is gone", Place, Member)
 	ReplicasUnreadable  = define(Trouble, "replicas_unreadable", "the list of replicas that a member published cannot be decoded or is empty", Member)
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -135,6 +135,8 @@
 	p.revision = metrics.NewRegisteredGauge("profiles.revision", c.Metrics)
 	metrics.NewRegisteredFunctionalGauge("profiles.in_force_s", c.Metrics, p.secondsInForce)
 	p.registerEvacuationGauge(c.Metrics)
+	metrics.NewRegisteredFunctionalGauge("profiles.rounds", c.Metrics, func() int64 { return int64(p.rounds().Started) })
+	metrics.NewRegisteredFunctionalGauge("profiles.rounds_lost", c.Metrics, func() int64 { return int64(p.rounds().Lost) })
 	p.messagesSent = metrics.NewRegisteredCounter("profiles.messages_sent", c.Metrics)
 	p.writesFailed = metrics.NewRegisteredCounter("profiles.writes_failed", c.Metrics)
 	p.notify.changed = make(chan struct{})
@@ -309,6 +311,16 @@
 	return port.ReplicaVoter
 }
 
+// rounds returns the numbers of rounds that this member has proposed in its present place.
+func (p *Profiles) rounds() register.Rounds {
+	p.core.Lock()
+	defer p.core.Unlock()
+	if p.core.machine == nil {
+		return register.Rounds{}
+	}
+	return p.core.machine.Rounds()
+}
+
 // voteSyncedLocked reports whether the file as it is now on the disk may vote from the newest store of this member's place.
 // The caller holds the lock of core.
 func (p *Profiles) voteSyncedLocked() bool {
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -101,12 +101,17 @@
 
 // tryStartVoting begins to vote once enough other replicas have replied to Join.
 func (m *Machine) tryStartVoting() {
-	if m.durable.Released || !m.enoughJoinReplies() {
+	if m.durable.Released {
+		return
+	}
+	ground, enough := m.groundToVote()
+	if !enough {
 		return
 	}
 	if !m.intact {
 		m.adoptHighestBallots()
 	}
+	m.votesBy = ground
 	m.durable.Voting, m.durable.Copied, m.durable.Takes = true, false, Store{}
 	m.renewed = false
 	m.verified, m.intact = true, true
@@ -117,12 +122,12 @@
 	}
 }
 
-// enoughJoinReplies reports whether the replies to Join so far allow this replica to vote.
-func (m *Machine) enoughJoinReplies() bool {
-	others := len(m.config.Replicas) - 1
+// groundToVote returns on what ground the replies to Join so far allow this replica to vote; enough is false while they do not.
+func (m *Machine) groundToVote() (ground Phase, enough bool) {
 	if m.intact {
-		return len(m.joinReplies) >= m.majority()-1
+		return VotesWithFile, len(m.joinReplies) >= m.majority()-1
 	}
+	others := len(m.config.Replicas) - 1
 	empty, withFile := 0, 0
 	for _, reply := range m.joinReplies {
 		if reply.Voting || reply.Copied {
@@ -134,13 +139,13 @@
 	}
 	switch {
 	case m.config.Reform && len(m.joinReplies) == others:
-		return true
+		return VotesAfterRestore, true
 	case m.durable.Copied && withFile == others: // No replica has lost its file: all the folders were copied or moved.
-		return true
+		return VotesAfterRestore, true
 	case empty == others && m.durable.Takes == (Store{}): // No other replica has accepted a value, so none was chosen.
-		return true
+		return VotesAfterFirst, true
 	}
-	return m.votingReplies() >= JoinQuorum(len(m.config.Replicas))
+	return VotesAfterJoin, m.votingReplies() >= JoinQuorum(len(m.config.Replicas))
 }
 
 // votingReplies counts the replies to Join of replicas that vote.
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -60,6 +60,7 @@
 	joinWait        time.Duration
 	newStoreStarted bool      // Whether this machine has started a new store.
 	verified        bool      // Whether enough other replicas have replied to Join, so that this one may vote.
+	votesBy         Phase     // On what ground it has begun to vote.
 	replaced        bool      // Whether another member has taken this replica's place.
 	reclaiming      bool      // Whether this replica keeps its file until that member votes; see release.go.
 	renewed         bool      // Whether this replica has got its place back and does not vote yet.
@@ -82,6 +83,7 @@
 	promisedAt     time.Time     // When this machine last promised a ballot or accepted a value.
 	proposal       *proposal
 	highestRound   uint64                    // Highest round of any ballot seen.
+	rounds         Rounds                    // Rounds that this machine has proposed.
 	outcomeUnknown map[string]model.Revision // Edits proposed here whose outcome is unknown, by ID, with the newest revision that they can follow.
 
 	effects []Effect
@@ -186,27 +188,6 @@
 // CanVote reports whether this member is a replica that may vote now.
 func (m *Machine) CanVote() bool { return m.canVote() }
 
-// Standing is a member's part in the votes of the replicas.
-type Standing struct {
-	Replica bool           // Whether the member has a replica's place.
-	Voting  bool           // Whether it may vote now.
-	Replied []model.NodeID // Replicas whose replies to Join count, sorted; nil once it votes.
-	Intact  bool           // Whether its store is intact, so that the replies have to confirm it; else it joins under a new one.
-	Counted int            // Number of replies so far that count towards Needed; 0 once it votes.
-	Needed  int            // Number of replies after which it votes; 0 once it votes.
-}
-
-// Standing returns this member's part in the votes.
-func (m *Machine) Standing() Standing {
-	standing := Standing{Replica: m.isReplica(), Voting: m.canVote(), Intact: m.intact}
-	if standing.Voting || !standing.Replica {
-		return standing
-	}
-	standing.Replied = slices.Sorted(maps.Keys(m.joinReplies))
-	standing.Counted, standing.Needed = m.joinProgress()
-	return standing
-}
-
 func (m *Machine) runTimers() {
 	if m.placeTaken() {
 		m.leaveOrReclaim()
--- a/plugins/profiles/register/proposer.go
+++ b/plugins/profiles/register/proposer.go
@@ -111,6 +111,7 @@
 func (m *Machine) startRound() {
 	p := m.proposal
 	p.reads, m.reads = append(p.reads, m.reads...), nil
+	m.rounds.Started++
 	m.highestRound++
 	p.ballot = Ballot{m.highestRound, m.config.Self, m.config.Seed}
 	p.phase = Promise
@@ -160,6 +161,7 @@
 // forever.
 func (m *Machine) backOff() {
 	p := m.proposal
+	m.rounds.Lost++
 	p.lostRounds++
 	p.phase = ""
 	jitter := time.Duration(m.random.Int64N(int64(backoffUnit))) * time.Duration(min(p.lostRounds, backoffLimit))
--- a/plugins/profiles/register/reads.go
+++ b/plugins/profiles/register/reads.go
@@ -133,6 +133,7 @@
 
 // yieldTo ends a round without an edit that was outbid, and passes its reads on to the replica that did.
 func (m *Machine) yieldTo(proposer model.NodeID) {
+	m.rounds.Lost++
 	m.reads = append(m.proposal.reads, m.reads...)
 	m.proposal = nil
 	if proposer != m.config.Self {
--- a/plugins/profiles/register/standing_test.go
+++ b/plugins/profiles/register/standing_test.go
@@ -23,7 +23,7 @@
 	is.Equal(m.Standing().Counted, 1) // The reply in the place of a came from its former holder.
 	is.Equal(m.Standing().Replied, []model.NodeID{"a", "c"})
 	m.Step(time.Unix(2, 0), Received{"a", replyToJoin(join, map[model.NodeID]Store{"a": storeOfF}, latestBallot, acceptedState())})
-	is.Equal(m.Standing(), Standing{Replica: true, Voting: true, Intact: true})
+	is.Equal(m.Standing(), Standing{Replica: true, Voting: true, Phase: VotesAfterJoin, Intact: true})
 }
 
 // Guards against a restarted replica that is told to need as many replies as one that has lost its disk.
@@ -32,6 +32,6 @@
 	file := &Durable{Store: storeOfC, Voting: true, Value: Initial(), Chosen: Initial(), Fences: map[model.NodeID]Store{"c": storeOfC}}
 	m := New(Config{Self: "c", Node: "C", Replicas: threePlaces, Seed: 7}, file)
 	m.Step(time.Unix(0, 0), Woken{})
-	is.Equal(m.Standing(), Standing{Replica: true, Intact: true, Needed: 1})
+	is.Equal(m.Standing(), Standing{Replica: true, Phase: Confirming, Intact: true, Needed: 1})
 	is.Equal(New(Config{Self: "x", Replicas: threePlaces}, nil).Standing(), Standing{}) // Without a place.
 }
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -145,7 +145,7 @@
 	place, standing := p.place, p.core.machine.Standing()
 	p.core.Unlock()
 	fields := []slog.Attr{
-		event.Text(event.Place, place), event.Flag(event.Voting, standing.Voting), event.List(event.Replied, standing.Replied),
+		event.Text(event.Place, place), event.Flag(event.Voting, standing.Voting), event.Text(event.Phase, standing.Phase), event.List(event.Replied, standing.Replied),
 	}
 	if !standing.Replica || slices.EqualFunc(fields, p.loggedState, slog.Attr.Equal) {
 		return
