--- a/plugins/profiles/register/sim_test.go
+++ b/plugins/profiles/register/sim_test.go
@@ -28,6 +28,8 @@
 	alone         time.Duration // Config.Alone of members that start from now on.
 	reform        bool          // Config.Reform of members that start from now on.
 	takeovers     bool          // Whether members without a place take over places; see takeover_test.go.
+	writeTime     time.Duration // Longest time that a write to disk takes; 0 has writes end at once. See write_test.go.
+	watchers      *watchers     // Has members take over places by themselves, unless nil; see watch_test.go.
 	lastSeed      uint64
 
 	lastTicket     uint64
@@ -54,10 +56,13 @@
 	disk          *Durable
 	diskHistory   []*Durable // All contents written to the disk, oldest first.
 	diskFull      bool
+	writes        writes
 	restoredCopy  bool // Whether the disk holds a restored copy.
 	down          bool
 	place         model.NodeID   // Place that the member's disk is for; "" means the one named after the member.
+	nextPlace     model.NodeID   // Place that the next write to the disk is for; as place.
 	changedPlace  bool           // Whether the machine was replaced since the member's start.
+	serves        bool           // Whether the process serves a state, by whichever machine.
 	highestServed model.Revision // Highest revision served, over all incarnations.
 }
 
@@ -102,10 +107,11 @@
 func (sim *simulation) startMember(id model.NodeID) {
 	n := sim.members[id]
 	sim.lastSeed++
-	n.down, n.changedPlace = false, false
+	n.down, n.changedPlace, n.serves = false, false, false
 	if n.disk == nil {
 		n.place = "" // Only the file names a place that was taken over.
 	}
+	n.nextPlace = n.place
 	n.machine = New(sim.config(id, cmp.Or(n.place, id)), n.disk)
 	sim.step(id, Woken{})
 }
@@ -119,11 +125,19 @@
 	return config
 }
 
-func (sim *simulation) crash(id model.NodeID) { sim.members[id].down = true }
+func (sim *simulation) crash(id model.NodeID) {
+	sim.members[id].down = true
+	sim.abortWrite(id)
+}
 
 func (sim *simulation) step(id model.NodeID, e Event) {
 	n := sim.members[id]
-	sim.execute(id, n.machine.Step(sim.now, e))
+	effects := n.machine.Step(sim.now, e)
+	if sim.writeTime > 0 {
+		sim.enqueue(id, effects)
+		return
+	}
+	sim.execute(id, effects)
 }
 
 func (sim *simulation) execute(id model.NodeID, effects []Effect) {
@@ -135,8 +149,7 @@
 				failed = true
 				continue
 			}
-			n.disk, n.restoredCopy = &e.Durable, false
-			n.diskHistory = append(n.diskHistory, n.disk)
+			sim.syncFile(id, &e.Durable)
 			sim.execute(id, e.Then)
 		case Send:
 			sim.send(id, sim.memberAt(id, e.To), e.Message)
@@ -155,6 +168,7 @@
 		case Answer:
 			sim.checkAnswer(e)
 		case Serve:
+			n.serves = true
 			sim.checkServed(id, e.State)
 		}
 	}
@@ -163,6 +177,13 @@
 	}
 }
 
+// syncFile replaces the content of a member's disk.
+func (sim *simulation) syncFile(id model.NodeID, durable *Durable) {
+	n := sim.members[id]
+	n.disk, n.place, n.restoredCopy = durable, n.nextPlace, false
+	n.diskHistory = append(n.diskHistory, n.disk)
+}
+
 func (sim *simulation) send(from, to model.NodeID, message Message) {
 	if from != to && sim.random.Float64() < sim.lossRate {
 		return
@@ -181,8 +202,20 @@
 	}
 }
 
-// advance lets simulated time pass, delivering messages and running timers that fall due.
+// advance lets simulated time pass, and has members watch for vacant places if they do so by themselves.
 func (sim *simulation) advance(d time.Duration) {
+	if sim.watchers == nil {
+		sim.run(d)
+		return
+	}
+	for end := sim.now.Add(d); sim.now.Before(end); {
+		sim.run(min(watchInterval, end.Sub(sim.now)))
+		sim.watchPlaces()
+	}
+}
+
+// run lets simulated time pass, delivering messages, ending writes and running timers that fall due.
+func (sim *simulation) run(d time.Duration) {
 	for end := sim.now.Add(d); ; {
 		at, wake, index := end, model.NodeID(""), -1
 		for i, p := range sim.inFlight {
@@ -195,10 +228,14 @@
 				at, wake, index = n.machine.NextTimer(), id, -1
 			}
 		}
+		writer, writeEnds := sim.nextWrite(at)
+		at = writeEnds
 		if at.After(sim.now) {
 			sim.now = at
 		}
 		switch {
+		case writer != "":
+			sim.finishWrite(writer)
 		case wake != "":
 			sim.step(wake, Woken{})
 		case index >= 0:
@@ -243,6 +280,9 @@
 // checkAnswer checks that an answer contradicts no earlier answer to the same edit.
 func (sim *simulation) checkAnswer(a Answer) {
 	submission, ok := sim.awaited[a.Ticket]
+	if !ok && sim.writeTime > 0 {
+		return // The machine that gives the answer was replaced while a write was under way.
+	}
 	if !ok {
 		sim.t.Fatalf("answer to unknown ticket %d", a.Ticket)
 	}
--- a/plugins/profiles/register/takeover_test.go
+++ b/plugins/profiles/register/takeover_test.go
@@ -92,16 +92,21 @@
 	sim.changePlace(id, sim.placelessIdentity(id), Store{})
 }
 
-// changePlace gives a member a new machine with an empty disk, for a place or for none.
+// changePlace gives a member a new machine, for a place or for none. It starts without a file; where writes take time, the file of a
+// place that the member reclaims stays on the disk until the first write of one that it takes over.
 func (sim *simulation) changePlace(id, place model.NodeID, takes Store) {
 	n := sim.members[id]
 	sim.abandonAnswers(id)
 	sim.lastSeed++
 	config := sim.config(id, place)
 	config.Takes = takes
-	n.machine, n.disk, n.place, n.changedPlace = New(config, nil), nil, place, true
+	n.machine, n.nextPlace, n.changedPlace = New(config, nil), place, true
+	n.writes.queue = nil
 	if !slices.Contains(sim.replicaIDs, place) {
-		n.place = ""
+		n.nextPlace = ""
+	}
+	if sim.writeTime == 0 || takes == (Store{}) {
+		n.disk, n.place = nil, n.nextPlace
 	}
 	sim.step(id, Woken{})
 }
