Register: messages leave under the identity that made them, and replicas' messages count from replicas only

A message that waits for a write was given its sender's identity when it left. A replica that lost its place while it wrote sent its votes and its replies to Join as a member without a place. A replica with a lost disk counted such a reply as one more voter and did not take over what it held; members recorded stores of such senders, and sent them replies that they took for their own place's.

Each effect carries the identity now that its member had when the machine issued it, and messages of ballots and of joining are ignored unless they come from a replica.

--- a/plugins/profiles/effects.go
+++ b/plugins/profiles/effects.go
@@ -6,30 +6,38 @@
 	"time"
 
 	"redwingpulley/kernel/event"
+	"redwingpulley/kernel/model"
 	"redwingpulley/plugins/profiles/register"
 )
 
+// issuedEffect is an effect, with the identity that this member had when its machine issued it. A message that waits for a write leaves under
+// that identity: by then the member may have lost its place, and the message may hold a vote.
+type issuedEffect struct {
+	effect register.Effect
+	sender model.NodeID
+}
+
 // execute executes effects. It writes to disk only once, since the last Persist holds all that the
 // earlier ones held. When the write fails, what depends on it is not executed.
-func (p *Profiles) execute(effects []register.Effect) {
+func (p *Profiles) execute(effects []issuedEffect) {
 	saved := p.saveLast(effects)
-	for _, effect := range effects {
-		if e, ok := effect.(register.Persist); ok {
+	for _, issued := range effects {
+		if e, ok := issued.effect.(register.Persist); ok {
 			if saved {
-				p.executeAll(e.Then)
+				p.executeAll(issued.sender, e.Then)
 			}
 			continue
 		}
-		p.executeOne(effect)
+		p.executeOne(issued.sender, issued.effect)
 	}
 }
 
 // saveLast writes the durable state of the last Persist among the effects. It returns false when the
 // write fails, or when there is nothing to write.
-func (p *Profiles) saveLast(effects []register.Effect) (saved bool) {
+func (p *Profiles) saveLast(effects []issuedEffect) (saved bool) {
 	var last *register.Persist
-	for _, effect := range effects {
-		if e, ok := effect.(register.Persist); ok {
+	for _, issued := range effects {
+		if e, ok := issued.effect.(register.Persist); ok {
 			last = &e
 		}
 	}
@@ -61,23 +69,24 @@
 	}
 }
 
-func (p *Profiles) executeAll(effects []register.Effect) {
+func (p *Profiles) executeAll(sender model.NodeID, effects []register.Effect) {
 	for _, effect := range effects {
-		p.executeOne(effect)
+		p.executeOne(sender, effect)
 	}
 }
 
-func (p *Profiles) executeOne(effect register.Effect) {
+// executeOne executes an effect. Its messages name sender as the replica, or the member without a place, that they come from.
+func (p *Profiles) executeOne(sender model.NodeID, effect register.Effect) {
 	switch e := effect.(type) {
 	case register.Send:
-		p.send(e.To, e.Message)
+		p.send(sender, e.To, e.Message)
 	case register.SendMember:
-		p.sendToMember(e.To, e.Message)
+		p.sendToMember(sender, e.To, e.Message)
 	case register.Broadcast:
-		p.broadcast(e.Message)
+		p.broadcast(sender, e.Message)
 	case register.Ask:
 		if others := p.others(); len(others) > 0 {
-			p.send(others[e.Number%uint64(len(others))], e.Message)
+			p.send(sender, others[e.Number%uint64(len(others))], e.Message)
 		}
 	case register.Answer:
 		p.deliverAnswer(e)
--- a/plugins/profiles/places.go
+++ b/plugins/profiles/places.go
@@ -33,6 +33,11 @@
 func (p *Profiles) ownPlace() model.NodeID {
 	p.core.Lock()
 	defer p.core.Unlock()
+	return p.identityLocked()
+}
+
+// identityLocked is ownPlace for callers that hold the lock of core.
+func (p *Profiles) identityLocked() model.NodeID {
 	if p.core.machine != nil && p.core.machine.Reclaiming() {
 		return p.placelessIdentity()
 	}
--- a/plugins/profiles/profiles.go
+++ b/plugins/profiles/profiles.go
@@ -106,7 +106,7 @@
 type core struct {
 	sync.Mutex
 	machine    *register.Machine
-	effects    []register.Effect                // Effects of steps that run has not taken yet, in order.
+	effects    []issuedEffect                   // Effects of steps that run has not taken yet, in order.
 	waiters    map[uint64]chan model.EditResult // By ticket: where the result of a submitted edit is delivered.
 	lastTicket uint64
 	steps      uint64         // Steps of the current machine so far.
--- a/plugins/profiles/register/former_test.go
+++ b/plugins/profiles/register/former_test.go
@@ -147,3 +147,28 @@
 		is.True(!m.CanVote())
 	}
 }
+
+// Guards against the loss of an accepted change: a replica with a lost disk took the reply of a member that had lost its place for that of
+// one more replica that votes, and left out what that member had accepted.
+func TestJoin_ReplyOfMemberWithoutAPlaceDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{Self: "b", Node: "B", Replicas: threePlaces, Seed: 7}, nil)
+	join := sentJoin(m.Step(time.Unix(0, 0), Woken{}))
+	m.Step(time.Unix(1, 0), Received{"c", replyToJoin(join, map[model.NodeID]Store{"a": storeOfF, "c": storeOfC}, olderBallot, Initial())})
+	m.Step(time.Unix(1, 0), Received{"a~", replyToJoin(join, map[model.NodeID]Store{"a": storeOfA}, latestBallot, acceptedState())})
+	is.True(!m.CanVote())
+	is.Equal(m.Standing().Counted, 1)
+}
+
+// Guards against stores recorded for members that have no place: they were kept on the disk and sent on.
+func TestJoin_OfMemberWithoutAPlaceIsIgnored(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{Self: "b", Node: "B", Replicas: threePlaces, Seed: 7}, nil)
+	m.Step(time.Unix(0, 0), Woken{})
+	for _, effect := range m.Step(time.Unix(0, 0), Received{"a~", Message{Kind: Join, Store: storeOfA}}) {
+		_, persists := effect.(Persist)
+		is.True(!persists) // Nothing to record, and no reply that waits for the write.
+	}
+	_, known := m.durable.Fences["a~"]
+	is.True(!known)
+}
--- a/plugins/profiles/register/machine.go
+++ b/plugins/profiles/register/machine.go
@@ -214,6 +214,9 @@
 }
 
 func (m *Machine) handleMessage(from model.NodeID, message Message) {
+	if message.Kind.fromReplicasOnly() && !slices.Contains(m.config.Replicas, from) {
+		return
+	}
 	m.observeStores(from, message)
 	switch message.Kind {
 	case Prepare:
--- a/plugins/profiles/register/message.go
+++ b/plugins/profiles/register/message.go
@@ -85,6 +85,16 @@
 	Release   MessageKind = "release"   // Reply to Reclaim: the place's present member votes, or gives the place back.
 )
 
+// fromReplicasOnly reports whether a message of this kind counts only if it comes from a replica, and not from a member that has lost its
+// place or never had one.
+func (k MessageKind) fromReplicasOnly() bool {
+	switch k {
+	case Fetch, Chosen, Reclaim, Release:
+		return false
+	}
+	return true
+}
+
 // Message passes between members. Fields that a kind does not use are zero.
 type Message struct {
 	Kind   MessageKind
--- a/plugins/profiles/register/sim_test.go
+++ b/plugins/profiles/register/sim_test.go
@@ -137,10 +137,11 @@
 		sim.enqueue(id, effects)
 		return
 	}
-	sim.execute(id, effects)
+	sim.execute(id, sim.identity(id), effects)
 }
 
-func (sim *simulation) execute(id model.NodeID, effects []Effect) {
+// execute executes effects of a member's machine; sender is the identity that the member had when it issued them.
+func (sim *simulation) execute(id, sender model.NodeID, effects []Effect) {
 	n, failed := sim.members[id], false
 	for _, effect := range effects {
 		switch e := effect.(type) {
@@ -150,21 +151,21 @@
 				continue
 			}
 			sim.syncFile(id, &e.Durable)
-			sim.execute(id, e.Then)
+			sim.execute(id, sender, e.Then)
 		case Send:
-			sim.send(id, sim.memberAt(id, e.To), e.Message)
+			sim.send(id, sender, sim.memberAt(id, e.To), e.Message)
 		case SendMember:
-			sim.send(id, e.To, e.Message)
+			sim.send(id, sender, e.To, e.Message)
 		case Replaced:
 			sim.leavePlace(id)
 		case Broadcast:
 			for _, to := range sim.memberIDs {
 				if to != id {
-					sim.send(id, to, e.Message)
+					sim.send(id, sender, to, e.Message)
 				}
 			}
 		case Ask:
-			sim.send(id, sim.memberIDs[e.Number%uint64(len(sim.memberIDs))], e.Message)
+			sim.send(id, sender, sim.memberIDs[e.Number%uint64(len(sim.memberIDs))], e.Message)
 		case Answer:
 			sim.checkAnswer(e)
 		case Serve:
@@ -184,7 +185,8 @@
 	n.diskHistory = append(n.diskHistory, n.disk)
 }
 
-func (sim *simulation) send(from, to model.NodeID, message Message) {
+// send sends a message; identity is the sender's place, or its identity without one.
+func (sim *simulation) send(from, identity, to model.NodeID, message Message) {
 	if from != to && sim.random.Float64() < sim.lossRate {
 		return
 	}
@@ -198,7 +200,7 @@
 		if sim.random.Float64() < sim.duplicateRate {
 			delay *= 200 // A straggler arrives after later rounds.
 		}
-		sim.inFlight = append(sim.inFlight, delivery{sim.now.Add(delay), from, to, sim.identity(from), message})
+		sim.inFlight = append(sim.inFlight, delivery{sim.now.Add(delay), from, to, identity, message})
 	}
 }
 
--- a/plugins/profiles/register/takeover_test.go
+++ b/plugins/profiles/register/takeover_test.go
@@ -69,7 +69,7 @@
 	if p.message.Kind == Chosen || !slices.Contains(sim.replicaIDs, p.identity) || sim.memberAt(p.to, p.identity) == p.from {
 		return
 	}
-	sim.send(p.to, p.from, sim.members[p.to].machine.ChosenMessage())
+	sim.send(p.to, sim.identity(p.to), p.from, sim.members[p.to].machine.ChosenMessage())
 }
 
 // identity returns the place that a member has, or its identity without one.
@@ -141,11 +141,11 @@
 	for _, replica := range sim.replicaIDs {
 		at := sim.memberAt(id, replica)
 		n := sim.members[at]
-		if n.down || sim.partition[at] != sim.partition[id] || n.machine.config.Self != replica || !n.machine.CanVote() {
+		if n.down || sim.partition[at] != sim.partition[id] || n.machine.config.Self != replica || !n.votes() {
 			continue
 		}
 		if _, known := n.machine.Holder(place); store.Less(known) {
-			sim.send(at, id, n.machine.ChosenMessage())
+			sim.send(at, sim.identity(at), id, n.machine.ChosenMessage())
 			continue
 		}
 		voters++
@@ -165,6 +165,11 @@
 	}
 }
 
+// votes reports whether a member votes, by its disk as well.
+func (n *member) votes() bool {
+	return n.machine.CanVote() && n.disk != nil && n.disk.Voting && n.disk.Store == n.machine.durable.Store
+}
+
 // newestStoreVotes reports whether the newest store of a place has joined and is still on a disk.
 func (sim *simulation) newestStoreVotes(place model.NodeID) bool {
 	n := sim.members[sim.memberWithNewestStore(place)]
--- a/plugins/profiles/register/write_test.go
+++ b/plugins/profiles/register/write_test.go
@@ -10,16 +10,24 @@
 // Where writes to disk take time, effects wait as in the plug-in: those of a step are executed once the write of the newest durable state
 // among those that wait has ended. A process that ends before that executes none of them.
 
+// issued is an effect, with the identity that its member had when the machine issued it.
+type issued struct {
+	effect Effect
+	sender model.NodeID
+}
+
 // writes are the effects of a member that wait for a write.
 type writes struct {
-	queue []Effect  // Those that wait for the write under way to end before theirs begins.
-	batch []Effect  // Those that are executed when the write under way has ended; nil without one.
+	queue []issued  // Those that wait for the write under way to end before theirs begins.
+	batch []issued  // Those that are executed when the write under way has ended; nil without one.
 	ends  time.Time // End of the write under way.
 }
 
 func (sim *simulation) enqueue(id model.NodeID, effects []Effect) {
-	w := &sim.members[id].writes
-	w.queue = append(w.queue, effects...)
+	w, sender := &sim.members[id].writes, sim.identity(id)
+	for _, effect := range effects {
+		w.queue = append(w.queue, issued{effect, sender})
+	}
 	sim.startWrite(id)
 }
 
@@ -38,9 +46,9 @@
 }
 
 // newestDurable returns the durable state of the last Persist among effects, nil without one.
-func newestDurable(effects []Effect) *Durable {
-	for _, effect := range slices.Backward(effects) {
-		if persist, ok := effect.(Persist); ok {
+func newestDurable(effects []issued) *Durable {
+	for _, i := range slices.Backward(effects) {
+		if persist, ok := i.effect.(Persist); ok {
 			return &persist.Durable
 		}
 	}
@@ -68,13 +76,13 @@
 }
 
 // executeWritten executes effects after the write of the newest durable state among them.
-func (sim *simulation) executeWritten(id model.NodeID, batch []Effect) {
-	for _, effect := range batch {
-		if persist, ok := effect.(Persist); ok {
-			sim.execute(id, persist.Then)
+func (sim *simulation) executeWritten(id model.NodeID, batch []issued) {
+	for _, i := range batch {
+		if persist, ok := i.effect.(Persist); ok {
+			sim.execute(id, i.sender, persist.Then)
 			continue
 		}
-		sim.execute(id, []Effect{effect})
+		sim.execute(id, i.sender, []Effect{i.effect})
 	}
 }
 
--- a/plugins/profiles/run.go
+++ b/plugins/profiles/run.go
@@ -82,7 +82,7 @@
 	}
 	chosen := p.core.machine.ChosenMessage()
 	p.core.Unlock()
-	p.sendToMember(to, chosen)
+	p.sendToMember(p.ownPlace(), to, chosen)
 }
 
 // step advances the machine by one event. The effects are executed by run.
@@ -102,7 +102,10 @@
 func (p *Profiles) stepLocked(event register.Event) (finish func()) {
 	now := p.now()
 	effects := p.core.machine.Step(now, event)
-	p.core.effects = append(p.core.effects, effects...)
+	sender := p.identityLocked()
+	for _, effect := range effects {
+		p.core.effects = append(p.core.effects, issuedEffect{effect, sender})
+	}
 	p.core.nextTimer = p.core.machine.NextTimer()
 	p.core.steps++
 	number := p.core.steps
@@ -156,7 +159,7 @@
 
 // takeEffects returns the effects that are still to be executed, and the time at which the machine
 // has to be stepped with Woken next.
-func (p *Profiles) takeEffects() ([]register.Effect, time.Time) {
+func (p *Profiles) takeEffects() ([]issuedEffect, time.Time) {
 	p.core.Lock()
 	defer p.core.Unlock()
 	effects := p.core.effects
--- a/plugins/profiles/send.go
+++ b/plugins/profiles/send.go
@@ -28,25 +28,26 @@
 	return others
 }
 
-// send sends a message to the member that an identity stands for. A message to this member's own
-// identity goes straight to its machine.
-func (p *Profiles) send(to model.NodeID, message register.Message) {
-	own := p.ownPlace()
-	if to == own {
-		p.step(register.Received{From: own, Message: message})
+// send sends a message to the member that an identity stands for. A message to the sender's own identity goes straight to this member's
+// machine, if the member still has that identity.
+func (p *Profiles) send(sender, to model.NodeID, message register.Message) {
+	if to == sender {
+		if sender == p.ownPlace() {
+			p.step(register.Received{From: sender, Message: message})
+		}
 		return
 	}
 	node := p.memberAt(to)
 	if node == p.self {
 		return // This member had that identity when the message was made, and no longer has.
 	}
-	p.sendToMember(node, message)
+	p.sendToMember(sender, node, message)
 }
 
 // broadcast sends a message to all other live members and replicas. It is encoded once, since it may hold
 // a large state.
-func (p *Profiles) broadcast(message register.Message) {
-	encoded, err := p.peers.Encode(p.encode(message))
+func (p *Profiles) broadcast(sender model.NodeID, message register.Message) {
+	encoded, err := p.peers.Encode(p.encode(sender, message))
 	if err != nil {
 		event.RequestNotEncoded.Log(p.log, event.Text(event.Method, methodMessage), event.Err(err))
 		return
@@ -58,18 +59,18 @@
 	}
 }
 
-// encode returns a message as this member sends it.
-func (p *Profiles) encode(message register.Message) wire.Message {
+// encode returns a message as this member sends it under an identity.
+func (p *Profiles) encode(sender model.NodeID, message register.Message) wire.Message {
 	encoded := wire.EncodeMessage(message, p.settings.Cluster, p.group.Load().hash)
-	if own := p.ownPlace(); own != p.self {
-		encoded.Sender = own
+	if sender != p.self {
+		encoded.Sender = sender
 	}
 	return encoded
 }
 
 // sendToMember sends a message to a member without waiting for its delivery; it may be lost.
-func (p *Profiles) sendToMember(node model.NodeID, message register.Message) {
-	p.sendEncoded(node, p.encode(message))
+func (p *Profiles) sendToMember(sender, node model.NodeID, message register.Message) {
+	p.sendEncoded(node, p.encode(sender, message))
 }
 
 // sendEncoded sends an encoded message to a member without waiting for its delivery.
--- a/plugins/profiles/snapshot.go
+++ b/plugins/profiles/snapshot.go
@@ -110,7 +110,7 @@
 	}
 	stores := p.core.machine.StoresMessage()
 	p.core.Unlock()
-	return wire.EncodePlaceReport(p.reportPlace(request.Place), p.encode(stores))
+	return wire.EncodePlaceReport(p.reportPlace(request.Place), p.encode(p.ownPlace(), stores))
 }
 
 // reportPlace returns what this member does with a place; nil when it does not have it.
