Register: a member that reclaims its place starts no store when a late reply to its Join arrives

Cause: a replica whose place another member has taken over keeps its file and asks that member for the place. Replies to its Join that arrived then named the other one's store as the newest, and it answered as a replica with an old file does: it started a store above that one. It now named itself as the holder and asked itself for the place, without end; the present holder's votes did not count any more, and it asked in turn one that did not answer. Two such places of five, or one of three, are lost until an operator helps: with one more lost disk no majority votes again.

A member that has lost its place takes no replies to Join any more. TestReclaim_LateReplyToJoinStartsNoStore failed before (store {3 A} instead of {1 A}).

--- a/plugins/profiles/register/former_test.go
+++ b/plugins/profiles/register/former_test.go
@@ -172,3 +172,29 @@
 	_, known := m.durable.Fences["a~"]
 	is.True(!known)
 }
+
+// Guards against a group without a majority after one more lost disk: a member that kept its file for a place that another one had taken over
+// started a store above that one's when a late reply to its Join arrived. It asked itself for the place from then on, and the present holder's
+// votes did not count any more.
+func TestReclaim_LateReplyToJoinStartsNoStore(t *testing.T) {
+	is := is.New(t)
+	file := &Durable{Store: storeOfA, Voting: true, Value: Initial(), Chosen: Initial(), Fences: map[model.NodeID]Store{"a": storeOfA}}
+	m := New(Config{Self: "a", Node: "A", Replicas: threePlaces, Seed: 7}, file)
+	join := sentJoin(m.Step(time.Unix(0, 0), Woken{}))
+	m.Step(time.Unix(0, 0), Received{"b", Message{Kind: Chosen, Fences: map[model.NodeID]Store{"a": storeOfF}}})
+	is.True(m.Reclaiming())
+	late := replyToJoin(join, map[model.NodeID]Store{"a": storeOfF}, olderBallot, Initial())
+	effects := m.Step(time.Unix(1, 0), Received{"c", late})
+	is.Equal(m.durable.Store, storeOfA)
+	is.Equal(reclaimedFrom(effects), model.NodeID("F"))
+}
+
+// reclaimedFrom returns the member that effects ask for a place, "" if they ask none.
+func reclaimedFrom(effects []Effect) model.NodeID {
+	for _, effect := range effects {
+		if e, ok := effect.(SendMember); ok && e.Message.Kind == Reclaim {
+			return e.To
+		}
+	}
+	return ""
+}
--- a/plugins/profiles/register/join.go
+++ b/plugins/profiles/register/join.go
@@ -86,10 +86,10 @@
 	if !m.intact && (message.Value == nil || message.Chosen == nil) {
 		return // A reply to a Join that was sent before this store was found not to be intact.
 	}
-	known := message.Fences[m.config.Self]
-	if m.placeTaken() {
+	if m.replaced || m.placeTaken() {
 		return
 	}
+	known := message.Fences[m.config.Self]
 	if known != m.durable.Store || message.Votes > m.durable.Votes {
 		m.startNewStore()
 		m.joinAt = m.now
