--- a/review/harness3/case12.go
+++ b/review/harness3/case12.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 const (
 	cutLength     = 5500 * time.Millisecond // As the site's list of troubles has it for node_cut.
@@ -70,7 +73,7 @@
 			note = ", at work too long"
 			late++
 		}
-		say("run of %s at %s: from %s to %s, %s%s", r.Task, r.Exec, stamp(r.Start), stamp(r.End), r.How, note)
+		say("run of %s at %s: from %s to %s, %s%s", strings.ReplaceAll(r.Task, ".", "/"), r.Exec, stamp(r.Start), stamp(r.End), r.How, note)
 	}
 	if late > 0 {
 		say("UNASKED: %d tasks of job %s were at work at %s, its cancelling was acknowledged at %s", late, j.id, stamp(gone), stamp(ackedAt))
